--- /dev/null
+++ b/godwit/routing/suspect_notice.h
@@ -0,0 +1,34 @@
+#pragma once
+
+// What routers tell one another about requests that may crash endpoints.
+
+#include "godwit/base/ids.h"
+#include "godwit/base/time.h"
+
+#include <cstdint>
+
+namespace Godwit
+{
+
+enum class SuspectStatus {
+    Suspected, // It was in flight at an endpoint that died.
+    Cleared, // That death was the failure of a host or of the network: it doesn't count.
+    Convicted, // It crashed two endpoints: refuse it.
+};
+
+struct SuspectNotice
+{
+    // Of customer, route and body, as in PendingCall::fingerprint.
+    std::uint64_t fingerprint = 0;
+    SuspectStatus status = SuspectStatus::Suspected;
+    // The endpoint that died, its host (empty when unknown) and its data centre.
+    EndpointId endpoint;
+    HostId host;
+    DataCentreId dataCentre;
+    // How long ago it died, or how long ago the verdict was given.
+    Duration age{};
+    // For Convicted: how much longer to refuse it.
+    Duration refuseFor{};
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/routing/suspects.h
@@ -0,0 +1,112 @@
+#pragma once
+
+// Requests that may crash endpoints: who was in flight when an endpoint died, and who is to be refused.
+//
+// One death makes all calls in flight there suspects and condemns nobody. A fingerprint is convicted when it is the
+// only one found at two sound deaths of different endpoints. A death is sound when it is no part of a failure of a
+// host or of the network, which shows by deaths at the same moment that the fingerprint had no part in. Judgement
+// waits until such deaths must have shown (SuspectOptions::settle).
+//
+// Example:
+//   noteSuspect(book, death, call.fingerprint, now);
+//   ...
+//   if (judge(book, call.fingerprint, now) == Verdict::Convicted) { ...refuse... }
+
+#include "godwit/base/ids.h"
+#include "godwit/base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace Godwit
+{
+
+struct SuspectOptions
+{
+    // Deaths so close together may have one cause.
+    Duration settle = std::chrono::milliseconds(300);
+    // How long a death counts against those who were in flight.
+    Duration memory = std::chrono::hours(1);
+    // How long a convicted fingerprint is refused.
+    Duration refuseFor = std::chrono::hours(1);
+    // So many deaths at once that a fingerprint had no part in clear it.
+    std::size_t unrelatedDeaths = 2;
+    std::size_t maxDeaths = 256;
+    std::size_t maxFingerprints = 20'000;
+};
+
+struct EndpointDeath
+{
+    EndpointId endpoint;
+    HostId host;
+    DataCentreId dataCentre;
+    TimePoint at;
+    // Who was in flight, sorted. Empty for a failure to connect, which is evidence of a host failure only.
+    std::vector<std::uint64_t> fingerprints;
+};
+
+enum class Verdict {
+    Unsuspected,
+    Suspected,
+    Convicted,
+};
+
+struct SuspectBook
+{
+    SuspectOptions options;
+    // By time; bounded.
+    std::deque<EndpointDeath> deaths;
+    std::unordered_map<std::uint64_t, TimePoint> refusedUntil;
+    // In how many deaths a fingerprint stands, so that innocents cost one look-up.
+    std::unordered_map<std::uint64_t, int> deathCount;
+};
+
+// Notes that `fingerprint` was in flight when the endpoint died; joins a death of that endpoint at about that time.
+// Returns whether this was new.
+bool noteSuspect(SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint);
+
+// Notes a failure that nobody is suspected of.
+void noteUnrelatedDeath(SuspectBook &book, const EndpointDeath &death);
+
+// Takes a death back: the endpoint had not died. Returns the fingerprints that it held.
+std::vector<std::uint64_t> clearDeath(SuspectBook &book, const EndpointId &endpoint, TimePoint at);
+
+// Removes one fingerprint from a death.
+void clearSuspect(SuspectBook &book, const EndpointId &endpoint, TimePoint at, std::uint64_t fingerprint);
+
+// What is known by now. Suspected while a death counts against it or is not settled.
+Verdict verdictOn(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
+
+// Decides on a fingerprint whose last death has settled; a conviction is recorded.
+Verdict judge(SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
+
+// Records another router's conviction.
+void recordConviction(SuspectBook &book, std::uint64_t fingerprint, TimePoint until);
+
+// Whether many endpoints that share no fingerprint died at about `at`.
+bool isWidespreadFailure(const SuspectBook &book, TimePoint at);
+
+// The latest death that the fingerprint had part in.
+const EndpointDeath *lastDeathOf(const SuspectBook &book, std::uint64_t fingerprint);
+
+// Whether the fingerprint had part in a death of this endpoint or of another one of its host.
+bool hadPartInDeathOf(const SuspectBook &book,
+                      std::uint64_t fingerprint,
+                      const EndpointId &endpoint,
+                      const HostId &host);
+
+// How many distinct endpoints died with the fingerprint in flight.
+int deathsOf(const SuspectBook &book, std::uint64_t fingerprint);
+
+// The place of the fingerprint among all that share its latest death, the most suspected first. Equal at all routers
+// that know the same deaths, so that each suspect can be tried at an endpoint of its own.
+std::size_t suspectRank(const SuspectBook &book, std::uint64_t fingerprint);
+
+// Drops what is too old to count.
+void forgetOldSuspects(SuspectBook &book, TimePoint now);
+
+} // namespace Godwit
