--- a/cmake/GodwitTargets.cmake
+++ b/cmake/GodwitTargets.cmake
@@ -10,7 +10,7 @@
 
 function(_godwit_link target)
     foreach(dep IN LISTS ARGN)
-        if(TARGET godwit_${dep} OR EXISTS ${PROJECT_SOURCE_DIR}/godwit/${dep}/CMakeLists.txt)
+        if(TARGET godwit_${dep} OR dep STREQUAL "kernel_messages" OR EXISTS ${PROJECT_SOURCE_DIR}/godwit/${dep}/CMakeLists.txt)
             target_link_libraries(${target} PUBLIC godwit_${dep})
         else()
             target_link_libraries(${target} PUBLIC ${dep})
