Configuration: settings, documents, patches and lookups

Pure parsing and validation: every fault with file, line, key and remedy, all at once.

The safeguards' tests have not been seen red yet.

--- a/godwit/config/config_agent.h
+++ b/godwit/config/config_agent.h
@@ -59,8 +59,8 @@
     Duration startWait = std::chrono::seconds(1);
     Duration snapshotDeleteDelay = std::chrono::seconds(60);
     std::size_t maxPatchesInHead = 64;
-    std::size_t maxHeadBytes = 64 * 1024;
-    std::size_t snapshotChunkBytes = 512 * 1024;
+    std::size_t maxHeadBytes = 64UL * 1024;
+    std::size_t snapshotChunkBytes = 512UL * 1024;
     std::size_t maxPendingChanges = 256;
     std::size_t maxChangesPerWrite = 32;
     // Fault switches for tests: each takes one safeguard out.
--- a/godwit/config/config_document.h
+++ b/godwit/config/config_document.h
@@ -72,7 +72,7 @@
 constexpr std::size_t MaxRecentPatches = 128;
 constexpr std::size_t MaxPatchPathBytes = 512;
 constexpr std::size_t MaxPatchPathDepth = 12;
-constexpr std::size_t MaxPatchValueBytes = 4 * 1024 * 1024;
+constexpr std::size_t MaxPatchValueBytes = 4UL * 1024 * 1024;
 
 struct ConfigDocument
 {
@@ -88,7 +88,8 @@
 };
 
 // Merges base and overlay of `site` and checks every key. Fills `reason` with InvalidConfiguration naming file
-// ("base" or the site), line, key and remedy. Overlays of other sites are not looked at.
+// ("base" or the site), line, key and remedy. Overlays of other sites are not looked at;
+// an empty site stands for the base alone.
 std::optional<SiteConfig> resolveSite(const ConfigDocument &document, const DataCentreId &site, LastReason &reason);
 
 // As resolveSite(), but passes over keys that this version does not know. For documents that were accepted
--- a/godwit/config/settings.h
+++ b/godwit/config/settings.h
@@ -54,12 +54,12 @@
 // The bounds of one process. Every queue that a peer can fill has one.
 struct SettingsLimits
 {
-    std::size_t maxBodyBytes = 1024 * 1024;
-    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 1024UL * 1024;
+    std::size_t maxHeaderBytes = 16UL * 1024;
     std::size_t maxConnections = 4096;
     std::size_t maxQueuedCalls = 1024;
     std::size_t maxOperatorCalls = 64;
-    std::size_t maxPeerMessageBytes = 32 * 1024 * 1024;
+    std::size_t maxPeerMessageBytes = 32UL * 1024 * 1024;
     Duration headerTimeout = std::chrono::seconds(10);
     Duration bodyTimeout = std::chrono::seconds(30);
     Duration idleTimeout = std::chrono::seconds(120);
--- /dev/null
+++ b/godwit/config/settings_test.cpp
@@ -0,0 +1,86 @@
+#include "godwit/config/settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwit;
+
+namespace
+{
+
+const std::string Good = R"(
+host = "entry-1"
+data_centre = "salt-lake"
+platform = ["127.0.0.1:7001"]
+[caller]
+listen = "127.0.0.1:8080"
+[peer]
+listen = "127.0.0.1:8081"
+[operator]
+listen = "127.0.0.1:8082"
+)";
+
+std::string faultsOf(const std::string &text)
+{
+    LastReason reason;
+    CHECK_FALSE(parseSettings(text, "godwitd.toml", reason));
+    REQUIRE(reason);
+    CHECK(reason->kind == ErrorKind::InvalidSettings);
+    return reason->message;
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("settings with defaults")
+{
+    LastReason reason;
+    const auto settings = parseSettings(Good, "godwitd.toml", reason);
+    REQUIRE(settings);
+    CHECK(settings->host == HostId("entry-1"));
+    CHECK(settings->callerAdvertise == "127.0.0.1:8080");
+    CHECK(settings->limits.maxBodyBytes == 1048576);
+    CHECK_FALSE(settings->peerTls.enabled());
+}
+
+TEST_CASE("each fault names file, line, key and remedy, all at once")
+{
+    const std::string faults = faultsOf("host = 5\ndata_center = \"x\"\nplatform = [\"store:1\"]\n[caller]\n"
+                                        "listen = \"127.0.0.1\"\nlisen = 1\n[limits]\nmax_body_bytes = -1\n");
+    for (const char *part : {"godwitd.toml:1: host: must be a string",
+                             "godwitd.toml:2: data_center: unknown key; did you mean \"data_centre\"?",
+                             "data_centre: is missing; add it",
+                             "godwitd.toml:3: platform: \"store:1\" is not an IP number and a port",
+                             "godwitd.toml:5: caller.listen: must be an IP number and a port",
+                             "godwitd.toml:6: caller.lisen: unknown key; did you mean \"listen\"?",
+                             "peer: is missing; add [peer]",
+                             "godwitd.toml:8: limits.max_body_bytes: must be a whole number from 1 to"}) {
+        INFO(faults);
+        CHECK(faults.find(part) != std::string::npos);
+    }
+    CHECK(faultsOf("host = ").find("godwitd.toml:1: ") == 0);
+}
+
+TEST_CASE("plain text off the loopback has to be written by name")
+{
+    const std::string reachable = replaced(Good, "127.0.0.1:8080", "10.0.0.1:8080");
+    CHECK(faultsOf(reachable).find("would speak plain text off the loopback") != std::string::npos);
+    const std::string any = replaced(Good, "127.0.0.1:8080", "0.0.0.0:8080");
+    CHECK(faultsOf(any).find("would speak plain text off the loopback") != std::string::npos);
+    LastReason reason;
+    CHECK(parseSettings(replaced(reachable, "[caller]", "[caller]\nplain_text = \"allowed\""), "f", reason));
+    CHECK(parseSettings(replaced(reachable, "[caller]", "[caller]\ncertificate = \"c\"\nkey = \"k\""), "f", reason));
+    CHECK(faultsOf(replaced(Good, "[caller]", "[caller]\nplain_text = \"yes\"")).find("can only be")
+          != std::string::npos);
+}
+
+TEST_CASE("TLS blocks are whole")
+{
+    CHECK(faultsOf(replaced(Good, "[caller]", "[caller]\ncertificate = \"c\"")).find("caller.key: is missing")
+          != std::string::npos);
+    CHECK(faultsOf(replaced(Good, "[peer]", "[peer]\ncertificate = \"c\"\nkey = \"k\"")).find("peer.ca: is missing")
+          != std::string::npos);
+}
