--- a/godwit/caller/call_request.cpp
+++ b/godwit/caller/call_request.cpp
@@ -239,6 +239,7 @@
     }
     if (parsed.arrived.idempotencyKey.empty()) {
         parsed.arrived.idempotencyKey = makeRequestId();
+        parsed.arrived.idGenerated = true;
     }
     parsed.arrived.bodyDigest = stableHash(request.body) ^ stableHash(request.target);
     return callPathOf(request.target) == CallPath::ChatCompletions ? parseChat(request, std::move(parsed), reason)
--- a/godwit/caller/call_session.cpp
+++ b/godwit/caller/call_session.cpp
@@ -192,7 +192,7 @@
             return;
         }
         m_call = std::move(*parsed);
-        m_authorization = std::string(view(request[http::field::authorization]));
+        keepHeaders(request);
         m_contentType = std::string(view(request[http::field::content_type]));
         m_originalTarget = std::string(view(request.target()));
         runCall(
@@ -203,6 +203,18 @@
             yield);
     }
 
+    // Keeps what another router has to read again if the call is forwarded.
+    void keepHeaders(const HttpRequest &request)
+    {
+        m_passedOn.clear();
+        for (const char *name : {"Authorization", "Godwit-Deadline-Ms", "Godwit-Repeatable", "Godwit-Created-At"}) {
+            const auto value = request[name];
+            if (!value.empty()) {
+                m_passedOn.push_back(RequestHeader{name, std::string(view(value))});
+            }
+        }
+    }
+
     // Announces a call by `announce` and carries out its commands until it has ended.
     template<typename Announce>
     void runCall(Announce announce, const asio::yield_context &yield)
@@ -287,7 +299,7 @@
         request.body = m_call.body;
         request.contentType = m_contentType.empty() ? std::string(JsonType) : m_contentType;
         request.requestId = m_call.arrived.idempotencyKey;
-        request.authorization = m_authorization;
+        request.passedOn = m_passedOn;
         request.priority = m_call.arrived.priority;
         request.repeatable = m_call.arrived.repeatable.value_or(m_call.arrived.kind == CallKind::Chat);
         request.chat = m_call.arrived.kind == CallKind::Chat;
@@ -358,8 +370,12 @@
     bool runAttempt(const EndpointRequest &request, CallMailbox &mailbox, const asio::yield_context &yield)
     {
         EndpointAttempt attempt(m_shared.io, m_shared.pool);
-        mailbox.interrupt = [&attempt] {
-            attempt.cancel();
+        mailbox.interrupt = [&attempt, &mailbox, &request] {
+            // A not-repeatable request that was sent runs on without its caller, so that its outcome is known when
+            // the caller asks again with the same id.
+            if (request.repeatable || mailbox.hasCommand()) {
+                attempt.cancel();
+            }
         };
         m_outcome = attempt.run(
             request,
@@ -371,7 +387,7 @@
         if (m_outcome.callerGone) {
             mailbox.closeByCaller();
         }
-        return !mailbox.callerGone() && !mailbox.hasCommand();
+        return (!request.repeatable || !mailbox.callerGone()) && !mailbox.hasCommand();
     }
 
     bool relayEvent(std::string_view event, const asio::yield_context &yield)
@@ -480,7 +496,7 @@
     ParsedCall m_call;
     AttemptOutcome m_outcome;
     CallId m_callId;
-    std::string m_authorization;
+    std::vector<RequestHeader> m_passedOn;
     std::string m_contentType;
     std::string m_originalTarget;
     unsigned m_version = 11;
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -35,12 +35,11 @@
     request.set("Godwit-Request-Id", from.requestId);
     request.set("Idempotency-Key", from.requestId);
     request.set("Godwit-Priority", std::to_string(from.priority));
-    if (!from.authorization.empty()) {
-        request.set(http::field::authorization, from.authorization);
-    }
     if (from.forwarded) {
         request.set("Godwit-Forwarded", "1");
-        request.set("Godwit-Repeatable", from.repeatable ? "true" : "false");
+    }
+    for (const auto &header : from.passedOn) {
+        request.set(header.name, header.value);
     }
     request.keep_alive(true);
     request.body() = from.body;
--- a/godwit/endpoint/endpoint_attempt.h
+++ b/godwit/endpoint/endpoint_attempt.h
@@ -19,10 +19,17 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Godwit
 {
 
+struct RequestHeader
+{
+    std::string name;
+    std::string value;
+};
+
 struct EndpointRequest
 {
     std::string address; // "ip:port"
@@ -30,7 +37,7 @@
     std::string body;
     std::string contentType = "application/json";
     std::string requestId;
-    std::string authorization; // Passed on when not empty: another router checks it again.
+    std::vector<RequestHeader> passedOn; // For another router, which reads the caller's own headers again.
     int priority = 0;
     bool repeatable = true;
     bool forwarded = false; // To another router, which holds its answer's end back itself.
--- a/godwit/kernel/call_messages.h
+++ b/godwit/kernel/call_messages.h
@@ -39,6 +39,7 @@
     std::string keyDigest;
     std::string routeName;
     std::string idempotencyKey;
+    bool idGenerated = false; // The caller sent no key; this router made one.
     std::optional<bool> repeatable; // What the caller says; the route's own rule when absent.
     std::optional<WallTime> createdAt;
     int priority = 0; // Higher goes first.
