claims: at most once for requests that may not be repeated

A not-repeatable request is claimed by compare-and-swap in a shard record before its first byte goes out; repeats find the claim and get its answer, 'in progress' or 'unknown'.

Three points go beyond the starting design, each after a counter-example: - 'Not run' for a refusal without a grant is said only when the caller vouches that it never sent the id. A repeat of what ran elsewhere, met by a router without the platform, was told 'not run' otherwise (fault notRunWithoutProof). - The record carries a horizon that moves with the claims dropped by age, so at-most-once needs no clock bound. It moves to the youngest claim dropped, not to the clock, or one fast clock would refuse all new ids. - An unanswered write may land after the look that did not find it. It counts as gone only at a higher version.

Each safeguard's test was seen red with the safeguard out, by fault switches that the tests themselves run: grant on an unanswered write, take-over of gone claims, grant before the write, 'not run' without proof, forgotten lost writes, dropping without horizon, answers from an old record.

--- a/godwit/claims/claim_agent.h
+++ b/godwit/claims/claim_agent.h
@@ -6,10 +6,10 @@
 // one operation in flight a shard; further claims and outcomes join the next write. All functions are pure: commands
 // to the platform and decisions come back as actions, replies and time are passed in.
 //
-// What the execution of a refusal means: it speaks of the request (all calls with its key), not only of this call.
-// NotRun is said only when the shard's record showed that nobody held the key, or when the caller vouches that it
-// never sent the id before (ClaimRequest::firstSend). A refusal without a look at the record says Unknown otherwise:
-// an earlier call may have run at another router.
+// What the execution of a refusal means: it speaks of the request (all calls with its key), not only of this call. A
+// claim that was refused without being granted says NotRun only when the caller vouches that it never sent the id
+// before (ClaimRequest::firstSend). It says Unknown otherwise: an earlier call may have run at another router, even
+// since the record was read. After a grant, NotRun is certain for as long as nothing was sent.
 //
 // Example:
 //   ClaimAgent agent = makeClaimAgent(self, ClaimOptions{});
@@ -32,6 +32,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -50,8 +51,8 @@
     bool takeOverGoneClaims = false;
     // Drops the claim of a write that got no answer instead of clearing it.
     bool forgetLostWrites = false;
-    // Says "not run" for a refusal without a look at the record.
-    bool notRunWithoutRead = false;
+    // Says "not run" whenever this call was not run.
+    bool notRunWithoutProof = false;
     // Drops old claims without moving the horizon.
     bool trimWithoutHorizon = false;
     // Accepts any id of any age.
@@ -104,6 +105,9 @@
     // one another and share writes.
     double writesPerSecond = 40;
     double writeBurst = 20;
+    // The same for reads.
+    double readsPerSecond = 100;
+    double readBurst = 50;
     // Bound of claims that wait for an answer, and of outcomes that wait to be recorded.
     std::size_t maxWaiting = 20'000;
     // Bound of the records kept in memory between operations.
@@ -171,10 +175,8 @@
     WallTime createdAt;
     TimePoint arrivedAt;
     std::uint64_t sequence = 0;
-    // The record was read after the claim arrived and nobody held the key.
-    bool seenFree = false;
-    // The key was held when last looked at; only a fresh record may refuse it.
-    bool needsFreshRecord = false;
+    // It was part of a write that may stand, or may still come to stand.
+    bool mayStand = false;
 };
 
 // A granted claim whose outcome is awaited.
@@ -196,40 +198,57 @@
     // Absent: nobody waits for it.
     std::optional<CallId> call;
     TimePoint since;
-    // Answers that were read before a write of this change can't show that it is recorded.
-    bool reported = false;
+};
+
+// The operation in flight of a shard.
+struct ShardOperation
+{
+    std::uint64_t tag = 0;
+    bool write = false;
+    TimePoint sentAt;
+    // For a write: the version that it replaces and what it puts there.
+    std::uint64_t expectedVersion = 0;
+    ClaimRecord record;
+    std::size_t bytes = 0;
 };
 
 struct ClaimShard
 {
-    // The last record that was seen, with its version; absent when it was dropped to save memory.
+    // The last record that was seen; absent when there is none or it was dropped to save memory.
     std::optional<ClaimRecord> record;
-    std::uint64_t version = 0;
     std::size_t recordBytes = 0;
-    // When the read or write that showed the record was sent.
+    std::uint64_t version = 0;
+    // When the operation that showed the record was sent.
     TimePoint seenAt;
+    // The version that an unanswered write was to replace: while the record stands at it, that write may still land.
+    std::optional<std::uint64_t> lostWriteOver;
 
     std::vector<WaitingClaim> waiting;
     std::vector<OwnChange> changes;
+    std::optional<ShardOperation> operation;
 
-    // The one operation in flight; tag 0 when there is none.
-    std::uint64_t tag = 0;
-    bool writing = false;
-    TimePoint sentAt;
-    std::uint64_t writtenOver = 0;
-    std::optional<ClaimRecord> written;
-    std::size_t writtenBytes = 0;
-    // Call ids of the claims, and sequences of the changes, that the write holds.
-    std::vector<std::uint64_t> writtenClaims;
-    std::vector<std::uint64_t> writtenChanges;
-
+    // No new operation before this.
     TimePoint notBefore;
     Duration backoff{};
+    // When the shard has to be looked at next; absent when it is idle.
+    std::optional<TimePoint> dueAt;
     std::uint64_t lastUse = 0;
 };
 
 } // namespace internal
 
+namespace internal
+{
+
+// A rate with savings: one operation takes one unit.
+struct Allowance
+{
+    double units = 0;
+    TimePoint at;
+};
+
+} // namespace internal
+
 // Figures since the start, for metrics.
 struct ClaimCounters
 {
@@ -241,6 +260,8 @@
     std::uint64_t replayed = 0;
     std::uint64_t refused = 0;
     std::uint64_t trimmed = 0;
+    // Outcomes that were dropped unrecorded, because too many waited.
+    std::uint64_t droppedOutcomes = 0;
 };
 
 // The state of one router's claims. A plain value; its fields are the component's own.
@@ -254,9 +275,12 @@
     std::map<std::uint32_t, internal::ClaimShard> shards;
     // Shards with an operation in flight, waiting claims or changes.
     std::set<std::uint32_t> busy;
-    std::map<std::uint64_t, std::uint32_t> shardOfTag;
-    std::map<CallId, std::uint32_t> shardOfCall;
-    std::map<CallId, internal::HeldClaim> held;
+    // The shard after which the next round over the busy ones begins.
+    std::uint32_t lastServed = 0;
+    std::unordered_map<std::uint64_t, std::uint32_t> shardOfTag;
+    // The shards of claims that wait.
+    std::unordered_map<CallId, std::uint32_t> shardOfCall;
+    std::unordered_map<CallId, internal::HeldClaim> held;
     std::set<Incarnation> live;
     std::set<Incarnation> gone;
     std::size_t waitingCount = 0;
@@ -269,14 +293,14 @@
     bool away = false;
     TimePoint nextProbeAt;
     Duration probeInterval{};
-    double writeAllowance = 0;
-    TimePoint allowanceAt;
+    internal::Allowance writes;
+    internal::Allowance reads;
     bool draining = false;
     ClaimCounters counters;
 };
 
 // Returns an agent without claims. `self` must never have been used by an earlier agent.
-ClaimAgent makeClaimAgent(const Incarnation &self, ClaimOptions options);
+ClaimAgent makeClaimAgent(const Incarnation &self, const ClaimOptions &options);
 
 // Asks for the right to run a request once. Answered, now or later, by exactly one of ClaimGranted, ClaimReplay and
 // ClaimRefused. The call id must not be in use by another claim.
