--- a/godwit/config/config_agent.h
+++ b/godwit/config/config_agent.h
@@ -12,6 +12,8 @@
 //   for (auto &action : onStart(agent, now)) { perform(action); }
 //   for (auto &action : onKvReply(agent, reply, now)) { perform(action); }
 //
+// Each KvCommand has to get exactly one reply; a command that stays without an answer gets Unknown.
+//
 // The agent is a plain value without clock or thread; all calls come from the control thread.
 
 #include "godwit/base/error.h"
@@ -130,6 +132,7 @@
     ChangeId id;
     ConfigPatch patch;
     TimePoint deadline{};
+    bool readCovers = false; // The open read of the head was sent after the submission.
     bool sawHead = false; // The head was read after the submission, so a refusal rests on fresh values.
     bool mayHaveLanded = false; // A write that contained it got no answer.
 };
@@ -191,6 +194,8 @@
     std::map<Incarnation, std::uint64_t> peers; // Linked peers and the revision each is known to have.
     std::shared_ptr<const ConfigDocument> candidate; // The highest heard before the first adoption.
     std::optional<TimePoint> candidateAt; // When it is taken.
+    std::uint64_t askedRevision = 0; // The highest revision that a peer was asked for, and until when it may answer.
+    TimePoint askedUntil{};
     std::optional<TimePoint> deleteAt; // Old snapshots go then.
     std::set<std::uint64_t> deleteTags;
     std::uint64_t listTag = 0;
