--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -1,5 +1,6 @@
 #include "standins/common/http_server.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -269,7 +270,10 @@
     m_answerEnded = m_answerEnded || last;
     m_queued += bytes;
     if (m_queued.size() > MaxQueuedBytes) {
-        peerLeft();
+        // Not at once: the handler that is sending may still use what it frees when the peer leaves.
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->peerLeft();
+        });
         return;
     }
     if (m_writing.empty()) {
