--- a/godwit/budget/budget_types.h
+++ b/godwit/budget/budget_types.h
@@ -64,6 +64,8 @@
     Duration outageCover = std::chrono::minutes(10);
     // The longest time that a bill stays unfolded when the write allowance permits.
     Duration foldInterval = std::chrono::seconds(5);
+    // The longest time that a bill stays out of the ledger while witnesses have it.
+    Duration ledgerInterval = std::chrono::seconds(1);
     // A slice without demand goes back after this time.
     Duration idleReturnAfter = std::chrono::minutes(2);
     // Bills that may wait for the platform; more refuse new reservations.
@@ -72,6 +74,8 @@
     Duration maxReleaseWait = std::chrono::seconds(2);
     // How long a bill waits for the witnesses in other data centres before those in its own suffice.
     Duration farPatience = std::chrono::milliseconds(300);
+    // A record seen so recently answers a call that can't be met, without asking the platform again.
+    Duration recordFreshFor = std::chrono::milliseconds(250);
     // A copy that was not acknowledged is sent again after this time.
     Duration copyResend = std::chrono::milliseconds(200);
     // A platform command without a reply counts as KvStatus::Unknown after this time.
