--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -52,7 +52,7 @@
             setFaults(m_model.faults, Json::parse(request.body()));
             responder->reply(200, "{}");
         } else if (target.path == "/load") {
-            responder->reply(200, Json{{"running", m_running}, {"waiting", 0}, {"role", "service"}}.dump());
+            responder->reply(200, Json{{"running", m_running}, {"queued", 0}, {"role", "service"}}.dump());
         } else {
             responder->reply(404, R"({"error":{"reason":"unknown_path"}})", NotRunHeaders);
         }
