--- a/godwit/membership/membership.h
+++ b/godwit/membership/membership.h
@@ -47,7 +47,7 @@
     Gone,
 };
 
-// What is told about one router. The higher `number` wins; at equal numbers the worse status does.
+// What is told about one router. The higher `number` wins; at equal numbers a suspicion does.
 struct MemberUpdate
 {
     Incarnation incarnation;
@@ -59,13 +59,16 @@
     bool draining = false;
 };
 
+constexpr std::size_t MaxUpdatesInHeartbeat = 64;
+
 // What one router tells a linked peer each period.
 struct HeartbeatBody
 {
     MemberUpdate sender;
     std::uint64_t configRevision = 0;
-    std::vector<MemberUpdate> updates; // At most options.maxUpdates.
+    std::vector<MemberUpdate> updates; // At most MaxUpdatesInHeartbeat.
     bool wantsAll = false; // The sender just came and knows nobody: answer with all that you know.
+    bool closing = false; // The sender closes this link because it chose others; it is not gone.
 };
 
 // CBOR for the wire. Decoding checks every bound and returns nothing for malformed bytes.
@@ -83,16 +86,21 @@
     std::size_t fullMeshHosts = 12;
     std::size_t chosenPeers = 5;
     std::size_t maxUpdates = 12; // Items in one heartbeat.
+    std::size_t rotatingUpdates = 1; // Further items a heartbeat, taken in turn, that repair what got lost.
     unsigned sendFactor = 4; // Each item goes out sendFactor * log2(members + 1) times.
     Duration silentAfter = std::chrono::seconds(3); // A linked peer without a heartbeat is suspected.
     Duration goneAfter = std::chrono::seconds(8); // A suspicion without denial makes it gone.
     Duration forgetAfter = std::chrono::seconds(600); // Then a gone router is no longer kept.
-    Duration reconnectEvery = std::chrono::seconds(2); // Between attempts to reach hosts without a live link.
+    Duration reconnectEvery = std::chrono::seconds(2); // Between attempts to reach one host without a live link.
+    std::size_t maxDialsPerPeriod = 4;
+    Duration keepUnchosen = std::chrono::seconds(10); // A link that is no longer chosen stays up so long.
     std::size_t maxMembers = 4096;
     // Fault switches for tests: each takes one safeguard out.
     bool faultGoneAtOnce = false;
     bool faultNoDenial = false;
     bool faultNoReconnect = false;
+    bool faultTrustOwnClockGaps = false;
+    bool faultNoRotation = false;
 };
 
 struct SendHeartbeat
@@ -151,7 +159,10 @@
 struct PeerLink
 {
     TimePoint lastHeard{};
+    TimePoint upSince{};
     bool dialled = false; // This router connected; it also drops the link when it is no longer chosen.
+    bool closing = false; // The peer said that it closes the link.
+    bool saidHello = false;
 };
 
 struct MembershipCounters
@@ -175,10 +186,13 @@
     std::map<Incarnation, PeerLink> links;
     std::vector<HostEntry> hosts; // Others only, sorted by host.
     std::vector<HostId> chosen; // Sorted; the hosts this router links to by itself.
-    std::map<HostId, TimePoint> dialledAt;
+    std::vector<HostId> leavingHosts; // Sorted.
+    std::map<HostId, TimePoint> nextDial;
+    std::map<Incarnation, TimePoint> probes; // Whose link broke, and until when it has to be heard again.
+    std::map<Incarnation, TimePoint> watchedSince; // Alive members of chosen hosts that have no link.
     TimePoint nextBeat{};
-    std::size_t dialCursor = 0;
-    std::size_t updateCursor = 0;
+    TimePoint lastTick{};
+    Incarnation rotation; // The last member that went out in turn.
     MembershipCounters counters;
 };
 
