routing: choice of endpoint, fair queues, retries, crash suspects, address answers

Pure decisions: the endpoint with the lowest expected time to the first token (late reports less own calls, prompts ahead, cached prefix, learned slowness, data centre), start-time fair queuing of customers, early refusal, breakers, retries within a budget, and conviction of a request only by two sound deaths that it alone had part in.

Red without their safeguards, by switches that the tests run: suspects, trials alone, conviction at the first death, host failures, retry of what can't be repeated, retry budget, breaker, leaving, fair queue, early refusal.

--- /dev/null
+++ b/godwit/routing/addresses.cpp
@@ -0,0 +1,123 @@
+#include "godwit/routing/addresses.h"
+
+#include "godwit/base/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <limits>
+
+namespace Godwit
+{
+namespace
+{
+
+struct Candidate
+{
+    const RouterAddress *router = nullptr;
+    std::uint64_t weight = 0;
+    bool passedOn = false;
+};
+
+bool anyStays(const std::vector<RouterAddress> &live)
+{
+    return std::any_of(live.begin(), live.end(), [](const RouterAddress &router) {
+        return !router.leaving;
+    });
+}
+
+double meanLoad(const std::vector<Candidate> &candidates)
+{
+    double sum = 0;
+    for (const auto &candidate : candidates) {
+        sum += candidate.router->load;
+    }
+    return sum / static_cast<double>(candidates.size());
+}
+
+// A host above the bound passes on that part of its customers whose hashes lie lowest. All routers pass on the same
+// ones, and as the load changes a little, few customers change host.
+bool isPassedOn(const RouterAddress &router, const CustomerId &customer, double bound)
+{
+    if (router.load <= bound) {
+        return false;
+    }
+    const double excess = (router.load - bound) / router.load;
+    const auto hash = rendezvousWeight(router.host.value, customer.value);
+    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max()) < excess;
+}
+
+std::vector<Candidate> rankedCandidates(const std::vector<RouterAddress> &live,
+                                        const CustomerId &customer,
+                                        const AddressOptions &options)
+{
+    std::vector<Candidate> candidates;
+    const bool skipLeaving = anyStays(live);
+    for (const auto &router : live) {
+        if (!skipLeaving || !router.leaving) {
+            candidates.push_back({&router, rendezvousWeight(customer.value, router.host.value), false});
+        }
+    }
+    if (candidates.empty()) {
+        return candidates;
+    }
+    const double bound = meanLoad(candidates) * options.loadBound;
+    for (auto &candidate : candidates) {
+        candidate.passedOn = isPassedOn(*candidate.router, customer, bound);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
+        return a.passedOn != b.passedOn ? b.passedOn : a.weight > b.weight;
+    });
+    return candidates;
+}
+
+// Hosts over which the customer's callers are spread.
+std::size_t activeHosts(std::size_t hosts, const AddressOptions &options)
+{
+    const double wanted = std::ceil(options.customerShare * static_cast<double>(hosts) * options.spread);
+    return static_cast<std::size_t>(std::clamp(wanted, 1.0, static_cast<double>(hosts)));
+}
+
+// Brings hosts to turn to behind the `active` ones: first one of a data centre that has none of those, so that the
+// caller gets through when a data centre goes.
+void orderFallbacks(std::vector<Candidate> &candidates, std::size_t active)
+{
+    const auto first = candidates.begin() + static_cast<std::ptrdiff_t>(active);
+    const auto elsewhere = std::find_if(first, candidates.end(), [&](const Candidate &candidate) {
+        return std::none_of(candidates.begin(), first, [&](const Candidate &used) {
+            return used.router->dataCentre == candidate.router->dataCentre;
+        });
+    });
+    if (elsewhere != candidates.end()) {
+        std::rotate(first, elsewhere, elsewhere + 1);
+    }
+}
+
+} // namespace
+
+AddressAnswer chooseAddresses(const std::vector<RouterAddress> &live,
+                              const CustomerId &customer,
+                              const AddressOptions &options)
+{
+    AddressAnswer answer;
+    answer.keepFor = options.keepFor;
+    auto candidates = rankedCandidates(live, customer, options);
+    if (candidates.empty()) {
+        return answer;
+    }
+    const auto active = activeHosts(candidates.size(), options);
+    orderFallbacks(candidates, active);
+    const auto least = static_cast<std::size_t>(std::max(options.minHosts, 1));
+    candidates.resize(std::min(candidates.size(), std::max(active, least)));
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(active);
+    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(options.pick % active), end);
+    std::stable_partition(candidates.begin(), end, [&](const Candidate &candidate) {
+        return candidate.router->dataCentre == options.callerDataCentre;
+    });
+    for (const auto &candidate : candidates) {
+        answer.addresses.push_back(candidate.router->address);
+    }
+    return answer;
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/routing/endpoint_choice.cpp
@@ -0,0 +1,242 @@
+#include "godwit/routing/endpoint_choice.h"
+
+#include "godwit/routing/endpoint_load.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace Godwit::internal
+{
+namespace
+{
+
+// A cache that is nearly full makes the engine stop requests to make room.
+constexpr double CrowdedCache = 0.92;
+constexpr double CrowdedCacheSeconds = 2.0;
+// Without any finished call a slot is taken to be held for this long.
+constexpr double PresumedHoldSeconds = 1.0;
+
+struct Estimate
+{
+    double missTokens = 0;
+    // Expected seconds to the first token.
+    double seconds = 0;
+    // What is compared: the seconds and the penalties.
+    double cost = 0;
+};
+
+struct ChoiceContext
+{
+    const RoutingState &state;
+    const RoutedRoute &route;
+    const RoutedCall &call;
+    const PrefixMatches *matches = nullptr;
+    TimePoint now;
+};
+
+double missAt(const ChoiceContext &context, const RoutedEndpoint &endpoint)
+{
+    const auto &pending = context.call.pending;
+    const auto prompt = static_cast<double>(pending.promptTokens);
+    if (!context.matches || endpoint.slot >= MaxTrackedEndpoints) {
+        return prompt;
+    }
+    const double held = context.matches->blocks[endpoint.slot];
+    const auto blocks = static_cast<double>(pending.prefixHashes.size());
+    return prompt * (1 - endpoint.cacheTrust * held / blocks);
+}
+
+double holdSeconds(const RoutedRoute &route)
+{
+    return route.holdSeconds > 0 ? route.holdSeconds : PresumedHoldSeconds;
+}
+
+// The wait for a free slot, when all are taken.
+double slotWait(const ChoiceContext &context, const RoutedEndpoint &endpoint, double load)
+{
+    const double slots = std::max(1, endpoint.spec.slots);
+    return std::max(0.0, load + 1 - slots) * holdSeconds(context.route) / slots;
+}
+
+double engineSeconds(const ChoiceContext &context, const RoutedEndpoint &endpoint, double load, double miss)
+{
+    const auto &options = context.state.options;
+    const double ahead = endpoint.pendingPrefill + endpoint.othersQueued * context.route.missTokens;
+    const double prefill = (ahead + miss) / options.prefillTokensPerSecond;
+    return prefill + slotWait(context, endpoint, load) + load * toSeconds(options.costPerRunningCall);
+}
+
+double serviceSeconds(const ChoiceContext &context, const RoutedEndpoint &endpoint, double load)
+{
+    const double slots = std::max(1, endpoint.spec.slots);
+    const double hold = holdSeconds(context.route);
+    return hold + hold * load / slots + slotWait(context, endpoint, load);
+}
+
+Estimate estimateAt(const ChoiceContext &context, const RoutedEndpoint &endpoint, double load)
+{
+    const auto &options = context.state.options;
+    Estimate estimate;
+    if (endpoint.spec.modelEngine) {
+        estimate.missTokens = missAt(context, endpoint);
+        estimate.seconds = engineSeconds(context, endpoint, load, estimate.missTokens);
+    } else {
+        estimate.seconds = serviceSeconds(context, endpoint, load);
+    }
+    estimate.cost = estimate.seconds * slownessAt(options, endpoint, context.now);
+    if (endpoint.spec.dataCentre != options.dataCentre) {
+        estimate.cost += toSeconds(options.remotePenalty);
+    }
+    if (endpoint.kvUsed > CrowdedCache) {
+        estimate.cost += (endpoint.kvUsed - CrowdedCache) * CrowdedCacheSeconds / (1 - CrowdedCache);
+    }
+    // A call that can't be repeated has an unknown outcome when the suspect beside it takes the endpoint down.
+    if (endpoint.suspectsInFlight > 0 && !context.call.pending.repeatable) {
+        estimate.cost += toSeconds(options.suspectPenalty);
+    }
+    return estimate;
+}
+
+bool isAvoided(const RoutedCall &call, std::uint32_t index)
+{
+    return std::find(call.avoid.begin(), call.avoid.end(), index) != call.avoid.end();
+}
+
+struct Pass
+{
+    Choice choice;
+    double cost = std::numeric_limits<double>::max();
+    bool sawOpen = false;
+};
+
+void considerRest(Choice &choice, TimePoint until)
+{
+    choice.retryAt = choice.retryAt ? std::min(*choice.retryAt, until) : until;
+}
+
+void consider(const ChoiceContext &context, std::uint32_t index, Pass &pass)
+{
+    const auto &endpoint = context.state.endpoints[index];
+    switch (availabilityOf(context.state, endpoint, context.now)) {
+    case Availability::Closed:
+        return;
+    case Availability::Resting:
+        // One that is being tried by a single call has no such time: the call's end tells.
+        if (restsUntil(endpoint) > context.now) {
+            considerRest(pass.choice, restsUntil(endpoint));
+        }
+        return;
+    case Availability::Ready:
+        break;
+    }
+    pass.sawOpen = true;
+    const double load = estimatedLoad(endpoint, context.now);
+    if (isFull(context.state, endpoint, context.now)) {
+        return;
+    }
+    const auto estimate = estimateAt(context, endpoint, load);
+    if (estimate.cost < pass.cost) {
+        pass.cost = estimate.cost;
+        pass.choice.endpoint = index;
+        pass.choice.missTokens = estimate.missTokens;
+        pass.choice.expectedSeconds = estimate.seconds;
+    }
+}
+
+enum class Scope {
+    Fresh, // All endpoints that did not fail the call.
+    All,
+};
+
+Pass searchRoute(const ChoiceContext &context, Scope scope)
+{
+    Pass pass;
+    for (const auto index : context.route.endpoints) {
+        if (index != NoEndpointIndex && (scope == Scope::All || !isAvoided(context.call, index))) {
+            consider(context, index, pass);
+        }
+    }
+    return pass;
+}
+
+// The endpoints at which a suspect may be tried, in an order that all routers share.
+std::vector<std::uint32_t> candidatesFor(const RoutingState &state, const RoutedCall &call, TimePoint now)
+{
+    std::vector<std::uint32_t> candidates;
+    for (const auto index : state.routes[call.route].endpoints) {
+        if (index == NoEndpointIndex) {
+            continue;
+        }
+        const auto &endpoint = state.endpoints[index];
+        const bool open = availabilityOf(state, endpoint, now) != Availability::Closed;
+        const auto &spec = endpoint.spec;
+        if (open && !hadPartInDeathOf(state.suspects, call.pending.fingerprint, spec.id, spec.host)) {
+            candidates.push_back(index);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), [&](std::uint32_t a, std::uint32_t b) {
+        return state.endpoints[a].spec.id < state.endpoints[b].spec.id;
+    });
+    return candidates;
+}
+
+} // namespace
+
+Choice chooseEndpoint(RoutingState &state, const RoutedCall &call, TimePoint now)
+{
+    auto &route = state.routes[call.route];
+    PrefixMatches matches;
+    const bool hasPrefix = !call.pending.prefixHashes.empty();
+    if (hasPrefix) {
+        matchPrefixes(route.prefixes, call.pending.prefixHashes, matches);
+    }
+    const ChoiceContext context{state, route, call, hasPrefix ? &matches : nullptr, now};
+    auto pass = searchRoute(context, Scope::Fresh);
+    if (pass.choice.endpoint || pass.sawOpen || call.avoid.empty()) {
+        return pass.choice;
+    }
+    // Only endpoints that failed it before are left; their breakers and pauses say when to try again.
+    return searchRoute(context, Scope::All).choice;
+}
+
+Choice chooseForSuspect(RoutingState &state, const RoutedCall &call, TimePoint now)
+{
+    const auto candidates = candidatesFor(state, call, now);
+    if (candidates.empty()) {
+        return chooseEndpoint(state, call, now);
+    }
+    const auto &route = state.routes[call.route];
+    const ChoiceContext context{state, route, call, nullptr, now};
+    const auto first = suspectRank(state.suspects, call.pending.fingerprint) % candidates.size();
+    Choice none;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto index = candidates[(first + i) % candidates.size()];
+        if (state.endpoints[index].suspectsInFlight > 0) {
+            continue;
+        }
+        Pass pass;
+        consider(context, index, pass);
+        if (pass.choice.endpoint) {
+            return pass.choice;
+        }
+        if (pass.choice.retryAt) {
+            considerRest(none, *pass.choice.retryAt);
+        }
+    }
+    return none;
+}
+
+bool hasOpenEndpoint(const RoutingState &state, const RoutedRoute &route, TimePoint now)
+{
+    return std::any_of(route.endpoints.begin(), route.endpoints.end(), [&](std::uint32_t index) {
+        return index != NoEndpointIndex && availabilityOf(state, state.endpoints[index], now) != Availability::Closed;
+    });
+}
+
+std::size_t suspectCandidates(const RoutingState &state, const RoutedCall &call, TimePoint now)
+{
+    return candidatesFor(state, call, now).size();
+}
+
+} // namespace Godwit::internal
--- a/godwit/routing/fair_queue.h
+++ b/godwit/routing/fair_queue.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -48,6 +49,8 @@
     double share = 1;
     double virtualTime = 0;
     std::set<QueuePlace> calls;
+    // How many of them have each priority.
+    std::map<int, std::size_t> byPriority;
 };
 
 struct FairQueue
@@ -82,9 +85,8 @@
 // The call that goes last of `customer`'s.
 std::optional<CallId> lastCall(const FairQueue &queue, const CustomerId &customer);
 
-// How many calls are taken, at fair turns, before one that `customer` would add at `place`. At least as many as its own
-// calls ahead of it.
-double callsAhead(const FairQueue &queue, const CustomerId &customer, double share, const QueuePlace &place);
+// How many calls are taken, at fair turns, before one that `customer` would add now with `priority`.
+double callsAhead(const FairQueue &queue, const CustomerId &customer, double share, int priority);
 
 // Forgets customers that wait for nothing and are behind the present virtual time. Cost: all known customers.
 void forgetIdleCustomers(FairQueue &queue);
--- a/godwit/routing/prefix_index.h
+++ b/godwit/routing/prefix_index.h
@@ -32,7 +32,6 @@
     EndpointBits holders{};
     // For the second-chance scan that drops unused entries.
     bool used = false;
-    std::uint32_t ringPlace = 0;
 };
 
 struct PrefixIndex
--- /dev/null
+++ b/godwit/routing/routing.cpp
@@ -0,0 +1,433 @@
+#include "godwit/routing/routing.h"
+
+#include "godwit/routing/call_flow.h"
+#include "godwit/routing/crash_flow.h"
+#include "godwit/routing/endpoint_choice.h"
+#include "godwit/routing/endpoint_load.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Godwit
+{
+
+using namespace internal;
+
+namespace
+{
+
+constexpr Duration HousekeepingInterval = std::chrono::seconds(60);
+constexpr Duration NoEndpointRetryAfter = std::chrono::seconds(1);
+constexpr double LearningGain = 0.1;
+// A gap of so many lost cache events halves the belief in what is known of the endpoint's cache.
+constexpr double GapThatHalvesTrust = 500;
+constexpr double LeastCacheTrust = 0.3;
+constexpr double EventsThatRestoreTrust = 1000;
+
+using Actions = std::vector<RoutingAction>;
+
+void learn(double &known, double seen)
+{
+    known = known == 0 ? seen : known + LearningGain * (seen - known);
+}
+
+RoutedEndpoint *findEndpoint(RoutingState &state, const EndpointId &id)
+{
+    const auto found = state.endpointIndex.find(id);
+    return found == state.endpointIndex.end() ? nullptr : &state.endpoints[found->second];
+}
+
+std::uint32_t routeFor(RoutingState &state, const RouteId &id)
+{
+    const auto found = state.routeIndex.find(id);
+    if (found != state.routeIndex.end()) {
+        return found->second;
+    }
+    const auto index = static_cast<std::uint32_t>(state.routes.size());
+    state.routes.emplace_back();
+    state.routes.back().id = id;
+    state.routes.back().prefixes = makePrefixIndex(state.options.prefixCapacity);
+    state.routeIndex[id] = index;
+    return index;
+}
+
+std::uint32_t freePlace(std::vector<std::uint32_t> &places, std::uint32_t value)
+{
+    const auto free = std::find(places.begin(), places.end(), NoEndpointIndex);
+    if (free != places.end()) {
+        *free = value;
+        return static_cast<std::uint32_t>(free - places.begin());
+    }
+    places.push_back(value);
+    return static_cast<std::uint32_t>(places.size() - 1);
+}
+
+void addEndpoint(RoutingState &state, EndpointSpec spec)
+{
+    const auto free = std::find_if(state.endpoints.begin(), state.endpoints.end(), [](const RoutedEndpoint &endpoint) {
+        return !endpoint.inUse;
+    });
+    const auto index = static_cast<std::uint32_t>(free - state.endpoints.begin());
+    if (free == state.endpoints.end()) {
+        state.endpoints.emplace_back();
+    }
+    auto &endpoint = state.endpoints[index];
+    endpoint = RoutedEndpoint{};
+    endpoint.inUse = true;
+    endpoint.listed = true;
+    endpoint.route = routeFor(state, spec.route);
+    endpoint.slot = freePlace(state.routes[endpoint.route].endpoints, index);
+    state.endpointIndex[spec.id] = index;
+    endpoint.spec = std::move(spec);
+}
+
+// Frees the places of endpoints that are gone and run nothing more.
+void freeGoneEndpoints(RoutingState &state)
+{
+    for (std::size_t index = 0; index < state.endpoints.size(); ++index) {
+        auto &endpoint = state.endpoints[index];
+        if (!endpoint.inUse || endpoint.listed || !endpoint.inFlight.empty()) {
+            continue;
+        }
+        auto &route = state.routes[endpoint.route];
+        route.endpoints[endpoint.slot] = NoEndpointIndex;
+        forgetEndpoint(route.prefixes, endpoint.slot);
+        const auto known = state.endpointIndex.find(endpoint.spec.id);
+        if (known != state.endpointIndex.end() && known->second == index) {
+            state.endpointIndex.erase(known);
+        }
+        endpoint = RoutedEndpoint{};
+    }
+}
+
+// Changes an endpoint that is known, unless it moved to another route: then it is a new one.
+bool updateEndpoint(RoutingState &state, const EndpointSpec &spec)
+{
+    auto *endpoint = findEndpoint(state, spec.id);
+    if (!endpoint || endpoint->spec.route != spec.route) {
+        return false;
+    }
+    endpoint->spec = spec;
+    endpoint->listed = true;
+    return true;
+}
+
+void countSlots(RoutingState &state, TimePoint now)
+{
+    for (auto &route : state.routes) {
+        route.slots = 0;
+        for (const auto index : route.endpoints) {
+            const bool open =
+                index != NoEndpointIndex && availabilityOf(state, state.endpoints[index], now) != Availability::Closed;
+            route.slots += open ? state.endpoints[index].spec.slots : 0;
+        }
+    }
+}
+
+void pumpAllRoutes(Step &step)
+{
+    for (std::uint32_t index = 0; index < step.state.routes.size(); ++index) {
+        pumpRoute(step, index);
+    }
+}
+
+void onTimer(Step &step, TimerKind kind, std::uint64_t id)
+{
+    switch (kind) {
+    case TimerKind::QueueDeadline:
+        expireCall(step, CallId(id));
+        return;
+    case TimerKind::HeldCall:
+        onHeldCall(step, CallId(id));
+        return;
+    case TimerKind::PumpRoute:
+        pumpRoute(step, static_cast<std::uint32_t>(id));
+        return;
+    case TimerKind::JudgeDeath:
+        judgeEndpointDeath(step, static_cast<std::uint32_t>(id));
+        return;
+    case TimerKind::Housekeeping:
+        for (auto &route : step.state.routes) {
+            forgetIdleCustomers(route.queue);
+        }
+        forgetOldSuspects(step.state.suspects, step.now);
+        addTimer(step, step.now + HousekeepingInterval, TimerKind::Housekeeping, 0);
+        return;
+    }
+}
+
+void onCompleted(Step &step, CallId id)
+{
+    auto &state = step.state;
+    auto &call = state.calls.at(id);
+    auto &endpoint = state.endpoints[call.endpoint];
+    auto &route = state.routes[call.route];
+    const double held = toSeconds(step.now - call.dispatchedAt);
+    learn(route.holdSeconds, held);
+    if (!call.firstToken) {
+        learn(route.firstTokenSeconds, held);
+        learnSlowness(endpoint, state.options, call.expectedSeconds, held, step.now);
+    }
+    closeBreaker(endpoint);
+    countCompletion(step, route);
+    clearByCompletion(step, call);
+}
+
+// Skips the events that are known already. Returns how many were lost before the batch, or nothing when all of it is
+// known.
+std::optional<std::uint64_t> joinEvents(RoutedEndpoint &endpoint, const CacheEventBatch &batch, std::size_t &skip)
+{
+    const auto end = batch.firstSequence + batch.events.size();
+    if (end <= endpoint.cacheNext) {
+        return std::nullopt;
+    }
+    skip = batch.firstSequence < endpoint.cacheNext ? endpoint.cacheNext - batch.firstSequence : 0;
+    const auto lost = batch.firstSequence > endpoint.cacheNext ? batch.firstSequence - endpoint.cacheNext : 0;
+    endpoint.cacheNext = end;
+    return lost;
+}
+
+} // namespace
+
+RoutingState makeRoutingState(RoutingOptions options)
+{
+    RoutingState state;
+    state.random = options.seed * 0x9E3779B97F4A7C15ULL + 1;
+    state.retryAllowance = options.retryBurst;
+    state.suspects.options = options.suspects;
+    if (options.faults.ignoreHostFailures) {
+        state.suspects.options.unrelatedDeaths = SIZE_MAX - 1;
+    }
+    state.options = std::move(options);
+    return state;
+}
+
+void setEndpoints(RoutingState &state, std::vector<EndpointSpec> endpoints, TimePoint now, Actions &out)
+{
+    Step step{state, now, out};
+    if (state.endpoints.empty()) {
+        addTimer(step, now + HousekeepingInterval, TimerKind::Housekeeping, 0);
+    }
+    for (auto &endpoint : state.endpoints) {
+        endpoint.listed = false;
+    }
+    for (auto &spec : endpoints) {
+        if (!updateEndpoint(state, spec)) {
+            addEndpoint(state, std::move(spec));
+        }
+    }
+    freeGoneEndpoints(state);
+    countSlots(state, now);
+    pumpAllRoutes(step);
+}
+
+void setRouterCount(RoutingState &state, int routers)
+{
+    state.routers = std::max(1, routers);
+}
+
+void enqueue(RoutingState &state, PendingCall pending, TimePoint now, Actions &out)
+{
+    Step step{state, now, out};
+    state.retryAllowance = std::min(state.options.retryBurst, state.retryAllowance + state.options.retryFraction);
+    const auto id = pending.call;
+    const auto route = state.routeIndex.find(pending.route);
+    if (route == state.routeIndex.end() || !hasOpenEndpoint(state, state.routes[route->second], now)) {
+        refuseCall(
+            step,
+            id,
+            {ErrorKind::NoEndpoint, "no endpoint of the route is live", Execution::NotRun, NoEndpointRetryAfter});
+        return;
+    }
+    if (pending.deadline <= now) {
+        refuseCall(step,
+                   id,
+                   {ErrorKind::DeadlineTooShort,
+                    "the deadline has passed",
+                    Execution::NotRun,
+                    drainTime(step, state.routes[route->second])});
+        return;
+    }
+    RoutedCall call;
+    call.route = route->second;
+    call.queuedUntil = std::min(pending.deadline, now + state.options.maxQueueWait);
+    call.pending = std::move(pending);
+    if (const auto refused = refusedFor(state.suspects, call.pending.fingerprint, now); refused > Duration::zero()) {
+        ++state.counters.refusedSuspects;
+        refuseCall(step,
+                   id,
+                   {ErrorKind::SuspectRequest,
+                    "endpoints died each time that they ran this request",
+                    Execution::NotRun,
+                    refused});
+        return;
+    }
+    if (const auto trial = suspectTrialAt(step, call)) {
+        takeSuspectIn(step, std::move(call), *trial);
+        return;
+    }
+    admit(step, std::move(call));
+}
+
+void onAttemptEnded(RoutingState &state, CallId id, AttemptEnd end, TimePoint now, Actions &out)
+{
+    const auto found = state.calls.find(id);
+    if (found == state.calls.end() || found->second.phase != CallPhase::InFlight) {
+        return;
+    }
+    Step step{state, now, out};
+    const auto route = found->second.route;
+    switch (end) {
+    case AttemptEnd::Completed:
+        onCompleted(step, id);
+        break;
+    case AttemptEnd::ConnectFailed:
+        onConnectFailure(step, id);
+        return;
+    case AttemptEnd::RejectedNotRun:
+        onRejection(step, id);
+        return;
+    case AttemptEnd::EndpointCrashed:
+        onCrash(step, id);
+        return;
+    case AttemptEnd::TimedOut:
+        onTimeout(step, id);
+        return;
+    case AttemptEnd::Cancelled:
+        break;
+    }
+    forgetCall(step, id);
+    pumpRoute(step, route);
+}
+
+void onFirstToken(RoutingState &state, CallId id, TimePoint now, Actions &)
+{
+    const auto found = state.calls.find(id);
+    if (found == state.calls.end() || found->second.phase != CallPhase::InFlight || found->second.firstToken) {
+        return;
+    }
+    auto &call = found->second;
+    auto &endpoint = state.endpoints[call.endpoint];
+    const double seconds = toSeconds(now - call.dispatchedAt);
+    call.firstToken = true;
+    endpoint.pendingPrefill = std::max(0.0, endpoint.pendingPrefill - call.missTokens);
+    learn(state.routes[call.route].firstTokenSeconds, seconds);
+    learnSlowness(endpoint, state.options, call.expectedSeconds, seconds, now);
+    closeBreaker(endpoint);
+}
+
+void onLoadReport(RoutingState &state, const EndpointId &id, const LoadReport &report, TimePoint now, Actions &out)
+{
+    auto *endpoint = findEndpoint(state, id);
+    if (!endpoint) {
+        return;
+    }
+    noteReport(state, *endpoint, report, now);
+    const auto route = endpoint->route;
+    if (state.routes[route].queue.size > 0 || !state.routes[route].retries.empty()) {
+        Step step{state, now, out};
+        pumpRoute(step, route);
+    }
+}
+
+void onCacheEvents(RoutingState &state, const EndpointId &id, const CacheEventBatch &batch, TimePoint, Actions &)
+{
+    auto *endpoint = findEndpoint(state, id);
+    if (!endpoint) {
+        return;
+    }
+    auto &index = state.routes[endpoint->route].prefixes;
+    if (!endpoint->cacheKnown || endpoint->cacheEpoch != batch.epoch) {
+        if (endpoint->cacheKnown) {
+            forgetEndpoint(index, endpoint->slot);
+        }
+        endpoint->cacheKnown = true;
+        endpoint->cacheEpoch = batch.epoch;
+        endpoint->cacheNext = batch.firstSequence;
+        endpoint->cacheTrust = 1;
+    }
+    std::size_t skip = 0;
+    const auto lost = joinEvents(*endpoint, batch, skip);
+    if (!lost) {
+        return;
+    }
+    // Lost removals leave entries that promise a cached prompt where there is none: what is known counts for less until
+    // newer events have replaced it.
+    const double belief = GapThatHalvesTrust / (GapThatHalvesTrust + static_cast<double>(*lost));
+    endpoint->cacheTrust = std::max(LeastCacheTrust, endpoint->cacheTrust * belief);
+    for (std::size_t i = skip; i < batch.events.size(); ++i) {
+        applyCacheEvent(index, endpoint->slot, batch.events[i]);
+    }
+    const auto applied = static_cast<double>(batch.events.size() - skip);
+    endpoint->cacheTrust = std::min(1.0, endpoint->cacheTrust + applied / EventsThatRestoreTrust);
+}
+
+void onSuspectNotice(RoutingState &state, const SuspectNotice &notice, TimePoint now, Actions &)
+{
+    if (state.options.faults.noSuspects) {
+        return;
+    }
+    const EndpointDeath death{notice.endpoint, notice.host, notice.dataCentre, now - notice.age, {}};
+    switch (notice.status) {
+    case SuspectStatus::Suspected:
+        noteSuspect(state.suspects, death, notice.fingerprint);
+        return;
+    case SuspectStatus::Cleared:
+        clearSuspect(state.suspects, notice.endpoint, notice.fingerprint);
+        return;
+    case SuspectStatus::Convicted:
+        recordConviction(
+            state.suspects, notice.fingerprint, now + std::min(notice.refuseFor, state.options.suspects.refuseFor));
+        return;
+    }
+}
+
+void cancelCall(RoutingState &state, CallId id, TimePoint now, Actions &out)
+{
+    const auto found = state.calls.find(id);
+    if (found == state.calls.end()) {
+        return;
+    }
+    Step step{state, now, out};
+    const auto route = found->second.route;
+    forgetCall(step, id);
+    pumpRoute(step, route);
+}
+
+void endpointLeaving(RoutingState &state, const EndpointId &id, TimePoint now)
+{
+    if (auto *endpoint = findEndpoint(state, id)) {
+        endpoint->leavingTold = true;
+        endpoint->leavingToldAt = now;
+    }
+}
+
+void onTick(RoutingState &state, TimePoint now, Actions &out)
+{
+    Step step{state, now, out};
+    while (!state.timers.empty() && std::get<TimePoint>(*state.timers.begin()) <= now) {
+        const auto [at, kind, id] = *state.timers.begin();
+        state.timers.erase(state.timers.begin());
+        onTimer(step, kind, id);
+    }
+}
+
+std::optional<TimePoint> nextWake(const RoutingState &state)
+{
+    if (state.timers.empty()) {
+        return std::nullopt;
+    }
+    return std::get<TimePoint>(*state.timers.begin());
+}
+
+std::size_t queuedCalls(const RoutingState &state)
+{
+    return state.queued;
+}
+
+std::size_t callsInFlight(const RoutingState &state)
+{
+    return state.inFlight;
+}
+
+} // namespace Godwit
--- a/godwit/routing/routing_state.h
+++ b/godwit/routing/routing_state.h
@@ -48,22 +48,23 @@
     // Each call that an endpoint runs slows the others' first token by about this.
     Duration costPerRunningCall = std::chrono::milliseconds(2);
     // Endpoints take so many calls beyond their slots, as a part of these, so that they don't run dry.
-    double queueAhead = 0.125;
-    // Part of the other routers' presumed moves since a report that is counted in; see estimatedLoad().
-    double peerMoves = 0.0;
-    // Each choice looks at a random part of the endpoints, so that routers with the same reports don't all choose the
-    // same one. 1 looks at all.
-    double consideredPart = 1.0;
+    double queueAhead = 0;
+    // Part of an endpoint's slots that one router leaves to the others between two reports.
+    double roomForOthers = 0.25;
+    // Differs from router to router, so that routers with the same reports don't round their parts alike.
     std::uint64_t seed = 1;
 
     // Bounds of a route's queue: calls, and the time that one may wait.
     std::size_t maxQueued = 2000;
-    Duration maxQueueWait = std::chrono::seconds(5);
+    Duration maxQueueWait = std::chrono::milliseconds(750);
     // The cost of a call in the customers' turns: 1 and these parts.
     double tokensPerCostPrompt = 2048;
     double tokensPerCostOutput = 256;
 
-    int maxAttempts = 4;
+    // Attempts that reach an endpoint, and attempts in all: failures to connect are cheap, and when a data centre goes
+    // a call may meet many before the breakers know.
+    int maxRuns = 4;
+    int maxAttempts = 16;
     // Retries after crashes and timeouts: this part of the calls taken in, and how many may be saved up.
     double retryFraction = 0.2;
     double retryBurst = 100;
@@ -74,6 +75,8 @@
     int breakerFailures = 2;
     Duration breakerOpen = std::chrono::milliseconds(500);
     Duration maxBreakerOpen = std::chrono::seconds(15);
+    // How fast a learned slowness is forgotten.
+    Duration slownessHalfLife = std::chrono::seconds(10);
     // How long a leaving notice outweighs a host list that still shows the endpoint as live.
     Duration leavingMemory = std::chrono::minutes(2);
 
@@ -84,6 +87,8 @@
     Duration suspectRound = std::chrono::seconds(1);
     // What an endpoint that runs a suspect costs a call that can't be repeated.
     Duration suspectPenalty = std::chrono::seconds(1);
+    // Bound of the notices told about one death.
+    std::size_t maxNoticesPerDeath = 64;
 
     // Blocks known for each route; about 100 bytes each.
     std::size_t prefixCapacity = 50'000;
@@ -141,6 +146,8 @@
     std::uint32_t route = 0;
     std::uint32_t endpoint = 0;
     int attempts = 0;
+    // Attempts that reached an endpoint.
+    int runs = 0;
     // The worst that is known of the attempts so far.
     Execution execution = Execution::NotRun;
     // Endpoints that failed it.
@@ -170,6 +177,8 @@
     std::uint32_t route = 0;
     // Its place in the route, as the prefix index counts.
     std::uint32_t slot = 0;
+    // False for a free place in RoutingState::endpoints.
+    bool inUse = false;
     bool listed = false;
     bool leavingTold = false;
     TimePoint leavingToldAt;
@@ -180,12 +189,16 @@
     std::size_t historyNext = 0;
 
     bool reported = false;
+    // From the last report, without the own calls.
     double othersLoad = 0;
     double othersQueued = 0;
+    double kvUsed = 0;
     TimePoint reportTakenAt;
     int ownAtReport = 0;
+    // So many own calls may be there until the next report; see shareRoom().
+    int ownLimit = 0;
 
-    // Observed over expected time to the first token.
+    // Observed over expected time to the first token; fades to 1, so that it is tried again.
     double slowness = 1;
     TimePoint slownessAt;
 
@@ -198,6 +211,7 @@
     // A crash whose other calls are being gathered.
     bool dying = false;
     TimePoint diedAt;
+    std::size_t noticesTold = 0;
 
     std::uint64_t cacheEpoch = 0;
     std::uint64_t cacheNext = 0;
@@ -223,10 +237,12 @@
     std::vector<CallId> retries;
     PrefixIndex prefixes;
     RateMeter completions;
-    // Learned seconds that a call occupies a slot.
+    // Learned: seconds that a call occupies a slot, seconds from dispatch to first token, prompt tokens to process.
     double holdSeconds = 0;
     double firstTokenSeconds = 0;
-    bool modelEngines = false;
+    double missTokens = 0;
+    // Slots of all endpoints that take new calls.
+    int slots = 0;
 };
 
 enum class TimerKind {
--- /dev/null
+++ b/godwit/routing/sim_fleet.h
@@ -0,0 +1,163 @@
+#pragma once
+
+// A simulated fleet for tests and benchmarks of routing: callers, routers that decide by the product's functions or by
+// a simple baseline, and simulated engines. Simulated time, one seed; not part of the product.
+//
+// Example:
+//   Fleet fleet(options);
+//   fleet.run(std::chrono::seconds(60));
+//   fleet.result().firstToken;
+
+#include "godwit/routing/routing.h"
+#include "godwit/routing/sim_engine.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Godwit::Sim
+{
+
+enum class Policy {
+    Godwit,
+    RoundRobin,
+    LeastConnections,
+    TwoChoices,
+};
+
+// A request that crashes each engine that runs it, and whose caller sends it again.
+struct PoisonOptions
+{
+    int requests = 0;
+    Duration every = std::chrono::seconds(30);
+    Duration crashAfter = std::chrono::milliseconds(100);
+    int sends = 6;
+    Duration resendAfter = std::chrono::seconds(1);
+};
+
+struct FleetOptions
+{
+    std::uint64_t seed = 1;
+    Policy policy = Policy::Godwit;
+    RoutingOptions routing;
+    std::size_t routers = 8;
+    std::size_t engines = 18;
+    std::size_t dataCentres = 3;
+    // Engines of one host; 0 leaves the hosts unknown.
+    std::size_t enginesPerHost = 1;
+    EngineOptions engine;
+    std::size_t slowEngines = 0;
+    double slowness = 4;
+    // Requests a second over all customers, and the part of them that customer 0 sends beyond its usual part.
+    double rate = 40;
+    double floodRate = 0;
+    std::size_t customers = 10;
+    // Documents of each customer that prompts begin with, after the customer's own instructions.
+    std::size_t documents = 40;
+    double instructionTokens = 512;
+    double documentTokens = 1024;
+    double questionTokens = 128;
+    double outputTokens = 150;
+    Duration deadline = std::chrono::seconds(10);
+    Duration networkDelay = std::chrono::milliseconds(1);
+    Duration farDelay = std::chrono::milliseconds(2);
+    Duration reportEvery = std::chrono::milliseconds(500);
+    Duration reportDelay = std::chrono::milliseconds(200);
+    // Part of the cache event batches that are lost.
+    double lostEvents = 0.02;
+    Duration noticeDelay = std::chrono::milliseconds(3);
+    bool repeatable = true;
+    PoisonOptions poison;
+};
+
+struct CustomerResult
+{
+    std::uint64_t offered = 0;
+    std::uint64_t inTime = 0;
+    std::uint64_t refused = 0;
+};
+
+struct FleetResult
+{
+    std::uint64_t offered = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    // Requests other than poisonous ones that were refused as suspects.
+    std::uint64_t innocentsRefused = 0;
+    std::uint64_t poisonRefused = 0;
+    int crashes = 0;
+    double promptTokens = 0;
+    double processedTokens = 0;
+    // Seconds from the caller's send to its first token, unsorted.
+    std::vector<double> firstToken;
+    // The same of the requests that were not of customer 0.
+    std::vector<double> othersFirstToken;
+    // Seconds from a router's receipt of a request to its first dispatch.
+    std::vector<double> routerWait;
+    std::vector<double> othersRouterWait;
+    std::vector<CustomerResult> customers;
+    std::uint64_t dispatched = 0;
+};
+
+// What counts as in time in CustomerResult::inTime.
+constexpr double InTimeSeconds = 0.88;
+
+class Fleet
+{
+public:
+    explicit Fleet(const FleetOptions &options);
+    ~Fleet();
+
+    void run(Duration time);
+    // Ends the stream of new requests; those under way go on.
+    void stopArrivals();
+    // All engines of a data centre fail within `spread`.
+    void failDataCentre(std::size_t dataCentre, Duration spread);
+    // All engines of one host fail at once.
+    void failHost(std::size_t host);
+    FleetResult result() const;
+
+    Clock clock;
+
+private:
+    struct Request;
+    struct Router;
+
+    void planArrival(bool flood);
+    void planPoison(int number);
+    void arrive(std::size_t customer, bool poison, std::uint64_t number, int sends);
+    Request makeRequest(std::size_t customer);
+    std::size_t pickCustomer();
+    std::size_t pickRouter(std::size_t customer);
+    void take(std::size_t router, std::uint64_t id);
+    void carryOut(std::size_t router, const std::vector<RoutingAction> &actions);
+    void scheduleWake(std::size_t router);
+    void dispatch(std::size_t router, std::uint64_t id, std::size_t engine);
+    std::size_t baselineChoice(std::size_t router);
+    void onEngine(std::size_t engine, EngineEvent event, const Job &job);
+    void onRouterEvent(std::size_t engine, EngineEvent event, std::size_t router, std::uint64_t id);
+    void onGiveUp(std::uint64_t id, const Error &error);
+    void tell(std::size_t router, const SuspectNotice &notice);
+    void report(std::size_t engine);
+    Duration delayBetween(std::size_t router, std::size_t engine) const;
+    double uniform();
+
+    FleetOptions m_options;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<Engine>> m_engines;
+    std::vector<EndpointSpec> m_specs;
+    std::unordered_map<EndpointId, std::size_t> m_engineOf;
+    std::vector<Router> m_routers;
+    std::unordered_map<std::uint64_t, Request> m_requests;
+    std::uint64_t m_nextRequest = 1;
+    bool m_arriving = true;
+    FleetResult m_result;
+};
+
+} // namespace Godwit::Sim
--- a/godwit/routing/suspects.h
+++ b/godwit/routing/suspects.h
@@ -29,8 +29,9 @@
 {
     // Deaths so close together may have one cause.
     Duration settle = std::chrono::milliseconds(300);
-    // How long a death counts against those who were in flight.
-    Duration memory = std::chrono::hours(1);
+    // How long a death counts against those who were in flight. Longer than refuseFor: a request that comes back after
+    // its refusal and crashes a further endpoint is refused again at once.
+    Duration memory = std::chrono::hours(2);
     // How long a convicted fingerprint is refused.
     Duration refuseFor = std::chrono::hours(1);
     // So many deaths at once that a fingerprint had no part in clear it.
@@ -75,8 +76,8 @@
 // Takes a death back: the endpoint had not died. Returns the fingerprints that it held.
 std::vector<std::uint64_t> clearDeath(SuspectBook &book, const EndpointId &endpoint, TimePoint at);
 
-// Removes one fingerprint from a death.
-void clearSuspect(SuspectBook &book, const EndpointId &endpoint, TimePoint at, std::uint64_t fingerprint);
+// Takes all deaths of `endpoint` back for one fingerprint.
+void clearSuspect(SuspectBook &book, const EndpointId &endpoint, std::uint64_t fingerprint);
 
 // What is known by now. Suspected while a death counts against it or is not settled.
 Verdict verdictOn(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
@@ -99,8 +100,11 @@
                       const EndpointId &endpoint,
                       const HostId &host);
 
-// How many distinct endpoints died with the fingerprint in flight.
-int deathsOf(const SuspectBook &book, std::uint64_t fingerprint);
+// The deaths that the fingerprint had part in, the earliest first.
+std::vector<const EndpointDeath *> deathsOf(const SuspectBook &book, std::uint64_t fingerprint);
+
+// How long a conviction still holds; zero when there is none.
+Duration refusedFor(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
 
 // The place of the fingerprint among all that share its latest death, the most suspected first. Equal at all routers
 // that know the same deaths, so that each suspect can be tried at an endpoint of its own.
--- /dev/null
+++ b/godwit/routing/suspects_test.cpp
@@ -0,0 +1,188 @@
+#include "godwit/routing/routing.h"
+#include "godwit/routing/sim_fleet.h"
+#include "godwit/routing/suspects.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+using namespace Godwit;
+using namespace Godwit::Sim;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t Seed = 20261202;
+const TimePoint Start = TimePoint(1h);
+
+EndpointDeath death(const std::string &endpoint, Duration after, const std::string &host = {})
+{
+    return {EndpointId(endpoint), HostId(host), DataCentreId("dc"), Start + after, {}};
+}
+
+FleetOptions smallFleet()
+{
+    std::printf("simulated fleet, seed %llu\n", static_cast<unsigned long long>(Seed));
+    FleetOptions options;
+    options.seed = Seed;
+    options.rate = 30;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("one death condemns nobody")
+{
+    SuspectBook book;
+    noteSuspect(book, death("a", 0s), 7);
+    CHECK(judge(book, 7, Start + 1s) == Verdict::Suspected);
+    CHECK(verdictOn(book, 8, Start + 1s) == Verdict::Unsuspected);
+}
+
+TEST_CASE("the only one in flight at two deaths is convicted, and the refusal ends")
+{
+    SuspectBook book;
+    for (const std::uint64_t fingerprint : {7, 8, 9}) {
+        noteSuspect(book, death("a", 0s), fingerprint);
+    }
+    for (const std::uint64_t fingerprint : {7, 10}) {
+        noteSuspect(book, death("b", 1s), fingerprint);
+    }
+    CHECK(judge(book, 8, Start + 2s) == Verdict::Suspected);
+    CHECK(judge(book, 7, Start + 2s) == Verdict::Convicted);
+    CHECK(verdictOn(book, 7, Start + 10min) == Verdict::Convicted);
+    forgetOldSuspects(book, Start + 3h);
+    CHECK(verdictOn(book, 7, Start + 3h) == Verdict::Unsuspected);
+    CHECK(book.deathCount.empty());
+}
+
+TEST_CASE("two that were at the same two deaths are told apart before either is convicted")
+{
+    SuspectBook book;
+    for (const char *endpoint : {"a", "b"}) {
+        const auto after = endpoint[0] == 'a' ? 0s : 1s;
+        noteSuspect(book, death(endpoint, after), 7);
+        noteSuspect(book, death(endpoint, after), 8);
+    }
+    CHECK(judge(book, 7, Start + 2s) == Verdict::Suspected);
+    CHECK(judge(book, 8, Start + 2s) == Verdict::Suspected);
+    CHECK(suspectRank(book, 7) != suspectRank(book, 8));
+    noteSuspect(book, death("c", 3s), 7);
+    CHECK(judge(book, 8, Start + 4s) == Verdict::Suspected);
+    CHECK(judge(book, 7, Start + 4s) == Verdict::Convicted);
+}
+
+TEST_CASE("the same endpoint that dies twice is one endpoint")
+{
+    SuspectBook book;
+    noteSuspect(book, death("a", 0s), 7);
+    noteSuspect(book, death("a", 30s), 7);
+    CHECK(judge(book, 7, Start + 40s) == Verdict::Suspected);
+}
+
+TEST_CASE("deaths of one host together condemn nobody")
+{
+    // A host with two endpoints fails. The request was on one of them and was sent again to the other, which seemed
+    // alive for some milliseconds more; others died there too. Without the rule it is refused for an hour.
+    SuspectBook book;
+    noteSuspect(book, death("a", 0ms, "h1"), 7);
+    noteSuspect(book, death("b", 20ms, "h1"), 8);
+    noteSuspect(book, death("c", 5s, "h2"), 7);
+    CHECK(judge(book, 7, Start + 6s) == Verdict::Suspected);
+}
+
+TEST_CASE("a failure of many endpoints is nobody's fault, unless they share a request")
+{
+    SuspectBook book;
+    noteSuspect(book, death("a", 0ms), 1);
+    noteSuspect(book, death("b", 10ms), 2);
+    CHECK_FALSE(isWidespreadFailure(book, Start));
+    noteSuspect(book, death("c", 20ms), 3);
+    CHECK(isWidespreadFailure(book, Start));
+    for (const char *endpoint : {"a", "b", "c"}) {
+        noteSuspect(book, death(endpoint, 10ms), 99);
+    }
+    CHECK_FALSE(isWidespreadFailure(book, Start));
+}
+
+TEST_CASE("a death that was none is taken back")
+{
+    SuspectBook book;
+    noteSuspect(book, death("a", 0s), 7);
+    noteSuspect(book, death("b", 1s), 7);
+    const auto cleared = clearDeath(book, EndpointId("b"), Start + 1s);
+    CHECK(cleared == std::vector<std::uint64_t>{7});
+    CHECK(judge(book, 7, Start + 2s) == Verdict::Suspected);
+    clearSuspect(book, EndpointId("a"), 7);
+    CHECK(verdictOn(book, 7, Start + 2s) == Verdict::Unsuspected);
+}
+
+TEST_CASE("a request that crashes its endpoints takes two down fleet-wide, and no innocent is refused")
+{
+    // Ten times a caller sends a request that crashes each engine that runs it, and sends it again six times to any
+    // router. Each router sees only the broken connections of its own calls. The calls that were beside it are sent
+    // again, each to an engine of its own, so that the second crash shows who it was. Without the safeguard each send
+    // takes down four engines.
+    for (const bool fault : {false, true}) {
+        auto options = smallFleet();
+        options.poison.requests = 10;
+        options.routing.faults.noSuspects = fault;
+        Fleet fleet(options);
+        fleet.run(300s);
+        fleet.stopArrivals();
+        fleet.run(60s);
+        const auto result = fleet.result();
+        CHECK((result.crashes <= 20) == !fault);
+        CHECK(result.innocentsRefused == 0);
+        if (!fault) {
+            CHECK(result.poisonRefused == 60);
+            CHECK(result.failed == 0);
+        }
+    }
+}
+
+TEST_CASE("without trials of their own, those beside a poisonous request are mistaken for it or it goes on")
+{
+    auto options = smallFleet();
+    options.poison.requests = 10;
+    options.routing.faults.noIsolation = true;
+    Fleet fleet(options);
+    fleet.run(300s);
+    const auto result = fleet.result();
+    CHECK((result.crashes > 20 || result.innocentsRefused > 0));
+}
+
+TEST_CASE("conviction after one death refuses the innocent")
+{
+    auto options = smallFleet();
+    options.poison.requests = 3;
+    options.routing.faults.convictOnFirstDeath = true;
+    Fleet fleet(options);
+    fleet.run(120s);
+    CHECK(fleet.result().innocentsRefused > 0);
+}
+
+TEST_CASE("the failure of a data centre refuses nobody as a suspect, and its repeatable calls run elsewhere")
+{
+    // All engines of a data centre die within a fifth of a second, and half a minute later those of another one. Calls
+    // that were at both are retried, not refused. Without the rule some are convicted.
+    for (const bool fault : {false, true}) {
+        auto options = smallFleet();
+        options.rate = 15;
+        options.engine.restartAfter = 25s;
+        options.routing.maxQueueWait = 5s;
+        options.routing.faults.ignoreHostFailures = fault;
+        Fleet fleet(options);
+        fleet.run(30s);
+        fleet.failDataCentre(0, 200ms);
+        fleet.run(100ms);
+        fleet.failDataCentre(1, 200ms);
+        fleet.run(60s);
+        const auto result = fleet.result();
+        CHECK((result.innocentsRefused == 0) == !fault);
+        if (!fault) {
+            CHECK(result.failed == 0);
+        }
+    }
+}
