A thin whole path: caller, godwitd, endpoint, bill in the platform, as separate processes

Found on the way: two daemons could share a caller port through SO_REUSEPORT without a word, and each got a part of the callers; the first listener now probes the port without the option. An id that the router itself made was refused as too young to tell; its age is the call's.

--- a/godwit/caller/call_request.cpp
+++ b/godwit/caller/call_request.cpp
@@ -1,14 +1,13 @@
 #include "godwit/caller/call_request.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/http/key_digest.h"
 #include "godwit/http/target.h"
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
 #include <nlohmann/json.hpp>
-#include <openssl/sha.h>
 
-#include <array>
 #include <charconv>
 
 namespace Godwit
@@ -18,7 +17,6 @@
 
 constexpr std::string_view ChatPath = "/v1/chat/completions";
 constexpr std::string_view ServicePrefix = "/v1/services/";
-constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::size_t MaxIdBytes = 200;
 // A prompt is hashed in blocks, so that prompts with an equal beginning share the first hashes. 64 bytes are about
 // the 16 tokens that engines cache as a block.
@@ -257,24 +255,6 @@
     return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::string keyDigestOf(std::string_view authorization)
-{
-    if (!startsWith(authorization, BearerPrefix) || authorization.size() == BearerPrefix.size()) {
-        return {};
-    }
-    const std::string_view key = authorization.substr(BearerPrefix.size());
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
-    constexpr std::string_view Digits = "0123456789abcdef";
-    std::string text;
-    text.reserve(digest.size() * 2);
-    for (const unsigned char byte : digest) {
-        text.push_back(Digits[byte >> 4U]);
-        text.push_back(Digits[byte & 15U]);
-    }
-    return text;
-}
-
 std::string makeRequestId()
 {
     thread_local boost::uuids::random_generator generator;
--- a/godwit/caller/call_request.h
+++ b/godwit/caller/call_request.h
@@ -64,9 +64,6 @@
 // Precondition: `body` is a JSON object; parseCall has seen to that.
 std::string withOutputLimit(const std::string &body, Tokens limit, bool streamed);
 
-// SHA-256 of the key in "Bearer <key>", in lower-case hexadecimal; empty without a key.
-std::string keyDigestOf(std::string_view authorization);
-
 // A random id for a call whose caller sent none.
 std::string makeRequestId();
 
--- a/godwit/caller/call_session.cpp
+++ b/godwit/caller/call_session.cpp
@@ -3,6 +3,7 @@
 #include "godwit/caller/call_request.h"
 #include "godwit/endpoint/endpoint_attempt.h"
 #include "godwit/http/error_body.h"
+#include "godwit/http/key_digest.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -219,7 +220,11 @@
     template<typename Announce>
     void runCall(Announce announce, const asio::yield_context &yield)
     {
+        if (m_shared.closing) {
+            m_keepAlive = false; // The caller's next request goes to another router.
+        }
         m_shared.nextCall += m_shared.callStride;
+        ++m_shared.activeCalls;
         m_callId = CallId{m_shared.nextCall};
         m_answerBegun = false;
         m_outcome = AttemptOutcome{};
@@ -248,6 +253,7 @@
         beast::error_code ignored;
         transport().socket().cancel(ignored);
         m_shared.registry.remove(m_callId);
+        --m_shared.activeCalls;
     }
 
     // Each carryOut returns whether the call goes on.
@@ -278,7 +284,7 @@
             ended.used = m_outcome.usage->prompt + m_outcome.usage->completion;
         } else if (m_outcome.streamed) {
             // An engine that states no usage is billed by what was relayed and the prompt's bound.
-            ended.used = static_cast<Tokens>(m_outcome.events) + m_call.arrived.promptBound;
+            ended.used = static_cast<Tokens>(m_outcome.tokens) + m_call.arrived.promptBound;
         } else if (chat && m_outcome.status >= 300) {
             ended.used = 0; // The engine refused the request; it generated nothing.
         } else if (chat) {
--- a/godwit/caller/call_session.h
+++ b/godwit/caller/call_session.h
@@ -46,6 +46,10 @@
     std::uint64_t nextCall = 0;
     std::uint64_t callStride = 1; // Call ids of the threads interleave.
     std::size_t connections = 0;
+    // Calls whose answer is not wholly written yet. Read by the control thread.
+    std::atomic<std::size_t> activeCalls{0};
+    // Set while the router is stopping: each answer then closes its connection.
+    std::atomic<bool> closing{false};
 };
 
 void serveConnection(boost::beast::tcp_stream stream, CallerShared &shared, const boost::asio::yield_context &yield);
--- a/godwit/caller/caller_server.cpp
+++ b/godwit/caller/caller_server.cpp
@@ -23,6 +23,21 @@
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+// Another process that shares the port by the same option would silently take a part of the callers. A listener
+// without the option shows it.
+boost::system::error_code checkUnused(asio::io_context &io, const tcp::endpoint &address)
+{
+    boost::system::error_code error;
+    tcp::acceptor probe(io);
+    probe.open(address.protocol(), error);
+    probe.set_option(tcp::acceptor::reuse_address(true), error);
+    probe.bind(address, error);
+    if (!error) {
+        probe.listen(1, error);
+    }
+    return error;
+}
+
 } // namespace
 
 CallerServer::CallerServer(CallerServerOptions options, Post post, std::function<bool()> ready)
@@ -45,8 +60,14 @@
 
 std::optional<tcp::endpoint> CallerServer::listen(const tcp::endpoint &address, LastReason &reason)
 {
+    const bool first = m_shared.nextCall == 0;
     boost::system::error_code error;
-    m_acceptor.open(address.protocol(), error);
+    if (first && address.port() != 0) {
+        error = checkUnused(m_io, address);
+    }
+    if (!error) {
+        m_acceptor.open(address.protocol(), error);
+    }
     if (!error) {
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
@@ -131,6 +152,16 @@
         asio::detached);
 }
 
+void CallerServer::closeAfterAnswers()
+{
+    m_shared.closing = true;
+}
+
+std::size_t CallerServer::activeCalls() const
+{
+    return m_shared.activeCalls;
+}
+
 void CallerServer::stopAccepting()
 {
     asio::post(m_io, [this] {
--- a/godwit/caller/caller_server.h
+++ b/godwit/caller/caller_server.h
@@ -47,6 +47,12 @@
 
     void start();
 
+    // Lets each connection end after its next answer. Safe on any thread.
+    void closeAfterAnswers();
+
+    // Calls whose answer is not wholly written yet. Safe on any thread.
+    std::size_t activeCalls() const;
+
     // Stops accepting; open connections go on. Safe on any thread.
     void stopAccepting();
 
--- /dev/null
+++ b/godwit/daemon/event_log.h
@@ -0,0 +1,37 @@
+#pragma once
+
+// Structured log lines for changes of state: one event a line, as key=value pairs.
+//
+// What happens often is counted in metrics instead. Safe on any thread.
+//
+// Example:
+//   logEvent(LogLevel::Info, "config_in_force", {{"revision", "12"}});
+//   2026-12-02T19:30:00.123 level=info event=config_in_force revision=12
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace Godwit
+{
+
+enum class LogLevel {
+    Trace,
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+struct LogField
+{
+    std::string_view key;
+    std::string value;
+};
+
+// Writes lines from `minimum` on to standard error, each marked with `host`. Call once, before the first event.
+void startLog(std::string_view minimum, const std::string &host);
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/main.cpp
@@ -0,0 +1,110 @@
+// godwitd: one router of the fleet.
+
+#include "godwit/config/settings.h"
+#include "godwit/daemon/control.h"
+#include "godwit/daemon/event_log.h"
+#include "godwit/http/key_digest.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace
+{
+
+using namespace Godwit;
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+constexpr int ExitUnfinished = 3;
+
+constexpr const char *BootstrapVariable = "GODWIT_BOOTSTRAP_TOKEN";
+
+cxxopts::Options makeOptions()
+{
+    cxxopts::Options options("godwitd", "One router of a godwitcroft fleet.\n");
+    options.add_options()(
+        "s,settings", "Settings file (TOML); docs/OPERATING.md lists its keys.", cxxopts::value<std::string>());
+    options.add_options()("c,check-config", "Check the settings file, print what is wrong, and end.");
+    options.add_options()("version", "Print the version and end.");
+    options.add_options()("h,help", "Print this and end.");
+    return options;
+}
+
+std::optional<Settings> readSettings(const std::string &file)
+{
+    std::ifstream in(file);
+    if (!in) {
+        std::cerr << "godwitd: can't read " << file << "; name a readable settings file with --settings\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    LastReason reason;
+    auto settings = parseSettings(text.str(), file, reason);
+    if (!settings) {
+        std::cerr << "godwitd: " << reason->message << '\n' << errorRemedy(reason->kind) << '\n';
+    }
+    return settings;
+}
+
+int runDaemon(const Settings &settings)
+{
+    startLog(settings.logLevel, settings.host.value);
+    ControlOptions options;
+    if (const char *token = std::getenv(BootstrapVariable)) {
+        options.bootstrapDigest = sha256Hex(token);
+    }
+    Control control(settings, std::move(options));
+    LastReason reason;
+    if (!control.start(reason)) {
+        std::cerr << "godwitd: " << (reason ? reason->message : "can't start") << '\n';
+        return ExitFailed;
+    }
+    std::cout << "callers " << control.callerAddress() << "\npeers " << control.peerAddress() << "\noperators "
+              << control.operatorAddress() << std::endl;
+    return control.run() ? ExitOk : ExitUnfinished;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    auto options = makeOptions();
+    try {
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") != 0) {
+            std::cout << options.help() << "\nThe token in " << BootstrapVariable
+                      << " opens a fleet whose configuration names no owner yet."
+                      << "\nSIGTERM drains: the router leaves the address answers, finishes its calls and gives its "
+                         "budgets back."
+                      << "\nExit codes: 0 drained, 1 could not start, 2 wrong usage or settings, 3 stopped before all "
+                         "was given back.\n";
+            return ExitOk;
+        }
+        if (arguments.count("version") != 0) {
+            std::cout << "godwitd " << GODWIT_VERSION << '\n';
+            return ExitOk;
+        }
+        if (arguments.count("settings") == 0) {
+            std::cerr << "godwitd: name a settings file with --settings FILE; --help tells more\n";
+            return ExitUsage;
+        }
+        const auto settings = readSettings(arguments["settings"].as<std::string>());
+        if (!settings) {
+            return ExitUsage;
+        }
+        if (arguments.count("check-config") != 0) {
+            std::cout << "settings are valid\n";
+            return ExitOk;
+        }
+        return runDaemon(*settings);
+    } catch (const std::exception &error) {
+        std::cerr << "godwitd: " << error.what() << '\n';
+        return ExitUsage;
+    }
+}
--- /dev/null
+++ b/godwit/daemon/tls_contexts.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Server certificates of a listener, loaded from files and loaded again when the files change.
+//
+// Example:
+//   CertificateFiles files(settings.callerTls);
+//   LastReason reason;
+//   auto context = files.load(reason);
+//   if (files.changed()) { ... load again ... }
+
+#include "godwit/base/error.h"
+#include "godwit/config/settings.h"
+
+#include <boost/asio/ssl/context.hpp>
+
+#include <filesystem>
+#include <memory>
+
+namespace Godwit
+{
+
+class CertificateFiles
+{
+public:
+    explicit CertificateFiles(TlsSettings settings);
+
+    bool enabled() const
+    {
+        return m_settings.enabled();
+    }
+
+    // Returns a context with the files as they are now; null with a reason when they can't be used. A listener then
+    // keeps the context that it has.
+    std::shared_ptr<boost::asio::ssl::context> load(LastReason &reason);
+
+    // Whether a file has changed since the last load().
+    bool changed() const;
+
+private:
+    using Stamp = std::filesystem::file_time_type;
+
+    Stamp newest() const;
+
+    TlsSettings m_settings;
+    Stamp m_loaded{};
+};
+
+} // namespace Godwit
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -47,6 +47,18 @@
     return request;
 }
 
+// Engines send events without text too, such as one that only names the role; a resumed stream counts tokens.
+bool carriesText(std::string_view event)
+{
+    constexpr std::string_view Key = "\"content\":";
+    const std::size_t key = event.find(Key);
+    if (key == std::string_view::npos) {
+        return false;
+    }
+    const std::size_t value = event.find_first_not_of(' ', key + Key.size());
+    return value != std::string_view::npos && event[value] == '"' && event.substr(value + 1, 1) != "\"";
+}
+
 std::optional<Duration> retryAfterOf(const Parser &parser)
 {
     const auto text = parser.get()[http::field::retry_after];
@@ -284,7 +296,7 @@
                         AttemptOutcome &outcome)
     {
         if (from.forwarded) {
-            ++outcome.events;
+            ++outcome.tokens;
             return relay(event);
         }
         const auto usage = usageOfEvent(event);
@@ -293,7 +305,7 @@
             outcome.tail += event;
             return true;
         }
-        ++outcome.events;
+        outcome.tokens += carriesText(event) ? 1 : 0;
         return relay(event);
     }
 
@@ -305,9 +317,9 @@
     {
         EndpointRequest again = from;
         again.target = "/v1/resume";
-        again.body = nlohmann::json{{"request_id", from.requestId}, {"from_token", outcome.events}}.dump();
+        again.body = nlohmann::json{{"request_id", from.requestId}, {"from_token", outcome.tokens}}.dump();
         AttemptOutcome rest;
-        rest.events = outcome.events;
+        rest.tokens = outcome.tokens;
         if (!open(again, true, yield)) {
             return;
         }
--- a/godwit/endpoint/endpoint_attempt.h
+++ b/godwit/endpoint/endpoint_attempt.h
@@ -57,7 +57,7 @@
     std::string tail; // The last events of a streamed answer, held back until the bill stands.
     std::optional<Usage> usage;
     std::optional<Duration> retryAfter;
-    std::uint64_t events = 0; // Streamed events relayed.
+    std::uint64_t tokens = 0; // Streamed events with text that were relayed.
     bool streamed = false;
     bool callerGone = false; // The relay function said so.
     bool cancelled = false;
--- a/godwit/kernel/call_flow.cpp
+++ b/godwit/kernel/call_flow.cpp
@@ -621,7 +621,8 @@
     request.call = call.arrived.call;
     request.key = RequestKey{call.customer, call.arrived.idempotencyKey};
     request.bodyDigest = call.arrived.bodyDigest;
-    request.createdAt = call.arrived.createdAt;
+    // An id that this router made is as old as the call.
+    request.createdAt = call.arrived.idGenerated ? moment.wall : call.arrived.createdAt;
     request.wallNow = moment.wall;
     request.giveUpAt = call.deadlineAt;
     request.firstSend = call.arrived.idGenerated;
