--- /dev/null
+++ b/godwit/ctl/ctl_test.cpp
@@ -0,0 +1,75 @@
+#include "godwit/ctl/commands.h"
+#include "godwit/ctl/line_diff.h"
+#include "godwit/ctl/render.h"
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace Godwit;
+
+namespace
+{
+
+struct Outcome
+{
+    int exit = 0;
+    std::string out;
+    std::string err;
+};
+
+// Runs a command against an address where nothing listens.
+Outcome runAlone(const std::vector<std::string> &words, const CommandOptions &options = {})
+{
+    AdminClient client;
+    client.address = "127.0.0.1:1";
+    client.tries = 1;
+    std::ostringstream out;
+    std::ostringstream err;
+    const int exit = runCommand(client, words, options, out, err);
+    return {exit, out.str(), err.str()};
+}
+
+} // namespace
+
+TEST_CASE("line differences keep order and mark each side")
+{
+    CHECK(lineDiff("a\nb\nc\n", "a\nb\nc\n").empty());
+    CHECK(lineDiff("a\nb\nc\n", "a\nx\nc\n") == " a\n-b\n+x\n c\n");
+    CHECK(lineDiff("", "a\n") == "+a\n");
+    CHECK(lineDiff("a\n", "") == "-a\n");
+}
+
+TEST_CASE("answers become tables and lines")
+{
+    CHECK(renderAnswer(R"({"rows":[{"a":1,"b":"long text"},{"a":22,"b":"x"}]})") == "a   b\n1   long text\n22  x\n");
+    CHECK(renderAnswer(R"({"rows":[]})") == "(none)\n");
+    CHECK(renderAnswer(R"({"state":"serving","calls":3})") == "state  serving\ncalls  3\n");
+    CHECK(renderAnswer("not json") == "not json\n");
+}
+
+TEST_CASE("wrong usage says what to write instead")
+{
+    const auto unknown = runAlone({"budgets", "shwo", "x"});
+    CHECK(unknown.exit == ExitUsage);
+    CHECK(unknown.err.find("budgets show <budget>") != std::string::npos);
+    CHECK(runAlone({"nonsense"}).err.find("--help") != std::string::npos);
+    const auto amount = runAlone({"budgets", "top-up", "x", "1e6"});
+    CHECK(amount.exit == ExitUsage);
+    CHECK(amount.err.find("whole number") != std::string::npos);
+    CHECK(runAlone({"config", "apply", "/nonexistent/file"}).exit == ExitUsage);
+}
+
+TEST_CASE("a router that does not answer has its own exit code")
+{
+    const auto away = runAlone({"status"});
+    CHECK(away.exit == ExitUnreachable);
+    CHECK(away.err.find("check --operator") != std::string::npos);
+}
+
+TEST_CASE("digests need no router")
+{
+    const auto digest = runAlone({"digest", "secret"});
+    CHECK(digest.exit == ExitOk);
+    CHECK(digest.out == "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\n");
+}
