--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -269,7 +269,7 @@
     }
     m_answerEnded = m_answerEnded || last;
     m_queued += bytes;
-    if (m_queued.size() > MaxQueuedBytes) {
+    if (!m_answerEnded && m_queued.size() > MaxQueuedBytes) {
         // Not at once: the handler that is sending may still use what it frees when the peer leaves.
         asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             self->peerLeft();
--- a/standins/relay/main.cpp
+++ b/standins/relay/main.cpp
@@ -205,9 +205,9 @@
         return !error && request.keep_alive();
     }
 
+    asio::io_context m_context{1}; // First: the idle connections must go before it.
     const std::vector<Tcp::endpoint> &m_upstreams;
     std::vector<std::vector<std::unique_ptr<Upstream>>> m_idle;
-    asio::io_context m_context{1};
     std::thread m_thread;
     std::size_t m_next = 0;
 };
