--- a/godwit/membership/membership.cpp
+++ b/godwit/membership/membership.cpp
@@ -3,7 +3,6 @@
 #include "godwit/base/hash.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace Godwit
 {
@@ -25,11 +24,11 @@
     return contains(state.leavingHosts, host);
 }
 
-// How often news has to go out so that it reaches everyone with high probability.
+// Often enough that news passes over each link more than once.
 unsigned sendsFor(const MembershipState &state)
 {
-    const double others = static_cast<double>(state.members.size()) + 2.0;
-    return static_cast<unsigned>(std::ceil(std::log2(others))) * state.options.sendFactor;
+    constexpr std::size_t LeastLinks = 3;
+    return static_cast<unsigned>(std::max(state.links.size(), LeastLinks)) * state.options.sendsPerLink;
 }
 
 MemberUpdate shown(const MembershipState &state, const Member &member)
@@ -149,17 +148,30 @@
     }
 }
 
+// Suspicions and their denials race against a timer and go before all else; then what went out least often.
+bool isMoreUrgent(const Member *a, const Member *b)
+{
+    const bool urgentA = a->update.status != MemberStatus::Alive || a->update.number > 1;
+    const bool urgentB = b->update.status != MemberStatus::Alive || b->update.number > 1;
+    return urgentA != urgentB ? urgentA : a->sendsLeft > b->sendsLeft;
+}
+
 void addNews(MembershipState &state, const Incarnation &to, HeartbeatBody &body)
 {
+    std::vector<Member *> news;
     for (auto &[incarnation, member] : state.members) {
-        if (body.updates.size() >= state.options.maxUpdates) {
-            return;
-        }
         if (member.sendsLeft > 0 && incarnation != to) {
-            --member.sendsLeft;
-            body.updates.push_back(member.update);
+            news.push_back(&member);
         }
     }
+    const std::size_t room = state.options.maxUpdates - std::min(state.options.maxUpdates, body.updates.size());
+    const std::size_t count = std::min(room, news.size());
+    const auto end = news.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(news.begin(), end, news.end(), isMoreUrgent);
+    for (auto member = news.begin(); member != end; ++member) {
+        --(*member)->sendsLeft;
+        body.updates.push_back((*member)->update);
+    }
 }
 
 HeartbeatBody makeBody(const MembershipState &state)
--- a/godwit/membership/membership.h
+++ b/godwit/membership/membership.h
@@ -85,9 +85,9 @@
     // Up to this many hosts everyone links to everyone; beyond, each host chooses `chosenPeers` of them.
     std::size_t fullMeshHosts = 12;
     std::size_t chosenPeers = 5;
-    std::size_t maxUpdates = 12; // Items in one heartbeat.
+    std::size_t maxUpdates = 16; // Items in one heartbeat.
     std::size_t rotatingUpdates = 1; // Further items a heartbeat, taken in turn, that repair what got lost.
-    unsigned sendFactor = 4; // Each item goes out sendFactor * log2(members + 1) times.
+    unsigned sendsPerLink = 2; // Each item goes out so many times for each link.
     Duration silentAfter = std::chrono::seconds(3); // A linked peer without a heartbeat is suspected.
     Duration goneAfter = std::chrono::seconds(8); // A suspicion without denial makes it gone.
     Duration forgetAfter = std::chrono::seconds(600); // Then a gone router is no longer kept.
