--- a/godwit/config/config_agent.cpp
+++ b/godwit/config/config_agent.cpp
@@ -382,7 +382,8 @@
     }
     commit.headText = internal::encodeHead(commit.head);
     commit.document = std::move(document);
-    const bool fold = commit.head.patches.size() > agent.options.maxPatchesInHead
+    const bool gap = commit.document->recent.empty() || commit.document->recent.front().revision > before + 1;
+    const bool fold = gap || commit.head.patches.size() > agent.options.maxPatchesInHead
         || commit.headText.size() > agent.options.maxHeadBytes;
     agent.commit = std::move(commit);
     if (fold) {
@@ -424,7 +425,7 @@
         patch.expectedRevision = batch.document->revision;
     }
     if (!reason) {
-        if (auto next = applyPatch(*batch.document, patch, reason)) {
+        if (auto next = applyPatch(*batch.document, patch, reason, &agent.validator)) {
             batch.document = std::make_shared<const ConfigDocument>(std::move(*next));
             batch.changes.push_back(change.id);
             return Trial::Joined;
--- a/godwit/config/config_agent.h
+++ b/godwit/config/config_agent.h
@@ -190,6 +190,7 @@
     std::optional<SnapshotLoad> load;
     std::optional<ConfigCommit> commit;
     std::deque<PendingChange> pending;
+    ConfigValidator validator; // Kept only by routers that accepted a change.
     std::uint64_t nextChange = 1;
     std::map<Incarnation, std::uint64_t> peers; // Linked peers and the revision each is known to have.
     std::shared_ptr<const ConfigDocument> candidate; // The highest heard before the first adoption.
--- a/godwit/config/config_document.cpp
+++ b/godwit/config/config_document.cpp
@@ -1,6 +1,7 @@
 #include "godwit/config/config_document.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/config/file_editor.h"
 #include "godwit/config/site_resolver.h"
 #include "godwit/config/toml_reader.h"
 
@@ -19,20 +20,26 @@
 constexpr std::size_t MaxNameBytes = 128;
 constexpr std::size_t MaxOverlays = 64;
 
-const std::string EmptyText;
-
 std::string_view fileNameOf(std::string_view site)
 {
     return site.empty() ? std::string_view("base") : site;
 }
 
-const std::string &fileText(const ConfigDocument &document, const std::string &site)
+// The overlay of `site`, or null.
+std::shared_ptr<const ConfigFile> overlayOf(const ConfigDocument &document, const DataCentreId &site)
+{
+    const auto overlay = document.overlays.find(site);
+    return overlay == document.overlays.end() ? nullptr : overlay->second;
+}
+
+// The file that a patch with this site changes; an empty one when there is none yet.
+std::shared_ptr<const ConfigFile> fileOfSite(const ConfigDocument &document, std::string_view site)
 {
     if (site.empty()) {
         return document.base;
     }
-    const auto overlay = document.overlays.find(DataCentreId(site));
-    return overlay == document.overlays.end() ? EmptyText : overlay->second;
+    auto overlay = overlayOf(document, DataCentreId(std::string(site)));
+    return overlay ? overlay : std::make_shared<const ConfigFile>();
 }
 
 Error makeError(ErrorKind kind, std::string message)
@@ -45,108 +52,51 @@
     return std::string(site) + ':' + internal::joinPath(keys);
 }
 
-std::optional<SiteConfig> resolve(const ConfigDocument &document,
-                                  const DataCentreId &site,
-                                  UnknownKeys unknown,
-                                  LastReason &reason)
-{
-    FaultList faults;
-    auto merged = internal::parseToml(document.base, "base", faults);
-    const std::string &overlayText = site.value.empty() ? EmptyText : fileText(document, site.value);
-    auto overlay = internal::parseToml(overlayText, site.value, faults);
-    if (merged && overlay) {
-        internal::mergeTables(*merged, std::move(*overlay));
-        if (auto config = internal::readSite(*merged, unknown, faults)) {
-            config->revision = document.revision;
-            config->site = site;
-            return config;
-        }
-    }
-    reason = faults.toError(ErrorKind::InvalidConfiguration);
-    return std::nullopt;
-}
-
-std::string toText(const toml::table &table)
+internal::SiteSources sourcesOf(const ConfigDocument &document, const DataCentreId &site)
 {
-    std::ostringstream out;
-    out << table;
-    return out.str();
-}
-
-// Reads the text of one value: `3`, `"a"`, `[1]`, `{ a = 1 }`, or lines of keys, which make a table.
-std::unique_ptr<toml::table> parseValue(const std::string &value, FaultList &faults)
-{
-    FaultList asValueFaults;
-    if (auto holder = internal::parseToml("v = " + value, "value", asValueFaults)) {
-        // More than one key: the text tried to leave its place, as in "1\nother = 2".
-        if (holder->size() == 1 && holder->contains("v")) {
-            return std::make_unique<toml::table>(std::move(*holder));
-        }
-    }
-    if (auto lines = internal::parseToml(value, "value", faults)) {
-        auto holder = std::make_unique<toml::table>();
-        holder->insert("v", std::move(*lines));
-        return holder;
-    }
-    return nullptr;
+    internal::SiteSources sources;
+    sources.site = site;
+    sources.base = document.base;
+    sources.overlay = overlayOf(document, site);
+    return sources;
 }
 
-// Walks to the table that holds the last key; creates tables on the way when `create` is set.
-toml::table *parentOf(toml::table &root, const std::vector<std::string> &keys, bool create)
+std::optional<SiteConfig> resolve(const ConfigDocument &document,
+                                  const internal::SiteSources &sources,
+                                  LastReason &reason)
 {
-    toml::table *table = &root;
-    for (std::size_t i = 0; i + 1 < keys.size(); ++i) {
-        if (create && !table->contains(keys[i])) {
-            table->insert(keys[i], toml::table{});
-        }
-        table = (*table)[keys[i]].as_table();
-        if (table == nullptr) {
-            return nullptr;
-        }
+    FaultList faults;
+    auto config = internal::buildSite(sources, faults);
+    if (!config) {
+        reason = faults.toError(ErrorKind::InvalidConfiguration);
+        return std::nullopt;
     }
-    return table;
+    config->revision = document.revision;
+    return config;
 }
 
-// The file's text with the patch made, or nothing with `reason` filled.
-std::optional<std::string> editFile(const std::string &text,
-                                    const ConfigPatch &patch,
-                                    const std::vector<std::string> &keys,
-                                    LastReason &reason)
+// The file with the patch made, or null with `reason` filled.
+std::shared_ptr<const ConfigFile> patchedFile(const ConfigDocument &document,
+                                              const ConfigPatch &patch,
+                                              const std::vector<std::string> &keys,
+                                              LastReason &reason)
 {
-    if (keys.empty()) {
-        return patch.value ? *patch.value : std::string();
-    }
     FaultList faults;
-    auto root = internal::parseToml(text, fileNameOf(patch.site), faults);
-    if (!root) {
+    auto file = std::make_shared<ConfigFile>(*fileOfSite(document, patch.site));
+    const std::string_view fileName = fileNameOf(patch.site);
+    switch (internal::editFile(*file, keys, patch.value, fileName, faults)) {
+    case internal::EditOutcome::Done:
+        return file;
+    case internal::EditOutcome::NothingThere:
+        reason =
+            makeError(ErrorKind::UnknownObject,
+                      std::string(fileName) + ": " + patch.path + ": nothing stands there to remove; correct the path");
+        return nullptr;
+    case internal::EditOutcome::Faulty:
         reason = faults.toError(ErrorKind::InvalidConfiguration);
-        return std::nullopt;
-    }
-    toml::table *parent = parentOf(*root, keys, patch.value.has_value());
-    if (!patch.value) {
-        if (parent == nullptr || parent->erase(keys.back()) == 0) {
-            reason = makeError(ErrorKind::UnknownObject,
-                               std::string(fileNameOf(patch.site)) + ": " + patch.path
-                                   + ": nothing stands there to remove; correct the path");
-            return std::nullopt;
-        }
-        return toText(*root);
-    }
-    if (parent == nullptr) {
-        reason = makeError(ErrorKind::InvalidConfiguration,
-                           std::string(fileNameOf(patch.site)) + ": " + patch.path
-                               + ": a parent of this path is no table; correct the path");
-        return std::nullopt;
-    }
-    const auto holder = parseValue(*patch.value, faults);
-    if (!holder) {
-        reason = faults.toError(ErrorKind::InvalidConfiguration);
-        return std::nullopt;
+        return nullptr;
     }
-    std::move(*holder->get("v")).visit([&](auto &&value) {
-        parent->insert_or_assign(keys.back(), std::forward<decltype(value)>(value));
-    });
-    return toText(*root);
+    return nullptr;
 }
 
 bool startsWith(std::string_view text, std::string_view prefix)
@@ -292,68 +242,125 @@
     }
 }
 
+// A long value would be held and sent many times over; fellows fetch the whole document instead.
+void noteRecent(ConfigDocument &document, const ConfigPatch &patch)
+{
+    if (patch.value && patch.value->size() > MaxRecentValueBytes) {
+        document.recent.clear();
+        return;
+    }
+    document.recent.push_back({document.revision, patch});
+    trimFront(document.recent, MaxRecentPatches);
+}
+
 // The document with the patched text and all records of the change.
 ConfigDocument withChange(const ConfigDocument &document,
                           const ConfigPatch &patch,
                           const std::vector<std::string> &keys,
-                          std::string text)
+                          std::shared_ptr<const ConfigFile> file)
 {
     ConfigDocument next = document;
     ++next.revision;
     if (patch.site.empty()) {
-        next.base = std::move(text);
+        next.base = std::move(file);
     } else if (keys.empty() && !patch.value) {
         next.overlays.erase(DataCentreId(patch.site));
     } else {
-        next.overlays[DataCentreId(patch.site)] = std::move(text);
+        next.overlays[DataCentreId(patch.site)] = std::move(file);
     }
     notePath(next, pathKey(patch.site, keys));
     next.history.push_back(
         {next.revision, patch.id, patch.author, patch.site, patch.path, patch.at, payloadHash(patch)});
     trimFront(next.history, MaxConfigHistory);
-    next.recent.push_back({next.revision, patch});
-    trimFront(next.recent, MaxRecentPatches);
+    noteRecent(next, patch);
     return next;
 }
 
 // A site that was invalid before (by a newer router's acceptance) must not stop changes that don't make it worse.
-bool staysValid(const ConfigDocument &before, const ConfigDocument &after, const DataCentreId &site, LastReason &reason)
+bool staysValid(const ConfigDocument &before,
+                const ConfigDocument &after,
+                const DataCentreId &site,
+                const SiteConfig &base,
+                LastReason &reason)
 {
     LastReason fault;
-    if (resolveSite(after, site, fault)) {
+    internal::SiteSources sources = sourcesOf(after, site);
+    sources.previous = &base;
+    if (resolve(after, sources, fault)) {
         return true;
     }
     LastReason ignored;
-    if (before.revision > 0 && !resolveSite(before, site, ignored)) {
+    if (before.revision > 0 && !resolve(before, sourcesOf(before, site), ignored)) {
         return true;
     }
     reason = fault;
     return false;
 }
 
-bool validateChange(const ConfigDocument &before,
-                    const ConfigDocument &after,
-                    const ConfigPatch &patch,
-                    LastReason &reason)
+// A whole file that was just written by hand: its faults shall name the lines as its author sees them.
+std::optional<internal::ParsedObjects> parsedWhole(const ConfigPatch &patch)
 {
-    if (!patch.site.empty()) {
-        LastReason fault;
-        if (resolveSite(after, DataCentreId(patch.site), fault)) {
-            return true;
-        }
-        reason = fault;
-        return false;
-    }
-    LastReason fault;
-    if (!resolveSite(after, DataCentreId(), fault)) {
-        reason = fault;
+    FaultList ignored;
+    const bool whole = patch.path.empty() && patch.value;
+    return whole ? internal::parseObjects(*patch.value, fileNameOf(patch.site), ignored) : std::nullopt;
+}
+
+bool validateBase(const ConfigDocument &before,
+                  const ConfigDocument &after,
+                  const ConfigPatch &patch,
+                  ConfigValidator &validator,
+                  LastReason &reason)
+{
+    auto parsed = parsedWhole(patch);
+    internal::SiteSources sources = sourcesOf(after, DataCentreId());
+    sources.previous = validator.base ? &*validator.base : nullptr;
+    sources.parsedBase = parsed ? &*parsed : nullptr;
+    auto base = resolve(after, sources, reason);
+    if (!base) {
         return false;
     }
+    validator.base = std::move(base);
     return std::all_of(after.overlays.begin(), after.overlays.end(), [&](const auto &overlay) {
-        return staysValid(before, after, overlay.first, reason);
+        return staysValid(before, after, overlay.first, *validator.base, reason);
     });
 }
 
+bool validateOverlay(const ConfigDocument &after,
+                     const ConfigPatch &patch,
+                     ConfigValidator &validator,
+                     LastReason &reason)
+{
+    if (!validator.base || validator.base->base != after.base) {
+        LastReason ignored;
+        internal::SiteSources sources = sourcesOf(after, DataCentreId());
+        sources.previous = validator.base ? &*validator.base : nullptr;
+        validator.base = resolve(after, sources, ignored);
+    }
+    auto parsed = parsedWhole(patch);
+    internal::SiteSources sources = sourcesOf(after, DataCentreId(patch.site));
+    sources.previous = validator.base ? &*validator.base : nullptr;
+    sources.parsedOverlay = parsed ? &*parsed : nullptr;
+    return resolve(after, sources, reason).has_value();
+}
+
+nlohmann::json fileToJson(const ConfigFile &file)
+{
+    nlohmann::json json = nlohmann::json::object();
+    for (const auto &[name, text] : file.objects) {
+        json[name] = *text;
+    }
+    return json;
+}
+
+std::shared_ptr<const ConfigFile> fileFromJson(const nlohmann::json &json)
+{
+    auto file = std::make_shared<ConfigFile>();
+    for (const auto &[name, text] : json.items()) {
+        internal::setObject(*file, name, text.get<std::string>());
+    }
+    return file;
+}
+
 nlohmann::json historyToJson(const std::vector<ConfigHistoryEntry> &history)
 {
     nlohmann::json entries = nlohmann::json::array();
@@ -386,9 +393,9 @@
 {
     ConfigDocument document;
     document.revision = json.at("revision").get<std::uint64_t>();
-    document.base = json.at("base").get<std::string>();
-    for (const auto &[site, text] : json.at("overlays").items()) {
-        document.overlays.emplace(DataCentreId(site), text.get<std::string>());
+    document.base = fileFromJson(json.at("base"));
+    for (const auto &[site, file] : json.at("overlays").items()) {
+        document.overlays.emplace(DataCentreId(site), fileFromJson(file));
     }
     document.pathRevisions = json.at("paths").get<std::map<std::string, std::uint64_t>>();
     document.pathFloor = json.at("floor").get<std::uint64_t>();
@@ -400,19 +407,31 @@
 
 } // namespace
 
-std::optional<SiteConfig> resolveSite(const ConfigDocument &document, const DataCentreId &site, LastReason &reason)
+std::optional<SiteConfig> resolveSite(const ConfigDocument &document,
+                                      const DataCentreId &site,
+                                      LastReason &reason,
+                                      const SiteConfig *previous)
 {
-    return resolve(document, site, UnknownKeys::Refuse, reason);
+    internal::SiteSources sources = sourcesOf(document, site);
+    sources.previous = previous;
+    return resolve(document, sources, reason);
 }
 
 std::optional<SiteConfig> resolveAcceptedSite(const ConfigDocument &document,
                                               const DataCentreId &site,
-                                              LastReason &reason)
+                                              LastReason &reason,
+                                              const SiteConfig *previous)
 {
-    return resolve(document, site, UnknownKeys::Ignore, reason);
+    internal::SiteSources sources = sourcesOf(document, site);
+    sources.unknown = UnknownKeys::Ignore;
+    sources.previous = previous;
+    return resolve(document, sources, reason);
 }
 
-std::optional<ConfigDocument> applyPatch(const ConfigDocument &document, const ConfigPatch &patch, LastReason &reason)
+std::optional<ConfigDocument> applyPatch(const ConfigDocument &document,
+                                         const ConfigPatch &patch,
+                                         LastReason &reason,
+                                         ConfigValidator *validator)
 {
     const auto keys = checkShape(patch, reason);
     if (!keys || refuseConflict(document, patch, *keys, reason)) {
@@ -423,12 +442,16 @@
         reason = makeError(ErrorKind::InvalidConfiguration, "there are 64 overlays already; remove one first");
         return std::nullopt;
     }
-    auto text = editFile(fileText(document, patch.site), patch, *keys, reason);
-    if (!text) {
+    auto file = patchedFile(document, patch, *keys, reason);
+    if (!file) {
         return std::nullopt;
     }
-    ConfigDocument next = withChange(document, patch, *keys, std::move(*text));
-    if (!validateChange(document, next, patch, reason)) {
+    ConfigDocument next = withChange(document, patch, *keys, std::move(file));
+    ConfigValidator fresh;
+    ConfigValidator &used = validator == nullptr ? fresh : *validator;
+    const bool valid = patch.site.empty() ? validateBase(document, next, patch, used, reason)
+                                          : validateOverlay(next, patch, used, reason);
+    if (!valid) {
         return std::nullopt;
     }
     return next;
@@ -441,11 +464,11 @@
     if (!keys || document.revision + 1 != applied.revision) {
         return std::nullopt;
     }
-    auto text = editFile(fileText(document, applied.patch.site), applied.patch, *keys, ignored);
-    if (!text) {
+    auto file = patchedFile(document, applied.patch, *keys, ignored);
+    if (!file) {
         return std::nullopt;
     }
-    return withChange(document, applied.patch, *keys, std::move(*text));
+    return withChange(document, applied.patch, *keys, std::move(file));
 }
 
 std::optional<std::uint64_t> appliedRevision(const ConfigDocument &document,
@@ -482,36 +505,18 @@
     if (!keys) {
         return std::nullopt;
     }
-    const std::string &text = fileText(document, std::string(site));
-    if (keys->empty()) {
-        return text;
-    }
-    FaultList faults;
-    auto root = internal::parseToml(text, fileNameOf(site), faults);
-    if (!root) {
-        return std::nullopt;
-    }
-    toml::table *parent = parentOf(*root, *keys, false);
-    const toml::node *node = parent == nullptr ? nullptr : parent->get(keys->back());
-    if (node == nullptr) {
-        return std::nullopt;
-    }
-    std::ostringstream out;
-    node->visit([&](const auto &value) {
-        out << value;
-    });
-    return out.str();
+    return internal::textAt(*fileOfSite(document, site), *keys);
 }
 
 std::string encodeDocument(const ConfigDocument &document)
 {
     nlohmann::json overlays = nlohmann::json::object();
-    for (const auto &[site, text] : document.overlays) {
-        overlays[site.value] = text;
+    for (const auto &[site, file] : document.overlays) {
+        overlays[site.value] = fileToJson(*file);
     }
     const nlohmann::json json = {
         {"revision", document.revision},
-        {"base", document.base},
+        {"base", fileToJson(*document.base)},
         {"overlays", std::move(overlays)},
         {"paths", document.pathRevisions},
         {"floor", document.pathFloor},
@@ -533,9 +538,9 @@
 std::uint64_t documentDigest(const ConfigDocument &document)
 {
     std::ostringstream parts;
-    parts << document.revision << ' ' << document.pathFloor << ' ' << stableHash(document.base);
-    for (const auto &[site, text] : document.overlays) {
-        parts << ' ' << site << ' ' << stableHash(text);
+    parts << document.revision << ' ' << document.pathFloor << ' ' << document.base->digest;
+    for (const auto &[site, file] : document.overlays) {
+        parts << ' ' << site << ' ' << file->digest;
     }
     for (const auto &[path, revision] : document.pathRevisions) {
         parts << ' ' << path << ' ' << revision;
--- a/godwit/config/config_document.h
+++ b/godwit/config/config_document.h
@@ -16,11 +16,13 @@
 #include "godwit/base/error.h"
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
+#include "godwit/config/config_file.h"
 #include "godwit/config/site_config.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,6 +72,7 @@
 constexpr std::size_t MaxPathRevisions = 4096;
 // The newest patches with their values, from which fellows that are a little behind are brought up.
 constexpr std::size_t MaxRecentPatches = 128;
+constexpr std::size_t MaxRecentValueBytes = 16UL * 1024;
 constexpr std::size_t MaxPatchPathBytes = 512;
 constexpr std::size_t MaxPatchPathDepth = 12;
 constexpr std::size_t MaxPatchValueBytes = 4UL * 1024 * 1024;
@@ -77,32 +80,48 @@
 struct ConfigDocument
 {
     std::uint64_t revision = 0; // 0: nothing was ever accepted.
-    std::string base; // TOML text.
-    std::map<DataCentreId, std::string> overlays; // TOML text of each site.
+    // Files are shared between documents and never null.
+    std::shared_ptr<const ConfigFile> base = std::make_shared<const ConfigFile>();
+    std::map<DataCentreId, std::shared_ptr<const ConfigFile>> overlays;
     // "site:path" and the revision that last changed it.
     std::map<std::string, std::uint64_t> pathRevisions;
     // Paths that are absent from `pathRevisions` last changed at or before this revision.
     std::uint64_t pathFloor = 0;
     std::vector<ConfigHistoryEntry> history; // Oldest first.
-    std::vector<AppliedPatch> recent; // Oldest first; not part of the stored document.
+    // Oldest first, without gaps up to `revision`; emptied by a patch with a longer value than
+    // MaxRecentValueBytes. Not part of the stored document.
+    std::vector<AppliedPatch> recent;
+};
+
+// What applyPatch() read for its checks, so that the next check reads only what differs.
+struct ConfigValidator
+{
+    std::optional<SiteConfig> base;
 };
 
 // Merges base and overlay of `site` and checks every key. Fills `reason` with InvalidConfiguration naming file
 // ("base" or the site), line, key and remedy. Overlays of other sites are not looked at;
-// an empty site stands for the base alone.
-std::optional<SiteConfig> resolveSite(const ConfigDocument &document, const DataCentreId &site, LastReason &reason);
+// an empty site stands for the base alone. `previous`, the site of another revision, saves reading what is the same.
+std::optional<SiteConfig> resolveSite(const ConfigDocument &document,
+                                      const DataCentreId &site,
+                                      LastReason &reason,
+                                      const SiteConfig *previous = nullptr);
 
 // As resolveSite(), but passes over keys that this version does not know. For documents that were accepted
 // already, perhaps by a newer router.
 std::optional<SiteConfig> resolveAcceptedSite(const ConfigDocument &document,
                                               const DataCentreId &site,
-                                              LastReason &reason);
+                                              LastReason &reason,
+                                              const SiteConfig *previous = nullptr);
 
 // Returns the document with `patch` applied, one revision higher and valid for each site that was valid before.
 // Fills `reason` with RevisionConflict (path and the revision that changed it), InvalidConfiguration,
 // MalformedRequest or PayloadDiffers (the id was used for another change). The patch must not have been applied
-// already: ask appliedRevision() first.
-std::optional<ConfigDocument> applyPatch(const ConfigDocument &document, const ConfigPatch &patch, LastReason &reason);
+// already: ask appliedRevision() first. A validator that is kept from call to call makes checks cheap.
+std::optional<ConfigDocument> applyPatch(const ConfigDocument &document,
+                                         const ConfigPatch &patch,
+                                         LastReason &reason,
+                                         ConfigValidator *validator = nullptr);
 
 // Repeats a patch that was accepted as `applied.revision`, without checks. Precondition: the document stands at
 // the revision before. Returns nothing when the texts don't take the patch.
--- a/godwit/config/config_document_test.cpp
+++ b/godwit/config/config_document_test.cpp
@@ -74,6 +74,13 @@
     return *reason;
 }
 
+std::shared_ptr<const ConfigFile> brokenFile()
+{
+    auto file = std::make_shared<ConfigFile>();
+    file->objects["customers.dolna"] = std::make_shared<const std::string>("share = [broken");
+    return file;
+}
+
 bool contains(const std::string &text, const std::string &part)
 {
     INFO(text);
@@ -148,7 +155,7 @@
     // The caller sees: howrah's overlay is faulty (accepted by a router of another version, say), and salt-lake
     // goes on under the newest revision; changes of base and of salt-lake are still accepted.
     ConfigDocument document = baseDocument();
-    document.overlays[Howrah] = "[customers.dolna]\nshare = [broken";
+    document.overlays[Howrah] = brokenFile();
     LastReason reason;
     CHECK_FALSE(resolveSite(document, Howrah, reason));
     CHECK(resolveSite(document, SaltLake, reason));
@@ -174,7 +181,10 @@
 TEST_CASE("what this version doesn't know is passed over once it was accepted")
 {
     ConfigDocument document = baseDocument();
-    document.base += "\n[customers.dolna.future]\nkind = 1\n";
+    auto base = std::make_shared<ConfigFile>(*document.base);
+    base->objects["customers.dolna"] = std::make_shared<const std::string>("future = 1");
+    base->objects["future_section"] = std::make_shared<const std::string>("kind = 1");
+    document.base = base;
     LastReason reason;
     CHECK_FALSE(resolveSite(document, SaltLake, reason));
     CHECK(resolveAcceptedSite(document, SaltLake, reason));
--- a/godwit/config/simulated_fleet.cpp
+++ b/godwit/config/simulated_fleet.cpp
@@ -239,7 +239,8 @@
             self.adoptedAt.emplace(adopted->document->revision, m_now);
         } else if (const auto *send = std::get_if<SendDocument>(&action)) {
             const std::size_t to = indexOf(send->to);
-            if (!linked(node, to) || send->to != nameOf(to) || chance() < options.lostPeerMessages) {
+            if (!linked(node, to) || send->to != nameOf(to) || options.mute == node
+                || chance() < options.lostPeerMessages) {
                 continue;
             }
             at(m_now + delay(node, to), [this, to, life = nodes[to].life, from = nameOf(node), bytes = send->cbor] {
@@ -277,7 +278,7 @@
 {
     const std::uint64_t revision = configRevision(nodes[node].agent);
     for (std::size_t other = 0; other < nodes.size(); ++other) {
-        if (!linked(node, other)) {
+        if (!linked(node, other) || options.mute == node) {
             continue;
         }
         at(m_now + delay(node, other), [this, other, life = nodes[other].life, from = nameOf(node), revision] {
--- a/godwit/config/simulated_fleet.h
+++ b/godwit/config/simulated_fleet.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -41,6 +42,7 @@
     bool watches = true;
     double lostAnswers = 0.0; // Share of the platform's answers that get lost after the command took effect.
     double lostPeerMessages = 0.0;
+    std::optional<std::size_t> mute; // All that this node sends to peers is lost.
     ConfigAgentOptions agent; // Identity is filled in for each node.
 };
 
--- a/godwit/config/site_config.h
+++ b/godwit/config/site_config.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
 namespace Godwit
 {
 
+struct ConfigFile;
+
 // What a customer weighs more when a budget runs low.
 enum class BudgetTrade {
     FewRefusals, // Large held slices and forwarding: fewer false refusals, more platform calls near the end.
@@ -138,6 +141,9 @@
     std::unordered_map<std::string, CustomerId> customersByKey;
     std::unordered_map<std::string, std::size_t> tokensByDigest;
     std::map<RouteId, std::vector<EndpointId>> endpointsByRoute;
+    // What it was read from, so that the next revision's site reads only what differs.
+    std::shared_ptr<const ConfigFile> base;
+    std::shared_ptr<const ConfigFile> overlay; // Null: none.
 };
 
 // Returns the enabled customer with this key digest, valid at `now`; null when there is none. One hash lookup.
--- a/godwit/config/site_resolver.cpp
+++ b/godwit/config/site_resolver.cpp
@@ -3,7 +3,10 @@
 #include "godwit/config/settings.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace Godwit::internal
 {
@@ -16,11 +19,14 @@
 constexpr double MaxCount = 1e6;
 constexpr double MaxRate = 1e9;
 
+using Places = std::map<std::string, toml::source_region>;
+
 struct Context
 {
     SiteConfig &site;
     UnknownKeys unknown;
     FaultList &faults;
+    Places &places; // Of values that refer to other objects.
 };
 
 Duration fromSeconds(double seconds)
@@ -35,26 +41,10 @@
            });
 }
 
-// Calls `read(id, table reader)` for each table of the section `name`.
-template<typename Read>
-void readSection(const Context &context, TableReader &root, std::string_view name, Read read)
+void notePlace(const Context &context, const TableReader &reader, std::string_view key)
 {
-    const toml::table *section = root.table(name);
-    if (section == nullptr) {
-        return;
-    }
-    TableReader sectionReader(*section, root.pathOf(name), context.faults, context.unknown);
-    for (const auto &[key, node] : *section) {
-        const std::string id(key.str());
-        if (id.empty() || id.size() > MaxIdBytes || !isPlainUtf8(id)) {
-            context.faults.add(key.source(), sectionReader.pathOf(id), "an id needs 1 to 128 printable characters");
-            continue;
-        }
-        if (const toml::table *entry = sectionReader.table(id)) {
-            TableReader reader(*entry, sectionReader.pathOf(id), context.faults, context.unknown);
-            read(id, reader);
-            reader.finish();
-        }
+    if (const auto place = reader.placeOf(key)) {
+        context.places.emplace(reader.pathOf(key), *place);
     }
 }
 
@@ -72,6 +62,24 @@
     return key;
 }
 
+void readKeys(const Context &context, TableReader &reader, CustomerConfig &customer)
+{
+    const toml::table *keys = reader.table("keys");
+    if (keys == nullptr) {
+        return;
+    }
+    TableReader keysReader(*keys, reader.pathOf("keys"), context.faults, context.unknown);
+    for (const auto &[key, node] : *keys) {
+        const std::string name(key.str());
+        if (const toml::table *entry = keysReader.table(name)) {
+            TableReader keyReader(*entry, keysReader.pathOf(name), context.faults, context.unknown);
+            customer.keys.push_back(readDigest(name, keyReader));
+            notePlace(context, keyReader, "digest");
+            keyReader.finish();
+        }
+    }
+}
+
 void readCustomer(const Context &context, const std::string &id, TableReader &reader)
 {
     CustomerConfig customer;
@@ -87,14 +95,7 @@
     if (const std::string budget = reader.text("default_budget", ""); !budget.empty()) {
         customer.defaultBudget = BudgetId(budget);
     }
-    readSection(context, reader, "keys", [&](const std::string &name, TableReader &keyReader) {
-        KeyDigest key = readDigest(name, keyReader);
-        const auto [known, fresh] = context.site.customersByKey.emplace(key.digest, customer.id);
-        if (!fresh && isDigest(key.digest)) {
-            keyReader.fault("digest", "is a key of customer \"" + known->second.value + "\" too; issue another key");
-        }
-        customer.keys.push_back(std::move(key));
-    });
+    readKeys(context, reader, customer);
     context.site.customers.emplace(customer.id, std::move(customer));
 }
 
@@ -135,23 +136,17 @@
         reader.fault("address", "must be an IP number and a port, such as \"10.0.0.7:9000\"");
     }
     for (const std::string &route : reader.texts("routes")) {
-        if (context.site.routes.count(RouteId(route)) == 0) {
-            reader.fault("routes", "names the route \"" + route + "\", which doesn't exist; create it first");
-        }
         endpoint.routes.emplace_back(route);
-        context.site.endpointsByRoute[RouteId(route)].push_back(endpoint.id);
     }
     if (endpoint.routes.empty()) {
         reader.fault("routes", "must name at least one route");
     }
     endpoint.dataCentre = DataCentreId(reader.requiredText("data_centre"));
-    const auto &known = context.site.dataCentres;
-    if (!known.empty() && !endpoint.dataCentre.value.empty() && known.count(endpoint.dataCentre) == 0) {
-        reader.fault("data_centre", "is not among [data_centres]; correct it or add it there");
-    }
     endpoint.slots = static_cast<int>(reader.integer("slots", endpoint.slots, {1.0, MaxCount}));
     endpoint.checksFencing = reader.boolean("checks_fencing", false);
     endpoint.group = reader.text("group", "");
+    notePlace(context, reader, "routes");
+    notePlace(context, reader, "data_centre");
     context.site.endpoints.emplace(endpoint.id, std::move(endpoint));
 }
 
@@ -165,27 +160,17 @@
     token.role = reader.choice("role", token.role, OperatorRoleNames);
     token.customer = CustomerId(reader.text("customer", ""));
     const bool isCustomers = token.role == OperatorRole::Customer;
-    if (isCustomers && context.site.customers.count(token.customer) == 0) {
-        reader.fault("customer", "must name an existing customer; correct it or create the customer first");
-    }
     if (!isCustomers && !token.customer.value.empty()) {
         reader.fault("customer", "makes no sense for an owner; remove it or set role = \"customer\"");
     }
-    const bool fresh = context.site.tokensByDigest.emplace(token.key.digest, context.site.tokens.size()).second;
-    if (!fresh) {
-        reader.fault("digest", "belongs to another token too; issue another token");
-    }
+    notePlace(context, reader, "digest");
+    notePlace(context, reader, "customer");
     context.site.tokens.push_back(std::move(token));
 }
 
-void readLimits(const Context &context, TableReader &root)
+void readLimits(const Context &context, TableReader &reader)
 {
-    const toml::table *table = root.table("limits");
-    if (table == nullptr) {
-        return;
-    }
     RouterLimits &limits = context.site.limits;
-    TableReader reader(*table, "limits", context.faults, context.unknown);
     const auto count = [&](std::string_view key, std::size_t fallback) {
         return static_cast<std::size_t>(reader.integer(key, static_cast<std::int64_t>(fallback), {1.0, MaxCount}));
     };
@@ -195,9 +180,219 @@
     limits.addressTtlSeconds = reader.number("address_ttl_seconds", limits.addressTtlSeconds, {0.1, 3600.0});
     limits.addressesPerCustomer =
         static_cast<int>(reader.integer("addresses_per_customer", limits.addressesPerCustomer, {1.0, 64.0}));
+}
+
+void readDataCentre(const Context &context, const std::string &id, TableReader &reader)
+{
+    context.site.dataCentres.emplace(DataCentreId(id), DataCentreConfig{DataCentreId(id), reader.text("region", "")});
+}
+
+using ReadObject = void (*)(const Context &, const std::string &, TableReader &);
+
+struct SectionReader
+{
+    std::string_view section;
+    ReadObject read;
+};
+
+constexpr SectionReader SectionReaders[] = {
+    {"data_centres", readDataCentre},
+    {"customers", readCustomer},
+    {"routes", readRoute},
+    {"endpoints", readEndpoint},
+    {"tokens", readToken},
+};
+
+constexpr std::string_view LimitsName = "limits";
+
+void refuseUnknownObject(const Context &context, const toml::table &table, const std::string &name)
+{
+    if (context.unknown == UnknownKeys::Ignore) {
+        return;
+    }
+    std::string nearest(LimitsName);
+    for (const std::string_view section : SectionNames) {
+        nearest = editDistance(name, section) < editDistance(name, nearest) ? std::string(section) : nearest;
+    }
+    context.faults.add(table.source(), name, "unknown table; did you mean \"" + nearest + "\"?");
+}
+
+void readObject(const Context &context, const std::string &name, const toml::table &table)
+{
+    TableReader reader(table, name, context.faults, context.unknown);
+    const auto keys = splitPath(name).value_or(std::vector<std::string>{name});
+    if (keys.size() == 1 && name == LimitsName) {
+        readLimits(context, reader);
+        reader.finish();
+        return;
+    }
+    const auto section = std::find_if(std::begin(SectionReaders), std::end(SectionReaders), [&](const auto &row) {
+        return keys.size() == 2 && row.section == keys[0];
+    });
+    if (section == std::end(SectionReaders)) {
+        refuseUnknownObject(context, table, name);
+        return;
+    }
+    const std::string &id = keys[1];
+    if (id.empty() || id.size() > MaxIdBytes || !isPlainUtf8(id)) {
+        context.faults.add(table.source(), name, "an id needs 1 to 128 printable characters");
+        return;
+    }
+    section->read(context, id, reader);
     reader.finish();
 }
 
+void eraseObject(SiteConfig &site, const std::string &name)
+{
+    const auto keys = splitPath(name).value_or(std::vector<std::string>{name});
+    if (keys.size() == 1 && name == LimitsName) {
+        site.limits = RouterLimits{};
+    }
+    if (keys.size() != 2) {
+        return;
+    }
+    const std::string &id = keys[1];
+    if (keys[0] == "customers") {
+        site.customers.erase(CustomerId(id));
+    } else if (keys[0] == "routes") {
+        site.routes.erase(RouteId(id));
+    } else if (keys[0] == "endpoints") {
+        site.endpoints.erase(EndpointId(id));
+    } else if (keys[0] == "data_centres") {
+        site.dataCentres.erase(DataCentreId(id));
+    } else if (keys[0] == "tokens") {
+        const auto isIt = [&](const OperatorToken &token) {
+            return token.key.name == id;
+        };
+        site.tokens.erase(std::remove_if(site.tokens.begin(), site.tokens.end(), isIt), site.tokens.end());
+    }
+}
+
+using Objects = std::map<std::string, std::shared_ptr<const std::string>>;
+
+// The names of objects that differ between two files; all of `after` when there is no `before`.
+void addDifferences(const ConfigFile *before, const ConfigFile *after, std::set<std::string> &names)
+{
+    static const Objects none;
+    const Objects &old = before == nullptr ? none : before->objects;
+    const Objects &fresh = after == nullptr ? none : after->objects;
+    if (&old == &fresh) {
+        return;
+    }
+    auto a = old.begin();
+    auto b = fresh.begin();
+    while (a != old.end() || b != fresh.end()) {
+        if (b == fresh.end() || (a != old.end() && a->first < b->first)) {
+            names.insert((a++)->first);
+        } else if (a == old.end() || b->first < a->first) {
+            names.insert((b++)->first);
+        } else {
+            if (a->second != b->second && *a->second != *b->second) {
+                names.insert(a->first);
+            }
+            ++a;
+            ++b;
+        }
+    }
+}
+
+std::optional<toml::table> takeObject(const ConfigFile *file,
+                                      ParsedObjects *parsed,
+                                      const std::string &name,
+                                      std::string_view fileName,
+                                      FaultList &faults)
+{
+    if (parsed != nullptr) {
+        const auto found = parsed->find(name);
+        return found == parsed->end() ? toml::table{} : std::move(found->second);
+    }
+    return file == nullptr ? toml::table{} : parseObject(*file, name, fileName, faults);
+}
+
+void readDifferences(const SiteSources &sources, const Context &context, const std::set<std::string> &names)
+{
+    for (const std::string &name : names) {
+        eraseObject(context.site, name);
+        const bool inBase = sources.base->objects.count(name) > 0;
+        const bool inOverlay = sources.overlay && sources.overlay->objects.count(name) > 0;
+        if (!inBase && !inOverlay) {
+            continue;
+        }
+        auto table = takeObject(sources.base.get(), sources.parsedBase, name, "base", context.faults);
+        auto over = takeObject(sources.overlay.get(), sources.parsedOverlay, name, sources.site.value, context.faults);
+        if (!table || !over) {
+            continue;
+        }
+        if (inBase) {
+            mergeTables(*table, std::move(*over));
+        } else {
+            table = std::move(over);
+        }
+        readObject(context, name, *table);
+    }
+}
+
+void addReferenceFault(const Context &context, const std::string &key, std::string_view what)
+{
+    const auto place = context.places.find(key);
+    context.faults.add(place == context.places.end() ? toml::source_region{} : place->second, key, what);
+}
+
+void indexEndpoints(const Context &context)
+{
+    SiteConfig &site = context.site;
+    site.endpointsByRoute.clear();
+    for (const auto &[id, endpoint] : site.endpoints) {
+        const std::string name = joinPath({"endpoints", id.value});
+        for (const RouteId &route : endpoint.routes) {
+            if (site.routes.count(route) == 0) {
+                addReferenceFault(context,
+                                  name + ".routes",
+                                  "names the route \"" + route.value + "\", which doesn't exist; create it first");
+            }
+            site.endpointsByRoute[route].push_back(id);
+        }
+        const bool declared = site.dataCentres.empty() || site.dataCentres.count(endpoint.dataCentre) > 0;
+        if (!declared && !endpoint.dataCentre.value.empty()) {
+            addReferenceFault(
+                context, name + ".data_centre", "is not among [data_centres]; correct it or add it there");
+        }
+    }
+}
+
+void indexCustomers(const Context &context)
+{
+    SiteConfig &site = context.site;
+    site.customersByKey.clear();
+    for (const auto &[id, customer] : site.customers) {
+        for (const KeyDigest &key : customer.keys) {
+            const auto [known, fresh] = site.customersByKey.emplace(key.digest, id);
+            if (!fresh && isDigest(key.digest)) {
+                addReferenceFault(context,
+                                  joinPath({"customers", id.value, "keys", key.name, "digest"}),
+                                  "is a key of customer \"" + known->second.value + "\" too; issue another key");
+            }
+        }
+    }
+}
+
+void indexTokens(const Context &context)
+{
+    SiteConfig &site = context.site;
+    site.tokensByDigest.clear();
+    for (std::size_t i = 0; i < site.tokens.size(); ++i) {
+        const OperatorToken &token = site.tokens[i];
+        const std::string name = joinPath({"tokens", token.key.name});
+        if (token.role == OperatorRole::Customer && site.customers.count(token.customer) == 0) {
+            addReferenceFault(
+                context, name + ".customer", "must name an existing customer; correct it or create the customer first");
+        }
+        if (!site.tokensByDigest.emplace(token.key.digest, i).second) {
+            addReferenceFault(context, name + ".digest", "belongs to another token too; issue another token");
+        }
+    }
+}
+
 } // namespace
 
 void mergeTables(toml::table &base, toml::table &&over)
@@ -217,31 +412,28 @@
     }
 }
 
-std::optional<SiteConfig> readSite(const toml::table &merged, UnknownKeys unknown, FaultList &faults)
+std::optional<SiteConfig> buildSite(const SiteSources &sources, FaultList &faults)
 {
     SiteConfig site;
-    const Context context{site, unknown, faults};
-    TableReader root(merged, "", faults, unknown);
-    readLimits(context, root);
-    readSection(context, root, "data_centres", [&](const std::string &id, TableReader &reader) {
-        site.dataCentres.emplace(DataCentreId(id), DataCentreConfig{DataCentreId(id), reader.text("region", "")});
-    });
-    readSection(context, root, "customers", [&](const std::string &id, TableReader &reader) {
-        readCustomer(context, id, reader);
-    });
-    readSection(context, root, "routes", [&](const std::string &id, TableReader &reader) {
-        readRoute(context, id, reader);
-    });
-    readSection(context, root, "endpoints", [&](const std::string &id, TableReader &reader) {
-        readEndpoint(context, id, reader);
-    });
-    readSection(context, root, "tokens", [&](const std::string &id, TableReader &reader) {
-        readToken(context, id, reader);
-    });
-    root.finish();
+    std::set<std::string> names;
+    const SiteConfig *previous = sources.previous;
+    if (previous != nullptr) {
+        site = *previous;
+    }
+    addDifferences(previous == nullptr ? nullptr : previous->base.get(), sources.base.get(), names);
+    addDifferences(previous == nullptr ? nullptr : previous->overlay.get(), sources.overlay.get(), names);
+    Places places;
+    const Context context{site, sources.unknown, faults, places};
+    readDifferences(sources, context, names);
+    indexCustomers(context);
+    indexEndpoints(context);
+    indexTokens(context);
     if (!faults.empty()) {
         return std::nullopt;
     }
+    site.site = sources.site;
+    site.base = sources.base;
+    site.overlay = sources.overlay;
     return site;
 }
 
--- a/godwit/config/toml_reader.cpp
+++ b/godwit/config/toml_reader.cpp
@@ -140,6 +140,12 @@
     return m_table.contains(key);
 }
 
+std::optional<toml::source_region> TableReader::placeOf(std::string_view key) const
+{
+    const auto entry = m_table.find(key);
+    return entry == m_table.end() ? std::nullopt : std::optional(entry->first.source());
+}
+
 std::string TableReader::pathOf(std::string_view key) const
 {
     const std::string last = isBareKey(key) ? std::string(key) : '"' + std::string(key) + '"';
--- a/godwit/config/toml_reader.h
+++ b/godwit/config/toml_reader.h
@@ -103,6 +103,9 @@
 
     bool has(std::string_view key) const;
 
+    // Where `key` stands, if it does.
+    std::optional<toml::source_region> placeOf(std::string_view key) const;
+
     // Reports the keys that nobody asked for, with the nearest known one.
     void finish();
 
--- a/godwit/membership/membership.cpp
+++ b/godwit/membership/membership.cpp
@@ -11,6 +11,8 @@
 
 // A gap between two ticks that only a paused process explains.
 constexpr int PausePeriods = 2;
+// A router without links yet counts as having these.
+constexpr std::size_t LeastLinks = 3;
 // The end that is not expected to connect waits so much longer.
 constexpr int PassiveDialFactor = 2;
 
@@ -27,7 +29,6 @@
 // Often enough that news passes over each link more than once.
 unsigned sendsFor(const MembershipState &state)
 {
-    constexpr std::size_t LeastLinks = 3;
     return static_cast<unsigned>(std::max(state.links.size(), LeastLinks)) * state.options.sendsPerLink;
 }
 
--- a/godwit/membership/membership_bench.cpp
+++ b/godwit/membership/membership_bench.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::uint64_t Seed = 20261202;
 constexpr int SteadySeconds = 30;
+constexpr int FalseMinutes = 5;
 
 double processorSeconds()
 {
@@ -123,8 +124,7 @@
     RoutersOptions options = fleetOf(nodes);
     options.lostHeartbeats = lost;
     SimulatedRouters routers(options);
-    constexpr int Minutes = 5;
-    routers.run(std::chrono::minutes(Minutes));
+    routers.run(std::chrono::minutes(FalseMinutes));
     std::size_t gone = 0;
     std::uint64_t suspicions = 0;
     for (const RouterNode &node : routers.nodes) {
@@ -134,7 +134,7 @@
     std::printf("| %4zu | %3.0f%% | %8.4f | %zu |\n",
                 nodes,
                 lost * 100.0,
-                static_cast<double>(suspicions) / static_cast<double>(nodes) / (Minutes * 60.0),
+                static_cast<double>(suspicions) / static_cast<double>(nodes) / (FalseMinutes * 60.0),
                 gone);
 }
 
