--- a/godwit/budget/agent_core.cpp
+++ b/godwit/budget/agent_core.cpp
@@ -73,6 +73,11 @@
     return slice.held - returning - slice.reserved - slice.unfolded;
 }
 
+FoldRules foldRules(const BudgetOptions &options)
+{
+    return {options.billedKeysKept, options.faults.skipDuplicateKeys, options.faults.skipFoldMark};
+}
+
 BudgetRule ruleOf(const BudgetAgent &agent, const BudgetId &budget)
 {
     const auto found = agent.rules.find(budget);
--- a/godwit/budget/agent_core.h
+++ b/godwit/budget/agent_core.h
@@ -8,6 +8,7 @@
 
 #include "godwit/budget/budget_state.h"
 #include "godwit/budget/budget_types.h"
+#include "godwit/budget/shard_record.h"
 
 #include <cstdint>
 #include <vector>
@@ -32,6 +33,8 @@
 // What a slice can still set aside for a new call.
 Tokens spendable(const BudgetAgent &agent, const BudgetSlice &slice);
 
+FoldRules foldRules(const BudgetOptions &options);
+
 BudgetRule ruleOf(const BudgetAgent &agent, const BudgetId &budget);
 
 // Returns the slice, a new one when this router has none.
--- a/godwit/budget/router_closing.cpp
+++ b/godwit/budget/router_closing.cpp
@@ -261,7 +261,7 @@
             bills.push_back(bill);
         }
     }
-    closeWriter(*shard, gone, bills, options.billedKeysKept, options.faults.skipFoldMark);
+    closeWriter(*shard, gone, bills, foldRules(options));
     KvCommand swap;
     swap.verb = KvVerb::CompareAndSwap;
     swap.key = budgetShardKey(number);
--- a/godwit/budget/shard_record.cpp
+++ b/godwit/budget/shard_record.cpp
@@ -34,8 +34,7 @@
 std::vector<std::uint64_t> foldBills(ShardRecord &shard,
                                      const Incarnation &writer,
                                      const std::deque<LedgerBill> &bills,
-                                     std::size_t keysKept,
-                                     bool ignoreKeys)
+                                     const FoldRules &rules)
 {
     std::vector<std::uint64_t> duplicates;
     std::unordered_set<std::uint64_t> billed(shard.billedKeys.begin(), shard.billedKeys.end());
@@ -46,7 +45,7 @@
         }
         // A caller that repeats its request at another router, because the first one's answer was late or lost,
         // would otherwise pay for both runs.
-        if (!billed.insert(bill.keyHash).second && !ignoreKeys) {
+        if (!billed.insert(bill.keyHash).second && !rules.ignoreKeys) {
             duplicates.push_back(bill.sequence);
             continue;
         }
@@ -57,7 +56,7 @@
         budget->second.billed += amount;
         shard.billedKeys.push_back(bill.keyHash);
     }
-    while (shard.billedKeys.size() > keysKept) {
+    while (shard.billedKeys.size() > rules.keysKept) {
         shard.billedKeys.pop_front();
     }
     return duplicates;
@@ -66,8 +65,7 @@
 void closeWriter(ShardRecord &shard,
                  const Incarnation &gone,
                  const std::deque<LedgerBill> &bills,
-                 std::size_t keysKept,
-                 bool ignoreMark)
+                 const FoldRules &rules)
 {
     const auto mark = shard.marks.find(gone);
     if (mark == shard.marks.end()) {
@@ -76,11 +74,11 @@
     std::deque<LedgerBill> unfolded;
     for (const LedgerBill &bill : bills) {
         // The router may have folded this bill before it died: without its mark the bill would count twice.
-        if (bill.sequence > mark->second.foldedThrough || ignoreMark) {
+        if (bill.sequence > mark->second.foldedThrough || rules.ignoreMark) {
             unfolded.push_back(bill);
         }
     }
-    foldBills(shard, gone, unfolded, keysKept);
+    foldBills(shard, gone, unfolded, rules);
     for (auto &[id, budget] : shard.budgets) {
         if (budget.held.erase(gone) > 0) {
             absorbReduction(budget);
--- a/godwit/budget/shard_record.h
+++ b/godwit/budget/shard_record.h
@@ -69,20 +69,27 @@
 // Takes as much of a pending reduction as is free now.
 void absorbReduction(BudgetRecord &budget);
 
+struct FoldRules
+{
+    // Bounds the memory for request keys.
+    std::size_t keysKept = 0;
+    // Take safeguards out, in tests only.
+    bool ignoreKeys = false;
+    bool ignoreMark = false;
+};
+
 // Moves `bills` from the slices of `writer` to the billed totals. A bill whose request key was billed already stays in
-// the slice; the sequence numbers of those are returned. `keysKept` bounds the memory for keys.
+// the slice; the sequence numbers of those are returned.
 std::vector<std::uint64_t> foldBills(ShardRecord &shard,
                                      const Incarnation &writer,
                                      const std::deque<LedgerBill> &bills,
-                                     std::size_t keysKept,
-                                     bool ignoreKeys = false);
+                                     const FoldRules &rules);
 
 // Returns every slice of `gone`, after folding those of its bills that its mark does not cover yet, and removes its
 // mark. Without a mark nothing is done: someone did it before.
 void closeWriter(ShardRecord &shard,
                  const Incarnation &gone,
                  const std::deque<LedgerBill> &bills,
-                 std::size_t keysKept,
-                 bool ignoreMark = false);
+                 const FoldRules &rules);
 
 } // namespace Godwit
--- a/godwit/budget/shard_sync.cpp
+++ b/godwit/budget/shard_sync.cpp
@@ -235,8 +235,7 @@
         bills.push_back({sequence, bill.budget, bill.keyHash, bill.amount});
     }
     sync.proposedThrough = turn.agent.lastSequence;
-    sync.duplicates = foldBills(
-        record, turn.agent.self, bills, turn.agent.options.billedKeysKept, turn.agent.options.faults.skipDuplicateKeys);
+    sync.duplicates = foldBills(record, turn.agent.self, bills, foldRules(turn.agent.options));
     return !bills.empty();
 }
 
--- a/godwit/budget/testing/simulated_fleet.cpp
+++ b/godwit/budget/testing/simulated_fleet.cpp
@@ -4,6 +4,13 @@
 
 namespace Godwit
 {
+namespace
+{
+
+// More events than this at one point in time are an agent that asks to be woken without end.
+constexpr unsigned MostEventsAtOnce = 100'000;
+
+} // namespace
 
 SimulatedFleet::SimulatedFleet(BudgetOptions opts, std::uint64_t seed)
     : options(std::move(opts)),
@@ -176,7 +183,8 @@
 void SimulatedFleet::runFor(Duration duration)
 {
     const TimePoint end = now + duration;
-    while (!m_events.empty() && m_events.begin()->first <= end) {
+    while (!m_events.empty() && m_events.begin()->first <= end && m_eventsNow < MostEventsAtOnce) {
+        m_eventsNow = m_events.begin()->first == now ? m_eventsNow + 1 : 0;
         now = m_events.begin()->first;
         const Event event = std::move(m_events.begin()->second);
         m_events.erase(m_events.begin());
@@ -306,7 +314,10 @@
 {
     ++granted;
     const SimulatedCall simulated = router.calls.at(call);
+    truth[simulated.budget].reserved += simulated.worstCase;
     at(simulated.runTime, [this, &router, call, simulated] {
+        truth[simulated.budget].reserved -= simulated.worstCase;
+        truth[simulated.budget].settled += simulated.actual;
         deliver(router, [this, call, simulated](BudgetAgent &agent, auto &out) {
             settle(agent, call, simulated.actual, now, out);
         });
@@ -377,7 +388,7 @@
 
 std::string SimulatedFleet::violations(bool complete) const
 {
-    std::string found;
+    std::string found = m_eventsNow < MostEventsAtOnce ? "" : "an agent is woken without end; ";
     for (const std::string &budget : m_budgets) {
         const BudgetView shown = view(budget);
         if (shown.budget.value.empty()) {
--- a/godwit/budget/testing/simulated_fleet.h
+++ b/godwit/budget/testing/simulated_fleet.h
@@ -66,6 +66,13 @@
     unsigned times = 0;
 };
 
+// What is really reserved and spent of a budget, whoever knows of it.
+struct BudgetTruth
+{
+    Tokens reserved = 0;
+    Tokens settled = 0;
+};
+
 class SimulatedFleet
 {
 public:
@@ -110,6 +117,7 @@
     BudgetOptions options;
     std::map<std::string, ReleasedAnswer> answers;
     std::map<std::string, Tokens> costs;
+    std::map<std::string, BudgetTruth> truth;
     std::uint64_t granted = 0;
     std::uint64_t refused = 0;
     std::uint64_t lost = 0;
@@ -144,6 +152,7 @@
     std::vector<std::unique_ptr<SimulatedRouter>> m_routers;
     std::multimap<TimePoint, Event> m_events;
     std::uint64_t m_random;
+    unsigned m_eventsNow = 0;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_incarnations = 0;
     std::set<std::string> m_budgets;
--- a/godwit/budget/witness_copies.cpp
+++ b/godwit/budget/witness_copies.cpp
@@ -238,7 +238,7 @@
     for (const bool far : {true, false}) {
         for (auto &[witness, link] : agent.links) {
             const bool near = contains(agent.ledger.stored.witnesses.near, witness);
-            if (near != far && (far || nearCounts(agent))) {
+            if (near != far && (far || nearCounts(agent) || link.inFlight)) {
                 pumpLink(turn, witness, link);
             }
         }
