routing: old reports count for less; suspects each at an engine of their own

Cause: the others' load of one endpoint, as last reported, was believed for ten seconds. Causes found one by one: failures to connect to an endpoint that was known to be down counted as new deaths and made the failure look widespread; a suspect whose endpoint was full went to the next suspect's.

--- a/godwit/routing/call_flow.cpp
+++ b/godwit/routing/call_flow.cpp
@@ -105,6 +105,7 @@
 {
     noteRelease(step.state.endpoints[call.endpoint], call, step.now);
     --step.state.inFlight;
+    --step.state.routes[call.route].inFlight;
 }
 
 void dispatch(Step &step, RoutedCall &call, const Choice &choice)
@@ -126,6 +127,7 @@
     constexpr double gain = 0.05;
     route.missTokens += gain * (call.missTokens - route.missTokens);
     ++state.inFlight;
+    ++route.inFlight;
     ++state.counters.dispatched;
     step.out.emplace_back(Dispatch{call.pending.call, endpoint.spec.id, call.attempts});
 }
@@ -285,8 +287,7 @@
 void leaveEndpoint(Step &step, RoutedCall &call)
 {
     releaseEndpoint(step, call);
-    // It waits for a decision, and no longer than a new call would.
-    call.queuedUntil = std::min(call.pending.deadline, step.now + step.state.options.maxQueueWait);
+    call.queuedUntil = std::min(call.pending.deadline, step.now + step.state.options.maxRetryWait);
     call.heldUntil = step.now;
     joinQueues(step, call, CallPhase::Held);
 }
--- a/godwit/routing/crash_flow.cpp
+++ b/godwit/routing/crash_flow.cpp
@@ -225,7 +225,8 @@
     auto &endpoint = state.endpoints[call.endpoint];
     leaveEndpoint(step, call);
     call.avoid.push_back(call.endpoint);
-    if (noteConnectFailure(endpoint, state.options, step.now)) {
+    const bool knownDown = endpoint.breakerOpen;
+    if (noteConnectFailure(endpoint, state.options, step.now) && !knownDown) {
         noteUnrelatedDeath(state.suspects, deathOf(endpoint, step.now));
     }
     retryOrEnd(step, id);
--- a/godwit/routing/endpoint_choice.cpp
+++ b/godwit/routing/endpoint_choice.cpp
@@ -103,6 +103,12 @@
     return std::find(call.avoid.begin(), call.avoid.end(), index) != call.avoid.end();
 }
 
+// Whether an endpoint's room counts. A suspect's own endpoint takes it although it is full: it is one call.
+enum class Room {
+    Needed,
+    Ignored,
+};
+
 struct Pass
 {
     Choice choice;
@@ -115,7 +121,7 @@
     choice.retryAt = choice.retryAt ? std::min(*choice.retryAt, until) : until;
 }
 
-void consider(const ChoiceContext &context, std::uint32_t index, Pass &pass)
+void consider(const ChoiceContext &context, std::uint32_t index, Room room, Pass &pass)
 {
     const auto &endpoint = context.state.endpoints[index];
     switch (availabilityOf(context.state, endpoint, context.now)) {
@@ -131,8 +137,8 @@
         break;
     }
     pass.sawOpen = true;
-    const double load = estimatedLoad(endpoint, context.now);
-    if (isFull(context.state, endpoint, context.now)) {
+    const double load = estimatedLoad(context.state, endpoint, context.now);
+    if (room == Room::Needed && isFull(context.state, endpoint, context.now)) {
         return;
     }
     const auto estimate = estimateAt(context, endpoint, load);
@@ -154,7 +160,7 @@
     Pass pass;
     for (const auto index : context.route.endpoints) {
         if (index != NoEndpointIndex && (scope == Scope::All || !isAvoided(context.call, index))) {
-            consider(context, index, pass);
+            consider(context, index, Room::Needed, pass);
         }
     }
     return pass;
@@ -181,6 +187,28 @@
     return candidates;
 }
 
+// The endpoint that is the suspect's by its rank, then those that are no other suspect's. A router that took the next
+// best one instead would bring two suspects of different routers together, and neither the second crash nor the third
+// would tell them apart. One that has waited for long takes any.
+std::vector<std::uint32_t> trialOrder(const RoutingState &state,
+                                      const RoutedCall &call,
+                                      const std::vector<std::uint32_t> &candidates,
+                                      TimePoint now)
+{
+    const auto fingerprint = call.pending.fingerprint;
+    const auto *death = lastDeathOf(state.suspects, fingerprint);
+    const auto suspects = death ? death->fingerprints.size() : 0;
+    const auto rank = suspectRank(state.suspects, fingerprint);
+    std::vector<std::uint32_t> order = {candidates[rank % candidates.size()]};
+    const bool waitedLong = now >= call.heldUntil + state.options.suspectPatience;
+    const auto firstSpare = waitedLong ? 0 : std::min(suspects, candidates.size());
+    const auto spares = candidates.size() - firstSpare;
+    for (std::size_t i = 0; i < spares; ++i) {
+        order.push_back(candidates[firstSpare + (rank + i) % spares]);
+    }
+    return order;
+}
+
 } // namespace
 
 Choice chooseEndpoint(RoutingState &state, const RoutedCall &call, TimePoint now)
@@ -206,17 +234,15 @@
     if (candidates.empty()) {
         return chooseEndpoint(state, call, now);
     }
-    const auto &route = state.routes[call.route];
-    const ChoiceContext context{state, route, call, nullptr, now};
-    const auto first = suspectRank(state.suspects, call.pending.fingerprint) % candidates.size();
+    const ChoiceContext context{state, state.routes[call.route], call, nullptr, now};
     Choice none;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto index = candidates[(first + i) % candidates.size()];
+    const auto order = trialOrder(state, call, candidates, now);
+    for (const auto index : order) {
         if (state.endpoints[index].suspectsInFlight > 0) {
             continue;
         }
         Pass pass;
-        consider(context, index, pass);
+        consider(context, index, index == order.front() ? Room::Ignored : Room::Needed, pass);
         if (pass.choice.endpoint) {
             return pass.choice;
         }
--- a/godwit/routing/endpoint_load.cpp
+++ b/godwit/routing/endpoint_load.cpp
@@ -8,16 +8,16 @@
 namespace
 {
 
-// A report counts for half after so long without a newer one.
-constexpr Duration ReportHalfLife = std::chrono::seconds(10);
 // Differences below this are noise of the network, not slowness.
 constexpr double SlownessGrainSeconds = 0.02;
 constexpr double SlownessGain = 0.2;
 constexpr double MaxSlowness = 50;
 constexpr double MinSlowness = 0.1;
 
-// An older report does not bound the own calls any more.
+// An older report alone does not bound the own calls any more.
 constexpr Duration ReportLife = std::chrono::seconds(5);
+// How far above the mean the own calls may rise where the others' are not known.
+constexpr double BoundWithoutReport = 1.25;
 
 double fadeOver(Duration age, Duration halfLife)
 {
@@ -58,6 +58,37 @@
     return endpoint.spec.slots * (1 + state.options.queueAhead);
 }
 
+// Blends what the last report said of the others' load with what is presumed without it: the older the report, the less
+// it tells of its endpoint.
+double fadeTo(double presumed, const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now)
+{
+    const double kept = fadeOver(now - endpoint.reportTakenAt, state.options.reportHalfLife);
+    return presumed + (endpoint.othersLoad - presumed) * kept;
+}
+
+// What the reports of all endpoints say together stays true for longer than what one says.
+double meanOthersLoad(const RoutedRoute &route)
+{
+    return route.othersLoad / std::max(1, route.reporting);
+}
+
+// The other routers' load, to bound the own calls.
+double othersNow(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now)
+{
+    return fadeTo(meanOthersLoad(state.routes[endpoint.route]), state, endpoint, now);
+}
+
+// The other routers' load, to choose by. Where it is not known, they are presumed to have crowded the same endpoints as
+// this router, drawn by the same cached prompts.
+double othersLikeOwn(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now)
+{
+    const auto &route = state.routes[endpoint.route];
+    const double ownMean = static_cast<double>(route.inFlight) / std::max(1, route.reporting);
+    const double likeOwn = (state.routers - 1) * (ownInFlight(endpoint) - ownMean);
+    const double presumed = std::max(0.0, meanOthersLoad(route) + likeOwn);
+    return fadeTo(presumed, state, endpoint, now);
+}
+
 // All routers see the same late report. If each filled the room that it shows, the endpoint would get that many times
 // over and be out of use until the next report but one. So each takes its part, rounded by chance, or what is left
 // beyond a reserve for the others; it always has an equal part of the whole, and gives way when the endpoint has more
@@ -66,7 +97,7 @@
 {
     const double limit = callLimit(state, endpoint);
     const double routers = state.routers;
-    const int equalPart = std::max(1, static_cast<int>(limit / routers));
+    const int equalPart = static_cast<int>(limit / routers + endpoint.partRounding);
     const double room = limit - total;
     if (room < 0) {
         return std::max(equalPart, static_cast<int>(own * limit / total));
@@ -102,14 +133,10 @@
     return endpoint.breakerOpen ? std::max(endpoint.pausedUntil, endpoint.breakerUntil) : endpoint.pausedUntil;
 }
 
-double estimatedLoad(const RoutedEndpoint &endpoint, TimePoint now)
+double estimatedLoad(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now)
 {
     const double own = ownInFlight(endpoint);
-    if (!endpoint.reported) {
-        return own;
-    }
-    const double others = endpoint.othersLoad * fadeOver(now - endpoint.reportTakenAt, ReportHalfLife);
-    return others + own;
+    return endpoint.reported ? own + othersLikeOwn(state, endpoint, now) : own;
 }
 
 double nextRandom(RoutingState &state)
@@ -125,10 +152,19 @@
 bool isFull(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now)
 {
     const int own = ownInFlight(endpoint);
-    if (endpoint.reported && now - endpoint.reportTakenAt < ReportLife) {
+    const double limit = callLimit(state, endpoint);
+    if (!endpoint.reported) {
+        return own >= limit;
+    }
+    if (now - endpoint.reportTakenAt < ReportLife) {
         return own >= endpoint.ownLimit;
     }
-    return own >= callLimit(state, endpoint);
+    // The others' calls at this endpoint are not known any more. They are drawn to it as the own ones are, so those are
+    // kept near their mean over all endpoints.
+    const auto &route = state.routes[endpoint.route];
+    const double mean = static_cast<double>(route.inFlight) / std::max(1, route.reporting);
+    const bool aboveMean = own >= mean * BoundWithoutReport + 1;
+    return aboveMean || (own >= endpoint.ownLimit && own + othersNow(state, endpoint, now) >= limit);
 }
 
 void noteDispatch(RoutedEndpoint &endpoint, const RoutedCall &call, TimePoint now)
@@ -167,11 +203,13 @@
     const int own = ownInFlightAt(endpoint, takenAt);
     const double total = report.queued + report.running;
     const double others = std::max(0.0, total - own);
+    auto &route = state.routes[endpoint.route];
+    route.reporting += endpoint.reported ? 0 : 1;
+    route.othersLoad += others - endpoint.othersLoad;
     endpoint.reported = true;
     endpoint.reportTakenAt = takenAt;
-    endpoint.ownAtReport = own;
-    endpoint.ownLimit = shareRoom(state, endpoint, total, own);
     endpoint.othersLoad = others;
+    endpoint.ownLimit = shareRoom(state, endpoint, own + othersNow(state, endpoint, now), own);
     endpoint.othersQueued = total > 0 ? report.queued * others / total : 0;
     endpoint.kvUsed = report.kvUsed;
 }
--- a/godwit/routing/endpoint_load.h
+++ b/godwit/routing/endpoint_load.h
@@ -4,7 +4,7 @@
 //
 // Example:
 //   noteDispatch(endpoint, call, now);
-//   if (availabilityOf(state, endpoint, now) == Availability::Ready) { estimatedLoad(endpoint, now); }
+//   if (availabilityOf(state, endpoint, now) == Availability::Ready) { estimatedLoad(state, endpoint, now); }
 
 #include "godwit/routing/routing_state.h"
 
@@ -24,7 +24,7 @@
 
 // Calls that the endpoint runs or queues now: those of other routers as last reported, and the own ones. A report is
 // compared with the own calls at the time that it was taken, so that none is counted twice.
-double estimatedLoad(const RoutedEndpoint &endpoint, TimePoint now);
+double estimatedLoad(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now);
 
 // Whether it is full for new calls of this router.
 bool isFull(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now);
--- a/godwit/routing/routing.cpp
+++ b/godwit/routing/routing.cpp
@@ -75,6 +75,7 @@
     endpoint = RoutedEndpoint{};
     endpoint.inUse = true;
     endpoint.listed = true;
+    endpoint.partRounding = nextRandom(state);
     endpoint.route = routeFor(state, spec.route);
     endpoint.slot = freePlace(state.routes[endpoint.route].endpoints, index);
     state.endpointIndex[spec.id] = index;
@@ -91,6 +92,8 @@
         }
         auto &route = state.routes[endpoint.route];
         route.endpoints[endpoint.slot] = NoEndpointIndex;
+        route.othersLoad -= endpoint.othersLoad;
+        route.reporting -= endpoint.reported ? 1 : 0;
         forgetEndpoint(route.prefixes, endpoint.slot);
         const auto known = state.endpointIndex.find(endpoint.spec.id);
         if (known != state.endpointIndex.end() && known->second == index) {
--- a/godwit/routing/routing_bench.cpp
+++ b/godwit/routing/routing_bench.cpp
@@ -40,6 +40,8 @@
         return "round robin";
     case Policy::LeastConnections:
         return "least connections";
+    case Policy::LeastConnectionsBounded:
+        return "least conn., bounded";
     case Policy::TwoChoices:
         return "two random choices";
     }
@@ -88,7 +90,11 @@
 void compare(const char *title, const FleetOptions &options)
 {
     printChoiceHeader(title);
-    for (const auto policy : {Policy::Godwit, Policy::RoundRobin, Policy::LeastConnections, Policy::TwoChoices}) {
+    for (const auto policy : {Policy::Godwit,
+                              Policy::RoundRobin,
+                              Policy::LeastConnections,
+                              Policy::LeastConnectionsBounded,
+                              Policy::TwoChoices}) {
         auto run = options;
         run.policy = policy;
         Fleet fleet(run);
--- a/godwit/routing/routing_state.h
+++ b/godwit/routing/routing_state.h
@@ -49,6 +49,8 @@
     Duration costPerRunningCall = std::chrono::milliseconds(2);
     // Endpoints take so many calls beyond their slots, as a part of these, so that they don't run dry.
     double queueAhead = 0;
+    // A report tells half as much of its endpoint after each such time.
+    Duration reportHalfLife = std::chrono::milliseconds(300);
     // Part of an endpoint's slots that one router leaves to the others between two reports.
     double roomForOthers = 0.25;
     // Differs from router to router, so that routers with the same reports don't round their parts alike.
@@ -56,11 +58,13 @@
 
     // Bounds of a route's queue: calls, and the time that one may wait.
     std::size_t maxQueued = 2000;
-    Duration maxQueueWait = std::chrono::milliseconds(750);
+    Duration maxQueueWait = std::chrono::milliseconds(500);
     // The cost of a call in the customers' turns: 1 and these parts.
     double tokensPerCostPrompt = 2048;
     double tokensPerCostOutput = 256;
 
+    // How long a call that has failed may wait for another try: what it is worth to its caller has grown.
+    Duration maxRetryWait = std::chrono::seconds(5);
     // Attempts that reach an endpoint, and attempts in all: failures to connect are cheap, and when a data centre goes
     // a call may meet many before the breakers know.
     int maxRuns = 4;
@@ -82,7 +86,9 @@
 
     SuspectOptions suspects;
     // How long a suspect waits for the other routers' notices before it is tried alone.
-    Duration suspectGather = std::chrono::milliseconds(50);
+    Duration suspectGather = std::chrono::milliseconds(100);
+    // After waiting so long for an endpoint of its own a suspect is tried beside others.
+    Duration suspectPatience = std::chrono::seconds(3);
     // Between two rounds, when there are more suspects than endpoints.
     Duration suspectRound = std::chrono::seconds(1);
     // What an endpoint that runs a suspect costs a call that can't be repeated.
@@ -146,6 +152,8 @@
     std::uint32_t route = 0;
     std::uint32_t endpoint = 0;
     int attempts = 0;
+    // How long a call that has failed may wait for another try: what it is worth to its caller has grown.
+    Duration maxRetryWait = std::chrono::seconds(5);
     // Attempts that reached an endpoint.
     int runs = 0;
     // The worst that is known of the attempts so far.
@@ -194,9 +202,11 @@
     double othersQueued = 0;
     double kvUsed = 0;
     TimePoint reportTakenAt;
-    int ownAtReport = 0;
     // So many own calls may be there until the next report; see shareRoom().
     int ownLimit = 0;
+    // From 0 to 1: rounds this router's equal part of the slots up at some endpoints and down at others. Fixed, because
+    // drawn anew with each report it would let the part creep upwards.
+    double partRounding = 0;
 
     // Observed over expected time to the first token; fades to 1, so that it is tried again.
     double slowness = 1;
@@ -243,6 +253,11 @@
     double missTokens = 0;
     // Slots of all endpoints that take new calls.
     int slots = 0;
+    // Sum of RoutedEndpoint::othersLoad, and how many endpoints have reported.
+    double othersLoad = 0;
+    int reporting = 0;
+    // Own calls at its endpoints.
+    int inFlight = 0;
 };
 
 enum class TimerKind {
--- a/godwit/routing/sim_fleet.cpp
+++ b/godwit/routing/sim_fleet.cpp
@@ -230,7 +230,11 @@
 void Fleet::take(std::size_t router, std::uint64_t id)
 {
     if (m_options.policy != Policy::Godwit) {
-        dispatch(router, id, baselineChoice(router));
+        if (const auto engine = baselineChoice(router)) {
+            dispatch(router, id, *engine);
+        } else {
+            onGiveUp(id, Error{ErrorKind::Overloaded, "all engines are busy", Execution::NotRun, std::nullopt});
+        }
         return;
     }
     std::vector<RoutingAction> actions;
@@ -238,14 +242,14 @@
     carryOut(router, actions);
 }
 
-std::size_t Fleet::baselineChoice(std::size_t index)
+std::optional<std::size_t> Fleet::baselineChoice(std::size_t index)
 {
     auto &router = m_routers[index];
     const auto count = m_engines.size();
     if (m_options.policy == Policy::RoundRobin) {
         return router.next++ % count;
     }
-    if (m_options.policy == Policy::LeastConnections) {
+    if (m_options.policy == Policy::LeastConnections || m_options.policy == Policy::LeastConnectionsBounded) {
         const auto first = router.next++ % count;
         std::size_t best = first;
         for (std::size_t i = 0; i < count; ++i) {
@@ -254,7 +258,9 @@
                 best = engine;
             }
         }
-        return best;
+        const int part = m_options.engine.slots / static_cast<int>(m_options.routers);
+        const bool full = m_options.policy == Policy::LeastConnectionsBounded && router.connections[best] >= part;
+        return full ? std::nullopt : std::optional(best);
     }
     const auto pick = [&] {
         return static_cast<std::size_t>(uniform() * static_cast<double>(count));
--- a/godwit/routing/sim_fleet.h
+++ b/godwit/routing/sim_fleet.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -27,6 +28,8 @@
     Godwit,
     RoundRobin,
     LeastConnections,
+    // Refuses when each engine has the router's equal part of its slots.
+    LeastConnectionsBounded,
     TwoChoices,
 };
 
@@ -139,7 +142,7 @@
     void carryOut(std::size_t router, const std::vector<RoutingAction> &actions);
     void scheduleWake(std::size_t router);
     void dispatch(std::size_t router, std::uint64_t id, std::size_t engine);
-    std::size_t baselineChoice(std::size_t router);
+    std::optional<std::size_t> baselineChoice(std::size_t router);
     void onEngine(std::size_t engine, EngineEvent event, const Job &job);
     void onRouterEvent(std::size_t engine, EngineEvent event, std::size_t router, std::uint64_t id);
     void onGiveUp(std::uint64_t id, const Error &error);
