Budgets: a closed ledger stays

Closers now leave the closed ledger, empty, in its place (some 60 bytes for each router that did not drain). Ruled out: checking the write number on reads alone, since an append needs no read.

--- a/godwit/budget/budget_state.h
+++ b/godwit/budget/budget_state.h
@@ -182,7 +182,7 @@
     MarkClosed,
     ReadShard,
     WriteShard,
-    DeleteLedger,
+    ClearLedger,
 };
 
 // The closing of one gone router.
--- a/godwit/budget/ledger_record.h
+++ b/godwit/budget/ledger_record.h
@@ -34,7 +34,7 @@
 enum class LedgerState {
     Open,
     Closing, // Appends fail; the tail on the witnesses is being collected.
-    Closed, // Complete: the slices can go back.
+    Closed, // Complete: the slices can go back. Without shards they have gone back.
 };
 
 // The routers that hold copies of the bills that the ledger does not have yet. A bill may be released when all of
--- a/godwit/budget/ledger_sync.cpp
+++ b/godwit/budget/ledger_sync.cpp
@@ -203,8 +203,8 @@
         turn.agent.life = AgentLife::Drained;
         return;
     }
-    // The ledger is created once and deleted only when it was closed: its absence means that others finished with
-    // this incarnation. Creating it again would let a dead router spend.
+    // Nobody else deletes a ledger. If it is gone all the same, the platform has lost it, and what this incarnation
+    // holds with it.
     if (ledger.version != 0) {
         becomeClosed(turn);
         return;
--- a/godwit/budget/router_closing.cpp
+++ b/godwit/budget/router_closing.cpp
@@ -110,10 +110,20 @@
     closing.nextAt = at;
 }
 
-void afterClosed(RouterClosing &closing, TimePoint now)
+// Shards where its mark was seen though the ledger does not list them any more: writes that arrived late.
+void addSeenShards(const BudgetAgent &agent, const Incarnation &gone, RouterClosing &closing)
+{
+    const auto missing = agent.missing.find(gone);
+    if (missing != agent.missing.end()) {
+        closing.shardsLeft.insert(missing->second.shards.begin(), missing->second.shards.end());
+    }
+}
+
+void afterClosed(Turn &turn, const Incarnation &gone, RouterClosing &closing)
 {
     closing.shardsLeft.insert(closing.ledger.shards.begin(), closing.ledger.shards.end());
-    enter(closing, ClosingPhase::ReadShard, now);
+    addSeenShards(turn.agent, gone, closing);
+    enter(closing, ClosingPhase::ReadShard, turn.now);
 }
 
 void askForSeals(Turn &turn, const Incarnation &gone, RouterClosing &closing)
@@ -177,34 +187,32 @@
     case ClosingPhase::ReadShard:
     case ClosingPhase::WriteShard:
         if (closing.shardsLeft.empty()) {
-            enter(closing, ClosingPhase::DeleteLedger, turn.now);
-            return closing.version == 0;
+            enter(closing, ClosingPhase::ClearLedger, turn.now);
+            return closing.version == 0 || closing.ledger.shards.empty();
         }
         closing.phase = ClosingPhase::ReadShard;
         sendGet(turn, gone, closing, budgetShardKey(*closing.shardsLeft.begin()));
         return false;
-    case ClosingPhase::DeleteLedger: {
-        KvCommand remove;
-        remove.verb = KvVerb::Delete;
-        remove.key = ledgerKey(gone);
-        remove.expectedVersion = closing.version;
-        command(turn, gone, closing, std::move(remove));
+    case ClosingPhase::ClearLedger:
+        // The closed ledger stays, empty: if its key were free again, a write that created it and was held up in the
+        // network could bring it back to life, and its router would release answers into it.
+        forgetEverywhere(turn, gone, closing);
+        closing.ledger.bills.clear();
+        closing.ledger.shards.clear();
+        closing.ledger.witnesses = WitnessGroups();
+        sendLedger(turn, gone, closing, LedgerState::Closed);
         return false;
     }
-    }
     return false;
 }
 
 void takeAbsentLedger(Turn &turn, const Incarnation &gone, RouterClosing &closing)
 {
-    // A router creates its ledger before its first draw. Without one it was closed before, and a mark that is left
-    // comes from a write that arrived late: nobody can spend that slice.
+    // A router creates its ledger before its first draw and deletes it when it has drained. A mark without a ledger
+    // comes from a write that arrived after that: nobody can spend that slice.
     closing.version = 0;
     closing.ledger = LedgerRecord();
-    const auto missing = turn.agent.missing.find(gone);
-    if (missing != turn.agent.missing.end()) {
-        closing.shardsLeft.insert(missing->second.shards.begin(), missing->second.shards.end());
-    }
+    addSeenShards(turn.agent, gone, closing);
     enter(closing, ClosingPhase::ReadShard, turn.now);
 }
 
@@ -234,7 +242,7 @@
         enter(closing, ClosingPhase::Seal, turn.now);
         break;
     case LedgerState::Closed:
-        afterClosed(closing, turn.now);
+        afterClosed(turn, gone, closing);
         break;
     }
     return false;
@@ -298,7 +306,7 @@
         if (closing.phase == ClosingPhase::MarkClosing) {
             enter(closing, ClosingPhase::Seal, turn.now);
         } else {
-            afterClosed(closing, turn.now);
+            afterClosed(turn, gone, closing);
         }
         return false;
     case ClosingPhase::ReadShard:
@@ -317,9 +325,8 @@
         }
         enter(closing, ClosingPhase::ReadShard, ok ? turn.now : later);
         return false;
-    case ClosingPhase::DeleteLedger:
-        if (ok || absent) {
-            forgetEverywhere(turn, gone, closing);
+    case ClosingPhase::ClearLedger:
+        if (ok) {
             return true;
         }
         enter(closing, ClosingPhase::ReadLedger, later);
@@ -333,7 +340,7 @@
 bool needsWrite(ClosingPhase phase)
 {
     return phase == ClosingPhase::MarkClosing || phase == ClosingPhase::MarkClosed || phase == ClosingPhase::ReadShard
-        || phase == ClosingPhase::DeleteLedger;
+        || phase == ClosingPhase::ClearLedger;
 }
 
 void finish(BudgetAgent &agent, const Incarnation &gone)
--- a/godwit/budget/testing/simulated_fleet.cpp
+++ b/godwit/budget/testing/simulated_fleet.cpp
@@ -13,8 +13,8 @@
 } // namespace
 
 SimulatedFleet::SimulatedFleet(BudgetOptions opts, std::uint64_t seed)
-    : options(std::move(opts)),
-      m_random(seed)
+    : options(std::move(opts))
+    , m_random(seed)
 {
 }
 
@@ -72,7 +72,20 @@
 
 void SimulatedFleet::declareGone(const std::string &host)
 {
-    const Incarnation gone = router(host).agent.self;
+    declareIncarnation(router(host).agent.self);
+}
+
+void SimulatedFleet::declareDead()
+{
+    for (const auto &router : m_routers) {
+        if (router->dead || router->closed) {
+            declareIncarnation(router->agent.self);
+        }
+    }
+}
+
+void SimulatedFleet::declareIncarnation(const Incarnation &gone)
+{
     for (const auto &other : m_routers) {
         if (other->agent.self != gone) {
             deliver(*other, [this, gone](BudgetAgent &agent, auto &out) {
@@ -364,6 +377,13 @@
     return entry == kv.entries.end() ? ShardRecord() : decodeShard(entry->second.value, reason).value_or(ShardRecord());
 }
 
+bool SimulatedFleet::isGone(const Incarnation &incarnation) const
+{
+    return std::none_of(m_routers.begin(), m_routers.end(), [&](const auto &router) {
+        return router->agent.self == incarnation && !router->dead && !router->closed;
+    });
+}
+
 BudgetView SimulatedFleet::view(const std::string &budget) const
 {
     LastReason reason;
--- a/godwit/budget/testing/simulated_fleet.h
+++ b/godwit/budget/testing/simulated_fleet.h
@@ -85,6 +85,8 @@
     void announcePeers();
     // Lets all running routers believe that `host` is gone.
     void declareGone(const std::string &host);
+    // The same for every incarnation that is dead or closed.
+    void declareDead();
 
     void kill(const std::string &host);
     void pause(const std::string &host);
@@ -104,6 +106,8 @@
     void at(Duration delay, std::function<void()> event);
     void runFor(Duration duration);
 
+    // Whether the router is dead, closed or drained.
+    bool isGone(const Incarnation &incarnation) const;
     BudgetView view(const std::string &budget) const;
     std::optional<LedgerRecord> ledger(const Incarnation &incarnation) const;
     Tokens released(const std::string &budget) const;
@@ -135,6 +139,7 @@
     using Event = std::function<void()>;
     using Input = std::function<void(BudgetAgent &, std::vector<BudgetAction> &)>;
 
+    void declareIncarnation(const Incarnation &gone);
     void deliver(SimulatedRouter &router, const Input &input);
     void perform(SimulatedRouter &router, const BudgetAction &action);
     void send(SimulatedRouter &from, const PeerSend &message);
