Budgets: slices by demand, and calls wait for returns

Each slice carries its router's demand, and a router sizes its own by its part of the total; before, each could take a quarter of what was unheld, so the busy router ran dry while idle ones had plenty. A call that can't be met waits up to 250 ms for others to return what they don't need. Calls for an exhausted budget look at the record as long as reads allow, so a top-up is found at once. The tail is bounded at 32768 bills instead of 8192: ten minutes of a cut router's calls were more.

--- a/godwit/budget/agent_core.cpp
+++ b/godwit/budget/agent_core.cpp
@@ -45,12 +45,18 @@
     return std::max(LeastBurst, writeRate(agent) * BurstSeconds);
 }
 
-void refill(Turn &turn)
+void refill(CallAllowance &allowance, double rate, TimePoint now)
 {
-    WriteAllowance &allowance = turn.agent.allowance;
-    const double gained = toSeconds(turn.now - allowance.refilledAt) * writeRate(turn.agent);
-    allowance.credit = std::min(burst(turn.agent), allowance.credit + gained);
-    allowance.refilledAt = turn.now;
+    const double most = std::max(LeastBurst, rate * BurstSeconds);
+    allowance.credit = std::min(most, allowance.credit + toSeconds(now - allowance.refilledAt) * rate);
+    allowance.refilledAt = now;
+}
+
+double share(const BudgetAgent &agent, double fleetRate)
+{
+    constexpr double LeastRate = 0.001;
+    const auto routers = static_cast<double>(std::max<std::size_t>(1, agent.peers.size()));
+    return std::max(LeastRate, fleetRate / routers);
 }
 
 Error makeError(ErrorKind kind, std::string message, std::optional<Duration> retryAfter)
@@ -102,15 +108,16 @@
     turn.out.emplace_back(ReservationGranted{call});
 }
 
-void serveWaiting(Turn &turn, const BudgetId &, BudgetSlice &slice)
+void serveWaiting(Turn &turn, BudgetSlice &slice)
 {
-    while (!slice.waiting.empty()) {
-        const CallId call = slice.waiting.front();
-        if (turn.agent.calls.at(call).worstCase > spendable(turn.agent, slice)) {
-            return;
+    std::deque<CallId> waiting;
+    waiting.swap(slice.waiting);
+    for (const CallId call : waiting) {
+        if (turn.agent.calls.at(call).worstCase <= spendable(turn.agent, slice)) {
+            grant(turn, call, slice);
+        } else {
+            slice.waiting.push_back(call);
         }
-        slice.waiting.pop_front();
-        grant(turn, call, slice);
     }
 }
 
@@ -181,7 +188,9 @@
 
 void wantShard(Turn &turn, std::uint32_t shard, const BudgetId &budget, TimePoint at)
 {
-    turn.agent.shards[shard].dirty.insert(budget);
+    ShardSync &sync = turn.agent.shards[shard];
+    sync.dirty.insert(budget);
+    sync.again = sync.again || at <= turn.now;
     scheduleEarlier(turn.agent.shardDue, shard, at);
 }
 
@@ -210,9 +219,9 @@
 
 TimePoint allowedAt(Turn &turn, WritePriority priority)
 {
-    refill(turn);
+    refill(turn.agent.writes, writeRate(turn.agent), turn.now);
     const double wanted = priority == WritePriority::Urgent ? 1 - burst(turn.agent) : 1;
-    const double missing = wanted - turn.agent.allowance.credit;
+    const double missing = wanted - turn.agent.writes.credit;
     if (missing <= 0) {
         return turn.now;
     }
@@ -222,14 +231,25 @@
 
 void chargeWrite(Turn &turn)
 {
-    refill(turn);
-    turn.agent.allowance.credit -= 1;
+    refill(turn.agent.writes, writeRate(turn.agent), turn.now);
+    turn.agent.writes.credit -= 1;
+}
+
+bool mayRead(Turn &turn)
+{
+    refill(turn.agent.reads, share(turn.agent, turn.agent.options.fleetReadsPerSecond), turn.now);
+    return turn.agent.reads.credit >= 1;
+}
+
+void chargeRead(Turn &turn)
+{
+    refill(turn.agent.reads, share(turn.agent, turn.agent.options.fleetReadsPerSecond), turn.now);
+    turn.agent.reads.credit -= 1;
 }
 
 double writeRate(const BudgetAgent &agent)
 {
-    const auto routers = static_cast<double>(std::max<std::size_t>(1, agent.peers.size()));
-    return std::max(0.001, agent.options.fleetWritesPerSecond / routers);
+    return share(agent, agent.options.fleetWritesPerSecond);
 }
 
 void noteReply(Turn &turn, KvStatus status)
--- a/godwit/budget/agent_core.h
+++ b/godwit/budget/agent_core.h
@@ -40,8 +40,8 @@
 // Returns the slice, a new one when this router has none.
 BudgetSlice &sliceOf(BudgetAgent &agent, const BudgetId &budget);
 
-// Grants waiting calls, first come first, as far as the slice goes.
-void serveWaiting(Turn &turn, const BudgetId &budget, BudgetSlice &slice);
+// Grants the waiting calls that the slice can meet, first come first.
+void serveWaiting(Turn &turn, BudgetSlice &slice);
 
 void grant(Turn &turn, CallId call, BudgetSlice &slice);
 
@@ -73,6 +73,10 @@
 TimePoint allowedAt(Turn &turn, WritePriority priority);
 void chargeWrite(Turn &turn);
 
+// Whether a read is within the allowance.
+bool mayRead(Turn &turn);
+void chargeRead(Turn &turn);
+
 // Writes a second that are this router's part.
 double writeRate(const BudgetAgent &agent);
 
--- a/godwit/budget/budget_agent.cpp
+++ b/godwit/budget/budget_agent.cpp
@@ -21,12 +21,13 @@
 
 // How soon what a call left over goes back while its budget runs low.
 constexpr Duration ScarceFold = std::chrono::milliseconds(200);
+constexpr Duration PressedFold = std::chrono::milliseconds(20);
 constexpr int ReviewsPerIdleTime = 4;
 // A slice is filled up again when it has fallen to this part of its target.
 constexpr Tokens LowWaterDivisor = 2;
 // An unknown budget is looked for again after this time.
 constexpr Duration UnknownRetry = std::chrono::seconds(1);
-constexpr Duration PressureTime = std::chrono::seconds(10);
+constexpr Duration PressureTime = std::chrono::seconds(5);
 
 bool isOver(const BudgetAgent &agent)
 {
@@ -50,7 +51,7 @@
 }
 
 // What is known already about a call that the slice can't meet.
-std::optional<Error> knownRefusal(const Turn &turn, const BudgetId &budget, const BudgetSlice &slice, Tokens worstCase)
+std::optional<Error> knownRefusal(Turn &turn, const BudgetId &budget, const BudgetSlice &slice, Tokens worstCase)
 {
     const BudgetAgent &agent = turn.agent;
     if (platformIsAway(agent)) {
@@ -62,8 +63,10 @@
     if (!slice.exists) {
         return turn.now < slice.seenAt + UnknownRetry ? std::optional<Error>(unknownBudget(budget)) : std::nullopt;
     }
+    // Each look finds a top-up or a return at once; only when reads run short does an older look have to do.
     const Tokens reachable = slice.free + std::max<Tokens>(0, spendable(agent, slice));
-    if (turn.now >= slice.seenAt + agent.options.recordFreshFor || worstCase <= reachable) {
+    const bool fresh = turn.now < slice.seenAt + agent.options.recordFreshFor;
+    if (!fresh || worstCase <= reachable || mayRead(turn)) {
         return std::nullopt;
     }
     const Tokens left = slice.unbilled - slice.unfolded;
@@ -75,7 +78,9 @@
     SliceSituation situation;
     situation.free = slice.free;
     situation.spendable = spendable(turn.agent, slice);
-    situation.ratePerSecond = demandRate(slice.demand, turn.now);
+    situation.rest = slice.unbilled - slice.unfolded - slice.reserved;
+    situation.ownDemand = demandRate(slice.demand, turn.now);
+    situation.otherDemand = static_cast<double>(slice.otherDemand);
     situation.typicalCall = typicalCall(slice.demand);
     situation.reserveShare = ruleOf(turn.agent, budget).reserveShare;
     situation.cover = turn.agent.options.outageCover;
@@ -95,7 +100,9 @@
 // Brings what a call left over back to the others while the budget runs low.
 void returnSoon(Turn &turn, const BudgetId &budget, const BudgetSlice &slice)
 {
-    if (slice.scarce || turn.now < slice.pressureUntil) {
+    if (turn.now < slice.pressureUntil) {
+        wantShard(turn, slice.shard, budget, turn.now + PressedFold);
+    } else if (slice.scarce) {
         wantShard(turn, slice.shard, budget, turn.now + ScarceFold);
     }
 }
@@ -307,7 +314,7 @@
     BudgetSlice &slice = sliceOf(agent, reservation.budget);
     slice.lastUsed = now;
     scheduleEarlier(agent.reviews, reservation.budget, now + agent.options.idleReturnAfter / ReviewsPerIdleTime);
-    agent.calls[reservation.call] = {reservation.budget, requestKeyHash(reservation.key), worstCase, false};
+    agent.calls[reservation.call] = {reservation.budget, requestKeyHash(reservation.key), worstCase, false, now};
     if (auto error = tailRefusal(turn)) {
         refuse(turn, reservation.call, std::move(*error));
         return;
@@ -353,7 +360,7 @@
         recordBill(turn, call, settled, slice, billed);
     }
     returnSoon(turn, settled.budget, slice);
-    serveWaiting(turn, settled.budget, slice);
+    serveWaiting(turn, slice);
     releaseBills(turn);
     runDue(turn);
 }
@@ -375,7 +382,7 @@
     if (cancelled.granted) {
         slice->second.reserved -= cancelled.worstCase;
         returnSoon(turn, cancelled.budget, slice->second);
-        serveWaiting(turn, cancelled.budget, slice->second);
+        serveWaiting(turn, slice->second);
     } else {
         removeWaiting(slice->second, call);
     }
--- a/godwit/budget/budget_records.cpp
+++ b/godwit/budget/budget_records.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t RecordVersion = 1;
 constexpr std::size_t BillFields = 4;
 constexpr std::size_t BudgetFields = 6;
+constexpr std::size_t HeldFields = 3;
 constexpr std::uint32_t MaxShardNumber = 1U << 20U;
 
 Error malformedRecord(const char *field)
@@ -37,11 +38,12 @@
 json encodeBudget(const BudgetRecord &budget, const std::map<Incarnation, std::size_t> &writers)
 {
     json held = json::array();
-    for (const auto &[holder, amount] : budget.held) {
+    for (const auto &[holder, slice] : budget.held) {
         const auto index = writers.find(holder);
-        if (index != writers.end() && amount > 0) {
+        if (index != writers.end() && (slice.amount > 0 || slice.demand > 0)) {
             held.push_back(index->second);
-            held.push_back(static_cast<std::uint64_t>(amount));
+            held.push_back(static_cast<std::uint64_t>(slice.amount));
+            held.push_back(static_cast<std::uint64_t>(slice.demand));
         }
     }
     return json::array({budget.customer.value,
@@ -54,16 +56,17 @@
 
 bool decodeHeld(const json &value, const std::vector<Incarnation> &writers, BudgetRecord &budget)
 {
-    if (!value.is_array() || value.size() % 2 != 0) {
+    if (!value.is_array() || value.size() % HeldFields != 0) {
         return false;
     }
-    for (std::size_t i = 0; i < value.size(); i += 2) {
+    for (std::size_t i = 0; i < value.size(); i += HeldFields) {
         std::uint64_t index = 0;
-        Tokens amount = 0;
+        HeldSlice slice;
         if (!internal::readUnsigned(value[i], index) || index >= writers.size()) {
             return false;
         }
-        if (!internal::readAmount(value[i + 1], amount) || !budget.held.emplace(writers[index], amount).second) {
+        if (!internal::readAmount(value[i + 1], slice.amount) || !internal::readAmount(value[i + 2], slice.demand)
+            || !budget.held.emplace(writers[index], slice).second) {
             return false;
         }
     }
@@ -437,7 +440,11 @@
     view.billed = record.billed;
     view.reduction = record.reduction;
     view.free = freeTokens(record);
-    view.held = record.held;
+    for (const auto &[holder, slice] : record.held) {
+        if (slice.amount > 0) {
+            view.held.emplace(holder, slice.amount);
+        }
+    }
     return view;
 }
 
--- a/godwit/budget/budget_state.h
+++ b/godwit/budget/budget_state.h
@@ -28,6 +28,7 @@
     std::uint64_t keyHash = 0;
     Tokens worstCase = 0;
     bool granted = false;
+    TimePoint since;
 };
 
 // A settled call until its bill is folded into the budget's shard.
@@ -62,6 +63,7 @@
     TimePoint seenAt;
     Tokens free = 0;
     Tokens unbilled = 0;
+    Tokens otherDemand = 0;
     std::vector<Incarnation> holders;
 
     DemandEstimate demand;
@@ -103,6 +105,8 @@
     bool uncertain = false;
     // One of those was the last step of a drain.
     bool leaveUncertain = false;
+    // Something came up since the read in flight was sent.
+    bool again = false;
     unsigned conflicts = 0;
     // Budgets to draw for, return from or look at.
     std::set<BudgetId> dirty;
@@ -235,7 +239,8 @@
     TimePoint retryAt;
 };
 
-struct WriteAllowance
+// Calls of the platform that this router may make now; refilled with time.
+struct CallAllowance
 {
     double credit = 1;
     TimePoint refilledAt;
@@ -275,7 +280,8 @@
     std::map<Incarnation, MissingWriter> missing;
 
     PlatformHealth platform;
-    WriteAllowance allowance;
+    CallAllowance writes;
+    CallAllowance reads;
     std::uint64_t lastTag = BudgetTagSpace;
     std::unordered_map<std::uint64_t, OpenCommand> commands;
 
--- a/godwit/budget/budget_types.h
+++ b/godwit/budget/budget_types.h
@@ -45,9 +45,9 @@
 // How one customer's budget trades few false refusals against little stranded in idle routers.
 struct BudgetRule
 {
-    // 0: a router takes only what waiting calls need. 1: it may take the whole rest, up to its own demand for
-    // `BudgetOptions::outageCover`. Overspend is zero for every value.
-    double reserveShare = 0.25;
+    // The part of what is left that routers may hold ahead, shared by their demand and up to their demand for
+    // `BudgetOptions::outageCover`. 0: a router takes only what waiting calls need. Overspend is zero for every value.
+    double reserveShare = 0.9;
 };
 
 // Settings of one router. The defaults fit eight routers and some tens of budgets.
@@ -60,6 +60,8 @@
     std::uint32_t shardCount = 64;
     // Writes a second that the whole fleet may spend on budgets; a router takes its part by the number of peers.
     double fleetWritesPerSecond = 60;
+    // The same for reads. Beyond it, calls that can't be met are refused by what was seen last.
+    double fleetReadsPerSecond = 400;
     // A slice is sized to serve its router's demand for so long without the platform.
     Duration outageCover = std::chrono::minutes(10);
     // The longest time that a bill stays unfolded when the write allowance permits.
@@ -69,13 +71,15 @@
     // A slice without demand goes back after this time.
     Duration idleReturnAfter = std::chrono::minutes(2);
     // Bills that may wait for the platform; more refuse new reservations.
-    std::size_t maxTailBills = 8192;
+    std::size_t maxTailBills = 32768;
     // How long the oldest bill may wait for its release before new reservations are refused.
     Duration maxReleaseWait = std::chrono::seconds(2);
     // How long a bill waits for the witnesses in other data centres before those in its own suffice.
     Duration farPatience = std::chrono::milliseconds(300);
-    // A record seen so recently answers a call that can't be met, without asking the platform again.
+    // A record seen so recently may answer a call that can't be met, when reads are short.
     Duration recordFreshFor = std::chrono::milliseconds(250);
+    // How long a call that can't be met waits for other routers to return what they don't need.
+    Duration gatherTime = std::chrono::milliseconds(250);
     // A copy that was not acknowledged is sent again after this time.
     Duration copyResend = std::chrono::milliseconds(200);
     // A platform command without a reply counts as KvStatus::Unknown after this time.
--- a/godwit/budget/shard_record.cpp
+++ b/godwit/budget/shard_record.cpp
@@ -11,8 +11,17 @@
 Tokens heldTokens(const BudgetRecord &budget)
 {
     Tokens sum = 0;
-    for (const auto &[holder, amount] : budget.held) {
-        sum += amount;
+    for (const auto &[holder, slice] : budget.held) {
+        sum += slice.amount;
+    }
+    return sum;
+}
+
+Tokens demandOf(const BudgetRecord &budget)
+{
+    Tokens sum = 0;
+    for (const auto &[holder, slice] : budget.held) {
+        sum += slice.demand;
     }
     return sum;
 }
@@ -49,7 +58,7 @@
             duplicates.push_back(bill.sequence);
             continue;
         }
-        Tokens &held = budget->second.held[writer];
+        Tokens &held = budget->second.held[writer].amount;
         // The slice covers its bills by construction; the bound keeps the invariant even against a faulty writer.
         const Tokens amount = std::min(bill.amount, held);
         held -= amount;
--- a/godwit/budget/shard_record.h
+++ b/godwit/budget/shard_record.h
@@ -29,6 +29,15 @@
 // The largest amount that a record takes; sums of a few of them can't overflow.
 constexpr Tokens MaxTokens = 1'000'000'000'000'000;
 
+// What one router incarnation may spend of a budget, and what it expects to.
+struct HeldSlice
+{
+    // Covers the incarnation's bills until they are folded.
+    Tokens amount = 0;
+    // Tokens a second; the others size their slices by it.
+    Tokens demand = 0;
+};
+
 struct BudgetRecord
 {
     CustomerId customer;
@@ -38,8 +47,7 @@
     Tokens reduction = 0;
     // Hashes of the last OperationIdsKept ids of top-ups and reductions, oldest first.
     std::deque<std::uint64_t> operations;
-    // What each router incarnation may spend; it covers the incarnation's bills until they are folded.
-    std::map<Incarnation, Tokens> held;
+    std::map<Incarnation, HeldSlice> held;
 };
 
 // What one incarnation last wrote to a shard.
@@ -63,6 +71,9 @@
 // Returns the sum of all slices.
 Tokens heldTokens(const BudgetRecord &budget);
 
+// Returns the demand of all holders, in tokens a second.
+Tokens demandOf(const BudgetRecord &budget);
+
 // Returns what may be drawn: prepaid, less billed, held and what a reduction still takes.
 Tokens freeTokens(const BudgetRecord &budget);
 
--- a/godwit/budget/shard_sync.cpp
+++ b/godwit/budget/shard_sync.cpp
@@ -15,7 +15,9 @@
 constexpr std::size_t HoldersKept = 4;
 // Under pressure a router keeps what it needs for this time only.
 constexpr Duration PressureCover = std::chrono::seconds(2);
-constexpr Duration NeedInterval = std::chrono::seconds(1);
+constexpr Duration NeedInterval = std::chrono::milliseconds(200);
+// How often calls that wait for other routers' returns look at the record.
+constexpr Duration GatherRetry = std::chrono::milliseconds(30);
 constexpr unsigned ImmediateConflicts = 1;
 constexpr Duration ConflictBackoff = std::chrono::milliseconds(2);
 constexpr unsigned LongestConflictShift = 6;
@@ -50,9 +52,9 @@
 std::vector<Incarnation> holdersOf(const BudgetRecord &budget, const Incarnation &self)
 {
     std::vector<std::pair<Tokens, Incarnation>> holders;
-    for (const auto &[holder, amount] : budget.held) {
-        if (holder != self && amount > 0) {
-            holders.emplace_back(amount, holder);
+    for (const auto &[holder, slice] : budget.held) {
+        if (holder != self && slice.amount > 0) {
+            holders.emplace_back(slice.amount, holder);
         }
     }
     const std::size_t count = std::min(holders.size(), HoldersKept);
@@ -83,9 +85,11 @@
         return;
     }
     const auto held = found->second.held.find(turn.agent.self);
-    slice.held = held == found->second.held.end() ? 0 : held->second;
+    const HeldSlice own = held == found->second.held.end() ? HeldSlice() : held->second;
+    slice.held = own.amount;
     slice.free = freeTokens(found->second);
     slice.unbilled = found->second.prepaid - found->second.billed - found->second.reduction;
+    slice.otherDemand = demandOf(found->second) - own.demand;
     slice.holders = holdersOf(found->second, turn.agent.self);
 }
 
@@ -148,28 +152,42 @@
     }
 }
 
-// Picks the waiting calls that `pool` can meet, first come first, and refuses the others.
-Tokens admitWaiting(Turn &turn, const BudgetId &budget, BudgetSlice &slice, Tokens pool)
+struct WaitingCalls
 {
+    // The sum of the calls that can be met now.
     Tokens admitted = 0;
-    std::deque<CallId> kept;
-    std::deque<CallId> refused;
-    for (const CallId call : slice.waiting) {
-        const Tokens worstCase = turn.agent.calls.at(call).worstCase;
-        if (admitted + worstCase <= pool) {
-            admitted += worstCase;
-            kept.push_back(call);
+    // Others wait for other routers' returns.
+    bool gathering = false;
+};
+
+// Whether other routers may yet return enough for `call`.
+bool mayGather(const Turn &turn, const BudgetSlice &slice, const BudgetCall &call)
+{
+    const bool young = turn.now < call.since + turn.agent.options.gatherTime;
+    return young && call.worstCase <= slice.unbilled - slice.unfolded && !liveHolders(turn.agent, slice).empty();
+}
+
+// Picks the waiting calls that `pool` can meet, first come first. Of the others, those that other routers may yet make
+// room for go on waiting, and the rest is refused.
+WaitingCalls admitWaiting(Turn &turn, const BudgetId &budget, BudgetSlice &slice, Tokens pool)
+{
+    WaitingCalls result;
+    std::deque<CallId> waiting;
+    waiting.swap(slice.waiting);
+    for (const CallId id : waiting) {
+        const BudgetCall &call = turn.agent.calls.at(id);
+        const Tokens left = slice.unbilled - slice.unfolded;
+        if (result.admitted + call.worstCase <= pool) {
+            result.admitted += call.worstCase;
+            slice.waiting.push_back(id);
+        } else if (mayGather(turn, slice, call)) {
+            result.gathering = true;
+            slice.waiting.push_back(id);
         } else {
-            refused.push_back(call);
+            refuse(turn, id, call.worstCase > left ? exhausted(budget, call.worstCase, left) : busy(budget));
         }
     }
-    slice.waiting.swap(kept);
-    for (const CallId call : refused) {
-        const Tokens worstCase = turn.agent.calls.at(call).worstCase;
-        const Tokens left = slice.unbilled - slice.unfolded;
-        refuse(turn, call, worstCase > left ? exhausted(budget, worstCase, left) : busy(budget));
-    }
-    return admitted;
+    return result;
 }
 
 // Asks the largest holders to return what they don't need: calls were refused here for want of it.
@@ -197,33 +215,39 @@
 }
 
 // Sets the slice in `record` to what the router should hold; the bills of the slice are folded already.
-void proposeSlice(Turn &turn, ShardSync &sync, BudgetRecord &record, const BudgetId &budget, Tokens unfoldedLeft)
+void proposeSlice(Turn &turn, ShardSync &sync, BudgetRecord &record, const BudgetId &budget)
 {
     BudgetAgent &agent = turn.agent;
     BudgetSlice &slice = agent.slices.at(budget);
     absorbReduction(record);
-    Tokens &held = record.held[agent.self];
-    const Tokens bound = slice.reserved + unfoldedLeft;
-    const Tokens unbound = std::max<Tokens>(0, held - bound);
+    HeldSlice &own = record.held[agent.self];
+    const Tokens bound = slice.reserved;
+    const Tokens unbound = std::max<Tokens>(0, own.amount - bound);
+    const double ownDemand = coverOf(turn, slice, record) == Duration(0) ? 0 : demandRate(slice.demand, turn.now);
+    own.demand = static_cast<Tokens>(ownDemand);
     SliceSituation situation;
     situation.free = freeTokens(record);
     situation.spendable = unbound;
-    const std::size_t callsBefore = slice.waiting.size();
-    situation.waiting = admitWaiting(turn, budget, slice, situation.free + unbound);
-    if (slice.waiting.size() < callsBefore) {
-        sendNeed(turn, budget, slice);
-    }
-    situation.ratePerSecond = demandRate(slice.demand, turn.now);
+    situation.rest = record.prepaid - record.billed - record.reduction - bound;
+    const WaitingCalls waiting = admitWaiting(turn, budget, slice, situation.free + unbound);
+    situation.waiting = waiting.admitted;
+    situation.ownDemand = ownDemand;
+    situation.otherDemand = static_cast<double>(demandOf(record) - own.demand);
     situation.typicalCall = typicalCall(slice.demand);
     situation.reserveShare = ruleOf(agent, budget).reserveShare;
     situation.cover = coverOf(turn, slice, record);
     const SliceTarget target = sliceTarget(situation);
-    const Tokens before = held;
-    held = std::max(bound, bound + target.spendable);
-    slice.returning = std::max(slice.returning, before - held);
+    const Tokens before = own.amount;
+    own.amount = std::max(bound, bound + target.spendable);
+    slice.returning = std::max(slice.returning, before - own.amount);
     absorbReduction(record);
     sync.proposed.push_back(
-        {budget, held, freeTokens(record), record.prepaid - record.billed - record.reduction, target.scarce});
+        {budget, own.amount, freeTokens(record), record.prepaid - record.billed - record.reduction, target.scarce});
+    if (waiting.gathering) {
+        sendNeed(turn, budget, slice);
+        sync.dirty.insert(budget);
+        scheduleEarlier(agent.shardDue, slice.shard, turn.now + GatherRetry);
+    }
 }
 
 // Folds the router's bills into `record`; returns whether there were any.
@@ -274,6 +298,8 @@
     command.verb = KvVerb::Get;
     command.key = budgetShardKey(shard);
     sync.phase = ShardPhase::Reading;
+    sync.again = false;
+    chargeRead(turn);
     startCommand(turn, shardCommand(shard), std::move(command));
 }
 
@@ -298,7 +324,7 @@
     for (const ProposedSlice &proposed : sync.proposed) {
         BudgetSlice &slice = turn.agent.slices.at(proposed.budget);
         slice.scarce = proposed.scarce;
-        serveWaiting(turn, proposed.budget, slice);
+        serveWaiting(turn, slice);
     }
     sync.proposed.clear();
     sync.phase = ShardPhase::Idle;
@@ -324,7 +350,7 @@
         if (found == record.budgets.end()) {
             refuseUnknown(turn, budget);
         } else if (turn.agent.slices.count(budget) > 0) {
-            proposeSlice(turn, sync, found->second, budget, 0);
+            proposeSlice(turn, sync, found->second, budget);
         }
     }
 }
@@ -366,7 +392,7 @@
     sendShardWrite(turn, shard, sync, record);
 }
 
-void onShardWritten(Turn &turn, std::uint32_t shard, ShardSync &sync, std::uint64_t version)
+void onShardWritten(Turn &turn, ShardSync &sync, std::uint64_t version)
 {
     BudgetAgent &agent = turn.agent;
     sync.version = version;
@@ -398,10 +424,7 @@
         slice.unbilled = proposed.unbilled;
         slice.scarce = proposed.scarce;
         slice.seenAt = turn.now;
-        serveWaiting(turn, proposed.budget, slice);
-        if (!slice.waiting.empty()) {
-            wantShard(turn, shard, proposed.budget, turn.now);
-        }
+        serveWaiting(turn, slice);
     }
 }
 
@@ -467,6 +490,15 @@
     scheduleEarlier(turn.agent.shardDue, shard, turn.now + jitter(turn.agent, range));
 }
 
+// Whether a slice has more than its router needs while calls wait elsewhere.
+bool isPressed(const Turn &turn, const ShardSync &sync)
+{
+    return std::any_of(sync.dirty.begin(), sync.dirty.end(), [&](const BudgetId &budget) {
+        const auto slice = turn.agent.slices.find(budget);
+        return slice != turn.agent.slices.end() && turn.now < slice->second.pressureUntil;
+    });
+}
+
 bool hasWork(const BudgetAgent &agent, const ShardSync &sync)
 {
     return !sync.dirty.empty() || !sync.bills.empty() || sync.uncertain || readyToLeave(agent, sync);
@@ -500,7 +532,8 @@
     if (over || sync.phase != ShardPhase::Idle || !hasWork(agent, sync)) {
         return;
     }
-    const auto priority = someoneWaits(agent, sync) ? WritePriority::Urgent : WritePriority::Normal;
+    const bool urgent = someoneWaits(agent, sync) || isPressed(turn, sync);
+    const auto priority = urgent ? WritePriority::Urgent : WritePriority::Normal;
     const TimePoint at = std::max(platformFreeAt(turn), allowedAt(turn, priority));
     if (at > turn.now) {
         scheduleEarlier(agent.shardDue, shard, at);
@@ -516,7 +549,7 @@
     switch (reply.status) {
     case KvStatus::Ok:
         if (wrote) {
-            onShardWritten(turn, shard, sync, reply.version);
+            onShardWritten(turn, sync, reply.version);
         } else {
             takeRecord(turn, shard, sync, reply);
         }
@@ -533,7 +566,7 @@
         break;
     }
     if (turn.agent.life != AgentLife::Closed && sync.phase == ShardPhase::Idle && hasWork(turn.agent, sync)) {
-        const bool hurry = turn.agent.life == AgentLife::Draining;
+        const bool hurry = turn.agent.life == AgentLife::Draining || sync.again;
         const Duration pace = hurry ? Duration(0) : turn.agent.options.foldInterval;
         scheduleEarlier(turn.agent.shardDue, shard, turn.now + pace);
     }
--- a/godwit/budget/slice_policy.cpp
+++ b/godwit/budget/slice_policy.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr double DecaySeconds = 60;
+constexpr double DecaySeconds = 180;
 // A rate over less time than this says little; one call would look like a flood.
 constexpr double ShortestSpanSeconds = 5;
 constexpr double SettledWeight = 0.05;
@@ -65,11 +65,14 @@
 SliceTarget sliceTarget(const SliceSituation &situation)
 {
     const Tokens pool = situation.free + std::max<Tokens>(0, situation.spendable);
-    const Tokens rest = std::max<Tokens>(0, pool - situation.waiting);
-    const double demand = situation.ratePerSecond * toSeconds(situation.cover) * DemandMargin;
-    const double wanted =
-        situation.cover.count() == 0 ? 0 : std::max(demand, static_cast<double>(CallsAhead * situation.typicalCall));
-    const double allowed = situation.reserveShare * static_cast<double>(rest);
+    const Tokens rest = std::max<Tokens>(0, situation.rest - situation.waiting);
+    const double expected = situation.ownDemand * toSeconds(situation.cover) * DemandMargin;
+    const auto fewCalls = static_cast<double>(CallsAhead * situation.typicalCall);
+    const double wanted = situation.cover.count() == 0 ? 0 : std::max(expected, fewCalls);
+    // By demand, so that in an outage all routers run dry at the same time, and none while another has plenty.
+    const double demand = situation.ownDemand + situation.otherDemand;
+    const double part = demand > 0 ? situation.ownDemand / demand : 1;
+    const double allowed = situation.reserveShare * part * static_cast<double>(rest);
     auto ahead = static_cast<Tokens>(std::min(wanted, allowed));
     SliceTarget target;
     if (ahead < situation.typicalCall) {
--- a/godwit/budget/slice_policy.h
+++ b/godwit/budget/slice_policy.h
@@ -6,7 +6,7 @@
 //   noteDemand(demand, worstCase, now);
 //   SliceSituation situation;
 //   situation.free = freeTokens(record);
-//   situation.ratePerSecond = demandRate(demand, now);
+//   situation.ownDemand = demandRate(demand, now);
 //   Tokens target = sliceTarget(situation).spendable;
 
 #include "godwit/base/ids.h"
@@ -40,9 +40,13 @@
     Tokens free = 0;
     // What this router holds beyond its reservations and bills.
     Tokens spendable = 0;
+    // What is neither billed nor reserved here, whoever holds it.
+    Tokens rest = 0;
     // The sum of the waiting calls that can be met.
     Tokens waiting = 0;
-    double ratePerSecond = 0;
+    // Demand here and at the other holders, in tokens a second.
+    double ownDemand = 0;
+    double otherDemand = 0;
     Tokens typicalCall = 1;
     double reserveShare = 0;
     // The time of demand to hold ahead.
