--- a/standins/loadtool/ground_truth.cpp
+++ b/standins/loadtool/ground_truth.cpp
@@ -1,8 +1,10 @@
 #include "standins/loadtool/ground_truth.h"
 
+#include "standins/common/program.h"
 #include "standins/loadtool/http_client.h"
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <stdexcept>
 
@@ -13,6 +15,8 @@
 {
 
 constexpr Duration FetchTimeout = std::chrono::seconds(20);
+constexpr Duration PollPeriod = std::chrono::milliseconds(200);
+constexpr Duration LateBillPause = std::chrono::seconds(2);
 
 nlohmann::json fetch(const std::string &address, const std::string &target, const std::string &token)
 {
@@ -40,6 +44,24 @@
     return body;
 }
 
+// Waits for `pause`; false once `deadline` is over.
+bool pauseUntil(Duration pause, TimePoint deadline)
+{
+    boost::asio::io_context context(1);
+    boost::asio::steady_timer(context, pause).wait();
+    return monotonicNow() < deadline;
+}
+
+// The budgets as they stand, with what they were billed before the run.
+std::vector<BudgetFigures> readBudgets(const TruthSources &sources, const std::vector<BudgetFigures> &before)
+{
+    auto budgets = fetchBudgets(sources);
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        budgets.at(i).billedBefore = before[i].billed;
+    }
+    return budgets;
+}
+
 } // namespace
 
 std::vector<BudgetFigures> fetchBudgets(const TruthSources &sources)
@@ -56,7 +78,7 @@
     return budgets;
 }
 
-GroundTruth fetchTruth(const TruthSources &sources, const std::vector<BudgetFigures> &before)
+GroundTruth fetchTruth(const TruthSources &sources, const std::vector<BudgetFigures> &before, std::int64_t spent)
 {
     GroundTruth truth;
     truth.bookingCost = sources.bookingCost;
@@ -67,10 +89,15 @@
         addServiceExecutions(truth, fetch(service, "/control/executions", {}));
     }
     if (!sources.operators.empty()) {
-        truth.budgets = fetchBudgets(sources);
-        for (std::size_t i = 0; i < before.size(); ++i) {
-            truth.budgets->at(i).billedBefore = before[i].billed;
-        }
+        const TimePoint start = monotonicNow();
+        const TimePoint deadline = start + sources.settleTime;
+        do {
+            truth.budgets = readBudgets(sources, before);
+            truth.settledAfter = monotonicNow() - start;
+        } while (billedInRun(*truth.budgets) < spent && pauseUntil(PollPeriod, deadline));
+        // A second bill for an answer would come after the first: look again once that had time to come.
+        pauseUntil(LateBillPause, deadline);
+        truth.budgets = readBudgets(sources, before);
     }
     return truth;
 }
--- a/standins/loadtool/ground_truth.h
+++ b/standins/loadtool/ground_truth.h
@@ -18,12 +18,15 @@
     std::string token; // For it.
     std::vector<std::string> budgets; // Their ids.
     std::int64_t bookingCost = 1;
+    // Routers fold their bills into a budget's total from time to time: how long to wait until the total has caught up
+    // with what the callers' whole answers cost.
+    Duration settleTime = std::chrono::seconds(10);
 };
 
 // What the budgets stand at. Throws std::runtime_error when one can't be read.
 std::vector<BudgetFigures> fetchBudgets(const TruthSources &sources);
 
-// The counts after a run. `before` are the budgets at its start.
-GroundTruth fetchTruth(const TruthSources &sources, const std::vector<BudgetFigures> &before);
+// The counts after a run. `before` are the budgets at its start; `spent` is what the whole answers cost.
+GroundTruth fetchTruth(const TruthSources &sources, const std::vector<BudgetFigures> &before, std::int64_t spent);
 
 } // namespace Godwit::Standins
--- a/standins/loadtool/load_worker.cpp
+++ b/standins/loadtool/load_worker.cpp
@@ -31,11 +31,11 @@
 } // namespace
 
 LoadWorker::LoadWorker(const LoadSpec &spec, std::size_t index)
-    : m_spec(spec),
-      m_index(index),
-      m_client(m_context),
-      m_random(spec.seed * 1000 + index),
-      m_kindWeights(spec.mix.begin(), spec.mix.end())
+    : m_spec(spec)
+    , m_index(index)
+    , m_client(m_context)
+    , m_random(spec.seed * 1000 + index)
+    , m_kindWeights(spec.mix.begin(), spec.mix.end())
 {
     for (const auto &customer : spec.customers) {
         m_customerWeights.push_back(customer.share);
--- a/standins/loadtool/main.cpp
+++ b/standins/loadtool/main.cpp
@@ -79,6 +79,9 @@
     add("token", "Token for it.", cxxopts::value<std::string>()->default_value(""));
     add("budgets", "Budgets to check, ID,...", cxxopts::value<Texts>());
     add("booking-cost", "What one booking is billed.", cxxopts::value<std::int64_t>()->default_value("1"));
+    add("settle-ms",
+        "How long the budgets may take to show all bills.",
+        cxxopts::value<std::int64_t>()->default_value("10000"));
     add("json", "Also write the report to this file.", cxxopts::value<std::string>());
     add("help", "Prints this text.");
 }
@@ -185,6 +188,7 @@
     take(sources.token, parsed, "token");
     take(sources.budgets, parsed, "budgets");
     take(sources.bookingCost, parsed, "booking-cost");
+    sources.settleTime = std::chrono::milliseconds(parsed["settle-ms"].as<std::int64_t>());
     return sources;
 }
 
@@ -234,7 +238,9 @@
     } else {
         runPhase(spec, router);
     }
-    const auto checks = verify(router.tally, fetchTruth(sources, budgetsBefore));
+    const std::int64_t spent = spentByCallers(router.tally, sources.bookingCost);
+    const GroundTruth truth = fetchTruth(sources, budgetsBefore, spent);
+    const auto checks = verify(router.tally, truth);
 
     nlohmann::json report = {{"load", phaseToJson(router, spec)}, {"checks", checksToJson(checks)}};
     printPhase(std::cout, router, spec);
@@ -244,6 +250,10 @@
         report["relay"] = phaseToJson(relay, spec);
         report["comparison"] = comparisonToJson(relay, router);
     }
+    if (truth.budgets) {
+        printBudgets(std::cout, *truth.budgets);
+        report["budgets"] = budgetsToJson(*truth.budgets);
+    }
     printChecks(std::cout, checks);
     if (parsed.count("json") > 0) {
         std::ofstream(parsed["json"].as<std::string>()) << report.dump(2) << '\n';
--- a/standins/loadtool/report.cpp
+++ b/standins/loadtool/report.cpp
@@ -202,6 +202,27 @@
     }
 }
 
+Json budgetsToJson(const std::vector<BudgetFigures> &budgets)
+{
+    Json rows = Json::array();
+    for (const auto &budget : budgets) {
+        rows.push_back({{"budget", budget.id},
+                        {"prepaid", budget.prepaid},
+                        {"billed", budget.billed},
+                        {"billed_in_run", budget.billed - budget.billedBefore},
+                        {"left", budget.prepaid - budget.billed}});
+    }
+    return rows;
+}
+
+void printBudgets(std::ostream &out, const std::vector<BudgetFigures> &budgets)
+{
+    for (const auto &budget : budgets) {
+        out << "budget " << budget.id << ": prepaid " << budget.prepaid << ", billed " << budget.billed << " ("
+            << budget.billed - budget.billedBefore << " in this run), left " << budget.prepaid - budget.billed << '\n';
+    }
+}
+
 Json comparisonToJson(const PhaseResult &relay, const PhaseResult &router)
 {
     const LatencyHistogram plain = allLatencies(relay.tally);
--- a/standins/loadtool/report.h
+++ b/standins/loadtool/report.h
@@ -28,6 +28,10 @@
 void printPhase(std::ostream &out, const PhaseResult &phase, const LoadSpec &spec);
 void printChecks(std::ostream &out, const std::vector<Check> &checks);
 
+// What each budget has left. A refusal for want of budget is false when this covers the call's worst case.
+nlohmann::json budgetsToJson(const std::vector<BudgetFigures> &budgets);
+void printBudgets(std::ostream &out, const std::vector<BudgetFigures> &budgets);
+
 // Compares the same load against a relay and a router: throughput of whole answers and added latency.
 nlohmann::json comparisonToJson(const PhaseResult &relay, const PhaseResult &router);
 void printComparison(std::ostream &out, const PhaseResult &relay, const PhaseResult &router);
--- a/standins/loadtool/tally.cpp
+++ b/standins/loadtool/tally.cpp
@@ -50,8 +50,8 @@
 }
 
 Tally::Tally()
-    : firstToken(makeLatencyHistogram()),
-      betweenTokens(makeLatencyHistogram())
+    : firstToken(makeLatencyHistogram())
+    , betweenTokens(makeLatencyHistogram())
 {
     latency.fill(makeLatencyHistogram());
 }
--- a/standins/loadtool/verify.cpp
+++ b/standins/loadtool/verify.cpp
@@ -73,15 +73,16 @@
 void checkBudgets(const Tally &tally, const GroundTruth &truth, std::vector<Check> &checks)
 {
     std::int64_t overspend = 0;
-    std::int64_t billed = 0;
     for (const auto &budget : *truth.budgets) {
         overspend += std::max<std::int64_t>(0, budget.billed - budget.prepaid);
-        billed += budget.billed - budget.billedBefore;
     }
+    const std::int64_t billed = billedInRun(*truth.budgets);
     checks.push_back(noneOf("tokens billed beyond the prepaid", overspend, {}));
 
     const std::int64_t spent = spentByCallers(tally, truth.bookingCost);
-    const std::string figures = "billed " + std::to_string(billed) + ", whole answers cost " + std::to_string(spent);
+    const std::string figures = "billed " + std::to_string(billed) + ", whole answers cost " + std::to_string(spent)
+        + ", read " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(truth.settledAfter).count())
+        + " ms after the run and later";
     checks.push_back({"tokens of whole answers without a bill",
                       std::max<std::int64_t>(0, spent - billed),
                       billed >= spent,
@@ -119,6 +120,15 @@
     }
 }
 
+std::int64_t billedInRun(const std::vector<BudgetFigures> &budgets)
+{
+    std::int64_t billed = 0;
+    for (const auto &budget : budgets) {
+        billed += budget.billed - budget.billedBefore;
+    }
+    return billed;
+}
+
 std::int64_t spentByCallers(const Tally &tally, std::int64_t bookingCost)
 {
     std::int64_t spent = 0;
--- a/standins/loadtool/verify.h
+++ b/standins/loadtool/verify.h
@@ -44,6 +44,7 @@
     std::optional<std::unordered_map<std::string, std::uint64_t>> services; // By request id.
     std::optional<std::vector<BudgetFigures>> budgets;
     std::int64_t bookingCost = 1; // What one booking is billed.
+    Duration settledAfter{}; // How long after the run the budgets were read.
 };
 
 struct Check
@@ -62,6 +63,9 @@
 
 bool allHold(const std::vector<Check> &checks);
 
+// What all budgets were billed since the run's start.
+std::int64_t billedInRun(const std::vector<BudgetFigures> &budgets);
+
 // What the callers' whole answers cost.
 std::int64_t spentByCallers(const Tally &tally, std::int64_t bookingCost);
 
