--- a/godwit/caller/call_session.cpp
+++ b/godwit/caller/call_session.cpp
@@ -101,8 +101,8 @@
 {
 public:
     Session(Stream stream, CallerShared &shared)
-        : m_stream(std::move(stream)),
-          m_shared(shared)
+        : m_stream(std::move(stream))
+        , m_shared(shared)
     {
     }
 
--- a/godwit/caller/caller_server.cpp
+++ b/godwit/caller/caller_server.cpp
@@ -41,8 +41,8 @@
 } // namespace
 
 CallerServer::CallerServer(CallerServerOptions options, Post post, std::function<bool()> ready)
-    : m_acceptor(m_io),
-      m_shared{m_io,
+    : m_acceptor(m_io)
+    , m_shared{m_io,
                options.caller,
                EndpointPool(),
                CallRegistry(),
