--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -46,9 +46,9 @@
 {
 public:
     Connection(Tcp::socket socket, const HttpServerOptions &options, const HttpHandler &handler)
-        : m_socket(std::move(socket)),
-          m_options(options),
-          m_handler(handler)
+        : m_socket(std::move(socket))
+        , m_options(options)
+        , m_handler(handler)
     {
     }
 
@@ -85,8 +85,8 @@
 {
 public:
     ConnectionResponder(std::shared_ptr<Connection> connection, unsigned version)
-        : m_connection(std::move(connection)),
-          m_version(version)
+        : m_connection(std::move(connection))
+        , m_version(version)
     {
     }
 
@@ -330,9 +330,9 @@
                        const Tcp::endpoint &address,
                        HttpServerOptions options,
                        HttpHandler handler)
-    : m_acceptor(context, address),
-      m_options(options),
-      m_handler(std::move(handler))
+    : m_acceptor(context, address)
+    , m_options(options)
+    , m_handler(std::move(handler))
 {
     accept();
 }
--- a/standins/engine/engine_service.cpp
+++ b/standins/engine/engine_service.cpp
@@ -117,15 +117,15 @@
 
 EngineService::EngineService(
     boost::asio::io_context &context, BatchModel batch, OrderModel orders, std::size_t maxWaiting, std::uint64_t seed)
-    : m_timer(context),
-      m_batch(std::move(batch)),
-      m_orders(std::move(orders)),
-      m_maxWaiting(maxWaiting),
-      m_random(seed),
-      m_draw([this] {
-          return std::uniform_real_distribution<>(0, 1)(m_random);
-      }),
-      m_epoch(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count()))
+    : m_timer(context)
+    , m_batch(std::move(batch))
+    , m_orders(std::move(orders))
+    , m_maxWaiting(maxWaiting)
+    , m_random(seed)
+    , m_draw([this] {
+        return std::uniform_real_distribution<>(0, 1)(m_random);
+    })
+    , m_epoch(static_cast<std::uint64_t>(monotonicNow().time_since_epoch().count()))
 {
 }
 
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -49,10 +49,10 @@
 } // namespace
 
 PlatformService::PlatformService(boost::asio::io_context &context, HostList hosts, std::uint64_t seed)
-    : m_context(context),
-      m_timer(context),
-      m_hosts(std::move(hosts)),
-      m_random(seed)
+    : m_context(context)
+    , m_timer(context)
+    , m_hosts(std::move(hosts))
+    , m_random(seed)
 {
 }
 
--- a/standins/relay/main.cpp
+++ b/standins/relay/main.cpp
@@ -51,8 +51,8 @@
 {
 public:
     explicit RelayThread(const std::vector<Tcp::endpoint> &upstreams)
-        : m_upstreams(upstreams),
-          m_idle(upstreams.size())
+        : m_upstreams(upstreams)
+        , m_idle(upstreams.size())
     {
     }
 
@@ -219,8 +219,8 @@
           const Tcp::endpoint &address,
           std::vector<Tcp::endpoint> upstreams,
           std::size_t threads)
-        : m_acceptor(context, address),
-          m_upstreams(std::move(upstreams))
+        : m_acceptor(context, address)
+        , m_upstreams(std::move(upstreams))
     {
         for (std::size_t i = 0; i < threads; ++i) {
             m_threads.push_back(std::make_unique<RelayThread>(m_upstreams));
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -25,8 +25,8 @@
 {
 public:
     BookingService(boost::asio::io_context &context, std::uint64_t seed)
-        : m_context(context),
-          m_random(seed)
+        : m_context(context)
+        , m_random(seed)
     {
     }
 
