--- a/scenarios/sim_platform.cpp
+++ b/scenarios/sim_platform.cpp
@@ -10,6 +10,8 @@
 // When a client stops waiting for an answer.
 constexpr Duration ClientTimeout = std::chrono::seconds(1);
 
+constexpr Duration NormalDelay = std::chrono::milliseconds(2);
+
 bool isWrite(const KvCommand &command)
 {
     return command.verb == KvVerb::CompareAndSwap || command.verb == KvVerb::Delete;
@@ -126,7 +128,12 @@
 {
     if (change.state) {
         m_state = *change.state;
-        m_delay = *change.state == PlatformState::Up ? std::chrono::milliseconds(2) : m_delay;
+    }
+    if (change.state == PlatformState::Up) {
+        m_delay = NormalDelay;
+        m_loseAnswers = 0;
+        m_lateWrites = 0;
+        m_conflicts = 0;
     }
     m_delay = change.delay.value_or(m_delay);
     m_loseAnswers += change.loseAnswers;
