--- a/godwit/claims/claim_agent.cpp
+++ b/godwit/claims/claim_agent.cpp
@@ -26,6 +26,8 @@
     ClaimAgent &agent;
     TimePoint now;
     Actions &out;
+    // Shards are served in turn; else one event's shard is looked at alone.
+    bool inRound = false;
 };
 
 std::string shardKey(std::uint32_t index)
@@ -53,6 +55,21 @@
     return error;
 }
 
+// The claim's time is over: the platform is silent, or the router's share of its writes is too small for the claims.
+Error lateError(const Step &step, const ClaimShard &shard, const WaitingClaim &waiting)
+{
+    const bool silent = shard.operation && step.now - shard.operation->sentAt > step.agent.options.probeInterval;
+    if (step.agent.away || step.agent.failures > 0 || silent) {
+        return awayError(step, waiting);
+    }
+    auto error = undecidedError(step.agent,
+                                waiting.request,
+                                ErrorKind::Overloaded,
+                                "more claims wait than the platform's service may be given");
+    error.retryAfter = step.agent.options.inProgressRetryAfter;
+    return error;
+}
+
 void addChange(Step &step, ClaimShard &shard, OwnChange change)
 {
     if (step.agent.changeCount >= step.agent.options.maxWaiting) {
@@ -120,7 +137,7 @@
             shard.waiting.push_back(std::move(claim));
             continue;
         }
-        refuseWaiting(step, shard, claim, awayError(step, claim));
+        refuseWaiting(step, shard, claim, lateError(step, shard, claim));
     }
 }
 
@@ -176,10 +193,24 @@
     startOperation(step, index, shard, ShardOperation{}, std::move(command));
 }
 
+// Without a unit put aside, many shards would read while the allowance lets one write, and read again later.
+void takeWriteUnit(Step &step, ClaimShard &shard)
+{
+    step.agent.writes.units -= shard.hasWriteUnit ? 0 : 1;
+    shard.hasWriteUnit = true;
+}
+
+void returnWriteUnit(Step &step, ClaimShard &shard)
+{
+    step.agent.writes.units += shard.hasWriteUnit ? 1 : 0;
+    shard.hasWriteUnit = false;
+}
+
 void startWrite(Step &step, std::uint32_t index, ClaimShard &shard, ClaimRecord record)
 {
     ++step.agent.counters.writes;
-    step.agent.writes.units -= 1;
+    takeWriteUnit(step, shard);
+    shard.hasWriteUnit = false;
     KvCommand command;
     command.verb = KvVerb::CompareAndSwap;
     command.expectedVersion = shard.version;
@@ -231,6 +262,11 @@
     return lookAgain;
 }
 
+Duration gatherTime(const ClaimAgent &agent)
+{
+    return agent.paced ? agent.options.pacedFinishGather : agent.options.finishGather;
+}
+
 // Whether all changes may wait for company.
 bool mayGather(const Step &step, const ClaimShard &shard)
 {
@@ -238,7 +274,7 @@
         return false;
     }
     return std::all_of(shard.changes.begin(), shard.changes.end(), [&](const OwnChange &change) {
-        return change.outcome != ClaimOutcome::NotRun && step.now < change.since + step.agent.options.finishGather;
+        return change.outcome != ClaimOutcome::NotRun && step.now < change.since + gatherTime(step.agent);
     });
 }
 
@@ -267,10 +303,23 @@
     shard.waiting.clear();
 }
 
+// A new claim must not take the unit that others have waited for: they would wait for as long as claims come.
+bool mustWaitForUnit(Step &step, const ClaimShard &shard)
+{
+    if (shard.hasWriteUnit) {
+        return false;
+    }
+    const bool othersFirst = step.agent.paced && !step.inRound;
+    const bool none = step.agent.writes.units < 1;
+    step.agent.paced = step.agent.paced || none;
+    return none || othersFirst;
+}
+
 // Reads when the allowance has room; else the shard's turn comes back.
 void readIfAllowed(Step &step, std::uint32_t index, ClaimShard &shard)
 {
     if (step.agent.reads.units >= 1) {
+        takeWriteUnit(step, shard);
         startRead(step, index, shard);
     }
 }
@@ -281,12 +330,17 @@
     const auto &options = step.agent.options;
     refill(step.agent.writes, options.writesPerSecond, options.writeBurst, step.now);
     refill(step.agent.reads, options.readsPerSecond, options.readBurst, step.now);
-    if (!shard.record) {
-        readIfAllowed(step, index, shard);
+    if (shard.record) {
+        settleChanges(step, shard);
+    }
+    if (shard.waiting.empty() && (shard.changes.empty() || mayGather(step, shard))) {
         return;
     }
-    settleChanges(step, shard);
-    if (step.agent.writes.units < 1) {
+    if (mustWaitForUnit(step, shard)) {
+        return;
+    }
+    if (!shard.record || step.now - shard.seenAt > options.recordFreshFor) {
+        readIfAllowed(step, index, shard);
         return;
     }
     ClaimWrite write = beginWrite(shard, step.agent, step.now);
@@ -335,7 +389,7 @@
     if (shard.waiting.empty() && mayGather(step, shard)) {
         TimePoint gathered = TimePoint::max();
         for (const auto &change : shard.changes) {
-            gathered = std::min(gathered, change.since + step.agent.options.finishGather);
+            gathered = std::min(gathered, change.since + gatherTime(step.agent));
         }
         workAt = std::max(workAt, gathered);
     }
@@ -371,6 +425,9 @@
     if (!shard.operation && !idle && !step.agent.away && step.now >= shard.notBefore) {
         work(step, index, shard);
     }
+    if (!shard.operation) {
+        returnWriteUnit(step, shard);
+    }
     shard.dueAt = computeDueAt(step, shard);
     shard.lastUse = ++step.agent.useClock;
     if (shard.operation || !shard.waiting.empty() || !shard.changes.empty()) {
@@ -387,18 +444,21 @@
     const std::vector<std::uint32_t> round(step.agent.busy.begin(), step.agent.busy.end());
     const auto first = std::upper_bound(round.begin(), round.end(), step.agent.lastServed) - round.begin();
     const auto count = static_cast<std::ptrdiff_t>(round.size());
+    step.inRound = true;
     for (std::ptrdiff_t i = 0; i < count; ++i) {
         const auto index = round[static_cast<std::size_t>((first + i) % count)];
         const auto &due = step.agent.shards[index].dueAt;
         if (dueOnly && (!due || *due > step.now)) {
             continue;
         }
-        const auto writes = step.agent.counters.writes;
+        const auto tag = step.agent.nextTag;
         pump(step, index);
-        if (step.agent.counters.writes != writes) {
+        if (step.agent.nextTag != tag) {
             step.agent.lastServed = index;
         }
     }
+    step.inRound = false;
+    step.agent.paced = step.agent.paced && step.agent.writes.units < 1;
 }
 
 void goAway(Step &step)
@@ -735,6 +795,11 @@
     return wake;
 }
 
+void setClaimWriteRate(ClaimAgent &agent, double writesPerSecond)
+{
+    agent.options.writesPerSecond = writesPerSecond;
+}
+
 void setLiveRouters(ClaimAgent &agent, std::vector<Incarnation> live)
 {
     agent.live = std::set<Incarnation>(live.begin(), live.end());
--- a/godwit/claims/claim_agent.h
+++ b/godwit/claims/claim_agent.h
@@ -65,10 +65,11 @@
 
 struct ClaimOptions
 {
-    // Must be equal at all routers and never change while claims are kept.
-    std::uint32_t shardCount = 64;
-    // How old an id may be when it is claimed.
-    Duration retention = std::chrono::hours(1);
+    // Must be equal at all routers and never change while claims are kept. More shards make smaller records, which are
+    // read and written whole; fewer let more claims share a write.
+    std::uint32_t shardCount = 256;
+    // How old an id may be when it is claimed. Records grow with it.
+    Duration retention = std::chrono::minutes(30);
     // How far two hosts' wall clocks, and a caller's, may be apart.
     Duration clockSkew = std::chrono::seconds(30);
     // How long an answer is kept for replay; its claim is kept for the whole retention.
@@ -89,6 +90,9 @@
     Duration inProgressRetryAfter = std::chrono::seconds(1);
     // An operation without a reply for so long counts as KvStatus::Unknown.
     Duration replyTimeout = std::chrono::seconds(3);
+    // A record seen longer ago is read again before it is written over: others have written meanwhile, and a read is
+    // cheaper to the platform than a write that comes to nothing.
+    Duration recordFreshFor = std::chrono::milliseconds(20);
     // So many failed operations in a row, over all shards, count as an outage of the platform.
     int awayAfterFailures = 2;
     // Between two probes while the platform is away; doubled up to the bound after each failure.
@@ -99,6 +103,8 @@
     Duration maxConflictBackoff = std::chrono::milliseconds(100);
     // How long an outcome may wait for other work of its shard to share a write with.
     Duration finishGather = std::chrono::milliseconds(20);
+    // The same while the write allowance is used up, so that claims, whose callers wait, get most of it.
+    Duration pacedFinishGather = std::chrono::milliseconds(500);
     // When ClaimFinished is given though the outcome is not recorded yet; writing it goes on.
     Duration finishPatience = std::chrono::seconds(10);
     // This router's share of the platform's writes: a rate and how many it may save up. Beyond it claims wait for
@@ -226,6 +232,8 @@
     std::vector<WaitingClaim> waiting;
     std::vector<OwnChange> changes;
     std::optional<ShardOperation> operation;
+    // A unit of the write allowance is put aside for the write that follows a read.
+    bool hasWriteUnit = false;
 
     // No new operation before this.
     TimePoint notBefore;
@@ -293,6 +301,8 @@
     bool away = false;
     TimePoint nextProbeAt;
     Duration probeInterval{};
+    // Some shard waits for the write allowance: the others take their turn behind it.
+    bool paced = false;
     internal::Allowance writes;
     internal::Allowance reads;
     bool draining = false;
@@ -330,6 +340,9 @@
 // When onTick() has to be called at the latest; absent when nothing is due.
 std::optional<TimePoint> nextWake(const ClaimAgent &agent);
 
+// Sets this router's share of the platform's writes, such as when the number of routers changes.
+void setClaimWriteRate(ClaimAgent &agent, double writesPerSecond);
+
 // The routers that are known to be live; claims of others are answered "unknown" after a grace.
 void setLiveRouters(ClaimAgent &agent, std::vector<Incarnation> live);
 
--- a/godwit/claims/test_claim_world.cpp
+++ b/godwit/claims/test_claim_world.cpp
@@ -263,6 +263,9 @@
         return;
     }
     const int count = ++executions[key];
+    if (const auto observer = onExecution.find(key); observer != onExecution.end()) {
+        observer->second();
+    }
     if (count > 1) {
         violations.push_back("executed " + std::to_string(count) + " times: " + key.id);
     }
--- a/godwit/claims/test_claim_world.h
+++ b/godwit/claims/test_claim_world.h
@@ -87,6 +87,8 @@
     std::vector<CallRecord> calls;
     std::map<RequestKey, int> executions;
     std::map<RequestKey, std::string> answers;
+    // Called when the key is executed.
+    std::map<RequestKey, std::function<void()>> onExecution;
     // What broke a promise, in words.
     std::vector<std::string> violations;
 
--- a/godwit/routing/addresses.cpp
+++ b/godwit/routing/addresses.cpp
@@ -35,16 +35,18 @@
     return sum / static_cast<double>(candidates.size());
 }
 
-// A host above the bound passes on that part of its customers whose hashes lie lowest. All routers pass on the same
-// ones, and as the load changes a little, few customers change host.
-bool isPassedOn(const RouterAddress &router, const CustomerId &customer, double bound)
+// A host above the bound passes on a part of its callers, chosen by chance, so that its load moves by a little where
+// whole customers would make it jump. Half of the excess at a time: answers are kept for long, and a correction by all
+// of it overshoots and swings.
+bool isPassedOn(const RouterAddress &router, const AddressOptions &options, double bound)
 {
+    constexpr double gain = 0.5;
     if (router.load <= bound) {
         return false;
     }
     const double excess = (router.load - bound) / router.load;
-    const auto hash = rendezvousWeight(router.host.value, customer.value);
-    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max()) < excess;
+    const auto hash = rendezvousWeight(router.host.value, std::to_string(options.pick));
+    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max()) < gain * excess;
 }
 
 std::vector<Candidate> rankedCandidates(const std::vector<RouterAddress> &live,
@@ -63,7 +65,7 @@
     }
     const double bound = meanLoad(candidates) * options.loadBound;
     for (auto &candidate : candidates) {
-        candidate.passedOn = isPassedOn(*candidate.router, customer, bound);
+        candidate.passedOn = isPassedOn(*candidate.router, options, bound);
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
         return a.passedOn != b.passedOn ? b.passedOn : a.weight > b.weight;
--- a/godwit/routing/addresses.h
+++ b/godwit/routing/addresses.h
@@ -3,9 +3,8 @@
 // The answer to callers that ask which router hosts to use.
 //
 // Rendezvous hashing keeps a customer on few hosts, so that its budget is held in few slices, and moves only the
-// customers of a host that goes away. A host whose load is above the bound passes on just the part of its customers
-// that brings it back to the bound. A pure function of its arguments, so all routers give the same answer from the
-// same view of the fleet.
+// customers of a host that goes away. A host whose load is above the bound passes on a part of its callers. A pure
+// function of its arguments: all routers give a customer the same hosts from the same view of the fleet.
 //
 // Example:
 //   const AddressAnswer answer = chooseAddresses(live, customer, options);
@@ -40,7 +39,7 @@
     int minHosts = 2;
     // Hosts given for each host's worth of the customer's traffic.
     double spread = 1.5;
-    // A host's load may reach this multiple of the mean before customers are passed on.
+    // A host's load may reach this multiple of the mean before callers are passed on.
     double loadBound = 1.25;
     // The caller's data centre, when it is known; its hosts come first in the answer.
     DataCentreId callerDataCentre;
