Budgets: the end of a budget at one router; fair order of writes

Cause: once little is left, parts of it at eight routers are too small for any call, and refunds of settled calls lie at the wrong one. One router, chosen by rendezvous among those with demand, now gets the whole rest, and the others refuse with its name first, so that the call is forwarded there.

--- a/godwit/budget/agent_core.cpp
+++ b/godwit/budget/agent_core.cpp
@@ -90,6 +90,21 @@
     return found == agent.rules.end() ? BudgetRule() : found->second;
 }
 
+SliceSituation situationOf(const Turn &turn, const BudgetId &budget, const BudgetSlice &slice)
+{
+    SliceSituation situation;
+    situation.free = slice.free;
+    situation.spendable = spendable(turn.agent, slice);
+    situation.rest = slice.unbilled - slice.unfolded - slice.reserved;
+    situation.ownDemand = demandRate(slice.demand, turn.now);
+    situation.otherDemand = static_cast<double>(slice.otherDemand);
+    situation.typicalCall = typicalCall(slice.demand);
+    situation.reserveShare = ruleOf(turn.agent, budget).reserveShare;
+    situation.claimants = slice.claimants;
+    situation.home = slice.home;
+    return situation;
+}
+
 BudgetSlice &sliceOf(BudgetAgent &agent, const BudgetId &budget)
 {
     const auto [found, added] = agent.slices.try_emplace(budget);
--- a/godwit/budget/agent_core.h
+++ b/godwit/budget/agent_core.h
@@ -37,6 +37,9 @@
 
 BudgetRule ruleOf(const BudgetAgent &agent, const BudgetId &budget);
 
+// What the slice policy needs to know, from the record as last seen; without waiting calls and cover.
+SliceSituation situationOf(const Turn &turn, const BudgetId &budget, const BudgetSlice &slice);
+
 // Returns the slice, a new one when this router has none.
 BudgetSlice &sliceOf(BudgetAgent &agent, const BudgetId &budget);
 
--- a/godwit/budget/budget_agent.cpp
+++ b/godwit/budget/budget_agent.cpp
@@ -75,14 +75,7 @@
 
 Tokens lowWater(const Turn &turn, const BudgetId &budget, const BudgetSlice &slice)
 {
-    SliceSituation situation;
-    situation.free = slice.free;
-    situation.spendable = spendable(turn.agent, slice);
-    situation.rest = slice.unbilled - slice.unfolded - slice.reserved;
-    situation.ownDemand = demandRate(slice.demand, turn.now);
-    situation.otherDemand = static_cast<double>(slice.otherDemand);
-    situation.typicalCall = typicalCall(slice.demand);
-    situation.reserveShare = ruleOf(turn.agent, budget).reserveShare;
+    SliceSituation situation = situationOf(turn, budget, slice);
     situation.cover = turn.agent.options.outageCover;
     return sliceTarget(situation).spendable / LowWaterDivisor;
 }
--- a/godwit/budget/budget_state.h
+++ b/godwit/budget/budget_state.h
@@ -64,6 +64,9 @@
     Tokens free = 0;
     Tokens unbilled = 0;
     Tokens otherDemand = 0;
+    int claimants = 1;
+    // Whether this router gets the whole rest once little is left.
+    bool home = false;
     std::vector<Incarnation> holders;
 
     DemandEstimate demand;
--- a/godwit/budget/shard_record.cpp
+++ b/godwit/budget/shard_record.cpp
@@ -17,15 +17,6 @@
     return sum;
 }
 
-Tokens demandOf(const BudgetRecord &budget)
-{
-    Tokens sum = 0;
-    for (const auto &[holder, slice] : budget.held) {
-        sum += slice.demand;
-    }
-    return sum;
-}
-
 Tokens freeTokens(const BudgetRecord &budget)
 {
     return std::max<Tokens>(0, budget.prepaid - budget.billed - heldTokens(budget) - budget.reduction);
--- a/godwit/budget/shard_record.h
+++ b/godwit/budget/shard_record.h
@@ -71,9 +71,6 @@
 // Returns the sum of all slices.
 Tokens heldTokens(const BudgetRecord &budget);
 
-// Returns the demand of all holders, in tokens a second.
-Tokens demandOf(const BudgetRecord &budget);
-
 // Returns what may be drawn: prepaid, less billed, held and what a reduction still takes.
 Tokens freeTokens(const BudgetRecord &budget);
 
--- a/godwit/budget/shard_sync.cpp
+++ b/godwit/budget/shard_sync.cpp
@@ -1,11 +1,13 @@
 #include "godwit/budget/shard_sync.h"
 
+#include "godwit/base/hash.h"
 #include "godwit/budget/budget_messages.h"
 #include "godwit/budget/budget_records.h"
 #include "godwit/budget/ledger_sync.h"
 #include "godwit/budget/shard_record.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Godwit::internal
 {
@@ -18,6 +20,7 @@
 constexpr Duration NeedInterval = std::chrono::milliseconds(200);
 // How often calls that wait for other routers' returns look at the record.
 constexpr Duration GatherRetry = std::chrono::milliseconds(30);
+constexpr Duration BlockedSpread = std::chrono::milliseconds(200);
 constexpr unsigned ImmediateConflicts = 1;
 constexpr Duration ConflictBackoff = std::chrono::milliseconds(2);
 constexpr unsigned LongestConflictShift = 6;
@@ -71,6 +74,40 @@
     return most;
 }
 
+// The live router with demand that gets the whole rest when little is left: the same for all that see the same peers.
+Incarnation homeOf(const BudgetAgent &agent, const BudgetId &budget, const BudgetRecord &record)
+{
+    Incarnation home = agent.self;
+    std::uint64_t best = rendezvousWeight(budget.value, home.value);
+    for (const auto &[holder, slice] : record.held) {
+        const std::uint64_t weight = rendezvousWeight(budget.value, holder.value);
+        if (slice.demand > 0 && weight > best && agent.peers.count(holder) > 0) {
+            home = holder;
+            best = weight;
+        }
+    }
+    return home;
+}
+
+void adoptClaims(const BudgetAgent &agent, const BudgetId &budget, const BudgetRecord &record, BudgetSlice &slice)
+{
+    slice.otherDemand = 0;
+    slice.claimants = 1;
+    for (const auto &[holder, held] : record.held) {
+        if (holder != agent.self && held.demand > 0) {
+            slice.otherDemand += held.demand;
+            ++slice.claimants;
+        }
+    }
+    const Incarnation home = homeOf(agent, budget, record);
+    slice.home = home == agent.self;
+    slice.holders = holdersOf(record, agent.self);
+    if (!slice.home) {
+        slice.holders.erase(std::remove(slice.holders.begin(), slice.holders.end(), home), slice.holders.end());
+        slice.holders.insert(slice.holders.begin(), home);
+    }
+}
+
 // Takes what a record says about one budget into the slice.
 void adoptSlice(Turn &turn, const ShardRecord &record, const BudgetId &budget, BudgetSlice &slice)
 {
@@ -89,8 +126,7 @@
     slice.held = own.amount;
     slice.free = freeTokens(found->second);
     slice.unbilled = found->second.prepaid - found->second.billed - found->second.reduction;
-    slice.otherDemand = demandOf(found->second) - own.demand;
-    slice.holders = holdersOf(found->second, turn.agent.self);
+    adoptClaims(turn.agent, budget, found->second, slice);
 }
 
 // Learns from the router's mark which of its writes took effect.
@@ -161,8 +197,12 @@
 };
 
 // Whether other routers may yet return enough for `call`.
-bool mayGather(const Turn &turn, const BudgetSlice &slice, const BudgetCall &call)
+bool mayGather(const Turn &turn, const BudgetId &budget, const BudgetSlice &slice, const BudgetCall &call)
 {
+    // The home has the rest; the call is forwarded there sooner than anything comes back.
+    if (!slice.home && isLow(situationOf(turn, budget, slice))) {
+        return false;
+    }
     const bool young = turn.now < call.since + turn.agent.options.gatherTime;
     return young && call.worstCase <= slice.unbilled - slice.unfolded && !liveHolders(turn.agent, slice).empty();
 }
@@ -180,7 +220,7 @@
         if (result.admitted + call.worstCase <= pool) {
             result.admitted += call.worstCase;
             slice.waiting.push_back(id);
-        } else if (mayGather(turn, slice, call)) {
+        } else if (mayGather(turn, budget, slice, call)) {
             result.gathering = true;
             slice.waiting.push_back(id);
         } else {
@@ -223,19 +263,15 @@
     HeldSlice &own = record.held[agent.self];
     const Tokens bound = slice.reserved;
     const Tokens unbound = std::max<Tokens>(0, own.amount - bound);
-    const double ownDemand = coverOf(turn, slice, record) == Duration(0) ? 0 : demandRate(slice.demand, turn.now);
-    own.demand = static_cast<Tokens>(ownDemand);
-    SliceSituation situation;
+    SliceSituation situation = situationOf(turn, budget, slice);
+    situation.cover = coverOf(turn, slice, record);
+    situation.ownDemand = situation.cover == Duration(0) ? 0 : situation.ownDemand;
+    own.demand = static_cast<Tokens>(std::ceil(situation.ownDemand));
     situation.free = freeTokens(record);
     situation.spendable = unbound;
     situation.rest = record.prepaid - record.billed - record.reduction - bound;
     const WaitingCalls waiting = admitWaiting(turn, budget, slice, situation.free + unbound);
     situation.waiting = waiting.admitted;
-    situation.ownDemand = ownDemand;
-    situation.otherDemand = static_cast<double>(demandOf(record) - own.demand);
-    situation.typicalCall = typicalCall(slice.demand);
-    situation.reserveShare = ruleOf(agent, budget).reserveShare;
-    situation.cover = coverOf(turn, slice, record);
     const SliceTarget target = sliceTarget(situation);
     const Tokens before = own.amount;
     own.amount = std::max(bound, bound + target.spendable);
@@ -536,7 +572,9 @@
     const auto priority = urgent ? WritePriority::Urgent : WritePriority::Normal;
     const TimePoint at = std::max(platformFreeAt(turn), allowedAt(turn, priority));
     if (at > turn.now) {
-        scheduleEarlier(agent.shardDue, shard, at);
+        // Shards that wait for the allowance go on in a random order: in the same order at every router, they would
+        // all write the same shard at the same time, and the last one would starve.
+        scheduleEarlier(agent.shardDue, shard, urgent ? at : at + jitter(agent, BlockedSpread));
         return;
     }
     sendShardRead(turn, shard, sync);
--- a/godwit/budget/slice_policy.cpp
+++ b/godwit/budget/slice_policy.cpp
@@ -16,6 +16,9 @@
 constexpr Tokens CallsAhead = 4;
 // Demand varies; a slice for the mean would run dry in half of all outages.
 constexpr double DemandMargin = 1.3;
+// The rest is little when it lasts for less than this, or for so many calls at each router.
+constexpr double LowSeconds = 30;
+constexpr Tokens LowCalls = 2;
 
 double decay(const DemandEstimate &demand, TimePoint now)
 {
@@ -62,9 +65,22 @@
     return std::max<Tokens>(1, std::llround(demand.tokens / demand.calls));
 }
 
+bool isLow(const SliceSituation &situation)
+{
+    if (situation.reserveShare <= 0) {
+        return false;
+    }
+    const double soon = LowSeconds * (situation.ownDemand + situation.otherDemand);
+    const auto parts = static_cast<double>(LowCalls * situation.claimants * situation.typicalCall);
+    return static_cast<double>(situation.rest) < std::max(soon, parts);
+}
+
 SliceTarget sliceTarget(const SliceSituation &situation)
 {
     const Tokens pool = situation.free + std::max<Tokens>(0, situation.spendable);
+    if (isLow(situation) && situation.cover.count() > 0) {
+        return situation.home ? SliceTarget{pool, false} : SliceTarget{std::min(pool, situation.waiting), true};
+    }
     const Tokens rest = std::max<Tokens>(0, situation.rest - situation.waiting);
     const double expected = situation.ownDemand * toSeconds(situation.cover) * DemandMargin;
     const auto fewCalls = static_cast<double>(CallsAhead * situation.typicalCall);
--- a/godwit/budget/slice_policy.h
+++ b/godwit/budget/slice_policy.h
@@ -51,8 +51,16 @@
     double reserveShare = 0;
     // The time of demand to hold ahead.
     Duration cover{0};
+    // The number of routers with demand.
+    int claimants = 1;
+    // Whether this is the router that gets the whole rest once little is left; see isLow().
+    bool home = false;
 };
 
+// Whether so little is left that parts of it at several routers would be too small for a call: then one router, the
+// budget's home, holds all of it, and the others forward their calls there.
+bool isLow(const SliceSituation &situation);
+
 struct SliceTarget
 {
     // What the router should hold beyond its reservations and bills.
