Membership, orders: tests for safeguards that had none; reports carry the number of their read

A report of an engine that was asked for before an order and answered after it was taken for the order's result; it now carries the number of its read.

--- a/godwit/config/simulated_fleet.cpp
+++ b/godwit/config/simulated_fleet.cpp
@@ -231,7 +231,7 @@
         reply.tag = command.tag;
         if (options.rejects && options.rejects(command)) {
             reply.status = KvStatus::Rejected;
-            answer(m_now, reply);
+            answer(m_now + options.platformDelay, reply);
             return;
         }
         if (!options.platformUp) {
--- a/godwit/membership/membership_test.cpp
+++ b/godwit/membership/membership_test.cpp
@@ -175,6 +175,70 @@
     CHECK_FALSE(repaired(true));
 }
 
+TEST_CASE("a router that ended long ago does not come back to life")
+{
+    // Router 0 is cut off while router X dies and all others forget it. When the cut ends, router 0 still tells X as
+    // alive, and the others take it for new. Nobody has a link to X that could fall silent.
+    RoutersOptions options = fleetOf(30, 11);
+    options.membership.forgetAfter = seconds(20);
+    SimulatedRouters routers(options);
+    routers.run(seconds(30));
+    std::size_t dead = 1;
+    while (routers.nodes[0].state.links.count(routers.nameOf(dead)) > 0) {
+        ++dead;
+    }
+    routers.cut([](std::size_t a, std::size_t b) {
+        return a == 0 && b != 0;
+    });
+    const Incarnation ended = routers.nameOf(dead);
+    routers.kill(dead);
+    routers.run(seconds(60));
+    REQUIRE(routers.nodes[dead == 1 ? 2 : 1].state.members.count(ended) == 0);
+    REQUIRE(routers.nodes[0].state.members.at(ended).update.status == MemberStatus::Alive);
+    routers.cut(nullptr);
+    routers.run(seconds(60));
+    for (std::size_t node = 0; node < routers.nodes.size(); ++node) {
+        const auto known = routers.nodes[node].state.members.find(ended);
+        const bool alive =
+            known != routers.nodes[node].state.members.end() && known->second.update.status == MemberStatus::Alive;
+        CHECK_FALSE((routers.nodes[node].up && alive));
+    }
+}
+
+TEST_CASE("a death is told in time while much other news waits")
+{
+    // Sixty routers start at once and heartbeats have room for two items: arrivals alone take minutes. A death
+    // must not queue behind them.
+    RoutersOptions options = fleetOf(60, 12);
+    options.membership.maxUpdates = 2;
+    SimulatedRouters routers(options);
+    routers.run(seconds(6));
+    const Incarnation dead = routers.nameOf(59);
+    routers.kill(59);
+    routers.run(seconds(16));
+    CHECK(tellGone(routers, dead) == 59);
+}
+
+TEST_CASE("a link that its peer said it closes is not taken for a failure")
+{
+    MembershipOptions options;
+    options.self = Incarnation("a.1");
+    options.host = HostId("a");
+    const TimePoint now{seconds(100)};
+    const auto actionsAfterDown = [&](bool closing) {
+        MembershipState state = makeMembership(options, now);
+        const Incarnation peer("b.1");
+        onPeerLinkUp(state, peer, false, now);
+        HeartbeatBody body;
+        body.sender = {peer, HostId("b"), DataCentreId("x"), "127.0.0.1:1", MemberStatus::Alive, 1, false};
+        body.closing = closing;
+        onHeartbeat(state, peer, body, now);
+        return onPeerLinkDown(state, peer, now).size();
+    };
+    CHECK(actionsAfterDown(true) == 0);
+    CHECK(actionsAfterDown(false) == 1);
+}
+
 TEST_CASE("draining reaches everyone within seconds")
 {
     SimulatedRouters routers(fleetOf(40, 8));
--- a/godwit/membership/simulated_routers.cpp
+++ b/godwit/membership/simulated_routers.cpp
@@ -15,9 +15,9 @@
 } // namespace
 
 SimulatedRouters::SimulatedRouters(RoutersOptions routersOptions)
-    : options(std::move(routersOptions)),
-      nodes(options.nodes),
-      m_random(options.seed)
+    : options(std::move(routersOptions))
+    , nodes(options.nodes)
+    , m_random(options.seed)
 {
     for (std::size_t node = 0; node < nodes.size(); ++node) {
         start(node);
--- a/godwit/orders/orders.cpp
+++ b/godwit/orders/orders.cpp
@@ -285,6 +285,7 @@
     entry.openKind = order.kind;
     entry.openUntil = now + order.timeLimit;
     ++entry.orderNumber;
+    ++entry.readNumber;
     ++agent.counters.sent;
     actions.emplace_back(SendOrder{std::move(order)});
 }
@@ -329,7 +330,7 @@
     if (readDue && now >= entry.nextRead) {
         const bool known = entry.report && !entry.report->loading;
         entry.nextRead = now + (known ? agent.options.readBackEvery : agent.options.retryEvery);
-        actions.emplace_back(ReadEngine{entry.spec.id});
+        actions.emplace_back(ReadEngine{entry.spec.id, ++entry.readNumber});
     }
     if (entry.report) {
         tryOrder(agent, entry, now, wall, actions);
@@ -446,11 +447,11 @@
     return actions;
 }
 
-void onEngineReport(OrdersAgent &agent, const EndpointId &engine, EngineState report, TimePoint now)
+void onEngineReport(
+    OrdersAgent &agent, const EndpointId &engine, std::uint64_t number, EngineState report, TimePoint now)
 {
     const auto found = agent.engines.find(engine);
-    // An answer that was read while an order is under way may show the state before it.
-    if (found == agent.engines.end() || !found->second.openOrder.empty()) {
+    if (found == agent.engines.end() || found->second.readNumber != number) {
         return;
     }
     EngineEntry &entry = found->second;
--- a/godwit/orders/orders.h
+++ b/godwit/orders/orders.h
@@ -113,10 +113,11 @@
     EngineOrder order;
 };
 
-// Ask the engine what it serves; answer with onEngineReport().
+// Ask the engine what it serves; answer with onEngineReport() and the same number.
 struct ReadEngine
 {
     EndpointId engine;
+    std::uint64_t number = 0;
 };
 
 struct GroupHeld
@@ -166,6 +167,7 @@
     TimePoint openUntil{};
     TimePoint nextOrder{};
     TimePoint nextRead{};
+    std::uint64_t readNumber = 0; // Of the newest read; raised by each order, which makes earlier reads worthless.
     std::uint64_t orderNumber = 0; // Makes ids and reservations unique.
 };
 
@@ -204,9 +206,10 @@
 OrdersActions onKvReply(OrdersAgent &agent, const KvReply &reply, TimePoint now, WallTime wall);
 OrdersActions onOrderOutcome(
     OrdersAgent &agent, const EndpointId &engine, const std::string &orderId, OrderOutcome outcome, TimePoint now);
-// Reports that were read before the last order's end are older than what they should tell: pass only answers to
-// ReadEngine.
-void onEngineReport(OrdersAgent &agent, const EndpointId &engine, EngineState report, TimePoint now);
+// The answer to the ReadEngine with this number. One that was asked for before the last order is passed over: it
+// shows the engine as it was, and the same load would be ordered again.
+void onEngineReport(
+    OrdersAgent &agent, const EndpointId &engine, std::uint64_t number, EngineState report, TimePoint now);
 OrdersActions onTick(OrdersAgent &agent, TimePoint now, WallTime wall);
 TimePoint nextWake(const OrdersAgent &agent, TimePoint now);
 
--- a/godwit/orders/orders_bench.cpp
+++ b/godwit/orders/orders_bench.cpp
@@ -189,7 +189,7 @@
                 replies.push_back(platform.apply(*command, now));
             } else if (const auto *read = std::get_if<ReadEngine>(&action)) {
                 ++reads;
-                onEngineReport(agent, read->engine, target, now);
+                onEngineReport(agent, read->engine, read->number, target, now);
             }
         }
     };
--- a/godwit/orders/orders_test.cpp
+++ b/godwit/orders/orders_test.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <random>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace Godwit;
 using namespace Godwit::Simulation;
@@ -50,6 +51,9 @@
     TimePoint now{seconds(1000)};
     std::mt19937_64 random{1};
     double lostAnswers = 0.0;
+    std::set<std::uint64_t> numbers; // Fencing numbers that routers held the group with.
+    bool numberTwice = false;
+    int fenceWritesToDrop = 0; // Without effect and without answer.
     Duration holdUp{}; // Router 0's next order leaves so much later than it was decided.
 
     Fleet(std::size_t count, const OrdersOptions &faults)
@@ -126,9 +130,15 @@
     {
         for (const OrdersAction &action : actions) {
             if (const auto *command = std::get_if<KvCommand>(&action)) {
-                KvReply reply = platform.apply(*command, now);
-                if (std::uniform_real_distribution<double>(0, 1)(random) < lostAnswers) {
-                    reply = KvReply{command->tag, KvStatus::Unknown, 0, ""};
+                // Without an answer a command has taken effect, or it hasn't.
+                KvReply reply{command->tag, KvStatus::Unknown, 0, ""};
+                const double luck = std::uniform_real_distribution<double>(0, 1)(random);
+                const bool fenceWrite = command->verb == KvVerb::CompareAndSwap && command->key == "orders/fence/group";
+                if (fenceWrite && fenceWritesToDrop > 0) {
+                    --fenceWritesToDrop;
+                } else if (luck >= lostAnswers / 2) {
+                    const KvReply real = platform.apply(*command, now);
+                    reply = luck >= lostAnswers ? real : reply;
                 }
                 network.emplace(now + milliseconds(5), [this, router, reply] {
                     deliver(router, [this, router, reply] {
@@ -143,11 +153,13 @@
                 network.emplace(now + delay + held, [this, router, order = send->order, trueFencing] {
                     execute(router, order, trueFencing);
                 });
+            } else if (const auto *held = std::get_if<GroupHeld>(&action)) {
+                numberTwice = numberTwice || !numbers.insert(held->fencing).second;
             } else if (const auto *read = std::get_if<ReadEngine>(&action)) {
                 const EngineState state = engines.at(read->engine).state;
-                network.emplace(now + milliseconds(5), [this, router, id = read->engine, state] {
-                    deliver(router, [this, router, id, state] {
-                        onEngineReport(routers[router].agent, id, state, now);
+                network.emplace(now + milliseconds(5), [this, router, id = read->engine, number = read->number, state] {
+                    deliver(router, [this, router, id, number, state] {
+                        onEngineReport(routers[router].agent, id, number, state, now);
                     });
                 });
             }
@@ -326,6 +338,40 @@
     CHECK_FALSE(repaired(true));
 }
 
+TEST_CASE("a fencing number whose write got no answer is not used")
+{
+    // Router 0's write of its number is lost on the way, its answer too. Used all the same, the number would be
+    // taken again by the next holder, and engines could not tell the two apart.
+    Fleet fleet(2, {});
+    fleet.fenceWritesToDrop = 1;
+    startWithHolder(fleet);
+    fleet.pause(0);
+    fleet.tellLive({1});
+    fleet.run(seconds(60));
+    CHECK(fleet.servesModelOf(1));
+    CHECK_FALSE(fleet.numberTwice);
+    CHECK(fleet.numbers.size() == 2);
+}
+
+TEST_CASE("a report that was asked for before an order is passed over")
+{
+    // The answer was held up and comes after the order has ended. It shows the engine as it was; taken for the
+    // result, the same load would be ordered again.
+    Fleet fleet(1, {});
+    startWithHolder(fleet);
+    OrdersAgent &agent = fleet.routers[0].agent;
+    const std::uint64_t before = agent.engines.at(Ignoring).readNumber;
+    setTarget(agent, Ignoring, {"model-new", "v1", "decode", {}, false}, 0);
+    fleet.perform(0, onTick(agent, fleet.now, fleet.wall()));
+    const std::string order = agent.engines.at(Ignoring).openOrder;
+    REQUIRE_FALSE(order.empty());
+    onOrderOutcome(agent, Ignoring, order, OrderOutcome::Taken, fleet.now);
+    onEngineReport(agent, Ignoring, before, {"model-0", "v1", "decode", {}, false}, fleet.now);
+    CHECK_FALSE(agent.engines.at(Ignoring).report);
+    fleet.run(seconds(10));
+    CHECK(agent.engines.at(Ignoring).report->model == "model-new");
+}
+
 TEST_CASE("a stopping holder gives its groups back")
 {
     Fleet fleet(2, {});
@@ -367,7 +413,7 @@
             fleet.run(seconds(step == 9 ? 2 : 12));
         }
     }
-    return fleet.formerAfterLater();
+    return fleet.formerAfterLater() || fleet.numberTwice;
 }
 
 } // namespace
--- a/godwit/orders/placement_test.cpp
+++ b/godwit/orders/placement_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
 
 using namespace Godwit;
@@ -89,3 +90,27 @@
     });
     CHECK(left == 1);
 }
+
+TEST_CASE("a moved engine stays for a minimum")
+{
+    // Demand jumps to one model and back each two minutes, longer than any smoothing. An engine that has just
+    // loaded must not load again at once.
+    PlacementOptions options;
+    PlacementState state;
+    auto engines = enginesOf(10, 10);
+    std::map<EndpointId, int> movedAt;
+    int shortest = 100000;
+    for (int second = 0; second < 3600; ++second) {
+        const bool high = second / 120 % 2 == 0;
+        const std::vector<ModelDemand> demand = {{"a", high ? 1500.0 : 200.0}, {"b", high ? 200.0 : 1500.0}};
+        const auto moves = planMoves(state, options, demand, engines, TimePoint(seconds(1000 + second)));
+        for (const EngineMove &move : moves) {
+            const auto [last, fresh] = movedAt.emplace(move.engine, second);
+            shortest = fresh ? shortest : std::min(shortest, second - last->second);
+            last->second = second;
+        }
+        carryOut(engines, moves);
+    }
+    CHECK(shortest >= 180);
+    CHECK(shortest < 100000);
+}
--- a/godwit/orders/weight_rate_test.cpp
+++ b/godwit/orders/weight_rate_test.cpp
@@ -84,3 +84,32 @@
     CHECK(loadFor(0.2, false, false).loads > loadFor(0.2, false, true).loads);
     CHECK(loadFor(0.0, false, false).loads >= 58);
 }
+
+TEST_CASE("a reservation that was not used in time is void, and few are made ahead")
+{
+    // A holder that stood still comes back with reservations whose time is over. Used together they would exceed
+    // the rate, and a holder that dies must not have filled the store's time for long.
+    SimulatedPlatform platform;
+    WeightRateOptions options;
+    options.bytesPerSecond = Rate;
+    WeightRate holder = makeWeightRate(options);
+    TimePoint now{seconds(1000)};
+    const auto wallAt = [](TimePoint time) {
+        return WallTime(std::chrono::duration_cast<milliseconds>(time.time_since_epoch()));
+    };
+    for (int load = 0; load < 100; ++load) {
+        reserve(holder, "load-" + std::to_string(load), LoadBytes);
+    }
+    for (int step = 0; step < 10; ++step) {
+        for (const KvCommand &command : onTick(holder, now, wallAt(now))) {
+            onKvReply(holder, platform.apply(command, now), now);
+        }
+    }
+    CHECK(holder.granted.size() <= 32);
+    CHECK(holder.granted.size() >= 29);
+    const std::string first = holder.granted.begin()->first;
+    CHECK(mayLoad(holder, first, wallAt(now) + seconds(1)));
+    CHECK_FALSE(isVoid(holder, first, wallAt(now) + seconds(9)));
+    CHECK_FALSE(mayLoad(holder, first, wallAt(now) + seconds(11)));
+    CHECK(isVoid(holder, first, wallAt(now) + seconds(11)));
+}
