--- a/godwit/config/config_agent.cpp
+++ b/godwit/config/config_agent.cpp
@@ -2,6 +2,8 @@
 
 #include "godwit/base/hash.h"
 #include "godwit/config/config_codec.h"
+#include "godwit/config/config_exchange.h"
+#include "godwit/config/config_writes.h"
 
 #include <algorithm>
 
@@ -10,39 +12,22 @@
 namespace
 {
 
+using internal::askPeer;
+using internal::bringUp;
+using internal::deleteOldSnapshots;
+using internal::highestHeld;
+using internal::highestRevision;
+using internal::makeCommand;
 using internal::PeerMessage;
 using internal::PeerMessageKind;
+using internal::sendHeadWrite;
+using internal::sendNotice;
+using internal::sendToPeer;
+using internal::startCommit;
+using internal::takeTag;
 
-constexpr Duration AskTimeout = std::chrono::seconds(2);
-constexpr std::size_t MaxDeltaBytes = 64UL * 1024;
 constexpr Duration ComeBackAfter = std::chrono::seconds(1);
 
-std::uint64_t takeTag(ConfigAgent &agent)
-{
-    return ConfigTagBase + agent.nextTag++;
-}
-
-KvCommand makeCommand(std::uint64_t tag, KvVerb verb, std::string key)
-{
-    KvCommand command;
-    command.tag = tag;
-    command.verb = verb;
-    command.key = std::move(key);
-    return command;
-}
-
-// The highest revision this router holds, in force or waiting for the end of the start.
-const ConfigDocument *highestHeld(const ConfigAgent &agent)
-{
-    return agent.candidate ? agent.candidate.get() : agent.document.get();
-}
-
-std::uint64_t highestRevision(const ConfigAgent &agent)
-{
-    const ConfigDocument *held = highestHeld(agent);
-    return held == nullptr ? 0 : held->revision;
-}
-
 // A router whom no other router reaches must ask the platform itself, or changes would pass it by.
 bool polls(const ConfigAgent &agent)
 {
@@ -74,75 +59,6 @@
     agent.retryAt = now + wait / 2 + wait * spread / 1024;
 }
 
-void sendToPeer(ConfigAgent &agent, const Incarnation &to, const PeerMessage &message, ConfigActions &actions)
-{
-    std::string bytes = internal::encodePeerMessage(message);
-    agent.counters.bytesToPeers += bytes.size();
-    actions.emplace_back(SendDocument{to, std::move(bytes)});
-}
-
-void sendNotice(ConfigAgent &agent, const Incarnation &to, ConfigActions &actions)
-{
-    PeerMessage message;
-    message.kind = PeerMessageKind::Notice;
-    message.revision = highestRevision(agent);
-    sendToPeer(agent, to, message, actions);
-}
-
-void askPeer(ConfigAgent &agent, const Incarnation &to, std::uint64_t wanted, TimePoint now, ConfigActions &actions)
-{
-    // Many peers tell the same news within moments; one of them is asked, the next after a time without answer.
-    if (wanted <= agent.askedRevision && now < agent.askedUntil) {
-        return;
-    }
-    agent.askedRevision = wanted;
-    agent.askedUntil = now + AskTimeout;
-    PeerMessage message;
-    message.kind = PeerMessageKind::Ask;
-    message.revision = highestRevision(agent);
-    sendToPeer(agent, to, message, actions);
-}
-
-// The patches after `revision`, when all of them are still kept and they are short.
-std::optional<PeerMessage> patchesAfter(const ConfigDocument &document, std::uint64_t revision)
-{
-    if (document.recent.empty() || document.recent.front().revision > revision + 1) {
-        return std::nullopt;
-    }
-    PeerMessage message;
-    message.kind = PeerMessageKind::Patches;
-    message.revision = revision;
-    message.digest = documentDigest(document);
-    std::size_t bytes = 0;
-    for (const AppliedPatch &applied : document.recent) {
-        if (applied.revision > revision) {
-            bytes += applied.patch.value ? applied.patch.value->size() : 0;
-            message.patches.push_back(applied);
-        }
-    }
-    // Long values go only to peers that ask, not to every peer on suspicion.
-    if (bytes > MaxDeltaBytes) {
-        return std::nullopt;
-    }
-    return message;
-}
-
-// Sends the peer what it lacks: patches when they are kept, else word that there is more.
-void bringUp(ConfigAgent &agent, const Incarnation &peer, std::uint64_t &known, ConfigActions &actions)
-{
-    const std::uint64_t own = configRevision(agent);
-    if (known >= own) {
-        return;
-    }
-    if (const auto message = patchesAfter(*agent.document, known)) {
-        sendToPeer(agent, peer, *message, actions);
-        // Taken as received; heartbeats tell when it wasn't.
-        known = own;
-    } else {
-        sendNotice(agent, peer, actions);
-    }
-}
-
 void adopt(ConfigAgent &agent, std::shared_ptr<const ConfigDocument> document, ConfigActions &actions)
 {
     // A late watch, an old head or a fellow that was cut off offers an older revision. Taking it would bring back
@@ -328,71 +244,6 @@
     });
 }
 
-void sendHeadWrite(ConfigAgent &agent, ConfigActions &actions)
-{
-    ConfigCommit &commit = *agent.commit;
-    commit.headTag = takeTag(agent);
-    KvCommand command = makeCommand(commit.headTag, KvVerb::CompareAndSwap, std::string(ConfigHeadKey));
-    command.expectedVersion = commit.expectedVersion;
-    command.value = commit.headText;
-    ++agent.counters.headWrites;
-    actions.emplace_back(std::move(command));
-}
-
-// Puts the whole document into immutable keys. The head that names them is written only after all of them stand.
-void sendSnapshot(ConfigAgent &agent, ConfigActions &actions)
-{
-    ConfigCommit &commit = *agent.commit;
-    const std::string text = encodeDocument(*commit.document);
-    const std::size_t size = agent.options.snapshotChunkBytes;
-    commit.head.snapshotRevision = commit.document->revision;
-    commit.head.snapshotDigest = documentDigest(*commit.document);
-    commit.head.snapshotChunks = (text.size() + size - 1) / size;
-    commit.head.patches.clear();
-    commit.headText = internal::encodeHead(commit.head);
-    ++agent.counters.snapshotWrites;
-    for (std::size_t chunk = 0; chunk < commit.head.snapshotChunks; ++chunk) {
-        const std::uint64_t tag = takeTag(agent);
-        commit.chunkTags.insert(tag);
-        KvCommand command =
-            makeCommand(tag,
-                        KvVerb::CompareAndSwap,
-                        internal::snapshotKey(commit.head.snapshotRevision, commit.head.snapshotDigest, chunk));
-        command.value = text.substr(chunk * size, size);
-        actions.emplace_back(std::move(command));
-    }
-}
-
-void startCommit(ConfigAgent &agent,
-                 std::shared_ptr<const ConfigDocument> document,
-                 std::vector<ChangeId> changes,
-                 ConfigActions &actions)
-{
-    ConfigCommit commit;
-    commit.changes = std::move(changes);
-    commit.expectedVersion = agent.headVersion;
-    commit.head = agent.head;
-    commit.head.revision = document->revision;
-    commit.head.digest = documentDigest(*document);
-    const std::uint64_t before = agent.head.revision;
-    for (const AppliedPatch &applied : document->recent) {
-        if (applied.revision > before) {
-            commit.head.patches.push_back(applied);
-        }
-    }
-    commit.headText = internal::encodeHead(commit.head);
-    commit.document = std::move(document);
-    const bool gap = commit.document->recent.empty() || commit.document->recent.front().revision > before + 1;
-    const bool fold = gap || commit.head.patches.size() > agent.options.maxPatchesInHead
-        || commit.headText.size() > agent.options.maxHeadBytes;
-    agent.commit = std::move(commit);
-    if (fold) {
-        sendSnapshot(agent, actions);
-    } else {
-        sendHeadWrite(agent, actions);
-    }
-}
-
 // What became of one waiting change when it was tried on the newest document.
 enum class Trial {
     Joined, // Part of the next write.
@@ -535,27 +386,6 @@
     }
 }
 
-// Snapshots older than the one that the head names can't be named by any later head: a write that still names
-// one expects a version of the head that is gone. The delay lets slow readers finish.
-void onListed(ConfigAgent &agent, const KvReply &reply, ConfigActions &actions)
-{
-    agent.listTag = 0;
-    if (reply.status != KvStatus::Ok || !agent.headKnown) {
-        return;
-    }
-    for (const internal::ListedKey &listed : internal::decodeList(reply.value)) {
-        const auto revision = internal::snapshotRevisionOf(listed.key);
-        if (!revision || *revision >= agent.head.snapshotRevision) {
-            continue;
-        }
-        const std::uint64_t tag = takeTag(agent);
-        agent.deleteTags.insert(tag);
-        KvCommand command = makeCommand(tag, KvVerb::Delete, listed.key);
-        command.expectedVersion = listed.version;
-        actions.emplace_back(std::move(command));
-    }
-}
-
 // A document from a fellow. Before the first word of the platform the first one heard may be an old one: a router
 // that served a higher revision before its restart would go back. The highest of a short while is taken.
 void takeFromPeer(ConfigAgent &agent,
@@ -612,22 +442,6 @@
     takeFromPeer(agent, std::make_shared<const ConfigDocument>(std::move(*document)), now, actions);
 }
 
-void onPeerAsk(ConfigAgent &agent, const Incarnation &from, std::uint64_t revision, ConfigActions &actions)
-{
-    if (configRevision(agent) <= revision) {
-        return;
-    }
-    auto message = patchesAfter(*agent.document, revision);
-    if (!message || revision == 0) {
-        message.emplace();
-        message->kind = PeerMessageKind::Full;
-        message->revision = agent.document->revision;
-        message->document = encodeDocument(*agent.document);
-    }
-    sendToPeer(agent, from, *message, actions);
-    agent.peers[from] = configRevision(agent);
-}
-
 bool isWatcher(const ConfigAgent &agent, const std::vector<ConfigPeer> &live)
 {
     const std::uint64_t own = rendezvousWeight(ConfigHeadKey, agent.options.self.value);
@@ -697,7 +511,7 @@
     } else if (agent.commit && agent.commit->chunkTags.count(reply.tag) > 0) {
         onChunkWritten(agent, reply, now, actions);
     } else if (agent.listTag == reply.tag && agent.listTag != 0) {
-        onListed(agent, reply, actions);
+        deleteOldSnapshots(agent, reply, actions);
     } else {
         agent.deleteTags.erase(reply.tag);
     }
@@ -769,7 +583,7 @@
     case PeerMessageKind::Notice:
         return onPeerRevision(agent, from, message->revision, now);
     case PeerMessageKind::Ask:
-        onPeerAsk(agent, from, message->revision, actions);
+        internal::answerAsk(agent, from, message->revision, actions);
         break;
     case PeerMessageKind::Patches:
         onPeerPatches(agent, from, *message, now, actions);
