routing: one process behind several routes dies once

An endpoint that serves several routes is listed once for each, under ids of its own. Its death then looked like that of two endpoints, the second without the poisonous request, which clears it when the host is known; load reports and leaving notices under the process's id reached none. EndpointSpec::process names the process: deaths are its own, and its reports and notices reach all its endpoints. The new test fails without the field.

--- a/godwit/routing/crash_flow.cpp
+++ b/godwit/routing/crash_flow.cpp
@@ -20,7 +20,7 @@
 
 EndpointDeath deathOf(const RoutedEndpoint &endpoint, TimePoint at)
 {
-    return {endpoint.spec.id, endpoint.spec.host, endpoint.spec.dataCentre, at, {}};
+    return {processOf(endpoint.spec), endpoint.spec.host, endpoint.spec.dataCentre, at, {}};
 }
 
 SuspectNotice noticeOf(const Step &step, const EndpointDeath &death, std::uint64_t fingerprint, SuspectStatus status)
@@ -311,7 +311,7 @@
         closeBreaker(endpoint);
     }
     if (survivors || isWidespreadFailure(state.suspects, endpoint.diedAt)) {
-        const auto cleared = clearDeath(state.suspects, endpoint.spec.id, endpoint.diedAt);
+        const auto cleared = clearDeath(state.suspects, processOf(endpoint.spec), endpoint.diedAt);
         clearFingerprints(step, endpoint, endpoint.diedAt, cleared);
         if (!survivors) {
             noteUnrelatedDeath(state.suspects, deathOf(endpoint, endpoint.diedAt));
--- a/godwit/routing/endpoint_choice.cpp
+++ b/godwit/routing/endpoint_choice.cpp
@@ -177,7 +177,7 @@
         const auto &endpoint = state.endpoints[index];
         const bool open = availabilityOf(state, endpoint, now) != Availability::Closed;
         const auto &spec = endpoint.spec;
-        if (open && !hadPartInDeathOf(state.suspects, call.pending.fingerprint, spec.id, spec.host)) {
+        if (open && !hadPartInDeathOf(state.suspects, call.pending.fingerprint, processOf(spec), spec.host)) {
             candidates.push_back(index);
         }
     }
--- a/godwit/routing/endpoint_load.cpp
+++ b/godwit/routing/endpoint_load.cpp
@@ -128,6 +128,11 @@
     return Availability::Ready;
 }
 
+const EndpointId &processOf(const EndpointSpec &spec)
+{
+    return spec.process.value.empty() ? spec.id : spec.process;
+}
+
 TimePoint restsUntil(const RoutedEndpoint &endpoint)
 {
     return endpoint.breakerOpen ? std::max(endpoint.pausedUntil, endpoint.breakerUntil) : endpoint.pausedUntil;
--- a/godwit/routing/endpoint_load.h
+++ b/godwit/routing/endpoint_load.h
@@ -19,6 +19,9 @@
 
 Availability availabilityOf(const RoutingState &state, const RoutedEndpoint &endpoint, TimePoint now);
 
+// The id of the process behind the endpoint.
+const EndpointId &processOf(const EndpointSpec &spec);
+
 // When a resting endpoint is to be tried again.
 TimePoint restsUntil(const RoutedEndpoint &endpoint);
 
--- a/godwit/routing/routing.cpp
+++ b/godwit/routing/routing.cpp
@@ -37,6 +37,34 @@
     return found == state.endpointIndex.end() ? nullptr : &state.endpoints[found->second];
 }
 
+// Calls `act` with the endpoint called `id`, or with each endpoint of the process called so.
+template<typename Act>
+void forEndpoints(RoutingState &state, const EndpointId &id, Act act)
+{
+    if (auto *endpoint = findEndpoint(state, id)) {
+        act(*endpoint);
+        return;
+    }
+    const auto process = state.endpointsOfProcess.find(id);
+    if (process == state.endpointsOfProcess.end()) {
+        return;
+    }
+    for (const auto index : process->second) {
+        act(state.endpoints[index]);
+    }
+}
+
+void indexProcesses(RoutingState &state)
+{
+    state.endpointsOfProcess.clear();
+    for (std::uint32_t index = 0; index < state.endpoints.size(); ++index) {
+        const auto &endpoint = state.endpoints[index];
+        if (endpoint.inUse && !endpoint.spec.process.value.empty()) {
+            state.endpointsOfProcess[endpoint.spec.process].push_back(index);
+        }
+    }
+}
+
 std::uint32_t routeFor(RoutingState &state, const RouteId &id)
 {
     const auto found = state.routeIndex.find(id);
@@ -190,6 +218,34 @@
     return lost;
 }
 
+void noteCacheEvents(RoutingState &state, RoutedEndpoint &endpoint, const CacheEventBatch &batch)
+{
+    auto &index = state.routes[endpoint.route].prefixes;
+    if (!endpoint.cacheKnown || endpoint.cacheEpoch != batch.epoch) {
+        if (endpoint.cacheKnown) {
+            forgetEndpoint(index, endpoint.slot);
+        }
+        endpoint.cacheKnown = true;
+        endpoint.cacheEpoch = batch.epoch;
+        endpoint.cacheNext = batch.firstSequence;
+        endpoint.cacheTrust = 1;
+    }
+    std::size_t skip = 0;
+    const auto lost = joinEvents(endpoint, batch, skip);
+    if (!lost) {
+        return;
+    }
+    // Lost removals leave entries that promise a cached prompt where there is none: what is known counts for less until
+    // newer events have replaced it.
+    const double belief = GapThatHalvesTrust / (GapThatHalvesTrust + static_cast<double>(*lost));
+    endpoint.cacheTrust = std::max(LeastCacheTrust, endpoint.cacheTrust * belief);
+    for (std::size_t i = skip; i < batch.events.size(); ++i) {
+        applyCacheEvent(index, endpoint.slot, batch.events[i]);
+    }
+    const auto applied = static_cast<double>(batch.events.size() - skip);
+    endpoint.cacheTrust = std::min(1.0, endpoint.cacheTrust + applied / EventsThatRestoreTrust);
+}
+
 } // namespace
 
 RoutingState makeRoutingState(RoutingOptions options)
@@ -220,6 +276,7 @@
         }
     }
     freeGoneEndpoints(state);
+    indexProcesses(state);
     countSlots(state, now);
     pumpAllRoutes(step);
 }
@@ -321,48 +378,21 @@
 
 void onLoadReport(RoutingState &state, const EndpointId &id, const LoadReport &report, TimePoint now, Actions &out)
 {
-    auto *endpoint = findEndpoint(state, id);
-    if (!endpoint) {
-        return;
-    }
-    noteReport(state, *endpoint, report, now);
-    const auto route = endpoint->route;
-    if (state.routes[route].queue.size > 0 || !state.routes[route].retries.empty()) {
-        Step step{state, now, out};
-        pumpRoute(step, route);
-    }
+    Step step{state, now, out};
+    forEndpoints(state, id, [&](RoutedEndpoint &endpoint) {
+        noteReport(state, endpoint, report, now);
+        const auto &route = state.routes[endpoint.route];
+        if (route.queue.size > 0 || !route.retries.empty()) {
+            pumpRoute(step, endpoint.route);
+        }
+    });
 }
 
 void onCacheEvents(RoutingState &state, const EndpointId &id, const CacheEventBatch &batch, TimePoint, Actions &)
 {
-    auto *endpoint = findEndpoint(state, id);
-    if (!endpoint) {
-        return;
-    }
-    auto &index = state.routes[endpoint->route].prefixes;
-    if (!endpoint->cacheKnown || endpoint->cacheEpoch != batch.epoch) {
-        if (endpoint->cacheKnown) {
-            forgetEndpoint(index, endpoint->slot);
-        }
-        endpoint->cacheKnown = true;
-        endpoint->cacheEpoch = batch.epoch;
-        endpoint->cacheNext = batch.firstSequence;
-        endpoint->cacheTrust = 1;
-    }
-    std::size_t skip = 0;
-    const auto lost = joinEvents(*endpoint, batch, skip);
-    if (!lost) {
-        return;
-    }
-    // Lost removals leave entries that promise a cached prompt where there is none: what is known counts for less until
-    // newer events have replaced it.
-    const double belief = GapThatHalvesTrust / (GapThatHalvesTrust + static_cast<double>(*lost));
-    endpoint->cacheTrust = std::max(LeastCacheTrust, endpoint->cacheTrust * belief);
-    for (std::size_t i = skip; i < batch.events.size(); ++i) {
-        applyCacheEvent(index, endpoint->slot, batch.events[i]);
-    }
-    const auto applied = static_cast<double>(batch.events.size() - skip);
-    endpoint->cacheTrust = std::min(1.0, endpoint->cacheTrust + applied / EventsThatRestoreTrust);
+    forEndpoints(state, id, [&](RoutedEndpoint &endpoint) {
+        noteCacheEvents(state, endpoint, batch);
+    });
 }
 
 void onSuspectNotice(RoutingState &state, const SuspectNotice &notice, TimePoint now, Actions &)
@@ -399,10 +429,10 @@
 
 void endpointLeaving(RoutingState &state, const EndpointId &id, TimePoint now)
 {
-    if (auto *endpoint = findEndpoint(state, id)) {
-        endpoint->leavingTold = true;
-        endpoint->leavingToldAt = now;
-    }
+    forEndpoints(state, id, [&](RoutedEndpoint &endpoint) {
+        endpoint.leavingTold = true;
+        endpoint.leavingToldAt = now;
+    });
 }
 
 void onTick(RoutingState &state, TimePoint now, Actions &out)
--- a/godwit/routing/routing_bench.cpp
+++ b/godwit/routing/routing_bench.cpp
@@ -256,8 +256,8 @@
 {
 public:
     AddressSim(AddressPolicy policy, std::set<std::size_t> dying)
-        : m_policy(policy),
-          m_dying(std::move(dying))
+        : m_policy(policy)
+        , m_dying(std::move(dying))
     {
         for (std::size_t i = 0; i < Hosts; ++i) {
             RouterAddress router;
--- a/godwit/routing/routing_state.h
+++ b/godwit/routing/routing_state.h
@@ -112,6 +112,9 @@
     bool leaving = false;
     // Empty when unknown. Endpoints of one host may die together.
     HostId host;
+    // What the process behind it is called, when several routes list it under ids of their own; empty: as `id`. Load
+    // reports, cache events and leaving notices may name either; deaths are those of the process.
+    EndpointId process;
 };
 
 struct PendingCall
@@ -292,6 +295,8 @@
     std::uint64_t random = 0;
     std::vector<internal::RoutedEndpoint> endpoints;
     std::unordered_map<EndpointId, std::uint32_t> endpointIndex;
+    // Endpoints in use whose process has an id of its own.
+    std::unordered_map<EndpointId, std::vector<std::uint32_t>> endpointsOfProcess;
     std::vector<internal::RoutedRoute> routes;
     std::unordered_map<RouteId, std::uint32_t> routeIndex;
     std::unordered_map<CallId, internal::RoutedCall> calls;
--- a/godwit/routing/routing_test.cpp
+++ b/godwit/routing/routing_test.cpp
@@ -362,6 +362,42 @@
     checkError(bench.errorOf(bench.add(bench.make())), ErrorKind::NoEndpoint, Execution::NotRun);
 }
 
+TEST_CASE("a process that several routes list is one: its notices reach all of them and it dies once")
+{
+    Bench bench;
+    std::vector<EndpointSpec> specs;
+    for (const char *name : {"a", "b", "c"}) {
+        for (const char *route : {"matching", "booking"}) {
+            auto spec = endpoint(std::string(name) + "/" + route, 100);
+            spec.route = RouteId(route);
+            spec.host = HostId();
+            spec.process = EndpointId(name);
+            specs.push_back(spec);
+        }
+    }
+    bench.list(specs);
+    endpointLeaving(bench.state, EndpointId("c"), bench.now);
+    LoadReport report;
+    report.running = 90;
+    onLoadReport(bench.state, EndpointId("b"), report, bench.now, bench.actions);
+    auto poison = bench.make();
+    const auto other = bench.make("other");
+    auto booking = other;
+    booking.route = RouteId("booking");
+    const auto first = bench.add(poison);
+    CHECK(bench.endpointOf(first) == "a/matching");
+    bench.add(booking);
+    CHECK(bench.endpointOf(booking.call) == "a/booking");
+    bench.end(first, AttemptEnd::EndpointCrashed);
+    bench.end(booking.call, AttemptEnd::EndpointCrashed);
+    bench.pass(400ms);
+    CHECK(bench.state.suspects.deaths.size() == 1);
+    CHECK(bench.endpointOf(first) == "b/matching");
+    bench.end(first, AttemptEnd::EndpointCrashed);
+    bench.pass(1s);
+    checkError(bench.errorOf(first), ErrorKind::SuspectRequest, Execution::Unknown);
+}
+
 TEST_CASE("an endpoint that is no longer listed keeps its calls and gets no new ones")
 {
     Bench bench;
--- a/godwit/routing/sim_engine.cpp
+++ b/godwit/routing/sim_engine.cpp
@@ -34,9 +34,9 @@
 }
 
 Engine::Engine(Clock &clock, EngineOptions options, Notify notify)
-    : m_clock(clock),
-      m_options(std::move(options)),
-      m_notify(std::move(notify))
+    : m_clock(clock)
+    , m_options(std::move(options))
+    , m_notify(std::move(notify))
 {
 }
 
--- a/godwit/routing/sim_fleet.cpp
+++ b/godwit/routing/sim_fleet.cpp
@@ -60,8 +60,8 @@
 Fleet::~Fleet() = default;
 
 Fleet::Fleet(const FleetOptions &options)
-    : m_options(options),
-      m_random(options.seed)
+    : m_options(options)
+    , m_random(options.seed)
 {
     m_result.customers.resize(options.customers);
     for (std::size_t i = 0; i < options.engines; ++i) {
