--- a/godwit/kernel/call_flow.cpp
+++ b/godwit/kernel/call_flow.cpp
@@ -555,8 +555,22 @@
     endCall(kernel, lost.call, std::move(finished), out);
 }
 
-void onAction(Kernel &, const PeerSend &message, const Moment &, std::vector<KernelAction> &out)
+// Links a router that is live but not linked: in a large fleet each router keeps few links, and a witness that is
+// never reached would hold every bill back.
+void linkOnDemand(Kernel &kernel, const Incarnation &peer, std::vector<KernelAction> &out)
 {
+    if (kernel.linked.count(peer) != 0) {
+        return;
+    }
+    const auto member = kernel.membership.members.find(peer);
+    if (member != kernel.membership.members.end() && member->second.update.status != MemberStatus::Gone) {
+        out.emplace_back(LinkPeer{member->second.update.host, member->second.update.address});
+    }
+}
+
+void onAction(Kernel &kernel, const PeerSend &message, const Moment &, std::vector<KernelAction> &out)
+{
+    linkOnDemand(kernel, message.to, out);
     out.emplace_back(SendToPeer{message.to, "budget", message.cbor});
 }
 
