--- a/godwit/routing/routing.h
+++ b/godwit/routing/routing.h
@@ -38,8 +38,8 @@
     int attempt = 1;
 };
 
-// The call's final answer: Overloaded, DeadlineTooShort, NoEndpoint, EndpointFailed, OutcomeUnknown, SuspectRequest or
-// UnknownRoute. `error.execution` covers all attempts of this call.
+// The call's final answer: Overloaded, DeadlineTooShort, NoEndpoint, EndpointFailed, OutcomeUnknown or SuspectRequest.
+// `error.execution` covers the attempts of this call; of other calls of the same request it knows nothing.
 struct GiveUp
 {
     CallId call;
