Configuration: patches between two texts of a file

Automation writes whole files; as one patch each conflicts with everything changed since it was read. patchesBetween() makes one patch for each object that differs, ordered so that each step is valid.

--- a/godwit/config/config_document_test.cpp
+++ b/godwit/config/config_document_test.cpp
@@ -1,5 +1,7 @@
 #include "godwit/config/config_document.h"
 
+#include "godwit/config/config_diff.h"
+
 #include <catch2/catch.hpp>
 #include <random>
 
@@ -292,6 +294,32 @@
           == ErrorKind::InvalidConfiguration);
 }
 
+TEST_CASE("automation that rewrites a whole file touches only what it changed")
+{
+    // Automation read revision 1 and writes the whole file back later, with a new route, a moved endpoint and
+    // without the old route. Meanwhile an operator changed a share: it stays, and nothing conflicts.
+    ConfigDocument document = applied(baseDocument(), patchOf("customers.dolna.share", "4.0", 1, "operator"));
+    std::string text = BaseText;
+    const auto replace = [&](const std::string &from, const std::string &to) {
+        text.replace(text.find(from), from.size(), to);
+    };
+    replace("[routes.shortlist]", "[routes.longlist]");
+    replace("routes = [\"shortlist\"]", "routes = [\"longlist\"]");
+    LastReason reason;
+    const auto patches = patchesBetween(BaseText, text, {"", 1, "nightly", "automation"}, reason);
+    REQUIRE(patches);
+    REQUIRE(patches->size() == 3);
+    for (const ConfigPatch &patch : *patches) {
+        document = applied(document, patch);
+    }
+    CHECK(valueAt(document, "", "customers.dolna.share") == "4.0");
+    const auto site = resolveSite(document, SaltLake, reason);
+    CHECK(endpointsOf(*site, RouteId("longlist")).size() == 1);
+    CHECK(site->routes.count(RouteId("shortlist")) == 0);
+    CHECK(patchesBetween(text, text, {}, reason)->empty());
+    CHECK_FALSE(patchesBetween(text, "[", {}, reason));
+}
+
 TEST_CASE("damaged texts are refused or taken, never more")
 {
     // Any byte may come from an operator's tool: no text may end the process.
