--- a/scenarios/oracle.cpp
+++ b/scenarios/oracle.cpp
@@ -10,7 +10,7 @@
 {
     std::map<std::string, BudgetFigures> all;
     const auto record = nlohmann::json::from_cbor(bytes, true, false);
-    if (!record.is_object() || !record.contains("b")) {
+    if (!record.is_object() || !record.contains("b") || !record["b"].is_object()) {
         return all;
     }
     for (const auto &[name, fields] : record["b"].items()) {
