--- a/standins/loadtool/answer_check.cpp
+++ b/standins/loadtool/answer_check.cpp
@@ -160,6 +160,7 @@
     }
     Refusal refusal;
     refusal.type = text(*error, "type");
+    refusal.message = text(*error, "message");
     const Json *notRun = member(*error, "not_run");
     refusal.notRun = notRun != nullptr && notRun->is_boolean() && notRun->get<bool>();
     refusal.retryAfterMs = number(*error, "retry_after_ms");
--- a/standins/loadtool/answer_check.h
+++ b/standins/loadtool/answer_check.h
@@ -48,6 +48,7 @@
 struct Refusal
 {
     std::string type;
+    std::string message;
     bool notRun = false;
     std::optional<std::int64_t> retryAfterMs;
 };
--- a/standins/loadtool/load_spec.h
+++ b/standins/loadtool/load_spec.h
@@ -51,6 +51,7 @@
     std::string model = "matching";
     std::string service = "bookings";
     std::string servicePath = "/call/slot";
+    bool lookups = false; // The calls of the service are lookups, which may be repeated, instead of bookings.
     std::int64_t maxTokens = 32;
     std::size_t promptBytes = 400;
     std::size_t prefixes = 20; // Different prompt beginnings: half of the prompt is shared by the calls of one prefix.
--- a/standins/loadtool/load_worker.cpp
+++ b/standins/loadtool/load_worker.cpp
@@ -118,7 +118,7 @@
     if (m_spec.direct) {
         request.set("Godwit-Request-Id", call.record.id);
     }
-    if (booking) {
+    if (booking && !m_spec.lookups) {
         request.set("Godwit-Repeatable", "false");
     }
     if (m_spec.priority != 0) {
@@ -171,6 +171,7 @@
             break;
         }
         ++m_tally.reasons[end.reason];
+        m_tally.examples.try_emplace(end.reason, end.message);
         if (!end.mayRepeat || record.attempts >= m_spec.attempts || end.wait > m_spec.longestRetryWait) {
             break;
         }
@@ -213,16 +214,17 @@
 LoadWorker::AttemptEnd LoadWorker::judge(Call &call, const Exchange &exchange, const ChatAnswer &answer) const
 {
     if (!exchange.connected) {
-        return {CallOutcome::Unknown, "connect_failed", true, true, RepeatPause};
+        return {CallOutcome::Unknown, "connect_failed", {}, true, true, RepeatPause};
     }
     if (exchange.status == 0 || (!exchange.complete && !exchange.streamed)) {
-        return {CallOutcome::Unknown, "connection_broken", false, true, RepeatPause};
+        return {CallOutcome::Unknown, "connection_broken", {}, false, true, RepeatPause};
     }
     const std::string errorBody = exchange.streamed ? answer.errorBody : exchange.body;
     if (exchange.status != 200 || !answer.errorBody.empty()) {
         const auto refusal = readRefusal(errorBody);
         AttemptEnd end;
         end.reason = refusal && !refusal->type.empty() ? refusal->type : "status_" + std::to_string(exchange.status);
+        end.message = refusal ? refusal->message : std::string();
         end.notRun = exchange.notRunHeader || (refusal && refusal->notRun);
         end.outcome = end.notRun ? CallOutcome::NotRun : CallOutcome::Unknown;
         const std::int64_t retryMs =
@@ -237,11 +239,11 @@
     switch (verdict) {
     case AnswerVerdict::Whole:
         call.record.tokens = answer.promptTokens.value_or(0) + answer.completionTokens.value_or(0);
-        return {CallOutcome::Whole, {}, false, false, {}};
+        return {CallOutcome::Whole, {}, {}, false, false, {}};
     case AnswerVerdict::Incomplete:
-        return {CallOutcome::Incomplete, "incomplete", false, true, RepeatPause};
+        return {CallOutcome::Incomplete, "incomplete", {}, false, true, RepeatPause};
     case AnswerVerdict::Foreign:
-        return {CallOutcome::Foreign, "foreign", false, false, {}};
+        return {CallOutcome::Foreign, "foreign", {}, false, false, {}};
     }
     return {};
 }
--- a/standins/loadtool/load_worker.h
+++ b/standins/loadtool/load_worker.h
@@ -53,6 +53,7 @@
     {
         CallOutcome outcome = CallOutcome::Unknown;
         std::string reason;
+        std::string message;
         bool notRun = false;
         bool mayRepeat = false;
         Duration wait{};
--- a/standins/loadtool/main.cpp
+++ b/standins/loadtool/main.cpp
@@ -61,6 +61,7 @@
     add("model", "Model of the chat calls.", cxxopts::value<std::string>());
     add("service", "Route of the bookings.", cxxopts::value<std::string>());
     add("service-path", "Path of the bookings at the service.", cxxopts::value<std::string>());
+    add("lookups", "The service's calls are lookups, which may be repeated, instead of bookings.");
     add("max-tokens", "Output limit of the chat calls.", cxxopts::value<std::int64_t>());
     add("prompt-bytes", "Bytes of a prompt.", cxxopts::value<std::size_t>());
     add("prefixes", "Different prompt beginnings.", cxxopts::value<std::size_t>());
@@ -158,6 +159,7 @@
     take(spec.model, parsed, "model");
     take(spec.service, parsed, "service");
     take(spec.servicePath, parsed, "service-path");
+    spec.lookups = parsed.count("lookups") > 0;
     take(spec.maxTokens, parsed, "max-tokens");
     take(spec.promptBytes, parsed, "prompt-bytes");
     take(spec.prefixes, parsed, "prefixes");
@@ -239,7 +241,8 @@
         runPhase(spec, router);
     }
     const std::int64_t spent = spentByCallers(router.tally, sources.bookingCost);
-    const GroundTruth truth = fetchTruth(sources, budgetsBefore, spent);
+    GroundTruth truth = fetchTruth(sources, budgetsBefore, spent);
+    truth.lookups = spec.lookups;
     const auto checks = verify(router.tally, truth);
 
     nlohmann::json report = {{"load", phaseToJson(router, spec)}, {"checks", checksToJson(checks)}};
--- a/standins/loadtool/report.cpp
+++ b/standins/loadtool/report.cpp
@@ -139,6 +139,7 @@
         {"between_tokens", timesToJson(phase.tally.betweenTokens)},
         {"ended_without_answer", finalReasons(phase.tally)},
         {"refused_or_broken_attempts", phase.tally.reasons},
+        {"example_messages", phase.tally.examples},
         {"address_lookups", phase.tally.addressLookups},
         {"address_failures", phase.tally.addressFailures},
         {"customers", customersToJson(phase.tally, spec)},
@@ -173,6 +174,14 @@
     for (const auto &[reason, count] : finalReasons(phase.tally)) {
         printCount(out, "  " + reason, count);
     }
+    out << "  refused or broken attempts\n";
+    for (const auto &[reason, count] : phase.tally.reasons) {
+        printCount(out, "  " + reason, static_cast<std::int64_t>(count));
+        const auto example = phase.tally.examples.find(reason);
+        if (example != phase.tally.examples.end() && !example->second.empty()) {
+            out << "      such as: " << example->second << '\n';
+        }
+    }
     if (phase.tally.resent > 0) {
         printCount(out, "resent: an idle connection was closed", static_cast<std::int64_t>(phase.tally.resent));
     }
--- a/standins/loadtool/tally.cpp
+++ b/standins/loadtool/tally.cpp
@@ -86,6 +86,7 @@
     for (const auto &[reason, count] : from.reasons) {
         into.reasons[reason] += count;
     }
+    into.examples.insert(from.examples.begin(), from.examples.end());
     into.started += from.started;
     into.attempts += from.attempts;
     into.resent += from.resent;
--- a/standins/loadtool/tally.h
+++ b/standins/loadtool/tally.h
@@ -76,6 +76,7 @@
     LatencyHistogram betweenTokens;
     std::array<std::array<std::uint64_t, CallOutcomeCount>, LoadKindCount> outcomes{};
     std::map<std::string, std::uint64_t> reasons; // Of all refused or broken attempts.
+    std::map<std::string, std::string> examples; // The first message with each reason.
     std::uint64_t started = 0; // Each of them has a record in the end.
     std::uint64_t attempts = 0;
     std::uint64_t resent = 0; // Requests that met a closed idle connection and went over another.
--- a/standins/loadtool/verify.cpp
+++ b/standins/loadtool/verify.cpp
@@ -59,6 +59,9 @@
     checks.push_back(countCalls("confirmed bookings that were not executed", tally, [&](const CallRecord &call) {
         return call.kind == LoadKind::Booking && call.outcome == CallOutcome::Whole && countOf(call) == 0;
     }));
+    if (truth.lookups) {
+        return;
+    }
     std::int64_t repeated = 0;
     std::string example;
     for (const auto &[id, count] : executions) {
--- a/standins/loadtool/verify.h
+++ b/standins/loadtool/verify.h
@@ -44,6 +44,7 @@
     std::optional<std::unordered_map<std::string, std::uint64_t>> services; // By request id.
     std::optional<std::vector<BudgetFigures>> budgets;
     std::int64_t bookingCost = 1; // What one booking is billed.
+    bool lookups = false; // The service's calls may be repeated.
     Duration settledAfter{}; // How long after the run the budgets were read.
 };
 
