Refusals before the claims were looked at speak of the request, not of the call alone

Cause: a booking ran at a router that died; its caller sent the id again to a router that refused at once (budget, queue, no endpoint) and was told 'not run'. Ruled out: looking up the claim before every refusal, since it would spend a read of the platform on each refused call and say nothing while the platform is away.

Now such a refusal is 'unknown' for a not-repeatable request, unless the caller vouches by Godwit-First-Send that the id is new or the router made the id itself.

Also: endpoints with several routes share one process in the routing, hosts of endpoints are told apart, claims get their part of the writes by the number of live routers, and a new configuration is read on top of the one in force.

--- a/godwit/caller/call_request.cpp
+++ b/godwit/caller/call_request.cpp
@@ -79,8 +79,8 @@
     }
     if (!request.deadlineMs.empty()) {
         const auto deadline = parseNumber<std::int64_t>(request.deadlineMs);
-        constexpr std::int64_t DayMs = 86'400'000;
-        if (!deadline || *deadline <= 0 || *deadline > DayMs) {
+        constexpr std::int64_t dayMs = 86'400'000;
+        if (!deadline || *deadline <= 0 || *deadline > dayMs) {
             reason = malformed("Godwit-Deadline-Ms must be a whole number of milliseconds from 1 to 86400000");
             return false;
         }
@@ -101,6 +101,11 @@
         }
         arrived.createdAt = WallTime(std::chrono::milliseconds(*created));
     }
+    if (!request.firstSend.empty() && request.firstSend != "true" && request.firstSend != "false") {
+        reason = malformed("Godwit-First-Send must be true or false");
+        return false;
+    }
+    arrived.firstSend = request.firstSend == "true";
     arrived.forwarded = request.forwarded == "1";
     return true;
 }
@@ -238,6 +243,7 @@
     if (parsed.arrived.idempotencyKey.empty()) {
         parsed.arrived.idempotencyKey = makeRequestId();
         parsed.arrived.idGenerated = true;
+        parsed.arrived.firstSend = true;
     }
     parsed.arrived.bodyDigest = stableHash(request.body) ^ stableHash(request.target);
     return callPathOf(request.target) == CallPath::ChatCompletions ? parseChat(request, std::move(parsed), reason)
--- a/godwit/caller/call_request.h
+++ b/godwit/caller/call_request.h
@@ -33,6 +33,7 @@
     std::string_view deadlineMs;
     std::string_view repeatable;
     std::string_view createdAt; // Milliseconds since the Unix epoch.
+    std::string_view firstSend;
     std::string_view forwarded;
     std::string_view contentType;
     std::string_view body;
--- a/godwit/caller/call_request_test.cpp
+++ b/godwit/caller/call_request_test.cpp
@@ -118,6 +118,11 @@
             r.createdAt = "now";
         },
         "Godwit-Created-At");
+    fails(
+        [](auto &r) {
+            r.firstSend = "maybe";
+        },
+        "Godwit-First-Send");
     fails(
         [](auto &r) {
             r.idempotencyKey = "a b";
--- a/godwit/caller/call_session.cpp
+++ b/godwit/caller/call_session.cpp
@@ -48,6 +48,7 @@
     call.deadlineMs = view(request["Godwit-Deadline-Ms"]);
     call.repeatable = view(request["Godwit-Repeatable"]);
     call.createdAt = view(request["Godwit-Created-At"]);
+    call.firstSend = view(request["Godwit-First-Send"]);
     call.forwarded = view(request["Godwit-Forwarded"]);
     call.contentType = view(request[http::field::content_type]);
     call.body = request.body();
@@ -208,7 +209,8 @@
     void keepHeaders(const HttpRequest &request)
     {
         m_passedOn.clear();
-        for (const char *name : {"Authorization", "Godwit-Deadline-Ms", "Godwit-Repeatable", "Godwit-Created-At"}) {
+        for (const char *name :
+             {"Authorization", "Godwit-Deadline-Ms", "Godwit-Repeatable", "Godwit-Created-At", "Godwit-First-Send"}) {
             const auto value = request[name];
             if (!value.empty()) {
                 m_passedOn.push_back(RequestHeader{name, std::string(view(value))});
--- a/godwit/ctl/admin_client.cpp
+++ b/godwit/ctl/admin_client.cpp
@@ -44,7 +44,10 @@
     beast::flat_buffer buffer;
     http::response<http::string_body> response;
     http::read(stream, buffer, response, error);
-    return {response.result_int(), std::move(response.body())};
+    AdminAnswer answer;
+    answer.status = response.result_int();
+    answer.body = std::move(response.body());
+    return answer;
 }
 
 // Blocking calls of Beast keep no deadline; the kernel's own does.
--- a/godwit/ctl/commands.cpp
+++ b/godwit/ctl/commands.cpp
@@ -367,11 +367,11 @@
 
 std::string commandHelp()
 {
-    constexpr std::size_t Column = 46;
+    constexpr std::size_t column = 46;
     std::string text;
     for (const auto &row : commandRows()) {
         std::string line = "  " + joined(row.words);
-        line.append(line.size() < Column ? Column - line.size() : 1, ' ');
+        line.append(line.size() < column ? column - line.size() : 1, ' ');
         text += line + row.help + '\n';
     }
     return text;
--- a/godwit/daemon/control.cpp
+++ b/godwit/daemon/control.cpp
@@ -49,10 +49,10 @@
 
 Incarnation makeIncarnation(const HostId &host)
 {
-    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr std::string_view digits = "0123456789abcdef";
     std::string suffix;
     for (std::uint64_t bits = randomSeed(); bits != 0; bits >>= 4U) {
-        suffix.push_back(Digits[bits & 15U]);
+        suffix.push_back(digits[bits & 15U]);
     }
     return Incarnation{host.value + "." + suffix};
 }
@@ -88,16 +88,16 @@
 {
 public:
     Impl(Settings settings, ControlOptions options)
-        : m_settings(std::move(settings)),
-          m_options(std::move(options)),
-          m_wake(m_io),
-          m_hostTimer(m_io),
-          m_certificateTimer(m_io),
-          m_finishTimer(m_io),
-          m_drainTimer(m_io),
-          m_signals(m_io, SIGTERM, SIGINT),
-          m_callerFiles(m_settings.callerTls),
-          m_operatorFiles(m_settings.operatorTls)
+        : m_settings(std::move(settings))
+        , m_options(std::move(options))
+        , m_wake(m_io)
+        , m_hostTimer(m_io)
+        , m_certificateTimer(m_io)
+        , m_finishTimer(m_io)
+        , m_drainTimer(m_io)
+        , m_signals(m_io, SIGTERM, SIGINT)
+        , m_callerFiles(m_settings.callerTls)
+        , m_operatorFiles(m_settings.operatorTls)
     {
     }
 
@@ -230,7 +230,7 @@
         m_api = std::make_unique<AdminApi>(std::move(environment));
         m_operators = std::make_unique<AdminServer>(
             m_io, AdminServerOptions{}, [this](const AdminRequest &request, AdminReply reply) {
-                m_api->handle(request, std::move(reply));
+                m_api->handle(request, reply);
             });
         const auto listening = m_operators->listen(*address, reason);
         if (!listening) {
--- a/godwit/daemon/load_poller.cpp
+++ b/godwit/daemon/load_poller.cpp
@@ -44,9 +44,9 @@
 {
 public:
     Impl(asio::io_context &io, LoadPollerOptions options, Report report)
-        : m_io(io),
-          m_options(options),
-          m_report(std::move(report))
+        : m_io(io)
+        , m_options(options)
+        , m_report(std::move(report))
     {
     }
 
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -50,12 +50,12 @@
 // Engines send events without text too, such as one that only names the role; a resumed stream counts tokens.
 bool carriesText(std::string_view event)
 {
-    constexpr std::string_view Key = "\"content\":";
-    const std::size_t key = event.find(Key);
-    if (key == std::string_view::npos) {
+    constexpr std::string_view key = "\"content\":";
+    const std::size_t found = event.find(key);
+    if (found == std::string_view::npos) {
         return false;
     }
-    const std::size_t value = event.find_first_not_of(' ', key + Key.size());
+    const std::size_t value = event.find_first_not_of(' ', found + key.size());
     return value != std::string_view::npos && event[value] == '"' && event.substr(value + 1, 1) != "\"";
 }
 
@@ -76,8 +76,8 @@
 {
 public:
     Impl(asio::io_context &io, EndpointPool &pool)
-        : m_io(io),
-          m_pool(pool)
+        : m_io(io)
+        , m_pool(pool)
     {
     }
 
--- a/godwit/http/event_stream.cpp
+++ b/godwit/http/event_stream.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::string_view DataPrefix = "data:";
 // Consumed bytes are dropped from the buffer only now and then: dropping them at each event would copy too often.
-constexpr std::size_t CompactAfterBytes = 16 * 1024;
+constexpr std::size_t CompactAfterBytes = 16UL * 1024;
 
 std::string_view dataOf(std::string_view event)
 {
--- a/godwit/http/key_digest.cpp
+++ b/godwit/http/key_digest.cpp
@@ -17,12 +17,12 @@
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
     SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr std::string_view digits = "0123456789abcdef";
     std::string hex;
     hex.reserve(digest.size() * 2);
     for (const unsigned char byte : digest) {
-        hex.push_back(Digits[byte >> 4U]);
-        hex.push_back(Digits[byte & 15U]);
+        hex.push_back(digits[byte >> 4U]);
+        hex.push_back(digits[byte & 15U]);
     }
     return hex;
 }
--- a/godwit/http/target.cpp
+++ b/godwit/http/target.cpp
@@ -95,7 +95,7 @@
 
 std::string percentEncode(std::string_view text)
 {
-    constexpr std::string_view Digits = "0123456789ABCDEF";
+    constexpr std::string_view digits = "0123456789ABCDEF";
     std::string encoded;
     encoded.reserve(text.size());
     for (const char c : text) {
@@ -107,8 +107,8 @@
         }
         const auto byte = static_cast<unsigned char>(c);
         encoded.push_back('%');
-        encoded.push_back(Digits[byte >> 4U]);
-        encoded.push_back(Digits[byte & 15U]);
+        encoded.push_back(digits[byte >> 4U]);
+        encoded.push_back(digits[byte & 15U]);
     }
     return encoded;
 }
--- a/godwit/kernel/call_flow.cpp
+++ b/godwit/kernel/call_flow.cpp
@@ -85,8 +85,19 @@
     out.emplace_back(std::move(finished));
 }
 
-void refuse(Kernel &kernel, const Call &call, const Error &error, const Moment &moment, std::vector<KernelAction> &out)
+// What may be said of the request, not only of this call. A refusal that did not look at the claims knows nothing of
+// an earlier call with the same id: it may have run at a router that died. "Not run" would make the caller issue a
+// second voucher, so such a refusal says "unknown", unless the caller vouches that it never sent the id before.
+Execution truthfulExecution(Execution execution, bool repeatable, bool claimsSeen, const CallArrived &arrived)
 {
+    const bool known = repeatable || claimsSeen || arrived.firstSend;
+    return execution == Execution::NotRun && !known ? Execution::Unknown : execution;
+}
+
+void refuse(Kernel &kernel, const Call &call, Error error, const Moment &moment, std::vector<KernelAction> &out)
+{
+    error.execution =
+        truthfulExecution(error.execution, call.repeatable, call.claimGranted || call.claimAnswered, call.arrived);
     ++kernel.counters.refused;
     CallFinished finished = describeEnd(call, moment);
     finished.error = error.kind;
@@ -101,6 +112,8 @@
 // Refuses a call that never entered the state.
 void refuseAtOnce(Kernel &kernel, const CallArrived &arrived, Error error, std::vector<KernelAction> &out)
 {
+    const bool repeatable = arrived.repeatable.value_or(arrived.kind == CallKind::Chat);
+    error.execution = truthfulExecution(error.execution, repeatable, false, arrived);
     ++kernel.counters.refused;
     CallFinished finished;
     finished.call = arrived.call;
@@ -618,6 +631,7 @@
     if (call == nullptr) {
         return;
     }
+    call->claimAnswered = true; // The claims decide for themselves what may be said.
     cancelRouting(kernel, refused.call, moment, out);
     returnReservation(kernel, refused.call, moment, out);
     refuse(kernel, *call, refused.error, moment, out);
@@ -639,7 +653,7 @@
     request.createdAt = call.arrived.idGenerated ? moment.wall : call.arrived.createdAt;
     request.wallNow = moment.wall;
     request.giveUpAt = call.deadlineAt;
-    request.firstSend = call.arrived.idGenerated;
+    request.firstSend = call.arrived.firstSend;
     withClaims(kernel, moment, out, [&](auto &actions) {
         claim(kernel.claims, request, moment.now, actions);
     });
--- a/godwit/kernel/call_messages.h
+++ b/godwit/kernel/call_messages.h
@@ -41,6 +41,7 @@
     std::string idempotencyKey;
     bool idGenerated = false; // The caller sent no key; this router made one.
     std::optional<bool> repeatable; // What the caller says; the route's own rule when absent.
+    bool firstSend = false; // The caller vouches that it never sent this id before.
     std::optional<WallTime> createdAt;
     int priority = 0; // Higher goes first.
     std::optional<Duration> deadline;
--- a/godwit/kernel/kernel.cpp
+++ b/godwit/kernel/kernel.cpp
@@ -76,6 +76,8 @@
             EndpointSpec spec;
             spec.id = specId(endpoint, route);
             spec.route = route;
+            spec.process = endpoint.id;
+            spec.host = HostId{endpoint.address.substr(0, endpoint.address.rfind(':'))};
             spec.dataCentre = endpoint.dataCentre;
             spec.slots = endpoint.slots;
             const auto *routeConfig = findRoute(*kernel.site, route);
@@ -102,7 +104,7 @@
 void adopt(Kernel &kernel, const ConfigDocument &document, const Moment &moment, Actions &out)
 {
     LastReason reason;
-    auto site = resolveAcceptedSite(document, kernel.options.dataCentre, reason);
+    auto site = resolveAcceptedSite(document, kernel.options.dataCentre, reason, kernel.site.get());
     setConfigRevision(kernel.membership, document.revision);
     if (!site) {
         // The revision was valid for the sites that existed when it was accepted. This site keeps what it has.
@@ -180,6 +182,7 @@
         live.push_back(member.incarnation);
     }
     setRouterCount(kernel.routing, static_cast<int>(live.size()));
+    setClaimWriteRate(kernel.claims, kernel.options.fleetClaimWritesPerSecond / static_cast<double>(live.size()));
     setLiveRouters(kernel.claims, std::move(live));
     withBudget(kernel, moment, out, [&](auto &actions) {
         setPeers(kernel.budget, std::move(budgetPeers), moment.now, actions);
@@ -253,8 +256,8 @@
 void onEvent(Kernel &kernel, const KvReply &reply, const Moment &moment, Actions &out)
 {
     // Each package's tags have their own top byte.
-    constexpr std::uint64_t SpaceMask = 0xFFULL << 56U;
-    const std::uint64_t space = reply.tag & SpaceMask;
+    constexpr std::uint64_t spaceMask = 0xFFULL << 56U;
+    const std::uint64_t space = reply.tag & spaceMask;
     if (space == BudgetTagSpace) {
         withBudget(kernel, moment, out, [&](auto &actions) {
             onKvReply(kernel.budget, reply, moment.now, actions);
--- a/godwit/kernel/kernel.h
+++ b/godwit/kernel/kernel.h
@@ -49,6 +49,8 @@
     Duration reservePatience = std::chrono::seconds(1);
     // How many holders of a budget a call is offered to before it is refused.
     int maxForwards = 2;
+    // Writes a second that the whole fleet may spend on claims; each live router takes an equal part.
+    double fleetClaimWritesPerSecond = 300;
     // After a drain starts, callers still hold address answers that name this router. It serves them for the time
     // that answers are kept and this margin.
     Duration drainMargin = std::chrono::seconds(2);
@@ -86,6 +88,7 @@
     std::optional<TimePoint> firstTokenAt;
     std::optional<TimePoint> settledAt;
     bool claimGranted = false;
+    bool claimAnswered = false; // The claims were looked at and refused.
     Dispatch dispatch; // The attempt that waits for its claim or runs.
     std::vector<std::string> forwardTargets; // Caller addresses, next one last.
     std::optional<Error> refusal; // What the caller gets when nobody else takes the call.
--- a/godwit/kernel/kernel_test.cpp
+++ b/godwit/kernel/kernel_test.cpp
@@ -171,3 +171,24 @@
     CHECK(kernel.stage == RouterStage::Drained);
     CHECK(countOf<DrainFinished>(actions) == 1);
 }
+
+TEST_CASE("a refusal before the claims were looked at does not say not run of a repeated id")
+{
+    // A booking ran at a router that died before it answered. The caller sends the id again to a router that refuses
+    // at once. Told "not run", the caller would book a second time under a new id.
+    Kernel kernel = makeKernel(optionsOf("a"), momentAt(std::chrono::seconds(1)));
+    const auto executionOf = [&kernel](const CallArrived &arrived) {
+        std::vector<KernelAction> actions;
+        step(kernel, CallEvent(arrived), momentAt(std::chrono::seconds(1)), actions);
+        return std::get<RefuseCall>(std::get<CallCommand>(actions.front())).error.execution;
+    };
+    CallArrived booking;
+    booking.call = CallId{1};
+    booking.kind = CallKind::Service;
+    CHECK(executionOf(booking) == Execution::Unknown);
+    booking.firstSend = true;
+    CHECK(executionOf(booking) == Execution::NotRun);
+    booking.firstSend = false;
+    booking.repeatable = true;
+    CHECK(executionOf(booking) == Execution::NotRun);
+}
--- a/godwit/operators/admin_api.cpp
+++ b/godwit/operators/admin_api.cpp
@@ -87,11 +87,11 @@
 
 std::optional<Tokens> amountOf(const Json &body, const char *key, LastReason &reason)
 {
-    constexpr Tokens MostTokens = 1'000'000'000'000'000; // Sums of many budgets still fit 64 bits.
+    constexpr Tokens mostTokens = 1'000'000'000'000'000; // Sums of many budgets still fit 64 bits.
     const auto found = body.find(key);
     const bool whole = found != body.end() && found->is_number_integer()
-        && !(found->is_number_unsigned() && found->get<std::uint64_t>() > static_cast<std::uint64_t>(MostTokens));
-    if (!whole || found->get<Tokens>() < 0 || found->get<Tokens>() > MostTokens) {
+        && !(found->is_number_unsigned() && found->get<std::uint64_t>() > static_cast<std::uint64_t>(mostTokens));
+    if (!whole || found->get<Tokens>() < 0 || found->get<Tokens>() > mostTokens) {
         reason = malformed(std::string("'") + key + "' must be a whole number of tokens from 0 to 10^15");
         return std::nullopt;
     }
@@ -229,7 +229,7 @@
 {
 }
 
-void AdminApi::handle(const AdminRequest &request, AdminReply reply)
+void AdminApi::handle(const AdminRequest &request, const AdminReply &reply)
 {
     auto target = parseTarget(request.target);
     if (!target) {
--- a/godwit/operators/admin_api.h
+++ b/godwit/operators/admin_api.h
@@ -70,7 +70,7 @@
     explicit AdminApi(AdminEnvironment environment);
 
     // Answers `request`, at once or later, exactly once.
-    void handle(const AdminRequest &request, AdminReply reply);
+    void handle(const AdminRequest &request, const AdminReply &reply);
 
     // The kernel's answer to a patch.
     void onChangeAnswered(const ChangeAnswered &answered);
--- a/godwit/operators/admin_server.cpp
+++ b/godwit/operators/admin_server.cpp
@@ -42,10 +42,10 @@
 {
 public:
     Impl(asio::io_context &io, AdminServerOptions options, Handler handler)
-        : m_io(io),
-          m_acceptor(io),
-          m_options(options),
-          m_handler(std::move(handler))
+        : m_io(io)
+        , m_acceptor(io)
+        , m_options(options)
+        , m_handler(std::move(handler))
     {
     }
 
