Certificates that are replaced are loaded again

Cause: the newest time of the files started from a default-made file time, which lies in the year 2174, so no file ever looked newer and a renewed certificate was not served. Seen with three routers on TLS: after the files were replaced, the old certificate was still shown.

--- a/godwit/daemon/control.cpp
+++ b/godwit/daemon/control.cpp
@@ -20,6 +20,7 @@
 #include <atomic>
 #include <csignal>
 #include <random>
+#include <set>
 
 namespace Godwit
 {
@@ -33,6 +34,7 @@
 // The host list is read less often in a larger fleet, so that its readers together stay below 50 reads a second.
 constexpr auto HostListPeriodPerRouter = std::chrono::milliseconds(20);
 constexpr auto CertificatePeriod = std::chrono::seconds(5);
+constexpr std::size_t MaxRefusalsTold = 256;
 constexpr auto FinishPoll = std::chrono::milliseconds(20);
 
 Moment currentMoment()
@@ -305,7 +307,11 @@
         callbacks.onMessage = [this](const Incarnation &from, Envelope envelope) {
             handle(PeerMessage{from, std::move(envelope.topic), std::move(envelope.body)});
         };
-        callbacks.onRefusal = [](const std::string &address, const Refusal &refusal) {
+        callbacks.onRefusal = [this](const std::string &address, const Refusal &refusal) {
+            // A refused router dials again and again; the log tells of it once until a link stands.
+            if (m_refusalsTold.size() >= MaxRefusalsTold || !m_refusalsTold.insert(refusal.message).second) {
+                return;
+            }
             logEvent(
                 LogLevel::Warning,
                 "router_refused",
@@ -320,6 +326,7 @@
         const bool dialledHere = std::any_of(links.begin(), links.end(), [&hello](const LinkStatus &link) {
             return link.remote.incarnation == hello.incarnation && link.dialledHere;
         });
+        m_refusalsTold.clear();
         logEvent(LogLevel::Info,
                  "router_linked",
                  {{"incarnation", hello.incarnation.value}, {"address", hello.peerAddress}});
@@ -673,6 +680,7 @@
     std::unique_ptr<LoadPoller> m_poller;
     std::vector<std::unique_ptr<CallerServer>> m_callers;
     Metrics m_metrics;
+    std::set<std::string> m_refusalsTold;
     std::uint64_t m_generation = 0;
     std::atomic<bool> m_ready{false};
     bool m_watchConfig = false;
--- a/godwit/daemon/tls_contexts.cpp
+++ b/godwit/daemon/tls_contexts.cpp
@@ -14,10 +14,11 @@
 
 CertificateFiles::Stamp CertificateFiles::newest() const
 {
-    Stamp stamp{};
+    // A default stamp is no lower bound: the file clock's epoch lies in the future.
+    Stamp stamp = Stamp::min();
     for (const auto &file : {m_settings.certificate, m_settings.key, m_settings.ca}) {
         std::error_code error;
-        const auto time = file.empty() ? Stamp{} : std::filesystem::last_write_time(file, error);
+        const auto time = file.empty() ? Stamp::min() : std::filesystem::last_write_time(file, error);
         if (!error) {
             stamp = std::max(stamp, time);
         }
