Budgets: library exceptions end at the decoder

The CBOR library threw on claimed lengths elsewhere although exceptions were off. The walk over the heads already refuses such lengths here; the catch keeps the border in any case.

--- a/godwit/budget/cbor.cpp
+++ b/godwit/budget/cbor.cpp
@@ -2,7 +2,7 @@
 
 #include "godwit/budget/shard_record.h"
 
-#include <limits>
+#include <exception>
 
 namespace Godwit::internal
 {
@@ -105,12 +105,18 @@
         reason = malformed("its structure is broken");
         return std::nullopt;
     }
-    auto value = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (value.is_discarded()) {
-        reason = malformed("a value is broken");
+    // The library throws for some lengths even when it is told not to.
+    try {
+        auto value = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        if (!value.is_discarded()) {
+            return value;
+        }
+    } catch (const std::exception &) {
+        reason = malformed("the library refuses it");
         return std::nullopt;
     }
-    return value;
+    reason = malformed("a value is broken");
+    return std::nullopt;
 }
 
 nlohmann::json packHashes(const std::deque<std::uint64_t> &hashes)
