Forwards reach holders without a link

In a fleet of more than twelve hosts most holders of a budget are not linked; a call that they could have served was refused. Their address now comes from membership and the host list.

--- a/godwit/kernel/call_flow.cpp
+++ b/godwit/kernel/call_flow.cpp
@@ -515,6 +515,20 @@
     });
 }
 
+// Where callers reach a live router; empty when that is not known. A router without a link is known by the host list.
+std::string callerAddressOf(const Kernel &kernel, const Incarnation &router)
+{
+    if (const auto linked = kernel.linked.find(router); linked != kernel.linked.end()) {
+        return linked->second.callerAddress;
+    }
+    const auto member = kernel.membership.members.find(router);
+    if (member == kernel.membership.members.end() || member->second.update.status != MemberStatus::Alive) {
+        return {};
+    }
+    const auto listed = kernel.routersByHost.find(member->second.update.host);
+    return listed == kernel.routersByHost.end() ? std::string() : listed->second.callerAddress;
+}
+
 void onAction(Kernel &kernel, const ReservationRefused &refused, const Moment &moment, std::vector<KernelAction> &out)
 {
     Call *call = findCall(kernel, refused.call);
@@ -525,10 +539,9 @@
     // A call that came from another router is not sent on: two routers would pass it to and fro.
     if (!call->arrived.forwarded) {
         for (const auto &holder : refused.holders) {
-            const auto known = kernel.linked.find(holder);
-            if (known != kernel.linked.end()
-                && static_cast<int>(call->forwardTargets.size()) < kernel.options.maxForwards) {
-                call->forwardTargets.insert(call->forwardTargets.begin(), known->second.callerAddress);
+            const std::string address = callerAddressOf(kernel, holder);
+            if (!address.empty() && static_cast<int>(call->forwardTargets.size()) < kernel.options.maxForwards) {
+                call->forwardTargets.insert(call->forwardTargets.begin(), address);
             }
         }
     }
--- a/godwit/platform/http_platform.cpp
+++ b/godwit/platform/http_platform.cpp
@@ -158,9 +158,9 @@
 {
 public:
     Connection(asio::io_context &io, const HttpPlatformOptions &options, std::size_t &preferred)
-        : m_stream(io),
-          m_options(options),
-          m_preferred(preferred)
+        : m_stream(io)
+        , m_options(options)
+        , m_preferred(preferred)
     {
     }
 
@@ -248,9 +248,9 @@
 {
 public:
     Impl(asio::io_context &io, HttpPlatformOptions options)
-        : m_io(io),
-          m_options(std::move(options)),
-          m_wake(io)
+        : m_io(io)
+        , m_options(std::move(options))
+        , m_wake(io)
     {
         m_wake.expires_at(asio::steady_timer::time_point::max());
         for (int i = 0; i < m_options.connections; ++i) {
