--- a/godwit/kernel/kernel.cpp
+++ b/godwit/kernel/kernel.cpp
@@ -1,6 +1,7 @@
 #include "godwit/kernel/kernel.h"
 
 #include "godwit/kernel/call_flow.h"
+#include "godwit/kernel/call_state.h"
 #include "godwit/kernel/suspect_codec.h"
 
 #include <algorithm>
@@ -11,6 +12,9 @@
 {
 
 using Actions = std::vector<KernelAction>;
+using internal::withBudget;
+using internal::withClaims;
+using internal::withRouting;
 
 // Topics of messages between routers.
 constexpr std::string_view BudgetTopic = "budget";
@@ -21,30 +25,6 @@
 void performConfig(Kernel &kernel, ConfigActions actions, const Moment &moment, Actions &out);
 void performMembership(Kernel &kernel, MembershipActions actions, const Moment &moment, Actions &out);
 
-template<typename Act>
-void withRouting(Kernel &kernel, const Moment &moment, Actions &out, Act act)
-{
-    std::vector<RoutingAction> actions;
-    act(actions);
-    internal::perform(kernel, actions, moment, out);
-}
-
-template<typename Act>
-void withBudget(Kernel &kernel, const Moment &moment, Actions &out, Act act)
-{
-    std::vector<BudgetAction> actions;
-    act(actions);
-    internal::perform(kernel, actions, moment, out);
-}
-
-template<typename Act>
-void withClaims(Kernel &kernel, const Moment &moment, Actions &out, Act act)
-{
-    std::vector<ClaimAction> actions;
-    act(actions);
-    internal::perform(kernel, actions, moment, out);
-}
-
 // An endpoint with several routes is one choice in each of them.
 EndpointId specId(const EndpointConfig &endpoint, const RouteId &route)
 {
