Resumed streams tested; the load tool vouches for new ids

Two tests over real sockets: a broken stream goes on at its endpoint without a gap or a repeat (red when the count of tokens sent is left out), and one that the endpoint no longer has is cut (red when its refusal is taken for the rest). The load tool marks first sends, and lookups as repeatable: the router's claims took them for bookings before.

--- a/godwit/caller/caller_session_test.cpp
+++ b/godwit/caller/caller_session_test.cpp
@@ -488,3 +488,62 @@
     bench.server().deliver(ReleaseCall{call, 7});
     CHECK(second.readMessage().find("caller's") == std::string::npos);
 }
+
+TEST_CASE("a broken stream goes on where it broke, at the endpoint that made it")
+{
+    // The endpoint's connection breaks after the first token. The endpoint still has the stream: it is asked for the
+    // rest from the second token on. The caller reads each token once, in order, and one end.
+    Bench bench;
+    Wire caller = bench.caller();
+    caller.write(chat(true));
+    const CallId call = bench.next<CallArrived>().call;
+    bench.dispatch(call, true);
+    {
+        Wire endpoint = bench.accept();
+        endpoint.readMessage();
+        endpoint.write(StreamHead + chunk(FirstEvent));
+        bench.next<FirstToken>();
+        endpoint.close();
+    }
+    Wire resumed = bench.accept();
+    const std::string request = resumed.readMessage();
+    CHECK(request.find("POST /v1/resume") == 0);
+    CHECK(request.find("\"from_token\":1") != std::string::npos);
+    const std::string secondEvent = "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n";
+    resumed.write(StreamHead + chunk(secondEvent) + chunk(UsageEvent) + chunk(DoneEvent) + "0\r\n\r\n");
+    const auto ended = bench.next<AttemptEnded>();
+    CHECK(ended.result == AttemptResult::Completed);
+    CHECK(ended.used == 4);
+    bench.server().deliver(ReleaseCall{call, 4});
+    const std::string answer = caller.readUntil("0\r\n\r\n");
+    CHECK(answer.find("\"a\"") < answer.find("\"b\""));
+    CHECK(answer.find("\"a\"") == answer.rfind("\"a\""));
+    CHECK(answer.find("\"b\"") == answer.rfind("\"b\""));
+    CHECK(answer.find("[DONE]") != std::string::npos);
+}
+
+TEST_CASE("a stream that its endpoint no longer has is cut, not begun anew")
+{
+    // The endpoint lost the stream. Another run would make other tokens: joined to the first ones, the caller would
+    // get an answer that no endpoint gave.
+    Bench bench;
+    Wire caller = bench.caller();
+    caller.write(chat(true));
+    const CallId call = bench.next<CallArrived>().call;
+    bench.dispatch(call, true);
+    {
+        Wire endpoint = bench.accept();
+        endpoint.readMessage();
+        endpoint.write(StreamHead + chunk(FirstEvent));
+        bench.next<FirstToken>();
+        endpoint.close();
+    }
+    Wire resumed = bench.accept();
+    resumed.readMessage();
+    resumed.write("HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\n{}");
+    const auto ended = bench.next<AttemptEnded>();
+    CHECK(ended.result == AttemptResult::ConnectionBroken);
+    CHECK(ended.answerBegun);
+    bench.server().deliver(AbortCall{call, Error{ErrorKind::AnswerIncomplete, "cut"}});
+    caller.readUntil("answer_incomplete");
+}
--- a/standins/loadtool/load_worker.cpp
+++ b/standins/loadtool/load_worker.cpp
@@ -118,8 +118,8 @@
     if (m_spec.direct) {
         request.set("Godwit-Request-Id", call.record.id);
     }
-    if (booking && !m_spec.lookups) {
-        request.set("Godwit-Repeatable", "false");
+    if (booking) {
+        request.set("Godwit-Repeatable", m_spec.lookups ? "true" : "false");
     }
     if (m_spec.priority != 0) {
         request.set("Godwit-Priority", std::to_string(m_spec.priority));
@@ -163,6 +163,8 @@
         const std::string address = chooseAddress(call, yield);
         ++record.attempts;
         ++m_tally.attempts;
+        // Vouches for a new id, so that a refusal before the claims were looked at may say "not run".
+        call.request.set("Godwit-First-Send", record.attempts == 1 ? "true" : "false");
         const AttemptEnd end = attempt(call, address, yield);
         record.outcome = end.outcome;
         record.reason = end.reason;
