--- a/godwit/caller/call_session.cpp
+++ b/godwit/caller/call_session.cpp
@@ -24,6 +24,7 @@
 
 using HttpRequest = http::request<http::string_body>;
 
+constexpr Duration BrokenForwardRetry = std::chrono::seconds(1);
 constexpr std::string_view JsonType = "application/json";
 constexpr std::string_view EventStreamType = "text/event-stream";
 
@@ -323,6 +324,7 @@
         if (m_outcome.result != AttemptResult::Completed) {
             Error error{ErrorKind::AnswerIncomplete, "the router that held the budget broke off"};
             error.execution = Execution::Unknown;
+            error.retryAfter = BrokenForwardRetry;
             finishWithError(error, yield);
         } else if (m_outcome.streamed) {
             endStream({}, yield);
--- a/godwit/caller/caller_session_test.cpp
+++ b/godwit/caller/caller_session_test.cpp
@@ -547,3 +547,29 @@
     bench.server().deliver(AbortCall{call, Error{ErrorKind::AnswerIncomplete, "cut"}});
     caller.readUntil("answer_incomplete");
 }
+
+TEST_CASE("a request lost on an idle connection of a dead endpoint may have run")
+{
+    // The endpoint keeps its connection, reads the second request and dies; nothing listens any more. The request went
+    // out and may have begun: to say that no byte reached the endpoint would make the refusal "not run" untrue.
+    Bench bench;
+    Wire caller = bench.caller();
+    caller.write(chat(false));
+    CallId call = bench.next<CallArrived>().call;
+    bench.dispatch(call, true);
+    Wire endpoint = bench.accept();
+    endpoint.readMessage();
+    endpoint.write(plainAnswer(UsageBody));
+    bench.next<AttemptEnded>();
+    bench.server().deliver(ReleaseCall{call, 7});
+    caller.readMessage();
+    caller.write(chat(false));
+    call = bench.next<CallArrived>().call;
+    bench.dispatch(call, true);
+    endpoint.readMessage();
+    bench.closeEndpoint();
+    endpoint.close();
+    CHECK(bench.next<AttemptEnded>().result == AttemptResult::ConnectionBroken);
+    bench.server().deliver(RefuseCall{call, Error{ErrorKind::EndpointFailed, "x"}});
+    caller.readMessage();
+}
--- a/godwit/ctl/admin_client.cpp
+++ b/godwit/ctl/admin_client.cpp
@@ -44,6 +44,9 @@
     beast::flat_buffer buffer;
     http::response<http::string_body> response;
     http::read(stream, buffer, response, error);
+    if (error) {
+        return {};
+    }
     AdminAnswer answer;
     answer.status = response.result_int();
     answer.body = std::move(response.body());
--- a/godwit/daemon/control.cpp
+++ b/godwit/daemon/control.cpp
@@ -231,7 +231,7 @@
         };
         m_api = std::make_unique<AdminApi>(std::move(environment));
         m_operators = std::make_unique<AdminServer>(
-            m_io, AdminServerOptions{}, [this](const AdminRequest &request, AdminReply reply) {
+            m_io, AdminServerOptions{}, [this](const AdminRequest &request, const AdminReply &reply) {
                 m_api->handle(request, reply);
             });
         const auto listening = m_operators->listen(*address, reason);
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -87,10 +87,13 @@
         // A not-repeatable request gets a fresh connection: an endpoint may close an idle one while the request is
         // on its way, and then nobody could say whether it ran.
         bool fresh = !request.repeatable;
+        bool sent = false;
         for (;;) {
             if (!open(request, fresh, yield)) {
                 outcome.cancelled = m_cancelled;
-                outcome.result = AttemptResult::ConnectFailed;
+                // The endpoint may have died with the request that went out on its idle connection: told "not run", the
+                // caller of a chat that was begun would hear an untruth.
+                outcome.result = sent ? AttemptResult::ConnectionBroken : AttemptResult::ConnectFailed;
                 return outcome;
             }
             const bool reused = m_connection->reused;
@@ -102,6 +105,7 @@
             }
             // The endpoint closed an idle connection; that is no sign of a crash. Only repeatable requests get here.
             fresh = true;
+            sent = true;
         }
         if (outcome.result == AttemptResult::ConnectionBroken && outcome.streamed && request.resumable && !m_cancelled
             && !outcome.callerGone) {
--- a/standins/loadtool/load_worker.cpp
+++ b/standins/loadtool/load_worker.cpp
@@ -215,6 +215,10 @@
 
 LoadWorker::AttemptEnd LoadWorker::judge(Call &call, const Exchange &exchange, const ChatAnswer &answer) const
 {
+    if (!exchange.connected && exchange.resent > 0) {
+        // It went out over an idle connection that broke, and no other could be opened: it may have run.
+        return {CallOutcome::Unknown, "connection_broken", {}, false, true, RepeatPause};
+    }
     if (!exchange.connected) {
         return {CallOutcome::Unknown, "connect_failed", {}, true, true, RepeatPause};
     }
