--- a/godwit/ctl/admin_client.cpp
+++ b/godwit/ctl/admin_client.cpp
@@ -42,14 +42,15 @@
         return {};
     }
     beast::flat_buffer buffer;
-    http::response<http::string_body> response;
-    http::read(stream, buffer, response, error);
+    http::response_parser<http::string_body> parser;
+    http::read(stream, buffer, parser, error);
     if (error) {
         return {};
     }
+    const auto response = parser.release();
     AdminAnswer answer;
     answer.status = response.result_int();
-    answer.body = std::move(response.body());
+    answer.body = response.body();
     return answer;
 }
 
