Deeply nested bytes of a linked router no longer overflow the stack

The shape of the bytes is now looked at first, without recursion, in the decoders of suspect notices, configuration messages and heartbeats; the budgets' decoder had its own walk.

--- a/godwit/base/base_test.cpp
+++ b/godwit/base/base_test.cpp
@@ -1,3 +1,4 @@
+#include "godwit/base/cbor_shape.h"
 #include "godwit/base/enum_names.h"
 #include "godwit/base/error.h"
 #include "godwit/base/hash.h"
@@ -50,3 +51,23 @@
         }
     }
 }
+
+TEST_CASE("the shape of CBOR is bounded before a library parses it")
+{
+    // A linked router sends a megabyte of nested arrays: a parser that recurses overflows the stack.
+    const auto shape = [](const std::string &bytes) {
+        return hasBoundedShape(bytes, 4);
+    };
+    CHECK(shape(std::string("\x83\x01\x61x\xa1\x61k\x80", 8)));
+    CHECK(shape("\x9f\x01\x02\xff"));
+    CHECK(shape("\x81\x81\x81\x81\x01"));
+    CHECK_FALSE(shape("\x81\x81\x81\x81\x81\x01"));
+    CHECK_FALSE(shape(std::string(1000000, '\x81')));
+    CHECK_FALSE(shape(std::string(1000000, '\x9f')));
+    CHECK_FALSE(shape(std::string("\x9b\x8b\x8b\x8b\x8b\xb6\x8b\x8b\x8b\xb6", 10)));
+    CHECK_FALSE(shape("\x7a\xff\xff\xff\xff"));
+    CHECK_FALSE(shape("\xc1\x01"));
+    CHECK_FALSE(shape("\xff"));
+    CHECK_FALSE(shape("\x82\x01"));
+    CHECK_FALSE(shape(""));
+}
--- a/godwit/config/config_codec.cpp
+++ b/godwit/config/config_codec.cpp
@@ -1,5 +1,6 @@
 #include "godwit/config/config_codec.h"
 
+#include "godwit/base/cbor_shape.h"
 #include "godwit/base/json_number.h"
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -11,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t MaxMessageDepth = 8;
+
 Json patchesToJson(const std::vector<AppliedPatch> &patches)
 {
     Json rows = Json::array();
@@ -142,6 +145,9 @@
 
 std::optional<PeerMessage> decodePeerMessage(std::string_view cbor)
 {
+    if (!hasBoundedShape(cbor, MaxMessageDepth)) {
+        return std::nullopt;
+    }
     try {
         PeerMessage message = messageFromJson(Json::from_cbor(cbor.begin(), cbor.end()));
         const auto kind = static_cast<int>(message.kind);
--- a/godwit/kernel/suspect_codec.cpp
+++ b/godwit/kernel/suspect_codec.cpp
@@ -1,5 +1,7 @@
 #include "godwit/kernel/suspect_codec.h"
 
+#include "godwit/base/cbor_shape.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Godwit
@@ -47,7 +49,7 @@
 
 std::optional<SuspectNotice> decodeSuspectNotice(const std::string &cbor)
 {
-    if (cbor.size() > MaxNoticeBytes) {
+    if (cbor.size() > MaxNoticeBytes || !hasBoundedShape(cbor, 1)) {
         return std::nullopt;
     }
     const auto fields = parseCbor(cbor);
--- a/godwit/membership/heartbeat_codec.cpp
+++ b/godwit/membership/heartbeat_codec.cpp
@@ -1,5 +1,6 @@
 #include "godwit/membership/membership.h"
 
+#include "godwit/base/cbor_shape.h"
 #include "godwit/base/json_number.h"
 #include <nlohmann/json.hpp>
 
@@ -10,6 +11,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t MaxHeartbeatDepth = 8;
+
 constexpr std::size_t MaxTextBytes = 256;
 constexpr std::uint64_t FlagWantsAll = 1;
 constexpr std::uint64_t FlagClosing = 2;
@@ -90,6 +93,9 @@
 std::optional<HeartbeatBody> decodeHeartbeat(std::string_view bytes)
 {
     try {
+        if (!hasBoundedShape(bytes, MaxHeartbeatDepth)) {
+            return std::nullopt;
+        }
         return bodyFromJson(Json::from_cbor(bytes.begin(), bytes.end()));
     } catch (const std::exception &) {
         return std::nullopt;
--- a/scenarios/hostile_peer_test.cpp
+++ b/scenarios/hostile_peer_test.cpp
@@ -35,6 +35,8 @@
         std::string("\xbb\xff\xff\xff\xff\xff\xff\xff\xff", 9),
         std::string(5000, '\x9f'),
         std::string(5000, '\x81'),
+        std::string(900'000, '\x81'),
+        std::string(900'000, '\x9f'),
     };
     std::mt19937 random(11); // NOLINT: a fixed seed makes the run repeatable
     for (int i = 0; i < 2000; ++i) {
