--- a/godwit/base/error.h
+++ b/godwit/base/error.h
@@ -22,6 +22,7 @@
 enum class ErrorKind {
     MalformedRequest,
     BodyTooLarge,
+    HeaderTooLarge,
     RequestTimeout,
     Unauthenticated,
     Forbidden,
@@ -36,6 +37,7 @@
     NoEndpoint,
     EndpointFailed,
     AnswerIncomplete,
+    AnswerLate,
     SuspectRequest,
     InProgress,
     OutcomeUnknown,
--- /dev/null
+++ b/godwit/config/gateway_settings.cpp
@@ -0,0 +1,74 @@
+#include "godwit/config/gateway_settings.h"
+
+#include "godwit/config/settings.h"
+#include "godwit/config/toml_reader.h"
+
+#include <cmath>
+
+namespace Godwit
+{
+namespace
+{
+
+using internal::FaultList;
+using internal::TableReader;
+using internal::UnknownKeys;
+
+Duration seconds(double value)
+{
+    return Duration(std::llround(value * 1e6));
+}
+
+std::string address(TableReader &reader, std::string_view key, bool required)
+{
+    const std::string text = required ? reader.requiredText(key) : reader.text(key, "");
+    if (!text.empty() && !isIpAndPort(text)) {
+        reader.fault(key, "must be an IP number and a port, such as 10.0.0.4:8740");
+    }
+    return text;
+}
+
+} // namespace
+
+bool hasGatewaySettings(std::string_view text)
+{
+    FaultList faults;
+    const auto table = internal::parseToml(text, "", faults);
+    return table && table->contains("gateway");
+}
+
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
+                                                    std::string_view fileName,
+                                                    LastReason &reason)
+{
+    FaultList faults;
+    GatewaySettings settings;
+    if (const auto root = internal::parseToml(text, fileName, faults)) {
+        TableReader top(*root, "", faults, UnknownKeys::Refuse);
+        settings.host = HostId{top.requiredText("host")};
+        settings.dataCentre = DataCentreId{top.requiredText("data_centre")};
+        static const toml::table Empty;
+        const toml::table *gateway = top.table("gateway");
+        TableReader reader(gateway == nullptr ? Empty : *gateway, "gateway", faults, UnknownKeys::Refuse);
+        settings.callerListen = address(reader, "callers", true);
+        settings.readyListen = address(reader, "ready", true);
+        settings.addressesListen = address(reader, "addresses", false);
+        settings.peerListen = address(reader, "peers", true);
+        settings.metricsListen = address(reader, "metrics", false);
+        settings.store = address(reader, "store", true);
+        settings.stopWithin = seconds(reader.number("stop_within_s", 8, {1, 3600}));
+        settings.addressesFor = seconds(reader.number("addresses_for_s", 2, {0.1, 60}));
+        settings.repeatRatio = reader.number("repeat_ratio", settings.repeatRatio, {0, 10});
+        settings.repeatSlack = reader.number("repeat_slack", settings.repeatSlack, {0, 1e6});
+        settings.repeatWindow = seconds(reader.number("repeat_window_s", 10, {0.1, 3600}));
+        reader.finish();
+        top.finish();
+    }
+    if (!faults.empty()) {
+        reason = faults.toError(ErrorKind::InvalidSettings);
+        return std::nullopt;
+    }
+    return settings;
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/config/gateway_settings.h
@@ -0,0 +1,46 @@
+#pragma once
+
+// The settings of a router that runs on the users' platform: its addresses, the store, and the bounds that it keeps.
+//
+// The file is TOML with a [gateway] table; docs/OPERATIONS.md lists the keys. Parsing is pure; the error names every
+// fault with its place and remedy.
+//
+// Example:
+//   LastReason reason;
+//   if (hasGatewaySettings(text)) { const auto settings = parseGatewaySettings(text, "router.toml", reason); }
+
+#include "godwit/base/error.h"
+#include "godwit/base/ids.h"
+#include "godwit/base/time.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Godwit
+{
+
+struct GatewaySettings
+{
+    HostId host;
+    DataCentreId dataCentre;
+    std::string callerListen; // "ip:port" each.
+    std::string readyListen;
+    std::string addressesListen; // Empty: this router does not answer where to connect.
+    std::string peerListen;
+    std::string metricsListen; // Empty: no metrics are served.
+    std::string store;
+    Duration stopWithin = std::chrono::seconds(8); // From the signal to the end of the process.
+    double repeatRatio = 0.2;
+    double repeatSlack = 0;
+    Duration repeatWindow = std::chrono::seconds(10);
+    Duration addressesFor = std::chrono::seconds(2); // How long callers keep an address answer.
+};
+
+bool hasGatewaySettings(std::string_view text);
+
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
+                                                    std::string_view fileName,
+                                                    LastReason &reason);
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/budget_keeper.cpp
@@ -0,0 +1,327 @@
+#include "godwit/daemon/budget_keeper.h"
+
+#include <boost/asio/post.hpp>
+
+namespace Godwit
+{
+namespace
+{
+
+using boost::system::error_code;
+
+} // namespace
+
+BudgetKeeper::BudgetKeeper(boost::asio::io_context &io, Relay &relay, StoreClient &store, BudgetKeeperOptions options)
+    : m_io(io)
+    , m_relay(relay)
+    , m_store(store)
+    , m_options(std::move(options))
+    , m_tick(io)
+{
+}
+
+void BudgetKeeper::start()
+{
+    onTick();
+}
+
+void BudgetKeeper::armTick()
+{
+    m_tick.expires_after(m_options.tick);
+    m_tick.async_wait([this](const error_code &error) {
+        if (!error) {
+            onTick();
+        }
+    });
+}
+
+void BudgetKeeper::onTick()
+{
+    const TimePoint now = Relay::now();
+    keepLease(now);
+    auto &share = m_relay.state().prepaid;
+    if (!share.ledgerKnown && !share.writing && now >= m_nextRecords) {
+        m_nextRecords = now + m_options.probeInterval;
+        readRecords();
+    }
+    if (!m_liveEntryWritten && m_lease != 0 && !m_leaving && m_relay.isReady()) {
+        writeLiveEntry();
+    }
+    if (m_returned && !share.writing) {
+        finishReturn();
+    }
+    writeIfDue();
+    armTick();
+}
+
+void BudgetKeeper::onReached(bool reached)
+{
+    bool &inReach = m_relay.state().platformInReach;
+    if (reached == inReach) {
+        return;
+    }
+    inReach = reached;
+    if (reached) {
+        m_regainedAt = Relay::now();
+        m_nextKeep = m_regainedAt;
+        m_nextRecords = m_regainedAt;
+    }
+    m_relay.log().write(reached ? "platform_regained" : "platform_lost", {});
+    if (reached && onRegained) {
+        onRegained();
+    }
+}
+
+void BudgetKeeper::keepLease(TimePoint now)
+{
+    auto &share = m_relay.state().prepaid;
+    const bool lapsed = m_lease != 0 && now >= m_renewedAt + m_options.leaseTime + m_options.lateMargin;
+    if (lapsed && share.markPresence == MarkPresence::Standing) {
+        m_relay.log().write("mark_lapsed", {{"lease", static_cast<std::int64_t>(m_lease)}});
+        onMarkLapsed(share);
+        m_relay.tokensCame();
+    }
+    if (m_leaseCallOpen || now < m_nextKeep || share.returned) {
+        return;
+    }
+    m_nextKeep = now + (m_relay.state().platformInReach ? m_options.keepInterval : m_options.probeInterval);
+    if (m_lease == 0) {
+        grantLease();
+        return;
+    }
+    if (!m_relay.state().platformInReach) {
+        // A renewal that is lost on the way may take effect later, which would keep the mark standing: while the
+        // store is away the records are read instead, which tells its return as well.
+        share.ledgerKnown = false;
+        return;
+    }
+    m_leaseCallOpen = true;
+    const TimePoint before = m_renewedAt;
+    m_renewedAt = now;
+    m_store.keepLease(m_lease, [this, before](StoreStatus status) {
+        m_leaseCallOpen = false;
+        onReached(status == StoreStatus::Ok || status == StoreStatus::NotFound);
+        if (status == StoreStatus::Refused) {
+            m_renewedAt = before;
+        } else if (status == StoreStatus::NotFound) {
+            onLeaseLost();
+        }
+    });
+}
+
+void BudgetKeeper::grantLease()
+{
+    m_leaseCallOpen = true;
+    const TimePoint asked = Relay::now();
+    m_store.grantLease(m_options.leaseTime, [this, asked](const StoreLeaseReply &reply) {
+        m_leaseCallOpen = false;
+        onReached(reply.status == StoreStatus::Ok);
+        if (reply.status == StoreStatus::Ok) {
+            m_lease = reply.lease;
+            m_renewedAt = asked;
+            m_nextKeep = asked + m_options.keepInterval;
+            m_liveEntryWritten = false;
+        }
+    });
+}
+
+void BudgetKeeper::onLeaseLost()
+{
+    m_relay.log().write("lease_lost", {{"lease", static_cast<std::int64_t>(m_lease)}});
+    m_lease = 0;
+    m_liveEntryWritten = false;
+    auto &share = m_relay.state().prepaid;
+    onMarkLapsed(share);
+    share.ledgerKnown = false;
+    m_nextKeep = TimePoint{};
+    m_nextRecords = TimePoint{};
+    grantLease();
+}
+
+void BudgetKeeper::writeLiveEntry()
+{
+    if (m_liveCallOpen) {
+        return;
+    }
+    m_liveCallOpen = true;
+    StoreTransaction transaction;
+    transaction.puts.push_back({m_options.liveKey, m_options.liveValue, m_lease});
+    m_store.transact(transaction, [this](const StoreWriteReply &reply) {
+        m_liveCallOpen = false;
+        m_liveEntryWritten = reply.status == StoreStatus::Ok;
+        if (reply.status == StoreStatus::NotFound) {
+            onLeaseLost();
+        }
+    });
+}
+
+void BudgetKeeper::leave()
+{
+    m_leaving = true;
+    StoreTransaction transaction;
+    transaction.removals.push_back(m_options.liveKey);
+    m_store.transact(transaction, [](const StoreWriteReply &) {
+        // The lease's end removes the entry too, and routers hear of the stop over their links.
+    });
+}
+
+void BudgetKeeper::readRecords()
+{
+    if (m_recordsCallOpen) {
+        return;
+    }
+    m_recordsCallOpen = true;
+    m_store.get(m_options.ledgerKey, [this](const StoreItemReply &ledger) {
+        onLedgerRead(ledger);
+    });
+}
+
+void BudgetKeeper::onLedgerRead(const StoreItemReply &ledger)
+{
+    const bool answered = ledger.status == StoreStatus::Ok || ledger.status == StoreStatus::NotFound;
+    onReached(answered);
+    if (!answered) {
+        m_recordsCallOpen = false;
+        return;
+    }
+    m_store.get(m_options.markKey, [this, ledger](const StoreItemReply &mark) {
+        m_recordsCallOpen = false;
+        onMarkRead(ledger, mark);
+    });
+}
+
+void BudgetKeeper::onMarkRead(const StoreItemReply &ledger, const StoreItemReply &mark)
+{
+    auto &share = m_relay.state().prepaid;
+    if ((mark.status != StoreStatus::Ok && mark.status != StoreStatus::NotFound) || share.writing) {
+        return;
+    }
+    LastReason reason;
+    std::optional<PrepaidLedger> record = PrepaidLedger{};
+    if (ledger.status == StoreStatus::Ok) {
+        record = decodePrepaidLedger(ledger.item.value, reason);
+    }
+    std::optional<MarkRecord> marks;
+    if (mark.status == StoreStatus::Ok) {
+        marks = decodeMark(mark.item.value, reason);
+    }
+    if (!record || (mark.status == StoreStatus::Ok && !marks)) {
+        m_relay.log().write("records_unreadable", {{"cause", std::string_view(reason->message)}});
+        return;
+    }
+    const bool first = !share.takenOver;
+    onRecordsRead(share, std::move(*record), ledger.item.revision, marks, mark.item.revision);
+    m_relay.log().write("budgets_read",
+                        {{"ledger_revision", static_cast<std::int64_t>(ledger.item.revision)},
+                         {"mark_found", marks.has_value()},
+                         {"first", first}});
+    writeIfDue();
+    m_relay.tokensCame();
+}
+
+void BudgetKeeper::hurry()
+{
+    if (m_hurryPosted) {
+        return;
+    }
+    // Several requests that come together make one write.
+    m_hurryPosted = true;
+    boost::asio::post(m_io, [this] {
+        m_hurryPosted = false;
+        writeIfDue();
+    });
+}
+
+void BudgetKeeper::writeIfDue()
+{
+    auto &share = m_relay.state().prepaid;
+    if (m_lease == 0 || !m_relay.state().platformInReach || m_relay.state().stage == RelayStage::Starting
+        || m_returned) {
+        return;
+    }
+    m_relay.noteWanted();
+    if (const auto due = planWrite(share, Relay::now())) {
+        write(*due);
+    }
+}
+
+void BudgetKeeper::write(const ShareWrite &write)
+{
+    StoreTransaction transaction;
+    transaction.conditions.push_back({m_options.markKey, write.markRevision});
+    if (write.removesMark) {
+        transaction.removals.push_back(m_options.markKey);
+    } else {
+        transaction.puts.push_back({m_options.markKey, write.mark, m_lease});
+    }
+    if (write.ledger) {
+        transaction.conditions.push_back({m_options.ledgerKey, write.ledgerRevision});
+        transaction.puts.push_back({m_options.ledgerKey, *write.ledger, 0});
+    }
+    m_store.transact(transaction, [this](const StoreWriteReply &reply) {
+        onWritten(reply);
+    });
+}
+
+void BudgetKeeper::onWritten(const StoreWriteReply &reply)
+{
+    auto &share = m_relay.state().prepaid;
+    switch (reply.status) {
+    case StoreStatus::Ok:
+        onWriteDone(share, reply.revision);
+        break;
+    case StoreStatus::ConditionFailed:
+        onWriteRefused(share, true);
+        m_nextRecords = TimePoint{};
+        readRecords();
+        break;
+    case StoreStatus::NotFound:
+        onWriteRefused(share, true);
+        onLeaseLost();
+        break;
+    case StoreStatus::Refused:
+        onWriteRefused(share, false);
+        onReached(false);
+        break;
+    case StoreStatus::HistoryGone:
+    case StoreStatus::Unknown:
+        onWriteUnknown(share);
+        onReached(false);
+        break;
+    }
+    if (m_returned) {
+        finishReturn();
+        return;
+    }
+    m_relay.tokensCame();
+}
+
+void BudgetKeeper::returnAll(std::function<void()> done)
+{
+    m_returned = std::move(done);
+    if (!m_relay.state().prepaid.writing) {
+        finishReturn();
+    }
+}
+
+void BudgetKeeper::finishReturn()
+{
+    auto &share = m_relay.state().prepaid;
+    if (!share.returned && m_relay.state().platformInReach) {
+        if (const auto due = planReturn(share, Relay::now())) {
+            write(*due);
+            return;
+        }
+        if (!share.ledgerKnown && !m_recordsCallOpen) {
+            readRecords();
+        }
+    }
+    // Until it has worked the tick tries again; the owner bounds how long.
+    if (share.returned && m_lease != 0) {
+        m_store.endLease(m_lease, [done = std::exchange(m_returned, [] {})](StoreStatus) {
+            done();
+        });
+    }
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/budget_keeper.h
@@ -0,0 +1,100 @@
+#pragma once
+
+// Keeps this router's share of the prepaid totals, and its place among the live routers, in the platform's store.
+//
+// Carries out what PrepaidShare plans and reports how it ended; holds the lease on which the mark and the live entry
+// depend. Not thread-safe.
+
+#include "godwit/base/time.h"
+#include "godwit/relay/relay.h"
+#include "platform/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Godwit
+{
+
+struct BudgetKeeperOptions
+{
+    std::string ledgerKey = "godwit/ledger";
+    std::string markKey; // This host's own.
+    std::string liveKey;
+    std::string liveValue;
+    // A process that is started again within this time finds its predecessor's mark; the longer, the longer a cut
+    // router has to stay below its mark.
+    Duration leaseTime = std::chrono::seconds(4);
+    Duration keepInterval = std::chrono::seconds(1);
+    // An unanswered renewal may take effect this much later.
+    Duration lateMargin = std::chrono::seconds(1);
+    // While the store is away.
+    Duration probeInterval = std::chrono::milliseconds(500);
+    Duration tick = std::chrono::milliseconds(100);
+};
+
+class BudgetKeeper
+{
+public:
+    BudgetKeeper(boost::asio::io_context &io, Relay &relay, StoreClient &store, BudgetKeeperOptions options);
+
+    void start();
+
+    // Looks at once whether a write is due: a request waits for tokens.
+    void hurry();
+
+    // Takes the live entry away: callers are to be sent elsewhere.
+    void leave();
+
+    // Gives everything back and ends the lease; `done` is called once, also when the store is out of reach.
+    void returnAll(std::function<void()> done);
+
+    // Called when the store was heard, or not.
+    void onReached(bool reached);
+
+    std::function<void()> onRegained;
+
+    // When the store last came back into reach.
+    TimePoint regainedAt() const
+    {
+        return m_regainedAt;
+    }
+
+private:
+    void armTick();
+    void onTick();
+    void keepLease(TimePoint now);
+    void grantLease();
+    void onLeaseLost();
+    void writeLiveEntry();
+    void readRecords();
+    void onLedgerRead(const StoreItemReply &reply);
+    void onMarkRead(const StoreItemReply &ledger, const StoreItemReply &mark);
+    void writeIfDue();
+    void write(const ShareWrite &write);
+    void onWritten(const StoreWriteReply &reply);
+    void finishReturn();
+
+    boost::asio::io_context &m_io;
+    Relay &m_relay;
+    StoreClient &m_store;
+    BudgetKeeperOptions m_options;
+    boost::asio::steady_timer m_tick;
+    std::uint64_t m_lease = 0;
+    TimePoint m_renewedAt; // When the last renewal that may have taken effect was sent.
+    TimePoint m_nextKeep;
+    bool m_leaseCallOpen = false;
+    bool m_recordsCallOpen = false;
+    bool m_liveEntryWritten = false;
+    bool m_liveCallOpen = false;
+    bool m_leaving = false;
+    bool m_hurryPosted = false;
+    TimePoint m_nextRecords;
+    TimePoint m_regainedAt;
+    std::function<void()> m_returned;
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/fleet_links.cpp
@@ -0,0 +1,351 @@
+#include "godwit/daemon/fleet_links.h"
+
+#include "godwit/base/cbor_shape.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Godwit
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr const char *BeatTopic = "beat";
+constexpr const char *AskTopic = "ask";
+constexpr const char *GiveTopic = "give";
+constexpr const char *DocumentTopic = "document";
+
+// Beats nest two levels deep.
+constexpr std::size_t MaxDepth = 4;
+
+// A peer that nobody lists and nobody hears is forgotten after this long.
+constexpr Duration ForgetAfter = std::chrono::seconds(20);
+
+std::string toBytes(const json &value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+// A malformed message of another version or a broken process is worth nothing: it reads as null.
+json fromBytes(const std::string &bytes)
+{
+    if (!hasBoundedShape(bytes, MaxDepth)) {
+        return {};
+    }
+    json value = json::from_cbor(bytes, true, false);
+    return value.is_discarded() ? json() : value;
+}
+
+std::optional<std::pair<CustomerId, Tokens>> readAmount(const json &message)
+{
+    if (!message.is_array() || message.size() != 2 || !message[0].is_string() || !message[1].is_number_integer()) {
+        return std::nullopt;
+    }
+    return std::make_pair(CustomerId{message[0].get<std::string>()}, message[1].get<Tokens>());
+}
+
+} // namespace
+
+std::string encodeMember(const FleetMember &member)
+{
+    return json{{"host", member.host.value},
+                {"incarnation", member.incarnation.value},
+                {"data_centre", member.dataCentre.value},
+                {"callers", member.callerAddress},
+                {"peers", member.peerAddress}}
+        .dump();
+}
+
+std::optional<FleetMember> decodeMember(std::string_view text)
+{
+    const json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        FleetMember member;
+        member.host = HostId{value.at("host").get<std::string>()};
+        member.incarnation = Incarnation{value.at("incarnation").get<std::string>()};
+        member.dataCentre = DataCentreId{value.at("data_centre").get<std::string>()};
+        member.callerAddress = value.at("callers").get<std::string>();
+        member.peerAddress = value.at("peers").get<std::string>();
+        return member;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+FleetLinks::FleetLinks(boost::asio::io_context &io, Relay &relay, FleetLinksOptions options)
+    : m_relay(relay)
+    , m_options(std::move(options))
+    , m_timer(io)
+{
+    RouterMeshOptions mesh;
+    mesh.listenAddress = m_options.listenAddress;
+    mesh.allowPlainText = true;
+    // Cuts are short and frequent: a link that carries nothing is replaced soon.
+    mesh.silenceLimit = std::chrono::seconds(3);
+    mesh.reconnectLimit = std::chrono::seconds(1);
+    RouterMeshCallbacks callbacks;
+    callbacks.onLinkUp = [this](const Hello &hello) {
+        onLinkUp(hello);
+    };
+    callbacks.onLinkDown = [this](const Incarnation &incarnation) {
+        onLinkDown(incarnation);
+    };
+    callbacks.onMessage = [this](const Incarnation &from, const Envelope &envelope) {
+        onMessage(from, envelope);
+    };
+    callbacks.onRefusal = [this](const std::string &address, const Refusal &refusal) {
+        m_relay.log().write("link_refused",
+                            {{"peer", std::string_view(address)}, {"cause", std::string_view(refusal.message)}});
+    };
+    m_mesh = std::make_unique<RouterMesh>(io, mesh, m_options.own, std::move(callbacks));
+}
+
+FleetLinks::~FleetLinks() = default;
+
+bool FleetLinks::start(LastReason &reason)
+{
+    if (!m_mesh->start(reason)) {
+        return false;
+    }
+    armBeat();
+    return true;
+}
+
+void FleetLinks::stop()
+{
+    m_timer.cancel();
+    m_mesh->stop();
+}
+
+void FleetLinks::setListed(const std::vector<FleetMember> &members)
+{
+    for (auto &[incarnation, peer] : m_peers) {
+        peer.listed = false;
+    }
+    for (const FleetMember &member : members) {
+        if (member.incarnation == m_options.own.incarnation) {
+            continue;
+        }
+        Peer &peer = m_peers[member.incarnation];
+        if (!peer.listed && peer.heardAt == TimePoint{}) {
+            // Until its link stands the platform's word is enough.
+            peer.heardAt = Relay::now();
+            peer.ready = true;
+        }
+        peer.member = member;
+        peer.listed = true;
+        m_mesh->connectTo(member.host, member.peerAddress);
+    }
+}
+
+void FleetLinks::askForTokens(const CustomerId &customer, Tokens lacking)
+{
+    const TimePoint now = Relay::now();
+    TimePoint &askedAt = m_askedAt[customer];
+    if (now < askedAt + m_options.askInterval) {
+        return;
+    }
+    askedAt = now;
+    const auto &known = m_relay.state().heldElsewhere[customer];
+    const Peer *best = nullptr;
+    Tokens most = 0;
+    for (const auto &[incarnation, peer] : m_peers) {
+        const auto entry = known.find(HolderId{peer.member.callerAddress});
+        if (peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable > most) {
+            best = &peer;
+            most = entry->second.spendable;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    const auto wanted = static_cast<Tokens>(static_cast<double>(lacking) * m_options.askFactor);
+    m_mesh->send(best->member.incarnation, {AskTopic, toBytes(json::array({customer.value, wanted}))});
+}
+
+void FleetLinks::shareDocument(std::uint64_t version, const std::string &text)
+{
+    m_documentVersion = version;
+    m_document = text;
+}
+
+void FleetLinks::beat()
+{
+    m_mesh->broadcast({BeatTopic, beatBody()});
+}
+
+std::vector<CallerAddress> FleetLinks::callerAddresses() const
+{
+    const TimePoint now = Relay::now();
+    std::vector<CallerAddress> addresses;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.ready && isFresh(peer, now)) {
+            addresses.push_back({peer.member.callerAddress, peer.member.dataCentre});
+        }
+    }
+    return addresses;
+}
+
+int FleetLinks::liveCount() const
+{
+    const TimePoint now = Relay::now();
+    return 1 + static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
+               return isFresh(entry.second, now);
+           }));
+}
+
+void FleetLinks::armBeat()
+{
+    m_timer.expires_after(m_options.beatInterval);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_relay.state().liveRouters = liveCount();
+        m_relay.state().prepaid.liveRouters = m_relay.state().liveRouters;
+        forgetSilent(Relay::now());
+        beat();
+        armBeat();
+    });
+}
+
+std::string FleetLinks::beatBody() const
+{
+    const auto &share = m_relay.state().prepaid;
+    json held = json::object();
+    for (const auto &[customer, account] : share.accounts) {
+        if (account.bounded && held.size() < m_options.maxCustomersInBeat) {
+            held[customer.value] = json::array({headroom(share, customer), unusedGrant(share, customer)});
+        }
+    }
+    return toBytes(json{{"version", m_documentVersion}, {"ready", m_relay.isReady()}, {"held", std::move(held)}});
+}
+
+void FleetLinks::onLinkUp(const Hello &hello)
+{
+    Peer &peer = m_peers[hello.incarnation];
+    peer.linked = true;
+    peer.linkedAt = Relay::now();
+    peer.heardAt = peer.linkedAt;
+    if (!peer.listed) {
+        peer.member =
+            FleetMember{hello.host, hello.incarnation, hello.dataCentre, hello.callerAddress, hello.peerAddress};
+    }
+    m_relay.log().write("peer_linked", {{"peer", std::string_view(hello.incarnation.value)}});
+}
+
+void FleetLinks::onLinkDown(const Incarnation &incarnation)
+{
+    const auto found = m_peers.find(incarnation);
+    if (found != m_peers.end()) {
+        found->second.linked = false;
+        m_relay.log().write("peer_unlinked", {{"peer", std::string_view(incarnation.value)}});
+    }
+}
+
+void FleetLinks::onMessage(const Incarnation &from, const Envelope &envelope)
+{
+    const auto found = m_peers.find(from);
+    if (found == m_peers.end()) {
+        return;
+    }
+    found->second.heardAt = Relay::now();
+    if (envelope.topic == BeatTopic) {
+        onBeat(found->second, envelope.body);
+    } else if (envelope.topic == AskTopic) {
+        onAsk(from, envelope.body);
+    } else if (envelope.topic == GiveTopic) {
+        onGive(from, envelope.body);
+    } else if (envelope.topic == DocumentTopic && onDocument) {
+        onDocument(envelope.body);
+    }
+}
+
+void FleetLinks::onBeat(Peer &peer, const std::string &body)
+{
+    const json beat = fromBytes(body);
+    if (!beat.is_object()) {
+        return;
+    }
+    const auto ready = beat.find("ready");
+    peer.ready = ready != beat.end() && ready->is_boolean() && ready->get<bool>();
+    const auto version = beat.find("version");
+    if (version != beat.end() && version->is_number_unsigned()) {
+        peer.documentVersion = version->get<std::uint64_t>();
+    }
+    const auto held = beat.find("held");
+    if (held != beat.end() && held->is_object()) {
+        for (const auto &[customer, amount] : held->items()) {
+            if (amount.is_array() && amount.size() == 2 && amount[0].is_number_integer()
+                && amount[1].is_number_integer()) {
+                auto &known = m_relay.state().heldElsewhere[CustomerId{customer}];
+                known[HolderId{peer.member.callerAddress}] =
+                    HeldElsewhere{amount[0].get<Tokens>(), amount[1].get<Tokens>()};
+            }
+        }
+    }
+    if (peer.documentVersion < m_documentVersion) {
+        offerDocument(peer);
+    }
+}
+
+void FleetLinks::onAsk(const Incarnation &from, const std::string &body)
+{
+    const auto asked = readAmount(fromBytes(body));
+    if (!asked) {
+        return;
+    }
+    const Tokens amount = sendTokens(m_relay.state().prepaid, asked->first, asked->second, Relay::now());
+    // Counted as gone before it is sent: a message that is lost costs tokens, and none is ever there twice.
+    if (amount > 0) {
+        m_mesh->send(from, {GiveTopic, toBytes(json::array({asked->first.value, amount}))});
+    }
+}
+
+void FleetLinks::onGive(const Incarnation &from, const std::string &body)
+{
+    const auto given = readAmount(fromBytes(body));
+    if (!given || given->second <= 0) {
+        return;
+    }
+    receiveTokens(m_relay.state().prepaid, given->first, given->second);
+    m_relay.log().write("tokens_received",
+                        {{"customer", std::string_view(given->first.value)},
+                         {"amount", given->second},
+                         {"from", std::string_view(from.value)}});
+    m_relay.tokensCame();
+}
+
+void FleetLinks::offerDocument(const Peer &peer)
+{
+    if (peer.linked && !m_document.empty()) {
+        m_mesh->send(peer.member.incarnation, {DocumentTopic, m_document});
+    }
+}
+
+bool FleetLinks::isFresh(const Peer &peer, TimePoint now) const
+{
+    return now < peer.heardAt + m_options.freshFor;
+}
+
+void FleetLinks::forgetSilent(TimePoint now)
+{
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        const Peer &peer = it->second;
+        const bool forget = !peer.listed && !peer.linked && now > peer.heardAt + ForgetAfter;
+        if (forget) {
+            m_mesh->dropPeer(peer.member.host);
+        }
+        it = forget ? m_peers.erase(it) : std::next(it);
+    }
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/fleet_links.h
@@ -0,0 +1,122 @@
+#pragma once
+
+// What the routers tell each other over their links: that they live, which document they have, what they hold of
+// each budget, and tokens that move from one to another.
+//
+// A message may be lost with its link; nothing here depends on one. Not thread-safe.
+
+#include "godwit/base/time.h"
+#include "godwit/relay/relay.h"
+#include "godwit/router/router_mesh.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Godwit
+{
+
+struct FleetLinksOptions
+{
+    Hello own;
+    std::string listenAddress;
+    // Callers are sent to a router that was heard within `freshFor`.
+    Duration beatInterval = std::chrono::milliseconds(400);
+    Duration freshFor = std::chrono::milliseconds(1600);
+    // A request for tokens asks for this much more than it lacks, so that the next requests need not ask.
+    double askFactor = 3;
+    // No second question about the same customer within this time.
+    Duration askInterval = std::chrono::milliseconds(30);
+    // Customers in one beat at most.
+    std::size_t maxCustomersInBeat = 64;
+};
+
+// A router as the platform lists it, or as its hello said.
+struct FleetMember
+{
+    HostId host;
+    Incarnation incarnation;
+    DataCentreId dataCentre;
+    std::string callerAddress;
+    std::string peerAddress;
+};
+
+std::string encodeMember(const FleetMember &member);
+std::optional<FleetMember> decodeMember(std::string_view text);
+
+struct CallerAddress
+{
+    std::string address;
+    DataCentreId dataCentre;
+};
+
+class FleetLinks
+{
+public:
+    FleetLinks(boost::asio::io_context &io, Relay &relay, FleetLinksOptions options);
+    ~FleetLinks();
+
+    bool start(LastReason &reason);
+    void stop();
+
+    // The live routers as the platform lists them. Those that it no longer lists stay known while they are heard.
+    void setListed(const std::vector<FleetMember> &members);
+
+    // Asks the router that holds most of the customer's budget for some of it.
+    void askForTokens(const CustomerId &customer, Tokens lacking);
+
+    // Tells all others the document in force.
+    void shareDocument(std::uint64_t version, const std::string &text);
+
+    // Says now what the next beat would say, such as that this router is leaving.
+    void beat();
+
+    // Where callers may connect, this router left out.
+    std::vector<CallerAddress> callerAddresses() const;
+
+    // Routers that take requests, this one included.
+    int liveCount() const;
+
+    // Another router has a newer document than this one.
+    std::function<void(const std::string &text)> onDocument;
+
+private:
+    struct Peer
+    {
+        FleetMember member;
+        bool linked = false;
+        bool listed = false;
+        bool ready = false;
+        TimePoint heardAt;
+        TimePoint linkedAt;
+        std::uint64_t documentVersion = 0;
+    };
+
+    void armBeat();
+    std::string beatBody() const;
+    void onLinkUp(const Hello &hello);
+    void onLinkDown(const Incarnation &incarnation);
+    void onMessage(const Incarnation &from, const Envelope &envelope);
+    void onBeat(Peer &peer, const std::string &body);
+    void onAsk(const Incarnation &from, const std::string &body);
+    void onGive(const Incarnation &from, const std::string &body);
+    void offerDocument(const Peer &peer);
+    bool isFresh(const Peer &peer, TimePoint now) const;
+    void forgetSilent(TimePoint now);
+
+    Relay &m_relay;
+    FleetLinksOptions m_options;
+    std::unique_ptr<RouterMesh> m_mesh;
+    boost::asio::steady_timer m_timer;
+    std::map<Incarnation, Peer> m_peers;
+    std::map<CustomerId, TimePoint> m_askedAt;
+    std::uint64_t m_documentVersion = 0;
+    std::string m_document;
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/gateway.cpp
@@ -0,0 +1,479 @@
+#include "godwit/daemon/gateway.h"
+
+#include "godwit/daemon/budget_keeper.h"
+#include "godwit/daemon/endpoint_list.h"
+#include "godwit/daemon/fleet_links.h"
+#include "godwit/daemon/gateway_metrics.h"
+#include "godwit/daemon/prefix_watch.h"
+#include "godwit/relay/caller_connection.h"
+#include "godwit/relay/entry_server.h"
+#include "godwit/relay/listener.h"
+#include "platform/http_codec.h"
+#include "platform/site_codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace Godwit
+{
+namespace
+{
+
+using boost::system::error_code;
+
+constexpr const char *LivePrefix = "godwit/live/";
+constexpr const char *MarkPrefix = "godwit/mark/";
+
+// Most addresses in one answer; callers take no more.
+constexpr std::size_t MaxAddresses = 64;
+// How often idle connections and the settings file are looked at.
+constexpr auto SweepInterval = std::chrono::milliseconds(500);
+// Of the time that a stop may take: after the first part no new request is taken, so that those under way can end;
+// the second part leaves time to give the budgets back.
+constexpr double TakeRequestsPart = 0.36;
+constexpr double FinishPart = 0.88;
+
+std::string randomSuffix()
+{
+    std::random_device device;
+    std::ostringstream text;
+    text << std::hex << device() << device();
+    return text.str();
+}
+
+std::string readFile(const std::string &name)
+{
+    std::ifstream in(name);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+RelayOptions relayOptions(const GatewaySettings &settings, const Incarnation &incarnation)
+{
+    RelayOptions options;
+    options.host = settings.host;
+    options.dataCentre = settings.dataCentre;
+    options.prepaid.self = HolderId{settings.callerListen};
+    options.prepaid.incarnation = incarnation;
+    options.repeats.ratio = settings.repeatRatio;
+    options.repeats.slack = settings.repeatSlack;
+    options.repeats.window = settings.repeatWindow;
+    return options;
+}
+
+BudgetKeeperOptions keeperOptions(const GatewaySettings &settings, const FleetMember &self)
+{
+    BudgetKeeperOptions options;
+    options.markKey = MarkPrefix + settings.callerListen;
+    options.liveKey = LivePrefix + settings.callerListen;
+    options.liveValue = encodeMember(self);
+    return options;
+}
+
+FleetLinksOptions linkOptions(const GatewaySettings &settings, const FleetMember &self)
+{
+    FleetLinksOptions options;
+    options.listenAddress = settings.peerListen;
+    options.own.host = self.host;
+    options.own.incarnation = self.incarnation;
+    options.own.dataCentre = self.dataCentre;
+    options.own.peerAddress = self.peerAddress;
+    options.own.callerAddress = self.callerAddress;
+    return options;
+}
+
+FleetMember selfMember(const GatewaySettings &settings)
+{
+    return FleetMember{settings.host,
+                       Incarnation{settings.host.value + '.' + randomSuffix()},
+                       settings.dataCentre,
+                       settings.callerListen,
+                       settings.peerListen};
+}
+
+} // namespace
+
+class Gateway::Impl
+{
+public:
+    Impl(GatewaySettings settings, std::string settingsFile)
+        : m_settings(std::move(settings))
+        , m_settingsFile(std::move(settingsFile))
+        , m_self(selfMember(m_settings))
+        , m_log(m_io, logOptions(m_settings))
+        , m_relay(m_io, relayOptions(m_settings, m_self.incarnation), m_log)
+        , m_store(m_io, m_settings.store)
+        , m_keeper(m_io, m_relay, m_store, keeperOptions(m_settings, m_self))
+        , m_links(m_io, m_relay, linkOptions(m_settings, m_self))
+        , m_endpoints(m_io, m_relay)
+        , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, watchDocuments(), reached())
+        , m_endpointWatch(m_io, m_store, std::string(EndpointPrefix), {}, watchEndpoints(), reached())
+        , m_liveWatch(m_io, m_store, LivePrefix, {}, watchLive(), reached())
+        , m_callers(m_io)
+        , m_entry(m_io, answerEntry())
+        , m_metrics(m_io, answerMetrics())
+        , m_signals(m_io, SIGTERM, SIGINT)
+        , m_reloads(m_io, SIGHUP)
+        , m_sweep(m_io)
+        , m_stop(m_io)
+    {
+        m_relay.onTokensWanted = [this](const CustomerId &customer, Tokens tokens) {
+            m_keeper.hurry();
+            m_links.askForTokens(customer, tokens);
+        };
+        m_keeper.onRegained = [this] {
+            m_endpoints.onStoreRegained();
+            for (PrefixWatch *watch : {&m_documents, &m_endpointWatch, &m_liveWatch}) {
+                watch->askAgain();
+            }
+        };
+        m_links.onDocument = [this](const std::string &text) {
+            takeDocument(text, "router");
+        };
+    }
+
+    bool start(LastReason &reason)
+    {
+        m_log.write("start",
+                    {{"incarnation", std::string_view(m_self.incarnation.value)},
+                     {"version", std::string_view(GODWIT_VERSION)},
+                     {"callers", std::string_view(m_settings.callerListen)},
+                     {"store", std::string_view(m_settings.store)}});
+        const bool listening = m_links.start(reason) && m_entry.listen(m_settings.readyListen, reason)
+            && (m_settings.addressesListen.empty() || m_entry.listen(m_settings.addressesListen, reason))
+            && (m_settings.metricsListen.empty() || m_metrics.listen(m_settings.metricsListen, reason))
+            && m_callers.open(
+                m_settings.callerListen,
+                [this](Listener::Socket socket) {
+                    std::make_shared<CallerConnection>(m_relay, m_connections, std::move(socket))->start();
+                },
+                reason);
+        if (!listening) {
+            return false;
+        }
+        m_documents.start();
+        m_endpointWatch.start();
+        m_liveWatch.start();
+        m_keeper.start();
+        waitForSignals();
+        armSweep();
+        return true;
+    }
+
+    bool run()
+    {
+        m_io.run();
+        m_log.flush();
+        return m_relay.state().prepaid.returned;
+    }
+
+private:
+    static DecisionLogOptions logOptions(const GatewaySettings &settings)
+    {
+        DecisionLogOptions options;
+        options.host = settings.host.value;
+        return options;
+    }
+
+    std::function<void(bool)> reached()
+    {
+        return [this](bool ok) {
+            m_keeper.onReached(ok);
+        };
+    }
+
+    std::function<void(const PrefixWatch::Items &)> watchDocuments()
+    {
+        return [this](const PrefixWatch::Items &items) {
+            const auto found = items.find(std::string(SiteDocumentKey));
+            if (found != items.end() && found->second.revision != m_documentRevision) {
+                m_documentRevision = found->second.revision;
+                takeDocument(found->second.value, "platform");
+            }
+        };
+    }
+
+    void takeDocument(const std::string &text, std::string_view source)
+    {
+        LastReason reason;
+        auto document = decodeSiteDocument(text, reason);
+        if (!document) {
+            m_log.write("document_refused",
+                        {{"revision", static_cast<std::int64_t>(m_documentRevision)},
+                         {"source", source},
+                         {"cause", std::string_view(reason->message)}});
+            return;
+        }
+        auto &state = m_relay.state();
+        if (state.routes && document->version <= state.routes->document.version) {
+            return;
+        }
+        const std::uint64_t version = document->version;
+        m_log.write("document_in_force",
+                    {{"document", static_cast<std::int64_t>(version)},
+                     {"before", static_cast<std::int64_t>(state.routes ? state.routes->document.version : 0)},
+                     {"source", source},
+                     {"routes", static_cast<std::int64_t>(document->routes.size())}});
+        std::map<CustomerId, std::optional<Tokens>> totals;
+        for (const PrepaidCustomer &customer : document->customers) {
+            totals[customer.name] = customer.prepaid;
+        }
+        state.routes = makeRouteTable(std::move(*document));
+        applyTotals(state.prepaid, version, totals, Relay::now());
+        m_links.shareDocument(version, text);
+        checkStage();
+        m_keeper.hurry();
+    }
+
+    std::function<void(const PrefixWatch::Items &)> watchEndpoints()
+    {
+        return [this](const PrefixWatch::Items &items) {
+            m_endpoints.onListed(items);
+            checkStage();
+        };
+    }
+
+    std::function<void(const PrefixWatch::Items &)> watchLive()
+    {
+        return [this](const PrefixWatch::Items &items) {
+            std::vector<FleetMember> members;
+            for (const auto &[key, item] : items) {
+                if (auto member = decodeMember(item.value)) {
+                    members.push_back(std::move(*member));
+                } else {
+                    m_log.write("member_unreadable", {{"key", std::string_view(key)}});
+                }
+            }
+            m_links.setListed(members);
+        };
+    }
+
+    void checkStage()
+    {
+        auto &state = m_relay.state();
+        if (state.stage == RelayStage::Starting && state.routes && m_endpointWatch.isComplete()) {
+            setStage(RelayStage::Serving, "serving");
+            m_keeper.hurry();
+        }
+    }
+
+    void setStage(RelayStage stage, std::string_view name)
+    {
+        m_relay.state().stage = stage;
+        m_log.write("stage", {{"stage", name}});
+    }
+
+    EntryServer::Answer answerEntry()
+    {
+        return [this](const std::string &method, const std::string &target) {
+            const EntryQuestion question = readEntryQuestion(method, target);
+            EntryAnswer answer;
+            if (question.call == EntryCall::Ready) {
+                answer.status = m_relay.isReady() ? 200 : 503;
+                answer.body = "{}";
+            } else if (question.call == EntryCall::Addresses) {
+                const auto addresses = addressAnswer();
+                answer.status = addresses.empty() ? 503 : 200;
+                answer.body = addresses.empty() ? "{}" : writeAddresses(addresses, m_settings.addressesFor);
+            }
+            return answer;
+        };
+    }
+
+    std::vector<std::string> addressAnswer()
+    {
+        std::vector<std::string> addresses;
+        for (const CallerAddress &router : m_links.callerAddresses()) {
+            addresses.push_back(router.address);
+        }
+        if (m_relay.isReady()) {
+            addresses.push_back(m_settings.callerListen);
+        }
+        std::shuffle(addresses.begin(), addresses.end(), m_random);
+        addresses.resize(std::min(addresses.size(), MaxAddresses));
+        return addresses;
+    }
+
+    EntryServer::Answer answerMetrics()
+    {
+        return [this](const std::string &, const std::string &) {
+            EntryAnswer answer;
+            answer.status = 200;
+            answer.contentType = "text/plain; version=0.0.4";
+            answer.body = renderGatewayMetrics(m_relay, m_store.counters());
+            return answer;
+        };
+    }
+
+    void waitForSignals()
+    {
+        m_signals.async_wait([this](const error_code &error, int signal) {
+            if (!error) {
+                beginStop(signal);
+            }
+        });
+        waitForReload();
+    }
+
+    void waitForReload()
+    {
+        m_reloads.async_wait([this](const error_code &error, int) {
+            if (!error) {
+                readSettingsAgain("signal");
+                waitForReload();
+            }
+        });
+    }
+
+    // Addresses stay as they were at the start; the bounds can change.
+    void readSettingsAgain(std::string_view cause)
+    {
+        const std::string text = readFile(m_settingsFile);
+        if (text == m_settingsText && cause == "file") {
+            return;
+        }
+        m_settingsText = text;
+        LastReason reason;
+        const auto settings = parseGatewaySettings(text, m_settingsFile, reason);
+        if (!settings) {
+            m_log.write("settings_refused", {{"cause", std::string_view(reason->message)}});
+            return;
+        }
+        m_settings.stopWithin = settings->stopWithin;
+        m_settings.addressesFor = settings->addressesFor;
+        m_relay.setRepeatRules(settings->repeatRatio, settings->repeatSlack, settings->repeatWindow);
+        m_log.write("reload", {{"cause", cause}});
+    }
+
+    void armSweep()
+    {
+        m_sweep.expires_after(SweepInterval);
+        m_sweep.async_wait([this](const error_code &error) {
+            if (error) {
+                return;
+            }
+            m_relay.pool().sweep(Relay::now());
+            if (m_settingsText.empty()) {
+                m_settingsText = readFile(m_settingsFile);
+            }
+            readSettingsAgain("file");
+            armSweep();
+        });
+    }
+
+    void beginStop(int signal)
+    {
+        if (m_stopping) {
+            return;
+        }
+        m_stopping = true;
+        m_stopBegan = Relay::now();
+        m_log.write("stop", {{"signal", static_cast<std::int64_t>(signal)}, {"calls", m_relay.callsOpen}});
+        setStage(RelayStage::Leaving, "leaving");
+        m_links.beat();
+        m_keeper.leave();
+        stepStop();
+    }
+
+    // Callers keep an address answer for a while, so requests still come: they are served in the first part.
+    void stepStop()
+    {
+        const double passed = toSeconds(Relay::now() - m_stopBegan) / toSeconds(m_settings.stopWithin);
+        if (passed >= TakeRequestsPart && m_relay.state().stage == RelayStage::Leaving) {
+            setStage(RelayStage::Stopping, "stopping");
+        }
+        if (m_relay.state().stage == RelayStage::Stopping) {
+            closeIdleConnections();
+            if (m_relay.callsOpen == 0 || passed >= FinishPart) {
+                finishStop();
+                return;
+            }
+        }
+        m_stop.expires_after(std::chrono::milliseconds(100));
+        m_stop.async_wait([this](const error_code &error) {
+            if (!error) {
+                stepStop();
+            }
+        });
+    }
+
+    void closeIdleConnections()
+    {
+        const auto open = m_connections.open;
+        for (CallerConnection *connection : open) {
+            connection->closeIfIdle();
+        }
+    }
+
+    void finishStop()
+    {
+        m_log.write("stopping", {{"calls_cut", m_relay.callsOpen}});
+        const Duration left = m_settings.stopWithin - (Relay::now() - m_stopBegan);
+        m_stop.expires_after(std::max<Duration>(left * 3 / 4, std::chrono::milliseconds(100)));
+        m_stop.async_wait([this](const error_code &) {
+            end();
+        });
+        m_keeper.returnAll([this] {
+            end();
+        });
+    }
+
+    void end()
+    {
+        m_log.write("end", {{"returned", m_relay.state().prepaid.returned}});
+        m_log.flush();
+        m_io.stop();
+    }
+
+    boost::asio::io_context m_io{1};
+    GatewaySettings m_settings;
+    std::string m_settingsFile;
+    std::string m_settingsText;
+    FleetMember m_self;
+    DecisionLog m_log;
+    Relay m_relay;
+    StoreClient m_store;
+    BudgetKeeper m_keeper;
+    FleetLinks m_links;
+    EndpointList m_endpoints;
+    PrefixWatch m_documents;
+    PrefixWatch m_endpointWatch;
+    PrefixWatch m_liveWatch;
+    CallerConnections m_connections;
+    Listener m_callers;
+    EntryServer m_entry;
+    EntryServer m_metrics;
+    boost::asio::signal_set m_signals;
+    boost::asio::signal_set m_reloads;
+    boost::asio::steady_timer m_sweep;
+    boost::asio::steady_timer m_stop;
+    std::mt19937_64 m_random{std::random_device{}()};
+    std::uint64_t m_documentRevision = 0;
+    bool m_stopping = false;
+    TimePoint m_stopBegan;
+};
+
+Gateway::Gateway(GatewaySettings settings, std::string settingsFile)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(settingsFile)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::start(LastReason &reason)
+{
+    return m_impl->start(reason);
+}
+
+bool Gateway::run()
+{
+    return m_impl->run();
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -0,0 +1,47 @@
+#include "godwit/daemon/gateway_metrics.h"
+
+#include <sstream>
+
+namespace Godwit
+{
+namespace
+{
+
+void line(std::ostringstream &out, std::string_view name, double value)
+{
+    out << name << ' ' << value << '\n';
+}
+
+} // namespace
+
+std::string renderGatewayMetrics(Relay &relay, const StoreCounters &store)
+{
+    std::ostringstream out;
+    const RelayCounters &counters = relay.counters();
+    line(out, "godwit_requests_total", static_cast<double>(counters.requests));
+    line(out, "godwit_answered_total", static_cast<double>(counters.answered));
+    line(out, "godwit_callers_left_total", static_cast<double>(counters.callersLeft));
+    line(out, "godwit_attempts_total", static_cast<double>(counters.attempts));
+    line(out, "godwit_repeats_total", static_cast<double>(counters.repeats));
+    line(out, "godwit_resumed_streams_total", static_cast<double>(counters.resumedStreams));
+    line(out, "godwit_broken_off_total", static_cast<double>(counters.brokenOff));
+    line(out, "godwit_connections_opened_total", static_cast<double>(counters.connectionsOpened));
+    for (const auto &[kind, count] : counters.refusals) {
+        out << "godwit_refusals_total{cause=\"" << errorName(kind) << "\"} " << count << '\n';
+    }
+    line(out, "godwit_calls_open", relay.callsOpen);
+    line(out, "godwit_platform_calls_total", static_cast<double>(store.calls));
+    line(out, "godwit_platform_calls_refused_total", static_cast<double>(store.refused));
+    line(out, "godwit_platform_calls_unknown_total", static_cast<double>(store.unknown));
+    line(out, "godwit_platform_in_reach", relay.state().platformInReach ? 1 : 0);
+    line(out, "godwit_live_routers", relay.state().liveRouters);
+    line(out, "godwit_log_lines_dropped_total", static_cast<double>(relay.log().dropped()));
+    for (const auto &[customer, account] : relay.state().prepaid.accounts) {
+        out << "godwit_budget_granted{customer=\"" << customer.value << "\"} " << account.granted << '\n';
+        out << "godwit_budget_used{customer=\"" << customer.value << "\"} " << account.net << '\n';
+        out << "godwit_budget_reserved{customer=\"" << customer.value << "\"} " << account.reserved << '\n';
+    }
+    return out.str();
+}
+
+} // namespace Godwit
--- a/godwit/daemon/main.cpp
+++ b/godwit/daemon/main.cpp
@@ -1,8 +1,10 @@
 // godwitd: one router of the fleet.
 
+#include "godwit/config/gateway_settings.h"
 #include "godwit/config/settings.h"
 #include "godwit/daemon/control.h"
 #include "godwit/daemon/event_log.h"
+#include "godwit/daemon/gateway.h"
 #include "godwit/http/key_digest.h"
 
 #include <cxxopts.hpp>
@@ -35,7 +37,7 @@
     return options;
 }
 
-std::optional<Settings> readSettings(const std::string &file)
+std::optional<std::string> readText(const std::string &file)
 {
     std::ifstream in(file);
     if (!in) {
@@ -44,12 +46,33 @@
     }
     std::ostringstream text;
     text << in.rdbuf();
+    return text.str();
+}
+
+void printReason(const Error &reason)
+{
+    std::cerr << "godwitd: " << reason.message << '\n' << errorRemedy(reason.kind) << '\n';
+}
+
+// A router on the users' platform.
+int runGateway(const std::string &text, const std::string &file, bool checkOnly)
+{
     LastReason reason;
-    auto settings = parseSettings(text.str(), file, reason);
+    const auto settings = parseGatewaySettings(text, file, reason);
     if (!settings) {
-        std::cerr << "godwitd: " << reason->message << '\n' << errorRemedy(reason->kind) << '\n';
+        printReason(*reason);
+        return ExitUsage;
     }
-    return settings;
+    if (checkOnly) {
+        std::cout << "settings are valid\n";
+        return ExitOk;
+    }
+    Gateway gateway(*settings, file);
+    if (!gateway.start(reason)) {
+        printReason(*reason);
+        return ExitFailed;
+    }
+    return gateway.run() ? ExitOk : ExitUnfinished;
 }
 
 int runDaemon(const Settings &settings)
@@ -94,11 +117,22 @@
             std::cerr << "godwitd: name a settings file with --settings FILE; --help tells more\n";
             return ExitUsage;
         }
-        const auto settings = readSettings(arguments["settings"].as<std::string>());
+        const auto file = arguments["settings"].as<std::string>();
+        const auto text = readText(file);
+        if (!text) {
+            return ExitUsage;
+        }
+        const bool checkOnly = arguments.count("check-config") != 0;
+        if (hasGatewaySettings(*text)) {
+            return runGateway(*text, file, checkOnly);
+        }
+        LastReason reason;
+        const auto settings = parseSettings(*text, file, reason);
         if (!settings) {
+            printReason(*reason);
             return ExitUsage;
         }
-        if (arguments.count("check-config") != 0) {
+        if (checkOnly) {
             std::cout << "settings are valid\n";
             return ExitOk;
         }
--- /dev/null
+++ b/godwit/daemon/prefix_watch.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Keeps a copy of everything under one prefix of the platform's store.
+//
+// Reads all, then follows the changes; reads all again when the store no longer has the history, and tries again
+// while it is out of reach. Not thread-safe.
+//
+// Example:
+//   PrefixWatch watch(io, store, "servers/", options, [](const PrefixWatch::Items &items) { ... });
+//   watch.start();
+
+#include "godwit/base/time.h"
+#include "platform/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace Godwit
+{
+
+struct PrefixWatchOptions
+{
+    // Longer waits cost fewer calls; a connection that went silent is noticed no sooner than this.
+    Duration wait = std::chrono::seconds(8);
+    // While the store is out of reach; whoever sees it return calls askAgain().
+    Duration retry = std::chrono::milliseconds(1500);
+    // After an answer, so that a series of changes comes in one.
+    Duration gather = std::chrono::milliseconds(50);
+};
+
+class PrefixWatch
+{
+public:
+    using Items = std::map<std::string, StoreItem>;
+
+    // `changed` gets the whole copy after each change; `reached` says after each answer whether the store spoke.
+    PrefixWatch(boost::asio::io_context &io,
+                StoreClient &store,
+                std::string prefix,
+                PrefixWatchOptions options,
+                std::function<void(const Items &)> changed,
+                std::function<void(bool)> reached);
+
+    void start();
+
+    // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
+    void askAgain();
+
+    // Whether the copy has been complete once.
+    bool isComplete() const
+    {
+        return m_complete;
+    }
+
+private:
+    void readAll();
+    void follow();
+    void onChanges(const StoreItemsReply &reply);
+    void later(Duration pause, void (PrefixWatch::*step)());
+
+    boost::asio::steady_timer m_timer;
+    StoreClient &m_store;
+    std::string m_prefix;
+    PrefixWatchOptions m_options;
+    std::function<void(const Items &)> m_changed;
+    std::function<void(bool)> m_reached;
+    Items m_items;
+    std::uint64_t m_at = 0;
+    bool m_complete = false;
+    std::uint64_t m_round = 0; // Answers to calls of earlier rounds come too late.
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/gateway/endpoint_table.h
@@ -0,0 +1,105 @@
+#pragma once
+
+// Choosing an endpoint: who is listed, what this router has under way there, and how its answers went.
+//
+// Pure: time and random numbers are passed in. A router sees only its own share of an endpoint's load; it takes the
+// other routers' share to be like its own.
+//
+// Example:
+//   replaceEndpoints(table, listed, now);
+//   ChoiceQuery query;
+//   query.service = "matching";
+//   query.affinity = "5c1e07a2";
+//   if (EndpointState *endpoint = chooseEndpoint(table, query, random, now)) {
+//       beginAttempt(*endpoint, tokens);
+//   }
+
+#include "godwit/base/ids.h"
+#include "godwit/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Godwit
+{
+
+struct ListedEndpoint
+{
+    EndpointId id;
+    std::string service;
+    std::string address; // "ip:port".
+    DataCentreId dataCentre;
+    int slots = 0;
+    bool leaving = false;
+};
+
+// How an attempt ended, as far as it speaks of its endpoint.
+enum class AttemptVerdict {
+    Good,
+    Shed, // It was full and said so.
+    Failed, // It answered that it failed, or its answer was unusable.
+    Unreachable, // No connection, or one that broke.
+    Slow, // Silent for longer than the answer may take.
+    Neutral, // Says nothing of it: the caller left, or the time was up early.
+};
+
+struct EndpointState
+{
+    ListedEndpoint listed;
+    int inFlight = 0;
+    Tokens tokensInFlight = 0;
+    double failureRate = 0; // Exponential average of Failed, Unreachable and Slow among the last attempts.
+    double firstAnswerSeconds = 0; // Exponential average of the time to the first byte.
+    int failuresInRow = 0;
+    TimePoint avoidUntil; // After failures: used only when nobody else is left.
+    TimePoint goneAt; // When the list stopped naming it; such an endpoint gets no new work.
+    bool gone = false;
+};
+
+struct EndpointTable
+{
+    std::map<EndpointId, EndpointState> endpoints;
+    std::map<std::string, std::vector<EndpointId>> byService; // Those that may get work.
+};
+
+struct ChoiceOptions
+{
+    // An endpoint may carry this multiple of the mean load, and `slack` requests more, before a request with a
+    // shared prompt goes to its second choice. 1.25 is the usual bound of consistent hashing with bounded loads.
+    double loadBound = 1.25;
+    int slack = 2;
+    // How long an endpoint is left alone after its first failure in a row; doubles up to the limit.
+    Duration avoidFirst = std::chrono::milliseconds(300);
+    Duration avoidLimit = std::chrono::seconds(3);
+    // After a shed: a queue of an endpoint drains a few requests within this time.
+    Duration avoidShed = std::chrono::milliseconds(100);
+    // Weight of the newest attempt in the averages.
+    double newest = 0.1;
+};
+
+struct ChoiceQuery
+{
+    std::string service;
+    std::string_view affinity; // What should meet again at one endpoint; empty: nothing.
+    std::vector<EndpointId> tried; // Not these.
+    DataCentreId dataCentre; // This router's own.
+};
+
+// Takes over a new list. Endpoints that it no longer names get no new work; what they have under way goes on.
+void replaceEndpoints(EndpointTable &table, const std::vector<ListedEndpoint> &listed, TimePoint now);
+
+// An endpoint for one attempt, or null when the service has none that is not in `tried`.
+EndpointState *chooseEndpoint(
+    EndpointTable &table, const ChoiceQuery &query, const ChoiceOptions &options, std::uint64_t random, TimePoint now);
+
+void beginAttempt(EndpointState &endpoint, Tokens tokens);
+
+void endAttempt(
+    EndpointState &endpoint, Tokens tokens, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now);
+
+void recordFirstAnswer(EndpointState &endpoint, Duration wait, const ChoiceOptions &options);
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/gateway/route_table.cpp
@@ -0,0 +1,98 @@
+#include "godwit/gateway/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Godwit
+{
+namespace
+{
+
+std::string normalHost(std::string_view host)
+{
+    const auto colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos) {
+        host = host.substr(0, colon);
+    }
+    std::string text(host);
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+        return static_cast<char>(std::tolower(c));
+    });
+    return text;
+}
+
+std::string routeKey(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key.push_back(' ');
+    key.append(prefix);
+    return key;
+}
+
+} // namespace
+
+std::shared_ptr<const RouteTable> makeRouteTable(SiteDocument document)
+{
+    auto table = std::make_shared<RouteTable>();
+    table->document = std::move(document);
+    const SiteDocument &site = table->document;
+    for (std::size_t i = 0; i < site.routes.size(); ++i) {
+        table->routes.emplace(routeKey(normalHost(site.routes[i].host), site.routes[i].pathPrefix), i);
+    }
+    for (std::size_t i = 0; i < site.customers.size(); ++i) {
+        for (const std::string &key : site.customers[i].keys) {
+            table->customersByKey.emplace(key, i);
+        }
+    }
+    for (std::size_t i = 0; i < site.services.size(); ++i) {
+        table->services.emplace(site.services[i].name, i);
+    }
+    return table;
+}
+
+const GatewayRoute *findRoute(const RouteTable &table, std::string_view host, std::string_view target)
+{
+    std::string_view path = target.substr(0, target.find_first_of("?#"));
+    std::string key = routeKey(normalHost(host), path);
+    const std::size_t hostLength = key.size() - path.size();
+    // Prefixes begin and end with a slash: only the places of slashes can be the end of one.
+    for (auto slash = key.rfind('/'); slash != std::string::npos && slash >= hostLength; slash = key.rfind('/')) {
+        key.resize(slash + 1);
+        const auto found = table.routes.find(key);
+        if (found != table.routes.end()) {
+            return &table.document.routes[found->second];
+        }
+        key.resize(slash);
+    }
+    return nullptr;
+}
+
+const PrepaidCustomer *findCustomer(const RouteTable &table, const std::string &key)
+{
+    const auto found = table.customersByKey.find(key);
+    return found == table.customersByKey.end() ? nullptr : &table.document.customers[found->second];
+}
+
+const GatewayService *findService(const RouteTable &table, const std::string &name)
+{
+    const auto found = table.services.find(name);
+    return found == table.services.end() ? nullptr : &table.document.services[found->second];
+}
+
+const std::string &pickService(const GatewayRoute &route, std::uint64_t seed)
+{
+    std::uint64_t total = 0;
+    for (const WeightedService &entry : route.services) {
+        total += entry.weight;
+    }
+    std::uint64_t point = total == 0 ? 0 : seed % total;
+    for (const WeightedService &entry : route.services) {
+        if (point < entry.weight) {
+            return entry.service;
+        }
+        point -= entry.weight;
+    }
+    return route.services.front().service;
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/http/call_client.cpp
@@ -0,0 +1,219 @@
+#include "godwit/http/call_client.h"
+
+#include "godwit/http/address.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+
+namespace Godwit
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+// One keep-alive connection to the service, used by one coroutine.
+class Connection
+{
+public:
+    Connection(asio::io_context &io, const CallClientOptions &options, std::size_t &preferred)
+        : m_stream(io)
+        , m_options(options)
+        , m_preferred(preferred)
+    {
+    }
+
+    CallOutcome exchange(HttpRequest &request,
+                         HttpResponse &response,
+                         const CallRules &rules,
+                         const asio::yield_context &yield)
+    {
+        const bool reused = m_open;
+        const CallOutcome first = tryOnce(request, response, rules.timeout, yield);
+        // The service may close an idle connection at any time. A read can be sent again; a write can't, since it
+        // may have taken effect.
+        const bool timedOut = m_timedOut;
+        if (first == CallOutcome::Lost && reused && rules.idempotent && !timedOut) {
+            return tryOnce(request, response, rules.timeout, yield);
+        }
+        return first;
+    }
+
+private:
+    bool connect(const asio::yield_context &yield)
+    {
+        for (std::size_t tries = 0; tries < m_options.addresses.size(); ++tries) {
+            const std::size_t index = (m_preferred + tries) % m_options.addresses.size();
+            LastReason reason;
+            const auto address = parseAddress(m_options.addresses[index], reason);
+            if (!address) {
+                continue;
+            }
+            beast::error_code error;
+            m_stream.expires_after(m_options.connectTimeout);
+            m_stream.async_connect(*address, yield[error]);
+            if (!error) {
+                m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+                m_preferred = index;
+                m_open = true;
+                m_buffer.clear();
+                return true;
+            }
+            close();
+        }
+        return false;
+    }
+
+    CallOutcome tryOnce(HttpRequest &request,
+                        HttpResponse &response,
+                        Duration timeout,
+                        const asio::yield_context &yield)
+    {
+        m_timedOut = false;
+        if (!m_open && !connect(yield)) {
+            return CallOutcome::NotSent;
+        }
+        beast::error_code error;
+        m_stream.expires_after(timeout);
+        http::async_write(m_stream, request, yield[error]);
+        http::response_parser<http::string_body> parser;
+        if (!error) {
+            parser.body_limit(m_options.maxAnswerBytes);
+            http::async_read(m_stream, m_buffer, parser, yield[error]);
+        }
+        if (error) {
+            m_timedOut = error == beast::error::timeout;
+            close();
+            return CallOutcome::Lost;
+        }
+        response = parser.release();
+        m_stream.expires_never();
+        if (!response.keep_alive()) {
+            close();
+        }
+        return CallOutcome::Answered;
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
+        m_open = false;
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    const CallClientOptions &m_options;
+    std::size_t &m_preferred;
+    bool m_open = false;
+    bool m_timedOut = false;
+};
+
+} // namespace
+
+// Shared with the coroutines that work for it: the io_context may end them after the client itself has gone.
+class CallClient::Impl : public std::enable_shared_from_this<CallClient::Impl>
+{
+public:
+    Impl(asio::io_context &io, CallClientOptions options)
+        : m_io(io)
+        , m_options(std::move(options))
+    {
+    }
+
+    void call(HttpRequest request, CallRules rules, Done done)
+    {
+        request.keep_alive(true);
+        request.prepare_payload();
+        m_queue.push_back(Call{std::move(request), rules, std::move(done)});
+        if (m_idle.empty() && m_workers < m_options.connections) {
+            startWorker();
+        } else if (!m_idle.empty()) {
+            asio::steady_timer *worker = m_idle.back();
+            m_idle.pop_back();
+            worker->cancel();
+        }
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_queue.clear();
+        for (asio::steady_timer *worker : std::exchange(m_idle, {})) {
+            worker->cancel();
+        }
+    }
+
+private:
+    struct Call
+    {
+        HttpRequest request;
+        CallRules rules;
+        Done done;
+    };
+
+    void startWorker()
+    {
+        ++m_workers;
+        asio::spawn(
+            m_io,
+            [self = shared_from_this()](const asio::yield_context &yield) {
+                self->work(yield);
+            },
+            asio::detached);
+    }
+
+    void work(const asio::yield_context &yield)
+    {
+        Connection connection(m_io, m_options, m_preferred);
+        asio::steady_timer wake(m_io);
+        while (!m_stopped) {
+            if (m_queue.empty()) {
+                m_idle.push_back(&wake);
+                wake.expires_at(asio::steady_timer::time_point::max());
+                beast::error_code cancelled;
+                wake.async_wait(yield[cancelled]);
+                continue;
+            }
+            Call call = std::move(m_queue.front());
+            m_queue.pop_front();
+            HttpResponse response;
+            const CallOutcome outcome = connection.exchange(call.request, response, call.rules, yield);
+            if (!m_stopped) {
+                call.done(outcome, response);
+            }
+        }
+    }
+
+    asio::io_context &m_io;
+    CallClientOptions m_options;
+    std::deque<Call> m_queue;
+    std::vector<asio::steady_timer *> m_idle; // Workers that wait for a call.
+    int m_workers = 0;
+    std::size_t m_preferred = 0;
+    bool m_stopped = false;
+};
+
+CallClient::CallClient(asio::io_context &io, CallClientOptions options)
+    : m_impl(std::make_shared<Impl>(io, std::move(options)))
+{
+}
+
+CallClient::~CallClient()
+{
+    m_impl->stop();
+}
+
+void CallClient::call(HttpRequest request, CallRules rules, Done done)
+{
+    m_impl->call(std::move(request), rules, std::move(done));
+}
+
+} // namespace Godwit
--- a/godwit/platform/http_platform.cpp
+++ b/godwit/platform/http_platform.cpp
@@ -1,17 +1,14 @@
 #include "godwit/platform/http_platform.h"
 
-#include "godwit/http/address.h"
+#include "godwit/http/call_client.h"
 #include "godwit/http/target.h"
 
-#include <boost/asio/detached.hpp>
-#include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <deque>
 
 namespace Godwit
 {
@@ -22,26 +19,14 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-using Request = http::request<http::string_body>;
-using Response = http::response<http::string_body>;
-
-// A value is at most a megabyte; a listing may be a few times that.
-constexpr std::uint64_t MaxAnswerBytes = 16ULL * 1024 * 1024;
-
-enum class Exchange {
-    Answered,
-    NotSent, // No byte reached the service.
-    Lost, // Sent, and no answer.
-};
-
 std::string kvPath(const std::string &key)
 {
     return "/v1/kv/" + percentEncode(key);
 }
 
-Request makeRequest(const KvCommand &command)
+HttpRequest makeRequest(const KvCommand &command)
 {
-    Request request{http::verb::get, "/", 11};
+    HttpRequest request{http::verb::get, "/", 11};
     const std::string expect = "?expect=" + std::to_string(command.expectedVersion);
     switch (command.verb) {
     case KvVerb::Get:
@@ -73,7 +58,7 @@
     return request;
 }
 
-std::uint64_t versionOf(const Response &response)
+std::uint64_t versionOf(const HttpResponse &response)
 {
     const auto text = response["Godwit-Version"];
     std::uint64_t version = 0;
@@ -87,7 +72,7 @@
     return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
-KvReply makeReply(const KvCommand &command, Response &response)
+KvReply makeReply(const KvCommand &command, HttpResponse &response)
 {
     KvReply reply;
     reply.tag = command.tag;
@@ -153,95 +138,6 @@
     return hosts;
 }
 
-// One keep-alive connection to the service, used by one coroutine.
-class Connection
-{
-public:
-    Connection(asio::io_context &io, const HttpPlatformOptions &options, std::size_t &preferred)
-        : m_stream(io)
-        , m_options(options)
-        , m_preferred(preferred)
-    {
-    }
-
-    Exchange exchange(
-        Request &request, Response &response, Duration timeout, bool idempotent, const asio::yield_context &yield)
-    {
-        const bool reused = m_open;
-        const Exchange first = tryOnce(request, response, timeout, yield);
-        // The service may close an idle connection at any time. A read can be sent again; a write can't, since it
-        // may have taken effect.
-        if (first == Exchange::Lost && reused && idempotent) {
-            return tryOnce(request, response, timeout, yield);
-        }
-        return first;
-    }
-
-private:
-    bool connect(const asio::yield_context &yield)
-    {
-        for (std::size_t tries = 0; tries < m_options.addresses.size(); ++tries) {
-            const std::size_t index = (m_preferred + tries) % m_options.addresses.size();
-            LastReason reason;
-            const auto address = parseAddress(m_options.addresses[index], reason);
-            if (!address) {
-                continue;
-            }
-            beast::error_code error;
-            m_stream.expires_after(m_options.connectTimeout);
-            m_stream.async_connect(*address, yield[error]);
-            if (!error) {
-                m_stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-                m_preferred = index;
-                m_open = true;
-                m_buffer.clear();
-                return true;
-            }
-            close();
-        }
-        return false;
-    }
-
-    Exchange tryOnce(Request &request, Response &response, Duration timeout, const asio::yield_context &yield)
-    {
-        if (!m_open && !connect(yield)) {
-            return Exchange::NotSent;
-        }
-        beast::error_code error;
-        m_stream.expires_after(timeout);
-        http::async_write(m_stream, request, yield[error]);
-        if (error) {
-            close();
-            return Exchange::Lost;
-        }
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(MaxAnswerBytes);
-        http::async_read(m_stream, m_buffer, parser, yield[error]);
-        if (error) {
-            close();
-            return Exchange::Lost;
-        }
-        response = parser.release();
-        if (!response.keep_alive()) {
-            close();
-        }
-        return Exchange::Answered;
-    }
-
-    void close()
-    {
-        beast::error_code ignored;
-        m_stream.socket().close(ignored);
-        m_open = false;
-    }
-
-    beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
-    const HttpPlatformOptions &m_options;
-    std::size_t &m_preferred;
-    bool m_open = false;
-};
-
 } // namespace
 
 class HttpPlatform::Impl
@@ -250,105 +146,100 @@
     Impl(asio::io_context &io, HttpPlatformOptions options)
         : m_io(io)
         , m_options(std::move(options))
-        , m_wake(io)
+        , m_calls(io, clientOptions(m_options.connections))
     {
-        m_wake.expires_at(asio::steady_timer::time_point::max());
-        for (int i = 0; i < m_options.connections; ++i) {
-            asio::spawn(
-                m_io,
-                [this](const asio::yield_context &yield) {
-                    work(yield);
-                },
-                asio::detached);
-        }
     }
 
-    void enqueue(Request request, bool idempotent, std::function<void(Exchange, Response &)> done)
+    void enqueue(HttpRequest request, bool idempotent, CallClient::Done done)
     {
-        m_queue.push_back(Call{std::move(request), idempotent, std::move(done)});
-        m_wake.cancel_one();
+        prepare(request);
+        m_calls.call(std::move(request),
+                     {m_options.callTimeout, idempotent},
+                     [this, done = std::move(done)](CallOutcome outcome, HttpResponse &response) {
+                         m_counters.rejected += outcome == CallOutcome::NotSent ? 1 : 0;
+                         m_counters.unknown += outcome == CallOutcome::Lost ? 1 : 0;
+                         done(outcome, response);
+                     });
     }
 
     void watch(std::string prefix, std::function<void(const std::vector<KeyChange> &)> changed)
     {
-        asio::spawn(
-            m_io,
-            [this, prefix = std::move(prefix), changed = std::move(changed)](const asio::yield_context &yield) {
-                watchLoop(prefix, changed, yield);
-            },
-            asio::detached);
+        auto watch = std::make_unique<Watch>(m_io, clientOptions(1));
+        watch->prefix = std::move(prefix);
+        watch->changed = std::move(changed);
+        m_watches.push_back(std::move(watch));
+        ask(*m_watches.back());
     }
 
     PlatformCounters m_counters;
 
 private:
-    struct Call
+    struct Watch
     {
-        Request request;
-        bool idempotent = false;
-        std::function<void(Exchange, Response &)> done;
+        Watch(asio::io_context &io, CallClientOptions options)
+            : calls(io, std::move(options))
+            , pause(io)
+        {
+        }
+
+        CallClient calls; // Its own connection: a watch occupies it nearly all the time.
+        asio::steady_timer pause;
+        std::string prefix;
+        std::function<void(const std::vector<KeyChange> &)> changed;
+        std::uint64_t revision = 0;
     };
 
-    void prepare(Request &request) const
+    CallClientOptions clientOptions(int connections) const
     {
-        request.set(http::field::host, "platform");
-        request.set("Godwit-Host", m_options.host);
-        request.keep_alive(true);
-        request.prepare_payload();
+        CallClientOptions options;
+        options.addresses = m_options.addresses;
+        options.connections = connections;
+        options.connectTimeout = m_options.connectTimeout;
+        return options;
     }
 
-    void work(const asio::yield_context &yield)
+    void prepare(HttpRequest &request) const
     {
-        Connection connection(m_io, m_options, m_preferred);
-        for (;;) {
-            if (m_queue.empty()) {
-                beast::error_code cancelled;
-                m_wake.async_wait(yield[cancelled]);
-                continue;
-            }
-            Call call = std::move(m_queue.front());
-            m_queue.pop_front();
-            prepare(call.request);
-            Response response;
-            const Exchange result =
-                connection.exchange(call.request, response, m_options.callTimeout, call.idempotent, yield);
-            m_counters.rejected += result == Exchange::NotSent ? 1 : 0;
-            m_counters.unknown += result == Exchange::Lost ? 1 : 0;
-            call.done(result, response);
-        }
+        request.set(http::field::host, "platform");
+        request.set("Godwit-Host", m_options.host);
     }
 
-    void watchLoop(const std::string &prefix,
-                   const std::function<void(const std::vector<KeyChange> &)> &changed,
-                   const asio::yield_context &yield)
+    void ask(Watch &watch)
     {
         const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.watchWait).count();
-        Connection connection(m_io, m_options, m_preferred);
-        asio::steady_timer pause(m_io);
-        std::uint64_t revision = 0;
-        for (;;) {
-            Request request{http::verb::get,
-                            "/v1/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(revision)
-                                + "&wait_ms=" + std::to_string(waitMs),
+        HttpRequest request{http::verb::get,
+                            "/v1/watch?prefix=" + percentEncode(watch.prefix)
+                                + "&after=" + std::to_string(watch.revision) + "&wait_ms=" + std::to_string(waitMs),
                             11};
-            prepare(request);
-            Response response;
-            ++m_counters.watches;
-            const Exchange result =
-                connection.exchange(request, response, m_options.watchWait + m_options.callTimeout, true, yield);
-            if (result != Exchange::Answered || !readChanges(response, revision, changed)) {
-                // Changes may have gone by while the service was away, and a service that was replaced may count
-                // from another revision: the reader reads again, and the watch starts over.
-                revision = 0;
-                changed({});
-                beast::error_code ignored;
-                pause.expires_after(m_options.watchRetry);
-                pause.async_wait(yield[ignored]);
+        prepare(request);
+        ++m_counters.watches;
+        watch.calls.call(std::move(request),
+                         {m_options.watchWait + m_options.callTimeout, true},
+                         [this, &watch](CallOutcome outcome, HttpResponse &response) {
+                             if (outcome == CallOutcome::Answered
+                                 && readChanges(response, watch.revision, watch.changed)) {
+                                 ask(watch);
+                                 return;
+                             }
+                             startOver(watch);
+                         });
+    }
+
+    // Changes may have gone by while the service was away, and a service that was replaced may count from another
+    // revision: the reader reads again, and the watch starts over.
+    void startOver(Watch &watch)
+    {
+        watch.revision = 0;
+        watch.changed({});
+        watch.pause.expires_after(m_options.watchRetry);
+        watch.pause.async_wait([this, &watch](beast::error_code error) {
+            if (!error) {
+                ask(watch);
             }
-        }
+        });
     }
 
-    static bool readChanges(const Response &response,
+    static bool readChanges(const HttpResponse &response,
                             std::uint64_t &revision,
                             const std::function<void(const std::vector<KeyChange> &)> &changed)
     {
@@ -376,9 +267,8 @@
 
     asio::io_context &m_io;
     HttpPlatformOptions m_options;
-    asio::steady_timer m_wake;
-    std::deque<Call> m_queue;
-    std::size_t m_preferred = 0;
+    CallClient m_calls;
+    std::vector<std::unique_ptr<Watch>> m_watches;
 };
 
 HttpPlatform::HttpPlatform(asio::io_context &io, HttpPlatformOptions options)
@@ -392,18 +282,18 @@
 {
     const bool read = isRead(command.verb);
     ++(read ? m_impl->m_counters.reads : m_impl->m_counters.writes);
-    Request request = makeRequest(command);
+    HttpRequest request = makeRequest(command);
     command.value.clear();
     m_impl->enqueue(std::move(request),
                     read,
-                    [command = std::move(command), done = std::move(done)](Exchange result, Response &response) {
-                        if (result == Exchange::Answered) {
+                    [command = std::move(command), done = std::move(done)](CallOutcome result, HttpResponse &response) {
+                        if (result == CallOutcome::Answered) {
                             done(makeReply(command, response));
                             return;
                         }
                         KvReply reply;
                         reply.tag = command.tag;
-                        reply.status = result == Exchange::NotSent ? KvStatus::Rejected : KvStatus::Unknown;
+                        reply.status = result == CallOutcome::NotSent ? KvStatus::Rejected : KvStatus::Unknown;
                         done(std::move(reply));
                     });
 }
@@ -416,11 +306,13 @@
 void HttpPlatform::readHosts(std::function<void(std::optional<std::vector<HostListEntry>>)> done)
 {
     ++m_impl->m_counters.reads;
-    m_impl->enqueue(
-        Request{http::verb::get, "/v1/hosts", 11}, true, [done = std::move(done)](Exchange result, Response &response) {
-            done(result == Exchange::Answered && response.result_int() == 200 ? hostsFromJson(response.body())
-                                                                              : std::nullopt);
-        });
+    m_impl->enqueue(HttpRequest{http::verb::get, "/v1/hosts", 11},
+                    true,
+                    [done = std::move(done)](CallOutcome result, HttpResponse &response) {
+                        done(result == CallOutcome::Answered && response.result_int() == 200
+                                 ? hostsFromJson(response.body())
+                                 : std::nullopt);
+                    });
 }
 
 const PlatformCounters &HttpPlatform::counters() const
--- /dev/null
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -0,0 +1,115 @@
+#include "godwit/prepaid/prepaid_record.h"
+
+#include "godwit/base/json_number.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Godwit
+{
+namespace
+{
+
+using nlohmann::json;
+
+Tokens tokensOf(const json &value)
+{
+    if (!value.is_number_integer()) {
+        throw json::type_error::create(302, "a whole number is wanted", &value);
+    }
+    return value.get<Tokens>();
+}
+
+json accountToJson(const LedgerAccount &account)
+{
+    json granted = json::object();
+    for (const auto &[holder, amount] : account.granted) {
+        granted[holder.value] = amount;
+    }
+    return json{{"total", account.total},
+                {"spent", account.spent},
+                {"unsure", account.unsure},
+                {"granted", std::move(granted)}};
+}
+
+LedgerAccount accountFromJson(const json &value)
+{
+    LedgerAccount account;
+    account.total = tokensOf(value.at("total"));
+    account.spent = tokensOf(value.at("spent"));
+    account.unsure = tokensOf(value.at("unsure"));
+    for (const auto &[holder, amount] : value.at("granted").items()) {
+        account.granted[HolderId{holder}] = tokensOf(amount);
+    }
+    return account;
+}
+
+Error malformed(std::string_view what, const std::exception &error)
+{
+    Error result;
+    result.kind = ErrorKind::Internal;
+    result.message = std::string(what) + " in the platform can't be read: " + error.what();
+    return result;
+}
+
+} // namespace
+
+Tokens roomOf(const LedgerAccount &account)
+{
+    Tokens room = account.total - account.spent;
+    for (const auto &[holder, amount] : account.granted) {
+        room -= amount;
+    }
+    return room;
+}
+
+std::string encodePrepaidLedger(const PrepaidLedger &ledger)
+{
+    json accounts = json::object();
+    for (const auto &[customer, account] : ledger.accounts) {
+        accounts[customer.value] = accountToJson(account);
+    }
+    return json{{"version", ledger.documentVersion}, {"accounts", std::move(accounts)}}.dump();
+}
+
+std::optional<PrepaidLedger> decodePrepaidLedger(std::string_view bytes, LastReason &reason)
+{
+    try {
+        const json value = json::parse(bytes);
+        PrepaidLedger ledger;
+        ledger.documentVersion = naturalNumber(value.at("version"));
+        for (const auto &[customer, account] : value.at("accounts").items()) {
+            ledger.accounts[CustomerId{customer}] = accountFromJson(account);
+        }
+        return ledger;
+    } catch (const json::exception &error) {
+        reason = malformed("the ledger", error);
+        return std::nullopt;
+    }
+}
+
+std::string encodeMark(const MarkRecord &mark)
+{
+    json marks = json::object();
+    for (const auto &[customer, entry] : mark.marks) {
+        marks[customer.value] = json::array({entry.limit, entry.used});
+    }
+    return json{{"writer", mark.writer.value}, {"marks", std::move(marks)}}.dump();
+}
+
+std::optional<MarkRecord> decodeMark(std::string_view bytes, LastReason &reason)
+{
+    try {
+        const json value = json::parse(bytes);
+        MarkRecord mark;
+        mark.writer = Incarnation{value.at("writer").get<std::string>()};
+        for (const auto &[customer, entry] : value.at("marks").items()) {
+            mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)), tokensOf(entry.at(1))};
+        }
+        return mark;
+    } catch (const json::exception &error) {
+        reason = malformed("a router's mark", error);
+        return std::nullopt;
+    }
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/prepaid/prepaid_record.h
@@ -0,0 +1,67 @@
+#pragma once
+
+// The two records in the platform that keep prepaid totals safe, and their JSON codec.
+//
+// The ledger is shared by all routers and written under a condition on its revision. In every stored version, for
+// each customer: spent + sum(granted) <= total, unless the operators have lowered the total below that.
+// A mark belongs to one router and lives only as long as its lease. It says how far the router may have gone.
+//
+// Example:
+//   LastReason reason;
+//   const auto ledger = decodePrepaidLedger(bytes, reason);
+//   const Tokens room = roomOf(ledger->customers.at(customer));
+
+#include "godwit/base/error.h"
+#include "godwit/base/ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Godwit
+{
+
+// One router as the ledger names it: the address that callers connect to, which outlives a restart of the process.
+using HolderId = StrongId<struct HolderTag, std::string>;
+
+struct LedgerAccount
+{
+    Tokens total = 0; // As the document of PrepaidLedger::documentVersion gives it.
+    Tokens spent = 0; // Charged for good, by routers that have ended.
+    // Part of `spent` that may never have been used: a router died and only its mark was known.
+    Tokens unsure = 0;
+    // How far each router may go in all: used, plus sent to others, less received from others.
+    std::map<HolderId, Tokens> granted;
+};
+
+struct PrepaidLedger
+{
+    std::uint64_t documentVersion = 0;
+    std::map<CustomerId, LedgerAccount> accounts;
+};
+
+struct Mark
+{
+    Tokens limit = 0; // The router goes no further than this while the mark stands.
+    Tokens used = 0; // Where it was when it wrote the mark.
+};
+
+struct MarkRecord
+{
+    // The process that wrote it. A process that finds its own mark knows that its write took effect.
+    Incarnation writer;
+    std::map<CustomerId, Mark> marks;
+};
+
+// What is neither spent nor granted. Negative after the total was lowered.
+Tokens roomOf(const LedgerAccount &account);
+
+std::string encodePrepaidLedger(const PrepaidLedger &ledger);
+std::optional<PrepaidLedger> decodePrepaidLedger(std::string_view bytes, LastReason &reason);
+
+std::string encodeMark(const MarkRecord &mark);
+std::optional<MarkRecord> decodeMark(std::string_view bytes, LastReason &reason);
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -0,0 +1,469 @@
+#include "godwit/prepaid/prepaid_share.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Godwit
+{
+namespace
+{
+
+void boundBy(Tokens &limit, const std::map<CustomerId, Tokens> &bounds, const CustomerId &customer)
+{
+    const auto found = bounds.find(customer);
+    if (found != bounds.end()) {
+        limit = std::min(limit, found->second);
+    }
+}
+
+// An open or doubtful write may or may not take effect: only what every outcome allows is safe.
+Tokens limitOf(const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account)
+{
+    Tokens limit = account.granted;
+    boundBy(limit, share.pendingGrants, customer);
+    boundBy(limit, share.doubtfulGrants, customer);
+    boundBy(limit, share.doubtfulMarks, customer);
+    if (share.markPresence == MarkPresence::Standing) {
+        limit = std::min(limit, account.mark.limit);
+    }
+    const auto pending = share.pendingMarks.find(customer);
+    if (pending != share.pendingMarks.end()) {
+        limit = std::min(limit, pending->second.limit);
+    }
+    return limit;
+}
+
+Tokens committed(const ShareAccount &account)
+{
+    return account.net + account.reserved;
+}
+
+double demandNow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
+{
+    const double passed = std::max(0.0, toSeconds(now - account.demandAt));
+    return account.demandPerSecond * std::exp(-passed / toSeconds(share.options.demandMemory));
+}
+
+void noteDemand(const PrepaidShare &share, ShareAccount &account, Tokens tokens, TimePoint now)
+{
+    account.demandPerSecond =
+        demandNow(share, account, now) + static_cast<double>(tokens) / toSeconds(share.options.demandMemory);
+    account.demandAt = now;
+    account.largest = std::max(tokens, account.largest - account.largest / 64);
+}
+
+Tokens tokensFor(const PrepaidShare &share, const ShareAccount &account, Duration time, TimePoint now)
+{
+    return static_cast<Tokens>(demandNow(share, account, now) * toSeconds(time));
+}
+
+const LedgerAccount *ledgerAccount(const PrepaidShare &share, const CustomerId &customer)
+{
+    const auto found = share.ledger.accounts.find(customer);
+    return found == share.ledger.accounts.end() ? nullptr : &found->second;
+}
+
+Tokens grantedTo(const PrepaidLedger &ledger, const CustomerId &customer, const HolderId &holder)
+{
+    const auto entry = ledger.accounts.find(customer);
+    if (entry == ledger.accounts.end()) {
+        return 0;
+    }
+    const auto held = entry->second.granted.find(holder);
+    return held == entry->second.granted.end() ? 0 : held->second;
+}
+
+// What this router would like to hold unused.
+Tokens wantedReserve(const PrepaidShare &share, const ShareAccount &account, Tokens room, TimePoint now)
+{
+    const Tokens idle = static_cast<Tokens>(share.options.idleShare * static_cast<double>(std::max<Tokens>(0, room))
+                                            / std::max(1, share.liveRouters));
+    const Tokens busy = tokensFor(share, account, share.options.holdFor, now);
+    return std::max({idle, busy, account.largest, account.shortOf});
+}
+
+// The grant to ask for. Takes an even part of a scarce room, and what a waiting request lacks.
+Tokens wantedGrant(const PrepaidShare &share, const ShareAccount &account, Tokens room, TimePoint now)
+{
+    const Tokens unused = account.granted - committed(account);
+    const Tokens wanted = wantedReserve(share, account, room, now);
+    if (room < 0) {
+        // More is out than there is: everyone gives back what it does not need.
+        return std::max(committed(account), account.granted + room);
+    }
+    if (static_cast<double>(unused) > share.options.returnAbove * static_cast<double>(wanted)) {
+        return committed(account) + wanted;
+    }
+    const Tokens refill = tokensFor(share, account, share.options.refillBelow, now);
+    const bool low = unused < std::max({refill * 2, account.largest, account.shortOf});
+    if (!low) {
+        return account.granted;
+    }
+    const Tokens evenPart = room / std::max(1, share.liveRouters);
+    const Tokens lacking = std::max<Tokens>(0, account.shortOf - unused);
+    const Tokens more = std::clamp<Tokens>(wanted - unused, 0, std::max(evenPart, std::min(lacking, room)));
+    return account.granted + more;
+}
+
+Mark wantedMark(const PrepaidShare &share, const ShareAccount &account, Tokens granted, TimePoint now)
+{
+    const Tokens ahead =
+        std::max({tokensFor(share, account, share.options.markFor, now), account.largest * 2, account.shortOf});
+    // Without demand yet, a part of the grant: the first requests should not wait for a write.
+    Mark mark;
+    mark.used = committed(account);
+    mark.limit = std::min(granted, mark.used + std::max<Tokens>(ahead, (granted - mark.used) / 4));
+    return mark;
+}
+
+bool markIsLow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
+{
+    const Tokens left = account.mark.limit - committed(account);
+    const Tokens refill = tokensFor(share, account, share.options.refillBelow, now);
+    return account.mark.limit < account.granted && left < std::max(refill, account.shortOf);
+}
+
+// The total to use in a write: never one of an older document than the ledger has seen.
+void adoptTotals(PrepaidShare &share, PrepaidLedger &ledger)
+{
+    if (ledger.documentVersion > share.documentVersion) {
+        return;
+    }
+    for (auto &[customer, account] : share.accounts) {
+        LedgerAccount &entry = ledger.accounts[customer];
+        if (account.bounded && entry.total != account.total) {
+            entry.total = account.total;
+            // Only versions that change a total are written: the others would make each router write.
+            ledger.documentVersion = share.documentVersion;
+        }
+    }
+}
+
+// Charges what an earlier process on this host may have used and gives the rest of its grant back.
+void takeOver(PrepaidShare &share, PrepaidLedger &ledger, const std::optional<MarkRecord> &mark)
+{
+    for (auto &[customer, account] : ledger.accounts) {
+        const auto held = account.granted.find(share.options.self);
+        if (held == account.granted.end()) {
+            continue;
+        }
+        Tokens charge = held->second;
+        Tokens unsure = charge;
+        if (mark) {
+            const auto entry = mark->marks.find(customer);
+            const Mark found = entry == mark->marks.end() ? Mark{} : entry->second;
+            charge = std::min(charge, found.limit);
+            unsure = charge - std::min(charge, found.used);
+        }
+        account.spent += charge;
+        account.unsure += std::max<Tokens>(0, unsure);
+        account.granted.erase(held);
+    }
+}
+
+void lowerTo(std::map<CustomerId, Tokens> &bounds, const CustomerId &customer, Tokens bound)
+{
+    const auto [entry, isNew] = bounds.emplace(customer, bound);
+    if (!isNew) {
+        entry->second = std::min(entry->second, bound);
+    }
+}
+
+void clearPending(PrepaidShare &share)
+{
+    share.writing = false;
+    share.pendingGrants.clear();
+    share.pendingMarks.clear();
+}
+
+} // namespace
+
+PrepaidShare makePrepaidShare(PrepaidOptions options)
+{
+    PrepaidShare share;
+    share.options = std::move(options);
+    return share;
+}
+
+void applyTotals(PrepaidShare &share,
+                 std::uint64_t documentVersion,
+                 const std::map<CustomerId, std::optional<Tokens>> &totals,
+                 TimePoint now)
+{
+    if (documentVersion < share.documentVersion) {
+        return;
+    }
+    share.documentVersion = documentVersion;
+    for (const auto &[customer, total] : totals) {
+        ShareAccount &account = share.accounts[customer];
+        if (account.demandAt == TimePoint{}) {
+            account.demandAt = now;
+        }
+        const bool lowered = account.bounded && total && *total < account.total;
+        account.bounded = total.has_value();
+        account.total = total.value_or(0);
+        if (lowered) {
+            // A total below what is out would be overspent if each holder went on: stop at what is committed.
+            account.granted = std::min(account.granted, committed(account));
+            share.ledgerKnown = share.ledgerKnown && share.writing;
+        }
+    }
+}
+
+void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now)
+{
+    const auto found = share.accounts.find(customer);
+    if (found != share.accounts.end() && found->second.bounded) {
+        noteDemand(share, found->second, tokens, now);
+    }
+}
+
+bool reserve(PrepaidShare &share, const CustomerId &customer, Tokens tokens)
+{
+    const auto found = share.accounts.find(customer);
+    if (found == share.accounts.end() || !found->second.bounded) {
+        return true;
+    }
+    ShareAccount &account = found->second;
+    if (share.returned || committed(account) + tokens > limitOf(share, customer, account)) {
+        return false;
+    }
+    account.reserved += tokens;
+    return true;
+}
+
+void settle(PrepaidShare &share, const CustomerId &customer, Tokens reserved, Tokens used)
+{
+    const auto found = share.accounts.find(customer);
+    if (found == share.accounts.end() || found->second.reserved < reserved) {
+        return;
+    }
+    found->second.reserved -= reserved;
+    found->second.net += std::min(used, reserved);
+}
+
+void wantMore(PrepaidShare &share, const CustomerId &customer, Tokens tokens)
+{
+    ShareAccount &account = share.accounts[customer];
+    account.shortOf = std::max(account.shortOf, tokens);
+}
+
+Tokens headroom(const PrepaidShare &share, const CustomerId &customer)
+{
+    const auto found = share.accounts.find(customer);
+    if (found == share.accounts.end() || share.returned) {
+        return 0;
+    }
+    return std::max<Tokens>(0, limitOf(share, customer, found->second) - committed(found->second));
+}
+
+Tokens unusedGrant(const PrepaidShare &share, const CustomerId &customer)
+{
+    const auto found = share.accounts.find(customer);
+    if (found == share.accounts.end() || share.returned) {
+        return 0;
+    }
+    return std::max<Tokens>(0, found->second.granted - committed(found->second));
+}
+
+Tokens mayRemain(const PrepaidShare &share,
+                 const CustomerId &customer,
+                 const std::map<HolderId, HeldElsewhere> &heldElsewhere)
+{
+    const LedgerAccount *account = ledgerAccount(share, customer);
+    const auto own = share.accounts.find(customer);
+    if (account == nullptr || own == share.accounts.end()) {
+        return 0;
+    }
+    Tokens remaining = own->second.total - account->spent + account->unsure - committed(own->second);
+    for (const auto &[holder, granted] : account->granted) {
+        if (holder == share.options.self) {
+            continue;
+        }
+        // A holder that nobody hears may have used nothing at all.
+        const auto heard = heldElsewhere.find(holder);
+        if (heard != heldElsewhere.end()) {
+            remaining -= std::max<Tokens>(0, granted - heard->second.unused);
+        }
+    }
+    return remaining;
+}
+
+Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, Tokens wanted, TimePoint now)
+{
+    const auto found = share.accounts.find(customer);
+    if (found == share.accounts.end() || !found->second.bounded) {
+        return 0;
+    }
+    const Tokens spare = headroom(share, customer);
+    const Tokens kept = std::min(spare / 2, tokensFor(share, found->second, share.options.refillBelow, now));
+    const Tokens amount = std::clamp<Tokens>(wanted, 0, spare - kept);
+    found->second.net += amount;
+    return amount;
+}
+
+void receiveTokens(PrepaidShare &share, const CustomerId &customer, Tokens amount)
+{
+    share.accounts[customer].net -= std::max<Tokens>(0, amount);
+}
+
+void onRecordsRead(PrepaidShare &share,
+                   PrepaidLedger ledger,
+                   std::uint64_t ledgerRevision,
+                   const std::optional<MarkRecord> &mark,
+                   std::uint64_t markRevision)
+{
+    share.takenOver = share.takenOver || (mark && mark->writer == share.options.incarnation);
+    if (!share.takenOver) {
+        takeOver(share, ledger, mark);
+    } else {
+        // What an unanswered write did shows here.
+        for (auto &[customer, account] : share.accounts) {
+            account.granted = grantedTo(ledger, customer, share.options.self);
+            account.mark = mark && mark->marks.count(customer) != 0 ? mark->marks.at(customer) : Mark{};
+        }
+        share.markPresence = mark ? MarkPresence::Standing : MarkPresence::None;
+    }
+    share.ledger = std::move(ledger);
+    share.ledgerRevision = ledgerRevision;
+    share.markRevision = markRevision;
+    share.ledgerKnown = true;
+    clearPending(share);
+}
+
+std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now)
+{
+    if (share.writing || !share.ledgerKnown || share.returned) {
+        return std::nullopt;
+    }
+    PrepaidLedger ledger = share.ledger;
+    adoptTotals(share, ledger);
+    MarkRecord mark;
+    mark.writer = share.options.incarnation;
+    bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
+    bool markLow = share.markPresence == MarkPresence::None;
+    bool urgent = !share.takenOver;
+    for (auto &[customer, account] : share.accounts) {
+        if (!account.bounded) {
+            continue;
+        }
+        LedgerAccount &entry = ledger.accounts[customer];
+        Tokens &held = entry.granted[share.options.self];
+        const Tokens heldBefore = std::exchange(held, account.granted);
+        const Tokens granted = wantedGrant(share, account, roomOf(entry), now);
+        held = granted;
+        const bool low = markIsLow(share, account, now);
+        // A waiting request is a reason to hurry only if the write can help it.
+        urgent = urgent || (account.shortOf > 0 && (granted > account.granted || low));
+        ledgerChanges = ledgerChanges || granted != heldBefore;
+        markLow = markLow || low;
+        share.pendingGrants[customer] = granted;
+        mark.marks[customer] = wantedMark(share, account, granted, now);
+        account.shortOf = 0;
+    }
+    share.pendingMarks = mark.marks;
+    const Duration interval = urgent ? share.options.urgentInterval : share.options.writeInterval;
+    if ((!ledgerChanges && !markLow) || (share.takenOver && now - share.lastWriteAt < interval)) {
+        clearPending(share);
+        return std::nullopt;
+    }
+    ShareWrite write;
+    write.ledgerRevision = share.ledgerRevision;
+    if (ledgerChanges) {
+        write.ledger = encodePrepaidLedger(ledger);
+    }
+    write.mark = encodeMark(mark);
+    write.markRevision = share.markRevision;
+    share.pendingLedger = std::move(ledger);
+    share.pendingWritesLedger = ledgerChanges;
+    share.writing = true;
+    share.lastWriteAt = now;
+    return write;
+}
+
+std::optional<ShareWrite> planReturn(PrepaidShare &share, TimePoint now)
+{
+    if (share.writing || !share.ledgerKnown || share.returned || !share.takenOver) {
+        return std::nullopt;
+    }
+    PrepaidLedger ledger = share.ledger;
+    for (auto &[customer, account] : share.accounts) {
+        const auto entry = ledger.accounts.find(customer);
+        if (entry == ledger.accounts.end()) {
+            continue;
+        }
+        entry->second.granted.erase(share.options.self);
+        entry->second.spent += committed(account);
+        // Nothing may be spent once this is on its way, whatever becomes of it.
+        share.pendingGrants[customer] = committed(account);
+    }
+    ShareWrite write;
+    write.ledger = encodePrepaidLedger(ledger);
+    write.ledgerRevision = share.ledgerRevision;
+    write.markRevision = share.markRevision;
+    write.removesMark = true;
+    share.pendingLedger = std::move(ledger);
+    share.pendingWritesLedger = true;
+    share.writing = true;
+    share.lastWasReturn = true;
+    share.lastWriteAt = now;
+    return write;
+}
+
+void onWriteDone(PrepaidShare &share, std::uint64_t revision)
+{
+    if (share.lastWasReturn) {
+        share.returned = true;
+        clearPending(share);
+        return;
+    }
+    for (const auto &[customer, granted] : share.pendingGrants) {
+        ShareAccount &account = share.accounts[customer];
+        // A total that was lowered meanwhile has taken the grant down to what is committed.
+        account.granted = share.ledgerKnown ? granted : std::min(granted, committed(account));
+    }
+    for (const auto &[customer, mark] : share.pendingMarks) {
+        share.accounts[customer].mark = mark;
+    }
+    if (share.pendingWritesLedger) {
+        share.ledger = std::move(share.pendingLedger);
+        share.ledgerRevision = revision;
+    }
+    share.markRevision = revision;
+    share.markPresence = MarkPresence::Standing;
+    share.takenOver = true;
+    share.doubtfulGrants.clear();
+    share.doubtfulMarks.clear();
+    clearPending(share);
+}
+
+void onWriteRefused(PrepaidShare &share, bool conditionFailed)
+{
+    share.ledgerKnown = share.ledgerKnown && !conditionFailed;
+    share.lastWasReturn = false;
+    clearPending(share);
+}
+
+void onWriteUnknown(PrepaidShare &share)
+{
+    for (const auto &[customer, granted] : share.pendingGrants) {
+        lowerTo(share.doubtfulGrants, customer, granted);
+    }
+    for (const auto &[customer, mark] : share.pendingMarks) {
+        lowerTo(share.doubtfulMarks, customer, mark.limit);
+    }
+    share.ledgerKnown = false;
+    share.lastWasReturn = false;
+    clearPending(share);
+}
+
+void onMarkLapsed(PrepaidShare &share)
+{
+    share.markPresence = MarkPresence::None;
+    // Doubtful writes named the lease that has ended: they can't take effect any more.
+    share.doubtfulGrants.clear();
+    share.doubtfulMarks.clear();
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/prepaid/prepaid_share.h
@@ -0,0 +1,181 @@
+#pragma once
+
+// One router's share of the customers' prepaid totals: what it may spend now, and what it asks of the platform.
+//
+// A router spends only below two limits, both written in the platform before anything is spent:
+//   - its grant in the ledger, which no other router can spend. A grant stays charged until its holder, or the next
+//     process on the same host, gives it back, so nobody has to decide whether a silent router is dead;
+//   - its mark, while the lease that carries the mark may live. The next process on the same host finds the mark,
+//     charges only up to it, and gives the rest of the grant back. Once the lease has surely ended there is no mark
+//     to find, the whole grant stays charged, and the router may go on up to its grant: so a long loss of the
+//     platform refuses nobody whose budget is held here.
+// Between routers tokens move by messages: the sender counts them as gone at once, the receiver as come when they
+// arrive. A message that is lost costs tokens and never overspends.
+//
+// Pure: (state, event, now). The owner carries out the writes and reports how they ended.
+//
+// Example:
+//   noteRequest(share, customer, 1200, now);
+//   if (reserve(share, customer, 1200)) { ... settle(share, customer, 1200, 950); }
+//   if (auto write = planWrite(share, now)) { store(*write); }  // then onWriteDone(), onWriteRefused() ...
+
+#include "godwit/base/ids.h"
+#include "godwit/base/time.h"
+#include "godwit/prepaid/prepaid_record.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Godwit
+{
+
+struct PrepaidOptions
+{
+    HolderId self;
+    Incarnation incarnation;
+    // How much of its recent demand a router holds: the platform is away for some 9 s at a time.
+    Duration holdFor = std::chrono::seconds(12);
+    // How far the mark runs ahead of what is used: the lease must lapse before more than that may be spent.
+    Duration markFor = std::chrono::seconds(5);
+    // A mark or grant is written again when less than this is left below it, or at once when a request waits.
+    Duration refillBelow = std::chrono::seconds(3);
+    // Time constant of the average of the demand. Shorter follows bursts, longer wastes fewer writes.
+    Duration demandMemory = std::chrono::seconds(4);
+    // Writes at most this often, except for a request that waits.
+    Duration writeInterval = std::chrono::milliseconds(1000);
+    Duration urgentInterval = std::chrono::milliseconds(40);
+    // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
+    double idleShare = 0.25;
+    // More than this multiple of what it wants to hold goes back.
+    double returnAbove = 2.5;
+};
+
+struct ShareAccount
+{
+    Tokens net = 0; // Used and sent to others, less received.
+    Tokens reserved = 0; // Of requests under way, at their most.
+    Tokens granted = 0; // As the platform has acknowledged.
+    Mark mark; // As the platform has acknowledged.
+    double demandPerSecond = 0;
+    TimePoint demandAt;
+    Tokens largest = 0; // The largest recent reservation.
+    Tokens shortOf = 0; // What waiting requests lack.
+    Tokens total = 0;
+    bool bounded = false; // The customer has a prepaid total.
+};
+
+// A write that the owner carries out as one transaction, under the conditions on both revisions.
+struct ShareWrite
+{
+    std::optional<std::string> ledger; // Unset: the ledger stays as it is, and its revision doesn't matter.
+    std::uint64_t ledgerRevision = 0; // 0: absent.
+    std::string mark;
+    std::uint64_t markRevision = 0;
+    bool removesMark = false; // The last write of a stop: the mark goes.
+};
+
+enum class MarkPresence {
+    None, // Surely not in the platform: the whole grant may be spent.
+    Standing, // May be there: the mark bounds.
+};
+
+struct PrepaidShare
+{
+    PrepaidOptions options;
+    std::map<CustomerId, ShareAccount> accounts;
+    std::uint64_t documentVersion = 0;
+    int liveRouters = 1;
+
+    PrepaidLedger ledger; // As last read or written.
+    std::uint64_t ledgerRevision = 0;
+    std::uint64_t markRevision = 0;
+    bool ledgerKnown = false; // False: read before the next write.
+    bool takenOver = false; // What an earlier process on this host held is accounted for.
+    MarkPresence markPresence = MarkPresence::None;
+
+    bool writing = false;
+    bool lastWasReturn = false; // Everything is being given back.
+    std::map<CustomerId, Tokens> pendingGrants; // Of the open write.
+    std::map<CustomerId, Mark> pendingMarks;
+    // Of writes whose outcome nobody knows: they bound until a later write of this router stands, since that one
+    // changes the mark's revision and so makes the earlier ones void.
+    std::map<CustomerId, Tokens> doubtfulGrants;
+    std::map<CustomerId, Tokens> doubtfulMarks;
+    PrepaidLedger pendingLedger;
+    bool pendingWritesLedger = false;
+    TimePoint lastWriteAt;
+    bool returned = false; // All was given back; nothing more may be spent.
+};
+
+PrepaidShare makePrepaidShare(PrepaidOptions options);
+
+// Takes the totals of a newer document. A customer whose total went down spends nothing until the ledger has been
+// read again: others may hold more than is left.
+void applyTotals(PrepaidShare &share,
+                 std::uint64_t documentVersion,
+                 const std::map<CustomerId, std::optional<Tokens>> &totals,
+                 TimePoint now);
+
+// Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
+void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
+
+// Reserves `tokens`, or says no. Customers without a total always get a yes.
+bool reserve(PrepaidShare &share, const CustomerId &customer, Tokens tokens);
+
+// Ends a reservation. `used` may be 0 and never exceeds what was reserved.
+void settle(PrepaidShare &share, const CustomerId &customer, Tokens reserved, Tokens used);
+
+// Notes that a request waits for `tokens`, so that the next write asks for them.
+void wantMore(PrepaidShare &share, const CustomerId &customer, Tokens tokens);
+
+// What could be reserved now.
+Tokens headroom(const PrepaidShare &share, const CustomerId &customer);
+
+// What is left of the grant, also beyond the mark.
+Tokens unusedGrant(const PrepaidShare &share, const CustomerId &customer);
+
+// What another router has lately said that it holds.
+struct HeldElsewhere
+{
+    Tokens spendable = 0; // It could spend or send this now.
+    Tokens unused = 0; // What is left of its grant.
+};
+
+// What the customer may still have, anywhere in the fleet, counting as unused all that may be unused. `elsewhere`
+// is what other routers lately said they hold unused.
+Tokens mayRemain(const PrepaidShare &share,
+                 const CustomerId &customer,
+                 const std::map<HolderId, HeldElsewhere> &heldElsewhere);
+
+// Tokens that leave for another router. Returns what was taken, at most `wanted`; keeps what is needed here.
+Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, Tokens wanted, TimePoint now);
+void receiveTokens(PrepaidShare &share, const CustomerId &customer, Tokens amount);
+
+// The ledger and this host's mark, as read from the platform. `mark` is empty when there is none.
+void onRecordsRead(PrepaidShare &share,
+                   PrepaidLedger ledger,
+                   std::uint64_t ledgerRevision,
+                   const std::optional<MarkRecord> &mark,
+                   std::uint64_t markRevision);
+
+// The next write, if one is due. While one is open none is planned.
+std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now);
+
+// Gives everything back. Only when no reservation is open; nothing can be reserved afterwards.
+std::optional<ShareWrite> planReturn(PrepaidShare &share, TimePoint now);
+
+void onWriteDone(PrepaidShare &share, std::uint64_t revision);
+
+// The write certainly had no effect. `conditionFailed`: both records must be read before the next one.
+void onWriteRefused(PrepaidShare &share, bool conditionFailed);
+
+// Nobody knows whether the write took effect, or will: both records must be read before the next one.
+void onWriteUnknown(PrepaidShare &share);
+
+// The lease that carried the mark has surely ended.
+void onMarkLapsed(PrepaidShare &share);
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/relay/caller_connection.h
@@ -0,0 +1,84 @@
+#pragma once
+
+// One connection of a caller: reads its requests one after the other, and writes the answers.
+//
+// While a request is under way the connection watches for the caller's leaving, so that the endpoint's work can be
+// stopped. Not thread-safe.
+
+#include "godwit/relay/relay.h"
+#include "godwit/relay/relay_call.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace Godwit
+{
+
+class CallerConnection;
+
+// The open connections of a router, for its stop.
+struct CallerConnections
+{
+    std::set<CallerConnection *> open;
+};
+
+class CallerConnection : public AnswerSink, public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    CallerConnection(Relay &relay, CallerConnections &all, boost::asio::ip::tcp::socket socket);
+    ~CallerConnection() override;
+
+    void start();
+
+    // Closes the connection if no request is under way on it.
+    void closeIfIdle();
+
+    void send(std::string bytes) override;
+    std::size_t queuedBytes() const override;
+    void finish() override;
+    void breakOff() override;
+    bool closesAfterAnswer() const override;
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void readRequest();
+    void armReadLimit();
+    void readHead();
+    void readBody();
+    void onUnreadable(const boost::system::error_code &error);
+    void startCall();
+    void watchCaller();
+    void write();
+    void onWritten(const boost::system::error_code &error);
+    void closeInOrder();
+    void drainUntilClosed();
+    void close();
+
+    Relay &m_relay;
+    CallerConnections &m_all;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::shared_ptr<RelayCall> m_call;
+    std::string m_writing;
+    std::string m_queued;
+    bool m_writeOpen = false;
+    bool m_answerDone = false;
+    bool m_keepAlive = true;
+    mutable bool m_saidClose = false; // An answer's head has said that the connection closes after it.
+    bool m_readOpen = false; // A request is being read, or waited for.
+    bool m_beganReading = false;
+    bool m_closed = false;
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/relay/connection_pool.cpp
@@ -0,0 +1,69 @@
+#include "godwit/relay/connection_pool.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace Godwit
+{
+
+bool isQuiet(ConnectionPool::Socket &socket)
+{
+    char byte = 0;
+    const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void setAcknowledgementLimit(ConnectionPool::Socket &socket, Duration limit)
+{
+    const auto milliseconds =
+        static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    // A system without the option only notices later.
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+std::optional<ConnectionPool::Socket> ConnectionPool::take(const EndpointId &endpoint, TimePoint now)
+{
+    const auto found = m_idle.find(endpoint);
+    if (found == m_idle.end()) {
+        return std::nullopt;
+    }
+    while (!found->second.empty()) {
+        // The one used last is the least likely to be closed by the other side meanwhile.
+        Idle idle = std::move(found->second.back());
+        found->second.pop_back();
+        if (idle.keepUntil > now && isQuiet(idle.socket)) {
+            return std::move(idle.socket);
+        }
+    }
+    return std::nullopt;
+}
+
+void ConnectionPool::giveBack(const EndpointId &endpoint, Socket socket, TimePoint keepUntil)
+{
+    m_idle[endpoint].push_back(Idle{std::move(socket), keepUntil});
+}
+
+void ConnectionPool::sweep(TimePoint now)
+{
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        auto &idle = it->second;
+        idle.erase(std::remove_if(idle.begin(),
+                                  idle.end(),
+                                  [now](Idle &entry) {
+                                      return entry.keepUntil <= now || !isQuiet(entry.socket);
+                                  }),
+                   idle.end());
+        it = idle.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+std::size_t ConnectionPool::idleCount(const EndpointId &endpoint) const
+{
+    const auto found = m_idle.find(endpoint);
+    return found == m_idle.end() ? 0 : found->second.size();
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/relay/endpoint_exchange.h
@@ -0,0 +1,120 @@
+#pragma once
+
+// One request to one endpoint, and its answer as it arrives.
+//
+// Decides nothing: it reports what happened, and whether the request may have reached the endpoint. Answers that
+// belong to another attempt are read and dropped. After onEnd or onFailed, or after cancel(), no callback follows.
+// Not thread-safe.
+//
+// Example:
+//   auto exchange = std::make_shared<EndpointExchange>(io, pool, options, handlers);
+//   exchange->start(endpoint, address, bytes, attemptId);
+
+#include "godwit/base/time.h"
+#include "godwit/gateway/request_facts.h"
+#include "godwit/relay/connection_pool.h"
+#include "platform/http_codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Godwit
+{
+
+enum class ExchangeFailure {
+    NotConnected, // No byte of the request was sent.
+    Broken, // The connection ended before the answer did: the request may have run.
+    Malformed, // The endpoint sent bytes that are no answer: the request may have run.
+};
+
+std::string_view exchangeFailureName(ExchangeFailure failure);
+
+struct ExchangeHandlers
+{
+    std::function<void(const AnswerHead &, const AnswerFacts &)> onHead;
+    std::function<void(std::string_view)> onBody;
+    std::function<void()> onEnd;
+    std::function<void(ExchangeFailure)> onFailed;
+};
+
+struct ExchangeOptions
+{
+    // Endpoints accept within a few milliseconds; a lost opening packet is repeated after a second at the earliest.
+    Duration connectTimeout = std::chrono::milliseconds(400);
+    // Idle connections are kept this long unless the endpoint names less.
+    Duration keepIdle = std::chrono::seconds(4);
+    // An endpoint's own limit is given in whole seconds; it may close this much earlier than that.
+    Duration keepMargin = std::chrono::milliseconds(600);
+    Duration acknowledgementLimit = std::chrono::seconds(3);
+    std::size_t readBytes = 16UL * 1024;
+};
+
+class EndpointExchange : public std::enable_shared_from_this<EndpointExchange>
+{
+public:
+    EndpointExchange(boost::asio::io_context &io,
+                     ConnectionPool &pool,
+                     ExchangeOptions options,
+                     ExchangeHandlers handlers);
+
+    void start(const EndpointId &endpoint, const std::string &address, std::string bytes, std::string attemptId);
+
+    // Stops and closes the connection: the endpoint sees that nobody waits any more.
+    void cancel();
+
+    // Stops reading until resume(): the caller does not keep up.
+    void pause();
+    void resume();
+
+    bool connectionIsNew() const
+    {
+        return m_newConnection;
+    }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect(const std::string &address);
+    void send();
+    void read();
+    void onRead(const boost::system::error_code &error, std::size_t count);
+    bool parse();
+    bool takeHead();
+    void passBody();
+    void answerEnds();
+    void finish();
+    void fail(ExchangeFailure failure);
+    void startParser();
+    bool isOver() const;
+
+    boost::asio::io_context &m_io;
+    ConnectionPool &m_pool;
+    ExchangeOptions m_options;
+    ExchangeHandlers m_handlers;
+    std::optional<ConnectionPool::Socket> m_socket;
+    boost::asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    AnswerFacts m_facts;
+    EndpointId m_endpoint;
+    std::string m_bytes;
+    std::string m_attemptId;
+    bool m_newConnection = false;
+    bool m_written = false;
+    bool m_headTaken = false;
+    bool m_skipping = false; // The answer that is being read belongs to another attempt.
+    bool m_paused = false;
+    bool m_reading = false;
+    bool m_over = false;
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/relay/relay.h
@@ -0,0 +1,166 @@
+#pragma once
+
+// What all calls of one router share: the document in force, the endpoints, the budgets and the connections.
+//
+// One thread owns it: on hosts with a fraction of a core a second thread costs a wake-up for each message and gains
+// nothing. Whoever changes `state` does so on that thread and calls the matching function here.
+//
+// Example:
+//   Relay relay(io, options, log);
+//   relay.state().routes = makeRouteTable(document);
+//   relay.tokensCame();
+
+#include "godwit/base/time.h"
+#include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/repeat_allowance.h"
+#include "godwit/gateway/route_table.h"
+#include "godwit/prepaid/prepaid_share.h"
+#include "godwit/relay/connection_pool.h"
+#include "godwit/relay/decision_log.h"
+#include "godwit/relay/endpoint_exchange.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace Godwit
+{
+
+class RelayCall;
+
+enum class RelayStage {
+    Starting, // No document yet, or no endpoints: nothing can be served.
+    Serving,
+    Leaving, // Out of the address answers; still serves, and closes connections after their answers.
+    Stopping, // Takes no new requests; finishes what is under way.
+};
+
+struct RelayOptions
+{
+    HostId host;
+    DataCentreId dataCentre;
+    PrepaidOptions prepaid;
+    ChoiceOptions choice;
+    ExchangeOptions exchange;
+    RepeatRules repeats;
+    // How long a request waits for its budget: a draw takes some 15 ms, an answer from another router as long.
+    Duration budgetPatience = std::chrono::milliseconds(120);
+    // What a refused caller is told when nothing better is known.
+    Duration comeBack = std::chrono::milliseconds(700);
+    // Time kept at the end of a caller's patience, so that the final answer still arrives.
+    Duration answerMargin = std::chrono::milliseconds(15);
+    // An answer up to this size is read whole before any of it is passed on, so that a cut one can be replaced.
+    std::size_t wholeAnswerBytes = 256UL * 1024;
+    // More than this waiting for a slow caller stops the reading from its endpoint.
+    std::size_t callerQueueBytes = 256UL * 1024;
+    // Connections to one endpoint that the fleet opens at most, as a share of what the endpoint accepts.
+    double connectionShare = 0.8;
+};
+
+struct RelayState
+{
+    std::shared_ptr<const RouteTable> routes; // Null until the first document.
+    EndpointTable endpoints;
+    PrepaidShare prepaid;
+    std::map<std::string, RepeatAllowance> repeats; // By service.
+    std::map<CustomerId, std::map<HolderId, HeldElsewhere>> heldElsewhere;
+    RelayStage stage = RelayStage::Starting;
+    int liveRouters = 1;
+    bool platformInReach = false;
+};
+
+struct RelayCounters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t callersLeft = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t resumedStreams = 0;
+    std::uint64_t brokenOff = 0;
+    std::uint64_t connectionsOpened = 0;
+    std::map<ErrorKind, std::uint64_t> refusals;
+};
+
+class Relay
+{
+public:
+    Relay(boost::asio::io_context &io, RelayOptions options, DecisionLog &log);
+
+    boost::asio::io_context &io()
+    {
+        return m_io;
+    }
+    const RelayOptions &options() const
+    {
+        return m_options;
+    }
+    void setRepeatRules(double ratio, double slack, Duration window)
+    {
+        m_options.repeats.ratio = ratio;
+        m_options.repeats.slack = slack;
+        m_options.repeats.window = window;
+    }
+    RelayState &state()
+    {
+        return m_state;
+    }
+    RelayCounters &counters()
+    {
+        return m_counters;
+    }
+    ConnectionPool &pool()
+    {
+        return m_pool;
+    }
+    DecisionLog &log()
+    {
+        return m_log;
+    }
+
+    // Whether callers may be sent here.
+    bool isReady() const;
+
+    // Called when a request waits for tokens of a customer.
+    std::function<void(const CustomerId &, Tokens)> onTokensWanted;
+
+    void waitForTokens(const std::shared_ptr<RelayCall> &call);
+    void stopWaiting(const std::shared_ptr<RelayCall> &call);
+
+    // Tokens may have come: lets the requests that wait try again, oldest first.
+    void tokensCame();
+
+    // Asks again for what waiting requests lack.
+    void noteWanted();
+
+    std::uint64_t random()
+    {
+        return m_random();
+    }
+
+    // Calls under way; a stop waits for them.
+    int callsOpen = 0;
+
+    static TimePoint now()
+    {
+        return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    }
+
+private:
+    boost::asio::io_context &m_io;
+    RelayOptions m_options;
+    DecisionLog &m_log;
+    RelayState m_state;
+    RelayCounters m_counters;
+    ConnectionPool m_pool;
+    std::vector<std::shared_ptr<RelayCall>> m_waiting;
+    std::mt19937_64 m_random;
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/relay/relay_call.cpp
@@ -0,0 +1,579 @@
+#include "godwit/relay/relay_call.h"
+
+#include "godwit/base/hash.h"
+
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Godwit
+{
+namespace
+{
+
+// A request that declares no token counts can't be charged by tokens.
+constexpr Tokens NoTokens = 0;
+constexpr int LeastUrgent = 9;
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string chunk(std::string_view bytes)
+{
+    std::array<char, 20> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+    std::string out;
+    out.reserve(bytes.size() + 24);
+    out.append(size.data(), end);
+    out.append("\r\n");
+    out.append(bytes);
+    out.append("\r\n");
+    return out;
+}
+
+// What requests share, so that they meet where it is cached: the last part of the prompt but the request's own.
+std::string_view sharedPart(const RequestFacts &facts)
+{
+    const auto &parts = facts.promptParts;
+    if (parts.empty()) {
+        return {};
+    }
+    return parts[parts.size() < 2 ? 0 : parts.size() - 2].id;
+}
+
+} // namespace
+
+RelayCall::RelayCall(Relay &relay, AnswerSink &sink, RequestHead head, std::string body)
+    : m_relay(relay)
+    , m_sink(&sink)
+    , m_head(std::move(head))
+    , m_body(std::move(body))
+    , m_arrived(Relay::now())
+    , m_timer(relay.io())
+    , m_patience(relay.io())
+{
+    ++m_relay.callsOpen;
+    ++m_relay.counters().requests;
+}
+
+void RelayCall::start()
+{
+    LastReason reason;
+    const auto facts = readRequest(m_head, reason);
+    if (!facts) {
+        refuse(reason->kind, reason->message, std::nullopt);
+        return;
+    }
+    m_facts = *facts;
+    if (!findRoute() || !findCustomer()) {
+        return;
+    }
+    const Duration callerPatience = m_facts.timeLeft.value_or(m_route->timeout);
+    m_deadline = m_arrived + std::min(m_route->timeout, callerPatience - m_relay.options().answerMargin);
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->onDeadline();
+        }
+    });
+    reserveTokens();
+}
+
+bool RelayCall::findRoute()
+{
+    m_table = m_relay.state().routes;
+    if (!m_table) {
+        refuse(ErrorKind::NotConfigured, "this router has read no configuration yet", m_relay.options().comeBack);
+        return false;
+    }
+    if (m_relay.state().stage == RelayStage::Stopping) {
+        refuse(ErrorKind::Draining, "this router is stopping", Duration(0));
+        return false;
+    }
+    m_route = Godwit::findRoute(*m_table, m_facts.host, m_facts.target);
+    if (m_route == nullptr) {
+        refuse(ErrorKind::UnknownRoute, "no route begins this path at this host", std::nullopt);
+        return false;
+    }
+    m_serviceName = pickService(*m_route, stableHash(m_facts.attemptId));
+    m_service = findService(*m_table, m_serviceName);
+    countRequest(m_relay.state().repeats[m_serviceName], m_relay.options().repeats, m_arrived);
+    return true;
+}
+
+bool RelayCall::findCustomer()
+{
+    m_urgency = m_route->priority;
+    if (m_route->open || !m_table->document.keysRequired) {
+        return true;
+    }
+    const PrepaidCustomer *customer = Godwit::findCustomer(*m_table, m_facts.key);
+    if (customer == nullptr) {
+        refuse(ErrorKind::Unauthenticated, "no customer holds this key", std::nullopt);
+        return false;
+    }
+    m_customer = customer->name;
+    m_urgency = customer->priority.value_or(m_route->priority);
+    if (customer->prepaid) {
+        m_worstCase = m_facts.declaresTokens ? m_facts.promptTokens + m_facts.maxOutputTokens : NoTokens;
+        noteRequest(m_relay.state().prepaid, m_customer, m_worstCase, m_arrived);
+    }
+    return true;
+}
+
+void RelayCall::reserveTokens()
+{
+    if (m_worstCase == 0 || reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
+        m_holdsTokens = m_worstCase > 0;
+        reserved();
+        return;
+    }
+    m_waitsForTokens = true;
+    m_relay.waitForTokens(shared_from_this());
+    m_patience.expires_after(std::min(m_relay.options().budgetPatience, timeLeft()));
+    m_patience.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || self->m_closed || !self->m_waitsForTokens) {
+            return;
+        }
+        const Tokens remaining = mayRemain(
+            self->m_relay.state().prepaid, self->m_customer, self->m_relay.state().heldElsewhere[self->m_customer]);
+        const bool exhausted = remaining < self->m_worstCase && self->m_relay.state().prepaid.takenOver;
+        if (exhausted) {
+            self->refuse(ErrorKind::BudgetExhausted,
+                         "the customer's budget does not cover this request at its most",
+                         std::nullopt);
+        } else {
+            self->refuse(ErrorKind::BudgetBusy,
+                         "this router does not hold enough of the budget now",
+                         self->m_relay.options().comeBack);
+        }
+    });
+    if (m_relay.onTokensWanted) {
+        m_relay.onTokensWanted(m_customer, m_worstCase);
+    }
+}
+
+void RelayCall::tokensCame()
+{
+    if (m_closed || !m_waitsForTokens) {
+        return;
+    }
+    if (!reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
+        m_relay.waitForTokens(shared_from_this());
+        return;
+    }
+    m_waitsForTokens = false;
+    m_holdsTokens = true;
+    m_patience.cancel();
+    reserved();
+}
+
+void RelayCall::reserved()
+{
+    attempt();
+}
+
+void RelayCall::attempt()
+{
+    ChoiceQuery query;
+    query.service = m_serviceName;
+    query.tried = m_tried;
+    query.dataCentre = m_relay.options().dataCentre;
+    if (m_route->cachesPrompts) {
+        query.affinity = sharedPart(m_facts);
+    }
+    EndpointState *endpoint =
+        chooseEndpoint(m_relay.state().endpoints, query, m_relay.options().choice, m_relay.random(), Relay::now());
+    if (endpoint == nullptr) {
+        if (m_progress == Progress::Sent) {
+            refuse(ErrorKind::EndpointFailed, "the endpoint failed and no other is left", std::nullopt);
+        } else {
+            refuse(ErrorKind::NoEndpoint, "no endpoint of the service takes requests", m_relay.options().comeBack);
+        }
+        return;
+    }
+    sendTo(*endpoint);
+}
+
+void RelayCall::sendTo(EndpointState &endpoint)
+{
+    SendFacts send;
+    send.endpoint = endpoint.listed.id.value;
+    send.customer = m_customer.value;
+    send.timeLeft = timeLeft();
+    send.urgency = std::clamp(m_urgency, 0, LeastUrgent);
+    if (m_eventsPassed > 0) {
+        send.resumeAfter = m_lastEvent;
+    }
+    m_endpoint = endpoint.listed.id;
+    m_tried.push_back(m_endpoint);
+    m_sentAt = Relay::now();
+    m_attemptOpen = true;
+    m_answerHead.reset();
+    m_whole.clear();
+    m_events = {};
+    ++m_sends;
+    ++m_relay.counters().attempts;
+    beginAttempt(endpoint, m_worstCase);
+
+    ExchangeHandlers handlers;
+    const auto self = shared_from_this();
+    handlers.onHead = [self](const AnswerHead &head, const AnswerFacts &facts) {
+        self->onHead(head, facts);
+    };
+    handlers.onBody = [self](std::string_view bytes) {
+        self->onBody(bytes);
+    };
+    handlers.onEnd = [self] {
+        self->onEnd();
+    };
+    handlers.onFailed = [self](ExchangeFailure failure) {
+        self->onFailed(failure);
+    };
+    m_exchange = std::make_shared<EndpointExchange>(
+        m_relay.io(), m_relay.pool(), m_relay.options().exchange, std::move(handlers));
+    m_exchange->start(
+        m_endpoint, endpoint.listed.address, writeRequestHead(m_head, send, m_body.size()) + m_body, m_facts.attemptId);
+    m_relay.counters().connectionsOpened += m_exchange->connectionIsNew() ? 1 : 0;
+}
+
+void RelayCall::onHead(const AnswerHead &head, const AnswerFacts &facts)
+{
+    m_answerHead = head;
+    m_answer = facts;
+    if (!m_firstByteAt) {
+        m_firstByteAt = Relay::now();
+    }
+    if (EndpointState *endpoint = currentEndpoint()) {
+        recordFirstAnswer(*endpoint, Relay::now() - m_sentAt, m_relay.options().choice);
+    }
+    const bool success = facts.status / 100 == 2;
+    m_streams = success && facts.sealed && m_route->kind == GatewayRouteKind::Streaming;
+    if (m_streams && !m_headPassed) {
+        passHead(AnswerFraming::Chunked);
+    }
+}
+
+void RelayCall::passHead(AnswerFraming framing)
+{
+    m_headPassed = true;
+    m_sink->send(writeAnswerHead(*m_answerHead, framing, m_whole.size(), m_sink->closesAfterAnswer()));
+}
+
+void RelayCall::onBody(std::string_view bytes)
+{
+    if (m_streams) {
+        passEvents(bytes);
+        return;
+    }
+    m_whole.append(bytes);
+    if (m_whole.size() > m_relay.options().wholeAnswerBytes && m_answer.status / 100 == 2 && m_answer.sealed) {
+        // Too long to hold back: pass it on as it comes, in pieces whose end shows.
+        if (!m_headPassed) {
+            passHead(AnswerFraming::Chunked);
+        }
+        m_sink->send(chunk(std::exchange(m_whole, {})));
+    }
+    if (m_exchange && m_sink->queuedBytes() > m_relay.options().callerQueueBytes) {
+        m_exchange->pause();
+    }
+}
+
+void RelayCall::passEvents(std::string_view bytes)
+{
+    appendBytes(m_events, bytes);
+    std::string whole;
+    while (auto event = takeEvent(m_events)) {
+        m_lastEvent = eventNumber(*event).value_or(m_lastEvent);
+        ++m_eventsPassed;
+        whole += *event;
+    }
+    if (whole.empty()) {
+        return;
+    }
+    m_lastEventAt = Relay::now();
+    m_sink->send(chunk(whole));
+    if (m_exchange && m_sink->queuedBytes() > m_relay.options().callerQueueBytes) {
+        m_exchange->pause();
+    }
+}
+
+void RelayCall::sinkDrained()
+{
+    if (m_exchange) {
+        m_exchange->resume();
+    }
+}
+
+void RelayCall::onEnd()
+{
+    const bool success = m_answer.status / 100 == 2;
+    if (m_answer.notRun) {
+        // Between streams that are resumed a refusal leaves the earlier part as it was.
+        endAttempt(AttemptVerdict::Shed);
+        tryAgain(m_answer.otherEndpoint ? "address_reused" : "shed", true);
+        return;
+    }
+    m_progress = Progress::Sent;
+    ++m_ran;
+    if (success && !m_answer.sealed) {
+        endAttempt(AttemptVerdict::Failed);
+        tryAgain("unsealed_answer", true);
+        return;
+    }
+    if (m_headPassed && !m_streams && m_eventsPassed > 0) {
+        // A stream that should go on was answered with a failure.
+        endAttempt(AttemptVerdict::Failed);
+        tryAgain("resume_failed", true);
+        return;
+    }
+    const bool failed = m_answer.status >= 500;
+    endAttempt(failed ? AttemptVerdict::Failed : AttemptVerdict::Good);
+    if (failed && mayRepeat() && !m_headPassed
+        && takeRepeat(m_relay.state().repeats[m_serviceName],
+                      m_relay.options().repeats,
+                      m_relay.state().liveRouters,
+                      Relay::now())) {
+        ++m_relay.counters().repeats;
+        attempt();
+        return;
+    }
+    if (m_streams) {
+        if (pendingBytes(m_events) > 0) {
+            m_sink->send(chunk(std::exchange(m_events, {}).buffer));
+        }
+        complete();
+        return;
+    }
+    passWhole();
+}
+
+void RelayCall::passWhole()
+{
+    if (m_headPassed) {
+        if (!m_whole.empty()) {
+            m_sink->send(chunk(m_whole));
+        }
+        complete();
+        return;
+    }
+    m_headPassed = true;
+    m_sink->send(writeAnswerHead(*m_answerHead, AnswerFraming::Length, m_whole.size(), m_sink->closesAfterAnswer())
+                 + m_whole);
+    ++m_relay.counters().answered;
+    auto *sink = m_sink;
+    close();
+    sink->finish();
+}
+
+void RelayCall::complete()
+{
+    ++m_relay.counters().answered;
+    auto *sink = m_sink;
+    sink->send("0\r\n\r\n");
+    close();
+    sink->finish();
+}
+
+void RelayCall::onFailed(ExchangeFailure failure)
+{
+    if (failure == ExchangeFailure::NotConnected) {
+        endAttempt(AttemptVerdict::Unreachable);
+        tryAgain(std::string(exchangeFailureName(failure)), false);
+        return;
+    }
+    m_progress = Progress::Sent;
+    ++m_ran;
+    endAttempt(AttemptVerdict::Unreachable);
+    tryAgain(std::string(exchangeFailureName(failure)), true);
+}
+
+bool RelayCall::runsAtMostOnce() const
+{
+    return m_route->kind == GatewayRouteKind::NonIdempotent
+        || (m_route->kind == GatewayRouteKind::Streaming && !m_route->resumable);
+}
+
+// Whether another endpoint may get the request now.
+bool RelayCall::mayRepeat() const
+{
+    if (m_ran > 0 && (runsAtMostOnce() || m_ran >= m_route->maxEndpoints)) {
+        return false;
+    }
+    return timeLeft() > Duration::zero();
+}
+
+void RelayCall::tryAgain(const std::string &cause, bool reachedEndpoint)
+{
+    m_relay.log().write("attempt_failed",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"cause", std::string_view(cause)},
+                         {"status", static_cast<std::int64_t>(m_answerHead ? m_answer.status : 0)},
+                         {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
+                         {"may_have_run", m_ran > 0}});
+    // An attempt that reached no endpoint adds nothing to its load, so it draws on no allowance.
+    const bool allowed = mayRepeat()
+        && (!reachedEndpoint
+            || takeRepeat(m_relay.state().repeats[m_serviceName],
+                          m_relay.options().repeats,
+                          m_relay.state().liveRouters,
+                          Relay::now()));
+    // A stream can go on only after an event that has a number.
+    const bool resumable = m_eventsPassed == 0 || m_lastEvent > 0;
+    if (allowed && resumable && (!m_headPassed || m_streams || m_eventsPassed > 0)) {
+        m_relay.counters().repeats += reachedEndpoint ? 1 : 0;
+        m_relay.counters().resumedStreams += m_eventsPassed > 0 ? 1 : 0;
+        attempt();
+        return;
+    }
+    if (m_headPassed) {
+        breakOff(cause);
+        return;
+    }
+    if (m_ran > 0) {
+        refuse(ErrorKind::EndpointFailed, "the endpoint's answer was lost; the request may have run", std::nullopt);
+        return;
+    }
+    refuse(ErrorKind::Overloaded,
+           "the endpoints that were asked did not take the request",
+           m_answer.retryAfter.value_or(m_relay.options().comeBack));
+}
+
+void RelayCall::onDeadline()
+{
+    if (m_closed) {
+        return;
+    }
+    if (m_attemptOpen) {
+        m_exchange->cancel();
+        m_progress = Progress::Sent;
+        ++m_ran;
+        // Slow answers late in a stream say little; silence from the start does.
+        endAttempt(m_answerHead ? AttemptVerdict::Neutral : AttemptVerdict::Slow);
+    }
+    if (m_headPassed) {
+        breakOff("deadline");
+    } else if (m_progress == Progress::Sent) {
+        refuse(ErrorKind::AnswerLate, "the endpoint did not answer in time", std::nullopt);
+    } else {
+        refuse(ErrorKind::Overloaded, "no endpoint took the request in time", m_relay.options().comeBack);
+    }
+}
+
+void RelayCall::callerLeft()
+{
+    if (m_closed) {
+        return;
+    }
+    ++m_relay.counters().callersLeft;
+    if (m_attemptOpen) {
+        m_exchange->cancel();
+        m_progress = Progress::Sent;
+        ++m_ran;
+        endAttempt(AttemptVerdict::Neutral);
+    }
+    m_relay.log().write("caller_left",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"after_ms", milliseconds(Relay::now() - m_arrived)},
+                         {"may_have_run", m_ran > 0},
+                         {"events_passed", static_cast<std::int64_t>(m_eventsPassed)}});
+    close();
+}
+
+void RelayCall::endAttempt(AttemptVerdict verdict)
+{
+    m_attemptOpen = false;
+    m_exchange.reset();
+    if (EndpointState *endpoint = currentEndpoint()) {
+        Godwit::endAttempt(*endpoint, m_worstCase, verdict, m_relay.options().choice, Relay::now());
+    }
+}
+
+void RelayCall::refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter)
+{
+    ++m_relay.counters().refusals[kind];
+    Error error;
+    error.kind = kind;
+    error.message = std::move(message);
+    error.execution = m_progress == Progress::NotRun ? Execution::NotRun : Execution::Unknown;
+    error.retryAfter = retryAfter;
+    m_relay.log().write("refused",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"cause", errorName(kind)},
+                         {"message", std::string_view(error.message)},
+                         {"customer", std::string_view(m_customer.value)},
+                         {"route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name.value)},
+                         {"tokens", m_worstCase},
+                         {"headroom", headroom(m_relay.state().prepaid, m_customer)},
+                         {"sends", static_cast<std::int64_t>(m_sends)},
+                         {"after_ms", milliseconds(Relay::now() - m_arrived)},
+                         {"document", static_cast<std::int64_t>(m_table ? m_table->document.version : 0)},
+                         {"platform_in_reach", m_relay.state().platformInReach},
+                         {"may_have_run", m_ran > 0}});
+    auto *sink = m_sink;
+    const std::string bytes = writeRefusal(error, m_facts.attemptId, sink->closesAfterAnswer());
+    close();
+    sink->send(bytes);
+    sink->finish();
+}
+
+void RelayCall::breakOff(std::string_view cause)
+{
+    ++m_relay.counters().brokenOff;
+    m_relay.log().write("broken_off",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"cause", cause},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
+                         {"after_ms", milliseconds(Relay::now() - m_arrived)}});
+    auto *sink = m_sink;
+    close();
+    sink->breakOff();
+}
+
+Tokens RelayCall::usedTokens() const
+{
+    if (m_ran == 0) {
+        return 0;
+    }
+    const Tokens perEvent = m_service != nullptr && m_service->engine ? m_service->engine->tokensPerEvent : 1;
+    const Tokens output = std::min<Tokens>(static_cast<Tokens>(m_eventsPassed) * perEvent, m_facts.maxOutputTokens);
+    return m_facts.promptTokens + output;
+}
+
+void RelayCall::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_timer.cancel();
+    m_patience.cancel();
+    if (m_waitsForTokens) {
+        m_waitsForTokens = false;
+        m_relay.stopWaiting(shared_from_this());
+    }
+    if (m_holdsTokens) {
+        settle(m_relay.state().prepaid, m_customer, m_worstCase, usedTokens());
+    }
+    --m_relay.callsOpen;
+}
+
+Duration RelayCall::timeLeft() const
+{
+    return std::max(Duration::zero(), m_deadline - Relay::now());
+}
+
+EndpointState *RelayCall::currentEndpoint()
+{
+    auto &endpoints = m_relay.state().endpoints.endpoints;
+    const auto found = endpoints.find(m_endpoint);
+    return found == endpoints.end() ? nullptr : &found->second;
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/relay/relay_call.h
@@ -0,0 +1,148 @@
+#pragma once
+
+// One request of a caller, from its arrival to its final answer.
+//
+// The way: route and customer, reservation of the most it can cost, choice of an endpoint, the attempt, the answer.
+// What may be repeated is repeated at another endpoint, within the fleet's allowance. Once a byte of a request that
+// must not run twice has gone out, only the endpoint's own word that it did not run allows another attempt.
+// Not thread-safe.
+
+#include "godwit/base/error.h"
+#include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/request_facts.h"
+#include "godwit/gateway/route_table.h"
+#include "godwit/http/event_stream.h"
+#include "godwit/relay/endpoint_exchange.h"
+#include "godwit/relay/relay.h"
+#include "platform/http_codec.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Godwit
+{
+
+// Where the answer goes. Exactly one of finish() and breakOff() ends it.
+class AnswerSink
+{
+public:
+    virtual ~AnswerSink() = default;
+
+    virtual void send(std::string bytes) = 0;
+    virtual std::size_t queuedBytes() const = 0;
+    // The answer is complete.
+    virtual void finish() = 0;
+    // The answer can't be completed: the caller must see that it is cut.
+    virtual void breakOff() = 0;
+    // Whether the connection will be closed after this answer.
+    virtual bool closesAfterAnswer() const = 0;
+};
+
+class RelayCall : public std::enable_shared_from_this<RelayCall>
+{
+public:
+    RelayCall(Relay &relay, AnswerSink &sink, RequestHead head, std::string body);
+
+    // May answer at once.
+    void start();
+
+    // The caller's connection has ended. No call to the sink follows.
+    void callerLeft();
+
+    // The caller has read some of what was queued.
+    void sinkDrained();
+
+    // The reservation can be tried again.
+    void tokensCame();
+
+    const CustomerId &customer() const
+    {
+        return m_customer;
+    }
+    Tokens worstCase() const
+    {
+        return m_worstCase;
+    }
+
+private:
+    // What is known of the request's execution, over all attempts.
+    enum class Progress {
+        NotRun, // No byte went out, or each endpoint that got it said that it did not run it.
+        Sent, // It may run or have run.
+    };
+
+    bool findRoute();
+    bool findCustomer();
+    void reserveTokens();
+    void reserved();
+    void attempt();
+    void sendTo(EndpointState &endpoint);
+    void onHead(const AnswerHead &head, const AnswerFacts &facts);
+    void onBody(std::string_view bytes);
+    void onEnd();
+    void onFailed(ExchangeFailure failure);
+    void passEvents(std::string_view bytes);
+    void passHead(AnswerFraming framing);
+    void passWhole();
+    void endAttempt(AttemptVerdict verdict);
+    void tryAgain(const std::string &cause, bool reachedEndpoint);
+    bool mayRepeat() const;
+    bool runsAtMostOnce() const;
+    void onDeadline();
+    void refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter);
+    void breakOff(std::string_view cause);
+    void complete();
+    void close();
+    Tokens usedTokens() const;
+    Duration timeLeft() const;
+    EndpointState *currentEndpoint();
+
+    Relay &m_relay;
+    AnswerSink *m_sink;
+    RequestHead m_head;
+    std::string m_body;
+    RequestFacts m_facts;
+    std::shared_ptr<const RouteTable> m_table; // Keeps m_route and m_service alive over changes.
+    const GatewayRoute *m_route = nullptr;
+    const GatewayService *m_service = nullptr;
+    CustomerId m_customer;
+    std::string m_serviceName;
+    int m_urgency = 5;
+
+    TimePoint m_arrived;
+    TimePoint m_deadline;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_patience;
+
+    Tokens m_worstCase = 0;
+    bool m_holdsTokens = false;
+    bool m_waitsForTokens = false;
+
+    Progress m_progress = Progress::NotRun;
+    std::vector<EndpointId> m_tried;
+    int m_ran = 0; // Endpoints on which it may have run.
+    int m_sends = 0;
+    std::shared_ptr<EndpointExchange> m_exchange;
+    EndpointId m_endpoint;
+    TimePoint m_sentAt;
+    bool m_attemptOpen = false;
+
+    std::optional<AnswerHead> m_answerHead;
+    AnswerFacts m_answer;
+    bool m_streams = false; // The answer is passed on event by event.
+    bool m_headPassed = false;
+    std::string m_whole; // An answer that is gathered before it is passed on.
+    EventSplitter m_events;
+    std::uint64_t m_lastEvent = 0;
+    std::uint64_t m_eventsPassed = 0;
+    std::optional<TimePoint> m_firstByteAt;
+    std::optional<TimePoint> m_lastEventAt;
+    bool m_closed = false;
+};
+
+} // namespace Godwit
