Budgets: grants by demand, trades that cover seconds, marks ahead of 4 s

Cause: in a cut a router that serves most of a customer ran dry while others held nothing of it, and averages that started from nothing kept marks too low.

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -254,6 +254,7 @@
     } else {
         transaction.puts.push_back({m_options.markKey, write.mark, m_lease});
     }
+    m_wroteLedger = write.ledger.has_value();
     if (write.ledger) {
         transaction.conditions.push_back({m_options.ledgerKey, write.ledgerRevision});
         transaction.puts.push_back({m_options.ledgerKey, *write.ledger, 0});
@@ -272,8 +273,7 @@
         break;
     case StoreStatus::ConditionFailed:
         onWriteRefused(share, true);
-        m_nextRecords = TimePoint{};
-        readRecords();
+        onConditionFailed(reply);
         break;
     case StoreStatus::NotFound:
         onWriteRefused(share, true);
@@ -296,6 +296,26 @@
     m_relay.tokensCame();
 }
 
+// The answer says what stands, which saves two reads in the frequent case that another router was faster.
+void BudgetKeeper::onConditionFailed(const StoreWriteReply &reply)
+{
+    if (!reply.standing || !m_wroteLedger) {
+        m_nextRecords = TimePoint{};
+        readRecords();
+        return;
+    }
+    StoreItemReply ledger{StoreStatus::NotFound, {}};
+    StoreItemReply mark{StoreStatus::NotFound, {}};
+    for (const StoreItem &item : *reply.standing) {
+        if (item.key == m_options.ledgerKey) {
+            ledger = {StoreStatus::Ok, item};
+        } else if (item.key == m_options.markKey) {
+            mark = {StoreStatus::Ok, item};
+        }
+    }
+    onMarkRead(ledger, mark);
+}
+
 void BudgetKeeper::returnAll(std::function<void()> done)
 {
     m_returned = std::move(done);
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -27,10 +27,10 @@
     std::string liveValue;
     // A process that is started again within this time finds its predecessor's mark; the longer, the longer a cut
     // router has to stay below its mark.
-    Duration leaseTime = std::chrono::seconds(4);
-    Duration keepInterval = std::chrono::seconds(1);
+    Duration leaseTime = std::chrono::milliseconds(2500);
+    Duration keepInterval = std::chrono::milliseconds(500);
     // An unanswered renewal may take effect this much later.
-    Duration lateMargin = std::chrono::seconds(1);
+    Duration lateMargin = std::chrono::milliseconds(500);
     // While the store is away.
     Duration probeInterval = std::chrono::milliseconds(500);
     Duration tick = std::chrono::milliseconds(100);
@@ -76,6 +76,7 @@
     void writeIfDue();
     void write(const ShareWrite &write);
     void onWritten(const StoreWriteReply &reply);
+    void onConditionFailed(const StoreWriteReply &reply);
     void finishReturn();
 
     boost::asio::io_context &m_io;
@@ -91,6 +92,7 @@
     bool m_liveEntryWritten = false;
     bool m_liveCallOpen = false;
     bool m_leaving = false;
+    bool m_wroteLedger = false; // The open write, or the last one, named the ledger.
     bool m_hurryPosted = false;
     TimePoint m_nextRecords;
     TimePoint m_regainedAt;
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Godwit
 {
@@ -17,6 +18,7 @@
 constexpr const char *AskTopic = "ask";
 constexpr const char *GiveTopic = "give";
 constexpr const char *DocumentTopic = "document";
+constexpr const char *MissedTopic = "missed";
 
 // Beats nest two levels deep.
 constexpr std::size_t MaxDepth = 4;
@@ -154,21 +156,29 @@
         return;
     }
     askedAt = now;
-    const auto &known = m_relay.state().heldElsewhere[customer];
-    const Peer *best = nullptr;
-    Tokens most = 0;
-    for (const auto &[incarnation, peer] : m_peers) {
-        const auto entry = known.find(HolderId{peer.member.callerAddress});
-        if (peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable > most) {
-            best = &peer;
-            most = entry->second.spendable;
+    const double demand = demandPerSecond(m_relay.state().prepaid, customer, now);
+    Tokens wanted = std::max(lacking, static_cast<Tokens>(demand * toSeconds(m_options.askFor)));
+    // Those that hold most are asked first, and as many as it takes.
+    auto &known = m_relay.state().prepaid.heldElsewhere[customer];
+    for (int asked = 0; asked < m_options.askAtMost && wanted > 0; ++asked) {
+        const Peer *best = nullptr;
+        Tokens most = 0;
+        for (const auto &[incarnation, peer] : m_peers) {
+            const auto entry = known.find(HolderId{peer.member.callerAddress});
+            if (peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable > most) {
+                best = &peer;
+                most = entry->second.spendable;
+            }
         }
+        if (best == nullptr) {
+            return;
+        }
+        m_mesh->send(best->member.incarnation, {AskTopic, toBytes(json::array({customer.value, wanted}))});
+        // It gives half of what it has or more; its next beat puts the figure right.
+        const Tokens expected = std::min(wanted, most / 2);
+        known[HolderId{best->member.callerAddress}].spendable = most - expected - 1;
+        wanted -= expected;
     }
-    if (best == nullptr) {
-        return;
-    }
-    const auto wanted = static_cast<Tokens>(static_cast<double>(lacking) * m_options.askFactor);
-    m_mesh->send(best->member.incarnation, {AskTopic, toBytes(json::array({customer.value, wanted}))});
 }
 
 void FleetLinks::shareDocument(std::uint64_t version, const std::string &text)
@@ -182,6 +192,11 @@
     m_mesh->broadcast({BeatTopic, beatBody()});
 }
 
+void FleetLinks::tellMissed(const std::string &prefix)
+{
+    m_mesh->broadcast({MissedTopic, prefix});
+}
+
 std::vector<CallerAddress> FleetLinks::callerAddresses() const
 {
     const TimePoint now = Relay::now();
@@ -220,13 +235,20 @@
 std::string FleetLinks::beatBody() const
 {
     const auto &share = m_relay.state().prepaid;
+    const TimePoint now = Relay::now();
     json held = json::object();
     for (const auto &[customer, account] : share.accounts) {
         if (account.bounded && held.size() < m_options.maxCustomersInBeat) {
-            held[customer.value] = json::array({headroom(share, customer), unusedGrant(share, customer)});
+            held[customer.value] = json::array({headroom(share, customer),
+                                                unusedGrant(share, customer),
+                                                static_cast<Tokens>(demandPerSecond(share, customer, now)),
+                                                roomKnown(share, customer)});
         }
     }
-    return toBytes(json{{"version", m_documentVersion}, {"ready", m_relay.isReady()}, {"held", std::move(held)}});
+    return toBytes(json{{"version", m_documentVersion},
+                        {"ready", m_relay.isReady()},
+                        {"held", std::move(held)},
+                        {"ledger", share.ledgerRevision}});
 }
 
 void FleetLinks::onLinkUp(const Hello &hello)
@@ -266,6 +288,8 @@
         onGive(from, envelope.body);
     } else if (envelope.topic == DocumentTopic && onDocument) {
         onDocument(envelope.body);
+    } else if (envelope.topic == MissedTopic && onMissed) {
+        onMissed(envelope.body);
     }
 }
 
@@ -281,22 +305,35 @@
     if (version != beat.end() && version->is_number_unsigned()) {
         peer.documentVersion = version->get<std::uint64_t>();
     }
-    const auto held = beat.find("held");
-    if (held != beat.end() && held->is_object()) {
-        for (const auto &[customer, amount] : held->items()) {
-            if (amount.is_array() && amount.size() == 2 && amount[0].is_number_integer()
-                && amount[1].is_number_integer()) {
-                auto &known = m_relay.state().heldElsewhere[CustomerId{customer}];
-                known[HolderId{peer.member.callerAddress}] =
-                    HeldElsewhere{amount[0].get<Tokens>(), amount[1].get<Tokens>()};
-            }
-        }
-    }
+    readHeld(beat, HolderId{peer.member.callerAddress});
     if (peer.documentVersion < m_documentVersion) {
         offerDocument(peer);
     }
 }
 
+void FleetLinks::readHeld(const json &beat, const HolderId &holder)
+{
+    const auto held = beat.find("held");
+    const auto ledger = beat.find("ledger");
+    if (held == beat.end() || !held->is_object() || ledger == beat.end() || !ledger->is_number_unsigned()) {
+        return;
+    }
+    for (const auto &[customer, row] : held->items()) {
+        const bool wellFormed =
+            row.is_array() && row.size() == 4 && std::all_of(row.begin(), row.end(), [](const json &value) {
+                return value.is_number_integer();
+            });
+        if (wellFormed) {
+            HeldElsewhere &known = m_relay.state().prepaid.heldElsewhere[CustomerId{customer}][holder];
+            known.spendable = row[0].get<Tokens>();
+            known.unused = row[1].get<Tokens>();
+            known.demandPerSecond = row[2].get<double>();
+            known.room = row[3].get<Tokens>();
+            known.ledgerRevision = ledger->get<std::uint64_t>();
+        }
+    }
+}
+
 void FleetLinks::onAsk(const Incarnation &from, const std::string &body)
 {
     const auto asked = readAmount(fromBytes(body));
@@ -338,6 +375,17 @@
 
 void FleetLinks::forgetSilent(TimePoint now)
 {
+    std::set<HolderId> heard;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (isFresh(peer, now)) {
+            heard.insert(HolderId{peer.member.callerAddress});
+        }
+    }
+    for (auto &[customer, holders] : m_relay.state().prepaid.heldElsewhere) {
+        for (auto it = holders.begin(); it != holders.end();) {
+            it = heard.count(it->first) == 0 ? holders.erase(it) : std::next(it);
+        }
+    }
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         const Peer &peer = it->second;
         const bool forget = !peer.listed && !peer.linked && now > peer.heardAt + ForgetAfter;
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <functional>
 #include <map>
@@ -28,8 +29,11 @@
     // Callers are sent to a router that was heard within `freshFor`.
     Duration beatInterval = std::chrono::milliseconds(400);
     Duration freshFor = std::chrono::milliseconds(1600);
-    // A request for tokens asks for this much more than it lacks, so that the next requests need not ask.
-    double askFactor = 3;
+    // A request for tokens asks for what it lacks, or for this much of the customer's recent demand here: the next
+    // requests should not have to ask.
+    Duration askFor = std::chrono::seconds(3);
+    // How many routers are asked at once.
+    int askAtMost = 3;
     // No second question about the same customer within this time.
     Duration askInterval = std::chrono::milliseconds(30);
     // Customers in one beat at most.
@@ -82,6 +86,12 @@
     // Routers that take requests, this one included.
     int liveCount() const;
 
+    // Tells all others to read everything under `prefix` again: this router's watch had missed a change.
+    void tellMissed(const std::string &prefix);
+
+    // Another router's watch of the prefix had missed a change.
+    std::function<void(const std::string &prefix)> onMissed;
+
     // Another router has a newer document than this one.
     std::function<void(const std::string &text)> onDocument;
 
@@ -103,6 +113,7 @@
     void onLinkDown(const Incarnation &incarnation);
     void onMessage(const Incarnation &from, const Envelope &envelope);
     void onBeat(Peer &peer, const std::string &body);
+    void readHeld(const nlohmann::json &beat, const HolderId &holder);
     void onAsk(const Incarnation &from, const std::string &body);
     void onGive(const Incarnation &from, const std::string &body);
     void offerDocument(const Peer &peer);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -133,6 +133,15 @@
                 watch->askAgain();
             }
         };
+        shareReadings(m_documents, SiteDocumentPrefix);
+        shareReadings(m_endpointWatch, EndpointPrefix);
+        shareReadings(m_liveWatch, LivePrefix);
+        m_links.onMissed = [this](const std::string &prefix) {
+            const auto watch = m_watches.find(prefix);
+            if (watch != m_watches.end()) {
+                watch->second->readAgain();
+            }
+        };
         m_links.onDocument = [this](const std::string &text) {
             takeDocument(text, "router");
         };
@@ -181,6 +190,19 @@
         return options;
     }
 
+    // Routers take turns at reading what their watches may have missed, and tell the others what they find.
+    void shareReadings(PrefixWatch &watch, std::string_view prefix)
+    {
+        m_watches[std::string(prefix)] = &watch;
+        watch.routersSharing = [this] {
+            return m_relay.state().liveRouters;
+        };
+        watch.onMissed = [this, prefix = std::string(prefix)] {
+            m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix)}});
+            m_links.tellMissed(prefix);
+        };
+    }
+
     std::function<void(bool)> reached()
     {
         return [this](bool ok) {
@@ -225,7 +247,7 @@
             totals[customer.name] = customer.prepaid;
         }
         state.routes = makeRouteTable(std::move(*document));
-        applyTotals(state.prepaid, version, totals, Relay::now());
+        applyTotals(state.prepaid, version, totals);
         m_links.shareDocument(version, text);
         checkStage();
         m_keeper.hurry();
@@ -445,6 +467,7 @@
     PrefixWatch m_documents;
     PrefixWatch m_endpointWatch;
     PrefixWatch m_liveWatch;
+    std::map<std::string, PrefixWatch *> m_watches; // By prefix.
     CallerConnections m_connections;
     Listener m_callers;
     EntryServer m_entry;
--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -1,5 +1,7 @@
 #include "godwit/daemon/prefix_watch.h"
 
+#include <algorithm>
+
 namespace Godwit
 {
 
@@ -10,6 +12,8 @@
                          std::function<void(const Items &)> changed,
                          std::function<void(bool)> reached)
     : m_timer(io)
+    , m_verifyTimer(io)
+    , m_missedTimer(io)
     , m_store(store)
     , m_prefix(std::move(prefix))
     , m_options(options)
@@ -21,6 +25,71 @@
 void PrefixWatch::start()
 {
     readAll();
+    armVerify();
+}
+
+void PrefixWatch::readAgain()
+{
+    verify();
+}
+
+void PrefixWatch::armVerify()
+{
+    m_verifyTimer.expires_after(m_options.verifyEvery * std::max(1, routersSharing ? routersSharing() : 1));
+    m_verifyTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        verify();
+        armVerify();
+    });
+}
+
+void PrefixWatch::verify()
+{
+    if (!m_complete) {
+        return;
+    }
+    const std::uint64_t knownAt = m_at;
+    m_store.range(m_prefix, [this, knownAt](const StoreItemsReply &reply) {
+        m_reached(reply.status == StoreStatus::Ok);
+        // What the watch brought meanwhile may be newer than the reading.
+        if (reply.status != StoreStatus::Ok || m_at != knownAt || !adopt(reply)) {
+            return;
+        }
+        m_changed(m_items);
+        checkMissed();
+    });
+}
+
+// A change that the watch brings a moment later was not missed, only overtaken by the reading.
+void PrefixWatch::checkMissed()
+{
+    std::uint64_t newest = 0;
+    for (const auto &[key, item] : m_items) {
+        newest = std::max(newest, item.revision);
+    }
+    m_missedTimer.expires_after(m_options.missedAfter);
+    m_missedTimer.async_wait([this, newest](const boost::system::error_code &error) {
+        if (!error && m_at < newest && onMissed) {
+            onMissed();
+        }
+    });
+}
+
+// Takes over a whole reading; true when it differs from the copy.
+bool PrefixWatch::adopt(const StoreItemsReply &reply)
+{
+    Items items;
+    for (const StoreItem &item : reply.items) {
+        items[item.key] = item;
+    }
+    const bool same = items.size() == m_items.size()
+        && std::equal(items.begin(), items.end(), m_items.begin(), [](const auto &a, const auto &b) {
+                          return a.first == b.first && a.second.revision == b.second.revision;
+                      });
+    m_items = std::move(items);
+    return !same;
 }
 
 void PrefixWatch::askAgain()
@@ -46,10 +115,7 @@
             later(m_options.retry, &PrefixWatch::readAll);
             return;
         }
-        m_items.clear();
-        for (const StoreItem &item : reply.items) {
-            m_items[item.key] = item;
-        }
+        adopt(reply);
         m_at = reply.at;
         m_complete = true;
         m_changed(m_items);
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -30,6 +30,12 @@
     Duration retry = std::chrono::milliseconds(1500);
     // After an answer, so that a series of changes comes in one.
     Duration gather = std::chrono::milliseconds(50);
+    // A watch can fall silent while changes are made, and then go on after them: the store may drop its history, and
+    // a connection may die without a word. So everything is read again from time to time; this is the interval
+    // for the fleet as a whole, which its routers share.
+    Duration verifyEvery = std::chrono::milliseconds(700);
+    // A reading can overtake its watch by this much.
+    Duration missedAfter = std::chrono::milliseconds(250);
 };
 
 class PrefixWatch
@@ -47,6 +53,15 @@
 
     void start();
 
+    // Reads all at once: another router has found that its watch missed a change.
+    void readAgain();
+
+    // Called when a reading showed a change that the watch had missed.
+    std::function<void()> onMissed;
+
+    // How many routers share the readings.
+    std::function<int()> routersSharing;
+
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
     void askAgain();
 
@@ -60,9 +75,15 @@
     void readAll();
     void follow();
     void onChanges(const StoreItemsReply &reply);
+    void armVerify();
+    void verify();
+    void checkMissed();
+    bool adopt(const StoreItemsReply &reply);
     void later(Duration pause, void (PrefixWatch::*step)());
 
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_verifyTimer;
+    boost::asio::steady_timer m_missedTimer;
     StoreClient &m_store;
     std::string m_prefix;
     PrefixWatchOptions m_options;
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -39,17 +39,42 @@
     return account.net + account.reserved;
 }
 
+double decayed(double sum, Duration passed, Duration memory)
+{
+    return sum * std::exp(-std::max(0.0, toSeconds(passed)) / toSeconds(memory));
+}
+
+// A decaying sum as a rate. The sum of a short past has not reached its level yet.
+double rateOf(double sum, Duration past, Duration memory)
+{
+    const double seconds = toSeconds(memory);
+    return sum / (seconds * (1.0 - std::exp(-toSeconds(past) / seconds)));
+}
+
 double demandNow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
 {
-    const double passed = std::max(0.0, toSeconds(now - account.demandAt));
-    return account.demandPerSecond * std::exp(-passed / toSeconds(share.options.demandMemory));
+    const PrepaidOptions &options = share.options;
+    const RecentDemand &demand = account.demand;
+    if (demand.longSum <= 0) {
+        return 0;
+    }
+    const Duration passed = now - demand.at;
+    const Duration past = std::max<Duration>(now - demand.since, options.leastPast);
+    return std::max(rateOf(decayed(demand.shortSum, passed, options.shortMemory), past, options.shortMemory),
+                    rateOf(decayed(demand.longSum, passed, options.longMemory), past, options.longMemory));
 }
 
 void noteDemand(const PrepaidShare &share, ShareAccount &account, Tokens tokens, TimePoint now)
 {
-    account.demandPerSecond =
-        demandNow(share, account, now) + static_cast<double>(tokens) / toSeconds(share.options.demandMemory);
-    account.demandAt = now;
+    RecentDemand &demand = account.demand;
+    if (demand.longSum <= 0) {
+        demand.since = now;
+        demand.at = now;
+    }
+    const Duration passed = now - demand.at;
+    demand.shortSum = decayed(demand.shortSum, passed, share.options.shortMemory) + static_cast<double>(tokens);
+    demand.longSum = decayed(demand.longSum, passed, share.options.longMemory) + static_cast<double>(tokens);
+    demand.at = now;
     account.largest = std::max(tokens, account.largest - account.largest / 64);
 }
 
@@ -74,35 +99,44 @@
     return held == entry->second.granted.end() ? 0 : held->second;
 }
 
-// What this router would like to hold unused.
-Tokens wantedReserve(const PrepaidShare &share, const ShareAccount &account, Tokens room, TimePoint now)
+// This router's part of what all routers together would hold, by their demand.
+double fairPart(const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, TimePoint now)
 {
-    const Tokens idle = static_cast<Tokens>(share.options.idleShare * static_cast<double>(std::max<Tokens>(0, room))
-                                            / std::max(1, share.liveRouters));
-    const Tokens busy = tokensFor(share, account, share.options.holdFor, now);
-    return std::max({idle, busy, account.largest, account.shortOf});
+    const double own = demandNow(share, account, now);
+    double all = own;
+    const auto others = share.heldElsewhere.find(customer);
+    if (others != share.heldElsewhere.end()) {
+        for (const auto &[holder, held] : others->second) {
+            all += held.demandPerSecond;
+        }
+    }
+    return all > 0 ? own / all : 1.0 / std::max(1, share.liveRouters);
 }
 
-// The grant to ask for. Takes an even part of a scarce room, and what a waiting request lacks.
-Tokens wantedGrant(const PrepaidShare &share, const ShareAccount &account, Tokens room, TimePoint now)
+// The grant to ask for: enough for a time without the platform, a fair part of a scarce room, and always what a
+// waiting request lacks.
+Tokens wantedGrant(
+    const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, Tokens room, TimePoint now)
 {
+    const PrepaidOptions &options = share.options;
     const Tokens unused = account.granted - committed(account);
-    const Tokens wanted = wantedReserve(share, account, room, now);
     if (room < 0) {
         // More is out than there is: everyone gives back what it does not need.
         return std::max(committed(account), account.granted + room);
     }
-    if (static_cast<double>(unused) > share.options.returnAbove * static_cast<double>(wanted)) {
+    const auto idle =
+        static_cast<Tokens>(options.idleShare * static_cast<double>(room) / std::max(1, share.liveRouters));
+    const Tokens least = std::max(account.largest, account.shortOf);
+    const Tokens wanted = std::max({idle, least, tokensFor(share, account, options.holdFor, now)});
+    if (static_cast<double>(unused) > options.returnAbove * static_cast<double>(wanted)) {
         return committed(account) + wanted;
     }
-    const Tokens refill = tokensFor(share, account, share.options.refillBelow, now);
-    const bool low = unused < std::max({refill * 2, account.largest, account.shortOf});
-    if (!low) {
+    if (unused >= std::max({idle / 2, least, tokensFor(share, account, options.refillGrantBelow, now)})) {
         return account.granted;
     }
-    const Tokens evenPart = room / std::max(1, share.liveRouters);
+    const auto part = static_cast<Tokens>(fairPart(share, customer, account, now) * static_cast<double>(room));
     const Tokens lacking = std::max<Tokens>(0, account.shortOf - unused);
-    const Tokens more = std::clamp<Tokens>(wanted - unused, 0, std::max(evenPart, std::min(lacking, room)));
+    const Tokens more = std::clamp<Tokens>(wanted - unused, 0, std::max(part, std::min(lacking, room)));
     return account.granted + more;
 }
 
@@ -120,7 +154,7 @@
 bool markIsLow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
 {
     const Tokens left = account.mark.limit - committed(account);
-    const Tokens refill = tokensFor(share, account, share.options.refillBelow, now);
+    const Tokens refill = tokensFor(share, account, share.options.refillMarkBelow, now);
     return account.mark.limit < account.granted && left < std::max(refill, account.shortOf);
 }
 
@@ -170,6 +204,17 @@
     }
 }
 
+// A write of the mark alone leaves the grants as they are.
+void limitToGrants(PrepaidShare &share, MarkRecord &mark)
+{
+    for (auto &[customer, entry] : mark.marks) {
+        const Tokens granted = share.accounts[customer].granted;
+        share.pendingGrants[customer] = granted;
+        entry.limit = std::min(entry.limit, granted);
+    }
+    share.pendingMarks = mark.marks;
+}
+
 void clearPending(PrepaidShare &share)
 {
     share.writing = false;
@@ -188,8 +233,7 @@
 
 void applyTotals(PrepaidShare &share,
                  std::uint64_t documentVersion,
-                 const std::map<CustomerId, std::optional<Tokens>> &totals,
-                 TimePoint now)
+                 const std::map<CustomerId, std::optional<Tokens>> &totals)
 {
     if (documentVersion < share.documentVersion) {
         return;
@@ -197,9 +241,6 @@
     share.documentVersion = documentVersion;
     for (const auto &[customer, total] : totals) {
         ShareAccount &account = share.accounts[customer];
-        if (account.demandAt == TimePoint{}) {
-            account.demandAt = now;
-        }
         const bool lowered = account.bounded && total && *total < account.total;
         account.bounded = total.has_value();
         account.total = total.value_or(0);
@@ -249,6 +290,12 @@
     account.shortOf = std::max(account.shortOf, tokens);
 }
 
+double demandPerSecond(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
+{
+    const auto found = share.accounts.find(customer);
+    return found == share.accounts.end() ? 0 : demandNow(share, found->second, now);
+}
+
 Tokens headroom(const PrepaidShare &share, const CustomerId &customer)
 {
     const auto found = share.accounts.find(customer);
@@ -258,6 +305,12 @@
     return std::max<Tokens>(0, limitOf(share, customer, found->second) - committed(found->second));
 }
 
+Tokens roomKnown(const PrepaidShare &share, const CustomerId &customer)
+{
+    const LedgerAccount *account = ledgerAccount(share, customer);
+    return account == nullptr ? 0 : roomOf(*account);
+}
+
 Tokens unusedGrant(const PrepaidShare &share, const CustomerId &customer)
 {
     const auto found = share.accounts.find(customer);
@@ -267,27 +320,30 @@
     return std::max<Tokens>(0, found->second.granted - committed(found->second));
 }
 
-Tokens mayRemain(const PrepaidShare &share,
-                 const CustomerId &customer,
-                 const std::map<HolderId, HeldElsewhere> &heldElsewhere)
+Tokens mayRemain(const PrepaidShare &share, const CustomerId &customer)
 {
     const LedgerAccount *account = ledgerAccount(share, customer);
     const auto own = share.accounts.find(customer);
     if (account == nullptr || own == share.accounts.end()) {
         return 0;
     }
-    Tokens remaining = own->second.total - account->spent + account->unsure - committed(own->second);
+    const auto others = share.heldElsewhere.find(customer);
+    Tokens room = roomOf(*account);
+    std::uint64_t newest = share.ledgerRevision;
+    Tokens remaining = account->unsure + unusedGrant(share, customer);
     for (const auto &[holder, granted] : account->granted) {
         if (holder == share.options.self) {
             continue;
         }
+        const bool heard = others != share.heldElsewhere.end() && others->second.count(holder) != 0;
         // A holder that nobody hears may have used nothing at all.
-        const auto heard = heldElsewhere.find(holder);
-        if (heard != heldElsewhere.end()) {
-            remaining -= std::max<Tokens>(0, granted - heard->second.unused);
+        remaining += heard ? others->second.at(holder).unused : granted;
+        if (heard && others->second.at(holder).ledgerRevision > newest) {
+            newest = others->second.at(holder).ledgerRevision;
+            room = others->second.at(holder).room;
         }
     }
-    return remaining;
+    return remaining + std::max<Tokens>(0, room);
 }
 
 Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, Tokens wanted, TimePoint now)
@@ -297,7 +353,7 @@
         return 0;
     }
     const Tokens spare = headroom(share, customer);
-    const Tokens kept = std::min(spare / 2, tokensFor(share, found->second, share.options.refillBelow, now));
+    const Tokens kept = std::min(spare / 2, tokensFor(share, found->second, share.options.keepFromOthers, now));
     const Tokens amount = std::clamp<Tokens>(wanted, 0, spare - kept);
     found->second.net += amount;
     return amount;
@@ -344,6 +400,8 @@
     bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
     bool markLow = share.markPresence == MarkPresence::None;
     bool urgent = !share.takenOver;
+    bool markSuffices = share.takenOver;
+    bool anyWaits = false;
     for (auto &[customer, account] : share.accounts) {
         if (!account.bounded) {
             continue;
@@ -351,11 +409,14 @@
         LedgerAccount &entry = ledger.accounts[customer];
         Tokens &held = entry.granted[share.options.self];
         const Tokens heldBefore = std::exchange(held, account.granted);
-        const Tokens granted = wantedGrant(share, account, roomOf(entry), now);
+        const Tokens granted = wantedGrant(share, customer, account, roomOf(entry), now);
         held = granted;
         const bool low = markIsLow(share, account, now);
         // A waiting request is a reason to hurry only if the write can help it.
-        urgent = urgent || (account.shortOf > 0 && (granted > account.granted || low));
+        const bool markHelps = account.shortOf > 0 && low && account.shortOf <= unusedGrant(share, customer);
+        urgent = urgent || markHelps || (account.shortOf > 0 && granted > account.granted);
+        markSuffices = markSuffices && (account.shortOf == 0 || markHelps);
+        anyWaits = anyWaits || account.shortOf > 0;
         ledgerChanges = ledgerChanges || granted != heldBefore;
         markLow = markLow || low;
         share.pendingGrants[customer] = granted;
@@ -363,6 +424,11 @@
         account.shortOf = 0;
     }
     share.pendingMarks = mark.marks;
+    if (anyWaits && markSuffices) {
+        // The mark is this router's own: its write meets no other router's, so that nobody waits for a retry.
+        ledgerChanges = false;
+        limitToGrants(share, mark);
+    }
     const Duration interval = urgent ? share.options.urgentInterval : share.options.writeInterval;
     if ((!ledgerChanges && !markLow) || (share.takenOver && now - share.lastWriteAt < interval)) {
         clearPending(share);
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -37,30 +37,46 @@
     HolderId self;
     Incarnation incarnation;
     // How much of its recent demand a router holds: the platform is away for some 9 s at a time.
-    Duration holdFor = std::chrono::seconds(12);
+    Duration holdFor = std::chrono::seconds(14);
     // How far the mark runs ahead of what is used: the lease must lapse before more than that may be spent.
-    Duration markFor = std::chrono::seconds(5);
-    // A mark or grant is written again when less than this is left below it, or at once when a request waits.
-    Duration refillBelow = std::chrono::seconds(3);
-    // Time constant of the average of the demand. Shorter follows bursts, longer wastes fewer writes.
-    Duration demandMemory = std::chrono::seconds(4);
+    Duration markFor = std::chrono::seconds(4);
+    // Each is written again when less than this is left below it, or at once when a request waits.
+    Duration refillGrantBelow = std::chrono::seconds(11);
+    Duration refillMarkBelow = std::chrono::milliseconds(3200);
+    // What a router keeps for itself when another one asks for tokens.
+    Duration keepFromOthers = std::chrono::seconds(2);
+    // Time constants of the two averages of the demand, of which the higher counts: the short one follows a burst,
+    // the long one keeps a lull from giving everything back.
+    Duration shortMemory = std::chrono::seconds(1);
+    Duration longMemory = std::chrono::seconds(6);
+    // The averages of a customer that has just come are corrected for their short past, which is taken to be at
+    // least this long.
+    Duration leastPast = std::chrono::milliseconds(300);
     // Writes at most this often, except for a request that waits.
     Duration writeInterval = std::chrono::milliseconds(1000);
     Duration urgentInterval = std::chrono::milliseconds(40);
     // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
-    double idleShare = 0.25;
+    double idleShare = 0.5;
     // More than this multiple of what it wants to hold goes back.
     double returnAbove = 2.5;
 };
 
+// What a customer asked for here lately, as decaying sums.
+struct RecentDemand
+{
+    double shortSum = 0;
+    double longSum = 0;
+    TimePoint at; // When the sums were last brought up to date.
+    TimePoint since; // The first request.
+};
+
 struct ShareAccount
 {
     Tokens net = 0; // Used and sent to others, less received.
     Tokens reserved = 0; // Of requests under way, at their most.
     Tokens granted = 0; // As the platform has acknowledged.
     Mark mark; // As the platform has acknowledged.
-    double demandPerSecond = 0;
-    TimePoint demandAt;
+    RecentDemand demand;
     Tokens largest = 0; // The largest recent reservation.
     Tokens shortOf = 0; // What waiting requests lack.
     Tokens total = 0;
@@ -77,6 +93,16 @@
     bool removesMark = false; // The last write of a stop: the mark goes.
 };
 
+// What another router has lately said that it holds of one customer's budget.
+struct HeldElsewhere
+{
+    Tokens spendable = 0; // It could spend or send this now.
+    Tokens unused = 0; // What is left of its grant.
+    double demandPerSecond = 0;
+    Tokens room = 0; // What was left to grant at `ledgerRevision`.
+    std::uint64_t ledgerRevision = 0;
+};
+
 enum class MarkPresence {
     None, // Surely not in the platform: the whole grant may be spent.
     Standing, // May be there: the mark bounds.
@@ -88,6 +114,7 @@
     std::map<CustomerId, ShareAccount> accounts;
     std::uint64_t documentVersion = 0;
     int liveRouters = 1;
+    std::map<CustomerId, std::map<HolderId, HeldElsewhere>> heldElsewhere;
 
     PrepaidLedger ledger; // As last read or written.
     std::uint64_t ledgerRevision = 0;
@@ -116,8 +143,7 @@
 // read again: others may hold more than is left.
 void applyTotals(PrepaidShare &share,
                  std::uint64_t documentVersion,
-                 const std::map<CustomerId, std::optional<Tokens>> &totals,
-                 TimePoint now);
+                 const std::map<CustomerId, std::optional<Tokens>> &totals);
 
 // Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
 void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
@@ -131,24 +157,20 @@
 // Notes that a request waits for `tokens`, so that the next write asks for them.
 void wantMore(PrepaidShare &share, const CustomerId &customer, Tokens tokens);
 
+// Tokens a second that the customer lately asked for here.
+double demandPerSecond(const PrepaidShare &share, const CustomerId &customer, TimePoint now);
+
 // What could be reserved now.
 Tokens headroom(const PrepaidShare &share, const CustomerId &customer);
 
 // What is left of the grant, also beyond the mark.
 Tokens unusedGrant(const PrepaidShare &share, const CustomerId &customer);
 
-// What another router has lately said that it holds.
-struct HeldElsewhere
-{
-    Tokens spendable = 0; // It could spend or send this now.
-    Tokens unused = 0; // What is left of its grant.
-};
+// What the ledger had left to grant when it was last read or written here.
+Tokens roomKnown(const PrepaidShare &share, const CustomerId &customer);
 
-// What the customer may still have, anywhere in the fleet, counting as unused all that may be unused. `elsewhere`
-// is what other routers lately said they hold unused.
-Tokens mayRemain(const PrepaidShare &share,
-                 const CustomerId &customer,
-                 const std::map<HolderId, HeldElsewhere> &heldElsewhere);
+// What the customer may still have, anywhere in the fleet, counting as unused all that may be unused.
+Tokens mayRemain(const PrepaidShare &share, const CustomerId &customer);
 
 // Tokens that leave for another router. Returns what was taken, at most `wanted`; keeps what is needed here.
 Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, Tokens wanted, TimePoint now);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -49,7 +49,8 @@
     ChoiceOptions choice;
     ExchangeOptions exchange;
     RepeatRules repeats;
-    // How long a request waits for its budget: a draw takes some 15 ms, an answer from another router as long.
+    // How long a request waits for its budget at most, and no longer than an eighth of its latency target: a draw
+    // takes some 15 ms, an answer from another router less.
     Duration budgetPatience = std::chrono::milliseconds(120);
     // What a refused caller is told when nothing better is known.
     Duration comeBack = std::chrono::milliseconds(700);
@@ -69,7 +70,6 @@
     EndpointTable endpoints;
     PrepaidShare prepaid;
     std::map<std::string, RepeatAllowance> repeats; // By service.
-    std::map<CustomerId, std::map<HolderId, HeldElsewhere>> heldElsewhere;
     RelayStage stage = RelayStage::Starting;
     int liveRouters = 1;
     bool platformInReach = false;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -134,13 +134,12 @@
     }
     m_waitsForTokens = true;
     m_relay.waitForTokens(shared_from_this());
-    m_patience.expires_after(std::min(m_relay.options().budgetPatience, timeLeft()));
+    m_patience.expires_after(std::min({m_relay.options().budgetPatience, m_route->latencyTarget / 8, timeLeft()}));
     m_patience.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || self->m_closed || !self->m_waitsForTokens) {
             return;
         }
-        const Tokens remaining = mayRemain(
-            self->m_relay.state().prepaid, self->m_customer, self->m_relay.state().heldElsewhere[self->m_customer]);
+        const Tokens remaining = mayRemain(self->m_relay.state().prepaid, self->m_customer);
         const bool exhausted = remaining < self->m_worstCase && self->m_relay.state().prepaid.takenOver;
         if (exhausted) {
             self->refuse(ErrorKind::BudgetExhausted,
@@ -152,6 +151,11 @@
                          self->m_relay.options().comeBack);
         }
     });
+    askForTokens();
+}
+
+void RelayCall::askForTokens()
+{
     if (m_relay.onTokensWanted) {
         m_relay.onTokensWanted(m_customer, m_worstCase);
     }
@@ -164,6 +168,7 @@
     }
     if (!reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
         m_relay.waitForTokens(shared_from_this());
+        askForTokens();
         return;
     }
     m_waitsForTokens = false;
@@ -510,6 +515,9 @@
                          {"route", m_route == nullptr ? std::string_view() : std::string_view(m_route->name.value)},
                          {"tokens", m_worstCase},
                          {"headroom", headroom(m_relay.state().prepaid, m_customer)},
+                         {"unused_grant", unusedGrant(m_relay.state().prepaid, m_customer)},
+                         {"may_remain", mayRemain(m_relay.state().prepaid, m_customer)},
+                         {"spendable_elsewhere", spendableElsewhere()},
                          {"sends", static_cast<std::int64_t>(m_sends)},
                          {"after_ms", milliseconds(Relay::now() - m_arrived)},
                          {"document", static_cast<std::int64_t>(m_table ? m_table->document.version : 0)},
@@ -536,6 +544,19 @@
     sink->breakOff();
 }
 
+Tokens RelayCall::spendableElsewhere() const
+{
+    Tokens sum = 0;
+    const auto &known = m_relay.state().prepaid.heldElsewhere;
+    const auto found = known.find(m_customer);
+    if (found != known.end()) {
+        for (const auto &[holder, held] : found->second) {
+            sum += held.spendable;
+        }
+    }
+    return sum;
+}
+
 Tokens RelayCall::usedTokens() const
 {
     if (m_ran == 0) {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -79,6 +79,7 @@
     bool findRoute();
     bool findCustomer();
     void reserveTokens();
+    void askForTokens();
     void reserved();
     void attempt();
     void sendTo(EndpointState &endpoint);
@@ -98,6 +99,7 @@
     void breakOff(std::string_view cause);
     void complete();
     void close();
+    Tokens spendableElsewhere() const;
     Tokens usedTokens() const;
     Duration timeLeft() const;
     EndpointState *currentEndpoint();
