--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace Godwit
 {
 namespace
@@ -39,8 +41,9 @@
 {
     const TimePoint now = Relay::now();
     keepLease(now);
+    probe(now);
     auto &share = m_relay.state().prepaid;
-    if (!share.ledgerKnown && !share.writing && now >= m_nextRecords) {
+    if (!share.ledgerKnown && !share.writing && now >= m_nextRecords && m_relay.state().platformInReach) {
         m_nextRecords = now + m_options.probeInterval;
         readRecords();
     }
@@ -61,40 +64,76 @@
         return;
     }
     inReach = reached;
+    const TimePoint now = Relay::now();
     if (reached) {
-        m_regainedAt = Relay::now();
-        m_nextKeep = m_regainedAt;
-        m_nextRecords = m_regainedAt;
+        m_regainedAt = now;
+        m_nextKeep = now;
+        m_nextRecords = now;
+        if (now >= m_renewedAt + m_options.leaseTime) {
+            // It has most likely ended; a new one costs less time than finding out.
+            m_lease = 0;
+            m_liveEntryWritten = false;
+        }
+    } else {
+        m_nextProbe = now;
     }
+    // What others wrote meanwhile is not known.
+    m_relay.state().prepaid.ledgerKnown = false;
     m_relay.log().write(reached ? "platform_regained" : "platform_lost", {});
     if (reached && onRegained) {
         onRegained();
     }
 }
 
+// Routers take turns at asking whether the store is back, and tell each other.
+void BudgetKeeper::probe(TimePoint now)
+{
+    if (m_relay.state().platformInReach || m_probeOpen || now < m_nextProbe) {
+        return;
+    }
+    const Duration turn = m_options.probeInterval * std::max(1, m_relay.state().liveRouters);
+    // Half of the turn is drawn by lot, so that the routers don't ask all at once.
+    const double lot = 0.5 + static_cast<double>(m_relay.random() % 1024) / 1024.0;
+    m_nextProbe = now + std::chrono::duration_cast<Duration>(turn * lot);
+    probeNow();
+}
+
+void BudgetKeeper::probeNow()
+{
+    if (m_probeOpen || m_relay.state().platformInReach) {
+        return;
+    }
+    m_probeOpen = true;
+    m_store.probe(m_options.ledgerKey, [this](StoreStatus status) {
+        m_probeOpen = false;
+        const bool reached = status == StoreStatus::Ok || status == StoreStatus::NotFound;
+        const bool news = reached && !m_relay.state().platformInReach;
+        onReached(reached);
+        if (news && onFoundAgain) {
+            onFoundAgain();
+        }
+    });
+}
+
 void BudgetKeeper::keepLease(TimePoint now)
 {
     auto &share = m_relay.state().prepaid;
-    const bool lapsed = m_lease != 0 && now >= m_renewedAt + m_options.leaseTime + m_options.lateMargin;
+    const bool lapsed = now >= m_renewedAt + m_options.leaseTime + m_options.lateMargin;
     if (lapsed && share.markPresence == MarkPresence::Standing) {
         m_relay.log().write("mark_lapsed", {{"lease", static_cast<std::int64_t>(m_lease)}});
         onMarkLapsed(share);
         m_relay.tokensCame();
     }
-    if (m_leaseCallOpen || now < m_nextKeep || share.returned) {
+    // A renewal that is lost on the way may take effect later, which would keep the mark standing: while the store
+    // is away nothing is renewed.
+    if (m_leaseCallOpen || now < m_nextKeep || share.returned || !m_relay.state().platformInReach) {
         return;
     }
-    m_nextKeep = now + (m_relay.state().platformInReach ? m_options.keepInterval : m_options.probeInterval);
+    m_nextKeep = now + m_options.keepInterval;
     if (m_lease == 0) {
         grantLease();
         return;
     }
-    if (!m_relay.state().platformInReach) {
-        // A renewal that is lost on the way may take effect later, which would keep the mark standing: while the
-        // store is away the records are read instead, which tells its return as well.
-        share.ledgerKnown = false;
-        return;
-    }
     m_leaseCallOpen = true;
     const TimePoint before = m_renewedAt;
     m_renewedAt = now;
@@ -121,6 +160,7 @@
             m_renewedAt = asked;
             m_nextKeep = asked + m_options.keepInterval;
             m_liveEntryWritten = false;
+            writeIfDue();
         }
     });
 }
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -31,8 +31,8 @@
     Duration keepInterval = std::chrono::milliseconds(500);
     // An unanswered renewal may take effect this much later.
     Duration lateMargin = std::chrono::milliseconds(500);
-    // While the store is away.
-    Duration probeInterval = std::chrono::milliseconds(500);
+    // While the store is away, the fleet as a whole asks this often whether it is back.
+    Duration probeInterval = std::chrono::milliseconds(120);
     Duration tick = std::chrono::milliseconds(100);
 };
 
@@ -57,6 +57,12 @@
 
     std::function<void()> onRegained;
 
+    // This router has found the store again by a probe: others may be told.
+    std::function<void()> onFoundAgain;
+
+    // Asks at once whether the store is back: another router has found it.
+    void probeNow();
+
     // When the store last came back into reach.
     TimePoint regainedAt() const
     {
@@ -67,6 +73,7 @@
     void armTick();
     void onTick();
     void keepLease(TimePoint now);
+    void probe(TimePoint now);
     void grantLease();
     void onLeaseLost();
     void writeLiveEntry();
@@ -95,6 +102,8 @@
     bool m_wroteLedger = false; // The open write, or the last one, named the ledger.
     bool m_hurryPosted = false;
     TimePoint m_nextRecords;
+    TimePoint m_nextProbe;
+    bool m_probeOpen = false;
     TimePoint m_regainedAt;
     std::function<void()> m_returned;
 };
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -18,6 +18,7 @@
 constexpr const char *AskTopic = "ask";
 constexpr const char *GiveTopic = "give";
 constexpr const char *DocumentTopic = "document";
+constexpr const char *FoundTopic = "store-found";
 constexpr const char *MissedTopic = "missed";
 
 // Beats nest two levels deep.
@@ -192,6 +193,11 @@
     m_mesh->broadcast({BeatTopic, beatBody()});
 }
 
+void FleetLinks::tellStoreFound()
+{
+    m_mesh->broadcast({FoundTopic, {}});
+}
+
 void FleetLinks::tellMissed(const std::string &prefix)
 {
     m_mesh->broadcast({MissedTopic, prefix});
@@ -288,6 +294,8 @@
         onGive(from, envelope.body);
     } else if (envelope.topic == DocumentTopic && onDocument) {
         onDocument(envelope.body);
+    } else if (envelope.topic == FoundTopic && onStoreFound) {
+        onStoreFound();
     } else if (envelope.topic == MissedTopic && onMissed) {
         onMissed(envelope.body);
     }
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -89,6 +89,12 @@
     // Tells all others to read everything under `prefix` again: this router's watch had missed a change.
     void tellMissed(const std::string &prefix);
 
+    // Tells all others that the platform's store answers again.
+    void tellStoreFound();
+
+    // Another router has reached the platform's store.
+    std::function<void()> onStoreFound;
+
     // Another router's watch of the prefix had missed a change.
     std::function<void(const std::string &prefix)> onMissed;
 
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -142,6 +142,12 @@
                 watch->second->readAgain();
             }
         };
+        m_keeper.onFoundAgain = [this] {
+            m_links.tellStoreFound();
+        };
+        m_links.onStoreFound = [this] {
+            m_keeper.probeNow();
+        };
         m_links.onDocument = [this](const std::string &text) {
             takeDocument(text, "router");
         };
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -37,11 +37,11 @@
     HolderId self;
     Incarnation incarnation;
     // How much of its recent demand a router holds: the platform is away for some 9 s at a time.
-    Duration holdFor = std::chrono::seconds(14);
+    Duration holdFor = std::chrono::seconds(11);
     // How far the mark runs ahead of what is used: the lease must lapse before more than that may be spent.
     Duration markFor = std::chrono::seconds(4);
     // Each is written again when less than this is left below it, or at once when a request waits.
-    Duration refillGrantBelow = std::chrono::seconds(11);
+    Duration refillGrantBelow = std::chrono::milliseconds(9500);
     Duration refillMarkBelow = std::chrono::milliseconds(3200);
     // What a router keeps for itself when another one asks for tokens.
     Duration keepFromOthers = std::chrono::seconds(2);
