Marks of spending measured by the host's clocks, not by a lease of the store

Ruled out: counting of events. The mark now carries when it was written; it binds its router for 3 s by uptime and time of day, and a successor trusts it only if it starts within 2.7 s. Uptime alone can't do: processes on one host may have different ones.

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -13,11 +13,16 @@
 
 } // namespace
 
-BudgetKeeper::BudgetKeeper(boost::asio::io_context &io, Relay &relay, StoreClient &store, BudgetKeeperOptions options)
+BudgetKeeper::BudgetKeeper(boost::asio::io_context &io,
+                           Relay &relay,
+                           StoreClient &store,
+                           BudgetKeeperOptions options,
+                           std::function<HostTime()> hostTime)
     : m_io(io)
     , m_relay(relay)
     , m_store(store)
     , m_options(std::move(options))
+    , m_hostTime(std::move(hostTime))
     , m_tick(io)
 {
 }
@@ -40,6 +45,10 @@
 void BudgetKeeper::onTick()
 {
     const TimePoint now = Relay::now();
+    if (checkMarks(m_relay.state().prepaid, m_hostTime())) {
+        m_relay.log().write("marks_bind_no_more", {});
+        m_relay.tokensCame();
+    }
     keepLease(now);
     probe(now);
     auto &share = m_relay.state().prepaid;
@@ -117,16 +126,7 @@
 
 void BudgetKeeper::keepLease(TimePoint now)
 {
-    auto &share = m_relay.state().prepaid;
-    const bool lapsed = now >= m_renewedAt + m_options.leaseTime + m_options.lateMargin;
-    if (lapsed && share.markPresence == MarkPresence::Standing) {
-        m_relay.log().write("mark_lapsed", {{"lease", static_cast<std::int64_t>(m_lease)}});
-        onMarkLapsed(share);
-        m_relay.tokensCame();
-    }
-    // A renewal that is lost on the way may take effect later, which would keep the mark standing: while the store
-    // is away nothing is renewed.
-    if (m_leaseCallOpen || now < m_nextKeep || share.returned || !m_relay.state().platformInReach) {
+    if (m_leaseCallOpen || now < m_nextKeep || m_returned || !m_relay.state().platformInReach) {
         return;
     }
     m_nextKeep = now + m_options.keepInterval;
@@ -135,13 +135,11 @@
         return;
     }
     m_leaseCallOpen = true;
-    const TimePoint before = m_renewedAt;
-    m_renewedAt = now;
-    m_store.keepLease(m_lease, [this, before](StoreStatus status) {
+    m_store.keepLease(m_lease, [this, now](StoreStatus status) {
         m_leaseCallOpen = false;
         onReached(status == StoreStatus::Ok || status == StoreStatus::NotFound);
-        if (status == StoreStatus::Refused) {
-            m_renewedAt = before;
+        if (status == StoreStatus::Ok) {
+            m_renewedAt = now;
         } else if (status == StoreStatus::NotFound) {
             onLeaseLost();
         }
@@ -160,7 +158,6 @@
             m_renewedAt = asked;
             m_nextKeep = asked + m_options.keepInterval;
             m_liveEntryWritten = false;
-            writeIfDue();
         }
     });
 }
@@ -170,9 +167,6 @@
     m_relay.log().write("lease_lost", {{"lease", static_cast<std::int64_t>(m_lease)}});
     m_lease = 0;
     m_liveEntryWritten = false;
-    auto &share = m_relay.state().prepaid;
-    onMarkLapsed(share);
-    share.ledgerKnown = false;
     m_nextKeep = TimePoint{};
     m_nextRecords = TimePoint{};
     grantLease();
@@ -253,6 +247,7 @@
     onRecordsRead(share, std::move(*record), ledger.item.revision, marks, mark.item.revision);
     m_relay.log().write("budgets_read",
                         {{"ledger_revision", static_cast<std::int64_t>(ledger.item.revision)},
+                         {"mark_uptime_ms", static_cast<std::int64_t>(marks ? marks->writtenAt.uptime.count() : 0)},
                          {"mark_found", marks.has_value()},
                          {"first", first}});
     writeIfDue();
@@ -275,12 +270,11 @@
 void BudgetKeeper::writeIfDue()
 {
     auto &share = m_relay.state().prepaid;
-    if (m_lease == 0 || !m_relay.state().platformInReach || m_relay.state().stage == RelayStage::Starting
-        || m_returned) {
+    if (!m_relay.state().platformInReach || m_relay.state().stage == RelayStage::Starting || m_returned) {
         return;
     }
     m_relay.noteWanted();
-    if (const auto due = planWrite(share, Relay::now())) {
+    if (const auto due = planWrite(share, Relay::now(), m_hostTime())) {
         write(*due);
     }
 }
@@ -292,7 +286,7 @@
     if (write.removesMark) {
         transaction.removals.push_back(m_options.markKey);
     } else {
-        transaction.puts.push_back({m_options.markKey, write.mark, m_lease});
+        transaction.puts.push_back({m_options.markKey, write.mark, 0});
     }
     m_wroteLedger = write.ledger.has_value();
     if (write.ledger) {
@@ -316,9 +310,6 @@
         onConditionFailed(reply);
         break;
     case StoreStatus::NotFound:
-        onWriteRefused(share, true);
-        onLeaseLost();
-        break;
     case StoreStatus::Refused:
         onWriteRefused(share, false);
         onReached(false);
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -2,8 +2,8 @@
 
 // Keeps this router's share of the prepaid totals, and its place among the live routers, in the platform's store.
 //
-// Carries out what PrepaidShare plans and reports how it ended; holds the lease on which the mark and the live entry
-// depend. Not thread-safe.
+// Carries out what PrepaidShare plans and reports how it ended; holds the lease on which the live entry depends.
+// Not thread-safe.
 
 #include "godwit/base/time.h"
 #include "godwit/relay/relay.h"
@@ -25,12 +25,9 @@
     std::string markKey; // This host's own.
     std::string liveKey;
     std::string liveValue;
-    // A process that is started again within this time finds its predecessor's mark; the longer, the longer a cut
-    // router has to stay below its mark.
-    Duration leaseTime = std::chrono::milliseconds(2500);
-    Duration keepInterval = std::chrono::milliseconds(500);
-    // An unanswered renewal may take effect this much later.
-    Duration lateMargin = std::chrono::milliseconds(500);
+    // Of the entry among the live routers. Links tell sooner who is gone.
+    Duration leaseTime = std::chrono::seconds(4);
+    Duration keepInterval = std::chrono::milliseconds(1200);
     // While the store is away, the fleet as a whole asks this often whether it is back.
     Duration probeInterval = std::chrono::milliseconds(120);
     Duration tick = std::chrono::milliseconds(100);
@@ -39,7 +36,11 @@
 class BudgetKeeper
 {
 public:
-    BudgetKeeper(boost::asio::io_context &io, Relay &relay, StoreClient &store, BudgetKeeperOptions options);
+    BudgetKeeper(boost::asio::io_context &io,
+                 Relay &relay,
+                 StoreClient &store,
+                 BudgetKeeperOptions options,
+                 std::function<HostTime()> hostTime);
 
     void start();
 
@@ -90,9 +91,10 @@
     Relay &m_relay;
     StoreClient &m_store;
     BudgetKeeperOptions m_options;
+    std::function<HostTime()> m_hostTime;
     boost::asio::steady_timer m_tick;
     std::uint64_t m_lease = 0;
-    TimePoint m_renewedAt; // When the last renewal that may have taken effect was sent.
+    TimePoint m_renewedAt; // When the last renewal that the store confirmed was sent.
     TimePoint m_nextKeep;
     bool m_leaseCallOpen = false;
     bool m_recordsCallOpen = false;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -14,6 +14,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <time.h>
+
 #include <algorithm>
 #include <fstream>
 #include <random>
@@ -54,6 +56,27 @@
     return text.str();
 }
 
+std::chrono::milliseconds clockNow(clockid_t clock)
+{
+    timespec time{};
+    ::clock_gettime(clock, &time);
+    return std::chrono::milliseconds(time.tv_sec * 1000 + time.tv_nsec / 1'000'000);
+}
+
+// The uptime goes on while the host is suspended, and only a restart of the host sets it back.
+HostTime hostTimeNow(const std::string &boot)
+{
+    return HostTime{clockNow(CLOCK_BOOTTIME), clockNow(CLOCK_REALTIME), boot};
+}
+
+// Which start of the host this is; empty where the system does not tell.
+std::string bootName()
+{
+    std::string name;
+    std::ifstream("/proc/sys/kernel/random/boot_id") >> name;
+    return name;
+}
+
 RelayOptions relayOptions(const GatewaySettings &settings, const Incarnation &incarnation)
 {
     RelayOptions options;
@@ -61,6 +84,7 @@
     options.dataCentre = settings.dataCentre;
     options.prepaid.self = HolderId{settings.callerListen};
     options.prepaid.incarnation = incarnation;
+    options.prepaid.startedAt = hostTimeNow(bootName());
     options.repeats.ratio = settings.repeatRatio;
     options.repeats.slack = settings.repeatSlack;
     options.repeats.window = settings.repeatWindow;
@@ -109,7 +133,7 @@
         , m_log(m_io, logOptions(m_settings))
         , m_relay(m_io, relayOptions(m_settings, m_self.incarnation), m_log)
         , m_store(m_io, m_settings.store)
-        , m_keeper(m_io, m_relay, m_store, keeperOptions(m_settings, m_self))
+        , m_keeper(m_io, m_relay, m_store, keeperOptions(m_settings, m_self), clock())
         , m_links(m_io, m_relay, linkOptions(m_settings, m_self))
         , m_endpoints(m_io, m_relay)
         , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, watchDocuments(), reached())
@@ -156,7 +180,8 @@
     bool start(LastReason &reason)
     {
         m_log.write("start",
-                    {{"incarnation", std::string_view(m_self.incarnation.value)},
+                    {{"uptime_ms", static_cast<std::int64_t>(m_relay.options().prepaid.startedAt.uptime.count())},
+                     {"incarnation", std::string_view(m_self.incarnation.value)},
                      {"version", std::string_view(GODWIT_VERSION)},
                      {"callers", std::string_view(m_settings.callerListen)},
                      {"store", std::string_view(m_settings.store)}});
@@ -209,6 +234,13 @@
         };
     }
 
+    std::function<HostTime()> clock() const
+    {
+        return [boot = m_relay.options().prepaid.startedAt.boot] {
+            return hostTimeNow(boot);
+        };
+    }
+
     std::function<void(bool)> reached()
     {
         return [this](bool ok) {
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -93,7 +93,12 @@
     for (const auto &[customer, entry] : mark.marks) {
         marks[customer.value] = json::array({entry.limit, entry.used});
     }
-    return json{{"writer", mark.writer.value}, {"marks", std::move(marks)}}.dump();
+    return json{{"writer", mark.writer.value},
+                {"uptime_ms", mark.writtenAt.uptime.count()},
+                {"wall_ms", mark.writtenAt.wall.count()},
+                {"boot", mark.writtenAt.boot},
+                {"marks", std::move(marks)}}
+        .dump();
 }
 
 std::optional<MarkRecord> decodeMark(std::string_view bytes, LastReason &reason)
@@ -102,6 +107,9 @@
         const json value = json::parse(bytes);
         MarkRecord mark;
         mark.writer = Incarnation{value.at("writer").get<std::string>()};
+        mark.writtenAt.uptime = std::chrono::milliseconds(tokensOf(value.at("uptime_ms")));
+        mark.writtenAt.wall = std::chrono::milliseconds(tokensOf(value.at("wall_ms")));
+        mark.writtenAt.boot = value.at("boot").get<std::string>();
         for (const auto &[customer, entry] : value.at("marks").items()) {
             mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)), tokensOf(entry.at(1))};
         }
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -4,7 +4,7 @@
 //
 // The ledger is shared by all routers and written under a condition on its revision. In every stored version, for
 // each customer: spent + sum(granted) <= total, unless the operators have lowered the total below that.
-// A mark belongs to one router and lives only as long as its lease. It says how far the router may have gone.
+// A mark belongs to one router. It says how far the router goes until some time after the mark was written.
 //
 // Example:
 //   LastReason reason;
@@ -14,6 +14,7 @@
 #include "godwit/base/error.h"
 #include "godwit/base/ids.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,10 +49,19 @@
     Tokens used = 0; // Where it was when it wrote the mark.
 };
 
+// A moment as one host knows it. Unlike the time of day, the uptime makes no jumps; it starts anew with the host.
+struct HostTime
+{
+    std::chrono::milliseconds uptime{}; // Counts while the host is suspended.
+    std::chrono::milliseconds wall{}; // Since the Unix epoch.
+    std::string boot; // Which start of the host; empty when the system does not tell.
+};
+
 struct MarkRecord
 {
     // The process that wrote it. A process that finds its own mark knows that its write took effect.
     Incarnation writer;
+    HostTime writtenAt;
     std::map<CustomerId, Mark> marks;
 };
 
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -23,9 +23,9 @@
     Tokens limit = account.granted;
     boundBy(limit, share.pendingGrants, customer);
     boundBy(limit, share.doubtfulGrants, customer);
-    boundBy(limit, share.doubtfulMarks, customer);
-    if (share.markPresence == MarkPresence::Standing) {
+    if (share.marksBind) {
         limit = std::min(limit, account.mark.limit);
+        boundBy(limit, share.doubtfulMarks, customer);
     }
     const auto pending = share.pendingMarks.find(customer);
     if (pending != share.pendingMarks.end()) {
@@ -174,9 +174,24 @@
     }
 }
 
+// Whether the process that wrote the mark has ended before it could go beyond it: this process has started on the
+// same host while the mark still bound its writer.
+bool isTrusted(const PrepaidOptions &options, const MarkRecord &mark)
+{
+    using std::chrono::milliseconds;
+    const milliseconds uptime = options.startedAt.uptime - mark.writtenAt.uptime;
+    const milliseconds wall = options.startedAt.wall - mark.writtenAt.wall;
+    const milliseconds apart = uptime > wall ? uptime - wall : wall - uptime;
+    // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
+    const bool uptimeShared = options.startedAt.boot == mark.writtenAt.boot && apart <= options.clockTolerance;
+    const milliseconds passed = uptimeShared ? std::max(uptime, wall) : wall;
+    return wall >= milliseconds(0) && passed < options.markTrusted;
+}
+
 // Charges what an earlier process on this host may have used and gives the rest of its grant back.
 void takeOver(PrepaidShare &share, PrepaidLedger &ledger, const std::optional<MarkRecord> &mark)
 {
+    const bool trusted = mark && isTrusted(share.options, *mark);
     for (auto &[customer, account] : ledger.accounts) {
         const auto held = account.granted.find(share.options.self);
         if (held == account.granted.end()) {
@@ -184,7 +199,7 @@
         }
         Tokens charge = held->second;
         Tokens unsure = charge;
-        if (mark) {
+        if (trusted) {
             const auto entry = mark->marks.find(customer);
             const Mark found = entry == mark->marks.end() ? Mark{} : entry->second;
             charge = std::min(charge, found.limit);
@@ -379,7 +394,6 @@
             account.granted = grantedTo(ledger, customer, share.options.self);
             account.mark = mark && mark->marks.count(customer) != 0 ? mark->marks.at(customer) : Mark{};
         }
-        share.markPresence = mark ? MarkPresence::Standing : MarkPresence::None;
     }
     share.ledger = std::move(ledger);
     share.ledgerRevision = ledgerRevision;
@@ -388,7 +402,18 @@
     clearPending(share);
 }
 
-std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now)
+bool checkMarks(PrepaidShare &share, const HostTime &hostTime)
+{
+    const bool bound = share.marksBind;
+    const HostTime &written = share.markWrittenAt;
+    // By both clocks: a successor may have only the time of day to go by, and that may have been set back.
+    share.marksBind = written.wall.count() > 0
+        && (hostTime.uptime < written.uptime + share.options.markBinds
+            || hostTime.wall < written.wall + share.options.markBinds);
+    return bound && !share.marksBind;
+}
+
+std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now, const HostTime &hostTime)
 {
     if (share.writing || !share.ledgerKnown || share.returned) {
         return std::nullopt;
@@ -397,8 +422,9 @@
     adoptTotals(share, ledger);
     MarkRecord mark;
     mark.writer = share.options.incarnation;
+    mark.writtenAt = hostTime;
     bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
-    bool markLow = share.markPresence == MarkPresence::None;
+    bool markLow = !share.marksBind || hostTime.uptime >= share.markWrittenAt.uptime + share.options.markEvery;
     bool urgent = !share.takenOver;
     bool markSuffices = share.takenOver;
     bool anyWaits = false;
@@ -445,6 +471,9 @@
     share.pendingWritesLedger = ledgerChanges;
     share.writing = true;
     share.lastWriteAt = now;
+    share.markWrittenBefore = share.markWrittenAt;
+    share.markWrittenAt = hostTime;
+    share.marksBind = true;
     return write;
 }
 
@@ -497,7 +526,6 @@
         share.ledgerRevision = revision;
     }
     share.markRevision = revision;
-    share.markPresence = MarkPresence::Standing;
     share.takenOver = true;
     share.doubtfulGrants.clear();
     share.doubtfulMarks.clear();
@@ -506,6 +534,7 @@
 
 void onWriteRefused(PrepaidShare &share, bool conditionFailed)
 {
+    share.markWrittenAt = share.markWrittenBefore;
     share.ledgerKnown = share.ledgerKnown && !conditionFailed;
     share.lastWasReturn = false;
     clearPending(share);
@@ -524,12 +553,4 @@
     clearPending(share);
 }
 
-void onMarkLapsed(PrepaidShare &share)
-{
-    share.markPresence = MarkPresence::None;
-    // Doubtful writes named the lease that has ended: they can't take effect any more.
-    share.doubtfulGrants.clear();
-    share.doubtfulMarks.clear();
-}
-
 } // namespace Godwit
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -5,10 +5,11 @@
 // A router spends only below two limits, both written in the platform before anything is spent:
 //   - its grant in the ledger, which no other router can spend. A grant stays charged until its holder, or the next
 //     process on the same host, gives it back, so nobody has to decide whether a silent router is dead;
-//   - its mark, while the lease that carries the mark may live. The next process on the same host finds the mark,
-//     charges only up to it, and gives the rest of the grant back. Once the lease has surely ended there is no mark
-//     to find, the whole grant stays charged, and the router may go on up to its grant: so a long loss of the
-//     platform refuses nobody whose budget is held here.
+//   - its mark, for a fixed time after the mark was written. The next process on the same host, if it starts within
+//     that time, charges only up to the mark and gives the rest of the grant back; a later one charges the whole
+//     grant. So a router that can't write its mark for so long may go on up to its grant, and a long loss of the
+//     platform refuses nobody whose budget is held here. The time is measured by the clocks of the host, which both
+//     processes share; the platform's leases take no part, since they may pause or lapse while it is down.
 // Between routers tokens move by messages: the sender counts them as gone at once, the receiver as come when they
 // arrive. A message that is lost costs tokens and never overspends.
 //
@@ -36,10 +37,21 @@
 {
     HolderId self;
     Incarnation incarnation;
+    HostTime startedAt; // Of this process.
     // How much of its recent demand a router holds: the platform is away for some 9 s at a time.
     Duration holdFor = std::chrono::seconds(11);
-    // How far the mark runs ahead of what is used: the lease must lapse before more than that may be spent.
+    // A mark binds its router this long. Processes are back within some 2 s of their end; the longer it is, the
+    // further marks have to run ahead.
+    std::chrono::milliseconds markBinds{3000};
+    // A successor that starts within this time trusts the mark. Shorter than markBinds by what a clock may be set
+    // back unnoticed in small steps.
+    std::chrono::milliseconds markTrusted{2700};
+    // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
+    std::chrono::milliseconds clockTolerance{3000};
+    // How far the mark runs ahead of what is used: no more may be spent until the mark no longer binds.
     Duration markFor = std::chrono::seconds(4);
+    // A mark is written again after this long at the latest, so that a successor finds a young one.
+    std::chrono::milliseconds markEvery{1000};
     // Each is written again when less than this is left below it, or at once when a request waits.
     Duration refillGrantBelow = std::chrono::milliseconds(9500);
     Duration refillMarkBelow = std::chrono::milliseconds(3200);
@@ -103,11 +115,6 @@
     std::uint64_t ledgerRevision = 0;
 };
 
-enum class MarkPresence {
-    None, // Surely not in the platform: the whole grant may be spent.
-    Standing, // May be there: the mark bounds.
-};
-
 struct PrepaidShare
 {
     PrepaidOptions options;
@@ -121,13 +128,16 @@
     std::uint64_t markRevision = 0;
     bool ledgerKnown = false; // False: read before the next write.
     bool takenOver = false; // What an earlier process on this host held is accounted for.
-    MarkPresence markPresence = MarkPresence::None;
+    // When the newest mark that may be in the platform was written; a mark may also be on its way.
+    HostTime markWrittenAt;
+    HostTime markWrittenBefore; // The same without the open write.
+    bool marksBind = false;
 
     bool writing = false;
     bool lastWasReturn = false; // Everything is being given back.
     std::map<CustomerId, Tokens> pendingGrants; // Of the open write.
     std::map<CustomerId, Mark> pendingMarks;
-    // Of writes whose outcome nobody knows: they bound until a later write of this router stands, since that one
+    // Of writes whose outcome nobody knows: they bind until a later write of this router stands, since that one
     // changes the mark's revision and so makes the earlier ones void.
     std::map<CustomerId, Tokens> doubtfulGrants;
     std::map<CustomerId, Tokens> doubtfulMarks;
@@ -184,7 +194,10 @@
                    std::uint64_t markRevision);
 
 // The next write, if one is due. While one is open none is planned.
-std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now);
+std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now, const HostTime &hostTime);
+
+// Looks whether the marks still bind; call it often. True when they have just ceased to.
+bool checkMarks(PrepaidShare &share, const HostTime &hostTime);
 
 // Gives everything back. Only when no reservation is open; nothing can be reserved afterwards.
 std::optional<ShareWrite> planReturn(PrepaidShare &share, TimePoint now);
@@ -197,7 +210,4 @@
 // Nobody knows whether the write took effect, or will: both records must be read before the next one.
 void onWriteUnknown(PrepaidShare &share);
 
-// The lease that carried the mark has surely ended.
-void onMarkLapsed(PrepaidShare &share);
-
 } // namespace Godwit
