--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+// Weight of the newest request in the mean size.
+constexpr double MeanSizeNewest = 0.1;
+
 void boundBy(Tokens &limit, const std::map<CustomerId, Tokens> &bounds, const CustomerId &customer)
 {
     const auto found = bounds.find(customer);
@@ -60,7 +63,8 @@
     }
     const Duration passed = now - demand.at;
     const Duration past = std::max<Duration>(now - demand.since, options.leastPast);
-    return std::max(rateOf(decayed(demand.shortSum, passed, options.shortMemory), past, options.shortMemory),
+    return std::max(options.shortWeight
+                        * rateOf(decayed(demand.shortSum, passed, options.shortMemory), past, options.shortMemory),
                     rateOf(decayed(demand.longSum, passed, options.longMemory), past, options.longMemory));
 }
 
@@ -75,7 +79,9 @@
     demand.shortSum = decayed(demand.shortSum, passed, share.options.shortMemory) + static_cast<double>(tokens);
     demand.longSum = decayed(demand.longSum, passed, share.options.longMemory) + static_cast<double>(tokens);
     demand.at = now;
-    account.largest = std::max(tokens, account.largest - account.largest / 64);
+    // The first request counts in full.
+    const double newest = account.meanSize > 0 ? MeanSizeNewest : 1.0;
+    account.meanSize += newest * (static_cast<double>(tokens) - account.meanSize);
 }
 
 Tokens tokensFor(const PrepaidShare &share, const ShareAccount &account, Duration time, TimePoint now)
@@ -126,7 +132,8 @@
     }
     const auto idle =
         static_cast<Tokens>(options.idleShare * static_cast<double>(room) / std::max(1, share.liveRouters));
-    const Tokens least = std::max(account.largest, account.shortOf);
+    // One usual request at least; a larger one asks for what it lacks.
+    const Tokens least = std::max(static_cast<Tokens>(account.meanSize), account.shortOf);
     const Tokens wanted = std::max({idle, least, tokensFor(share, account, options.holdFor, now)});
     if (static_cast<double>(unused) > options.returnAbove * static_cast<double>(wanted)) {
         return committed(account) + wanted;
@@ -142,12 +149,16 @@
 
 Mark wantedMark(const PrepaidShare &share, const ShareAccount &account, Tokens granted, TimePoint now)
 {
-    const Tokens ahead =
-        std::max({tokensFor(share, account, share.options.markFor, now), account.largest * 2, account.shortOf});
-    // Without demand yet, a part of the grant: the first requests should not wait for a write.
+    Tokens ahead = std::max({tokensFor(share, account, share.options.markFor, now),
+                             static_cast<Tokens>(2 * account.meanSize),
+                             account.shortOf});
+    if (account.meanSize <= 0) {
+        // Without demand yet: the first requests should not wait for a write.
+        ahead = granted / 2;
+    }
     Mark mark;
     mark.used = committed(account);
-    mark.limit = std::min(granted, mark.used + std::max<Tokens>(ahead, (granted - mark.used) / 4));
+    mark.limit = std::min(granted, mark.used + ahead);
     return mark;
 }
 
@@ -199,10 +210,13 @@
         }
         Tokens charge = held->second;
         Tokens unsure = charge;
-        if (trusted) {
+        if (mark) {
             const auto entry = mark->marks.find(customer);
             const Mark found = entry == mark->marks.end() ? Mark{} : entry->second;
-            charge = std::min(charge, found.limit);
+            if (trusted) {
+                charge = std::min(charge, found.limit);
+            }
+            // It had used this much when it wrote the mark, and may have received tokens since.
             unsure = charge - std::min(charge, found.used);
         }
         account.spent += charge;
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -58,9 +58,11 @@
     // What a router keeps for itself when another one asks for tokens.
     Duration keepFromOthers = std::chrono::seconds(2);
     // Time constants of the two averages of the demand, of which the higher counts: the short one follows a burst,
-    // the long one keeps a lull from giving everything back.
-    Duration shortMemory = std::chrono::seconds(1);
+    // the long one keeps a lull from giving everything back. The short one counts in part only: where requests are
+    // few, each of them would look like a burst and strand tokens.
+    Duration shortMemory = std::chrono::seconds(2);
     Duration longMemory = std::chrono::seconds(6);
+    double shortWeight = 0.6;
     // The averages of a customer that has just come are corrected for their short past, which is taken to be at
     // least this long.
     Duration leastPast = std::chrono::milliseconds(300);
@@ -70,7 +72,7 @@
     // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
     double idleShare = 0.5;
     // More than this multiple of what it wants to hold goes back.
-    double returnAbove = 2.5;
+    double returnAbove = 1.4;
 };
 
 // What a customer asked for here lately, as decaying sums.
@@ -89,7 +91,7 @@
     Tokens granted = 0; // As the platform has acknowledged.
     Mark mark; // As the platform has acknowledged.
     RecentDemand demand;
-    Tokens largest = 0; // The largest recent reservation.
+    double meanSize = 0; // Of recent requests.
     Tokens shortOf = 0; // What waiting requests lack.
     Tokens total = 0;
     bool bounded = false; // The customer has a prepaid total.
