--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -42,19 +42,19 @@
     Duration holdFor = std::chrono::seconds(11);
     // A mark binds its router this long. Processes are back within some 2 s of their end; the longer it is, the
     // further marks have to run ahead.
-    std::chrono::milliseconds markBinds{3000};
+    std::chrono::milliseconds markBinds{2500};
     // A successor that starts within this time trusts the mark. Shorter than markBinds by what a clock may be set
     // back unnoticed in small steps.
-    std::chrono::milliseconds markTrusted{2700};
+    std::chrono::milliseconds markTrusted{2250};
     // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
     std::chrono::milliseconds clockTolerance{3000};
     // How far the mark runs ahead of what is used: no more may be spent until the mark no longer binds.
-    Duration markFor = std::chrono::seconds(4);
+    Duration markFor = std::chrono::milliseconds(2700);
     // A mark is written again after this long at the latest, so that a successor finds a young one.
-    std::chrono::milliseconds markEvery{1000};
+    std::chrono::milliseconds markEvery{500};
     // Each is written again when less than this is left below it, or at once when a request waits.
     Duration refillGrantBelow = std::chrono::milliseconds(9500);
-    Duration refillMarkBelow = std::chrono::milliseconds(3200);
+    Duration refillMarkBelow = std::chrono::milliseconds(2300);
     // What a router keeps for itself when another one asks for tokens.
     Duration keepFromOthers = std::chrono::seconds(2);
     // Time constants of the two averages of the demand, of which the higher counts: the short one follows a burst,
@@ -67,7 +67,7 @@
     // least this long.
     Duration leastPast = std::chrono::milliseconds(300);
     // Writes at most this often, except for a request that waits.
-    Duration writeInterval = std::chrono::milliseconds(1000);
+    Duration writeInterval = std::chrono::milliseconds(450);
     Duration urgentInterval = std::chrono::milliseconds(40);
     // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
     double idleShare = 0.5;
