Near the end of a budget small requests go first; charged tokens count as gone

Cause: after many routers died with their marks, what was left of a budget went to large requests, one for the tokens of six small ones, and requests that nobody could pay for were asked to come back.

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -250,10 +250,26 @@
                          {"mark_uptime_ms", static_cast<std::int64_t>(marks ? marks->writtenAt.uptime.count() : 0)},
                          {"mark_found", marks.has_value()},
                          {"first", first}});
+    if (first) {
+        logLedger();
+    }
     writeIfDue();
     m_relay.tokensCame();
 }
 
+// What a process found when it came: the first question after a death is what it has cost.
+void BudgetKeeper::logLedger()
+{
+    for (const auto &[customer, account] : m_relay.state().prepaid.ledger.accounts) {
+        m_relay.log().write("ledger_found",
+                            {{"customer", std::string_view(customer.value)},
+                             {"total", account.total},
+                             {"spent", account.spent},
+                             {"unsure", account.unsure},
+                             {"room", roomOf(account)}});
+    }
+}
+
 void BudgetKeeper::hurry()
 {
     if (m_hurryPosted) {
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -80,6 +80,7 @@
     void writeLiveEntry();
     void readRecords();
     void onLedgerRead(const StoreItemReply &reply);
+    void logLedger();
     void onMarkRead(const StoreItemReply &ledger, const StoreItemReply &mark);
     void writeIfDue();
     void write(const ShareWrite &write);
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -248,7 +248,8 @@
             held[customer.value] = json::array({headroom(share, customer),
                                                 unusedGrant(share, customer),
                                                 static_cast<Tokens>(demandPerSecond(share, customer, now)),
-                                                roomKnown(share, customer)});
+                                                roomKnown(share, customer),
+                                                static_cast<Tokens>(smallDemandPerSecond(share, customer, now))});
         }
     }
     return toBytes(json{{"version", m_documentVersion},
@@ -328,7 +329,7 @@
     }
     for (const auto &[customer, row] : held->items()) {
         const bool wellFormed =
-            row.is_array() && row.size() == 4 && std::all_of(row.begin(), row.end(), [](const json &value) {
+            row.is_array() && row.size() == 5 && std::all_of(row.begin(), row.end(), [](const json &value) {
                 return value.is_number_integer();
             });
         if (wellFormed) {
@@ -337,6 +338,7 @@
             known.unused = row[1].get<Tokens>();
             known.demandPerSecond = row[2].get<double>();
             known.room = row[3].get<Tokens>();
+            known.smallDemandPerSecond = row[4].get<double>();
             known.ledgerRevision = ledger->get<std::uint64_t>();
         }
     }
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -54,10 +54,8 @@
     return sum / (seconds * (1.0 - std::exp(-toSeconds(past) / seconds)));
 }
 
-double demandNow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
+double rateOf(const PrepaidOptions &options, const RecentDemand &demand, TimePoint now)
 {
-    const PrepaidOptions &options = share.options;
-    const RecentDemand &demand = account.demand;
     if (demand.longSum <= 0) {
         return 0;
     }
@@ -68,17 +66,29 @@
                     rateOf(decayed(demand.longSum, passed, options.longMemory), past, options.longMemory));
 }
 
-void noteDemand(const PrepaidShare &share, ShareAccount &account, Tokens tokens, TimePoint now)
+double demandNow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
+{
+    return rateOf(share.options, account.demand, now);
+}
+
+void add(const PrepaidOptions &options, RecentDemand &demand, Tokens tokens, TimePoint now)
 {
-    RecentDemand &demand = account.demand;
     if (demand.longSum <= 0) {
         demand.since = now;
         demand.at = now;
     }
     const Duration passed = now - demand.at;
-    demand.shortSum = decayed(demand.shortSum, passed, share.options.shortMemory) + static_cast<double>(tokens);
-    demand.longSum = decayed(demand.longSum, passed, share.options.longMemory) + static_cast<double>(tokens);
+    demand.shortSum = decayed(demand.shortSum, passed, options.shortMemory) + static_cast<double>(tokens);
+    demand.longSum = decayed(demand.longSum, passed, options.longMemory) + static_cast<double>(tokens);
     demand.at = now;
+}
+
+void noteDemand(const PrepaidShare &share, ShareAccount &account, Tokens tokens, TimePoint now)
+{
+    add(share.options, account.demand, tokens, now);
+    if (static_cast<double>(tokens) <= account.meanSize) {
+        add(share.options, account.smallDemand, tokens, now);
+    }
     // The first request counts in full.
     const double newest = account.meanSize > 0 ? MeanSizeNewest : 1.0;
     account.meanSize += newest * (static_cast<double>(tokens) - account.meanSize);
@@ -325,6 +335,30 @@
     return found == share.accounts.end() ? 0 : demandNow(share, found->second, now);
 }
 
+double smallDemandPerSecond(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
+{
+    const auto found = share.accounts.find(customer);
+    return found == share.accounts.end() ? 0 : rateOf(share.options, found->second.smallDemand, now);
+}
+
+bool mustLeaveToSmaller(const PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now)
+{
+    const auto found = share.accounts.find(customer);
+    if (found == share.accounts.end() || !found->second.bounded
+        || static_cast<double>(tokens) <= found->second.meanSize) {
+        return false;
+    }
+    double demand = smallDemandPerSecond(share, customer, now);
+    const auto others = share.heldElsewhere.find(customer);
+    if (others != share.heldElsewhere.end()) {
+        for (const auto &[holder, held] : others->second) {
+            demand += held.smallDemandPerSecond;
+        }
+    }
+    const auto kept = static_cast<Tokens>(demand * toSeconds(share.options.keepForSmall));
+    return mayRemain(share, customer) < tokens + kept;
+}
+
 Tokens headroom(const PrepaidShare &share, const CustomerId &customer)
 {
     const auto found = share.accounts.find(customer);
@@ -359,7 +393,7 @@
     const auto others = share.heldElsewhere.find(customer);
     Tokens room = roomOf(*account);
     std::uint64_t newest = share.ledgerRevision;
-    Tokens remaining = account->unsure + unusedGrant(share, customer);
+    Tokens remaining = unusedGrant(share, customer);
     for (const auto &[holder, granted] : account->granted) {
         if (holder == share.options.self) {
             continue;
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -65,12 +65,15 @@
     double shortWeight = 0.6;
     // The averages of a customer that has just come are corrected for their short past, which is taken to be at
     // least this long.
-    Duration leastPast = std::chrono::milliseconds(300);
+    Duration leastPast = std::chrono::milliseconds(1500);
     // Writes at most this often, except for a request that waits.
     Duration writeInterval = std::chrono::milliseconds(450);
     Duration urgentInterval = std::chrono::milliseconds(40);
     // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
     double idleShare = 0.5;
+    // Near the end of a budget this much of the demand of small requests is kept for them: where one large request
+    // takes the tokens of six small ones, five callers more are served. Zero: first come, first served.
+    Duration keepForSmall = std::chrono::seconds(12);
     // More than this multiple of what it wants to hold goes back.
     double returnAbove = 1.4;
 };
@@ -92,6 +95,7 @@
     Mark mark; // As the platform has acknowledged.
     RecentDemand demand;
     double meanSize = 0; // Of recent requests.
+    RecentDemand smallDemand; // Of those that are not above the mean size.
     Tokens shortOf = 0; // What waiting requests lack.
     Tokens total = 0;
     bool bounded = false; // The customer has a prepaid total.
@@ -113,6 +117,7 @@
     Tokens spendable = 0; // It could spend or send this now.
     Tokens unused = 0; // What is left of its grant.
     double demandPerSecond = 0;
+    double smallDemandPerSecond = 0; // Of requests that are not above the mean size.
     Tokens room = 0; // What was left to grant at `ledgerRevision`.
     std::uint64_t ledgerRevision = 0;
 };
@@ -160,6 +165,12 @@
 // Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
 void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
 
+// Whether a request of this size has to leave what is left of the budget to smaller ones.
+bool mustLeaveToSmaller(const PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
+
+// The part of demandPerSecond() that comes from requests not above the mean size.
+double smallDemandPerSecond(const PrepaidShare &share, const CustomerId &customer, TimePoint now);
+
 // Reserves `tokens`, or says no. Customers without a total always get a yes.
 bool reserve(PrepaidShare &share, const CustomerId &customer, Tokens tokens);
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -127,6 +127,10 @@
 
 void RelayCall::reserveTokens()
 {
+    if (m_worstCase > 0 && mustLeaveToSmaller(m_relay.state().prepaid, m_customer, m_worstCase, m_arrived)) {
+        refuseForBudget("what is left of the budget is kept for smaller requests");
+        return;
+    }
     if (m_worstCase == 0 || reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
         m_holdsTokens = m_worstCase > 0;
         reserved();
@@ -139,17 +143,7 @@
         if (error || self->m_closed || !self->m_waitsForTokens) {
             return;
         }
-        const Tokens remaining = mayRemain(self->m_relay.state().prepaid, self->m_customer);
-        const bool exhausted = remaining < self->m_worstCase && self->m_relay.state().prepaid.takenOver;
-        if (exhausted) {
-            self->refuse(ErrorKind::BudgetExhausted,
-                         "the customer's budget does not cover this request at its most",
-                         std::nullopt);
-        } else {
-            self->refuse(ErrorKind::BudgetBusy,
-                         "this router does not hold enough of the budget now",
-                         self->m_relay.options().comeBack);
-        }
+        self->refuseForBudget("this router does not hold enough of the budget now");
     });
     askForTokens();
 }
@@ -161,6 +155,17 @@
     }
 }
 
+// Final when nobody holds enough any more; else the caller may come back.
+void RelayCall::refuseForBudget(const std::string &message)
+{
+    const PrepaidShare &share = m_relay.state().prepaid;
+    if (share.takenOver && mayRemain(share, m_customer) < m_worstCase) {
+        refuse(ErrorKind::BudgetExhausted, "the customer's budget does not cover this request at its most", {});
+    } else {
+        refuse(ErrorKind::BudgetBusy, message, m_relay.options().comeBack);
+    }
+}
+
 void RelayCall::tokensCame()
 {
     if (m_closed || !m_waitsForTokens) {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -79,6 +79,7 @@
     bool findRoute();
     bool findCustomer();
     void reserveTokens();
+    void refuseForBudget(const std::string &message);
     void askForTokens();
     void reserved();
     void attempt();
