--- /dev/null
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -0,0 +1,267 @@
+#include "godwit/prepaid/prepaid_share.h"
+
+#include "godwit/prepaid/testing_world.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwit;
+using Testing::World;
+using Testing::WriteFate;
+
+namespace
+{
+
+const CustomerId Desk{"desk"};
+constexpr Tokens Total = 1'000'000;
+constexpr auto Beat = std::chrono::milliseconds(500);
+
+// Requests of one size at one router, each settled in full, with writes in between.
+int serve(World &world, std::size_t router, int requests, Tokens size)
+{
+    int served = 0;
+    for (int i = 0; i < requests; ++i) {
+        if (world.request(router, Desk, size)) {
+            world.finish(router, size);
+            ++served;
+        } else {
+            world.sync(router, WriteFate::Done);
+            served += world.request(router, Desk, size) ? 1 : 0;
+            world.finish(router, size);
+        }
+        world.advance(std::chrono::milliseconds(50));
+    }
+    return served;
+}
+
+} // namespace
+
+TEST_CASE("a router spends nothing before its first write stands")
+{
+    World world(1, {{Desk, Total}});
+    CHECK_FALSE(world.request(0, Desk, 10));
+    world.sync(0, WriteFate::Done);
+    CHECK(world.request(0, Desk, 10));
+}
+
+TEST_CASE("requests of a steady customer are served down to the end of its budget")
+{
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    const int served = serve(world, 0, 1200, 1000);
+    CHECK(served >= 990);
+    CHECK(world.spent(Desk) <= Total);
+}
+
+TEST_CASE("a customer without a total is never refused")
+{
+    PrepaidShare share = makePrepaidShare({});
+    applyTotals(share, 1, {{Desk, std::nullopt}});
+    CHECK(reserve(share, Desk, Total));
+}
+
+TEST_CASE("while the store is away a router goes on up to its grant, but not before its mark binds no more")
+{
+    // The caller sees a refusal at first and service again some seconds later. The router's writes stop; its mark
+    // still bounds it, since its host's next process would trust the mark; after that time the grant does.
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 40, 1000);
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done);
+    Tokens beforeMark = 0;
+    while (world.request(0, Desk, 1000)) {
+        world.finish(0, 1000);
+        beforeMark += 1000;
+    }
+    CHECK(unusedGrant(world.share(0), Desk) > 0);
+    world.advance(world.share(0).options.markBinds + std::chrono::milliseconds(1));
+    CHECK(world.request(0, Desk, 1000));
+}
+
+TEST_CASE("a process that is back soon charges its predecessor's mark only")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    serve(world, 0, 40, 1000);
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done);
+    const Tokens granted = world.share(0).accounts.at(Desk).granted;
+    const Tokens marked = world.share(0).accounts.at(Desk).mark.limit;
+    REQUIRE(marked < granted);
+    world.kill(0);
+    world.advance(std::chrono::seconds(1));
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == marked);
+}
+
+TEST_CASE("a process that is back late charges the whole grant of its predecessor")
+{
+    // The overspend that this forbids: the store is away, a router goes beyond its mark up to its grant and dies; its
+    // successor finds the old mark and would give back what was spent.
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 40, 1000);
+    const Tokens granted = world.share(0).accounts.at(Desk).granted;
+    world.advance(world.share(0).options.markBinds + std::chrono::milliseconds(1));
+    while (world.request(0, Desk, 1000)) {
+        world.finish(0, 1000);
+    }
+    world.kill(0);
+    world.advance(std::chrono::milliseconds(700));
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == granted);
+    serve(world, 0, 2000, 1000);
+    CHECK(world.spent(Desk) <= Total);
+}
+
+TEST_CASE("a time of day that was set back before the end of the mark does not lengthen the mark's trust")
+{
+    // The store is away. The clock is set back by two seconds, which would let the mark look young to a successor:
+    // the router waits until both clocks say that the mark binds no more.
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 40, 1000);
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done);
+    while (world.request(0, Desk, 1000)) {
+        world.finish(0, 1000);
+    }
+    world.stepClock(std::chrono::milliseconds(-2000));
+    world.advance(world.share(0).options.markBinds + std::chrono::milliseconds(1));
+    CHECK_FALSE(world.request(0, Desk, 1000));
+    world.advance(std::chrono::milliseconds(2100));
+    CHECK(world.request(0, Desk, 1000));
+}
+
+TEST_CASE("after a write without an answer only what both outcomes allow is spent")
+{
+    // The answer to a write that gives tokens back is lost. Whether it took effect is not known, so that others may
+    // hold them already.
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    for (int i = 0; i < 20; ++i) {
+        serve(world, 0, 10, 2000);
+        world.sync(0, WriteFate::Done);
+    }
+    world.advance(std::chrono::seconds(60));
+    const Tokens before = world.share(0).accounts.at(Desk).granted;
+    world.sync(0, WriteFate::Late);
+    const Tokens bound = world.share(0).doubtfulGrants.at(Desk);
+    REQUIRE(bound < before);
+    world.advance(std::chrono::seconds(10));
+    CHECK(headroom(world.share(0), Desk) <= bound - world.share(0).accounts.at(Desk).net);
+    world.doLateWrites();
+    world.sync(0, WriteFate::Done);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).doubtfulGrants.empty());
+}
+
+TEST_CASE("a process that finds its own mark knows that its first write took effect")
+{
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::AnswerLost);
+    CHECK_FALSE(world.request(0, Desk, 1000));
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).takenOver);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == 0);
+}
+
+TEST_CASE("a total that was lowered stops spending until the ledger has been read and written")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    serve(world, 0, 100, 1000);
+    world.setTotal(Desk, 150'000);
+    CHECK_FALSE(world.request(0, Desk, 1000));
+    for (int round = 0; round < 20; ++round) {
+        world.advance(Beat);
+        world.sync(0, WriteFate::Done);
+        world.sync(1, WriteFate::Done);
+    }
+    serve(world, 0, 200, 1000);
+    serve(world, 1, 200, 1000);
+    CHECK(world.spent(Desk) <= 150'000);
+    CHECK(world.spent(Desk) >= 140'000);
+}
+
+TEST_CASE("a total that was raised is there with the next write")
+{
+    World world(1, {{Desk, 50'000}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 100, 1000);
+    CHECK(world.spent(Desk) == 50'000);
+    world.setTotal(Desk, 80'000);
+    serve(world, 0, 100, 1000);
+    CHECK(world.spent(Desk) == 80'000);
+}
+
+TEST_CASE("tokens that move between routers are there once")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    const Tokens both = headroom(world.share(0), Desk) + headroom(world.share(1), Desk);
+    world.trade(0, 1, Desk, 1000, false);
+    CHECK(headroom(world.share(0), Desk) + headroom(world.share(1), Desk) == both);
+    world.trade(0, 1, Desk, 1000, true);
+    CHECK(headroom(world.share(0), Desk) + headroom(world.share(1), Desk) == both - 1000);
+}
+
+TEST_CASE("a planned stop gives back all that was not used")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    serve(world, 0, 30, 1000);
+    world.advance(Beat);
+    // The other router has written the ledger since: the first try only reads it.
+    const bool first = world.giveBack(0);
+    REQUIRE((first || world.giveBack(0)));
+    CHECK_FALSE(world.request(0, Desk, 1));
+    world.kill(0);
+    world.advance(Beat);
+    world.sync(1, WriteFate::Done);
+    world.share(1).ledgerKnown = false;
+    world.sync(1, WriteFate::Done);
+    CHECK(world.share(1).ledger.accounts.at(Desk).spent == world.spent(Desk));
+}
+
+TEST_CASE("near the end large requests leave the rest to small ones")
+{
+    World world(1, {{Desk, 200'000}});
+    world.sync(0, WriteFate::Done);
+    for (int i = 0; i < 30; ++i) {
+        serve(world, 0, 1, 4000);
+        serve(world, 0, 2, 500);
+    }
+    PrepaidShare &share = world.share(0);
+    const TimePoint now = share.accounts.at(Desk).demand.at;
+    CHECK_FALSE(mustLeaveToSmaller(share, Desk, 500, now));
+    while (!mustLeaveToSmaller(share, Desk, 4000, now) && world.request(0, Desk, 4000)) {
+        world.finish(0, 4000);
+        world.advance(Beat);
+        world.sync(0, WriteFate::Done);
+    }
+    CHECK(mayRemain(share, Desk) >= 500);
+}
+
+TEST_CASE("what may remain counts what a silent router holds, and what a heard one says")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    world.share(1).ledgerKnown = false;
+    world.advance(Beat);
+    world.sync(1, WriteFate::Done);
+    CHECK(mayRemain(world.share(1), Desk) == Total);
+    HeldElsewhere held;
+    held.unused = 10;
+    const Tokens granted = world.share(1).ledger.accounts.at(Desk).granted.at(HolderId{"host-0"});
+    world.share(1).heldElsewhere[Desk][HolderId{"host-0"}] = held;
+    CHECK(mayRemain(world.share(1), Desk) == Total - granted + 10);
+}
--- /dev/null
+++ b/godwit/prepaid/testing_world.cpp
@@ -0,0 +1,246 @@
+#include "godwit/prepaid/testing_world.h"
+
+#include <algorithm>
+
+namespace Godwit::Testing
+{
+namespace
+{
+
+PrepaidOptions optionsOf(std::size_t router, int starts, const HostTime &now)
+{
+    PrepaidOptions options;
+    options.self = HolderId{"host-" + std::to_string(router)};
+    options.incarnation = Incarnation{options.self.value + '.' + std::to_string(starts)};
+    options.startedAt = now;
+    return options;
+}
+
+} // namespace
+
+World::World(std::size_t routers, std::map<CustomerId, Tokens> totals)
+    : m_totals(std::move(totals))
+    , m_routers(routers)
+    , m_marks(routers)
+{
+    for (std::size_t i = 0; i < routers; ++i) {
+        start(i);
+    }
+}
+
+void World::advance(Duration time)
+{
+    m_now += time;
+    for (Router &router : m_routers) {
+        if (router.share) {
+            checkMarks(*router.share, hostTime());
+        }
+    }
+}
+
+void World::stepClock(std::chrono::milliseconds by)
+{
+    m_wallOffset += by;
+}
+
+void World::start(std::size_t index)
+{
+    Router &router = m_routers[index];
+    if (router.share) {
+        return;
+    }
+    ++router.starts;
+    router.share = makePrepaidShare(optionsOf(index, router.starts, hostTime()));
+    router.share->liveRouters = static_cast<int>(m_routers.size());
+    applyTotals(*router.share, m_documentVersion, totalsAsGiven());
+}
+
+void World::kill(std::size_t index)
+{
+    Router &router = m_routers[index];
+    for (const Reservation &reservation : router.open) {
+        m_spent[reservation.customer] += reservation.reserved;
+    }
+    router.open.clear();
+    router.share.reset();
+}
+
+void World::sync(std::size_t index, WriteFate fate)
+{
+    Router &router = m_routers[index];
+    if (!router.share) {
+        return;
+    }
+    if (!router.share->ledgerKnown) {
+        readRecords(index);
+    }
+    const auto write = planWrite(*router.share, m_now, hostTime());
+    if (!write) {
+        return;
+    }
+    if (fate == WriteFate::Refused) {
+        onWriteRefused(*router.share, false);
+        return;
+    }
+    if (fate == WriteFate::Late) {
+        m_late.push_back({index, *write});
+        onWriteUnknown(*router.share);
+        return;
+    }
+    const auto revision = apply(index, *write);
+    if (fate == WriteFate::AnswerLost) {
+        onWriteUnknown(*router.share);
+    } else if (revision) {
+        onWriteDone(*router.share, *revision);
+    } else {
+        onWriteRefused(*router.share, true);
+    }
+}
+
+void World::doLateWrites()
+{
+    for (const LateWrite &late : std::exchange(m_late, {})) {
+        apply(late.router, late.write);
+    }
+}
+
+bool World::giveBack(std::size_t index)
+{
+    Router &router = m_routers[index];
+    while (router.share && !router.open.empty()) {
+        finish(index, router.open.front().reserved);
+    }
+    if (!router.share) {
+        return false;
+    }
+    if (!router.share->ledgerKnown) {
+        readRecords(index);
+    }
+    const auto write = planReturn(*router.share, m_now);
+    const auto revision = write ? apply(index, *write) : std::nullopt;
+    if (!revision) {
+        if (write) {
+            onWriteRefused(*router.share, true);
+        }
+        return false;
+    }
+    onWriteDone(*router.share, *revision);
+    return true;
+}
+
+bool World::request(std::size_t index, const CustomerId &customer, Tokens tokens)
+{
+    Router &router = m_routers[index];
+    if (!router.share) {
+        return false;
+    }
+    noteRequest(*router.share, customer, tokens, m_now);
+    if (!reserve(*router.share, customer, tokens)) {
+        wantMore(*router.share, customer, tokens);
+        return false;
+    }
+    router.open.push_back({customer, tokens});
+    return true;
+}
+
+void World::finish(std::size_t index, Tokens used)
+{
+    Router &router = m_routers[index];
+    if (!router.share || router.open.empty()) {
+        return;
+    }
+    const Reservation reservation = router.open.front();
+    router.open.erase(router.open.begin());
+    const Tokens counted = std::min(used, reservation.reserved);
+    settle(*router.share, reservation.customer, reservation.reserved, counted);
+    m_spent[reservation.customer] += counted;
+}
+
+void World::trade(std::size_t from, std::size_t to, const CustomerId &customer, Tokens wanted, bool lost)
+{
+    if (from == to || !m_routers[from].share || !m_routers[to].share) {
+        return;
+    }
+    const Tokens amount = sendTokens(*m_routers[from].share, customer, wanted, m_now);
+    if (!lost) {
+        receiveTokens(*m_routers[to].share, customer, amount);
+    }
+}
+
+void World::setTotal(const CustomerId &customer, Tokens total)
+{
+    m_totals[customer] = total;
+    ++m_documentVersion;
+    for (Router &router : m_routers) {
+        if (router.share) {
+            applyTotals(*router.share, m_documentVersion, totalsAsGiven());
+        }
+    }
+}
+
+Tokens World::spent(const CustomerId &customer) const
+{
+    const auto found = m_spent.find(customer);
+    Tokens sum = found == m_spent.end() ? 0 : found->second;
+    for (const Router &router : m_routers) {
+        for (const Reservation &reservation : router.open) {
+            sum += reservation.customer == customer ? reservation.reserved : 0;
+        }
+    }
+    return sum;
+}
+
+PrepaidShare &World::share(std::size_t router)
+{
+    return *m_routers[router].share;
+}
+
+bool World::isAlive(std::size_t router) const
+{
+    return m_routers[router].share.has_value();
+}
+
+HostTime World::hostTime() const
+{
+    const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch());
+    return HostTime{uptime, uptime + m_wallOffset, "boot"};
+}
+
+std::map<CustomerId, std::optional<Tokens>> World::totalsAsGiven() const
+{
+    std::map<CustomerId, std::optional<Tokens>> totals;
+    for (const auto &[customer, total] : m_totals) {
+        totals[customer] = total;
+    }
+    return totals;
+}
+
+void World::readRecords(std::size_t index)
+{
+    LastReason reason;
+    PrepaidLedger ledger;
+    if (m_ledger.revision > 0) {
+        ledger = decodePrepaidLedger(m_ledger.bytes, reason).value();
+    }
+    std::optional<MarkRecord> mark;
+    if (m_marks[index].revision > 0) {
+        mark = decodeMark(m_marks[index].bytes, reason);
+    }
+    onRecordsRead(*m_routers[index].share, std::move(ledger), m_ledger.revision, mark, m_marks[index].revision);
+}
+
+std::optional<std::uint64_t> World::apply(std::size_t index, const ShareWrite &write)
+{
+    const bool ledgerHolds = !write.ledger || write.ledgerRevision == m_ledger.revision;
+    if (!ledgerHolds || write.markRevision != m_marks[index].revision) {
+        return std::nullopt;
+    }
+    ++m_revision;
+    m_marks[index] = write.removesMark ? StoredValue{} : StoredValue{write.mark, m_revision};
+    if (write.ledger) {
+        m_ledger = StoredValue{*write.ledger, m_revision};
+    }
+    return m_revision;
+}
+
+} // namespace Godwit::Testing
