--- /dev/null
+++ b/godwit/gateway/gateway_test.cpp
@@ -0,0 +1,148 @@
+#include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/repeat_allowance.h"
+#include "godwit/gateway/route_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwit;
+
+namespace
+{
+
+GatewayRoute makeRoute(const char *name, const char *host, const char *prefix)
+{
+    GatewayRoute route;
+    route.name = RouteId{name};
+    route.host = host;
+    route.pathPrefix = prefix;
+    route.services = {{"s", 1}};
+    return route;
+}
+
+std::string routeName(const RouteTable &table, const char *host, const char *target)
+{
+    const GatewayRoute *route = findRoute(table, host, target);
+    return route == nullptr ? "none" : route->name.value;
+}
+
+std::vector<ListedEndpoint> threeEndpoints()
+{
+    std::vector<ListedEndpoint> listed;
+    for (const char *id : {"a", "b", "c"}) {
+        listed.push_back({EndpointId{id}, "s", "10.0.0.1:80", DataCentreId{"north"}, 4, false});
+    }
+    return listed;
+}
+
+ChoiceQuery queryFor(std::string_view affinity = {})
+{
+    ChoiceQuery query;
+    query.service = "s";
+    query.affinity = affinity;
+    return query;
+}
+
+const TimePoint Start{std::chrono::seconds(50)};
+
+} // namespace
+
+TEST_CASE("the longest prefix of a host wins")
+{
+    SiteDocument document;
+    document.routes = {makeRoute("root", "a.example", "/"),
+                       makeRoute("one", "a.example", "/one/"),
+                       makeRoute("deep", "a.example", "/one/two/"),
+                       makeRoute("other", "b.example", "/one/")};
+    const auto table = makeRouteTable(document);
+    CHECK(routeName(*table, "a.example", "/one/two/x?y=/z/") == "deep");
+    CHECK(routeName(*table, "A.Example:8080", "/one/twofold") == "one");
+    CHECK(routeName(*table, "a.example", "/one") == "root");
+    CHECK(routeName(*table, "b.example", "/one/") == "other");
+    CHECK(routeName(*table, "b.example", "/") == "none");
+    CHECK(routeName(*table, "c.example", "/one/") == "none");
+    CHECK(routeName(*table, "a.example", "") == "none");
+}
+
+TEST_CASE("services are picked by weight, equally for an equal seed")
+{
+    GatewayRoute route = makeRoute("r", "h", "/");
+    route.services = {{"heavy", 90}, {"light", 10}};
+    int light = 0;
+    for (std::uint64_t seed = 0; seed < 1000; ++seed) {
+        CHECK(pickService(route, seed) == pickService(route, seed));
+        light += pickService(route, seed) == "light" ? 1 : 0;
+    }
+    CHECK(light == 100);
+}
+
+TEST_CASE("an endpoint that leaves or is gone gets no new work, and what it has under way is kept")
+{
+    EndpointTable table;
+    replaceEndpoints(table, threeEndpoints(), Start);
+    beginAttempt(table.endpoints.at(EndpointId{"a"}), 10);
+    auto listed = threeEndpoints();
+    listed[1].leaving = true;
+    listed.erase(listed.begin());
+    replaceEndpoints(table, listed, Start);
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        const EndpointState *chosen = chooseEndpoint(table, queryFor(), {}, i, Start);
+        REQUIRE(chosen != nullptr);
+        CHECK(chosen->listed.id == EndpointId{"c"});
+    }
+    REQUIRE(table.endpoints.count(EndpointId{"a"}) == 1);
+    endAttempt(table.endpoints.at(EndpointId{"a"}), 10, AttemptVerdict::Good, {}, Start);
+    replaceEndpoints(table, listed, Start);
+    CHECK(table.endpoints.count(EndpointId{"a"}) == 0);
+}
+
+TEST_CASE("shared prompts meet at one endpoint until it carries more than its part")
+{
+    EndpointTable table;
+    replaceEndpoints(table, threeEndpoints(), Start);
+    const ChoiceOptions options;
+    const EndpointId favourite = chooseEndpoint(table, queryFor("prompt"), options, 1, Start)->listed.id;
+    CHECK(chooseEndpoint(table, queryFor("prompt"), options, 77, Start)->listed.id == favourite);
+    for (int i = 0; i < options.slack; ++i) {
+        beginAttempt(table.endpoints.at(favourite), 1);
+    }
+    for (int i = 0; i < 3; ++i) {
+        beginAttempt(*chooseEndpoint(table, queryFor("prompt"), options, 1, Start), 1);
+    }
+    CHECK(table.endpoints.at(favourite).inFlight < 5);
+}
+
+TEST_CASE("an endpoint that can't be reached is left alone for a while, and used when nobody else is left")
+{
+    EndpointTable table;
+    replaceEndpoints(table, threeEndpoints(), Start);
+    const ChoiceOptions options;
+    EndpointState &bad = table.endpoints.at(EndpointId{"a"});
+    beginAttempt(bad, 1);
+    endAttempt(bad, 1, AttemptVerdict::Unreachable, options, Start);
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        CHECK(chooseEndpoint(table, queryFor(), options, i, Start)->listed.id != EndpointId{"a"});
+    }
+    ChoiceQuery others = queryFor();
+    others.tried = {EndpointId{"b"}, EndpointId{"c"}};
+    CHECK(chooseEndpoint(table, others, options, 1, Start)->listed.id == EndpointId{"a"});
+    others.tried.push_back(EndpointId{"a"});
+    CHECK(chooseEndpoint(table, others, options, 1, Start) == nullptr);
+}
+
+TEST_CASE("repeats are a share of the requests in the window, and no more")
+{
+    RepeatRules rules;
+    rules.slack = 8;
+    rules.caution = 1;
+    RepeatAllowance allowance;
+    for (int i = 0; i < 100; ++i) {
+        countRequest(allowance, rules, Start);
+    }
+    int taken = 0;
+    while (taken < 1000 && takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(1))) {
+        ++taken;
+    }
+    CHECK(taken == 21);
+    CHECK_FALSE(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(5)));
+    CHECK(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(13)));
+}
