--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -225,7 +225,7 @@
 
 void FleetLinks::armBeat()
 {
-    m_timer.expires_after(m_options.beatInterval);
+    m_timer.expires_after(beatInterval());
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
@@ -378,9 +378,16 @@
     }
 }
 
+// Grows with the fleet, so that a router's messages a second do not.
+Duration FleetLinks::beatInterval() const
+{
+    const auto peers = static_cast<Duration::rep>(m_peers.size());
+    return std::max(m_options.beatInterval, m_options.beatInterval * peers / m_options.peersAtFullRate);
+}
+
 bool FleetLinks::isFresh(const Peer &peer, TimePoint now) const
 {
-    return now < peer.heardAt + m_options.freshFor;
+    return now < peer.heardAt + beatInterval() * m_options.freshBeats;
 }
 
 void FleetLinks::forgetSilent(TimePoint now)
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -26,9 +26,11 @@
 {
     Hello own;
     std::string listenAddress;
-    // Callers are sent to a router that was heard within `freshFor`.
+    // With more peers than this, beats come less often.
     Duration beatInterval = std::chrono::milliseconds(400);
-    Duration freshFor = std::chrono::milliseconds(1600);
+    int peersAtFullRate = 24;
+    // Callers are sent to a router that was heard within so many beats.
+    int freshBeats = 4;
     // A request for tokens asks for what it lacks, or for this much of the customer's recent demand here: the next
     // requests should not have to ask.
     Duration askFor = std::chrono::seconds(3);
@@ -123,6 +125,7 @@
     void onAsk(const Incarnation &from, const std::string &body);
     void onGive(const Incarnation &from, const std::string &body);
     void offerDocument(const Peer &peer);
+    Duration beatInterval() const;
     bool isFresh(const Peer &peer, TimePoint now) const;
     void forgetSilent(TimePoint now);
 
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -97,6 +97,7 @@
                 {"uptime_ms", mark.writtenAt.uptime.count()},
                 {"wall_ms", mark.writtenAt.wall.count()},
                 {"boot", mark.writtenAt.boot},
+                {"binds_ms", mark.binds.count()},
                 {"marks", std::move(marks)}}
         .dump();
 }
@@ -109,6 +110,7 @@
         mark.writer = Incarnation{value.at("writer").get<std::string>()};
         mark.writtenAt.uptime = std::chrono::milliseconds(tokensOf(value.at("uptime_ms")));
         mark.writtenAt.wall = std::chrono::milliseconds(tokensOf(value.at("wall_ms")));
+        mark.binds = std::chrono::milliseconds(tokensOf(value.at("binds_ms")));
         mark.writtenAt.boot = value.at("boot").get<std::string>();
         for (const auto &[customer, entry] : value.at("marks").items()) {
             mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)), tokensOf(entry.at(1))};
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -62,6 +62,8 @@
     // The process that wrote it. A process that finds its own mark knows that its write took effect.
     Incarnation writer;
     HostTime writtenAt;
+    // How long it binds its writer, and so for how long a successor may trust it.
+    std::chrono::milliseconds binds{};
     std::map<CustomerId, Mark> marks;
 };
 
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -37,6 +37,17 @@
     return limit;
 }
 
+std::chrono::milliseconds bindingTime(const PrepaidShare &share)
+{
+    return markInterval(share) + share.options.markOutlasts;
+}
+
+// How much demand a mark runs ahead of what is used: as much as may come until it ceases to bind.
+Duration markAhead(const PrepaidShare &share)
+{
+    return bindingTime(share) + share.options.markMargin;
+}
+
 Tokens committed(const ShareAccount &account)
 {
     return account.net + account.reserved;
@@ -148,7 +159,9 @@
     if (static_cast<double>(unused) > options.returnAbove * static_cast<double>(wanted)) {
         return committed(account) + wanted;
     }
-    if (unused >= std::max({idle / 2, least, tokensFor(share, account, options.refillGrantBelow, now)})) {
+    const Duration refillBelow =
+        std::max<Duration>(options.refillGrantBelow - (markInterval(share) - options.markEvery), options.holdFor / 2);
+    if (unused >= std::max({idle / 2, least, tokensFor(share, account, refillBelow, now)})) {
         return account.granted;
     }
     const auto part = static_cast<Tokens>(fairPart(share, customer, account, now) * static_cast<double>(room));
@@ -159,9 +172,8 @@
 
 Mark wantedMark(const PrepaidShare &share, const ShareAccount &account, Tokens granted, TimePoint now)
 {
-    Tokens ahead = std::max({tokensFor(share, account, share.options.markFor, now),
-                             static_cast<Tokens>(2 * account.meanSize),
-                             account.shortOf});
+    Tokens ahead = std::max(
+        {tokensFor(share, account, markAhead(share), now), static_cast<Tokens>(2 * account.meanSize), account.shortOf});
     if (account.meanSize <= 0) {
         // Without demand yet: the first requests should not wait for a write.
         ahead = granted / 2;
@@ -175,7 +187,8 @@
 bool markIsLow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
 {
     const Tokens left = account.mark.limit - committed(account);
-    const Tokens refill = tokensFor(share, account, share.options.refillMarkBelow, now);
+    // Four fifths of the time between two marks may pass before the mark counts as low.
+    const Tokens refill = tokensFor(share, account, markAhead(share) - Duration(markInterval(share)) * 4 / 5, now);
     return account.mark.limit < account.granted && left < std::max(refill, account.shortOf);
 }
 
@@ -206,7 +219,7 @@
     // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
     const bool uptimeShared = options.startedAt.boot == mark.writtenAt.boot && apart <= options.clockTolerance;
     const milliseconds passed = uptimeShared ? std::max(uptime, wall) : wall;
-    return wall >= milliseconds(0) && passed < options.markTrusted;
+    return wall >= milliseconds(0) && passed < mark.binds - options.markCaution;
 }
 
 // Charges what an earlier process on this host may have used and gives the rest of its grant back.
@@ -291,6 +304,12 @@
     }
 }
 
+std::chrono::milliseconds markInterval(const PrepaidShare &share)
+{
+    const double even = 1000.0 * share.liveRouters / share.options.fleetMarksPerSecond;
+    return std::max(share.options.markEvery, std::chrono::milliseconds(std::llround(even)));
+}
+
 void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now)
 {
     const auto found = share.accounts.find(customer);
@@ -456,8 +475,7 @@
     const HostTime &written = share.markWrittenAt;
     // By both clocks: a successor may have only the time of day to go by, and that may have been set back.
     share.marksBind = written.wall.count() > 0
-        && (hostTime.uptime < written.uptime + share.options.markBinds
-            || hostTime.wall < written.wall + share.options.markBinds);
+        && (hostTime.uptime < written.uptime + share.markBinds || hostTime.wall < written.wall + share.markBinds);
     return bound && !share.marksBind;
 }
 
@@ -471,8 +489,9 @@
     MarkRecord mark;
     mark.writer = share.options.incarnation;
     mark.writtenAt = hostTime;
+    mark.binds = bindingTime(share);
     bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
-    bool markLow = !share.marksBind || hostTime.uptime >= share.markWrittenAt.uptime + share.options.markEvery;
+    bool markLow = !share.marksBind || hostTime.uptime >= share.markWrittenAt.uptime + markInterval(share);
     bool urgent = !share.takenOver;
     bool markSuffices = share.takenOver;
     bool anyWaits = false;
@@ -503,7 +522,9 @@
         ledgerChanges = false;
         limitToGrants(share, mark);
     }
-    const Duration interval = urgent ? share.options.urgentInterval : share.options.writeInterval;
+    // A little shorter than the time between two marks, which the caller's ticks would else stretch.
+    const Duration usual = Duration(markInterval(share)) * 9 / 10;
+    const Duration interval = urgent ? share.options.urgentInterval : usual;
     if ((!ledgerChanges && !markLow) || (share.takenOver && now - share.lastWriteAt < interval)) {
         clearPending(share);
         return std::nullopt;
@@ -521,6 +542,7 @@
     share.lastWriteAt = now;
     share.markWrittenBefore = share.markWrittenAt;
     share.markWrittenAt = hostTime;
+    share.markBinds = std::max(share.markBinds, bindingTime(share));
     share.marksBind = true;
     return write;
 }
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -39,22 +39,24 @@
     Incarnation incarnation;
     HostTime startedAt; // Of this process.
     // How much of its recent demand a router holds: the platform is away for some 9 s at a time.
-    Duration holdFor = std::chrono::seconds(11);
-    // A mark binds its router this long. Processes are back within some 2 s of their end; the longer it is, the
-    // further marks have to run ahead.
-    std::chrono::milliseconds markBinds{2500};
-    // A successor that starts within this time trusts the mark. Shorter than markBinds by what a clock may be set
-    // back unnoticed in small steps.
-    std::chrono::milliseconds markTrusted{2250};
+    Duration holdFor = std::chrono::seconds(12);
+    // A mark binds its router for the time between two marks and this much more. Processes are back within some 2 s
+    // of their end; the longer it is, the further marks have to run ahead.
+    std::chrono::milliseconds markOutlasts{1800};
+    // A successor trusts a mark until this long before it ceases to bind: what a clock may be set back unnoticed in
+    // small steps.
+    std::chrono::milliseconds markCaution{250};
     // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
     std::chrono::milliseconds clockTolerance{3000};
-    // How far the mark runs ahead of what is used: no more may be spent until the mark no longer binds.
-    Duration markFor = std::chrono::milliseconds(2700);
-    // A mark is written again after this long at the latest, so that a successor finds a young one.
+    // A mark is written this often in a small fleet, so that a successor finds a young one.
     std::chrono::milliseconds markEvery{500};
-    // Each is written again when less than this is left below it, or at once when a request waits.
-    Duration refillGrantBelow = std::chrono::milliseconds(9500);
-    Duration refillMarkBelow = std::chrono::milliseconds(2300);
+    // In a large fleet each router writes its mark less often, so that the fleet as a whole writes this many a second.
+    double fleetMarksPerSecond = 10;
+    // How much longer than it binds a mark runs ahead of what is used.
+    std::chrono::milliseconds markMargin{200};
+    // A grant is asked for again when less than this is left of it, or at once when a request waits. In a large fleet
+    // the time between two marks is taken off, so that one write carries both.
+    Duration refillGrantBelow = std::chrono::milliseconds(10500);
     // What a router keeps for itself when another one asks for tokens.
     Duration keepFromOthers = std::chrono::seconds(2);
     // Time constants of the two averages of the demand, of which the higher counts: the short one follows a burst,
@@ -66,8 +68,7 @@
     // The averages of a customer that has just come are corrected for their short past, which is taken to be at
     // least this long.
     Duration leastPast = std::chrono::milliseconds(1500);
-    // Writes at most this often, except for a request that waits.
-    Duration writeInterval = std::chrono::milliseconds(450);
+    // Writes for a request that waits come at most this often.
     Duration urgentInterval = std::chrono::milliseconds(40);
     // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
     double idleShare = 0.5;
@@ -138,6 +139,7 @@
     // When the newest mark that may be in the platform was written; a mark may also be on its way.
     HostTime markWrittenAt;
     HostTime markWrittenBefore; // The same without the open write.
+    std::chrono::milliseconds markBinds{}; // How long that mark binds.
     bool marksBind = false;
 
     bool writing = false;
@@ -162,6 +164,9 @@
                  std::uint64_t documentVersion,
                  const std::map<CustomerId, std::optional<Tokens>> &totals);
 
+// How often this router writes its mark, given how many others do.
+std::chrono::milliseconds markInterval(const PrepaidShare &share);
+
 // Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
 void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
 
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -74,7 +74,7 @@
         beforeMark += 1000;
     }
     CHECK(unusedGrant(world.share(0), Desk) > 0);
-    world.advance(world.share(0).options.markBinds + std::chrono::milliseconds(1));
+    world.advance(world.share(0).markBinds + std::chrono::milliseconds(1));
     CHECK(world.request(0, Desk, 1000));
 }
 
@@ -104,7 +104,7 @@
     world.sync(0, WriteFate::Done);
     serve(world, 0, 40, 1000);
     const Tokens granted = world.share(0).accounts.at(Desk).granted;
-    world.advance(world.share(0).options.markBinds + std::chrono::milliseconds(1));
+    world.advance(world.share(0).markBinds + std::chrono::milliseconds(1));
     while (world.request(0, Desk, 1000)) {
         world.finish(0, 1000);
     }
@@ -130,7 +130,7 @@
         world.finish(0, 1000);
     }
     world.stepClock(std::chrono::milliseconds(-2000));
-    world.advance(world.share(0).options.markBinds + std::chrono::milliseconds(1));
+    world.advance(world.share(0).markBinds + std::chrono::milliseconds(1));
     CHECK_FALSE(world.request(0, Desk, 1000));
     world.advance(std::chrono::milliseconds(2100));
     CHECK(world.request(0, Desk, 1000));
