--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -161,7 +161,7 @@
     Error refusal;
     refusal.kind = kindOf(error);
     refusal.message = "the request can't be read: " + error.message();
-    m_keepAlive = false;
+    m_saidClose = true; // What follows on this connection can't be read either.
     m_relay.log().write("unreadable_request", {{"cause", std::string_view(refusal.message)}});
     ++m_relay.counters().refusals[refusal.kind];
     send(writeRefusal(refusal, "", true));
