--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -21,7 +21,7 @@
 
 std::string address(TableReader &reader, std::string_view key, bool required)
 {
-    const std::string text = required ? reader.requiredText(key) : reader.text(key, "");
+    std::string text = required ? reader.requiredText(key) : reader.text(key, "");
     if (!text.empty() && !isIpAndPort(text)) {
         reader.fault(key, "must be an IP number and a port, such as 10.0.0.4:8740");
     }
@@ -47,9 +47,9 @@
         TableReader top(*root, "", faults, UnknownKeys::Refuse);
         settings.host = HostId{top.requiredText("host")};
         settings.dataCentre = DataCentreId{top.requiredText("data_centre")};
-        static const toml::table Empty;
+        static const toml::table empty;
         const toml::table *gateway = top.table("gateway");
-        TableReader reader(gateway == nullptr ? Empty : *gateway, "gateway", faults, UnknownKeys::Refuse);
+        TableReader reader(gateway == nullptr ? empty : *gateway, "gateway", faults, UnknownKeys::Refuse);
         settings.callerListen = address(reader, "callers", true);
         settings.readyListen = address(reader, "ready", true);
         settings.addressesListen = address(reader, "addresses", false);
--- a/godwit/relay/decision_log.cpp
+++ b/godwit/relay/decision_log.cpp
@@ -14,7 +14,7 @@
 
 void appendQuoted(std::string &out, std::string_view text)
 {
-    constexpr char Digits[] = "0123456789abcdef";
+    constexpr char digits[] = "0123456789abcdef";
     out.push_back('"');
     for (const char c : text) {
         const auto byte = static_cast<unsigned char>(c);
@@ -23,8 +23,8 @@
             out.push_back(c);
         } else if (byte < 0x20 || byte >= 0x7f) {
             out.append("\\u00");
-            out.push_back(Digits[byte >> 4]);
-            out.push_back(Digits[byte & 15]);
+            out.push_back(digits[byte >> 4]);
+            out.push_back(digits[byte & 15]);
         } else {
             out.push_back(c);
         }
