--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -75,7 +75,6 @@
     inReach = reached;
     const TimePoint now = Relay::now();
     if (reached) {
-        m_regainedAt = now;
         m_nextKeep = now;
         m_nextRecords = now;
         if (now >= m_renewedAt + m_options.leaseTime) {
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -64,12 +64,6 @@
     // Asks at once whether the store is back: another router has found it.
     void probeNow();
 
-    // When the store last came back into reach.
-    TimePoint regainedAt() const
-    {
-        return m_regainedAt;
-    }
-
 private:
     void armTick();
     void onTick();
@@ -107,7 +101,6 @@
     TimePoint m_nextRecords;
     TimePoint m_nextProbe;
     bool m_probeOpen = false;
-    TimePoint m_regainedAt;
     std::function<void()> m_returned;
 };
 
--- a/godwit/relay/connection_pool.cpp
+++ b/godwit/relay/connection_pool.cpp
@@ -60,10 +60,4 @@
     }
 }
 
-std::size_t ConnectionPool::idleCount(const EndpointId &endpoint) const
-{
-    const auto found = m_idle.find(endpoint);
-    return found == m_idle.end() ? 0 : found->second.size();
-}
-
 } // namespace Godwit
--- a/godwit/relay/connection_pool.h
+++ b/godwit/relay/connection_pool.h
@@ -31,8 +31,6 @@
     // Closes idle connections whose time is up or that are no longer sound.
     void sweep(TimePoint now);
 
-    std::size_t idleCount(const EndpointId &endpoint) const;
-
 private:
     struct Idle
     {
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -26,7 +26,6 @@
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 #include <string>
 
 namespace Godwit
@@ -56,12 +55,13 @@
     Duration comeBack = std::chrono::milliseconds(700);
     // Time kept at the end of a caller's patience, so that the final answer still arrives.
     Duration answerMargin = std::chrono::milliseconds(15);
+    // An endpoint that has said nothing for so long when its request is given up counts as slow. Work of plain
+    // services takes up to some 0.5 s, and callers abandon a stream after a gap of 2 s.
+    Duration suspiciousSilence = std::chrono::seconds(1);
     // An answer up to this size is read whole before any of it is passed on, so that a cut one can be replaced.
     std::size_t wholeAnswerBytes = 256UL * 1024;
     // More than this waiting for a slow caller stops the reading from its endpoint.
     std::size_t callerQueueBytes = 256UL * 1024;
-    // Connections to one endpoint that the fleet opens at most, as a share of what the endpoint accepts.
-    double connectionShare = 0.8;
 };
 
 struct RelayState
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -133,7 +133,7 @@
     }
     if (m_worstCase == 0 || reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
         m_holdsTokens = m_worstCase > 0;
-        reserved();
+        attempt();
         return;
     }
     m_waitsForTokens = true;
@@ -179,11 +179,6 @@
     m_waitsForTokens = false;
     m_holdsTokens = true;
     m_patience.cancel();
-    reserved();
-}
-
-void RelayCall::reserved()
-{
     attempt();
 }
 
@@ -463,8 +458,7 @@
         m_exchange->cancel();
         m_progress = Progress::Sent;
         ++m_ran;
-        // Slow answers late in a stream say little; silence from the start does.
-        endAttempt(m_answerHead ? AttemptVerdict::Neutral : AttemptVerdict::Slow);
+        endAttempt(silenceVerdict());
     }
     if (m_headPassed) {
         breakOff("deadline");
@@ -475,6 +469,14 @@
     }
 }
 
+// What an attempt that is given up says of its endpoint. An endpoint whose host has vanished closes no connection: its
+// silence is the only sign, and the requests that follow should not wait there as well.
+AttemptVerdict RelayCall::silenceVerdict() const
+{
+    const Duration silence = Relay::now() - std::max(m_sentAt, m_lastEventAt.value_or(m_sentAt));
+    return silence >= m_relay.options().suspiciousSilence ? AttemptVerdict::Slow : AttemptVerdict::Neutral;
+}
+
 void RelayCall::callerLeft()
 {
     if (m_closed) {
@@ -485,7 +487,7 @@
         m_exchange->cancel();
         m_progress = Progress::Sent;
         ++m_ran;
-        endAttempt(AttemptVerdict::Neutral);
+        endAttempt(silenceVerdict());
     }
     m_relay.log().write("caller_left",
                         {{"id", std::string_view(m_facts.attemptId)},
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -81,7 +81,6 @@
     void reserveTokens();
     void refuseForBudget(const std::string &message);
     void askForTokens();
-    void reserved();
     void attempt();
     void sendTo(EndpointState &endpoint);
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
@@ -92,6 +91,7 @@
     void passHead(AnswerFraming framing);
     void passWhole();
     void endAttempt(AttemptVerdict verdict);
+    AttemptVerdict silenceVerdict() const;
     void tryAgain(const std::string &cause, bool reachedEndpoint);
     bool mayRepeat() const;
     bool runsAtMostOnce() const;
