--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -74,7 +74,7 @@
     double idleShare = 0.5;
     // Near the end of a budget this much of the demand of small requests is kept for them: where one large request
     // takes the tokens of six small ones, five callers more are served. Zero: first come, first served.
-    Duration keepForSmall = std::chrono::seconds(2);
+    Duration keepForSmall = std::chrono::seconds(8);
     // More than this multiple of what it wants to hold goes back.
     double returnAbove = 1.4;
 };
