A stop with callers still connected ends with its exit code

Cause: handlers that the event loop holds at its end own callers' connections, and each connection takes itself off a list that had been destroyed before the loop. Ruled out: the coroutines of the store's client (their state is shared with the loop), the log (flushed before). Conclusion: the list now outlives the loop.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -491,6 +491,10 @@
         m_io.stop();
     }
 
+    // Before the loop, so that it goes after it: handlers that the loop still holds at its end own connections, and
+    // each of them takes itself off this list. The other way round a stop with a caller still connected ended in a
+    // corrupted heap instead of an exit code.
+    CallerConnections m_connections;
     boost::asio::io_context m_io{1};
     GatewaySettings m_settings;
     std::string m_settingsFile;
@@ -506,7 +510,6 @@
     PrefixWatch m_endpointWatch;
     PrefixWatch m_liveWatch;
     std::map<std::string, PrefixWatch *> m_watches; // By prefix.
-    CallerConnections m_connections;
     Listener m_callers;
     EntryServer m_entry;
     EntryServer m_metrics;
