A router whose give-back failed is still bound by its mark

Cause: a refused write puts the mark's age back to what it was before the write. A give-back did not note that age, so its refusal put back that of an older write, at worst none at all: the router took its mark for lapsed and could go up to its grant, while its successor trusted the mark. Ruled out: the growth of marks after their time (the fault is there without it).

--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -572,6 +572,8 @@
     share.pendingWritesLedger = true;
     share.writing = true;
     share.lastWasReturn = true;
+    // If it is refused, the mark that stands is as old as it was.
+    share.markWrittenBefore = share.markWrittenAt;
     share.lastWriteAt = now;
     return write;
 }
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -231,6 +231,28 @@
     CHECK(world.share(1).ledger.accounts.at(Desk).spent == world.spent(Desk));
 }
 
+TEST_CASE("a router whose give-back failed is still bound by its mark")
+{
+    // The overspend that this forbids: a stopping router's last write loses against another router's. Its mark is as
+    // old as before; a router that took it for older goes beyond it, and its successor gives back what was spent.
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 40, 1000);
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    REQUIRE_FALSE(world.giveBack(0));
+    world.advance(std::chrono::milliseconds(1));
+    while (world.request(0, Desk, 1000)) {
+        world.finish(0, 1000);
+    }
+    const Tokens used = world.spent(Desk);
+    world.kill(0);
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent >= used);
+}
+
 TEST_CASE("near the end large requests leave the rest to small ones")
 {
     World world(1, {{Desk, 200'000}});
