A mark's limit grows at a steady rate once its time is over

Cause: a router that could not write its mark for 2.3 s was free to go up to its grant, so its successor had to charge the whole grant, 12 s of demand, for a death a few seconds into a loss of the store. Ruled out: younger marks (the loss of the store is what ages them); larger grants (they cost more at a death).

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -246,9 +246,9 @@
     onRecordsRead(share, std::move(*record), ledger.item.revision, marks, mark.item.revision);
     m_relay.log().write("budgets_read",
                         {{"ledger_revision", static_cast<std::int64_t>(ledger.item.revision)},
-                         {"mark_uptime_ms", static_cast<std::int64_t>(marks ? marks->writtenAt.uptime.count() : 0)},
+                         {"first", first},
                          {"mark_found", marks.has_value()},
-                         {"first", first}});
+                         {"mark_age_ms", first && share.foundMarkAge ? share.foundMarkAge->count() : std::int64_t{-1}}});
     if (first) {
         logLedger();
     }
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace Godwit
 {
 namespace
@@ -53,6 +55,12 @@
 
 } // namespace
 
+Tokens reachOf(const Mark &mark, std::chrono::milliseconds binds, std::chrono::milliseconds age)
+{
+    const auto beyond = std::max<std::int64_t>(0, (age - binds).count());
+    return mark.limit + static_cast<Tokens>(static_cast<double>(mark.perSecond) * static_cast<double>(beyond) / 1000);
+}
+
 Tokens roomOf(const LedgerAccount &account)
 {
     Tokens room = account.total - account.spent;
@@ -91,7 +99,7 @@
 {
     json marks = json::object();
     for (const auto &[customer, entry] : mark.marks) {
-        marks[customer.value] = json::array({entry.limit, entry.used});
+        marks[customer.value] = json::array({entry.limit, entry.used, entry.perSecond});
     }
     return json{{"writer", mark.writer.value},
                 {"uptime_ms", mark.writtenAt.uptime.count()},
@@ -113,7 +121,7 @@
         mark.binds = std::chrono::milliseconds(tokensOf(value.at("binds_ms")));
         mark.writtenAt.boot = value.at("boot").get<std::string>();
         for (const auto &[customer, entry] : value.at("marks").items()) {
-            mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)), tokensOf(entry.at(1))};
+            mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)), tokensOf(entry.at(1)), tokensOf(entry.at(2))};
         }
         return mark;
     } catch (const json::exception &error) {
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -45,8 +45,9 @@
 
 struct Mark
 {
-    Tokens limit = 0; // The router goes no further than this while the mark stands.
+    Tokens limit = 0; // The router goes no further than this while the mark binds.
     Tokens used = 0; // Where it was when it wrote the mark.
+    Tokens perSecond = 0; // How fast the limit grows once the mark binds no more.
 };
 
 // A moment as one host knows it. Unlike the time of day, the uptime makes no jumps; it starts anew with the host.
@@ -67,6 +68,10 @@
     std::map<CustomerId, Mark> marks;
 };
 
+// How far a mark lets its router go when it is `age` old. The router reckons with the least age that its clocks allow
+// and its successor with the greatest, so that the one never goes beyond what the other charges.
+Tokens reachOf(const Mark &mark, std::chrono::milliseconds binds, std::chrono::milliseconds age);
+
 // What is neither spent nor granted. Negative after the total was lowered.
 Tokens roomOf(const LedgerAccount &account);
 
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -26,13 +26,13 @@
     Tokens limit = account.granted;
     boundBy(limit, share.pendingGrants, customer);
     boundBy(limit, share.doubtfulGrants, customer);
-    if (share.marksBind) {
-        limit = std::min(limit, account.mark.limit);
-        boundBy(limit, share.doubtfulMarks, customer);
-    }
-    const auto pending = share.pendingMarks.find(customer);
-    if (pending != share.pendingMarks.end()) {
-        limit = std::min(limit, pending->second.limit);
+    // All as old as the newest: those before it let the router go further still.
+    limit = std::min(limit, reachOf(account.mark, share.markBinds, share.markAge));
+    for (const auto *marks : {&share.doubtfulMarks, &share.pendingMarks}) {
+        const auto found = marks->find(customer);
+        if (found != marks->end()) {
+            limit = std::min(limit, reachOf(found->second, share.markBinds, share.markAge));
+        }
     }
     return limit;
 }
@@ -174,13 +174,16 @@
 {
     Tokens ahead = std::max(
         {tokensFor(share, account, markAhead(share), now), static_cast<Tokens>(2 * account.meanSize), account.shortOf});
+    double perSecond = std::max(share.options.markGrowth * demandNow(share, account, now), account.meanSize);
     if (account.meanSize <= 0) {
         // Without demand yet: the first requests should not wait for a write.
         ahead = granted / 2;
+        perSecond = static_cast<double>(granted) / toSeconds(share.options.holdFor);
     }
     Mark mark;
     mark.used = committed(account);
     mark.limit = std::min(granted, mark.used + ahead);
+    mark.perSecond = static_cast<Tokens>(perSecond);
     return mark;
 }
 
@@ -208,24 +211,25 @@
     }
 }
 
-// Whether the process that wrote the mark has ended before it could go beyond it: this process has started on the
-// same host while the mark still bound its writer.
-bool isTrusted(const PrepaidOptions &options, const MarkRecord &mark)
+// How old an earlier process's mark may have been when this process started; unset when the clocks can't tell.
+std::optional<std::chrono::milliseconds> ageAtStart(const PrepaidOptions &options, const MarkRecord &mark)
 {
     using std::chrono::milliseconds;
     const milliseconds uptime = options.startedAt.uptime - mark.writtenAt.uptime;
     const milliseconds wall = options.startedAt.wall - mark.writtenAt.wall;
     const milliseconds apart = uptime > wall ? uptime - wall : wall - uptime;
+    if (wall < milliseconds(0)) {
+        return std::nullopt;
+    }
     // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
     const bool uptimeShared = options.startedAt.boot == mark.writtenAt.boot && apart <= options.clockTolerance;
-    const milliseconds passed = uptimeShared ? std::max(uptime, wall) : wall;
-    return wall >= milliseconds(0) && passed < mark.binds - options.markCaution;
+    return (uptimeShared ? std::max(uptime, wall) : wall) + options.markCaution;
 }
 
 // Charges what an earlier process on this host may have used and gives the rest of its grant back.
 void takeOver(PrepaidShare &share, PrepaidLedger &ledger, const std::optional<MarkRecord> &mark)
 {
-    const bool trusted = mark && isTrusted(share.options, *mark);
+    share.foundMarkAge = mark ? ageAtStart(share.options, *mark) : std::nullopt;
     for (auto &[customer, account] : ledger.accounts) {
         const auto held = account.granted.find(share.options.self);
         if (held == account.granted.end()) {
@@ -236,8 +240,8 @@
         if (mark) {
             const auto entry = mark->marks.find(customer);
             const Mark found = entry == mark->marks.end() ? Mark{} : entry->second;
-            if (trusted) {
-                charge = std::min(charge, found.limit);
+            if (share.foundMarkAge) {
+                charge = std::min(charge, reachOf(found, mark->binds, *share.foundMarkAge));
             }
             // It had used this much when it wrote the mark, and may have received tokens since.
             unsure = charge - std::min(charge, found.used);
@@ -256,6 +260,15 @@
     }
 }
 
+void lowerTo(std::map<CustomerId, Mark> &bounds, const CustomerId &customer, const Mark &bound)
+{
+    const auto [entry, isNew] = bounds.emplace(customer, bound);
+    if (!isNew) {
+        entry->second.limit = std::min(entry->second.limit, bound.limit);
+        entry->second.perSecond = std::min(entry->second.perSecond, bound.perSecond);
+    }
+}
+
 // A write of the mark alone leaves the grants as they are.
 void limitToGrants(PrepaidShare &share, MarkRecord &mark)
 {
@@ -474,8 +487,9 @@
     const bool bound = share.marksBind;
     const HostTime &written = share.markWrittenAt;
     // By both clocks: a successor may have only the time of day to go by, and that may have been set back.
-    share.marksBind = written.wall.count() > 0
-        && (hostTime.uptime < written.uptime + share.markBinds || hostTime.wall < written.wall + share.markBinds);
+    share.markAge = std::max(std::chrono::milliseconds(0),
+                             std::min(hostTime.uptime - written.uptime, hostTime.wall - written.wall));
+    share.marksBind = written.wall.count() > 0 && share.markAge < share.markBinds;
     return bound && !share.marksBind;
 }
 
@@ -542,6 +556,7 @@
     share.lastWriteAt = now;
     share.markWrittenBefore = share.markWrittenAt;
     share.markWrittenAt = hostTime;
+    share.markAge = std::chrono::milliseconds(0);
     share.markBinds = std::max(share.markBinds, bindingTime(share));
     share.marksBind = true;
     return write;
@@ -618,7 +633,7 @@
         lowerTo(share.doubtfulGrants, customer, granted);
     }
     for (const auto &[customer, mark] : share.pendingMarks) {
-        lowerTo(share.doubtfulMarks, customer, mark.limit);
+        lowerTo(share.doubtfulMarks, customer, mark);
     }
     share.ledgerKnown = false;
     share.lastWasReturn = false;
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -5,11 +5,12 @@
 // A router spends only below two limits, both written in the platform before anything is spent:
 //   - its grant in the ledger, which no other router can spend. A grant stays charged until its holder, or the next
 //     process on the same host, gives it back, so nobody has to decide whether a silent router is dead;
-//   - its mark, for a fixed time after the mark was written. The next process on the same host, if it starts within
-//     that time, charges only up to the mark and gives the rest of the grant back; a later one charges the whole
-//     grant. So a router that can't write its mark for so long may go on up to its grant, and a long loss of the
-//     platform refuses nobody whose budget is held here. The time is measured by the clocks of the host, which both
-//     processes share; the platform's leases take no part, since they may pause or lapse while it is down.
+//   - its mark. Its limit stands for a fixed time after the mark was written and grows at a steady rate from then on.
+//     The next process on the same host charges as far as the mark may have let its predecessor go, and gives the rest
+//     of the grant back. So a router that can't write its mark may still go on, up to its grant, and a long loss of
+//     the platform refuses nobody whose budget is held here; and a death costs what may have been spent since the
+//     mark, rather than all that was held. The time is measured by the clocks of the host, which both processes
+//     share; the platform's leases take no part, since they may pause or lapse while it is down.
 // Between routers tokens move by messages: the sender counts them as gone at once, the receiver as come when they
 // arrive. A message that is lost costs tokens and never overspends.
 //
@@ -43,9 +44,12 @@
     // A mark binds its router for the time between two marks and this much more. Processes are back within some 2 s
     // of their end; the longer it is, the further marks have to run ahead.
     std::chrono::milliseconds markOutlasts{1800};
-    // A successor trusts a mark until this long before it ceases to bind: what a clock may be set back unnoticed in
+    // A successor takes a mark for this much older than its clocks say: what a clock may be set back unnoticed in
     // small steps.
     std::chrono::milliseconds markCaution{250};
+    // How fast a mark's limit grows once it binds no more, as a multiple of the demand: a customer may ask for more
+    // than it lately did.
+    double markGrowth = 1.5;
     // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
     std::chrono::milliseconds clockTolerance{3000};
     // A mark is written this often in a small fleet, so that a successor finds a young one.
@@ -141,6 +145,11 @@
     HostTime markWrittenBefore; // The same without the open write.
     std::chrono::milliseconds markBinds{}; // How long that mark binds.
     bool marksBind = false;
+    // Of that mark, when last looked at; by the clock that shows less.
+    std::chrono::milliseconds markAge{};
+    // Of the mark that an earlier process on this host left, by the clock that shows more; unset: there was none, or
+    // none that this host's clocks can place.
+    std::optional<std::chrono::milliseconds> foundMarkAge;
 
     bool writing = false;
     bool lastWasReturn = false; // Everything is being given back.
@@ -149,7 +158,7 @@
     // Of writes whose outcome nobody knows: they bind until a later write of this router stands, since that one
     // changes the mark's revision and so makes the earlier ones void.
     std::map<CustomerId, Tokens> doubtfulGrants;
-    std::map<CustomerId, Tokens> doubtfulMarks;
+    std::map<CustomerId, Mark> doubtfulMarks;
     PrepaidLedger pendingLedger;
     bool pendingWritesLedger = false;
     TimePoint lastWriteAt;
