--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -58,7 +58,7 @@
     for (const auto &[id, endpoint] : m_used) {
         list.push_back(endpoint);
     }
-    replaceEndpoints(m_relay.state().endpoints, list, now);
+    replaceEndpoints(m_relay.state().endpoints, list);
     m_relay.log().write(
         "endpoints",
         {{"listed", static_cast<std::int64_t>(m_listed.size())}, {"used", static_cast<std::int64_t>(m_used.size())}});
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -37,10 +37,12 @@
     line(out, "godwit_live_routers", relay.state().liveRouters);
     line(out, "godwit_log_lines_dropped_total", static_cast<double>(relay.log().dropped()));
     for (const auto &[customer, account] : relay.state().prepaid.accounts) {
-        out << "godwit_budget_granted{customer=\"" << customer.value << "\"} " << account.granted << '\n';
-        out << "godwit_budget_used{customer=\"" << customer.value << "\"} " << account.net << '\n';
-        out << "godwit_budget_reserved{customer=\"" << customer.value << "\"} " << account.reserved << '\n';
+        out << "godwit_budget_granted{customer=\"" << escapeLabel(customer.value) << "\"} " << account.granted << '\n';
+        out << "godwit_budget_used{customer=\"" << escapeLabel(customer.value) << "\"} " << account.net << '\n';
+        out << "godwit_budget_reserved{customer=\"" << escapeLabel(customer.value) << "\"} " << account.reserved
+            << '\n';
     }
+    out << renderCalls(counters.calls);
     return out.str();
 }
 
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -85,7 +85,7 @@
 
 } // namespace
 
-void replaceEndpoints(EndpointTable &table, const std::vector<ListedEndpoint> &listed, TimePoint now)
+void replaceEndpoints(EndpointTable &table, const std::vector<ListedEndpoint> &listed)
 {
     table.byService.clear();
     std::map<EndpointId, bool> named;
@@ -100,10 +100,7 @@
     }
     for (auto it = table.endpoints.begin(); it != table.endpoints.end();) {
         EndpointState &endpoint = it->second;
-        if (named.count(it->first) == 0 && !endpoint.gone) {
-            endpoint.gone = true;
-            endpoint.goneAt = now;
-        }
+        endpoint.gone = named.count(it->first) == 0;
         const bool forget = endpoint.gone && endpoint.inFlight == 0;
         it = forget ? table.endpoints.erase(it) : std::next(it);
     }
@@ -124,17 +121,14 @@
     return byLoad(from, query, random);
 }
 
-void beginAttempt(EndpointState &endpoint, Tokens tokens)
+void beginAttempt(EndpointState &endpoint)
 {
     ++endpoint.inFlight;
-    endpoint.tokensInFlight += tokens;
 }
 
-void endAttempt(
-    EndpointState &endpoint, Tokens tokens, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now)
+void endAttempt(EndpointState &endpoint, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now)
 {
     --endpoint.inFlight;
-    endpoint.tokensInFlight -= tokens;
     switch (verdict) {
     case AttemptVerdict::Neutral:
         return;
@@ -159,9 +153,4 @@
     }
 }
 
-void recordFirstAnswer(EndpointState &endpoint, Duration wait, const ChoiceOptions &options)
-{
-    endpoint.firstAnswerSeconds += options.newest * (toSeconds(wait) - endpoint.firstAnswerSeconds);
-}
-
 } // namespace Godwit
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -6,12 +6,12 @@
 // other routers' share to be like its own.
 //
 // Example:
-//   replaceEndpoints(table, listed, now);
+//   replaceEndpoints(table, listed);
 //   ChoiceQuery query;
 //   query.service = "matching";
 //   query.affinity = "5c1e07a2";
 //   if (EndpointState *endpoint = chooseEndpoint(table, query, random, now)) {
-//       beginAttempt(*endpoint, tokens);
+//       beginAttempt(*endpoint);
 //   }
 
 #include "godwit/base/ids.h"
@@ -50,13 +50,10 @@
 {
     ListedEndpoint listed;
     int inFlight = 0;
-    Tokens tokensInFlight = 0;
     double failureRate = 0; // Exponential average of Failed, Unreachable and Slow among the last attempts.
-    double firstAnswerSeconds = 0; // Exponential average of the time to the first byte.
     int failuresInRow = 0;
     TimePoint avoidUntil; // After failures: used only when nobody else is left.
-    TimePoint goneAt; // When the list stopped naming it; such an endpoint gets no new work.
-    bool gone = false;
+    bool gone = false; // The list no longer names it: no new work.
 };
 
 struct EndpointTable
@@ -89,17 +86,14 @@
 };
 
 // Takes over a new list. Endpoints that it no longer names get no new work; what they have under way goes on.
-void replaceEndpoints(EndpointTable &table, const std::vector<ListedEndpoint> &listed, TimePoint now);
+void replaceEndpoints(EndpointTable &table, const std::vector<ListedEndpoint> &listed);
 
 // An endpoint for one attempt, or null when the service has none that is not in `tried`.
 EndpointState *chooseEndpoint(
     EndpointTable &table, const ChoiceQuery &query, const ChoiceOptions &options, std::uint64_t random, TimePoint now);
 
-void beginAttempt(EndpointState &endpoint, Tokens tokens);
+void beginAttempt(EndpointState &endpoint);
 
-void endAttempt(
-    EndpointState &endpoint, Tokens tokens, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now);
-
-void recordFirstAnswer(EndpointState &endpoint, Duration wait, const ChoiceOptions &options);
+void endAttempt(EndpointState &endpoint, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now);
 
 } // namespace Godwit
--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -78,35 +78,35 @@
 TEST_CASE("an endpoint that leaves or is gone gets no new work, and what it has under way is kept")
 {
     EndpointTable table;
-    replaceEndpoints(table, threeEndpoints(), Start);
-    beginAttempt(table.endpoints.at(EndpointId{"a"}), 10);
+    replaceEndpoints(table, threeEndpoints());
+    beginAttempt(table.endpoints.at(EndpointId{"a"}));
     auto listed = threeEndpoints();
     listed[1].leaving = true;
     listed.erase(listed.begin());
-    replaceEndpoints(table, listed, Start);
+    replaceEndpoints(table, listed);
     for (std::uint64_t i = 0; i < 20; ++i) {
         const EndpointState *chosen = chooseEndpoint(table, queryFor(), {}, i, Start);
         REQUIRE(chosen != nullptr);
         CHECK(chosen->listed.id == EndpointId{"c"});
     }
     REQUIRE(table.endpoints.count(EndpointId{"a"}) == 1);
-    endAttempt(table.endpoints.at(EndpointId{"a"}), 10, AttemptVerdict::Good, {}, Start);
-    replaceEndpoints(table, listed, Start);
+    endAttempt(table.endpoints.at(EndpointId{"a"}), AttemptVerdict::Good, {}, Start);
+    replaceEndpoints(table, listed);
     CHECK(table.endpoints.count(EndpointId{"a"}) == 0);
 }
 
 TEST_CASE("shared prompts meet at one endpoint until it carries more than its part")
 {
     EndpointTable table;
-    replaceEndpoints(table, threeEndpoints(), Start);
+    replaceEndpoints(table, threeEndpoints());
     const ChoiceOptions options;
     const EndpointId favourite = chooseEndpoint(table, queryFor("prompt"), options, 1, Start)->listed.id;
     CHECK(chooseEndpoint(table, queryFor("prompt"), options, 77, Start)->listed.id == favourite);
     for (int i = 0; i < options.slack; ++i) {
-        beginAttempt(table.endpoints.at(favourite), 1);
+        beginAttempt(table.endpoints.at(favourite));
     }
     for (int i = 0; i < 3; ++i) {
-        beginAttempt(*chooseEndpoint(table, queryFor("prompt"), options, 1, Start), 1);
+        beginAttempt(*chooseEndpoint(table, queryFor("prompt"), options, 1, Start));
     }
     CHECK(table.endpoints.at(favourite).inFlight < 5);
 }
@@ -114,11 +114,11 @@
 TEST_CASE("an endpoint that can't be reached is left alone for a while, and used when nobody else is left")
 {
     EndpointTable table;
-    replaceEndpoints(table, threeEndpoints(), Start);
+    replaceEndpoints(table, threeEndpoints());
     const ChoiceOptions options;
     EndpointState &bad = table.endpoints.at(EndpointId{"a"});
-    beginAttempt(bad, 1);
-    endAttempt(bad, 1, AttemptVerdict::Unreachable, options, Start);
+    beginAttempt(bad);
+    endAttempt(bad, AttemptVerdict::Unreachable, options, Start);
     for (std::uint64_t i = 0; i < 20; ++i) {
         CHECK(chooseEndpoint(table, queryFor(), options, i, Start)->listed.id != EndpointId{"a"});
     }
--- a/godwit/operators/metrics.cpp
+++ b/godwit/operators/metrics.cpp
@@ -7,19 +7,8 @@
 namespace
 {
 
-constexpr double FirstEdge = 1e-4;
-constexpr double LastEdge = 600;
-constexpr unsigned Bins = 48;
 constexpr std::string_view OtherCustomers = "other";
 
-void add(LatencySeries &series, Duration duration)
-{
-    const double seconds = toSeconds(duration);
-    series.seconds(seconds);
-    series.sum += seconds;
-    ++series.count;
-}
-
 CallSeries &seriesOf(Metrics &metrics, const CallFinished &finished)
 {
     SeriesKey key{finished.customer.value, finished.route.value};
@@ -29,36 +18,9 @@
     return metrics.calls[key];
 }
 
-// Escapes a label's value as the text form asks.
-std::string label(std::string_view value)
-{
-    std::string escaped;
-    for (const char c : value) {
-        if (c == '\\' || c == '"') {
-            escaped.push_back('\\');
-        }
-        escaped.push_back(c == '\n' ? ' ' : c);
-    }
-    return escaped;
-}
-
 std::string labelsOf(const SeriesKey &key)
 {
-    return "customer=\"" + label(key.customer) + "\",route=\"" + label(key.route) + "\"";
-}
-
-void renderHistogram(std::ostream &out, std::string_view name, const std::string &labels, const LatencySeries &series)
-{
-    const auto &axis = series.seconds.axis();
-    // Samples below the first edge belong to every bucket above them.
-    double cumulative = series.seconds.at(-1);
-    for (int i = 0; i < axis.size(); ++i) {
-        cumulative += series.seconds.at(i);
-        out << name << "_bucket{" << labels << ",le=\"" << axis.bin(i).upper() << "\"} " << cumulative << '\n';
-    }
-    out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << series.count << '\n';
-    out << name << "_sum{" << labels << "} " << series.sum << '\n';
-    out << name << "_count{" << labels << "} " << series.count << '\n';
+    return "customer=\"" + escapeLabel(key.customer) + "\",route=\"" + escapeLabel(key.route) + "\"";
 }
 
 void renderHistograms(std::ostream &out,
@@ -97,23 +59,18 @@
 
 } // namespace
 
-LatencySeries::LatencySeries()
-    : seconds(boost::histogram::make_histogram(SecondsAxis(Bins, FirstEdge, LastEdge)))
-{
-}
-
 void record(Metrics &metrics, const CallFinished &finished)
 {
     CallSeries &series = seriesOf(metrics, finished);
-    add(series.total, finished.total);
+    addSample(series.total, finished.total);
     if (finished.firstToken) {
-        add(series.firstToken, *finished.firstToken);
+        addSample(series.firstToken, *finished.firstToken);
     }
     if (finished.untilDispatch) {
-        add(series.untilDispatch, *finished.untilDispatch);
+        addSample(series.untilDispatch, *finished.untilDispatch);
     }
     if (finished.billWait) {
-        add(series.billWait, *finished.billWait);
+        addSample(series.billWait, *finished.billWait);
     }
     series.forwarded += finished.forwarded ? 1 : 0;
     series.replayed += finished.replayed ? 1 : 0;
--- a/godwit/operators/metrics.h
+++ b/godwit/operators/metrics.h
@@ -13,8 +13,7 @@
 // Not thread-safe: the control thread owns it.
 
 #include "godwit/kernel/kernel_messages.h"
-
-#include <boost/histogram.hpp>
+#include "godwit/metrics/latency_series.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,19 +25,6 @@
 namespace Godwit
 {
 
-// Seconds on a logarithmic axis from 0.1 ms to 10 minutes.
-using SecondsAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-using SecondsHistogram = decltype(boost::histogram::make_histogram(std::declval<SecondsAxis>()));
-
-struct LatencySeries
-{
-    LatencySeries();
-
-    SecondsHistogram seconds;
-    double sum = 0;
-    std::uint64_t count = 0;
-};
-
 struct CallSeries
 {
     LatencySeries total;
--- /dev/null
+++ b/godwit/relay/call_metrics_test.cpp
@@ -0,0 +1,42 @@
+#include "godwit/relay/call_metrics.h"
+
+#include <catch2/catch.hpp>
+
+using namespace Godwit;
+
+namespace
+{
+
+CallRecord recordOf(const std::string &customer, CallEnd end)
+{
+    return CallRecord{CustomerId{customer}, GatewayRouteKind::Streaming, end, std::chrono::milliseconds(20), {}};
+}
+
+} // namespace
+
+TEST_CASE("calls are counted by customer, kind and end, with their times")
+{
+    CallMetrics metrics;
+    CallRecord answered = recordOf("desk", CallEnd::Answered);
+    answered.firstAnswer = std::chrono::milliseconds(5);
+    recordCall(metrics, answered);
+    recordCall(metrics, recordOf("desk", CallEnd::Refused));
+    const std::string text = renderCalls(metrics);
+    const std::string labels = "{customer=\"desk\",kind=\"streaming\"";
+    CHECK(text.find("godwit_calls_ended_total" + labels + ",end=\"answered\"} 1\n") != std::string::npos);
+    CHECK(text.find("godwit_calls_ended_total" + labels + ",end=\"refused\"} 1\n") != std::string::npos);
+    CHECK(text.find("godwit_calls_ended_total" + labels + ",end=\"caller_left\"} 0\n") != std::string::npos);
+    CHECK(text.find("godwit_call_seconds_count" + labels + "} 2\n") != std::string::npos);
+    CHECK(text.find("godwit_first_answer_seconds_count" + labels + "} 1\n") != std::string::npos);
+}
+
+TEST_CASE("the number of series stays bounded")
+{
+    CallMetrics metrics;
+    metrics.maxSeries = 4;
+    for (int i = 0; i < 100; ++i) {
+        recordCall(metrics, recordOf("customer-" + std::to_string(i), CallEnd::Answered));
+    }
+    CHECK(metrics.series.size() == 5);
+    CHECK(metrics.series.at({"other", GatewayRouteKind::Streaming}).total.count == 96);
+}
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -15,6 +15,7 @@
 #include "godwit/gateway/repeat_allowance.h"
 #include "godwit/gateway/route_table.h"
 #include "godwit/prepaid/prepaid_share.h"
+#include "godwit/relay/call_metrics.h"
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
@@ -86,6 +87,7 @@
     std::uint64_t brokenOff = 0;
     std::uint64_t connectionsOpened = 0;
     std::map<ErrorKind, std::uint64_t> refusals;
+    CallMetrics calls;
 };
 
 class Relay
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -223,7 +223,7 @@
     m_events = {};
     ++m_sends;
     ++m_relay.counters().attempts;
-    beginAttempt(endpoint, m_worstCase);
+    beginAttempt(endpoint);
 
     ExchangeHandlers handlers;
     const auto self = shared_from_this();
@@ -250,12 +250,6 @@
 {
     m_answerHead = head;
     m_answer = facts;
-    if (!m_firstByteAt) {
-        m_firstByteAt = Relay::now();
-    }
-    if (EndpointState *endpoint = currentEndpoint()) {
-        recordFirstAnswer(*endpoint, Relay::now() - m_sentAt, m_relay.options().choice);
-    }
     const bool success = facts.status / 100 == 2;
     m_streams = success && facts.sealed && m_route->kind == GatewayRouteKind::Streaming;
     if (m_streams && !m_headPassed) {
@@ -301,6 +295,7 @@
         return;
     }
     m_lastEventAt = Relay::now();
+    m_firstAnswerAt = m_firstAnswerAt.value_or(*m_lastEventAt);
     m_sink->send(chunk(whole));
     if (m_exchange && m_sink->queuedBytes() > m_relay.options().callerQueueBytes) {
         m_exchange->pause();
@@ -367,11 +362,12 @@
         return;
     }
     m_headPassed = true;
+    m_firstAnswerAt = Relay::now();
     m_sink->send(writeAnswerHead(*m_answerHead, AnswerFraming::Length, m_whole.size(), m_sink->closesAfterAnswer())
                  + m_whole);
     ++m_relay.counters().answered;
     auto *sink = m_sink;
-    close();
+    close(CallEnd::Answered);
     sink->finish();
 }
 
@@ -380,7 +376,7 @@
     ++m_relay.counters().answered;
     auto *sink = m_sink;
     sink->send("0\r\n\r\n");
-    close();
+    close(CallEnd::Answered);
     sink->finish();
 }
 
@@ -494,7 +490,7 @@
                          {"after_ms", milliseconds(Relay::now() - m_arrived)},
                          {"may_have_run", m_ran > 0},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)}});
-    close();
+    close(CallEnd::CallerLeft);
 }
 
 void RelayCall::endAttempt(AttemptVerdict verdict)
@@ -502,7 +498,7 @@
     m_attemptOpen = false;
     m_exchange.reset();
     if (EndpointState *endpoint = currentEndpoint()) {
-        Godwit::endAttempt(*endpoint, m_worstCase, verdict, m_relay.options().choice, Relay::now());
+        Godwit::endAttempt(*endpoint, verdict, m_relay.options().choice, Relay::now());
     }
 }
 
@@ -532,7 +528,7 @@
                          {"may_have_run", m_ran > 0}});
     auto *sink = m_sink;
     const std::string bytes = writeRefusal(error, m_facts.attemptId, sink->closesAfterAnswer());
-    close();
+    close(CallEnd::Refused);
     sink->send(bytes);
     sink->finish();
 }
@@ -547,7 +543,7 @@
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
                          {"after_ms", milliseconds(Relay::now() - m_arrived)}});
     auto *sink = m_sink;
-    close();
+    close(CallEnd::BrokenOff);
     sink->breakOff();
 }
 
@@ -574,7 +570,7 @@
     return m_facts.promptTokens + output;
 }
 
-void RelayCall::close()
+void RelayCall::close(CallEnd end)
 {
     if (m_closed) {
         return;
@@ -589,9 +585,23 @@
     if (m_holdsTokens) {
         settle(m_relay.state().prepaid, m_customer, m_worstCase, usedTokens());
     }
+    recordEnd(end);
     --m_relay.callsOpen;
 }
 
+void RelayCall::recordEnd(CallEnd end)
+{
+    CallRecord record;
+    record.customer = m_customer;
+    record.kind = m_route == nullptr ? GatewayRouteKind::NonIdempotent : m_route->kind;
+    record.end = end;
+    record.total = Relay::now() - m_arrived;
+    if (m_firstAnswerAt) {
+        record.firstAnswer = *m_firstAnswerAt - m_arrived;
+    }
+    recordCall(m_relay.counters().calls, record);
+}
+
 Duration RelayCall::timeLeft() const
 {
     return std::max(Duration::zero(), m_deadline - Relay::now());
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -99,7 +99,8 @@
     void refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter);
     void breakOff(std::string_view cause);
     void complete();
-    void close();
+    void close(CallEnd end);
+    void recordEnd(CallEnd end);
     Tokens spendableElsewhere() const;
     Tokens usedTokens() const;
     Duration timeLeft() const;
@@ -143,7 +144,7 @@
     EventSplitter m_events;
     std::uint64_t m_lastEvent = 0;
     std::uint64_t m_eventsPassed = 0;
-    std::optional<TimePoint> m_firstByteAt;
+    std::optional<TimePoint> m_firstAnswerAt; // The first event, or an answer in one piece.
     std::optional<TimePoint> m_lastEventAt;
     bool m_closed = false;
 };
