In a large fleet few routers hold budgets ahead; a lowered total binds at once

Now 12 routers at most, ranked by their address, draw tokens ahead and write marks and ledger; the others ask one of them for what each request needs and write nothing. In fleets up to 12 nothing changes. Found on the way, two holes in what happens when a total is lowered, both older: a write that was open then put the old grant in force, and a router that had read the ledger went on up to its old grant until its write stood (250,000 of 150,000 in the new test).

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -1,11 +1,13 @@
 #include "godwit/daemon/fleet_links.h"
 
 #include "godwit/base/cbor_shape.h"
+#include "godwit/base/hash.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <set>
 
 namespace Godwit
@@ -29,6 +31,9 @@
 // A peer that nobody lists and nobody hears is forgotten after this long.
 constexpr Duration ForgetAfter = std::chrono::seconds(20);
 
+// Ranks the routers by address, so that a restart changes nothing.
+constexpr std::string_view HolderRank = "holds-ahead";
+
 std::string toBytes(const json &value)
 {
     std::string bytes;
@@ -49,7 +54,7 @@
 struct Amounts
 {
     CustomerId customer;
-    std::array<Tokens, 2> tokens{};
+    std::array<Tokens, 3> tokens{};
 };
 
 // A customer with `count` amounts of tokens.
@@ -164,20 +169,31 @@
         peer.listed = true;
         m_mesh->connectTo(member.host, member.peerAddress);
     }
+    chooseHolders();
 }
 
-void FleetLinks::askForTokens(const CustomerId &customer, Tokens lacking)
+void FleetLinks::askForTokens(const CustomerId &customer, Tokens lacking, bool again)
 {
     const TimePoint now = Relay::now();
+    const bool holdsAhead = m_relay.state().prepaid.holdsAhead;
+    TokenWish wish;
+    wish.lacking = lacking;
+    wish.wanted = lacking;
+    if (!holdsAhead && !again) {
+        if (const Peer *holder = holderFor(customer, lacking, now)) {
+            ask(*holder, customer, wish);
+            return;
+        }
+    }
     TimePoint &askedAt = m_askedAt[customer];
     if (now < askedAt + m_options.askInterval) {
         return;
     }
     askedAt = now;
-    const double demand = demandPerSecond(m_relay.state().prepaid, customer, now);
-    TokenWish wish;
-    wish.lacking = lacking;
-    wish.wanted = std::max(lacking, static_cast<Tokens>(demand * toSeconds(m_options.askFor)));
+    if (holdsAhead) {
+        const double demand = demandPerSecond(m_relay.state().prepaid, customer, now);
+        wish.wanted = std::max(lacking, static_cast<Tokens>(demand * toSeconds(m_options.askFor)));
+    }
     // Those that hold most are asked first, and as many as it takes for what waits.
     auto &known = m_relay.state().prepaid.heldElsewhere[customer];
     for (int asked = 0; (asked < m_options.askAtMost && wish.wanted > 0) || wish.lacking > 0; ++asked) {
@@ -193,8 +209,7 @@
         if (best == nullptr) {
             return;
         }
-        m_mesh->send(best->member.incarnation,
-                     {AskTopic, toBytes(json::array({customer.value, wish.wanted, wish.lacking}))});
+        ask(*best, customer, wish);
         // It gives half of what it has, or all for what waits; its next beat puts the figure right.
         const Tokens expected = std::max(std::min(wish.wanted, most / 2), std::min(wish.lacking, most));
         known[HolderId{best->member.callerAddress}].spendable = most - expected - 1;
@@ -203,6 +218,65 @@
     }
 }
 
+// Any of those that hold enough, by lot: what all of them were last heard to hold is old by a beat, and the one with
+// the most would get all questions at once.
+FleetLinks::Peer *FleetLinks::holderFor(const CustomerId &customer, Tokens lacking, TimePoint now)
+{
+    auto &known = m_relay.state().prepaid.heldElsewhere[customer];
+    Peer *chosen = nullptr;
+    std::uint64_t seen = 0;
+    for (auto &[incarnation, peer] : m_peers) {
+        const auto entry = known.find(HolderId{peer.member.callerAddress});
+        const bool suits =
+            peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable >= lacking;
+        if (suits && m_relay.random() % ++seen == 0) {
+            chosen = &peer;
+        }
+    }
+    if (chosen != nullptr) {
+        known[HolderId{chosen->member.callerAddress}].spendable -= lacking;
+    }
+    return chosen;
+}
+
+void FleetLinks::ask(const Peer &peer, const CustomerId &customer, const TokenWish &wish)
+{
+    // Routers that hold ahead draw for the requests of those that don't.
+    const int isDemand = m_relay.state().prepaid.holdsAhead ? 0 : 1;
+    m_mesh->send(peer.member.incarnation,
+                 {AskTopic, toBytes(json::array({customer.value, wish.wanted, wish.lacking, isDemand}))});
+}
+
+// Which routers hold tokens ahead. Routers that differ on it for a while cost some writes and no tokens.
+void FleetLinks::chooseHolders()
+{
+    const TimePoint now = Relay::now();
+    const auto rankOf = [](const std::string &address) {
+        return rendezvousWeight(HolderRank, address);
+    };
+    const std::uint64_t own = rankOf(m_options.own.callerAddress);
+    std::vector<std::uint64_t> ranks{own};
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (isFresh(peer, now)) {
+            ranks.push_back(rankOf(peer.member.callerAddress));
+        }
+    }
+    const std::size_t holders = std::min(ranks.size(), m_options.maxHolders);
+    std::nth_element(
+        ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(holders - 1), ranks.end(), std::greater<>());
+    const std::uint64_t least = ranks[holders - 1];
+    for (auto &[incarnation, peer] : m_peers) {
+        peer.holdsAhead = rankOf(peer.member.callerAddress) >= least;
+    }
+    PrepaidShare &share = m_relay.state().prepaid;
+    share.holders = static_cast<int>(holders);
+    if (share.holdsAhead != (own >= least)) {
+        share.holdsAhead = own >= least;
+        m_relay.log().write("holds_ahead",
+                            {{"holds", share.holdsAhead}, {"holders", static_cast<std::int64_t>(holders)}});
+    }
+}
+
 void FleetLinks::shareDocument(std::uint64_t version, const std::string &text)
 {
     m_documentVersion = version;
@@ -252,8 +326,8 @@
             return;
         }
         m_relay.state().liveRouters = liveCount();
-        m_relay.state().prepaid.liveRouters = m_relay.state().liveRouters;
         forgetSilent(Relay::now());
+        chooseHolders();
         beat();
         armBeat();
     });
@@ -265,7 +339,7 @@
     const TimePoint now = Relay::now();
     json held = json::object();
     for (const auto &[customer, account] : share.accounts) {
-        if (account.bounded && held.size() < m_options.maxCustomersInBeat) {
+        if (account.bounded && share.holdsAhead && held.size() < m_options.maxCustomersInBeat) {
             held[customer.value] = json::array({headroom(share, customer),
                                                 unusedGrant(share, customer),
                                                 static_cast<Tokens>(demandPerSecond(share, customer, now)),
@@ -369,11 +443,14 @@
 
 void FleetLinks::onAsk(const Incarnation &from, const std::string &body)
 {
-    const auto asked = readAmounts(fromBytes(body), 2);
+    const auto asked = readAmounts(fromBytes(body), 3);
     if (!asked) {
         return;
     }
     const TokenWish wish{asked->tokens[1], asked->tokens[0]};
+    if (asked->tokens[2] != 0) {
+        noteRequest(m_relay.state().prepaid, asked->customer, wish.lacking, Relay::now());
+    }
     const Tokens amount = sendTokens(m_relay.state().prepaid, asked->customer, wish, Relay::now());
     // Counted as gone before it is sent: a message that is lost costs tokens, and none is ever there twice.
     if (amount > 0) {
@@ -397,8 +474,14 @@
 
 void FleetLinks::tellLedger(std::uint64_t revision, const std::string &ledger)
 {
-    if (ledger.size() <= m_options.maxSharedLedgerBytes) {
-        m_mesh->broadcast({LedgerTopic, toBytes(json::array({revision, ledger}))});
+    if (ledger.size() > m_options.maxSharedLedgerBytes) {
+        return;
+    }
+    const std::string body = toBytes(json::array({revision, ledger}));
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked && peer.holdsAhead) {
+            m_mesh->send(incarnation, {LedgerTopic, body});
+        }
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -41,6 +41,10 @@
     // A ledger up to this size is told to all others once it is written; a longer one costs more than the refused
     // writes that it saves.
     std::size_t maxSharedLedgerBytes = 8UL * 1024;
+    // In a larger fleet only so many routers hold tokens ahead of their requests. Each part of a budget then still fits
+    // a large request, and few write the ledger: with all 66 routers of a fleet doing so a third of the requests was
+    // refused while their budgets were hardly used.
+    std::size_t maxHolders = 12;
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -76,8 +80,9 @@
     // The live routers as the platform lists them. Those that it no longer lists stay known while they are heard.
     void setListed(const std::vector<FleetMember> &members);
 
-    // Asks the router that holds most of the customer's budget for some of it.
-    void askForTokens(const CustomerId &customer, Tokens lacking);
+    // Asks routers that hold some of the customer's budget for what a request lacks. `again`: for a request that has
+    // asked before.
+    void askForTokens(const CustomerId &customer, Tokens lacking, bool again);
 
     // Tells all others the document in force.
     void shareDocument(std::uint64_t version, const std::string &text);
@@ -116,12 +121,16 @@
         bool linked = false;
         bool listed = false;
         bool ready = false;
+        bool holdsAhead = true;
         TimePoint heardAt;
         TimePoint linkedAt;
         std::uint64_t documentVersion = 0;
     };
 
     void armBeat();
+    void chooseHolders();
+    Peer *holderFor(const CustomerId &customer, Tokens lacking, TimePoint now);
+    void ask(const Peer &peer, const CustomerId &customer, const TokenWish &wish);
     std::string beatBody() const;
     void onLinkUp(const Hello &hello);
     void onLinkDown(const Incarnation &incarnation);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -147,9 +147,9 @@
         , m_sweep(m_io)
         , m_stop(m_io)
     {
-        m_relay.onTokensWanted = [this](const CustomerId &customer, Tokens tokens) {
+        m_relay.onTokensWanted = [this](const CustomerId &customer, Tokens tokens, bool again) {
             m_keeper.hurry();
-            m_links.askForTokens(customer, tokens);
+            m_links.askForTokens(customer, tokens, again);
         };
         m_keeper.onRegained = [this] {
             m_endpoints.onStoreRegained();
--- a/godwit/prepaid/prepaid_fuzz_test.cpp
+++ b/godwit/prepaid/prepaid_fuzz_test.cpp
@@ -29,6 +29,7 @@
     Start,
     Late,
     GiveBack,
+    SwitchHolding, // Whether the router holds tokens ahead.
 };
 
 struct Step
@@ -58,7 +59,8 @@
                                                                              {2, What::Kill},
                                                                              {4, What::Start},
                                                                              {1, What::Late},
-                                                                             {1, What::GiveBack}})),
+                                                                             {1, What::GiveBack},
+                                                                             {2, What::SwitchHolding}})),
                                 rc::gen::set(&Step::router, rc::gen::inRange<std::size_t>(0, Routers)),
                                 rc::gen::set(&Step::other, rc::gen::inRange<std::size_t>(0, Routers)),
                                 rc::gen::set(&Step::amount, rc::gen::inRange<Tokens>(1, 6000)),
@@ -113,6 +115,11 @@
     case What::Late:
         world.doLateWrites();
         break;
+    case What::SwitchHolding:
+        if (world.isAlive(step.router)) {
+            world.share(step.router).holdsAhead = step.choice % 2 == 0;
+        }
+        break;
     case What::GiveBack:
         if (world.giveBack(step.router)) {
             world.kill(step.router);
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -137,7 +137,27 @@
             all += held.demandPerSecond;
         }
     }
-    return all > 0 ? own / all : 1.0 / std::max(1, share.liveRouters);
+    return all > 0 ? own / all : 1.0 / std::max(1, share.holders);
+}
+
+// The room as the newer of document and ledger gives the total.
+Tokens roomUnder(const PrepaidShare &share, const PrepaidLedger &ledger, const CustomerId &customer)
+{
+    const auto entry = ledger.accounts.find(customer);
+    const auto own = share.accounts.find(customer);
+    if (entry == ledger.accounts.end() || own == share.accounts.end()) {
+        return 0;
+    }
+    const bool ledgerNewer = ledger.documentVersion > share.documentVersion;
+    const Tokens total = ledgerNewer ? entry->second.total : own->second.total;
+    return roomOf(entry->second) - entry->second.total + total;
+}
+
+// Where more is out than the total allows, this router gives back all that it can: what others have used of theirs is
+// not known here. Until the grants have gone back in a write, what is over the total is not spent either.
+Tokens grantWithin(const ShareAccount &account, Tokens room)
+{
+    return room < 0 ? std::max(std::min(committed(account), account.granted), account.granted + room) : account.granted;
 }
 
 // The grant to ask for: enough for a time without the platform, a fair part of a scarce room, and always what a
@@ -148,11 +168,13 @@
     const PrepaidOptions &options = share.options;
     const Tokens unused = account.granted - committed(account);
     if (room < 0) {
-        // More is out than there is: everyone gives back what it does not need.
-        return std::max(committed(account), account.granted + room);
+        return grantWithin(account, room);
+    }
+    if (!share.holdsAhead) {
+        // A reservation or a received amount may still be open; the rest goes back.
+        return std::clamp<Tokens>(committed(account), 0, account.granted);
     }
-    const auto idle =
-        static_cast<Tokens>(options.idleShare * static_cast<double>(room) / std::max(1, share.liveRouters));
+    const auto idle = static_cast<Tokens>(options.idleShare * static_cast<double>(room) / std::max(1, share.holders));
     // One usual request at least; a larger one asks for what it lacks.
     const Tokens least = std::max(static_cast<Tokens>(account.meanSize), account.shortOf);
     const Tokens wanted = std::max({idle, least, tokensFor(share, account, options.holdFor, now)});
@@ -229,6 +251,13 @@
     return (uptimeShared ? std::max(uptime, wall) : wall) + options.markCaution;
 }
 
+bool holdsAnyOf(const PrepaidLedger &ledger, const HolderId &holder)
+{
+    return std::any_of(ledger.accounts.begin(), ledger.accounts.end(), [&holder](const auto &entry) {
+        return entry.second.granted.count(holder) != 0;
+    });
+}
+
 // Charges what an earlier process on this host may have used and gives the rest of its grant back.
 void takeOver(PrepaidShare &share, PrepaidLedger &ledger, const std::optional<MarkRecord> &mark)
 {
@@ -316,14 +345,14 @@
         if (lowered) {
             // A total below what is out would be overspent if each holder went on: stop at what is committed.
             account.granted = std::min(account.granted, committed(account));
-            share.ledgerKnown = share.ledgerKnown && share.writing;
+            share.ledgerKnown = false;
         }
     }
 }
 
 std::chrono::milliseconds markInterval(const PrepaidShare &share)
 {
-    const double even = 1000.0 * share.liveRouters / share.options.fleetMarksPerSecond;
+    const double even = 1000.0 * share.holders / share.options.fleetMarksPerSecond;
     return std::max(share.options.markEvery, std::chrono::milliseconds(std::llround(even)));
 }
 
@@ -430,16 +459,20 @@
     Tokens room = roomOf(*account);
     std::uint64_t newest = share.ledgerRevision;
     Tokens remaining = unusedGrant(share, customer);
+    const auto isHeard = [&](const HolderId &holder) {
+        return others != share.heldElsewhere.end() && others->second.count(holder) != 0;
+    };
     for (const auto &[holder, granted] : account->granted) {
-        if (holder == share.options.self) {
-            continue;
-        }
-        const bool heard = others != share.heldElsewhere.end() && others->second.count(holder) != 0;
         // A holder that nobody hears may have used nothing at all.
-        remaining += heard ? others->second.at(holder).unused : granted;
-        if (heard && others->second.at(holder).ledgerRevision > newest) {
-            newest = others->second.at(holder).ledgerRevision;
-            room = others->second.at(holder).room;
+        remaining += holder == share.options.self || isHeard(holder) ? 0 : granted;
+    }
+    if (others != share.heldElsewhere.end()) {
+        for (const auto &[holder, held] : others->second) {
+            remaining += held.unused;
+            if (held.ledgerRevision > newest) {
+                newest = held.ledgerRevision;
+                room = held.room;
+            }
         }
     }
     return remaining + std::max<Tokens>(0, room);
@@ -472,6 +505,10 @@
                    std::uint64_t markRevision)
 {
     share.takenOver = share.takenOver || (mark && mark->writer == share.options.incarnation);
+    if (!share.takenOver && !share.holdsAhead && !mark && !holdsAnyOf(ledger, share.options.self)) {
+        // Nothing to take over, and nothing to write before the first request: what other routers send suffices.
+        share.takenOver = true;
+    }
     if (!share.takenOver) {
         takeOver(share, ledger, mark);
     } else {
@@ -479,6 +516,7 @@
         for (auto &[customer, account] : share.accounts) {
             account.granted = grantedTo(ledger, customer, share.options.self);
             account.mark = mark && mark->marks.count(customer) != 0 ? mark->marks.at(customer) : Mark{};
+            account.granted = grantWithin(account, roomUnder(share, ledger, customer));
         }
     }
     share.ledger = std::move(ledger);
@@ -526,15 +564,20 @@
     bool urgent = !share.takenOver;
     bool markSuffices = share.takenOver;
     bool anyWaits = false;
+    bool holdsAny = !share.takenOver;
     for (auto &[customer, account] : share.accounts) {
         if (!account.bounded) {
             continue;
         }
         LedgerAccount &entry = ledger.accounts[customer];
-        Tokens &held = entry.granted[share.options.self];
-        const Tokens heldBefore = std::exchange(held, account.granted);
+        const Tokens heldBefore = grantedTo(ledger, customer, share.options.self);
+        entry.granted[share.options.self] = account.granted;
         const Tokens granted = wantedGrant(share, customer, account, roomOf(entry), now);
-        held = granted;
+        entry.granted[share.options.self] = granted;
+        if (granted == 0) {
+            entry.granted.erase(share.options.self);
+        }
+        holdsAny = holdsAny || granted > committed(account);
         const bool low = markIsLow(share, account, now);
         // A waiting request is a reason to hurry only if the write can help it.
         const bool markHelps = account.shortOf > 0 && low && account.shortOf <= unusedGrant(share, customer);
@@ -554,9 +597,13 @@
         share.takenOver && share.ledgerContended && hostTime.uptime >= share.markWrittenAt.uptime + markInterval(share);
     if ((anyWaits && markSuffices) || (ledgerChanges && markOverdue)) {
         ledgerChanges = false;
+        // The ledger's turn is next, whatever else is due.
+        share.ledgerContended = false;
         limitToGrants(share, mark);
     }
     // A little shorter than the time between two marks, which the caller's ticks would else stretch.
+    // A mark of a router that holds nothing unused says nothing: its successor charges no more than the grant.
+    markLow = markLow && holdsAny;
     const Duration usual = Duration(markInterval(share)) * 9 / 10;
     const Duration interval = urgent ? share.options.urgentInterval : usual;
     if ((!ledgerChanges && !markLow) || (share.takenOver && now - share.lastWriteAt < interval)) {
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -11,6 +11,8 @@
 //     the platform refuses nobody whose budget is held here; and a death costs what may have been spent since the
 //     mark, rather than all that was held. The time is measured by the clocks of the host, which both processes
 //     share; the platform's leases take no part, since they may pause or lapse while it is down.
+// In a large fleet only some routers hold tokens ahead of their requests (`holdsAhead`), for all the others, which ask
+// them for what each request needs: parts as small as a 400th of a budget fit no request, and each part costs writes.
 // Between routers tokens move by messages: the sender counts them as gone at once, the receiver as come when they
 // arrive. A message that is lost costs tokens and never overspends.
 //
@@ -134,7 +136,8 @@
     PrepaidOptions options;
     std::map<CustomerId, ShareAccount> accounts;
     std::uint64_t documentVersion = 0;
-    int liveRouters = 1;
+    bool holdsAhead = true; // This router draws tokens before requests need them.
+    int holders = 1; // Routers that do so.
     std::map<CustomerId, std::map<HolderId, HeldElsewhere>> heldElsewhere;
 
     PrepaidLedger ledger; // As last read or written.
@@ -176,7 +179,7 @@
                  std::uint64_t documentVersion,
                  const std::map<CustomerId, std::optional<Tokens>> &totals);
 
-// How often this router writes its mark, given how many others do.
+// How often this router writes its mark, given how many hold tokens ahead.
 std::chrono::milliseconds markInterval(const PrepaidShare &share);
 
 // Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -239,6 +239,37 @@
     CHECK(world.spent(Desk) >= 140'000);
 }
 
+TEST_CASE("a total that is lowered while a write is open stops spending as well")
+{
+    // The overspend that this forbids: the write's answer comes after the change, and would put the old grant in force.
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 100, 1000);
+    PrepaidShare &share = world.share(0);
+    wantMore(share, Desk, unusedGrant(share, Desk) + 1000);
+    REQUIRE(planWrite(share, world.now(), world.hostTime()));
+    world.setTotal(Desk, 110'000);
+    onWriteDone(share, 100);
+    CHECK_FALSE(world.request(0, Desk, 1000));
+}
+
+TEST_CASE("a total that was lowered binds as soon as the ledger is read, before it is written")
+{
+    // Other routers may hold more than is left. Until the grants have gone back, what is over the total is out of
+    // reach here: the write that gives it back may be refused many times.
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    serve(world, 0, 100, 1000);
+    world.setTotal(Desk, 150'000);
+    world.sync(0, WriteFate::Refused);
+    world.advance(std::chrono::seconds(20));
+    while (world.request(0, Desk, 1000)) {
+        world.finish(0, 1000);
+    }
+    CHECK(world.spent(Desk) <= 150'000);
+}
+
 TEST_CASE("a total that was raised is there with the next write")
 {
     World world(1, {{Desk, 50'000}});
@@ -438,6 +469,47 @@
     CHECK(mayRemain(share, Desk) >= 500);
 }
 
+TEST_CASE("a router that holds nothing ahead serves from what others send, without a write of its own")
+{
+    // Of a large fleet few routers draw tokens. A caller of any other is served once a holder has sent what its request
+    // needs, also when that router has never written anything.
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    PrepaidShare &share = world.share(1);
+    share.holdsAhead = false;
+    world.sync(1, WriteFate::Done);
+    CHECK(share.takenOver);
+    CHECK(share.ledger.accounts.at(Desk).granted.count(HolderId{"host-1"}) == 0);
+    CHECK_FALSE(world.request(1, Desk, 1000));
+    world.trade(0, 1, Desk, 1000, false, 1000);
+    CHECK(world.request(1, Desk, 1000));
+    world.finish(1, 900);
+    world.advance(Beat);
+    const auto revision = share.ledgerRevision;
+    world.sync(1, WriteFate::Done);
+    CHECK(share.ledgerRevision == revision);
+    CHECK(world.request(1, Desk, 100));
+    CHECK_FALSE(world.request(1, Desk, 1));
+}
+
+TEST_CASE("a router that need not hold ahead any more gives back what it has not used")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 10, 1000);
+    world.share(0).holdsAhead = false;
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).accounts.at(Desk).granted == 10'000);
+    CHECK(roomOf(world.share(0).ledger.accounts.at(Desk)) == Total - 10'000);
+    // It dies: nothing beyond what it has used is charged.
+    world.kill(0);
+    world.advance(std::chrono::seconds(60));
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == 10'000);
+}
+
 TEST_CASE("what may remain counts what a silent router holds, and what a heard one says")
 {
     World world(2, {{Desk, Total}});
--- a/godwit/prepaid/testing_world.cpp
+++ b/godwit/prepaid/testing_world.cpp
@@ -51,7 +51,7 @@
     }
     ++router.starts;
     router.share = makePrepaidShare(optionsOf(index, router.starts, hostTime()));
-    router.share->liveRouters = static_cast<int>(m_routers.size());
+    router.share->holders = static_cast<int>(m_routers.size());
     applyTotals(*router.share, m_documentVersion, totalsAsGiven());
 }
 
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -129,8 +129,8 @@
     // Whether callers may be sent here.
     bool isReady() const;
 
-    // Called when a request waits for tokens of a customer.
-    std::function<void(const CustomerId &, Tokens)> onTokensWanted;
+    // Called when a request waits for tokens of a customer; `again`: not for the first time.
+    std::function<void(const CustomerId &, Tokens, bool again)> onTokensWanted;
 
     void waitForTokens(const std::shared_ptr<RelayCall> &call);
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -145,13 +145,13 @@
         }
         self->refuseForBudget("this router does not hold enough of the budget now");
     });
-    askForTokens();
+    askForTokens(false);
 }
 
-void RelayCall::askForTokens()
+void RelayCall::askForTokens(bool again)
 {
     if (m_relay.onTokensWanted) {
-        m_relay.onTokensWanted(m_customer, m_worstCase);
+        m_relay.onTokensWanted(m_customer, m_worstCase, again);
     }
 }
 
@@ -173,7 +173,7 @@
     }
     if (!reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
         m_relay.waitForTokens(shared_from_this());
-        askForTokens();
+        askForTokens(true);
         return;
     }
     m_waitsForTokens = false;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -80,7 +80,7 @@
     bool findCustomer();
     void reserveTokens();
     void refuseForBudget(const std::string &message);
-    void askForTokens();
+    void askForTokens(bool again);
     void attempt();
     void sendTo(EndpointState &endpoint);
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
