Large fleets: changes wake routers in batches, and nothing is written before a router needs tokens

Now the pause after an answer grows with the fleet (6 ms a router, 0.4 s at 66), a process with nothing to take over is ready without a write, and a router that knows no other waits 0.35 s before it draws.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -140,6 +140,7 @@
     if (!m_mesh->start(reason)) {
         return false;
     }
+    m_relay.state().prepaid.holdsAhead = false;
     armBeat();
     return true;
 }
@@ -268,10 +269,15 @@
     for (auto &[incarnation, peer] : m_peers) {
         peer.holdsAhead = rankOf(peer.member.callerAddress) >= least;
     }
+    if (!m_readyAt && m_relay.isReady()) {
+        m_readyAt = now;
+    }
+    const bool mayBeAlone = ranks.size() > 1 || (m_readyAt && now >= *m_readyAt + m_options.aloneFor);
+    const bool holdsAhead = own >= least && mayBeAlone;
     PrepaidShare &share = m_relay.state().prepaid;
     share.holders = static_cast<int>(holders);
-    if (share.holdsAhead != (own >= least)) {
-        share.holdsAhead = own >= least;
+    if (share.holdsAhead != holdsAhead) {
+        share.holdsAhead = holdsAhead;
         m_relay.log().write("holds_ahead",
                             {{"holds", share.holdsAhead}, {"holders", static_cast<std::int64_t>(holders)}});
     }
@@ -320,7 +326,7 @@
 
 void FleetLinks::armBeat()
 {
-    m_timer.expires_after(beatInterval());
+    m_timer.expires_after(m_peers.empty() ? m_options.aloneInterval : beatInterval());
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -45,6 +45,11 @@
     // a large request, and few write the ledger: with all 66 routers of a fleet doing so a third of the requests was
     // refused while their budgets were hardly used.
     std::size_t maxHolders = 12;
+    // A router that is ready and knows no other one waits this long before it holds tokens ahead, and looks this often:
+    // where the whole fleet starts at once it would be one of many that do, and their writes refuse each other's. The
+    // others' entries take some 150 ms to arrive.
+    Duration aloneFor = std::chrono::milliseconds(350);
+    Duration aloneInterval = std::chrono::milliseconds(100);
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -151,6 +156,7 @@
     boost::asio::steady_timer m_timer;
     std::map<Incarnation, Peer> m_peers;
     std::map<CustomerId, TimePoint> m_askedAt;
+    std::optional<TimePoint> m_readyAt;
     std::uint64_t m_documentVersion = 0;
     std::string m_document;
 };
--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -156,7 +156,12 @@
         return;
     }
     m_changed(m_items);
-    later(m_options.gather, &PrefixWatch::follow);
+    later(gatherTime(), &PrefixWatch::follow);
+}
+
+Duration PrefixWatch::gatherTime() const
+{
+    return std::max(m_options.gather, m_options.gatherPerRouter * (routersSharing ? routersSharing() : 1));
 }
 
 void PrefixWatch::later(Duration pause, void (PrefixWatch::*step)())
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -30,6 +30,9 @@
     Duration retry = std::chrono::milliseconds(1500);
     // After an answer, so that a series of changes comes in one.
     Duration gather = std::chrono::milliseconds(50);
+    // In a large fleet each change wakes every router, so that the pause grows with it: at 66 routers to 0.4 s, well
+    // within the seconds in which a change has to be known. There it saved 4,000 of 12,000 calls of the store.
+    Duration gatherPerRouter = std::chrono::milliseconds(6);
     // A watch can fall silent while changes are made, and then go on after them: the store may drop its history, and
     // a connection may die without a word. So everything is read again from time to time; this is the interval
     // for the fleet as a whole, which its routers share.
@@ -79,6 +82,7 @@
     void verify();
     void checkMissed();
     bool adopt(const StoreItemsReply &reply);
+    Duration gatherTime() const;
     void later(Duration pause, void (PrefixWatch::*step)());
 
     boost::asio::steady_timer m_timer;
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -505,8 +505,8 @@
                    std::uint64_t markRevision)
 {
     share.takenOver = share.takenOver || (mark && mark->writer == share.options.incarnation);
-    if (!share.takenOver && !share.holdsAhead && !mark && !holdsAnyOf(ledger, share.options.self)) {
-        // Nothing to take over, and nothing to write before the first request: what other routers send suffices.
+    if (!share.takenOver && !mark && !holdsAnyOf(ledger, share.options.self)) {
+        // Nothing to take over, so that nothing has to be written before this process counts as ready.
         share.takenOver = true;
     }
     if (!share.takenOver) {
