A document is offered over the links by few routers, and only to those that lag

Cause: each router sent the document in force to every peer whose beat named an older one. In a fleet of 90 a lagging router got up to 89 copies of some 24 KB at each change, over links of 10 Mbit/s. Now a router waits 0.5 s, and about three of those that have the newest document offer it to each that lacks it.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -286,6 +286,7 @@
 void FleetLinks::shareDocument(std::uint64_t version, const std::string &text)
 {
     m_documentVersion = version;
+    m_documentAt = Relay::now();
     m_document = text;
 }
 
@@ -418,11 +419,26 @@
         peer.documentVersion = version->get<std::uint64_t>();
     }
     readHeld(beat, HolderId{peer.member.callerAddress});
-    if (peer.documentVersion < m_documentVersion) {
+    if (mayOfferDocument(peer)) {
         offerDocument(peer);
     }
 }
 
+bool FleetLinks::mayOfferDocument(const Peer &peer)
+{
+    const TimePoint now = Relay::now();
+    if (peer.documentVersion >= m_documentVersion || now < m_documentAt + m_options.offerDocumentAfter) {
+        return false;
+    }
+    const auto others = std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
+        return isFresh(entry.second, now) && entry.second.documentVersion >= m_documentVersion;
+    });
+    // By lot, so that those who have it need no word with each other.
+    constexpr std::uint64_t Draws = 1024;
+    const double part = m_options.documentOffers / static_cast<double>(1 + others);
+    return static_cast<double>(m_relay.random() % Draws) < part * static_cast<double>(Draws);
+}
+
 void FleetLinks::readHeld(const json &beat, const HolderId &holder)
 {
     const auto held = beat.find("held");
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -50,6 +50,12 @@
     // others' entries take some 150 ms to arrive.
     Duration aloneFor = std::chrono::milliseconds(350);
     Duration aloneInterval = std::chrono::milliseconds(100);
+    // A router whose beat names an older document than this one's gets it, once this one has had it for so long: most
+    // find it by themselves within a few tens of milliseconds.
+    Duration offerDocumentAfter = std::chrono::milliseconds(500);
+    // Of the routers that have the newest document about so many offer it to each that lacks it. With 90 routers and
+    // links of 10 Mbit/s a copy from each kept a host's link busy for seconds, and its requests failed.
+    double documentOffers = 3;
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -145,6 +151,7 @@
     void onAsk(const Incarnation &from, const std::string &body);
     void onLedger(const std::string &body);
     void onGive(const Incarnation &from, const std::string &body);
+    bool mayOfferDocument(const Peer &peer);
     void offerDocument(const Peer &peer);
     Duration beatInterval() const;
     bool isFresh(const Peer &peer, TimePoint now) const;
@@ -158,6 +165,7 @@
     std::map<CustomerId, TimePoint> m_askedAt;
     std::optional<TimePoint> m_readyAt;
     std::uint64_t m_documentVersion = 0;
+    TimePoint m_documentAt; // Since when this router has it.
     std::string m_document;
 };
 
