A predecessor's write that lands late binds by its mark, as old as it is

Cause: since a process with nothing to take over is ready without a write, an earlier process's first write may land after that reading. Its grant was then adopted with its mark, but with no age: the process took the mark for long lapsed and could go up to the grant, while a successor charges what the mark allows at its true age. Now the age of a mark that this process did not write is that in the record.

--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -512,6 +512,12 @@
     if (!share.takenOver) {
         takeOver(share, ledger, mark);
     } else {
+        if (mark && share.markWrittenAt.wall.count() == 0) {
+            // An earlier process's write has landed after this one's first reading. A successor will go by its mark.
+            share.markWrittenAt = mark->writtenAt;
+            share.markBinds = std::max(share.markBinds, mark->binds);
+            share.markAge = std::chrono::milliseconds(0);
+        }
         // What an unanswered write did shows here.
         for (auto &[customer, account] : share.accounts) {
             account.granted = grantedTo(ledger, customer, share.options.self);
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -398,6 +398,32 @@
     CHECK(world.giveBack(0));
 }
 
+TEST_CASE("a predecessor's write that lands late binds by its mark, as old as it is")
+{
+    // The overspend that this forbids: a process dies while its first write is on its way; the next one finds nothing
+    // to take over; then the write lands. The grant is there to be spent, but a successor will go by the mark in it.
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Late);
+    world.kill(0);
+    world.start(0);
+    world.sync(0, WriteFate::Refused);
+    REQUIRE(world.share(0).takenOver);
+    world.doLateWrites();
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done); // Refused: the records have changed.
+    world.sync(0, WriteFate::Refused);
+    REQUIRE(world.share(0).accounts.at(Desk).granted > 0);
+    world.advance(std::chrono::milliseconds(100));
+    while (world.request(0, Desk, 1000)) {
+        world.finish(0, 1000);
+    }
+    const Tokens used = world.spent(Desk);
+    world.kill(0);
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent >= used);
+}
+
 TEST_CASE("a ledger that is heard before the first write does not undo what the predecessor is charged")
 {
     // The overspend that this forbids: a process has read the records and charged its predecessor, but not written
