--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -434,9 +434,9 @@
         return isFresh(entry.second, now) && entry.second.documentVersion >= m_documentVersion;
     });
     // By lot, so that those who have it need no word with each other.
-    constexpr std::uint64_t Draws = 1024;
+    constexpr std::uint64_t draws = 1024;
     const double part = m_options.documentOffers / static_cast<double>(1 + others);
-    return static_cast<double>(m_relay.random() % Draws) < part * static_cast<double>(Draws);
+    return static_cast<double>(m_relay.random() % draws) < part * static_cast<double>(draws);
 }
 
 void FleetLinks::readHeld(const json &beat, const HolderId &holder)
