Readings against deaf watches are spread by lot

Cause: routers read again what their watches may have missed every 0.7 s times the number of routers; routers that started together did so at the same moments, and none read for the 5.6 s between. Ruled out: document offers over links (no router had the document to offer).

--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -1,6 +1,7 @@
 #include "godwit/daemon/prefix_watch.h"
 
 #include <algorithm>
+#include <random>
 
 namespace Godwit
 {
@@ -35,7 +36,12 @@
 
 void PrefixWatch::armVerify()
 {
-    m_verifyTimer.expires_after(m_options.verifyEvery * std::max(1, routersSharing ? routersSharing() : 1));
+    // Routers that started together would all read at the same moment, and then none for the whole turn: a change that
+    // the watches missed stayed unknown for up to 5.6 s in a fleet of 8.
+    static std::minstd_rand lots{std::random_device{}()};
+    const double lot = std::uniform_real_distribution<double>(0.5, 1.5)(lots);
+    const Duration turn = m_options.verifyEvery * std::max(1, routersSharing ? routersSharing() : 1);
+    m_verifyTimer.expires_after(std::chrono::duration_cast<Duration>(turn * lot));
     m_verifyTimer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
