--- a/godwit/relay/call_metrics.cpp
+++ b/godwit/relay/call_metrics.cpp
@@ -3,6 +3,7 @@
 #include "godwit/base/enum_names.h"
 
 #include <sstream>
+#include <string_view>
 
 namespace Godwit
 {
@@ -44,11 +45,6 @@
 
 } // namespace
 
-std::string_view callEndName(CallEnd end)
-{
-    return enumName(CallEndNames, end);
-}
-
 void recordCall(CallMetrics &metrics, const CallRecord &record)
 {
     auto key = std::make_pair(record.customer.value, record.kind);
--- a/godwit/relay/call_metrics.h
+++ b/godwit/relay/call_metrics.h
@@ -21,7 +21,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <utility>
 
 namespace Godwit
@@ -36,8 +35,6 @@
 
 constexpr std::size_t CallEnds = 4;
 
-std::string_view callEndName(CallEnd end);
-
 struct CallRecord
 {
     CustomerId customer; // Empty on open routes.
