Once a request is being sent it can't be reported as not connected

Cause: the connect timer's handler may wait in the loop's queue, without an error, when the connection comes about; cancelling takes it back no more. The request went out and 'no byte was sent' followed, so a second endpoint got a request that must run once. An exchange now has a phase that only moves forward, and NotConnected has one way, which does nothing once the request is being sent.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -99,12 +99,19 @@
 void CallerConnection::armReadLimit()
 {
     m_timer.async_wait([self = shared_from_this()](const error_code &error) {
-        if (!error && self->m_readOpen) {
+        if (!error && self->m_readOpen && self->limitHasPassed()) {
             self->close();
         }
     });
 }
 
+// A wait that ended just before the timer was set anew still calls its handler, without an error. Taken for the new
+// limit it would close a connection on which a request has begun to arrive.
+bool CallerConnection::limitHasPassed() const
+{
+    return m_timer.expiry() <= std::chrono::steady_clock::now();
+}
+
 void CallerConnection::readHead()
 {
     m_beganReading = true;
@@ -200,7 +207,7 @@
         // The next request is there already; the socket stays readable, so look again later.
         self->m_timer.expires_after(WatchAgain);
         self->m_timer.async_wait([self](const error_code &cancelled) {
-            if (!cancelled && self->m_call && !self->m_closed) {
+            if (!cancelled && self->m_call && !self->m_closed && self->limitHasPassed()) {
                 self->watchCaller();
             }
         });
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -52,6 +52,7 @@
 
     void readRequest();
     void armReadLimit();
+    bool limitHasPassed() const;
     void readHead();
     void readBody();
     void onUnreadable(const boost::system::error_code &error);
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -71,15 +71,10 @@
 
 void EndpointExchange::cancel()
 {
-    if (m_over) {
+    if (isOver()) {
         return;
     }
-    m_over = true;
-    m_timer.cancel();
-    if (m_socket) {
-        beast::error_code ignored;
-        m_socket->close(ignored);
-    }
+    closeConnection();
     // Not at once: a handler may be what calls this.
     asio::post(m_io, [self = shared_from_this()] {
         self->m_handlers = {};
@@ -93,7 +88,7 @@
 
 void EndpointExchange::resume()
 {
-    if (std::exchange(m_paused, false) && !m_reading && !m_over) {
+    if (std::exchange(m_paused, false) && !m_reading && !isOver()) {
         read();
     }
 }
@@ -104,7 +99,7 @@
     const auto target = parseAddress(address, reason);
     if (!target) {
         asio::post(m_io, [self = shared_from_this()] {
-            self->fail(ExchangeFailure::NotConnected);
+            self->giveUpConnecting();
         });
         return;
     }
@@ -112,27 +107,43 @@
     m_timer.expires_after(m_options.connectTimeout);
     m_timer.async_wait([self = shared_from_this()](const beast::error_code &error) {
         if (!error) {
-            self->fail(ExchangeFailure::NotConnected);
+            self->giveUpConnecting();
         }
     });
     m_socket->async_connect(*target, [self = shared_from_this()](const beast::error_code &error) {
-        if (self->m_over) {
-            return;
-        }
-        self->m_timer.cancel();
-        if (error) {
-            self->fail(ExchangeFailure::NotConnected);
-            return;
-        }
-        beast::error_code ignored;
-        self->m_socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-        setAcknowledgementLimit(*self->m_socket, self->m_options.acknowledgementLimit);
-        self->send();
+        self->onConnected(error);
     });
 }
 
+void EndpointExchange::onConnected(const beast::error_code &error)
+{
+    if (m_phase != Phase::Connecting) {
+        return;
+    }
+    m_timer.cancel();
+    if (error) {
+        giveUpConnecting();
+        return;
+    }
+    beast::error_code ignored;
+    m_socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+    setAcknowledgementLimit(*m_socket, m_options.acknowledgementLimit);
+    send();
+}
+
+// The only way to NotConnected. The timer's handler may already wait in the loop's queue when the connection comes
+// about, and cancelling the timer doesn't take it back: it would then report that no byte went out while the endpoint
+// runs the request, and a second endpoint would get it. Once the request is being sent this does nothing.
+void EndpointExchange::giveUpConnecting()
+{
+    if (m_phase == Phase::Connecting) {
+        fail(ExchangeFailure::NotConnected);
+    }
+}
+
 void EndpointExchange::send()
 {
+    m_phase = Phase::Sent;
     asio::async_write(
         *m_socket, asio::buffer(m_bytes), [self = shared_from_this()](const beast::error_code &error, std::size_t) {
             // A failed write shows in the read as well, after what the endpoint still said.
@@ -147,7 +158,7 @@
     m_socket->async_read_some(m_buffer.prepare(m_options.readBytes),
                               [self = shared_from_this()](const beast::error_code &error, std::size_t count) {
                                   self->m_reading = false;
-                                  if (!self->m_over) {
+                                  if (!self->isOver()) {
                                       self->onRead(error, count);
                                   }
                               });
@@ -254,7 +265,7 @@
 
 void EndpointExchange::finish()
 {
-    m_over = true;
+    m_phase = Phase::Over;
     m_timer.cancel();
     m_socket.reset();
     const auto handlers = std::exchange(m_handlers, {});
@@ -263,17 +274,22 @@
 
 void EndpointExchange::fail(ExchangeFailure failure)
 {
-    if (m_over) {
+    if (isOver()) {
         return;
     }
-    m_over = true;
+    closeConnection();
+    const auto handlers = std::exchange(m_handlers, {});
+    handlers.onFailed(failure);
+}
+
+void EndpointExchange::closeConnection()
+{
+    m_phase = Phase::Over;
     m_timer.cancel();
     if (m_socket) {
         beast::error_code ignored;
         m_socket->close(ignored);
     }
-    const auto handlers = std::exchange(m_handlers, {});
-    handlers.onFailed(failure);
 }
 
 void EndpointExchange::startParser()
@@ -286,9 +302,4 @@
     m_skipping = false;
 }
 
-bool EndpointExchange::isOver() const
-{
-    return m_over;
-}
-
 } // namespace Godwit
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -83,7 +83,16 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    // How far the request has come. It only moves forward.
+    enum class Phase {
+        Connecting, // No byte of the request has gone out.
+        Sent, // Bytes may have reached the endpoint.
+        Over,
+    };
+
     void connect(const std::string &address);
+    void onConnected(const boost::system::error_code &error);
+    void giveUpConnecting();
     void send();
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
@@ -93,8 +102,12 @@
     void answerEnds();
     void finish();
     void fail(ExchangeFailure failure);
+    void closeConnection();
     void startParser();
-    bool isOver() const;
+    bool isOver() const
+    {
+        return m_phase == Phase::Over;
+    }
 
     boost::asio::io_context &m_io;
     ConnectionPool &m_pool;
@@ -114,7 +127,7 @@
     bool m_skipping = false; // The answer that is being read belongs to another attempt.
     bool m_paused = false;
     bool m_reading = false;
-    bool m_over = false;
+    Phase m_phase = Phase::Connecting;
 };
 
 } // namespace Godwit
