Readings of the store go in turns whose gap has a bound

Ruled out: lost readings (none failed), a late answer. Now: whoever reads tells the others a digest of what it found; they begin a new wait, compare, and only those that differ (and whose watch brought nothing meanwhile) read too. Who hears of no reading reads by itself, so the gap is 0.875 s at most with 8 routers, 1.3 s with 400, whatever is lost. A missed change no longer makes all routers read. The other's late entry of an earlier start leaves what is known of the newer one in force.

--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -55,18 +55,20 @@
     }
     entry.revision = item.revision;
     LastReason reason;
-    entry.endpoint = decodeEndpoint(std::string_view(key).substr(EndpointPrefix.size()), item.value, reason);
-    if (!entry.endpoint) {
-        refuse(key, entry, reason->message);
+    auto endpoint = decodeEndpoint(std::string_view(key).substr(EndpointPrefix.size()), item.value, reason);
+    if (!endpoint) {
+        logRefusal(key, entry, reason->message);
+        entry.endpoint.reset();
         return;
     }
-    EndpointStart &newest = m_newestStart[entry.endpoint->id];
-    if (entry.endpoint->startedAt < newest) {
-        // A write of the earlier start that the store has done late: what it says is over.
-        refuse(key, entry, "an entry of an earlier start of the endpoint");
+    EndpointStart &newest = m_newestStart[endpoint->id];
+    if (endpoint->startedAt != 0 && endpoint->startedAt < newest) {
+        // A write of an earlier start that the store has done late. What was known of the newer one still holds.
+        logRefusal(key, entry, "an entry of an earlier start of the endpoint");
         return;
     }
-    newest = entry.endpoint->startedAt;
+    newest = std::max(newest, endpoint->startedAt);
+    entry.endpoint = std::move(endpoint);
 }
 
 // Where endpoints tell their start, an entry without one comes from another writer.
@@ -77,14 +79,14 @@
     });
     for (auto &[key, entry] : m_entries) {
         if (startsTold && entry.endpoint && entry.endpoint->startedAt == 0) {
-            refuse(key, entry, "the entry doesn't say when its endpoint started, as others do");
+            logRefusal(key, entry, "the entry doesn't say when its endpoint started, as others do");
+            entry.endpoint.reset();
         }
     }
 }
 
-void EndpointList::refuse(const std::string &key, Entry &entry, std::string_view cause)
+void EndpointList::logRefusal(const std::string &key, const Entry &entry, std::string_view cause)
 {
-    entry.endpoint.reset();
     m_relay.log().write(
         "endpoint_refused",
         {{"key", std::string_view(key)}, {"revision", static_cast<std::int64_t>(entry.revision)}, {"cause", cause}});
--- a/godwit/daemon/endpoint_list.h
+++ b/godwit/daemon/endpoint_list.h
@@ -41,7 +41,7 @@
 
     void read(const std::string &key, const StoreItem &item);
     void dropForeign();
-    void refuse(const std::string &key, Entry &entry, std::string_view cause);
+    void logRefusal(const std::string &key, const Entry &entry, std::string_view cause);
     void apply();
     void armRemovals(TimePoint at);
 
--- /dev/null
+++ b/godwit/daemon/endpoint_list_test.cpp
@@ -0,0 +1,87 @@
+#include "godwit/daemon/endpoint_list.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace Godwit;
+
+namespace
+{
+
+std::string entryOf(const std::string &state, std::int64_t born)
+{
+    const std::string start = born == 0 ? std::string() : R"(,"born":)" + std::to_string(born);
+    return R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":")" + state + '"' + start + '}';
+}
+
+struct List
+{
+    List()
+        : log(io, {})
+        , relay(io, {}, log)
+        , list(io, relay)
+    {
+    }
+
+    // The store's entry of endpoint "a" and of a steady other one, at a new revision.
+    void tell(const std::string &text)
+    {
+        ++revision;
+        PrefixWatch::Items items;
+        items["servers/a"] = StoreItem{"servers/a", text, revision, false};
+        items["servers/other"] = StoreItem{"servers/other", entryOf("ready", 5), 1, false};
+        list.onListed(items);
+    }
+
+    bool takesWork(const char *id)
+    {
+        const auto &service = relay.state().endpoints.byService["s"];
+        return std::count(service.begin(), service.end(), EndpointId{id}) == 1;
+    }
+
+    boost::asio::io_context io;
+    DecisionLog log;
+    Relay relay;
+    EndpointList list;
+    std::uint64_t revision = 1;
+};
+
+} // namespace
+
+TEST_CASE("a late entry of an earlier start never replaces that of the newer one")
+{
+    // Callers are refused while a sound endpoint is idle: it started anew, and then the store did a write of its
+    // earlier start, which said that it leaves.
+    List list;
+    list.tell(entryOf("ready", 1000));
+    list.tell(entryOf("ready", 2000));
+    CHECK(list.takesWork("a"));
+    list.tell(entryOf("draining", 1000));
+    CHECK(list.takesWork("a"));
+    list.tell(entryOf("draining", 2000));
+    CHECK_FALSE(list.takesWork("a"));
+    list.tell(entryOf("ready", 3000));
+    CHECK(list.takesWork("a"));
+}
+
+TEST_CASE("an entry that nobody can use names no endpoint, and the others hold")
+{
+    List list;
+    for (const std::string &text : {std::string("\xff{"), entryOf("ready", 0), entryOf("retired", 9)}) {
+        list.tell(entryOf("ready", 9));
+        CHECK(list.takesWork("a"));
+        list.tell(text);
+        CHECK_FALSE(list.takesWork("a"));
+        CHECK(list.takesWork("other"));
+    }
+}
+
+TEST_CASE("an entry that can't be read is not kept for one that lapsed while the store was away")
+{
+    List list;
+    list.tell(entryOf("ready", 9));
+    list.list.onStoreRegained();
+    list.tell("what is this");
+    CHECK_FALSE(list.takesWork("a"));
+}
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -23,7 +23,7 @@
 constexpr const char *LedgerTopic = "ledger";
 constexpr const char *DocumentTopic = "document";
 constexpr const char *FoundTopic = "store-found";
-constexpr const char *MissedTopic = "missed";
+constexpr const char *ReadingTopic = "reading";
 
 // Beats nest two levels deep.
 constexpr std::size_t MaxDepth = 4;
@@ -300,9 +300,9 @@
     m_mesh->broadcast({FoundTopic, {}});
 }
 
-void FleetLinks::tellMissed(const std::string &prefix)
+void FleetLinks::tellReading(const std::string &prefix, std::uint64_t digest)
 {
-    m_mesh->broadcast({MissedTopic, prefix});
+    m_mesh->broadcast({ReadingTopic, toBytes(json::array({prefix, digest}))});
 }
 
 std::vector<CallerAddress> FleetLinks::callerAddresses() const
@@ -401,8 +401,8 @@
         onDocument(envelope.body);
     } else if (envelope.topic == FoundTopic && onStoreFound) {
         onStoreFound();
-    } else if (envelope.topic == MissedTopic && onMissed) {
-        onMissed(envelope.body);
+    } else if (envelope.topic == ReadingTopic) {
+        onReadingTold(envelope.body);
     }
 }
 
@@ -521,6 +521,16 @@
     }
 }
 
+void FleetLinks::onReadingTold(const std::string &body)
+{
+    const json message = fromBytes(body);
+    const bool wellFormed =
+        message.is_array() && message.size() == 2 && message[0].is_string() && message[1].is_number_unsigned();
+    if (wellFormed && onReading) {
+        onReading(message[0].get<std::string>(), message[1].get<std::uint64_t>());
+    }
+}
+
 void FleetLinks::offerDocument(const Peer &peer)
 {
     if (peer.linked && !m_document.empty()) {
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -107,8 +107,8 @@
     // Routers that take requests, this one included.
     int liveCount() const;
 
-    // Tells all others to read everything under `prefix` again: this router's watch had missed a change.
-    void tellMissed(const std::string &prefix);
+    // Tells all others that this router has read everything under `prefix`, and what it found.
+    void tellReading(const std::string &prefix, std::uint64_t digest);
 
     // Tells all others how the ledger of prepaid totals stands since this router's write.
     void tellLedger(std::uint64_t revision, const std::string &ledger);
@@ -119,8 +119,8 @@
     // Another router has reached the platform's store.
     std::function<void()> onStoreFound;
 
-    // Another router's watch of the prefix had missed a change.
-    std::function<void(const std::string &prefix)> onMissed;
+    // Another router has read everything under the prefix.
+    std::function<void(const std::string &prefix, std::uint64_t digest)> onReading;
 
     // Another router has a newer document than this one.
     std::function<void(const std::string &text)> onDocument;
@@ -150,6 +150,7 @@
     void readHeld(const nlohmann::json &beat, const HolderId &holder);
     void onAsk(const Incarnation &from, const std::string &body);
     void onLedger(const std::string &body);
+    void onReadingTold(const std::string &body);
     void onGive(const Incarnation &from, const std::string &body);
     bool mayOfferDocument(const Peer &peer);
     void offerDocument(const Peer &peer);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -160,10 +160,10 @@
         shareReadings(m_documents, SiteDocumentPrefix);
         shareReadings(m_endpointWatch, EndpointPrefix);
         shareReadings(m_liveWatch, LivePrefix);
-        m_links.onMissed = [this](const std::string &prefix) {
+        m_links.onReading = [this](const std::string &prefix, std::uint64_t digest) {
             const auto watch = m_watches.find(prefix);
             if (watch != m_watches.end()) {
-                watch->second->readAgain();
+                watch->second->onReadElsewhere(digest);
             }
         };
         m_keeper.onFoundAgain = [this] {
@@ -224,7 +224,7 @@
         return options;
     }
 
-    // Routers take turns at reading what their watches may have missed, and tell the others what they find.
+    // Routers take turns at reading what their watches may have missed, and tell the others what they found.
     void shareReadings(PrefixWatch &watch, std::string_view prefix)
     {
         m_watches[std::string(prefix)] = &watch;
@@ -233,7 +233,9 @@
         };
         watch.onMissed = [this, prefix = std::string(prefix)] {
             m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix)}});
-            m_links.tellMissed(prefix);
+        };
+        watch.onRead = [this, prefix = std::string(prefix)](std::uint64_t digest) {
+            m_links.tellReading(prefix, digest);
         };
     }
 
--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -1,5 +1,7 @@
 #include "godwit/daemon/prefix_watch.h"
 
+#include "godwit/base/hash.h"
+
 #include <algorithm>
 #include <random>
 
@@ -13,7 +15,7 @@
                          std::function<void(const Items &)> changed,
                          std::function<void(bool)> reached)
     : m_timer(io)
-    , m_verifyTimer(io)
+    , m_readingTimer(io)
     , m_missedTimer(io)
     , m_store(store)
     , m_prefix(std::move(prefix))
@@ -26,63 +28,77 @@
 void PrefixWatch::start()
 {
     readAll();
-    armVerify();
+    armReading();
 }
 
-void PrefixWatch::readAgain()
+int PrefixWatch::routers() const
 {
-    verify();
+    return std::max(1, routersSharing ? routersSharing() : 1);
 }
 
-void PrefixWatch::armVerify()
+void PrefixWatch::armReading()
 {
-    // Routers that started together would all read at the same moment, and then none for the whole turn: a change that
-    // the watches missed stayed unknown for up to 5.6 s in a fleet of 8.
     static std::minstd_rand lots{std::random_device{}()};
-    const double lot = std::uniform_real_distribution<double>(0.5, 1.5)(lots);
-    const Duration turn = m_options.verifyEvery * std::max(1, routersSharing ? routersSharing() : 1);
-    m_verifyTimer.expires_after(std::chrono::duration_cast<Duration>(turn * lot));
-    m_verifyTimer.async_wait([this](const boost::system::error_code &error) {
+    const double lot = std::uniform_real_distribution<double>(0, 1)(lots);
+    const auto now = std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    m_readingTimer.expires_at(nextReading(m_options.readings, now, routers(), lot));
+    m_readingTimer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
         }
-        verify();
-        armVerify();
+        readInTurn();
+        armReading();
     });
 }
 
-void PrefixWatch::verify()
+void PrefixWatch::readInTurn()
 {
     if (!m_complete) {
         return;
     }
-    const std::uint64_t knownAt = m_at;
-    m_store.range(m_prefix, [this, knownAt](const StoreItemsReply &reply) {
+    const std::uint64_t changes = m_changes;
+    m_store.range(m_prefix, [this, changes](const StoreItemsReply &reply) {
         m_reached(reply.status == StoreStatus::Ok);
         // What the watch brought meanwhile may be newer than the reading.
-        if (reply.status != StoreStatus::Ok || m_at != knownAt || !adopt(reply)) {
+        if (reply.status != StoreStatus::Ok || m_changes != changes) {
             return;
         }
-        m_changed(m_items);
-        checkMissed();
+        if (adopt(reply)) {
+            m_changed(m_items);
+            if (onMissed) {
+                onMissed();
+            }
+        }
+        if (onRead) {
+            onRead(digest());
+        }
     });
 }
 
-// A change that the watch brings a moment later was not missed, only overtaken by the reading.
-void PrefixWatch::checkMissed()
+void PrefixWatch::onReadElsewhere(std::uint64_t digest)
 {
-    std::uint64_t newest = 0;
-    for (const auto &[key, item] : m_items) {
-        newest = std::max(newest, item.revision);
+    armReading();
+    if (!m_complete || this->digest() == digest) {
+        return;
     }
     m_missedTimer.expires_after(m_options.missedAfter);
-    m_missedTimer.async_wait([this, newest](const boost::system::error_code &error) {
-        if (!error && m_at < newest && onMissed) {
-            onMissed();
+    m_missedTimer.async_wait([this, digest, changes = m_changes](const boost::system::error_code &error) {
+        // A watch that has brought something meanwhile is not deaf; what it may lack shows at the next reading.
+        if (!error && m_changes == changes && this->digest() != digest) {
+            readInTurn();
         }
     });
 }
 
+std::uint64_t PrefixWatch::digest() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, item] : m_items) {
+        sum += rendezvousWeight(key, std::to_string(item.revision));
+    }
+    return sum;
+}
+
 // Takes over a whole reading; true when it differs from the copy.
 bool PrefixWatch::adopt(const StoreItemsReply &reply)
 {
@@ -150,6 +166,7 @@
         return;
     }
     m_at = std::max(m_at, reply.at);
+    m_changes += reply.items.empty() ? 0 : 1;
     for (const StoreItem &item : reply.items) {
         if (item.removed) {
             m_items.erase(item.key);
@@ -167,7 +184,7 @@
 
 Duration PrefixWatch::gatherTime() const
 {
-    return std::max(m_options.gather, m_options.gatherPerRouter * (routersSharing ? routersSharing() : 1));
+    return std::max(m_options.gather, m_options.gatherPerRouter * routers());
 }
 
 void PrefixWatch::later(Duration pause, void (PrefixWatch::*step)())
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -10,11 +10,13 @@
 //   watch.start();
 
 #include "godwit/base/time.h"
+#include "godwit/gateway/reading_turns.h"
 #include "platform/store_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -33,11 +35,8 @@
     // In a large fleet each change wakes every router, so that the pause grows with it: at 66 routers to 0.4 s, well
     // within the seconds in which a change has to be known. There it saved 4,000 of 12,000 calls of the store.
     Duration gatherPerRouter = std::chrono::milliseconds(6);
-    // A watch can fall silent while changes are made, and then go on after them: the store may drop its history, and
-    // a connection may die without a word. So everything is read again from time to time; this is the interval
-    // for the fleet as a whole, which its routers share.
-    Duration verifyEvery = std::chrono::milliseconds(700);
-    // A reading can overtake its watch by this much.
+    ReadingOptions readings;
+    // A reading can overtake a watch by this much.
     Duration missedAfter = std::chrono::milliseconds(250);
 };
 
@@ -56,10 +55,14 @@
 
     void start();
 
-    // Reads all at once: another router has found that its watch missed a change.
-    void readAgain();
+    // Another router has just read everything under the prefix, and found this. Reads as well if this copy still
+    // differs a little later and its watch has brought nothing meanwhile.
+    void onReadElsewhere(std::uint64_t digest);
 
-    // Called when a reading showed a change that the watch had missed.
+    // Called after each reading of this router in its turn: the others are to be told.
+    std::function<void(std::uint64_t digest)> onRead;
+
+    // Called when a reading showed changes that the watch had not brought.
     std::function<void()> onMissed;
 
     // How many routers share the readings.
@@ -78,15 +81,16 @@
     void readAll();
     void follow();
     void onChanges(const StoreItemsReply &reply);
-    void armVerify();
-    void verify();
-    void checkMissed();
+    void armReading();
+    void readInTurn();
     bool adopt(const StoreItemsReply &reply);
+    std::uint64_t digest() const;
+    int routers() const;
     Duration gatherTime() const;
     void later(Duration pause, void (PrefixWatch::*step)());
 
     boost::asio::steady_timer m_timer;
-    boost::asio::steady_timer m_verifyTimer;
+    boost::asio::steady_timer m_readingTimer;
     boost::asio::steady_timer m_missedTimer;
     StoreClient &m_store;
     std::string m_prefix;
@@ -96,6 +100,7 @@
     Items m_items;
     std::uint64_t m_at = 0;
     bool m_complete = false;
+    std::uint64_t m_changes = 0; // Counts what the watch has brought.
     std::uint64_t m_round = 0; // Answers to calls of earlier rounds come too late.
 };
 
--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -1,9 +1,14 @@
 #include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/reading_turns.h"
 #include "godwit/gateway/repeat_allowance.h"
 #include "godwit/gateway/route_table.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <random>
+
 using namespace Godwit;
 
 namespace
@@ -63,6 +68,33 @@
     CHECK(routeName(*table, "a.example", "") == "none");
 }
 
+TEST_CASE("no chance of lots and lost messages leaves a prefix unread for longer than the bound")
+{
+    // A caller gets a key refused that the operators added 3.5 s ago: all watches were deaf at the time, and the turns
+    // of eight routers that read by lot had all fallen on the moment just before the change.
+    const ReadingOptions options;
+    constexpr int Routers = 8;
+    std::mt19937 lots(7);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::array<TimePoint, Routers> due{};
+    for (TimePoint &at : due) {
+        at = nextReading(options, Start, Routers, draw(lots));
+    }
+    TimePoint before = Start;
+    for (int turn = 0; turn < 5000; ++turn) {
+        const TimePoint at = *std::min_element(due.begin(), due.end());
+        CHECK(at - before <= longestGap(options, Routers));
+        before = at;
+        for (TimePoint &own : due) {
+            const bool hears = own == at || draw(lots) < 0.7;
+            own = hears ? nextReading(options, at, Routers, draw(lots)) : own;
+        }
+    }
+    CHECK(longestGap(options, Routers) < std::chrono::milliseconds(1200));
+    CHECK(longestGap(options, 400) < std::chrono::milliseconds(1500));
+    CHECK(longestGap(options, 1) == options.every);
+}
+
 TEST_CASE("services are picked by weight, equally for an equal seed")
 {
     GatewayRoute route = makeRoute("r", "h", "/");
--- /dev/null
+++ b/godwit/gateway/reading_turns.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// Who reads a prefix of the store again, and when.
+//
+// A watch can fall silent while changes are made, and then go on after them. So the fleet reads everything again in
+// turns: one router reads and tells the others what it found, they compare it with their copies, and only those that
+// differ read as well. A router that hears of no reading reads by itself, so that no loss of messages and no chance
+// makes the gap between two readings longer than `longestGap`.
+//
+// Pure. Example:
+//   timer.expires_at(nextReading(options, lastHeard, liveRouters, lot));
+
+#include "godwit/base/time.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+
+struct ReadingOptions
+{
+    // A change that the watches missed has to be in force within 2 s on small fleets: this and the rest of the gap,
+    // the wait of those that heard, and two readings leave half a second of that.
+    Duration every = std::chrono::milliseconds(700);
+    // Routers whose turns fall within this time of each other read both: a reading takes some 5 ms and a message 1 ms.
+    Duration apart = std::chrono::milliseconds(25);
+    // Large fleets, whose changes may take 3 s, have more routers than fit into this.
+    Duration longestSpread = std::chrono::milliseconds(600);
+};
+
+inline Duration spreadOf(const ReadingOptions &options, int routers)
+{
+    return std::min(options.apart * std::max(0, routers - 1), options.longestSpread);
+}
+
+// The longest time from one reading that a router has heard of to the next one, its own at the latest.
+inline Duration longestGap(const ReadingOptions &options, int routers)
+{
+    return options.every + spreadOf(options, routers);
+}
+
+// When this router reads unless it hears of another's reading before. `lot` is drawn anew each time, from 0 to 1.
+inline TimePoint nextReading(const ReadingOptions &options, TimePoint lastHeard, int routers, double lot)
+{
+    const auto share = static_cast<double>(spreadOf(options, routers).count()) * std::clamp(lot, 0.0, 1.0);
+    return lastHeard + options.every + Duration(static_cast<Duration::rep>(share));
+}
+
+} // namespace Godwit
