Engines are chosen by when the first event should come, reckoned in tokens

Hypothesis: late answers (3 to 10% of the model's requests) wait behind long prompts, which a count of requests doesn't show, and which other routers have sent. Ruled out: slots (64, a fifth in use), the network (median 37 ms). Change: each router reckons what every engine has still to read, from its own sends and first events and from long prompts that the others tell; the speed and slow engines are learnt. A shared part stays at its usual place unless that would be late.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -24,6 +24,7 @@
 constexpr const char *DocumentTopic = "document";
 constexpr const char *FoundTopic = "store-found";
 constexpr const char *ReadingTopic = "reading";
+constexpr const char *PromptTopic = "prompt";
 
 // Beats nest two levels deep.
 constexpr std::size_t MaxDepth = 4;
@@ -401,6 +402,8 @@
         onDocument(envelope.body);
     } else if (envelope.topic == FoundTopic && onStoreFound) {
         onStoreFound();
+    } else if (envelope.topic == PromptTopic) {
+        onPromptTold(envelope.body);
     } else if (envelope.topic == ReadingTopic) {
         onReadingTold(envelope.body);
     }
@@ -521,6 +524,38 @@
     }
 }
 
+// A router may tell one prompt each `pause`. While it has more than that to tell, the shortest told grows; while it has
+// less, it shrinks.
+void FleetLinks::tellPrompt(const PromptSent &prompt, Duration reading)
+{
+    const double least = toSeconds(m_options.toldPromptFrom);
+    m_toldFrom = std::max(m_toldFrom, least);
+    if (m_peers.empty() || toSeconds(reading) < m_toldFrom) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    const auto routers = static_cast<double>(m_relay.state().liveRouters);
+    const double pause = routers * std::max(1.0, routers - 1) / m_options.promptsHeardPerSecond;
+    const double pauses = toSeconds(now - m_promptToldAt) / pause;
+    constexpr double step = 1.1;
+    m_toldFrom = pauses < 1 ? m_toldFrom * step : std::max(least, m_toldFrom / std::min(pauses, step));
+    m_promptToldAt = now;
+    m_mesh->broadcast({PromptTopic, toBytes(json::array({prompt.endpoint.value, prompt.unread, prompt.part}))});
+}
+
+void FleetLinks::onPromptTold(const std::string &body)
+{
+    const json message = fromBytes(body);
+    const bool wellFormed = message.is_array() && message.size() == 3 && message[0].is_string()
+        && message[1].is_number_integer() && message[2].is_string();
+    if (!wellFormed) {
+        return;
+    }
+    PromptSent prompt{EndpointId{message[0].get<std::string>()}, message[1].get<Tokens>(), message[2]};
+    prompt.unread = std::max<Tokens>(0, prompt.unread);
+    notePromptElsewhere(m_relay.state().endpoints, prompt, m_relay.options().choice, Relay::now());
+}
+
 void FleetLinks::onReadingTold(const std::string &body)
 {
     const json message = fromBytes(body);
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -56,6 +56,12 @@
     // Of the routers that have the newest document about so many offer it to each that lacks it. With 90 routers and
     // links of 10 Mbit/s a copy from each kept a host's link busy for seconds, and its requests failed.
     double documentOffers = 3;
+    // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
+    // is hardly later.
+    Duration toldPromptFrom = std::chrono::milliseconds(12);
+    // All routers together tell each other of this many prompts a second, counted at each that hears: each costs some
+    // 40 us at both ends. In a large fleet only the longest are told.
+    double promptsHeardPerSecond = 2500;
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -113,6 +119,9 @@
     // Tells all others how the ledger of prepaid totals stands since this router's write.
     void tellLedger(std::uint64_t revision, const std::string &ledger);
 
+    // Tells all others that this router has sent a long prompt to an engine.
+    void tellPrompt(const PromptSent &prompt, Duration reading);
+
     // Tells all others that the platform's store answers again.
     void tellStoreFound();
 
@@ -151,6 +160,7 @@
     void onAsk(const Incarnation &from, const std::string &body);
     void onLedger(const std::string &body);
     void onReadingTold(const std::string &body);
+    void onPromptTold(const std::string &body);
     void onGive(const Incarnation &from, const std::string &body);
     bool mayOfferDocument(const Peer &peer);
     void offerDocument(const Peer &peer);
@@ -168,6 +178,9 @@
     std::uint64_t m_documentVersion = 0;
     TimePoint m_documentAt; // Since when this router has it.
     std::string m_document;
+    // The shortest prompt that is told now, as reading time in seconds; follows the bound on what is told.
+    double m_toldFrom = 0;
+    TimePoint m_promptToldAt;
 };
 
 } // namespace Godwit
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -151,6 +151,9 @@
             m_keeper.hurry();
             m_links.askForTokens(customer, tokens, again);
         };
+        m_relay.onPromptSent = [this](const PromptSent &prompt, Duration reading) {
+            m_links.tellPrompt(prompt, reading);
+        };
         m_keeper.onRegained = [this] {
             m_endpoints.onStoreRegained();
             for (PrefixWatch *watch : {&m_documents, &m_endpointWatch, &m_liveWatch}) {
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -40,22 +40,13 @@
     return load * (1.0 + 4.0 * endpoint.failureRate);
 }
 
-EndpointState *byAffinity(const std::vector<EndpointState *> &from,
-                          const ChoiceQuery &query,
-                          const ChoiceOptions &options)
+// The usual place of a shared part: the same for all routers without a word between them.
+const EndpointState *usualPlace(const std::vector<EndpointState *> &from, std::string_view part)
 {
-    int total = 0;
-    for (const EndpointState *endpoint : from) {
-        total += endpoint->inFlight;
-    }
-    const double bound = options.loadBound * total / static_cast<double>(from.size()) + options.slack;
-    EndpointState *best = nullptr;
+    const EndpointState *best = nullptr;
     std::uint64_t bestWeight = 0;
-    for (EndpointState *endpoint : from) {
-        if (endpoint->inFlight >= bound) {
-            continue;
-        }
-        const std::uint64_t weight = rendezvousWeight(query.affinity, endpoint->listed.id.value);
+    for (const EndpointState *endpoint : from) {
+        const std::uint64_t weight = rendezvousWeight(part, endpoint->listed.id.value);
         if (best == nullptr || weight > bestWeight) {
             best = endpoint;
             bestWeight = weight;
@@ -64,6 +55,67 @@
     return best;
 }
 
+const EndpointId *recentPlace(const EndpointTable &table, std::string_view part, TimePoint now)
+{
+    const auto found = table.recentPlaces.find(part);
+    return found != table.recentPlaces.end() && now < found->second.until ? &found->second.endpoint : nullptr;
+}
+
+void rememberPlace(
+    EndpointTable &table, std::string_view part, const EndpointId &endpoint, const ChoiceOptions &options, TimePoint now)
+{
+    if (table.recentPlaces.size() >= options.placesKept) {
+        table.recentPlaces.clear();
+    }
+    table.recentPlaces[std::string(part)] = RecentPlace{endpoint, now + options.placeKept};
+}
+
+double milliseconds(Duration duration)
+{
+    return toSeconds(duration) * 1000;
+}
+
+// The engine whose first event should come first, with what reading costs those that come next.
+Choice byReading(EndpointTable &table,
+                 const std::vector<EndpointState *> &from,
+                 const ChoiceQuery &query,
+                 const ChoiceOptions &options,
+                 std::uint64_t random,
+                 TimePoint now)
+{
+    const EngineSpeed &speed = table.speeds[query.service];
+    const Duration carefree(
+        static_cast<Duration::rep>(options.carefreePart * static_cast<double>(query.latencyTarget.count())));
+    const EndpointState *usual = query.affinity.empty() ? nullptr : usualPlace(from, query.affinity);
+    const EndpointId *recent = query.affinity.empty() ? nullptr : recentPlace(table, query.affinity, now);
+    Choice best;
+    double bestCost = 0;
+    for (std::size_t i = 0; i < from.size(); ++i) {
+        // Begins at a random place, so that routers that see the same loads choose differently.
+        EndpointState *endpoint = from[(random + i) % from.size()];
+        const bool kept = endpoint == usual || (recent != nullptr && *recent == endpoint->listed.id);
+        const Tokens unread = query.promptTokens - (kept ? query.sharedTokens : 0);
+        const auto reread = kept ? 0.0 : (options.rereadWeight - 1.0) * static_cast<double>(query.sharedTokens);
+        const Duration firstEvent = waitOf(endpoint->load, now) + readingTime(endpoint->load, speed, unread);
+        const Duration beyond = std::max<Duration>(firstEvent - carefree, Duration::zero());
+        double cost = milliseconds(firstEvent) + options.lateWeight * milliseconds(beyond);
+        cost += milliseconds(readingTime(endpoint->load, speed, static_cast<Tokens>(reread)));
+        cost += milliseconds(options.fullPenalty) * endpoint->inFlight / std::max(1, endpoint->listed.slots);
+        cost *= 1.0 + 4.0 * endpoint->failureRate;
+        if (endpoint->listed.dataCentre != query.dataCentre) {
+            cost += 0.01; // Between equal ones the nearer.
+        }
+        if (best.endpoint == nullptr || cost < bestCost) {
+            best = Choice{endpoint, unread};
+            bestCost = cost;
+        }
+    }
+    if (usual != nullptr && best.endpoint != usual) {
+        rememberPlace(table, query.affinity, best.endpoint->listed.id, options, now);
+    }
+    return best;
+}
+
 EndpointState *byLoad(const std::vector<EndpointState *> &from, const ChoiceQuery &query, std::uint64_t random)
 {
     EndpointState *best = nullptr;
@@ -120,19 +172,30 @@
     return same ? &found->second : nullptr;
 }
 
-EndpointState *chooseEndpoint(
+Choice chooseEndpoint(
     EndpointTable &table, const ChoiceQuery &query, const ChoiceOptions &options, std::uint64_t random, TimePoint now)
 {
     const auto from = candidates(table, query, now);
     if (from.empty()) {
-        return nullptr;
+        return {};
     }
-    if (!query.affinity.empty()) {
-        if (EndpointState *endpoint = byAffinity(from, query, options)) {
-            return endpoint;
-        }
+    if (query.promptTokens > 0) {
+        return byReading(table, from, query, options, random, now);
+    }
+    return Choice{byLoad(from, query, random), 0};
+}
+
+void notePromptElsewhere(EndpointTable &table, const PromptSent &prompt, const ChoiceOptions &options, TimePoint now)
+{
+    const auto found = table.endpoints.find(prompt.endpoint);
+    if (found == table.endpoints.end()) {
+        return;
+    }
+    EndpointState &endpoint = found->second;
+    noteReadElsewhere(endpoint.load, table.speeds[endpoint.listed.service], prompt.unread, now);
+    if (!prompt.part.empty()) {
+        rememberPlace(table, prompt.part, prompt.endpoint, options, now);
     }
-    return byLoad(from, query, random);
 }
 
 void beginAttempt(EndpointState &endpoint)
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -1,21 +1,24 @@
 #pragma once
 
-// Choosing an endpoint: who is listed, what this router has under way there, and how its answers went.
+// Choosing an endpoint: who is listed, what it has under way, and how its answers went.
 //
-// Pure: time and random numbers are passed in. A router sees only its own share of an endpoint's load; it takes the
-// other routers' share to be like its own.
+// A model engine is chosen by when its first event should come: after what it has still to read, and after the prompt
+// itself, less the parts of it that it keeps. A plain service is chosen by the requests that this router has there.
+//
+// Pure: time and random numbers are passed in.
 //
 // Example:
 //   replaceEndpoints(table, listed);
 //   ChoiceQuery query;
 //   query.service = "matching";
 //   query.affinity = "5c1e07a2";
-//   if (EndpointState *endpoint = chooseEndpoint(table, query, random, now)) {
-//       beginAttempt(*endpoint);
+//   if (const Choice choice = chooseEndpoint(table, query, options, random, now); choice.endpoint != nullptr) {
+//       beginAttempt(*choice.endpoint);
 //   }
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
+#include "godwit/gateway/engine_load.h"
 
 #include <cstdint>
 #include <map>
@@ -58,21 +61,49 @@
     double failureRate = 0; // Exponential average of Failed, Unreachable and Slow among the last attempts.
     int failuresInRow = 0;
     TimePoint avoidUntil; // After failures: used only when nobody else is left.
+    EngineLoad load; // Of a model engine.
     bool gone = false; // The list no longer names it: no new work.
 };
 
+// One prompt that goes to one engine, as the other routers are told of it.
+struct PromptSent
+{
+    EndpointId endpoint;
+    Tokens unread = 0; // What the engine has to read of it.
+    std::string part; // The shared part that the engine then keeps; empty: none.
+};
+
+struct RecentPlace
+{
+    EndpointId endpoint;
+    TimePoint until;
+};
+
 struct EndpointTable
 {
     std::map<EndpointId, EndpointState> endpoints;
     std::map<std::string, std::vector<EndpointId>> byService; // Those that may get work.
+    std::map<std::string, EngineSpeed> speeds; // By service.
+    // Where a shared part of a prompt has lately been sent besides its usual place: the engine keeps it for a while.
+    // By part.
+    std::map<std::string, RecentPlace, std::less<>> recentPlaces;
 };
 
 struct ChoiceOptions
 {
-    // An endpoint may carry this multiple of the mean load, and `slack` requests more, before a request with a
-    // shared prompt goes to its second choice. 1.25 is the usual bound of consistent hashing with bounded loads.
-    double loadBound = 1.25;
-    int slack = 2;
+    // Reading a shared part again where it isn't kept counts as this multiple of its time: it also delays whatever
+    // comes next there.
+    double rereadWeight = 10;
+    // Up to this part of the latency target a later first event costs nobody anything; beyond it each millisecond
+    // counts `lateWeight` times, since the estimate may be short by as much again.
+    double carefreePart = 0.25;
+    double lateWeight = 4;
+    // A full engine counts as this far behind: between engines that have read all, the emptier one.
+    Duration fullPenalty = std::chrono::milliseconds(20);
+    // How long an engine is taken to keep a part that this router sent there. Engines keep much longer when they have
+    // room; what is older was most likely asked for elsewhere since.
+    Duration placeKept = std::chrono::seconds(8);
+    std::size_t placesKept = 4096;
     // How long an endpoint is left alone after its first failure in a row; doubles up to the limit.
     Duration avoidFirst = std::chrono::milliseconds(300);
     Duration avoidLimit = std::chrono::seconds(3);
@@ -85,7 +116,10 @@
 struct ChoiceQuery
 {
     std::string service;
-    std::string_view affinity; // What should meet again at one endpoint; empty: nothing.
+    std::string_view affinity; // The part of the prompt that should meet again at one endpoint; empty: none.
+    Tokens promptTokens = 0; // 0: no model's request.
+    Tokens sharedTokens = 0; // Of the prompt, up to the part named by `affinity`.
+    Duration latencyTarget{}; // What is left of the time within which the first event is worth most.
     std::vector<EndpointId> tried; // Not these.
     DataCentreId dataCentre; // This router's own.
 };
@@ -98,10 +132,19 @@
 // The state of that start of an endpoint, or null when it has gone or started anew since.
 EndpointState *findStart(EndpointTable &table, const EndpointId &id, EndpointStart startedAt);
 
-// An endpoint for one attempt, or null when the service has none that is not in `tried`.
-EndpointState *chooseEndpoint(
+struct Choice
+{
+    EndpointState *endpoint = nullptr; // Null when the service has none that is not in `tried`.
+    Tokens unread = 0; // What it has to read of the prompt.
+};
+
+// An endpoint for one attempt.
+Choice chooseEndpoint(
     EndpointTable &table, const ChoiceQuery &query, const ChoiceOptions &options, std::uint64_t random, TimePoint now);
 
+// Another router has sent a prompt to an engine.
+void notePromptElsewhere(EndpointTable &table, const PromptSent &prompt, const ChoiceOptions &options, TimePoint now);
+
 void beginAttempt(EndpointState &endpoint);
 
 void endAttempt(EndpointState &endpoint, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -132,6 +132,9 @@
     // Called when a request waits for tokens of a customer; `again`: not for the first time.
     std::function<void(const CustomerId &, Tokens, bool again)> onTokensWanted;
 
+    // Called when a prompt goes to an engine that will take `reading` for what it has to read of it.
+    std::function<void(const PromptSent &, Duration reading)> onPromptSent;
+
     void waitForTokens(const std::shared_ptr<RelayCall> &call);
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -45,6 +45,17 @@
     return parts[parts.size() < 2 ? 0 : parts.size() - 2].id;
 }
 
+// How much of the prompt lies up to the end of that part.
+Tokens sharedTokens(const RequestFacts &facts)
+{
+    const auto &parts = facts.promptParts;
+    Tokens sum = 0;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        sum += parts[i].tokens;
+    }
+    return std::min(sum, facts.promptTokens);
+}
+
 } // namespace
 
 RelayCall::RelayCall(Relay &relay, AnswerSink &sink, RequestHead head, std::string body)
@@ -188,12 +199,17 @@
     query.service = m_serviceName;
     query.tried = m_tried;
     query.dataCentre = m_relay.options().dataCentre;
+    if (m_service != nullptr && m_service->engine) {
+        query.promptTokens = m_facts.promptTokens;
+        query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
+    }
     if (m_route->cachesPrompts) {
         query.affinity = sharedPart(m_facts);
+        query.sharedTokens = sharedTokens(m_facts);
     }
-    EndpointState *endpoint =
+    const Choice choice =
         chooseEndpoint(m_relay.state().endpoints, query, m_relay.options().choice, m_relay.random(), Relay::now());
-    if (endpoint == nullptr) {
+    if (choice.endpoint == nullptr) {
         if (m_progress == Progress::Sent) {
             refuse(ErrorKind::EndpointFailed, "the endpoint failed and no other is left", std::nullopt);
         } else {
@@ -201,7 +217,44 @@
         }
         return;
     }
-    sendTo(*endpoint);
+    sendTo(*choice.endpoint);
+    if (query.promptTokens > 0) {
+        beginReading(*choice.endpoint, choice.unread);
+    }
+}
+
+void RelayCall::beginReading(EndpointState &endpoint, Tokens unread)
+{
+    const EngineSpeed &speed = m_relay.state().endpoints.speeds[m_serviceName];
+    do {
+        m_read = m_relay.random();
+    } while (m_read == 0);
+    beginRead(endpoint.load, speed, m_read, unread, m_sentAt);
+    if (m_relay.onPromptSent) {
+        PromptSent prompt{m_endpoint, unread, {}};
+        if (m_route->cachesPrompts) {
+            prompt.part = sharedPart(m_facts);
+        }
+        m_relay.onPromptSent(prompt, readingTime(endpoint.load, speed, unread));
+    }
+}
+
+void RelayCall::onFirstEvent()
+{
+    EndpointState *endpoint = currentEndpoint();
+    if (m_read != 0 && endpoint != nullptr) {
+        endRead(endpoint->load, m_relay.state().endpoints.speeds[m_serviceName], m_read, Relay::now());
+    }
+    m_read = 0;
+}
+
+void RelayCall::stopReading()
+{
+    EndpointState *endpoint = currentEndpoint();
+    if (m_read != 0 && endpoint != nullptr) {
+        dropRead(endpoint->load, m_relay.state().endpoints.speeds[m_serviceName], m_read, Relay::now());
+    }
+    m_read = 0;
 }
 
 void RelayCall::sendTo(EndpointState &endpoint)
@@ -295,6 +348,7 @@
     if (whole.empty()) {
         return;
     }
+    onFirstEvent();
     m_lastEventAt = Relay::now();
     m_firstAnswerAt = m_firstAnswerAt.value_or(*m_lastEventAt);
     m_sink->send(chunk(whole));
@@ -498,6 +552,7 @@
 {
     m_attemptOpen = false;
     m_exchange.reset();
+    stopReading();
     if (EndpointState *endpoint = currentEndpoint()) {
         Godwit::endAttempt(*endpoint, verdict, m_relay.options().choice, Relay::now());
     }
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -105,6 +105,9 @@
     Tokens usedTokens() const;
     Duration timeLeft() const;
     EndpointState *currentEndpoint();
+    void beginReading(EndpointState &endpoint, Tokens unread);
+    void onFirstEvent();
+    void stopReading();
 
     Relay &m_relay;
     AnswerSink *m_sink;
@@ -136,6 +139,7 @@
     EndpointStart m_endpointStart = 0;
     TimePoint m_sentAt;
     bool m_attemptOpen = false;
+    ReadId m_read = 0; // The prompt that the endpoint still has to read; 0: none.
 
     std::optional<AnswerHead> m_answerHead;
     AnswerFacts m_answer;
