--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -23,7 +23,8 @@
 constexpr const char *LedgerTopic = "ledger";
 constexpr const char *DocumentTopic = "document";
 constexpr const char *FoundTopic = "store-found";
-constexpr const char *MissedTopic = "missed";
+constexpr const char *ReadingTopic = "reading";
+constexpr const char *PromptTopic = "prompt";
 
 // Beats nest two levels deep.
 constexpr std::size_t MaxDepth = 4;
@@ -300,9 +301,9 @@
     m_mesh->broadcast({FoundTopic, {}});
 }
 
-void FleetLinks::tellMissed(const std::string &prefix)
+void FleetLinks::tellReading(const std::string &prefix, std::uint64_t digest)
 {
-    m_mesh->broadcast({MissedTopic, prefix});
+    m_mesh->broadcast({ReadingTopic, toBytes(json::array({prefix, digest}))});
 }
 
 std::vector<CallerAddress> FleetLinks::callerAddresses() const
@@ -401,8 +402,10 @@
         onDocument(envelope.body);
     } else if (envelope.topic == FoundTopic && onStoreFound) {
         onStoreFound();
-    } else if (envelope.topic == MissedTopic && onMissed) {
-        onMissed(envelope.body);
+    } else if (envelope.topic == PromptTopic) {
+        onPromptTold(envelope.body);
+    } else if (envelope.topic == ReadingTopic) {
+        onReadingTold(envelope.body);
     }
 }
 
@@ -521,6 +524,48 @@
     }
 }
 
+// A router may tell one prompt each `pause`. While it has more than that to tell, the shortest told grows; while it has
+// less, it shrinks.
+void FleetLinks::tellPrompt(const PromptSent &prompt, Duration reading)
+{
+    const double least = toSeconds(m_options.toldPromptFrom);
+    m_toldFrom = std::max(m_toldFrom, least);
+    if (m_peers.empty() || toSeconds(reading) < m_toldFrom) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    const auto routers = static_cast<double>(m_relay.state().liveRouters);
+    const double pause = routers * std::max(1.0, routers - 1) / m_options.promptsHeardPerSecond;
+    const double pauses = toSeconds(now - m_promptToldAt) / pause;
+    constexpr double step = 1.1;
+    m_toldFrom = pauses < 1 ? m_toldFrom * step : std::max(least, m_toldFrom / std::min(pauses, step));
+    m_promptToldAt = now;
+    m_mesh->broadcast({PromptTopic, toBytes(json::array({prompt.endpoint.value, prompt.unread, prompt.part}))});
+}
+
+void FleetLinks::onPromptTold(const std::string &body)
+{
+    const json message = fromBytes(body);
+    const bool wellFormed = message.is_array() && message.size() == 3 && message[0].is_string()
+        && message[1].is_number_integer() && message[2].is_string();
+    if (!wellFormed) {
+        return;
+    }
+    PromptSent prompt{EndpointId{message[0].get<std::string>()}, message[1].get<Tokens>(), message[2]};
+    prompt.unread = std::max<Tokens>(0, prompt.unread);
+    notePromptElsewhere(m_relay.state().endpoints, prompt, m_relay.options().choice, Relay::now());
+}
+
+void FleetLinks::onReadingTold(const std::string &body)
+{
+    const json message = fromBytes(body);
+    const bool wellFormed =
+        message.is_array() && message.size() == 2 && message[0].is_string() && message[1].is_number_unsigned();
+    if (wellFormed && onReading) {
+        onReading(message[0].get<std::string>(), message[1].get<std::uint64_t>());
+    }
+}
+
 void FleetLinks::offerDocument(const Peer &peer)
 {
     if (peer.linked && !m_document.empty()) {
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -56,6 +56,12 @@
     // Of the routers that have the newest document about so many offer it to each that lacks it. With 90 routers and
     // links of 10 Mbit/s a copy from each kept a host's link busy for seconds, and its requests failed.
     double documentOffers = 3;
+    // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
+    // is hardly later.
+    Duration toldPromptFrom = std::chrono::milliseconds(12);
+    // All routers together tell each other of this many prompts a second, counted at each that hears: each costs some
+    // 40 us at both ends. In a large fleet only the longest are told.
+    double promptsHeardPerSecond = 2500;
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -107,20 +113,23 @@
     // Routers that take requests, this one included.
     int liveCount() const;
 
-    // Tells all others to read everything under `prefix` again: this router's watch had missed a change.
-    void tellMissed(const std::string &prefix);
+    // Tells all others that this router has read everything under `prefix`, and what it found.
+    void tellReading(const std::string &prefix, std::uint64_t digest);
 
     // Tells all others how the ledger of prepaid totals stands since this router's write.
     void tellLedger(std::uint64_t revision, const std::string &ledger);
 
+    // Tells all others that this router has sent a long prompt to an engine.
+    void tellPrompt(const PromptSent &prompt, Duration reading);
+
     // Tells all others that the platform's store answers again.
     void tellStoreFound();
 
     // Another router has reached the platform's store.
     std::function<void()> onStoreFound;
 
-    // Another router's watch of the prefix had missed a change.
-    std::function<void(const std::string &prefix)> onMissed;
+    // Another router has read everything under the prefix.
+    std::function<void(const std::string &prefix, std::uint64_t digest)> onReading;
 
     // Another router has a newer document than this one.
     std::function<void(const std::string &text)> onDocument;
@@ -150,6 +159,8 @@
     void readHeld(const nlohmann::json &beat, const HolderId &holder);
     void onAsk(const Incarnation &from, const std::string &body);
     void onLedger(const std::string &body);
+    void onReadingTold(const std::string &body);
+    void onPromptTold(const std::string &body);
     void onGive(const Incarnation &from, const std::string &body);
     bool mayOfferDocument(const Peer &peer);
     void offerDocument(const Peer &peer);
@@ -167,6 +178,9 @@
     std::uint64_t m_documentVersion = 0;
     TimePoint m_documentAt; // Since when this router has it.
     std::string m_document;
+    // The shortest prompt that is told now, as reading time in seconds; follows the bound on what is told.
+    double m_toldFrom = 0;
+    TimePoint m_promptToldAt;
 };
 
 } // namespace Godwit
--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -1,9 +1,14 @@
 #include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/reading_turns.h"
 #include "godwit/gateway/repeat_allowance.h"
 #include "godwit/gateway/route_table.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <random>
+
 using namespace Godwit;
 
 namespace
@@ -63,6 +68,33 @@
     CHECK(routeName(*table, "a.example", "") == "none");
 }
 
+TEST_CASE("no chance of lots and lost messages leaves a prefix unread for longer than the bound")
+{
+    // A caller gets a key refused that the operators added 3.5 s ago: all watches were deaf at the time, and the turns
+    // of eight routers that read by lot had all fallen on the moment just before the change.
+    const ReadingOptions options;
+    constexpr int Routers = 8;
+    std::mt19937 lots(7);
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::array<TimePoint, Routers> due{};
+    for (TimePoint &at : due) {
+        at = nextReading(options, Start, Routers, draw(lots));
+    }
+    TimePoint before = Start;
+    for (int turn = 0; turn < 5000; ++turn) {
+        const TimePoint at = *std::min_element(due.begin(), due.end());
+        CHECK(at - before <= longestGap(options, Routers));
+        before = at;
+        for (TimePoint &own : due) {
+            const bool hears = own == at || draw(lots) < 0.7;
+            own = hears ? nextReading(options, at, Routers, draw(lots)) : own;
+        }
+    }
+    CHECK(longestGap(options, Routers) < std::chrono::milliseconds(1200));
+    CHECK(longestGap(options, 400) < std::chrono::milliseconds(1500));
+    CHECK(longestGap(options, 1) == options.every);
+}
+
 TEST_CASE("services are picked by weight, equally for an equal seed")
 {
     GatewayRoute route = makeRoute("r", "h", "/");
@@ -85,7 +117,7 @@
     listed.erase(listed.begin());
     replaceEndpoints(table, listed);
     for (std::uint64_t i = 0; i < 20; ++i) {
-        const EndpointState *chosen = chooseEndpoint(table, queryFor(), {}, i, Start);
+        const EndpointState *chosen = chooseEndpoint(table, queryFor(), {}, i, Start).endpoint;
         REQUIRE(chosen != nullptr);
         CHECK(chosen->listed.id == EndpointId{"c"});
     }
@@ -95,20 +127,53 @@
     CHECK(table.endpoints.count(EndpointId{"a"}) == 0);
 }
 
-TEST_CASE("shared prompts meet at one endpoint until it carries more than its part")
+TEST_CASE("an endpoint that has started anew is taken as new, also by attempts that its earlier start had")
+{
+    // Requests avoid a sound endpoint, or its load seems to fall below nothing: it has crashed with requests under way
+    // and is back under its id, and what was reckoned of its earlier start is carried over.
+    EndpointTable table;
+    auto listed = threeEndpoints();
+    listed[0].startedAt = 1000;
+    replaceEndpoints(table, listed);
+    EndpointState &before = table.endpoints.at(EndpointId{"a"});
+    beginAttempt(before);
+    beginAttempt(before);
+    endAttempt(before, AttemptVerdict::Unreachable, {}, Start);
+    listed[0].startedAt = 2000;
+    CHECK(replaceEndpoints(table, listed) == std::vector<EndpointId>{EndpointId{"a"}});
+    CHECK(replaceEndpoints(table, listed).empty());
+    const EndpointState &after = table.endpoints.at(EndpointId{"a"});
+    CHECK(after.inFlight == 0);
+    CHECK(after.failuresInRow == 0);
+    CHECK(after.avoidUntil <= Start);
+    CHECK(findStart(table, EndpointId{"a"}, 1000) == nullptr);
+    CHECK(findStart(table, EndpointId{"a"}, 2000) == &after);
+}
+
+TEST_CASE("shared prompts meet at one endpoint until it has too much to read")
 {
     EndpointTable table;
     replaceEndpoints(table, threeEndpoints());
+    EngineSpeed &speed = table.speeds["s"];
+    speed.millisecondsPerToken = 0.02;
+    ChoiceQuery query = queryFor("prompt");
+    query.promptTokens = 1'500;
+    query.sharedTokens = 500;
+    query.latencyTarget = std::chrono::milliseconds(400);
     const ChoiceOptions options;
-    const EndpointId favourite = chooseEndpoint(table, queryFor("prompt"), options, 1, Start)->listed.id;
-    CHECK(chooseEndpoint(table, queryFor("prompt"), options, 77, Start)->listed.id == favourite);
-    for (int i = 0; i < options.slack; ++i) {
-        beginAttempt(table.endpoints.at(favourite));
-    }
-    for (int i = 0; i < 3; ++i) {
-        beginAttempt(*chooseEndpoint(table, queryFor("prompt"), options, 1, Start));
-    }
-    CHECK(table.endpoints.at(favourite).inFlight < 5);
+    const EndpointId favourite = chooseEndpoint(table, query, options, 1, Start).endpoint->listed.id;
+    CHECK(chooseEndpoint(table, query, options, 77, Start).endpoint->listed.id == favourite);
+    EndpointState &usual = table.endpoints.at(favourite);
+    beginRead(usual.load, speed, 1, 2'000, Start);
+    CHECK(chooseEndpoint(table, query, options, 77, Start).endpoint == &usual);
+    CHECK(chooseEndpoint(table, query, options, 77, Start).unread == 1'000);
+    beginRead(usual.load, speed, 2, 50'000, Start);
+    const Choice second = chooseEndpoint(table, query, options, 77, Start);
+    CHECK(second.endpoint != &usual);
+    CHECK(second.unread == 1'500);
+    // It is kept there now as well.
+    CHECK(chooseEndpoint(table, query, options, 5, Start).endpoint == second.endpoint);
+    CHECK(chooseEndpoint(table, query, options, 5, Start).unread == 1'000);
 }
 
 TEST_CASE("an endpoint that can't be reached is left alone for a while, and used when nobody else is left")
@@ -120,13 +185,13 @@
     beginAttempt(bad);
     endAttempt(bad, AttemptVerdict::Unreachable, options, Start);
     for (std::uint64_t i = 0; i < 20; ++i) {
-        CHECK(chooseEndpoint(table, queryFor(), options, i, Start)->listed.id != EndpointId{"a"});
+        CHECK(chooseEndpoint(table, queryFor(), options, i, Start).endpoint->listed.id != EndpointId{"a"});
     }
     ChoiceQuery others = queryFor();
     others.tried = {EndpointId{"b"}, EndpointId{"c"}};
-    CHECK(chooseEndpoint(table, others, options, 1, Start)->listed.id == EndpointId{"a"});
+    CHECK(chooseEndpoint(table, others, options, 1, Start).endpoint->listed.id == EndpointId{"a"});
     others.tried.push_back(EndpointId{"a"});
-    CHECK(chooseEndpoint(table, others, options, 1, Start) == nullptr);
+    CHECK(chooseEndpoint(table, others, options, 1, Start).endpoint == nullptr);
 }
 
 TEST_CASE("repeats are a share of the requests in the window, and no more")
