--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -45,8 +45,12 @@
 void BudgetKeeper::onTick()
 {
     const TimePoint now = Relay::now();
+    const bool bound = m_relay.state().prepaid.marksBind;
     if (checkMarks(m_relay.state().prepaid, m_hostTime())) {
-        m_relay.log().write("marks_bind_no_more", {});
+        if (bound) {
+            m_relay.log().write("marks_bind_no_more", {});
+        }
+        // Their limits grow with the time.
         m_relay.tokensCame();
     }
     keepLease(now);
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -19,6 +19,7 @@
 
 constexpr const char *BeatTopic = "beat";
 constexpr const char *AskTopic = "ask";
+constexpr const char *WishTopic = "wish";
 constexpr const char *GiveTopic = "give";
 constexpr const char *LedgerTopic = "ledger";
 constexpr const char *DocumentTopic = "document";
@@ -32,9 +33,6 @@
 // A peer that nobody lists and nobody hears is forgotten after this long.
 constexpr Duration ForgetAfter = std::chrono::seconds(20);
 
-// Ranks the routers by address, so that a restart changes nothing.
-constexpr std::string_view HolderRank = "holds-ahead";
-
 std::string toBytes(const json &value)
 {
     std::string bytes;
@@ -110,6 +108,7 @@
     : m_relay(relay)
     , m_options(std::move(options))
     , m_timer(io)
+    , m_answerTimer(io)
 {
     RouterMeshOptions mesh;
     mesh.listenAddress = m_options.listenAddress;
@@ -141,7 +140,6 @@
     if (!m_mesh->start(reason)) {
         return false;
     }
-    m_relay.state().prepaid.holdsAhead = false;
     armBeat();
     return true;
 }
@@ -171,117 +169,152 @@
         peer.listed = true;
         m_mesh->connectTo(member.host, member.peerAddress);
     }
-    chooseHolders();
+    chooseHomes();
 }
 
-void FleetLinks::askForTokens(const CustomerId &customer, Tokens lacking, bool again)
+void FleetLinks::askForTokens(const CustomerId &customer, Tokens needed)
+{
+    const PrepaidShare &share = m_relay.state().prepaid;
+    const auto account = share.accounts.find(customer);
+    if (account != share.accounts.end() && account->second.holdsAhead) {
+        askHolders(customer, needed);
+    } else {
+        askHome(customer, needed);
+    }
+}
+
+void FleetLinks::askHome(const CustomerId &customer, Tokens needed)
 {
     const TimePoint now = Relay::now();
-    const bool holdsAhead = m_relay.state().prepaid.holdsAhead;
-    TokenWish wish;
-    wish.lacking = lacking;
-    wish.wanted = lacking;
-    if (!holdsAhead && !again) {
-        if (const Peer *holder = holderFor(customer, lacking, now)) {
-            ask(*holder, customer, wish);
-            return;
-        }
+    Peer *home = homeOf(customer, now);
+    if (home == nullptr) {
+        return;
     }
+    OnItsWay &coming = m_onItsWay[customer];
+    if (coming.until <= now) {
+        coming.tokens = 0;
+    }
+    const Tokens lacking = needed - headroom(m_relay.state().prepaid, customer) - coming.tokens;
+    if (lacking <= 0) {
+        return;
+    }
+    coming.tokens += lacking;
+    coming.until = now + m_options.wishWaits;
+    if (!home->unansweredSince) {
+        home->unansweredSince = now;
+    }
+    m_mesh->send(home->member.incarnation, {WishTopic, toBytes(json::array({customer.value, lacking}))});
+    watchAnswers();
+}
+
+// A home asks those that still hold some of the budget: homes of before, or ones that another router takes for it.
+void FleetLinks::askHolders(const CustomerId &customer, Tokens needed)
+{
+    const TimePoint now = Relay::now();
     TimePoint &askedAt = m_askedAt[customer];
     if (now < askedAt + m_options.askInterval) {
         return;
     }
     askedAt = now;
-    if (holdsAhead) {
-        const double demand = demandPerSecond(m_relay.state().prepaid, customer, now);
-        wish.wanted = std::max(lacking, static_cast<Tokens>(demand * toSeconds(m_options.askFor)));
-    }
-    // Those that hold most are asked first, and as many as it takes for what waits.
+    Tokens lacking = needed - headroom(m_relay.state().prepaid, customer);
     auto &known = m_relay.state().prepaid.heldElsewhere[customer];
-    for (int asked = 0; (asked < m_options.askAtMost && wish.wanted > 0) || wish.lacking > 0; ++asked) {
-        const Peer *best = nullptr;
-        Tokens most = 0;
-        for (const auto &[incarnation, peer] : m_peers) {
-            const auto entry = known.find(HolderId{peer.member.callerAddress});
-            if (peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable > most) {
-                best = &peer;
-                most = entry->second.spendable;
-            }
-        }
-        if (best == nullptr) {
-            return;
+    for (auto &[incarnation, peer] : m_peers) {
+        const auto entry = known.find(HolderId{peer.member.callerAddress});
+        if (lacking > 0 && peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable > 0) {
+            const Tokens part = std::min(lacking, entry->second.spendable);
+            m_mesh->send(incarnation, {AskTopic, toBytes(json::array({customer.value, part, part}))});
+            lacking -= part;
+            // Its next beat puts the figure right.
+            entry->second.spendable -= part;
         }
-        ask(*best, customer, wish);
-        // It gives half of what it has, or all for what waits; its next beat puts the figure right.
-        const Tokens expected = std::max(std::min(wish.wanted, most / 2), std::min(wish.lacking, most));
-        known[HolderId{best->member.callerAddress}].spendable = most - expected - 1;
-        wish.wanted = std::max<Tokens>(0, wish.wanted - expected);
-        wish.lacking = std::max<Tokens>(0, wish.lacking - expected);
     }
 }
 
-// Any of those that hold enough, by lot: what all of them were last heard to hold is old by a beat, and the one with
-// the most would get all questions at once.
-FleetLinks::Peer *FleetLinks::holderFor(const CustomerId &customer, Tokens lacking, TimePoint now)
+void FleetLinks::watchAnswers()
 {
-    auto &known = m_relay.state().prepaid.heldElsewhere[customer];
-    Peer *chosen = nullptr;
-    std::uint64_t seen = 0;
+    if (std::exchange(m_watchingAnswers, true)) {
+        return;
+    }
+    m_answerTimer.expires_after(m_options.answerLimit);
+    m_answerTimer.async_wait([this](const boost::system::error_code &error) {
+        m_watchingAnswers = false;
+        if (!error) {
+            passOverSilent();
+        }
+    });
+}
+
+// The requests that wait for a silent home ask the next one.
+void FleetLinks::passOverSilent()
+{
+    const TimePoint now = Relay::now();
+    bool anyWaits = false;
+    bool anySilent = false;
     for (auto &[incarnation, peer] : m_peers) {
-        const auto entry = known.find(HolderId{peer.member.callerAddress});
-        const bool suits =
-            peer.linked && isFresh(peer, now) && entry != known.end() && entry->second.spendable >= lacking;
-        if (suits && m_relay.random() % ++seen == 0) {
-            chosen = &peer;
+        if (!peer.unansweredSince) {
+            continue;
+        }
+        if (now < *peer.unansweredSince + m_options.answerLimit) {
+            anyWaits = true;
+            continue;
         }
+        anySilent = true;
+        peer.unansweredSince.reset();
+        peer.passedOverUntil = now + m_options.passOver;
+        m_relay.log().write("home_silent", {{"peer", std::string_view(incarnation.value)}});
+    }
+    if (anySilent) {
+        m_onItsWay.clear();
+        chooseHomes();
+        m_relay.askAgain();
     }
-    if (chosen != nullptr) {
-        known[HolderId{chosen->member.callerAddress}].spendable -= lacking;
+    if (anyWaits) {
+        watchAnswers();
     }
-    return chosen;
 }
 
-void FleetLinks::ask(const Peer &peer, const CustomerId &customer, const TokenWish &wish)
+bool FleetLinks::mayBeHome(const Peer &peer, TimePoint now) const
 {
-    // Routers that hold ahead draw for the requests of those that don't.
-    const int isDemand = m_relay.state().prepaid.holdsAhead ? 0 : 1;
-    m_mesh->send(peer.member.incarnation,
-                 {AskTopic, toBytes(json::array({customer.value, wish.wanted, wish.lacking, isDemand}))});
+    return peer.linked && peer.ready && isFresh(peer, now) && now >= peer.passedOverUntil;
 }
 
-// Which routers hold tokens ahead. Routers that differ on it for a while cost some writes and no tokens.
-void FleetLinks::chooseHolders()
+// By rank, so that all agree without a word, and by address, so that a restart changes nothing. Routers that differ on
+// it for a while cost some writes and no tokens.
+FleetLinks::Peer *FleetLinks::homeOf(const CustomerId &customer, TimePoint now)
 {
-    const TimePoint now = Relay::now();
-    const auto rankOf = [](const std::string &address) {
-        return rendezvousWeight(HolderRank, address);
-    };
-    const std::uint64_t own = rankOf(m_options.own.callerAddress);
-    std::vector<std::uint64_t> ranks{own};
-    for (const auto &[incarnation, peer] : m_peers) {
-        if (isFresh(peer, now)) {
-            ranks.push_back(rankOf(peer.member.callerAddress));
-        }
-    }
-    const std::size_t holders = std::min(ranks.size(), m_options.maxHolders);
-    std::nth_element(
-        ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(holders - 1), ranks.end(), std::greater<>());
-    const std::uint64_t least = ranks[holders - 1];
+    Peer *best = nullptr;
+    std::uint64_t bestRank = m_relay.isReady() ? rendezvousWeight(customer.value, m_options.own.callerAddress) : 0;
     for (auto &[incarnation, peer] : m_peers) {
-        peer.holdsAhead = rankOf(peer.member.callerAddress) >= least;
+        const std::uint64_t rank = rendezvousWeight(customer.value, peer.member.callerAddress);
+        if (rank > bestRank && mayBeHome(peer, now)) {
+            best = &peer;
+            bestRank = rank;
+        }
     }
+    return best;
+}
+
+void FleetLinks::chooseHomes()
+{
+    const TimePoint now = Relay::now();
     if (!m_readyAt && m_relay.isReady()) {
         m_readyAt = now;
     }
-    const bool mayBeAlone = ranks.size() > 1 || (m_readyAt && now >= *m_readyAt + m_options.aloneFor);
-    const bool holdsAhead = own >= least && mayBeAlone;
+    const bool knowsOthers = std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
+        return isFresh(entry.second, now);
+    });
+    const bool mayBeAlone = knowsOthers || (m_readyAt && now >= *m_readyAt + m_options.aloneFor);
     PrepaidShare &share = m_relay.state().prepaid;
-    share.holders = static_cast<int>(holders);
-    if (share.holdsAhead != holdsAhead) {
-        share.holdsAhead = holdsAhead;
-        m_relay.log().write("holds_ahead",
-                            {{"holds", share.holdsAhead}, {"holders", static_cast<std::int64_t>(holders)}});
+    std::size_t bounded = 0;
+    for (auto &[customer, account] : share.accounts) {
+        bounded += account.bounded ? 1 : 0;
+        const bool isHome = m_relay.isReady() && mayBeAlone && homeOf(customer, now) == nullptr;
+        if (account.bounded && account.holdsAhead != isHome) {
+            account.holdsAhead = isHome;
+            m_relay.log().write("home", {{"customer", std::string_view(customer.value)}, {"holds", isHome}});
+        }
     }
+    share.markWriters = std::max(1, std::min(liveCount(), static_cast<int>(bounded)));
 }
 
 void FleetLinks::shareDocument(std::uint64_t version, const std::string &text)
@@ -291,8 +324,18 @@
     m_document = text;
 }
 
+// At once when it changes: until the others know, each of the routers that start together takes itself for the home of
+// all customers, and requests go on to a home that is leaving.
+void FleetLinks::tellReadiness()
+{
+    if (m_readyTold != m_relay.isReady()) {
+        beat();
+    }
+}
+
 void FleetLinks::beat()
 {
+    m_readyTold = m_relay.isReady();
     m_mesh->broadcast({BeatTopic, beatBody()});
 }
 
@@ -326,16 +369,44 @@
            }));
 }
 
+// Near the end of a budget what requests have left over would lie idle at each of the routers, and be lost with it.
+void FleetLinks::sendLeftovers()
+{
+    PrepaidShare &share = m_relay.state().prepaid;
+    const TimePoint now = Relay::now();
+    for (const auto &[customer, account] : share.accounts) {
+        Peer *home = account.bounded && !account.holdsAhead && account.reserved == 0 ? homeOf(customer, now) : nullptr;
+        const Tokens left = headroom(share, customer);
+        const auto most = static_cast<Tokens>(m_options.leftoversBelow * static_cast<double>(account.total));
+        if (home != nullptr && left > 0 && mayRemain(share, customer) < most) {
+            send(takeLeftovers(share, customer, HolderId{home->member.callerAddress}));
+        }
+    }
+}
+
 void FleetLinks::armBeat()
 {
-    m_timer.expires_after(m_peers.empty() ? m_options.aloneInterval : beatInterval());
+    m_beatAt = m_peers.empty() ? Relay::now() + m_options.aloneInterval : Relay::now() + beatInterval();
+    armLook();
+}
+
+// Looks often whether the readiness has changed; beats when it is time.
+void FleetLinks::armLook()
+{
+    m_timer.expires_at(std::min(m_beatAt, Relay::now() + m_options.lookInterval));
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
         }
+        tellReadiness();
+        if (Relay::now() < m_beatAt) {
+            armLook();
+            return;
+        }
         m_relay.state().liveRouters = liveCount();
         forgetSilent(Relay::now());
-        chooseHolders();
+        chooseHomes();
+        sendLeftovers();
         beat();
         armBeat();
     });
@@ -344,21 +415,50 @@
 std::string FleetLinks::beatBody() const
 {
     const auto &share = m_relay.state().prepaid;
-    const TimePoint now = Relay::now();
     json held = json::object();
     for (const auto &[customer, account] : share.accounts) {
-        if (account.bounded && share.holdsAhead && held.size() < m_options.maxCustomersInBeat) {
-            held[customer.value] = json::array({headroom(share, customer),
-                                                unusedGrant(share, customer),
-                                                static_cast<Tokens>(demandPerSecond(share, customer, now)),
-                                                roomKnown(share, customer),
-                                                static_cast<Tokens>(smallDemandPerSecond(share, customer, now))});
+        // Also a former home that has used all of its grant: others would take it for unused.
+        const bool tells = account.holdsAhead || account.granted > 0;
+        if (account.bounded && tells && held.size() < m_options.maxCustomersInBeat) {
+            held[customer.value] = heldRow(customer);
         }
     }
-    return toBytes(json{{"version", m_documentVersion},
-                        {"ready", m_relay.isReady()},
-                        {"held", std::move(held)},
-                        {"ledger", share.ledgerRevision}});
+    return toBytes(json{{"version", m_documentVersion}, {"ready", m_relay.isReady()}, {"held", std::move(held)}});
+}
+
+// What readRow() reads.
+json FleetLinks::heldRow(const CustomerId &customer) const
+{
+    const auto &share = m_relay.state().prepaid;
+    const TimePoint now = Relay::now();
+    return json::array({headroom(share, customer),
+                        unusedGrant(share, customer),
+                        static_cast<Tokens>(demandPerSecond(share, customer, now)),
+                        roomKnown(share, customer),
+                        static_cast<Tokens>(smallDemandPerSecond(share, customer, now)),
+                        mayRemain(share, customer),
+                        share.ledgerRevision,
+                        m_relay.state().platformInReach ? 0 : untilTokensGrow(share, customer, now).count()});
+}
+
+void FleetLinks::readRow(const CustomerId &customer, const HolderId &holder, const json &row)
+{
+    const bool wellFormed =
+        row.is_array() && row.size() == 8 && std::all_of(row.begin(), row.end(), [](const json &value) {
+            return value.is_number_integer();
+        });
+    if (!wellFormed) {
+        return;
+    }
+    HeldElsewhere &known = m_relay.state().prepaid.heldElsewhere[customer][holder];
+    known.spendable = row[0].get<Tokens>();
+    known.unused = row[1].get<Tokens>();
+    known.demandPerSecond = row[2].get<double>();
+    known.room = row[3].get<Tokens>();
+    known.smallDemandPerSecond = row[4].get<double>();
+    known.remaining = row[5].get<Tokens>();
+    known.ledgerRevision = row[6].get<std::uint64_t>();
+    known.growsAt = Relay::now() + Duration(row[7].get<Duration::rep>());
 }
 
 void FleetLinks::onLinkUp(const Hello &hello)
@@ -379,6 +479,7 @@
     const auto found = m_peers.find(incarnation);
     if (found != m_peers.end()) {
         found->second.linked = false;
+        found->second.unansweredSince.reset();
         m_relay.log().write("peer_unlinked", {{"peer", std::string_view(incarnation.value)}});
     }
 }
@@ -394,8 +495,10 @@
         onBeat(found->second, envelope.body);
     } else if (envelope.topic == AskTopic) {
         onAsk(from, envelope.body);
+    } else if (envelope.topic == WishTopic) {
+        onWish(found->second, envelope.body);
     } else if (envelope.topic == GiveTopic) {
-        onGive(from, envelope.body);
+        onGive(found->second, envelope.body);
     } else if (envelope.topic == LedgerTopic) {
         onLedger(envelope.body);
     } else if (envelope.topic == DocumentTopic && onDocument) {
@@ -416,11 +519,16 @@
         return;
     }
     const auto ready = beat.find("ready");
+    const bool wasReady = peer.ready;
     peer.ready = ready != beat.end() && ready->is_boolean() && ready->get<bool>();
     const auto version = beat.find("version");
     if (version != beat.end() && version->is_number_unsigned()) {
         peer.documentVersion = version->get<std::uint64_t>();
     }
+    if (peer.ready != wasReady) {
+        chooseHomes();
+        m_relay.askAgain();
+    }
     readHeld(beat, HolderId{peer.member.callerAddress});
     if (mayOfferDocument(peer)) {
         offerDocument(peer);
@@ -445,55 +553,97 @@
 void FleetLinks::readHeld(const json &beat, const HolderId &holder)
 {
     const auto held = beat.find("held");
-    const auto ledger = beat.find("ledger");
-    if (held == beat.end() || !held->is_object() || ledger == beat.end() || !ledger->is_number_unsigned()) {
+    if (held == beat.end() || !held->is_object()) {
         return;
     }
-    for (const auto &[customer, row] : held->items()) {
-        const bool wellFormed =
-            row.is_array() && row.size() == 5 && std::all_of(row.begin(), row.end(), [](const json &value) {
-                return value.is_number_integer();
-            });
-        if (wellFormed) {
-            HeldElsewhere &known = m_relay.state().prepaid.heldElsewhere[CustomerId{customer}][holder];
-            known.spendable = row[0].get<Tokens>();
-            known.unused = row[1].get<Tokens>();
-            known.demandPerSecond = row[2].get<double>();
-            known.room = row[3].get<Tokens>();
-            known.smallDemandPerSecond = row[4].get<double>();
-            known.ledgerRevision = ledger->get<std::uint64_t>();
+    for (auto &[customer, holders] : m_relay.state().prepaid.heldElsewhere) {
+        if (held->find(customer.value) == held->end()) {
+            holders.erase(holder);
         }
     }
+    for (const auto &[customer, row] : held->items()) {
+        readRow(CustomerId{customer}, holder, row);
+    }
+}
+
+void FleetLinks::onWish(const Peer &peer, const std::string &body)
+{
+    const auto wish = readAmounts(fromBytes(body), 1);
+    if (!wish || wish->tokens[0] <= 0) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    PrepaidShare &share = m_relay.state().prepaid;
+    noteRequest(share, wish->customer, wish->tokens[0], now);
+    TokenAsk ask;
+    ask.from = HolderId{peer.member.callerAddress};
+    ask.customer = wish->customer;
+    ask.needed = wish->tokens[0];
+    ask.until = now + m_options.wishWaits;
+    const auto gift = askTokens(share, ask);
+    // Without tokens it says that the wish has arrived and has to wait.
+    send(gift.value_or(TokenGift{ask.from, ask.customer, 0}));
+    if (!gift && m_relay.onTokensWanted) {
+        m_relay.onTokensWanted(ask.customer, ask.needed);
+    }
+}
+
+void FleetLinks::serveAsks()
+{
+    for (const TokenGift &gift : Godwit::serveAsks(m_relay.state().prepaid, Relay::now())) {
+        send(gift);
+    }
+}
+
+// Counted as gone before it is sent: a message that is lost costs tokens, and none is ever there twice.
+void FleetLinks::send(const TokenGift &gift)
+{
+    const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&gift](const auto &entry) {
+        return entry.second.linked && entry.second.member.callerAddress == gift.to.value;
+    });
+    const std::string body = toBytes(json::array({gift.customer.value, gift.amount, heldRow(gift.customer)}));
+    if (peer == m_peers.end() || !m_mesh->send(peer->first, {GiveTopic, body})) {
+        // It has not left this process.
+        receiveTokens(m_relay.state().prepaid, gift.customer, gift.amount);
+    }
 }
 
 void FleetLinks::onAsk(const Incarnation &from, const std::string &body)
 {
-    const auto asked = readAmounts(fromBytes(body), 3);
-    if (!asked) {
+    const auto asked = readAmounts(fromBytes(body), 2);
+    const auto peer = m_peers.find(from);
+    if (!asked || peer == m_peers.end()) {
         return;
     }
     const TokenWish wish{asked->tokens[1], asked->tokens[0]};
-    if (asked->tokens[2] != 0) {
-        noteRequest(m_relay.state().prepaid, asked->customer, wish.lacking, Relay::now());
-    }
     const Tokens amount = sendTokens(m_relay.state().prepaid, asked->customer, wish, Relay::now());
-    // Counted as gone before it is sent: a message that is lost costs tokens, and none is ever there twice.
     if (amount > 0) {
-        m_mesh->send(from, {GiveTopic, toBytes(json::array({asked->customer.value, amount}))});
+        send(TokenGift{HolderId{peer->second.member.callerAddress}, asked->customer, amount});
     }
 }
 
-void FleetLinks::onGive(const Incarnation &from, const std::string &body)
+void FleetLinks::onGive(Peer &peer, const std::string &body)
 {
-    const auto given = readAmounts(fromBytes(body), 1);
-    if (!given || given->tokens[0] <= 0) {
+    const json message = fromBytes(body);
+    if (!message.is_array() || message.size() != 3) {
+        return;
+    }
+    const auto given = readAmounts(json::array({message[0], message[1]}), 1);
+    if (!given || given->tokens[0] < 0) {
+        return;
+    }
+    peer.unansweredSince.reset();
+    readRow(given->customer, HolderId{peer.member.callerAddress}, message[2]);
+    if (given->tokens[0] == 0) {
         return;
     }
+    OnItsWay &coming = m_onItsWay[given->customer];
+    coming.tokens = std::max<Tokens>(0, coming.tokens - given->tokens[0]);
     receiveTokens(m_relay.state().prepaid, given->customer, given->tokens[0]);
     m_relay.log().write("tokens_received",
                         {{"customer", std::string_view(given->customer.value)},
                          {"amount", given->tokens[0]},
-                         {"from", std::string_view(from.value)}});
+                         {"from", std::string_view(peer.member.incarnation.value)}});
     m_relay.tokensCame();
 }
 
@@ -504,7 +654,7 @@
     }
     const std::string body = toBytes(json::array({revision, ledger}));
     for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.linked && peer.holdsAhead) {
+        if (peer.linked) {
             m_mesh->send(incarnation, {LedgerTopic, body});
         }
     }
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -29,6 +29,10 @@
     // With more peers than this, beats come less often.
     Duration beatInterval = std::chrono::milliseconds(400);
     int peersAtFullRate = 24;
+    // How soon the others hear that this router has become ready, or leaves.
+    Duration lookInterval = std::chrono::milliseconds(50);
+    // With less than this part of a total left, routers send what requests have left over to the customer's home.
+    double leftoversBelow = 0.15;
     // Callers are sent to a router that was heard within so many beats.
     int freshBeats = 4;
     // A request for tokens asks for what it lacks, or for this much of the customer's recent demand here: the next
@@ -36,17 +40,19 @@
     Duration askFor = std::chrono::seconds(3);
     // How many routers are asked at once.
     int askAtMost = 3;
-    // No second question about the same customer within this time.
+    // No second question to other homes about the same customer within this time.
     Duration askInterval = std::chrono::milliseconds(30);
+    // A home answers a wish within a few milliseconds, if only by saying that it has to wait. One that has not answered
+    // for so long is passed over for `passOver`: a host that vanished closes no link, and beats tell only after 1.6 s.
+    Duration answerLimit = std::chrono::milliseconds(40);
+    Duration passOver = std::chrono::seconds(1);
+    // How long a wish waits at a home, and how long it counts as on its way here: no request waits longer.
+    Duration wishWaits = std::chrono::milliseconds(200);
     // A ledger up to this size is told to all others once it is written; a longer one costs more than the refused
     // writes that it saves.
     std::size_t maxSharedLedgerBytes = 12UL * 1024;
-    // In a larger fleet only so many routers hold tokens ahead of their requests. Each part of a budget then still fits
-    // a large request, and few write the ledger: with all 66 routers of a fleet doing so a third of the requests was
-    // refused while their budgets were hardly used.
-    std::size_t maxHolders = 12;
-    // A router that is ready and knows no other one waits this long before it holds tokens ahead, and looks this often:
-    // where the whole fleet starts at once it would be one of many that do, and their writes refuse each other's. The
+    // A router that is ready and knows no other one waits this long before it is home to any customer, and looks this
+    // often: where the whole fleet starts at once it would be one of many, and their writes refuse each other's. The
     // others' entries take some 150 ms to arrive.
     Duration aloneFor = std::chrono::milliseconds(350);
     Duration aloneInterval = std::chrono::milliseconds(100);
@@ -97,9 +103,12 @@
     // The live routers as the platform lists them. Those that it no longer lists stay known while they are heard.
     void setListed(const std::vector<FleetMember> &members);
 
-    // Asks routers that hold some of the customer's budget for what a request lacks. `again`: for a request that has
-    // asked before.
-    void askForTokens(const CustomerId &customer, Tokens lacking, bool again);
+    // Asks for what the requests that wait here need in all: the customer's home, or, at the home itself, whoever else
+    // still holds some.
+    void askForTokens(const CustomerId &customer, Tokens needed);
+
+    // Sends what other routers wait for and is there now.
+    void serveAsks();
 
     // Tells all others the document in force.
     void shareDocument(std::uint64_t version, const std::string &text);
@@ -141,27 +150,41 @@
         bool linked = false;
         bool listed = false;
         bool ready = false;
-        bool holdsAhead = true;
         TimePoint heardAt;
+        // Since when a wish of this router has had no answer, and until when this peer is passed over for that.
+        std::optional<TimePoint> unansweredSince;
+        TimePoint passedOverUntil;
         TimePoint linkedAt;
         std::uint64_t documentVersion = 0;
     };
 
     void armBeat();
-    void chooseHolders();
-    Peer *holderFor(const CustomerId &customer, Tokens lacking, TimePoint now);
-    void ask(const Peer &peer, const CustomerId &customer, const TokenWish &wish);
+    void armLook();
+    void tellReadiness();
+    void chooseHomes();
+    bool mayBeHome(const Peer &peer, TimePoint now) const;
+    // Null when this router is the home, or when there is none.
+    Peer *homeOf(const CustomerId &customer, TimePoint now);
+    void askHome(const CustomerId &customer, Tokens needed);
+    void askHolders(const CustomerId &customer, Tokens needed);
+    void watchAnswers();
+    void passOverSilent();
+    void send(const TokenGift &gift);
+    void sendLeftovers();
+    nlohmann::json heldRow(const CustomerId &customer) const;
+    void readRow(const CustomerId &customer, const HolderId &holder, const nlohmann::json &row);
     std::string beatBody() const;
     void onLinkUp(const Hello &hello);
     void onLinkDown(const Incarnation &incarnation);
     void onMessage(const Incarnation &from, const Envelope &envelope);
     void onBeat(Peer &peer, const std::string &body);
     void readHeld(const nlohmann::json &beat, const HolderId &holder);
+    void onWish(const Peer &peer, const std::string &body);
     void onAsk(const Incarnation &from, const std::string &body);
     void onLedger(const std::string &body);
     void onReadingTold(const std::string &body);
     void onPromptTold(const std::string &body);
-    void onGive(const Incarnation &from, const std::string &body);
+    void onGive(Peer &peer, const std::string &body);
     bool mayOfferDocument(const Peer &peer);
     void offerDocument(const Peer &peer);
     Duration beatInterval() const;
@@ -174,7 +197,18 @@
     boost::asio::steady_timer m_timer;
     std::map<Incarnation, Peer> m_peers;
     std::map<CustomerId, TimePoint> m_askedAt;
+    // What homes have been asked for and not sent yet.
+    struct OnItsWay
+    {
+        Tokens tokens = 0;
+        TimePoint until;
+    };
+    std::map<CustomerId, OnItsWay> m_onItsWay;
+    boost::asio::steady_timer m_answerTimer;
+    bool m_watchingAnswers = false;
     std::optional<TimePoint> m_readyAt;
+    bool m_readyTold = false;
+    TimePoint m_beatAt;
     std::uint64_t m_documentVersion = 0;
     TimePoint m_documentAt; // Since when this router has it.
     std::string m_document;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -147,9 +147,12 @@
         , m_sweep(m_io)
         , m_stop(m_io)
     {
-        m_relay.onTokensWanted = [this](const CustomerId &customer, Tokens tokens, bool again) {
+        m_relay.onTokensWanted = [this](const CustomerId &customer, Tokens needed) {
             m_keeper.hurry();
-            m_links.askForTokens(customer, tokens, again);
+            m_links.askForTokens(customer, needed);
+        };
+        m_relay.onTokensCame = [this] {
+            m_links.serveAsks();
         };
         m_relay.onPromptSent = [this](const PromptSent &prompt, Duration reading) {
             m_links.tellPrompt(prompt, reading);
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -61,8 +61,11 @@
     return found != table.recentPlaces.end() && now < found->second.until ? &found->second.endpoint : nullptr;
 }
 
-void rememberPlace(
-    EndpointTable &table, std::string_view part, const EndpointId &endpoint, const ChoiceOptions &options, TimePoint now)
+void rememberPlace(EndpointTable &table,
+                   std::string_view part,
+                   const EndpointId &endpoint,
+                   const ChoiceOptions &options,
+                   TimePoint now)
 {
     if (table.recentPlaces.size() >= options.placesKept) {
         table.recentPlaces.clear();
--- a/godwit/prepaid/prepaid_fuzz_test.cpp
+++ b/godwit/prepaid/prepaid_fuzz_test.cpp
@@ -29,7 +29,9 @@
     Start,
     Late,
     GiveBack,
-    SwitchHolding, // Whether the router holds tokens ahead.
+    SwitchHolding, // Whether the router is home to the customer.
+    Ask, // The other router asks this one for what a request needs, and waits if it must.
+    ServeAsks,
 };
 
 struct Step
@@ -60,7 +62,9 @@
                                                                              {4, What::Start},
                                                                              {1, What::Late},
                                                                              {1, What::GiveBack},
-                                                                             {2, What::SwitchHolding}})),
+                                                                             {2, What::SwitchHolding},
+                                                                             {4, What::Ask},
+                                                                             {4, What::ServeAsks}})),
                                 rc::gen::set(&Step::router, rc::gen::inRange<std::size_t>(0, Routers)),
                                 rc::gen::set(&Step::other, rc::gen::inRange<std::size_t>(0, Routers)),
                                 rc::gen::set(&Step::amount, rc::gen::inRange<Tokens>(1, 6000)),
@@ -117,9 +121,15 @@
         break;
     case What::SwitchHolding:
         if (world.isAlive(step.router)) {
-            world.share(step.router).holdsAhead = step.choice % 2 == 0;
+            world.share(step.router).accounts[customer].holdsAhead = step.choice % 3 == 0;
         }
         break;
+    case What::Ask:
+        world.ask(step.router, step.other, customer, step.amount, step.choice == 0);
+        break;
+    case What::ServeAsks:
+        world.serveAsks(step.router, step.choice == 0);
+        break;
     case What::GiveBack:
         if (world.giveBack(step.router)) {
             world.kill(step.router);
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -55,9 +55,9 @@
 
 } // namespace
 
-Tokens reachOf(const Mark &mark, std::chrono::milliseconds binds, std::chrono::milliseconds age)
+Tokens reachOf(const Mark &mark, std::chrono::milliseconds age)
 {
-    const auto beyond = std::max<std::int64_t>(0, (age - binds).count());
+    const auto beyond = std::max<std::int64_t>(0, (age - mark.binds).count());
     return mark.limit + static_cast<Tokens>(static_cast<double>(mark.perSecond) * static_cast<double>(beyond) / 1000);
 }
 
@@ -99,13 +99,12 @@
 {
     json marks = json::object();
     for (const auto &[customer, entry] : mark.marks) {
-        marks[customer.value] = json::array({entry.limit, entry.used, entry.perSecond});
+        marks[customer.value] = json::array({entry.limit, entry.used, entry.perSecond, entry.binds.count()});
     }
     return json{{"writer", mark.writer.value},
                 {"uptime_ms", mark.writtenAt.uptime.count()},
                 {"wall_ms", mark.writtenAt.wall.count()},
                 {"boot", mark.writtenAt.boot},
-                {"binds_ms", mark.binds.count()},
                 {"marks", std::move(marks)}}
         .dump();
 }
@@ -118,11 +117,12 @@
         mark.writer = Incarnation{value.at("writer").get<std::string>()};
         mark.writtenAt.uptime = std::chrono::milliseconds(tokensOf(value.at("uptime_ms")));
         mark.writtenAt.wall = std::chrono::milliseconds(tokensOf(value.at("wall_ms")));
-        mark.binds = std::chrono::milliseconds(tokensOf(value.at("binds_ms")));
         mark.writtenAt.boot = value.at("boot").get<std::string>();
         for (const auto &[customer, entry] : value.at("marks").items()) {
-            mark.marks[CustomerId{customer}] =
-                Mark{tokensOf(entry.at(0)), tokensOf(entry.at(1)), tokensOf(entry.at(2))};
+            mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)),
+                                                    tokensOf(entry.at(1)),
+                                                    tokensOf(entry.at(2)),
+                                                    std::chrono::milliseconds(tokensOf(entry.at(3)))};
         }
         return mark;
     } catch (const json::exception &error) {
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -48,6 +48,8 @@
     Tokens limit = 0; // The router goes no further than this while the mark binds.
     Tokens used = 0; // Where it was when it wrote the mark.
     Tokens perSecond = 0; // How fast the limit grows once the mark binds no more.
+    // How long the limit stands, and so for how long a successor may trust it.
+    std::chrono::milliseconds binds{};
 };
 
 // A moment as one host knows it. Unlike the time of day, the uptime makes no jumps; it starts anew with the host.
@@ -63,14 +65,12 @@
     // The process that wrote it. A process that finds its own mark knows that its write took effect.
     Incarnation writer;
     HostTime writtenAt;
-    // How long it binds its writer, and so for how long a successor may trust it.
-    std::chrono::milliseconds binds{};
     std::map<CustomerId, Mark> marks;
 };
 
 // How far a mark lets its router go when it is `age` old. The router reckons with the least age that its clocks allow
 // and its successor with the greatest, so that the one never goes beyond what the other charges.
-Tokens reachOf(const Mark &mark, std::chrono::milliseconds binds, std::chrono::milliseconds age);
+Tokens reachOf(const Mark &mark, std::chrono::milliseconds age);
 
 // What is neither spent nor granted. Negative after the total was lowered.
 Tokens roomOf(const LedgerAccount &account);
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -27,27 +27,16 @@
     boundBy(limit, share.pendingGrants, customer);
     boundBy(limit, share.doubtfulGrants, customer);
     // All as old as the newest: those before it let the router go further still.
-    limit = std::min(limit, reachOf(account.mark, share.markBinds, share.markAge));
+    limit = std::min(limit, reachOf(account.mark, share.markAge));
     for (const auto *marks : {&share.doubtfulMarks, &share.pendingMarks}) {
         const auto found = marks->find(customer);
         if (found != marks->end()) {
-            limit = std::min(limit, reachOf(found->second, share.markBinds, share.markAge));
+            limit = std::min(limit, reachOf(found->second, share.markAge));
         }
     }
     return limit;
 }
 
-std::chrono::milliseconds bindingTime(const PrepaidShare &share)
-{
-    return markInterval(share) + share.options.markOutlasts;
-}
-
-// How much demand a mark runs ahead of what is used: as much as may come until it ceases to bind.
-Duration markAhead(const PrepaidShare &share)
-{
-    return bindingTime(share) + share.options.markMargin;
-}
-
 Tokens committed(const ShareAccount &account)
 {
     return account.net + account.reserved;
@@ -137,7 +126,7 @@
             all += held.demandPerSecond;
         }
     }
-    return all > 0 ? own / all : 1.0 / std::max(1, share.holders);
+    return all > 0 ? own / all : 1.0;
 }
 
 // The room as the newer of document and ledger gives the total.
@@ -170,11 +159,11 @@
     if (room < 0) {
         return grantWithin(account, room);
     }
-    if (!share.holdsAhead) {
+    if (!account.holdsAhead) {
         // A reservation or a received amount may still be open; the rest goes back.
         return std::clamp<Tokens>(committed(account), 0, account.granted);
     }
-    const auto idle = static_cast<Tokens>(options.idleShare * static_cast<double>(room) / std::max(1, share.holders));
+    const auto idle = static_cast<Tokens>(options.idleShare * static_cast<double>(room));
     // One usual request at least; a larger one asks for what it lacks.
     const Tokens least = std::max(static_cast<Tokens>(account.meanSize), account.shortOf);
     const Tokens wanted = std::max({idle, least, tokensFor(share, account, options.holdFor, now)});
@@ -195,28 +184,57 @@
     return crumb && account.granted > 0 ? account.granted : account.granted + more;
 }
 
-Mark wantedMark(const PrepaidShare &share, const ShareAccount &account, Tokens granted, TimePoint now)
+// How far a customer's marks run ahead of what is used, as a time of its demand, and how long they bind.
+struct MarkTimes
 {
-    Tokens ahead = std::max(
-        {tokensFor(share, account, markAhead(share), now), static_cast<Tokens>(2 * account.meanSize), account.shortOf});
+    Duration lead{};
+    std::chrono::milliseconds binds{};
+};
+
+MarkTimes markTimes(const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, TimePoint now)
+{
+    const PrepaidOptions &options = share.options;
+    // In a large fleet marks are written less often, and have to last as long.
+    const std::chrono::milliseconds least = markInterval(share) * 6 / 5;
+    const double demand = demandNow(share, account, now);
+    const double untilUsedUp = demand > 0 ? static_cast<double>(mayRemain(share, customer)) / demand : 0;
+    if (demand > 0 && untilUsedUp < toSeconds(options.closeMarksWithin)) {
+        const double seconds = options.closeLeadPart * static_cast<double>(account.total) / demand;
+        const auto lead = std::clamp(std::chrono::milliseconds(std::llround(std::min(seconds, 1e6) * 1000)),
+                                     std::max(options.closeLeadLeast, least),
+                                     std::max(options.markLead, least));
+        return {lead, std::max({options.closeBinds, lead})};
+    }
+    return {std::max(options.markLead, least), std::max(options.markLead, least)};
+}
+
+Mark wantedMark(
+    const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, Tokens granted, TimePoint now)
+{
+    const MarkTimes times = markTimes(share, customer, account, now);
+    Tokens ahead =
+        std::max({tokensFor(share, account, times.lead, now), static_cast<Tokens>(account.meanSize), account.shortOf});
     double perSecond = std::max(share.options.markGrowth * demandNow(share, account, now), account.meanSize);
     if (account.meanSize <= 0) {
         // Without demand yet: the first requests should not wait for a write.
-        ahead = granted / 2;
+        ahead = std::max(granted / 50, account.shortOf);
         perSecond = static_cast<double>(granted) / toSeconds(share.options.holdFor);
     }
     Mark mark;
     mark.used = committed(account);
-    mark.limit = std::min(granted, mark.used + ahead);
+    // Tokens that other routers sent are beyond any grant and need no mark; without this bound the mark of a router
+    // that was sent many would keep it from spending them.
+    mark.limit = std::min(granted, std::max<Tokens>(0, mark.used) + ahead);
     mark.perSecond = static_cast<Tokens>(perSecond);
+    mark.binds = times.binds;
     return mark;
 }
 
-bool markIsLow(const PrepaidShare &share, const ShareAccount &account, TimePoint now)
+bool markIsLow(const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, TimePoint now)
 {
     const Tokens left = account.mark.limit - committed(account);
-    // Four fifths of the time between two marks may pass before the mark counts as low.
-    const Tokens refill = tokensFor(share, account, markAhead(share) - Duration(markInterval(share)) * 4 / 5, now);
+    // Half of the lead may be used before the mark counts as low.
+    const Tokens refill = tokensFor(share, account, markTimes(share, customer, account, now).lead / 2, now);
     return account.mark.limit < account.granted && left < std::max(refill, account.shortOf);
 }
 
@@ -273,7 +291,7 @@
             const auto entry = mark->marks.find(customer);
             const Mark found = entry == mark->marks.end() ? Mark{} : entry->second;
             if (share.foundMarkAge) {
-                charge = std::min(charge, reachOf(found, mark->binds, *share.foundMarkAge));
+                charge = std::min(charge, reachOf(found, *share.foundMarkAge));
             }
             // It had used this much when it wrote the mark, and may have received tokens since.
             unsure = charge - std::min(charge, found.used);
@@ -298,6 +316,7 @@
     if (!isNew) {
         entry->second.limit = std::min(entry->second.limit, bound.limit);
         entry->second.perSecond = std::min(entry->second.perSecond, bound.perSecond);
+        entry->second.binds = std::max(entry->second.binds, bound.binds);
     }
 }
 
@@ -312,6 +331,18 @@
     share.pendingMarks = mark.marks;
 }
 
+// Of marks that let their router go somewhere.
+std::chrono::milliseconds shortestBinds(const MarkRecord &record)
+{
+    std::optional<std::chrono::milliseconds> shortest;
+    for (const auto &[customer, mark] : record.marks) {
+        if (mark.limit > mark.used) {
+            shortest = shortest ? std::min(*shortest, mark.binds) : mark.binds;
+        }
+    }
+    return shortest.value_or(std::chrono::milliseconds(0));
+}
+
 void clearPending(PrepaidShare &share)
 {
     share.writing = false;
@@ -352,7 +383,7 @@
 
 std::chrono::milliseconds markInterval(const PrepaidShare &share)
 {
-    const double even = 1000.0 * share.holders / share.options.fleetMarksPerSecond;
+    const double even = 1000.0 * share.markWriters / share.options.fleetMarksPerSecond;
     return std::max(share.options.markEvery, std::chrono::milliseconds(std::llround(even)));
 }
 
@@ -417,7 +448,9 @@
     const auto others = share.heldElsewhere.find(customer);
     if (others != share.heldElsewhere.end()) {
         for (const auto &[holder, held] : others->second) {
-            demand += held.smallDemandPerSecond;
+            // A home has been asked for this router's requests as well.
+            demand = found->second.holdsAhead ? demand + held.smallDemandPerSecond
+                                              : std::max(demand, held.smallDemandPerSecond);
         }
     }
     const auto kept = static_cast<Tokens>(demand * toSeconds(share.options.keepForSmall));
@@ -456,6 +489,14 @@
         return 0;
     }
     const auto others = share.heldElsewhere.find(customer);
+    if (!own->second.holdsAhead && others != share.heldElsewhere.end() && !others->second.empty()) {
+        // This router's own copy of the ledger is as old as its last write; the home's word is not.
+        Tokens told = 0;
+        for (const auto &[holder, held] : others->second) {
+            told = std::max(told, held.remaining);
+        }
+        return headroom(share, customer) + told;
+    }
     Tokens room = roomOf(*account);
     std::uint64_t newest = share.ledgerRevision;
     Tokens remaining = unusedGrant(share, customer);
@@ -478,6 +519,26 @@
     return remaining + std::max<Tokens>(0, room);
 }
 
+Duration untilTokensGrow(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
+{
+    const auto own = share.accounts.find(customer);
+    if (own == share.accounts.end()) {
+        return Duration::zero();
+    }
+    if (own->second.holdsAhead) {
+        const auto left = own->second.mark.binds - share.markAge;
+        return std::max<Duration>(left, Duration::zero());
+    }
+    Duration soonest = Duration::zero();
+    const auto others = share.heldElsewhere.find(customer);
+    if (others != share.heldElsewhere.end()) {
+        for (const auto &[holder, held] : others->second) {
+            soonest = std::max<Duration>(soonest, held.growsAt - now);
+        }
+    }
+    return soonest;
+}
+
 Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, const TokenWish &wish, TimePoint now)
 {
     const auto found = share.accounts.find(customer);
@@ -493,6 +554,43 @@
     return amount;
 }
 
+TokenGift takeLeftovers(PrepaidShare &share, const CustomerId &customer, const HolderId &to)
+{
+    const Tokens left = headroom(share, customer);
+    if (left > 0) {
+        share.accounts.at(customer).net += left;
+    }
+    return TokenGift{to, customer, left};
+}
+
+std::optional<TokenGift> askTokens(PrepaidShare &share, TokenAsk ask)
+{
+    const auto found = share.accounts.find(ask.customer);
+    if (found == share.accounts.end() || !found->second.bounded || ask.needed <= 0) {
+        return std::nullopt;
+    }
+    if (headroom(share, ask.customer) < ask.needed) {
+        share.asks.push_back(std::move(ask));
+        return std::nullopt;
+    }
+    found->second.net += ask.needed;
+    return TokenGift{ask.from, ask.customer, ask.needed};
+}
+
+std::vector<TokenGift> serveAsks(PrepaidShare &share, TimePoint now)
+{
+    std::vector<TokenGift> gifts;
+    for (TokenAsk &ask : std::exchange(share.asks, {})) {
+        if (ask.until <= now) {
+            continue;
+        }
+        if (auto gift = askTokens(share, std::move(ask))) {
+            gifts.push_back(std::move(*gift));
+        }
+    }
+    return gifts;
+}
+
 void receiveTokens(PrepaidShare &share, const CustomerId &customer, Tokens amount)
 {
     share.accounts[customer].net -= std::max<Tokens>(0, amount);
@@ -515,7 +613,7 @@
         if (mark && share.markWrittenAt.wall.count() == 0) {
             // An earlier process's write has landed after this one's first reading. A successor will go by its mark.
             share.markWrittenAt = mark->writtenAt;
-            share.markBinds = std::max(share.markBinds, mark->binds);
+            share.shortestBinds = shortestBinds(*mark);
             share.markAge = std::chrono::milliseconds(0);
         }
         // What an unanswered write did shows here.
@@ -545,13 +643,12 @@
 
 bool checkMarks(PrepaidShare &share, const HostTime &hostTime)
 {
-    const bool bound = share.marksBind;
     const HostTime &written = share.markWrittenAt;
     // By both clocks: a successor may have only the time of day to go by, and that may have been set back.
     share.markAge = std::max(std::chrono::milliseconds(0),
                              std::min(hostTime.uptime - written.uptime, hostTime.wall - written.wall));
-    share.marksBind = written.wall.count() > 0 && share.markAge < share.markBinds;
-    return bound && !share.marksBind;
+    share.marksBind = written.wall.count() > 0 && share.markAge < share.shortestBinds;
+    return !share.marksBind;
 }
 
 std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now, const HostTime &hostTime)
@@ -564,9 +661,11 @@
     MarkRecord mark;
     mark.writer = share.options.incarnation;
     mark.writtenAt = hostTime;
-    mark.binds = bindingTime(share);
     bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
-    bool markLow = !share.marksBind || hostTime.uptime >= share.markWrittenAt.uptime + markInterval(share);
+    const std::chrono::milliseconds refresh(
+        std::llround(static_cast<double>(share.shortestBinds.count()) * share.options.markRefreshPart));
+    const bool markIsOld = !share.marksBind || hostTime.uptime >= share.markWrittenAt.uptime + refresh;
+    bool markLow = markIsOld;
     bool urgent = !share.takenOver;
     bool markSuffices = share.takenOver;
     bool anyWaits = false;
@@ -584,7 +683,7 @@
             entry.granted.erase(share.options.self);
         }
         holdsAny = holdsAny || granted > committed(account);
-        const bool low = markIsLow(share, account, now);
+        const bool low = markIsLow(share, customer, account, now);
         // A waiting request is a reason to hurry only if the write can help it.
         const bool markHelps = account.shortOf > 0 && low && account.shortOf <= unusedGrant(share, customer);
         urgent = urgent || markHelps || (account.shortOf > 0 && granted > account.granted);
@@ -593,14 +692,13 @@
         ledgerChanges = ledgerChanges || granted != heldBefore;
         markLow = markLow || low;
         share.pendingGrants[customer] = granted;
-        mark.marks[customer] = wantedMark(share, account, granted, now);
+        mark.marks[customer] = wantedMark(share, customer, account, granted, now);
         account.shortOf = 0;
     }
     share.pendingMarks = mark.marks;
     // The mark is this router's own, so that its write is never refused because another router was faster. Where the
     // ledger is contended a mark that is overdue goes first: it would grow old, and with it what a death costs.
-    const bool markOverdue =
-        share.takenOver && share.ledgerContended && hostTime.uptime >= share.markWrittenAt.uptime + markInterval(share);
+    const bool markOverdue = share.takenOver && share.ledgerContended && markIsOld;
     if ((anyWaits && markSuffices) || (ledgerChanges && markOverdue)) {
         ledgerChanges = false;
         // The ledger's turn is next, whatever else is due.
@@ -630,7 +728,7 @@
     share.markWrittenBefore = share.markWrittenAt;
     share.markWrittenAt = hostTime;
     share.markAge = std::chrono::milliseconds(0);
-    share.markBinds = std::max(share.markBinds, bindingTime(share));
+    share.shortestBinds = shortestBinds(mark);
     share.marksBind = true;
     return write;
 }
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -11,8 +11,9 @@
 //     the platform refuses nobody whose budget is held here; and a death costs what may have been spent since the
 //     mark, rather than all that was held. The time is measured by the clocks of the host, which both processes
 //     share; the platform's leases take no part, since they may pause or lapse while it is down.
-// In a large fleet only some routers hold tokens ahead of their requests (`holdsAhead`), for all the others, which ask
-// them for what each request needs: parts as small as a 400th of a budget fit no request, and each part costs writes.
+// Of each customer only its home holds tokens ahead of requests (`holdsAhead`); the other routers ask the home for what
+// each request needs. What nobody can account for after a death of all is what the marks ran ahead: with one mark for
+// each customer instead of one for each router and customer it is a few requests, not a twentieth of the budget.
 // Between routers tokens move by messages: the sender counts them as gone at once, the receiver as come when they
 // arrive. A message that is lost costs tokens and never overspends.
 //
@@ -28,6 +29,7 @@
 #include "godwit/prepaid/prepaid_record.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,23 +45,34 @@
     HostTime startedAt; // Of this process.
     // How much of its recent demand a router holds: the platform is away for some 9 s at a time.
     Duration holdFor = std::chrono::seconds(12);
-    // A mark binds its router for the time between two marks and this much more. Processes are back within some 2 s
-    // of their end; the longer it is, the further marks have to run ahead.
-    std::chrono::milliseconds markOutlasts{1800};
+    // A mark's limit runs this time of demand ahead of what is used, and binds as long: processes are back within some
+    // 2 s of their end and find a mark that still binds, so that they charge its limit and no more. A router that can't
+    // reach the store goes on without a pause.
+    std::chrono::milliseconds markLead{2300};
+    // A customer that will have used up its total within this time at its present demand is marked closely: whatever
+    // nobody can account for after a death is missing at the end, and a twentieth of the total turns away everything
+    // that is still due. The others have enough left.
+    Duration closeMarksWithin = std::chrono::seconds(18);
+    // Close marks run ahead by this part of the total, within the bounds. They bind longer than they run ahead: where
+    // the store is away such a customer waits for the difference.
+    double closeLeadPart = 0.012;
+    std::chrono::milliseconds closeLeadLeast{300};
+    std::chrono::milliseconds closeBinds{2300};
+    // A mark is written anew when this part of the time that it binds has passed, so that a successor finds a young
+    // one.
+    double markRefreshPart = 0.33;
     // A successor takes a mark for this much older than its clocks say: what a clock may be set back unnoticed in
     // small steps.
     std::chrono::milliseconds markCaution{250};
     // How fast a mark's limit grows once it binds no more, as a multiple of the demand: a customer may ask for more
     // than it lately did.
-    double markGrowth = 1.5;
+    double markGrowth = 2;
     // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
     std::chrono::milliseconds clockTolerance{3000};
-    // A mark is written this often in a small fleet, so that a successor finds a young one.
-    std::chrono::milliseconds markEvery{500};
+    // Marks are written no more often than this, but for requests that wait.
+    std::chrono::milliseconds markEvery{250};
     // In a large fleet each router writes its mark less often, so that the fleet as a whole writes this many a second.
-    double fleetMarksPerSecond = 10;
-    // How much longer than it binds a mark runs ahead of what is used.
-    std::chrono::milliseconds markMargin{200};
+    double fleetMarksPerSecond = 28;
     // A grant is asked for again when less than this is left of it, or at once when a request waits. In a large fleet
     // the time between two marks is taken off, so that one write carries both.
     Duration refillGrantBelow = std::chrono::milliseconds(10500);
@@ -80,7 +93,7 @@
     double idleShare = 0.5;
     // Near the end of a budget this much of the demand of small requests is kept for them: where one large request
     // takes the tokens of six small ones, five callers more are served. Zero: first come, first served.
-    Duration keepForSmall = std::chrono::seconds(8);
+    Duration keepForSmall = std::chrono::seconds(2);
     // A draw of less than this part of a usual request is left undone, unless a request waits for it.
     double leastDraw = 0.5;
     // More than this multiple of what it wants to hold goes back.
@@ -108,6 +121,24 @@
     Tokens shortOf = 0; // What waiting requests lack.
     Tokens total = 0;
     bool bounded = false; // The customer has a prepaid total.
+    bool holdsAhead = true; // This router draws tokens before requests need them.
+};
+
+// Another router's wish that waits here until a write has made room for it.
+struct TokenAsk
+{
+    HolderId from;
+    CustomerId customer;
+    Tokens needed = 0;
+    TimePoint until; // Its request waits no longer.
+};
+
+// Tokens that leave for another router.
+struct TokenGift
+{
+    HolderId to;
+    CustomerId customer;
+    Tokens amount = 0;
 };
 
 // A write that the owner carries out as one transaction, under the conditions on both revisions.
@@ -129,6 +160,8 @@
     double smallDemandPerSecond = 0; // Of requests that are not above the mean size.
     Tokens room = 0; // What was left to grant at `ledgerRevision`.
     std::uint64_t ledgerRevision = 0;
+    Tokens remaining = 0; // By its own mayRemain().
+    TimePoint growsAt; // When its mark will cease to bind, unless it is written anew before.
 };
 
 struct PrepaidShare
@@ -136,8 +169,8 @@
     PrepaidOptions options;
     std::map<CustomerId, ShareAccount> accounts;
     std::uint64_t documentVersion = 0;
-    bool holdsAhead = true; // This router draws tokens before requests need them.
-    int holders = 1; // Routers that do so.
+    int markWriters = 1; // Routers that are home to some customer, and so write marks.
+    std::deque<TokenAsk> asks; // In the order in which they came.
     std::map<CustomerId, std::map<HolderId, HeldElsewhere>> heldElsewhere;
 
     PrepaidLedger ledger; // As last read or written.
@@ -148,8 +181,9 @@
     // When the newest mark that may be in the platform was written; a mark may also be on its way.
     HostTime markWrittenAt;
     HostTime markWrittenBefore; // The same without the open write.
-    std::chrono::milliseconds markBinds{}; // How long that mark binds.
-    bool marksBind = false;
+    // The shortest time that one of that record's marks binds.
+    std::chrono::milliseconds shortestBinds{};
+    bool marksBind = false; // All of them.
     // Of that mark, when last looked at; by the clock that shows less.
     std::chrono::milliseconds markAge{};
     // Of the mark that an earlier process on this host left, by the clock that shows more; unset: there was none, or
@@ -180,7 +214,7 @@
                  std::uint64_t documentVersion,
                  const std::map<CustomerId, std::optional<Tokens>> &totals);
 
-// How often this router writes its mark, given how many hold tokens ahead.
+// How often this router writes its mark, given how many do so.
 std::chrono::milliseconds markInterval(const PrepaidShare &share);
 
 // Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
@@ -216,6 +250,11 @@
 // What the customer may still have, anywhere in the fleet, counting as unused all that may be unused.
 Tokens mayRemain(const PrepaidShare &share, const CustomerId &customer);
 
+// How long it takes until more of the customer's tokens can be spent than now, here or at its home; zero when nothing
+// but time on the way keeps them. While the store is away this is when the marks cease to bind: a caller that comes
+// back sooner is refused again.
+Duration untilTokensGrow(const PrepaidShare &share, const CustomerId &customer, TimePoint now);
+
 // What another router asks for.
 struct TokenWish
 {
@@ -227,6 +266,17 @@
 // unless a request waits there and none here: near the end of a budget that one can be served and a later one may
 // never come.
 Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, const TokenWish &wish, TimePoint now);
+
+// What lies idle here goes to another router.
+TokenGift takeLeftovers(PrepaidShare &share, const CustomerId &customer, const HolderId &to);
+
+// Another router needs tokens for requests that wait there. What can be sent at once is in the result; else the wish
+// waits here, and counts as what a request lacks in the next write.
+std::optional<TokenGift> askTokens(PrepaidShare &share, TokenAsk ask);
+
+// Those of the waiting wishes that can be met now, in their order; those whose time is over go.
+std::vector<TokenGift> serveAsks(PrepaidShare &share, TimePoint now);
+
 void receiveTokens(PrepaidShare &share, const CustomerId &customer, Tokens amount);
 
 // The ledger and this host's mark, as read from the platform. `mark` is empty when there is none.
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -75,7 +75,7 @@
         return world.share(0).accounts.at(Desk).net;
     };
     const Tokens atMark = spendAll();
-    world.advance(world.share(0).markBinds);
+    world.advance(world.share(0).accounts.at(Desk).mark.binds);
     CHECK(spendAll() == atMark);
     world.advance(std::chrono::seconds(1));
     const Tokens afterSecond = spendAll();
@@ -93,7 +93,9 @@
     world.sync(0, WriteFate::Done);
     world.sync(1, WriteFate::Done);
     serve(world, 0, 40, 1000);
-    world.advance(Beat);
+    world.advance(2 * Beat);
+    world.sync(0, WriteFate::Done);
+    // The other router had written the ledger: the first try only reads it.
     world.sync(0, WriteFate::Done);
     const Tokens granted = world.share(0).accounts.at(Desk).granted;
     const Tokens marked = world.share(0).accounts.at(Desk).mark.limit;
@@ -115,7 +117,7 @@
     world.advance(Beat);
     world.sync(0, WriteFate::Done);
     const Tokens granted = world.share(0).accounts.at(Desk).granted;
-    world.advance(world.share(0).markBinds + std::chrono::seconds(1));
+    world.advance(world.share(0).accounts.at(Desk).mark.binds + std::chrono::seconds(1));
     while (world.request(0, Desk, 1000)) {
         world.finish(0, 1000);
     }
@@ -180,7 +182,7 @@
         world.finish(0, 1000);
     }
     world.stepClock(std::chrono::milliseconds(-2000));
-    world.advance(world.share(0).markBinds + std::chrono::milliseconds(1));
+    world.advance(world.share(0).accounts.at(Desk).mark.binds + std::chrono::milliseconds(1));
     CHECK_FALSE(world.request(0, Desk, 1000));
     world.advance(std::chrono::milliseconds(2100));
     CHECK(world.request(0, Desk, 1000));
@@ -353,7 +355,7 @@
     REQUIRE(lost->ledger);
     onWriteRefused(share, true);
     share.ledgerKnown = true; // Read again meanwhile.
-    world.advance(Beat);
+    world.advance(2 * Beat);
     const auto next = plan();
     REQUIRE(next);
     CHECK_FALSE(next->ledger);
@@ -453,10 +455,11 @@
     World world(2, {{Desk, 40'000}});
     world.sync(0, WriteFate::Done);
     world.sync(1, WriteFate::Done);
-    for (int i = 0; i < 10; ++i) {
+    for (int i = 0; i < 40; ++i) {
         world.request(0, Desk, 100);
         world.finish(0, 100);
         world.advance(std::chrono::milliseconds(50));
+        world.sync(0, WriteFate::Done);
     }
     const Tokens held = headroom(world.share(0), Desk);
     REQUIRE(held > 1000);
@@ -518,7 +521,7 @@
     World world(2, {{Desk, Total}});
     world.sync(0, WriteFate::Done);
     PrepaidShare &share = world.share(1);
-    share.holdsAhead = false;
+    share.accounts[Desk].holdsAhead = false;
     world.sync(1, WriteFate::Done);
     CHECK(share.takenOver);
     CHECK(share.ledger.accounts.at(Desk).granted.count(HolderId{"host-1"}) == 0);
@@ -539,7 +542,7 @@
     World world(2, {{Desk, Total}});
     world.sync(0, WriteFate::Done);
     serve(world, 0, 10, 1000);
-    world.share(0).holdsAhead = false;
+    world.share(0).accounts[Desk].holdsAhead = false;
     world.advance(Beat);
     world.sync(0, WriteFate::Done);
     CHECK(world.share(0).accounts.at(Desk).granted == 10'000);
@@ -567,3 +570,128 @@
     world.share(1).heldElsewhere[Desk][HolderId{"host-0"}] = held;
     CHECK(mayRemain(world.share(1), Desk) == Total - granted + 10);
 }
+
+namespace
+{
+
+// Seven routers serve one customer down to a twentieth of its total; then all lose power for 1.4 s. With `homes` only
+// the first of them holds tokens ahead, and the others ask it. Returns what nobody can account for, as a part.
+double unsureAfterDeathOfAll(bool homes)
+{
+    constexpr std::size_t Routers = 7;
+    World world(Routers, {{Desk, Total}});
+    for (std::size_t i = 0; i < Routers; ++i) {
+        world.share(i).accounts[Desk].holdsAhead = !homes || i == 0;
+        world.sync(i, WriteFate::Done);
+    }
+    for (int step = 0; world.spent(Desk) < Total * 95 / 100 && step < 4000; ++step) {
+        const std::size_t router = static_cast<std::size_t>(step) % Routers;
+        if (homes && router != 0 && headroom(world.share(router), Desk) < 4000) {
+            world.ask(0, router, Desk, 4000, false);
+        }
+        if (world.request(router, Desk, 4000)) {
+            world.finish(router, 4000);
+        }
+        for (std::size_t i = 0; i < Routers; ++i) {
+            world.sync(i, WriteFate::Done);
+        }
+        world.serveAsks(0, false);
+        world.advance(std::chrono::milliseconds(100));
+    }
+    for (std::size_t i = 0; i < Routers; ++i) {
+        world.kill(i);
+    }
+    world.advance(std::chrono::milliseconds(1400));
+    Tokens unsure = 0;
+    for (std::size_t i = 0; i < Routers; ++i) {
+        world.start(i);
+        world.sync(i, WriteFate::Done);
+        world.sync(i, WriteFate::Done);
+        unsure = world.share(i).ledger.accounts.at(Desk).unsure;
+    }
+    return static_cast<double>(unsure) / static_cast<double>(Total);
+}
+
+} // namespace
+
+TEST_CASE("a death of all routers near the end of a budget leaves under a fiftieth of it unaccounted")
+{
+    // After a loss of power everywhere the customer's callers are turned away for the rest of the day though it has
+    // paid for more: each of seven routers had marked a few requests ahead, and all of that counts as used.
+    const double withHomes = unsureAfterDeathOfAll(true);
+    const double allAhead = unsureAfterDeathOfAll(false);
+    CHECK(withHomes < 0.02);
+    CHECK(allAhead > 1.5 * withHomes);
+}
+
+TEST_CASE("a router spends all that others sent it, however much it was sent")
+{
+    // Callers are refused for many seconds while their router holds enough: it had been sent tokens, so that by its own
+    // count it had used less than nothing, and its mark stood below nothing as well.
+    const CustomerId own{"own"};
+    World world(2, {{Desk, Total}, {own, Total}});
+    world.sync(0, WriteFate::Done);
+    world.share(1).accounts[Desk].holdsAhead = false;
+    world.sync(1, WriteFate::Done);
+    world.request(1, Desk, 100);
+    for (int i = 0; i < 30; ++i) {
+        world.request(0, Desk, 100);
+        world.request(1, own, 1000);
+        world.finish(1, 1000);
+        world.sync(0, WriteFate::Done);
+        world.trade(0, 1, Desk, 1000, false);
+        world.advance(Beat);
+        world.sync(1, WriteFate::Done);
+    }
+    REQUIRE(world.share(1).accounts.at(Desk).net < -8000);
+    CHECK(headroom(world.share(1), Desk) == -world.share(1).accounts.at(Desk).net);
+    CHECK(world.request(1, Desk, 8000));
+}
+
+TEST_CASE("a wish that can't be met waits for the next write, and is met once")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.share(1).accounts[Desk].holdsAhead = false;
+    world.sync(1, WriteFate::Done);
+    const Tokens more = headroom(world.share(0), Desk) + 1000;
+    world.ask(0, 1, Desk, more, false);
+    CHECK(headroom(world.share(1), Desk) == 0);
+    wantMore(world.share(0), Desk, more);
+    world.advance(std::chrono::milliseconds(50));
+    world.sync(0, WriteFate::Done);
+    world.serveAsks(0, false);
+    CHECK(headroom(world.share(1), Desk) == more);
+    world.serveAsks(0, false);
+    CHECK(headroom(world.share(1), Desk) == more);
+    CHECK(world.request(1, Desk, more));
+    // What was left over goes back to the home.
+    world.finish(1, more - 300);
+    const TokenGift left = takeLeftovers(world.share(1), Desk, HolderId{"host-0"});
+    CHECK(left.amount == 300);
+    CHECK(headroom(world.share(1), Desk) == 0);
+}
+
+TEST_CASE("a wish whose request waits no longer is not met")
+{
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    world.ask(0, 1, Desk, headroom(world.share(0), Desk) + 1, false);
+    REQUIRE(world.share(0).asks.size() == 1);
+    world.advance(std::chrono::seconds(1));
+    CHECK(serveAsks(world.share(0), world.now()).empty());
+    CHECK(world.share(0).asks.empty());
+}
+
+TEST_CASE("a refused caller is told when the marks will let more be spent")
+{
+    World world(1, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    serve(world, 0, 40, 1000);
+    world.advance(2 * Beat);
+    world.sync(0, WriteFate::Done);
+    const Duration at = untilTokensGrow(world.share(0), Desk, world.now());
+    CHECK(at > std::chrono::seconds(1));
+    world.advance(at + std::chrono::milliseconds(1));
+    CHECK(untilTokensGrow(world.share(0), Desk, world.now()) == Duration::zero());
+}
--- a/godwit/prepaid/testing_world.cpp
+++ b/godwit/prepaid/testing_world.cpp
@@ -51,7 +51,7 @@
     }
     ++router.starts;
     router.share = makePrepaidShare(optionsOf(index, router.starts, hostTime()));
-    router.share->holders = static_cast<int>(m_routers.size());
+    router.share->markWriters = static_cast<int>(m_routers.size());
     applyTotals(*router.share, m_documentVersion, totalsAsGiven());
 }
 
@@ -181,6 +181,39 @@
     }
 }
 
+void World::ask(std::size_t from, std::size_t to, const CustomerId &customer, Tokens needed, bool lost)
+{
+    if (from == to || !m_routers[from].share || !m_routers[to].share) {
+        return;
+    }
+    TokenAsk ask{m_routers[to].share->options.self, customer, needed, m_now + std::chrono::milliseconds(150)};
+    const auto gift = askTokens(*m_routers[from].share, std::move(ask));
+    if (gift && !lost) {
+        deliver(*gift);
+    }
+}
+
+void World::serveAsks(std::size_t from, bool lost)
+{
+    if (!m_routers[from].share) {
+        return;
+    }
+    for (const TokenGift &gift : Godwit::serveAsks(*m_routers[from].share, m_now)) {
+        if (!lost) {
+            deliver(gift);
+        }
+    }
+}
+
+void World::deliver(const TokenGift &gift)
+{
+    for (Router &router : m_routers) {
+        if (router.share && router.share->options.self == gift.to) {
+            receiveTokens(*router.share, gift.customer, gift.amount);
+        }
+    }
+}
+
 void World::setTotal(const CustomerId &customer, Tokens total)
 {
     m_totals[customer] = total;
--- a/godwit/prepaid/testing_world.h
+++ b/godwit/prepaid/testing_world.h
@@ -79,6 +79,10 @@
     // `lost`: the message never arrives. `lacking`: of the wanted ones, what a waiting request needs.
     void trade(
         std::size_t from, std::size_t to, const CustomerId &customer, Tokens wanted, bool lost, Tokens lacking = 0);
+    // Router `to` asks `from` for what a request needs; the wish waits there if it must. `lost`: the gift never
+    // arrives.
+    void ask(std::size_t from, std::size_t to, const CustomerId &customer, Tokens needed, bool lost);
+    void serveAsks(std::size_t from, bool lost);
     // Whether routers tell each other the ledger that they have written; at first they don't.
     void setLedgerIsTold(bool told)
     {
@@ -100,6 +104,7 @@
 private:
     std::map<CustomerId, std::optional<Tokens>> totalsAsGiven() const;
     void readRecords(std::size_t router);
+    void deliver(const TokenGift &gift);
     void tellLedger(std::size_t writer, const ShareWrite &write, std::uint64_t revision);
     std::optional<std::uint64_t> apply(std::size_t router, const ShareWrite &write);
 
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -31,6 +31,9 @@
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
 {
     m_waiting.push_back(call);
+    if (onTokensWanted) {
+        onTokensWanted(call->customer(), neededHere()[call->customer()]);
+    }
 }
 
 void Relay::stopWaiting(const std::shared_ptr<RelayCall> &call)
@@ -42,19 +45,43 @@
 {
     const auto waiting = std::exchange(m_waiting, {});
     for (const auto &call : waiting) {
-        call->tokensCame();
+        if (!call->takeTokens()) {
+            m_waiting.push_back(call);
+        }
+    }
+    askAgain();
+    if (onTokensCame) {
+        onTokensCame();
+    }
+}
+
+void Relay::askAgain()
+{
+    for (const auto &[customer, tokens] : neededHere()) {
+        if (onTokensWanted) {
+            onTokensWanted(customer, tokens);
+        }
     }
 }
 
 void Relay::noteWanted()
 {
-    std::map<CustomerId, Tokens> wanted;
-    for (const auto &call : m_waiting) {
-        wanted[call->customer()] += call->worstCase();
+    std::map<CustomerId, Tokens> needed = neededHere();
+    for (const TokenAsk &ask : m_state.prepaid.asks) {
+        needed[ask.customer] += ask.needed;
     }
-    for (const auto &[customer, tokens] : wanted) {
+    for (const auto &[customer, tokens] : needed) {
         wantMore(m_state.prepaid, customer, tokens);
     }
 }
 
+std::map<CustomerId, Tokens> Relay::neededHere() const
+{
+    std::map<CustomerId, Tokens> needed;
+    for (const auto &call : m_waiting) {
+        needed[call->customer()] += call->worstCase();
+    }
+    return needed;
+}
+
 } // namespace Godwit
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -129,8 +129,11 @@
     // Whether callers may be sent here.
     bool isReady() const;
 
-    // Called when a request waits for tokens of a customer; `again`: not for the first time.
-    std::function<void(const CustomerId &, Tokens, bool again)> onTokensWanted;
+    // Called when requests wait for tokens of a customer, with what they need in all.
+    std::function<void(const CustomerId &, Tokens needed)> onTokensWanted;
+
+    // Called when tokens may have come, after the requests that wait here have been served.
+    std::function<void()> onTokensCame;
 
     // Called when a prompt goes to an engine that will take `reading` for what it has to read of it.
     std::function<void(const PromptSent &, Duration reading)> onPromptSent;
@@ -141,7 +144,10 @@
     // Tokens may have come: lets the requests that wait try again, oldest first.
     void tokensCame();
 
-    // Asks again for what waiting requests lack.
+    // Asks again for what waiting requests need.
+    void askAgain();
+
+    // Notes in the budgets what the requests that wait here and elsewhere need.
     void noteWanted();
 
     std::uint64_t random()
@@ -158,6 +164,8 @@
     }
 
 private:
+    std::map<CustomerId, Tokens> neededHere() const;
+
     boost::asio::io_context &m_io;
     RelayOptions m_options;
     DecisionLog &m_log;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -148,7 +148,6 @@
         return;
     }
     m_waitsForTokens = true;
-    m_relay.waitForTokens(shared_from_this());
     m_patience.expires_after(std::min({m_relay.options().budgetPatience, m_route->latencyTarget / 8, timeLeft()}));
     m_patience.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || self->m_closed || !self->m_waitsForTokens) {
@@ -156,14 +155,7 @@
         }
         self->refuseForBudget("this router does not hold enough of the budget now");
     });
-    askForTokens(false);
-}
-
-void RelayCall::askForTokens(bool again)
-{
-    if (m_relay.onTokensWanted) {
-        m_relay.onTokensWanted(m_customer, m_worstCase, again);
-    }
+    m_relay.waitForTokens(shared_from_this());
 }
 
 // Final when nobody holds enough any more; else the caller may come back.
@@ -173,24 +165,32 @@
     if (share.takenOver && mayRemain(share, m_customer) < m_worstCase) {
         refuse(ErrorKind::BudgetExhausted, "the customer's budget does not cover this request at its most", {});
     } else {
-        refuse(ErrorKind::BudgetBusy, message, m_relay.options().comeBack);
+        refuse(ErrorKind::BudgetBusy, message, tokensBack());
     }
 }
 
-void RelayCall::tokensCame()
+// When the caller should come back for tokens: once they grow again, and not all callers at that moment.
+Duration RelayCall::tokensBack() const
+{
+    const Duration usual = m_relay.options().comeBack;
+    const Duration grows = untilTokensGrow(m_relay.state().prepaid, m_customer, Relay::now());
+    const double lot = static_cast<double>(m_relay.random() % 1024) / 1024.0;
+    return grows == Duration::zero() ? usual : grows + std::chrono::duration_cast<Duration>(usual * (0.3 + 2 * lot));
+}
+
+bool RelayCall::takeTokens()
 {
     if (m_closed || !m_waitsForTokens) {
-        return;
+        return true;
     }
     if (!reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
-        m_relay.waitForTokens(shared_from_this());
-        askForTokens(true);
-        return;
+        return false;
     }
     m_waitsForTokens = false;
     m_holdsTokens = true;
     m_patience.cancel();
     attempt();
+    return true;
 }
 
 void RelayCall::attempt()
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -57,8 +57,8 @@
     // The caller has read some of what was queued.
     void sinkDrained();
 
-    // The reservation can be tried again.
-    void tokensCame();
+    // Tries the reservation again; false when the request still waits.
+    bool takeTokens();
 
     const CustomerId &customer() const
     {
@@ -80,7 +80,7 @@
     bool findCustomer();
     void reserveTokens();
     void refuseForBudget(const std::string &message);
-    void askForTokens(bool again);
+    Duration tokensBack() const;
     void attempt();
     void sendTo(EndpointState &endpoint);
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
