--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -30,6 +30,8 @@
     std::string peerListen;
     std::string metricsListen; // Empty: no metrics are served.
     std::string store;
+    double cores = 1; // Share of a core that this host gives the router.
+    double linkMbps = 1000; // Of this host's link.
     Duration stopWithin = std::chrono::seconds(8); // From the signal to the end of the process.
     double repeatRatio = 0.2;
     double repeatSlack = 0;
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -81,6 +81,7 @@
                 {"incarnation", member.incarnation.value},
                 {"data_centre", member.dataCentre.value},
                 {"callers", member.callerAddress},
+                {"capacity", member.capacity},
                 {"peers", member.peerAddress}}
         .dump();
 }
@@ -98,6 +99,7 @@
         member.dataCentre = DataCentreId{value.at("data_centre").get<std::string>()};
         member.callerAddress = value.at("callers").get<std::string>();
         member.peerAddress = value.at("peers").get<std::string>();
+        member.capacity = value.value("capacity", 0.0);
         return member;
     } catch (const json::exception &) {
         return std::nullopt;
@@ -167,8 +169,9 @@
         }
         peer.member = member;
         peer.listed = true;
-        m_mesh->connectTo(member.host, member.peerAddress);
     }
+    chooseEntries(Relay::now());
+    dialPeers();
     chooseHomes();
 }
 
@@ -275,7 +278,7 @@
 
 bool FleetLinks::mayBeHome(const Peer &peer, TimePoint now) const
 {
-    return peer.linked && peer.ready && isFresh(peer, now) && now >= peer.passedOverUntil;
+    return peer.linked && peer.ready && isEntry(peer) && isFresh(peer, now) && now >= peer.passedOverUntil;
 }
 
 // By rank, so that all agree without a word, and by address, so that a restart changes nothing. Routers that differ on
@@ -283,7 +286,8 @@
 FleetLinks::Peer *FleetLinks::homeOf(const CustomerId &customer, TimePoint now)
 {
     Peer *best = nullptr;
-    std::uint64_t bestRank = m_relay.isReady() ? rendezvousWeight(customer.value, m_options.own.callerAddress) : 0;
+    const bool mayBeHere = m_relay.isReady() && isEntry();
+    std::uint64_t bestRank = mayBeHere ? rendezvousWeight(customer.value, m_options.own.callerAddress) : 0;
     for (auto &[incarnation, peer] : m_peers) {
         const std::uint64_t rank = rendezvousWeight(customer.value, peer.member.callerAddress);
         if (rank > bestRank && mayBeHome(peer, now)) {
@@ -308,7 +312,7 @@
     std::size_t bounded = 0;
     for (auto &[customer, account] : share.accounts) {
         bounded += account.bounded ? 1 : 0;
-        const bool isHome = m_relay.isReady() && mayBeAlone && homeOf(customer, now) == nullptr;
+        const bool isHome = m_relay.isReady() && isEntry() && mayBeAlone && homeOf(customer, now) == nullptr;
         if (account.bounded && account.holdsAhead != isHome) {
             account.holdsAhead = isHome;
             m_relay.log().write("home", {{"customer", std::string_view(customer.value)}, {"holds", isHome}});
@@ -349,12 +353,80 @@
     m_mesh->broadcast({ReadingTopic, toBytes(json::array({prefix, digest}))});
 }
 
+bool FleetLinks::isEntry(const Peer &peer) const
+{
+    return peer.member.capacity >= m_leastEntry;
+}
+
+// Routers that have no link with each other go by the platform's list.
+bool FleetLinks::isAlive(const Peer &peer, TimePoint now) const
+{
+    return isFresh(peer, now) || (peer.listed && !peer.dialled);
+}
+
+void FleetLinks::measureLoad(TimePoint now)
+{
+    const std::uint64_t requests = m_relay.counters().requests;
+    const double seconds = toSeconds(now - std::exchange(m_measuredAt, now));
+    const double rate = static_cast<double>(requests - std::exchange(m_requestsBefore, requests)) / seconds;
+    constexpr double newest = 0.3;
+    m_load += newest * (rate - m_load);
+}
+
+void FleetLinks::chooseEntries(TimePoint now)
+{
+    std::vector<EntryHost> hosts{{m_options.ownCapacity, m_load}};
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.ready && isAlive(peer, now)) {
+            hosts.push_back({peer.member.capacity, peer.load});
+        }
+    }
+    double load = 0;
+    for (const EntryHost &host : hosts) {
+        load += host.load;
+    }
+    const double kept = 1 - toSeconds(beatInterval()) / toSeconds(m_options.loadMemory);
+    m_fleetLoad = std::max(load, m_fleetLoad * kept);
+    // What has passed counts as if it came to this host.
+    hosts.front().load += m_fleetLoad - load;
+    const double least = leastListedCapacity(std::move(hosts), m_options.entryHosts);
+    if (least != std::exchange(m_leastEntry, least)) {
+        m_relay.log().write(
+            "entry_hosts", {{"least_capacity", least}, {"load", m_fleetLoad}, {"own_capacity", m_options.ownCapacity}});
+    }
+}
+
+// Between two routers that callers are not told of no link is needed: in a fleet of 60 with six large hosts that leaves
+// 340 of 1,770 links.
+void FleetLinks::dialPeers()
+{
+    for (auto &[incarnation, peer] : m_peers) {
+        if (!peer.dialled && peer.listed && (isEntry() || isEntry(peer))) {
+            peer.dialled = true;
+            if (peer.heardAt == TimePoint{}) {
+                // Until its link stands the platform's word is enough.
+                peer.heardAt = Relay::now();
+            }
+            m_mesh->connectTo(peer.member.host, peer.member.peerAddress);
+        }
+    }
+}
+
+void FleetLinks::tellEntries(const Envelope &envelope)
+{
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked && isEntry(peer)) {
+            m_mesh->send(incarnation, envelope);
+        }
+    }
+}
+
 std::vector<CallerAddress> FleetLinks::callerAddresses() const
 {
     const TimePoint now = Relay::now();
     std::vector<CallerAddress> addresses;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.ready && isFresh(peer, now)) {
+        if (peer.ready && isEntry(peer) && isFresh(peer, now)) {
             addresses.push_back({peer.member.callerAddress, peer.member.dataCentre});
         }
     }
@@ -365,7 +437,7 @@
 {
     const TimePoint now = Relay::now();
     return 1 + static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
-               return isFresh(entry.second, now);
+               return isAlive(entry.second, now);
            }));
 }
 
@@ -403,8 +475,11 @@
             armLook();
             return;
         }
+        measureLoad(Relay::now());
         m_relay.state().liveRouters = liveCount();
         forgetSilent(Relay::now());
+        chooseEntries(Relay::now());
+        dialPeers();
         chooseHomes();
         sendLeftovers();
         beat();
@@ -423,7 +498,11 @@
             held[customer.value] = heldRow(customer);
         }
     }
-    return toBytes(json{{"version", m_documentVersion}, {"ready", m_relay.isReady()}, {"held", std::move(held)}});
+    return toBytes(json{{"version", m_documentVersion},
+                        {"ready", m_relay.isReady()},
+                        {"load", m_load},
+                        {"capacity", m_options.ownCapacity},
+                        {"held", std::move(held)}});
 }
 
 // What readRow() reads.
@@ -525,6 +604,12 @@
     if (version != beat.end() && version->is_number_unsigned()) {
         peer.documentVersion = version->get<std::uint64_t>();
     }
+    const auto load = beat.find("load");
+    peer.load = load != beat.end() && load->is_number() ? load->get<double>() : 0;
+    const auto capacity = beat.find("capacity");
+    if (capacity != beat.end() && capacity->is_number()) {
+        peer.member.capacity = capacity->get<double>();
+    }
     if (peer.ready != wasReady) {
         chooseHomes();
         m_relay.askAgain();
@@ -653,11 +738,7 @@
         return;
     }
     const std::string body = toBytes(json::array({revision, ledger}));
-    for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.linked) {
-            m_mesh->send(incarnation, {LedgerTopic, body});
-        }
-    }
+    tellEntries({LedgerTopic, body});
 }
 
 void FleetLinks::onLedger(const std::string &body)
@@ -684,13 +765,19 @@
         return;
     }
     const TimePoint now = Relay::now();
-    const auto routers = static_cast<double>(m_relay.state().liveRouters);
+    // Hardly a request comes to the others.
+    const auto routers = static_cast<double>(std::count_if(m_peers.begin(),
+                                                           m_peers.end(),
+                                                           [this](const auto &entry) {
+                                                               return entry.second.linked && isEntry(entry.second);
+                                                           })
+                                             + 1);
     const double pause = routers * std::max(1.0, routers - 1) / m_options.promptsHeardPerSecond;
     const double pauses = toSeconds(now - m_promptToldAt) / pause;
     constexpr double step = 1.1;
     m_toldFrom = pauses < 1 ? m_toldFrom * step : std::max(least, m_toldFrom / std::min(pauses, step));
     m_promptToldAt = now;
-    m_mesh->broadcast({PromptTopic, toBytes(json::array({prompt.endpoint.value, prompt.unread, prompt.part}))});
+    tellEntries({PromptTopic, toBytes(json::array({prompt.endpoint.value, prompt.unread, prompt.part}))});
 }
 
 void FleetLinks::onPromptTold(const std::string &body)
@@ -725,14 +812,20 @@
 
 // Grows with the fleet, so that a router's messages a second do not.
 Duration FleetLinks::beatInterval() const
+{
+    return beatIntervalOf(isEntry());
+}
+
+Duration FleetLinks::beatIntervalOf(bool entry) const
 {
     const auto peers = static_cast<Duration::rep>(m_peers.size());
-    return std::max(m_options.beatInterval, m_options.beatInterval * peers / m_options.peersAtFullRate);
+    const Duration full = std::max(m_options.beatInterval, m_options.beatInterval * peers / m_options.peersAtFullRate);
+    return entry ? full : full * m_options.quietBeats;
 }
 
 bool FleetLinks::isFresh(const Peer &peer, TimePoint now) const
 {
-    return now < peer.heardAt + beatInterval() * m_options.freshBeats;
+    return now < peer.heardAt + beatIntervalOf(isEntry(peer)) * m_options.freshBeats;
 }
 
 void FleetLinks::forgetSilent(TimePoint now)
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -6,6 +6,7 @@
 // A message may be lost with its link; nothing here depends on one. Not thread-safe.
 
 #include "godwit/base/time.h"
+#include "godwit/gateway/entry_hosts.h"
 #include "godwit/relay/relay.h"
 #include "godwit/router/router_mesh.h"
 
@@ -25,10 +26,16 @@
 struct FleetLinksOptions
 {
     Hello own;
+    double ownCapacity = 0; // Requests a second that this host can take.
     std::string listenAddress;
-    // With more peers than this, beats come less often.
+    // With more peers than this, beats come less often. Routers that callers are not told of beat `quietBeats` times
+    // less often: nothing hangs on them.
     Duration beatInterval = std::chrono::milliseconds(400);
-    int peersAtFullRate = 24;
+    int peersAtFullRate = 64;
+    int quietBeats = 4;
+    EntryHostOptions entryHosts;
+    // A load that has passed counts on for this long, so that the list of hosts doesn't change with each wave.
+    Duration loadMemory = std::chrono::seconds(10);
     // How soon the others hear that this router has become ready, or leaves.
     Duration lookInterval = std::chrono::milliseconds(50);
     // With less than this part of a total left, routers send what requests have left over to the customer's home.
@@ -80,6 +87,7 @@
     DataCentreId dataCentre;
     std::string callerAddress;
     std::string peerAddress;
+    double capacity = 0; // Requests a second that its host can take.
 };
 
 std::string encodeMember(const FleetMember &member);
@@ -116,9 +124,15 @@
     // Says now what the next beat would say, such as that this router is leaving.
     void beat();
 
-    // Where callers may connect, this router left out.
+    // Where callers are told to connect, this router left out.
     std::vector<CallerAddress> callerAddresses() const;
 
+    // Whether callers are told of this router.
+    bool isEntry() const
+    {
+        return m_options.ownCapacity >= m_leastEntry;
+    }
+
     // Routers that take requests, this one included.
     int liveCount() const;
 
@@ -150,6 +164,8 @@
         bool linked = false;
         bool listed = false;
         bool ready = false;
+        bool dialled = false;
+        double load = 0; // Requests a second.
         TimePoint heardAt;
         // Since when a wish of this router has had no answer, and until when this peer is passed over for that.
         std::optional<TimePoint> unansweredSince;
@@ -189,6 +205,13 @@
     void offerDocument(const Peer &peer);
     Duration beatInterval() const;
     bool isFresh(const Peer &peer, TimePoint now) const;
+    bool isEntry(const Peer &peer) const;
+    bool isAlive(const Peer &peer, TimePoint now) const;
+    Duration beatIntervalOf(bool entry) const;
+    void measureLoad(TimePoint now);
+    void chooseEntries(TimePoint now);
+    void dialPeers();
+    void tellEntries(const Envelope &envelope);
     void forgetSilent(TimePoint now);
 
     Relay &m_relay;
@@ -209,6 +232,12 @@
     std::optional<TimePoint> m_readyAt;
     bool m_readyTold = false;
     TimePoint m_beatAt;
+    // The least capacity of the hosts that callers are told of.
+    double m_leastEntry = 0;
+    double m_load = 0; // Requests a second at this router, as an average of the last beats.
+    double m_fleetLoad = 0;
+    std::uint64_t m_requestsBefore = 0;
+    TimePoint m_measuredAt;
     std::uint64_t m_documentVersion = 0;
     TimePoint m_documentAt; // Since when this router has it.
     std::string m_document;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t MaxAddresses = 64;
 // How often idle connections and the settings file are looked at.
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
+// How often a line tells what the router has done so far.
+constexpr Duration LoadLineInterval = std::chrono::seconds(5);
 // Of the time that a stop may take: after the first part no new request is taken, so that those under way can end;
 // the second part leaves time to give the budgets back.
 constexpr double TakeRequestsPart = 0.36;
@@ -109,6 +111,7 @@
     options.own.dataCentre = self.dataCentre;
     options.own.peerAddress = self.peerAddress;
     options.own.callerAddress = self.callerAddress;
+    options.ownCapacity = self.capacity;
     return options;
 }
 
@@ -118,7 +121,8 @@
                        Incarnation{settings.host.value + '.' + randomSuffix()},
                        settings.dataCentre,
                        settings.callerListen,
-                       settings.peerListen};
+                       settings.peerListen,
+                       requestCapacity(settings.cores, settings.linkMbps, {})};
 }
 
 } // namespace
@@ -237,6 +241,9 @@
         watch.routersSharing = [this] {
             return m_relay.state().liveRouters;
         };
+        watch.onStandby = [this] {
+            return !m_links.isEntry();
+        };
         watch.onMissed = [this, prefix = std::string(prefix)] {
             m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix)}});
         };
@@ -363,7 +370,7 @@
         for (const CallerAddress &router : m_links.callerAddresses()) {
             addresses.push_back(router.address);
         }
-        if (m_relay.isReady()) {
+        if (m_relay.isReady() && (m_links.isEntry() || addresses.empty())) {
             addresses.push_back(m_settings.callerListen);
         }
         std::shuffle(addresses.begin(), addresses.end(), m_random);
@@ -430,6 +437,7 @@
                 return;
             }
             m_relay.pool().sweep(Relay::now());
+            logLoad();
             if (m_settingsText.empty()) {
                 m_settingsText = readFile(m_settingsFile);
             }
@@ -438,6 +446,31 @@
         });
     }
 
+    // How much there was to do, now and then: the first thing to look at when a host answers late.
+    void logLoad()
+    {
+        if (Relay::now() < m_nextLoadLine) {
+            return;
+        }
+        m_nextLoadLine = Relay::now() + LoadLineInterval;
+        const StoreCounters &store = m_store.counters();
+        const auto calls = [&store](StoreCallKind kind) {
+            return static_cast<std::int64_t>(store.byKind[static_cast<std::size_t>(kind)]);
+        };
+        m_log.write("load",
+                    {{"requests", static_cast<std::int64_t>(m_relay.counters().requests)},
+                     {"calls_open", static_cast<std::int64_t>(m_relay.callsOpen)},
+                     {"attempts", static_cast<std::int64_t>(m_relay.counters().attempts)},
+                     {"entry", m_links.isEntry()},
+                     {"live_routers", static_cast<std::int64_t>(m_relay.state().liveRouters)},
+                     {"store_gets", calls(StoreCallKind::Get)},
+                     {"store_probes", calls(StoreCallKind::Probe)},
+                     {"store_ranges", calls(StoreCallKind::Range)},
+                     {"store_watches", calls(StoreCallKind::Watch)},
+                     {"store_writes", calls(StoreCallKind::Write)},
+                     {"store_leases", calls(StoreCallKind::Lease)}});
+    }
+
     void beginStop(int signal)
     {
         if (m_stopping) {
@@ -530,6 +563,7 @@
     boost::asio::steady_timer m_stop;
     std::mt19937_64 m_random{std::random_device{}()};
     std::uint64_t m_documentRevision = 0;
+    TimePoint m_nextLoadLine;
     bool m_stopping = false;
     TimePoint m_stopBegan;
 };
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -31,6 +31,10 @@
     }
     line(out, "godwit_calls_open", relay.callsOpen);
     line(out, "godwit_platform_calls_total", static_cast<double>(store.calls));
+    for (std::size_t kind = 0; kind < StoreCallKinds; ++kind) {
+        out << "godwit_platform_calls_by_kind_total{kind=\"" << storeCallKindName(static_cast<StoreCallKind>(kind))
+            << "\"} " << store.byKind[kind] << '\n';
+    }
     line(out, "godwit_platform_calls_refused_total", static_cast<double>(store.refused));
     line(out, "godwit_platform_calls_unknown_total", static_cast<double>(store.unknown));
     line(out, "godwit_platform_in_reach", relay.state().platformInReach ? 1 : 0);
--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -41,7 +41,8 @@
     static std::minstd_rand lots{std::random_device{}()};
     const double lot = std::uniform_real_distribution<double>(0, 1)(lots);
     const auto now = std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-    m_readingTimer.expires_at(nextReading(m_options.readings, now, routers(), lot));
+    const bool standby = onStandby && onStandby();
+    m_readingTimer.expires_at(nextReading(m_options.readings, now, routers(), lot, standby));
     m_readingTimer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
@@ -81,7 +82,7 @@
     if (!m_complete || this->digest() == digest) {
         return;
     }
-    m_missedTimer.expires_after(m_options.missedAfter);
+    m_missedTimer.expires_after(m_options.missedAfter + gatherTime());
     m_missedTimer.async_wait([this, digest, changes = m_changes](const boost::system::error_code &error) {
         // A watch that has brought something meanwhile is not deaf; what it may lack shows at the next reading.
         if (!error && m_changes == changes && this->digest() != digest) {
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -68,6 +68,9 @@
     // How many routers share the readings.
     std::function<int()> routersSharing;
 
+    // Whether this router leaves the readings to others as long as it hears of theirs.
+    std::function<bool()> onStandby;
+
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
     void askAgain();
 
--- /dev/null
+++ b/godwit/gateway/entry_hosts.cpp
@@ -0,0 +1,38 @@
+#include "godwit/gateway/entry_hosts.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+namespace
+{
+
+constexpr double BytesPerMegabit = 125'000;
+
+} // namespace
+
+double requestCapacity(double cores, double linkMbps, const EntryHostOptions &options)
+{
+    return std::min(cores / options.coreSecondsPerRequest, linkMbps * BytesPerMegabit / options.linkBytesPerRequest);
+}
+
+double leastListedCapacity(std::vector<EntryHost> hosts, const EntryHostOptions &options)
+{
+    std::sort(hosts.begin(), hosts.end(), [](const EntryHost &a, const EntryHost &b) {
+        return a.capacity > b.capacity;
+    });
+    double load = 0;
+    for (const EntryHost &host : hosts) {
+        load += host.load;
+    }
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        const bool kindEnds = i + 1 == hosts.size() || hosts[i + 1].capacity < options.sameKindFrom * hosts[i].capacity;
+        const double each = load / static_cast<double>(i + 1);
+        if (kindEnds && each <= options.plannedLoad * hosts[i].capacity) {
+            return hosts[i].capacity;
+        }
+    }
+    return 0;
+}
+
+} // namespace Godwit
--- a/godwit/gateway/reading_turns.h
+++ b/godwit/gateway/reading_turns.h
@@ -26,6 +26,8 @@
     Duration apart = std::chrono::milliseconds(25);
     // Large fleets, whose changes may take 3 s, have more routers than fit into this.
     Duration longestSpread = std::chrono::milliseconds(600);
+    // Routers that callers are not told of wait this much longer, so that they read only when the others don't.
+    Duration standby = std::chrono::milliseconds(600);
 };
 
 inline Duration spreadOf(const ReadingOptions &options, int routers)
@@ -40,10 +42,12 @@
 }
 
 // When this router reads unless it hears of another's reading before. `lot` is drawn anew each time, from 0 to 1.
-inline TimePoint nextReading(const ReadingOptions &options, TimePoint lastHeard, int routers, double lot)
+inline TimePoint nextReading(
+    const ReadingOptions &options, TimePoint lastHeard, int routers, double lot, bool onStandby = false)
 {
     const auto share = static_cast<double>(spreadOf(options, routers).count()) * std::clamp(lot, 0.0, 1.0);
-    return lastHeard + options.every + Duration(static_cast<Duration::rep>(share));
+    const Duration extra = onStandby ? options.standby : Duration::zero();
+    return lastHeard + options.every + extra + Duration(static_cast<Duration::rep>(share));
 }
 
 } // namespace Godwit
