A host whose link is choked takes no request for a moment

Its link's queue grows to seconds, so that it hears of leaving endpoints and reaches those that it chose too late.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -206,7 +206,8 @@
     if (!home->unansweredSince) {
         home->unansweredSince = now;
     }
-    m_mesh->send(home->member.incarnation, {WishTopic, toBytes(json::array({customer.value, lacking}))});
+    const Tokens stamp = now.time_since_epoch().count();
+    m_mesh->send(home->member.incarnation, {WishTopic, toBytes(json::array({customer.value, lacking, stamp}))});
     watchAnswers();
 }
 
@@ -623,11 +624,12 @@
 bool FleetLinks::mayOfferDocument(const Peer &peer)
 {
     const TimePoint now = Relay::now();
-    if (peer.documentVersion >= m_documentVersion || now < m_documentAt + m_options.offerDocumentAfter) {
+    if (peer.documentVersion >= m_documentVersion || now < m_documentAt + m_options.offerDocumentAfter
+        || now < peer.offeredAt + m_options.offerAgainAfter) {
         return false;
     }
     const auto others = std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
-        return isFresh(entry.second, now) && entry.second.documentVersion >= m_documentVersion;
+        return entry.second.linked && isFresh(entry.second, now) && entry.second.documentVersion >= m_documentVersion;
     });
     // By lot, so that those who have it need no word with each other.
     constexpr std::uint64_t draws = 1024;
@@ -653,7 +655,7 @@
 
 void FleetLinks::onWish(const Peer &peer, const std::string &body)
 {
-    const auto wish = readAmounts(fromBytes(body), 1);
+    const auto wish = readAmounts(fromBytes(body), 2);
     if (!wish || wish->tokens[0] <= 0) {
         return;
     }
@@ -667,12 +669,28 @@
     ask.until = now + m_options.wishWaits;
     const auto gift = askTokens(share, ask);
     // Without tokens it says that the wish has arrived and has to wait.
-    send(gift.value_or(TokenGift{ask.from, ask.customer, 0}));
+    send(gift.value_or(TokenGift{ask.from, ask.customer, 0}), wish->tokens[1]);
     if (!gift && m_relay.onTokensWanted) {
         m_relay.onTokensWanted(ask.customer, ask.needed);
     }
 }
 
+// A host whose link is choked hears of endpoints that leave, and reaches those that it chooses, seconds late: it would
+// send them requests that they must not get any more. Answers that are late, rather than missing, tell it from a host
+// that is cut off, which still serves what it can reach.
+void FleetLinks::noteLag(Tokens stamp)
+{
+    if (stamp == 0) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    const Duration lag = now.time_since_epoch() - Duration(stamp);
+    if (lag >= m_options.behindFrom) {
+        m_relay.state().behindUntil = now + m_options.behindFor;
+        m_relay.log().write("behind", {{"lag_ms", toSeconds(lag) * 1000}});
+    }
+}
+
 void FleetLinks::serveAsks()
 {
     for (const TokenGift &gift : Godwit::serveAsks(m_relay.state().prepaid, Relay::now())) {
@@ -681,12 +699,12 @@
 }
 
 // Counted as gone before it is sent: a message that is lost costs tokens, and none is ever there twice.
-void FleetLinks::send(const TokenGift &gift)
+void FleetLinks::send(const TokenGift &gift, Tokens stamp)
 {
     const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&gift](const auto &entry) {
         return entry.second.linked && entry.second.member.callerAddress == gift.to.value;
     });
-    const std::string body = toBytes(json::array({gift.customer.value, gift.amount, heldRow(gift.customer)}));
+    const std::string body = toBytes(json::array({gift.customer.value, gift.amount, heldRow(gift.customer), stamp}));
     if (peer == m_peers.end() || !m_mesh->send(peer->first, {GiveTopic, body})) {
         // It has not left this process.
         receiveTokens(m_relay.state().prepaid, gift.customer, gift.amount);
@@ -710,9 +728,10 @@
 void FleetLinks::onGive(Peer &peer, const std::string &body)
 {
     const json message = fromBytes(body);
-    if (!message.is_array() || message.size() != 3) {
+    if (!message.is_array() || message.size() != 4 || !message[3].is_number_integer()) {
         return;
     }
+    noteLag(message[3].get<Tokens>());
     const auto given = readAmounts(json::array({message[0], message[1]}), 1);
     if (!given || given->tokens[0] < 0) {
         return;
@@ -803,9 +822,10 @@
     }
 }
 
-void FleetLinks::offerDocument(const Peer &peer)
+void FleetLinks::offerDocument(Peer &peer)
 {
     if (peer.linked && !m_document.empty()) {
+        peer.offeredAt = Relay::now();
         m_mesh->send(peer.member.incarnation, {DocumentTopic, m_document});
     }
 }
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -66,15 +66,22 @@
     // A router whose beat names an older document than this one's gets it, once this one has had it for so long: most
     // find it by themselves within a few tens of milliseconds.
     Duration offerDocumentAfter = std::chrono::milliseconds(500);
-    // Of the routers that have the newest document about so many offer it to each that lacks it. With 90 routers and
-    // links of 10 Mbit/s a copy from each kept a host's link busy for seconds, and its requests failed.
-    double documentOffers = 3;
+    // Of the routers that have the newest document about so many offer it to each that lacks it, and none again within
+    // `offerAgainAfter`. With 90 routers and links of 10 Mbit/s a copy from each kept a host's link busy for seconds,
+    // and its requests failed; a document of 1,500 routes takes such a link a third of a second.
+    double documentOffers = 1.5;
+    Duration offerAgainAfter = std::chrono::seconds(3);
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
     // is hardly later.
     Duration toldPromptFrom = std::chrono::milliseconds(12);
     // All routers together tell each other of this many prompts a second, counted at each that hears: each costs some
     // 40 us at both ends. In a large fleet only the longest are told.
     double promptsHeardPerSecond = 2500;
+    // Answers between routers come within a few milliseconds. One that took this long has waited in this host's own
+    // queue, and a list of endpoints as old and a request as late still meet the 2 s within which an endpoint that
+    // leaves may get requests. No request is taken for `behindFor` then: by that time the queue has emptied.
+    Duration behindFrom = std::chrono::milliseconds(500);
+    Duration behindFor = std::chrono::milliseconds(700);
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -172,6 +179,7 @@
         TimePoint passedOverUntil;
         TimePoint linkedAt;
         std::uint64_t documentVersion = 0;
+        TimePoint offeredAt;
     };
 
     void armBeat();
@@ -185,7 +193,9 @@
     void askHolders(const CustomerId &customer, Tokens needed);
     void watchAnswers();
     void passOverSilent();
-    void send(const TokenGift &gift);
+    // `stamp`: of the wish that is answered at once, or 0.
+    void send(const TokenGift &gift, Tokens stamp = 0);
+    void noteLag(Tokens stamp);
     void sendLeftovers();
     nlohmann::json heldRow(const CustomerId &customer) const;
     void readRow(const CustomerId &customer, const HolderId &holder, const nlohmann::json &row);
@@ -202,7 +212,7 @@
     void onPromptTold(const std::string &body);
     void onGive(Peer &peer, const std::string &body);
     bool mayOfferDocument(const Peer &peer);
-    void offerDocument(const Peer &peer);
+    void offerDocument(Peer &peer);
     Duration beatInterval() const;
     bool isFresh(const Peer &peer, TimePoint now) const;
     bool isEntry(const Peer &peer) const;
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -74,6 +74,7 @@
     RelayStage stage = RelayStage::Starting;
     int liveRouters = 1;
     bool platformInReach = false;
+    TimePoint behindUntil; // This host's link is choked: what it knows is old, and what it sends comes late.
 };
 
 struct RelayCounters
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -83,6 +83,10 @@
     if (!findRoute() || !findCustomer()) {
         return;
     }
+    if (m_arrived < m_relay.state().behindUntil) {
+        refuse(ErrorKind::Overloaded, "this router's link is choked", comeBackByLot());
+        return;
+    }
     const Duration callerPatience = m_facts.timeLeft.value_or(m_route->timeout);
     m_deadline = m_arrived + std::min(m_route->timeout, callerPatience - m_relay.options().answerMargin);
     m_timer.expires_at(m_deadline);
@@ -172,10 +176,15 @@
 // When the caller should come back for tokens: once they grow again, and not all callers at that moment.
 Duration RelayCall::tokensBack() const
 {
-    const Duration usual = m_relay.options().comeBack;
     const Duration grows = untilTokensGrow(m_relay.state().prepaid, m_customer, Relay::now());
+    return grows == Duration::zero() ? m_relay.options().comeBack : grows + comeBackByLot();
+}
+
+// Callers that are refused together should not come back together.
+Duration RelayCall::comeBackByLot() const
+{
     const double lot = static_cast<double>(m_relay.random() % 1024) / 1024.0;
-    return grows == Duration::zero() ? usual : grows + std::chrono::duration_cast<Duration>(usual * (0.3 + 2 * lot));
+    return std::chrono::duration_cast<Duration>(m_relay.options().comeBack * (0.3 + 2 * lot));
 }
 
 bool RelayCall::takeTokens()
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -81,6 +81,7 @@
     void reserveTokens();
     void refuseForBudget(const std::string &message);
     Duration tokensBack() const;
+    Duration comeBackByLot() const;
     void attempt();
     void sendTo(EndpointState &endpoint);
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
