--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -686,8 +686,10 @@
     const TimePoint now = Relay::now();
     const Duration lag = now.time_since_epoch() - Duration(stamp);
     if (lag >= m_options.behindFrom) {
-        m_relay.state().behindUntil = now + m_options.behindFor;
-        m_relay.log().write("behind", {{"lag_ms", toSeconds(lag) * 1000}});
+        if (!m_relay.isBehind(now)) {
+            m_relay.log().write("behind", {{"lag_ms", toSeconds(lag) * 1000}});
+        }
+        m_relay.state().behindAt = now;
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -79,9 +79,8 @@
     double promptsHeardPerSecond = 2500;
     // Answers between routers come within a few milliseconds. One that took this long has waited in this host's own
     // queue, and a list of endpoints as old and a request as late still meet the 2 s within which an endpoint that
-    // leaves may get requests. No request is taken for `behindFor` then: by that time the queue has emptied.
+    // leaves may get requests.
     Duration behindFrom = std::chrono::milliseconds(500);
-    Duration behindFor = std::chrono::milliseconds(700);
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -315,6 +315,7 @@
     std::function<void(const PrefixWatch::Items &)> watchEndpoints()
     {
         return [this](const PrefixWatch::Items &items) {
+            m_relay.state().endpointsAsOf = m_endpointWatch.asOf();
             m_endpoints.onListed(items);
             checkStage();
         };
@@ -440,6 +441,7 @@
                 return;
             }
             m_relay.pool().sweep(Relay::now());
+            renewListIfBehind();
             logLoad();
             if (m_settingsText.empty()) {
                 m_settingsText = readFile(m_settingsFile);
@@ -474,6 +476,16 @@
                      {"store_leases", calls(StoreCallKind::Lease)}});
     }
 
+    void renewListIfBehind()
+    {
+        RelayState &state = m_relay.state();
+        state.endpointsAsOf = m_endpointWatch.asOf();
+        const bool queueEmpty = Relay::now() >= state.behindAt + m_relay.options().behindFor;
+        if (state.behindAt != TimePoint{} && queueEmpty && m_relay.isBehind(Relay::now())) {
+            m_endpointWatch.readNow();
+        }
+    }
+
     void beginStop(int signal)
     {
         if (m_stopping) {
--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -8,6 +8,16 @@
 namespace Godwit
 {
 
+namespace
+{
+
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace
+
 PrefixWatch::PrefixWatch(boost::asio::io_context &io,
                          StoreClient &store,
                          std::string prefix,
@@ -40,7 +50,7 @@
 {
     static std::minstd_rand lots{std::random_device{}()};
     const double lot = std::uniform_real_distribution<double>(0, 1)(lots);
-    const auto now = std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    const TimePoint now = steadyNow();
     const bool standby = onStandby && onStandby();
     m_readingTimer.expires_at(nextReading(m_options.readings, now, routers(), lot, standby));
     m_readingTimer.async_wait([this](const boost::system::error_code &error) {
@@ -58,12 +68,13 @@
         return;
     }
     const std::uint64_t changes = m_changes;
-    m_store.range(m_prefix, [this, changes](const StoreItemsReply &reply) {
+    m_store.range(m_prefix, [this, changes, began = steadyNow()](const StoreItemsReply &reply) {
         m_reached(reply.status == StoreStatus::Ok);
         // What the watch brought meanwhile may be newer than the reading.
         if (reply.status != StoreStatus::Ok || m_changes != changes) {
             return;
         }
+        m_asOf = std::max(m_asOf, began);
         if (adopt(reply)) {
             m_changed(m_items);
             if (onMissed) {
@@ -76,6 +87,11 @@
     });
 }
 
+void PrefixWatch::readNow()
+{
+    readInTurn();
+}
+
 void PrefixWatch::onReadElsewhere(std::uint64_t digest)
 {
     armReading();
@@ -129,7 +145,7 @@
 
 void PrefixWatch::readAll()
 {
-    m_store.range(m_prefix, [this, round = ++m_round](const StoreItemsReply &reply) {
+    m_store.range(m_prefix, [this, round = ++m_round, began = steadyNow()](const StoreItemsReply &reply) {
         if (round != m_round) {
             return;
         }
@@ -139,6 +155,7 @@
             return;
         }
         adopt(reply);
+        m_asOf = std::max(m_asOf, began);
         m_at = reply.at;
         m_complete = true;
         m_changed(m_items);
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -74,6 +74,15 @@
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
     void askAgain();
 
+    // Reads everything now.
+    void readNow();
+
+    // The copy is at least as new as this: when the last call that was answered began.
+    TimePoint asOf() const
+    {
+        return m_asOf;
+    }
+
     // Whether the copy has been complete once.
     bool isComplete() const
     {
@@ -103,6 +112,7 @@
     Items m_items;
     std::uint64_t m_at = 0;
     bool m_complete = false;
+    TimePoint m_asOf;
     std::uint64_t m_changes = 0; // Counts what the watch has brought.
     std::uint64_t m_round = 0; // Answers to calls of earlier rounds come too late.
 };
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -28,6 +28,12 @@
     return !bounded || m_state.prepaid.takenOver;
 }
 
+bool Relay::isBehind(TimePoint now) const
+{
+    const bool listIsOld = m_state.endpointsAsOf < m_state.behindAt;
+    return now < m_state.behindAt + (listIsOld ? m_options.listPatience : m_options.behindFor);
+}
+
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
 {
     m_waiting.push_back(call);
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -83,7 +83,7 @@
     if (!findRoute() || !findCustomer()) {
         return;
     }
-    if (m_arrived < m_relay.state().behindUntil) {
+    if (m_relay.isBehind(m_arrived)) {
         refuse(ErrorKind::Overloaded, "this router's link is choked", comeBackByLot());
         return;
     }
