--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -214,7 +214,10 @@
     const MarkTimes times = markTimes(share, customer, account, now);
     Tokens ahead =
         std::max({tokensFor(share, account, times.lead, now), static_cast<Tokens>(account.meanSize), account.shortOf});
-    double perSecond = std::max(share.options.markGrowth * demandNow(share, account, now), account.meanSize);
+    const double demand = demandNow(share, account, now);
+    const double fastest = share.options.fastGrowthPart * static_cast<double>(account.total);
+    const double wished = std::min(share.options.markGrowth * demand, std::max(demand, fastest));
+    double perSecond = std::max(wished, account.meanSize);
     if (account.meanSize <= 0) {
         // Without demand yet: the first requests should not wait for a write.
         ahead = std::max(granted / 50, account.shortOf);
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -67,6 +67,10 @@
     // How fast a mark's limit grows once it binds no more, as a multiple of the demand: a customer may ask for more
     // than it lately did.
     double markGrowth = 2;
+    // It grows faster than the demand only up to this part of the total a second: all of the growth is charged where a
+    // death comes with a loss of the store, and a customer that sends five times its usual would lose half of its
+    // total.
+    double fastGrowthPart = 0.02;
     // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
     std::chrono::milliseconds clockTolerance{3000};
     // Marks are written no more often than this, but for requests that wait.
