--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -42,11 +42,6 @@
     double leftoversBelow = 0.15;
     // Callers are sent to a router that was heard within so many beats.
     int freshBeats = 4;
-    // A request for tokens asks for what it lacks, or for this much of the customer's recent demand here: the next
-    // requests should not have to ask.
-    Duration askFor = std::chrono::seconds(3);
-    // How many routers are asked at once.
-    int askAtMost = 3;
     // No second question to other homes about the same customer within this time.
     Duration askInterval = std::chrono::milliseconds(30);
     // A home answers a wish within a few milliseconds, if only by saying that it has to wait. One that has not answered
