Most endpoints have to tell their start before an entry without one counts as foreign

Found by reading: one foreign entry that tells a start would have dropped every endpoint of a platform where none does. Test red before: endpoint_list_test.

--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -88,14 +88,19 @@
     entry.endpoint = std::move(endpoint);
 }
 
-// Where endpoints tell their start, an entry without one comes from another writer.
+// Where most endpoints tell their start, an entry without one comes from another writer. Not where any does: one
+// foreign entry that tells a start would else drop every endpoint of a platform where none does.
 void EndpointList::dropForeign()
 {
-    const bool startsTold = std::any_of(m_entries.begin(), m_entries.end(), [](const auto &entry) {
-        return entry.second.endpoint && entry.second.endpoint->startedAt != 0;
-    });
+    int told = 0;
+    int untold = 0;
+    for (const auto &[key, entry] : m_entries) {
+        if (entry.endpoint) {
+            ++(entry.endpoint->startedAt != 0 ? told : untold);
+        }
+    }
     for (auto &[key, entry] : m_entries) {
-        if (startsTold && entry.endpoint && entry.endpoint->startedAt == 0) {
+        if (told > untold && entry.endpoint && entry.endpoint->startedAt == 0) {
             logRefusal(key, entry, "the entry doesn't say when its endpoint started, as others do");
             entry.endpoint.reset();
         }
--- a/godwit/daemon/endpoint_list_test.cpp
+++ b/godwit/daemon/endpoint_list_test.cpp
@@ -32,6 +32,7 @@
         PrefixWatch::Items items;
         items["servers/a"] = StoreItem{"servers/a", text, revision, false};
         items["servers/other"] = StoreItem{"servers/other", entryOf("ready", 5), 1, false};
+        items["servers/third"] = StoreItem{"servers/third", entryOf("ready", 5), 1, false};
         list.onListed(items);
     }
 
@@ -123,3 +124,17 @@
     list.remove();
     CHECK_FALSE(list.takesWork("a"));
 }
+
+TEST_CASE("one foreign entry that tells a start drops none of the endpoints that tell none")
+{
+    List list;
+    PrefixWatch::Items items;
+    for (const char *id : {"a", "b", "c"}) {
+        const std::string key = std::string("servers/") + id;
+        items[key] = StoreItem{key, entryOf("ready", 0), 1, false};
+    }
+    items["servers/foreign"] = StoreItem{"servers/foreign", entryOf("ready", 7), 2, false};
+    list.list.onListed(items);
+    CHECK(list.takesWork("a"));
+    CHECK(list.takesWork("c"));
+}
