Read again: one clock, one reading call, one way to count unread tokens

Behaviour stays. PrefixWatch uses Relay::now() and one public reading call instead of a private twin; onAsk gets its peer as the other handlers do; unread tokens and the usual mark time are worked out in one place; includes that nothing used go.

--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -288,17 +288,16 @@
     }
 }
 
-void FleetLinks::onAsk(const Incarnation &from, const std::string &body)
+void FleetLinks::onAsk(const Peer &peer, const std::string &body)
 {
     const auto asked = readAmounts(fromBytes(body), 2);
-    const auto peer = m_peers.find(from);
-    if (!asked || peer == m_peers.end()) {
+    if (!asked) {
         return;
     }
     const TokenWish wish{asked->tokens[1], asked->tokens[0]};
     const Tokens amount = sendTokens(m_relay.state().prepaid, asked->customer, wish, Relay::now());
     if (amount > 0) {
-        send(TokenGift{HolderId{peer->second.member.callerAddress}, asked->customer, amount});
+        send(TokenGift{HolderId{peer.member.callerAddress}, asked->customer, amount});
     }
 }
 
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -1,14 +1,10 @@
 #include "godwit/daemon/fleet_links.h"
 
-#include "godwit/base/hash.h"
-
 #include "godwit/daemon/fleet_messages.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
-#include <functional>
 #include <set>
 
 namespace Godwit
@@ -326,7 +322,7 @@
     if (envelope.topic == BeatTopic) {
         onBeat(found->second, envelope.body);
     } else if (envelope.topic == AskTopic) {
-        onAsk(from, envelope.body);
+        onAsk(found->second, envelope.body);
     } else if (envelope.topic == WishTopic) {
         onWish(found->second, envelope.body);
     } else if (envelope.topic == GiveTopic) {
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -200,7 +200,7 @@
     void onBeat(Peer &peer, const std::string &body);
     void readHeld(const nlohmann::json &beat, const HolderId &holder);
     void onWish(const Peer &peer, const std::string &body);
-    void onAsk(const Incarnation &from, const std::string &body);
+    void onAsk(const Peer &peer, const std::string &body);
     void onLedger(const std::string &body);
     void onReadingTold(const std::string &body);
     void onPromptTold(const std::string &body);
--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -1,6 +1,7 @@
 #include "godwit/daemon/prefix_watch.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/relay/relay.h"
 
 #include <algorithm>
 #include <random>
@@ -8,16 +9,6 @@
 namespace Godwit
 {
 
-namespace
-{
-
-TimePoint steadyNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
-} // namespace
-
 PrefixWatch::PrefixWatch(boost::asio::io_context &io,
                          StoreClient &store,
                          std::string prefix,
@@ -50,25 +41,25 @@
 {
     static std::minstd_rand lots{std::random_device{}()};
     const double lot = std::uniform_real_distribution<double>(0, 1)(lots);
-    const TimePoint now = steadyNow();
+    const TimePoint now = Relay::now();
     const bool standby = onStandby && onStandby();
     m_readingTimer.expires_at(nextReading(m_options.readings, now, routers(), lot, standby));
     m_readingTimer.async_wait([this](const boost::system::error_code &error) {
         if (error) {
             return;
         }
-        readInTurn();
+        readNow();
         armReading();
     });
 }
 
-void PrefixWatch::readInTurn()
+void PrefixWatch::readNow()
 {
     if (!m_complete) {
         return;
     }
     const std::uint64_t changes = m_changes;
-    m_store.range(m_prefix, [this, changes, began = steadyNow()](const StoreItemsReply &reply) {
+    m_store.range(m_prefix, [this, changes, began = Relay::now()](const StoreItemsReply &reply) {
         m_reached(reply.status == StoreStatus::Ok);
         // What the watch brought meanwhile may be newer than the reading.
         if (reply.status != StoreStatus::Ok || m_changes != changes) {
@@ -87,11 +78,6 @@
     });
 }
 
-void PrefixWatch::readNow()
-{
-    readInTurn();
-}
-
 void PrefixWatch::onReadElsewhere(std::uint64_t digest)
 {
     armReading();
@@ -102,7 +88,7 @@
     m_missedTimer.async_wait([this, digest, changes = m_changes](const boost::system::error_code &error) {
         // A watch that has brought something meanwhile is not deaf; what it may lack shows at the next reading.
         if (!error && m_changes == changes && this->digest() != digest) {
-            readInTurn();
+            readNow();
         }
     });
 }
@@ -145,7 +131,7 @@
 
 void PrefixWatch::readAll()
 {
-    m_store.range(m_prefix, [this, round = ++m_round, began = steadyNow()](const StoreItemsReply &reply) {
+    m_store.range(m_prefix, [this, round = ++m_round, began = Relay::now()](const StoreItemsReply &reply) {
         if (round != m_round) {
             return;
         }
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -74,7 +74,7 @@
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
     void askAgain();
 
-    // Reads everything now.
+    // Reads everything now, and tells what it found.
     void readNow();
 
     // The copy is at least as new as this: when the last call that was answered began.
@@ -94,7 +94,6 @@
     void follow();
     void onChanges(const StoreItemsReply &reply);
     void armReading();
-    void readInTurn();
     bool adopt(const StoreItemsReply &reply);
     std::uint64_t digest() const;
     int routers() const;
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -84,6 +84,11 @@
     return toSeconds(duration) * 1000;
 }
 
+Tokens unreadTokens(const ChoiceQuery &query, bool kept)
+{
+    return query.promptTokens - (kept ? query.sharedTokens : 0);
+}
+
 // What sending the prompt there costs, in milliseconds: the time to its first event, more if that comes late, and what
 // reading a shared part again costs those that come next. `kept`: the engine keeps the shared part.
 double readingCost(const EndpointState &endpoint,
@@ -93,8 +98,8 @@
                    bool kept,
                    TimePoint now)
 {
-    const Tokens unread = query.promptTokens - (kept ? query.sharedTokens : 0);
-    const Duration firstEvent = waitOf(endpoint.load, now) + readingTime(endpoint.load, speed, unread);
+    const Duration reading = readingTime(endpoint.load, speed, unreadTokens(query, kept));
+    const Duration firstEvent = waitOf(endpoint.load, now) + reading;
     const auto carefree = options.carefreePart * milliseconds(query.latencyTarget);
     const double beyond = std::max(0.0, milliseconds(firstEvent) - carefree);
     double cost = milliseconds(firstEvent) + options.lateWeight * beyond;
@@ -129,7 +134,7 @@
             cost += 0.01; // Between equal ones the nearer.
         }
         if (best.endpoint == nullptr || cost < bestCost) {
-            best = Choice{&endpoint, query.promptTokens - (kept ? query.sharedTokens : 0)};
+            best = Choice{&endpoint, unreadTokens(query, kept)};
             bestCost = cost;
         }
     }
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -196,16 +196,17 @@
     const PrepaidOptions &options = share.options;
     // In a large fleet marks are written less often, and have to last as long.
     const std::chrono::milliseconds least = markInterval(share) * 6 / 5;
+    const std::chrono::milliseconds usual = std::max(options.markLead, least);
     const double demand = demandNow(share, account, now);
     const double untilUsedUp = demand > 0 ? static_cast<double>(mayRemain(share, customer)) / demand : 0;
     if (demand > 0 && untilUsedUp < toSeconds(options.closeMarksWithin)) {
         const double seconds = options.closeLeadPart * static_cast<double>(account.total) / demand;
         const auto lead = std::clamp(std::chrono::milliseconds(std::llround(std::min(seconds, 1e6) * 1000)),
                                      std::max(options.closeLeadLeast, least),
-                                     std::max(options.markLead, least));
-        return {lead, std::max({options.closeBinds, lead})};
+                                     usual);
+        return {lead, std::max(options.closeBinds, lead)};
     }
-    return {std::max(options.markLead, least), std::max(options.markLead, least)};
+    return {usual, usual};
 }
 
 Mark wantedMark(
@@ -531,14 +532,14 @@
         const auto left = own->second.mark.binds - share.markAge;
         return std::max<Duration>(left, Duration::zero());
     }
-    Duration soonest = Duration::zero();
+    Duration latest = Duration::zero();
     const auto others = share.heldElsewhere.find(customer);
     if (others != share.heldElsewhere.end()) {
         for (const auto &[holder, held] : others->second) {
-            soonest = std::max<Duration>(soonest, held.growsAt - now);
+            latest = std::max<Duration>(latest, held.growsAt - now);
         }
     }
-    return soonest;
+    return latest;
 }
 
 Tokens sendTokens(PrepaidShare &share, const CustomerId &customer, const TokenWish &wish, TimePoint now)
