--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -29,6 +29,9 @@
     for (const auto &[kind, count] : counters.refusals) {
         out << "godwit_refusals_total{cause=\"" << errorName(kind) << "\"} " << count << '\n';
     }
+    for (const auto &[cause, count] : counters.attemptsFailed) {
+        out << "godwit_attempts_failed_total{cause=\"" << cause << "\"} " << count << '\n';
+    }
     line(out, "godwit_calls_open", relay.callsOpen);
     line(out, "godwit_platform_calls_total", static_cast<double>(store.calls));
     for (std::size_t kind = 0; kind < StoreCallKinds; ++kind) {
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -94,6 +94,7 @@
     std::uint64_t brokenOff = 0;
     std::uint64_t connectionsOpened = 0;
     std::map<ErrorKind, std::uint64_t> refusals;
+    std::map<std::string, std::uint64_t> attemptsFailed; // By cause.
     CallMetrics calls;
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -306,7 +306,8 @@
         m_relay.io(), m_relay.pool(), m_relay.options().exchange, std::move(handlers));
     m_exchange->start(
         m_endpoint, endpoint.listed.address, writeRequestHead(m_head, send, m_body.size()) + m_body, m_facts.attemptId);
-    m_relay.counters().connectionsOpened += m_exchange->connectionIsNew() ? 1 : 0;
+    m_newConnection = m_exchange->connectionIsNew();
+    m_relay.counters().connectionsOpened += m_newConnection ? 1 : 0;
 }
 
 void RelayCall::onHead(const AnswerHead &head, const AnswerFacts &facts)
@@ -474,10 +475,13 @@
 
 void RelayCall::tryAgain(const std::string &cause, bool reachedEndpoint)
 {
+    ++m_relay.counters().attemptsFailed[cause];
     m_relay.log().write("attempt_failed",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"endpoint", std::string_view(m_endpoint.value)},
                          {"cause", std::string_view(cause)},
+                         {"new_connection", m_newConnection},
+                         {"attempt_ms", milliseconds(Relay::now() - m_sentAt)},
                          {"status", static_cast<std::int64_t>(m_answerHead ? m_answer.status : 0)},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
                          {"may_have_run", m_ran > 0}});
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -140,6 +140,7 @@
     EndpointStart m_endpointStart = 0;
     TimePoint m_sentAt;
     bool m_attemptOpen = false;
+    bool m_newConnection = false; // Of the latest attempt.
     ReadId m_read = 0; // The prompt that the endpoint still has to read; 0: none.
 
     std::optional<AnswerHead> m_answerHead;
