--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -41,6 +41,9 @@
     if (lacking <= 0) {
         return;
     }
+    if (coming.tokens == 0) {
+        coming.askedAt = now;
+    }
     coming.tokens += lacking;
     coming.until = now + m_options.wishWaits;
     if (!home->unansweredSince) {
@@ -51,6 +54,20 @@
     watchAnswers();
 }
 
+// Asks for the tokens of the next moment's requests. A day of 90 hosts on which one customer's callers keep to a host
+// with 10 Mbit/s: worth 0.405 with it, 0.321 without, one play each.
+void FleetLinks::keepAhead()
+{
+    const TimePoint now = Relay::now();
+    const Duration ahead = aheadTime(m_exchangeTime, m_options.ahead);
+    for (const auto &[customer, account] : m_relay.state().prepaid.accounts) {
+        const Tokens wanted = tokensAhead(m_relay.state().prepaid, customer, ahead, m_options.ahead, now);
+        if (wanted > 0) {
+            askHome(customer, wanted);
+        }
+    }
+}
+
 // A home asks those that still hold some of the budget: homes of before, or ones that another router takes for it.
 void FleetLinks::askHolders(const CustomerId &customer, Tokens needed)
 {
@@ -318,6 +335,9 @@
         return;
     }
     OnItsWay &coming = m_onItsWay[given->customer];
+    if (coming.tokens > 0) {
+        noteExchange(m_exchangeTime, Relay::now() - coming.askedAt);
+    }
     coming.tokens = std::max<Tokens>(0, coming.tokens - given->tokens[0]);
     receiveTokens(m_relay.state().prepaid, given->customer, given->tokens[0]);
     m_relay.log().write("tokens_received",
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -255,6 +255,7 @@
             return;
         }
         tellReadiness();
+        keepAhead();
         if (Relay::now() < m_beatAt) {
             armLook();
             return;
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -7,6 +7,7 @@
 
 #include "godwit/base/time.h"
 #include "godwit/gateway/entry_hosts.h"
+#include "godwit/prepaid/tokens_ahead.h"
 #include "godwit/relay/relay.h"
 #include "godwit/router/router_mesh.h"
 
@@ -48,6 +49,7 @@
     // for so long is passed over for `passOver`: a host that vanished closes no link, and beats tell only after 1.6 s.
     Duration answerLimit = std::chrono::milliseconds(40);
     Duration passOver = std::chrono::seconds(1);
+    TokensAheadOptions ahead;
     // How long a wish waits at a home, and how long it counts as on its way here: no request waits longer.
     Duration wishWaits = std::chrono::milliseconds(200);
     // A ledger up to this size is told to all others once it is written; a longer one costs more than the refused
@@ -184,6 +186,7 @@
     // Null when this router is the home, or when there is none.
     Peer *homeOf(const CustomerId &customer, TimePoint now);
     void askHome(const CustomerId &customer, Tokens needed);
+    void keepAhead();
     void askHolders(const CustomerId &customer, Tokens needed);
     void watchAnswers();
     void passOverSilent();
@@ -228,6 +231,7 @@
     struct OnItsWay
     {
         Tokens tokens = 0;
+        TimePoint askedAt;
         TimePoint until;
     };
     std::map<CustomerId, OnItsWay> m_onItsWay;
@@ -246,6 +250,7 @@
     TimePoint m_documentAt; // Since when this router has it.
     std::string m_document;
     // The shortest prompt that is told now, as reading time in seconds; follows the bound on what is told.
+    ExchangeTime m_exchangeTime; // With homes.
     double m_toldFrom = 0;
     TimePoint m_promptToldAt;
 };
--- /dev/null
+++ b/godwit/prepaid/tokens_ahead.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// What a router that is not a customer's home keeps of the customer's tokens for the requests of the next moment.
+//
+// Without any, each request waits for an exchange with the home. That takes some 3 ms on an idle link, and longer than
+// a request may wait on one that is full: a customer whose callers all keep to one small host is then refused while its
+// home holds plenty, and its callers come back on top of the new ones. So as much is kept as exchanges lately took
+// time, several times over. What is kept is lost with its router, so it is little where exchanges are quick, and
+// nothing at all near the end of a budget.
+//
+// Pure. Example:
+//   noteExchange(time, tookMs);
+//   if (const Tokens ahead = tokensAhead(share, customer, aheadTime(time, options), options, now)) { ask(ahead); }
+
+#include "godwit/base/ids.h"
+#include "godwit/base/time.h"
+#include "godwit/prepaid/prepaid_share.h"
+
+namespace Godwit
+{
+
+struct TokensAheadOptions
+{
+    // An exchange is asked for when half of what is kept is used, and the demand may be twice what it was.
+    double exchanges = 4;
+    // A home that draws first answers within some 50 ms, and a burst of requests comes sooner than the next look.
+    Duration least = std::chrono::milliseconds(250);
+    // More would cost a router's death more than the growth of marks that it is reckoned with.
+    Duration most = std::chrono::milliseconds(600);
+    // Nothing is kept when less than this part of a total is left.
+    double notBelow = 0.15;
+};
+
+// How long exchanges with homes lately took.
+struct ExchangeTime
+{
+    Duration recent{};
+};
+
+void noteExchange(ExchangeTime &time, Duration took);
+
+// For how long a time of its demand a router keeps tokens.
+Duration aheadTime(const ExchangeTime &time, const TokensAheadOptions &options);
+
+// What a router wants to hold of a customer that is at home elsewhere; 0 when it holds enough.
+Tokens tokensAhead(const PrepaidShare &share,
+                   const CustomerId &customer,
+                   Duration ahead,
+                   const TokensAheadOptions &options,
+                   TimePoint now);
+
+} // namespace Godwit
