A reading or a watch that comes late no longer undoes a newer reading

Cause: calls of the store go over three connections, so that the answer to an older reading can come after that to a newer one, and a watch can lag behind a reading. Both replaced the newer copy, while asOf() stayed at the newer reading's time. A router whose link is behind reads each 500 ms, so that two readings are under way whenever one takes longer. The copy now knows the store's revision at its last reading: older readings and older events are passed over.

--- a/godwit/daemon/prefix_watch.cpp
+++ b/godwit/daemon/prefix_watch.cpp
@@ -61,8 +61,9 @@
     const std::uint64_t changes = m_changes;
     m_store.range(m_prefix, [this, changes, began = Relay::now()](const StoreItemsReply &reply) {
         m_reached(reply.status == StoreStatus::Ok);
-        // What the watch brought meanwhile may be newer than the reading.
-        if (reply.status != StoreStatus::Ok || m_changes != changes) {
+        // What the watch brought meanwhile may be newer than the reading, and so may another reading: calls go over
+        // several connections, and their answers overtake each other.
+        if (reply.status != StoreStatus::Ok || m_changes != changes || reply.at < m_readAt) {
             return;
         }
         m_asOf = std::max(m_asOf, began);
@@ -114,6 +115,7 @@
                           return a.first == b.first && a.second.revision == b.second.revision;
                       });
     m_items = std::move(items);
+    m_readAt = reply.at;
     return !same;
 }
 
@@ -172,6 +174,10 @@
     m_at = std::max(m_at, reply.at);
     m_changes += reply.items.empty() ? 0 : 1;
     for (const StoreItem &item : reply.items) {
+        // A watch may lag behind a reading: an endpoint that the reading showed to be leaving would be ready again.
+        if (item.revision <= m_readAt) {
+            continue;
+        }
         if (item.removed) {
             m_items.erase(item.key);
         } else {
--- a/godwit/daemon/prefix_watch.h
+++ b/godwit/daemon/prefix_watch.h
@@ -110,6 +110,7 @@
     std::function<void(bool)> m_reached;
     Items m_items;
     std::uint64_t m_at = 0;
+    std::uint64_t m_readAt = 0; // The store's revision at the reading that the copy builds on.
     bool m_complete = false;
     TimePoint m_asOf;
     std::uint64_t m_changes = 0; // Counts what the watch has brought.
