Answers about a former lease no longer count for the present one

Cause: the write of the live entry, and the renewal, could be answered after the lease that they were for had been replaced. The entry then counted as written under the new lease and stayed away; or the new lease was given up and asked for again.

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -139,7 +139,11 @@
         return;
     }
     m_leaseCallOpen = true;
-    m_store.keepLease(m_lease, [this, now](StoreStatus status) {
+    m_store.keepLease(m_lease, [this, now, call = ++m_leaseCalls](StoreStatus status) {
+        // News of a former lease says nothing of its successor.
+        if (call != m_leaseCalls) {
+            return;
+        }
         m_leaseCallOpen = false;
         onReached(status == StoreStatus::Ok || status == StoreStatus::NotFound);
         if (status == StoreStatus::Ok) {
@@ -153,6 +157,7 @@
 void BudgetKeeper::grantLease()
 {
     m_leaseCallOpen = true;
+    ++m_leaseCalls;
     const TimePoint asked = Relay::now();
     m_store.grantLease(m_options.leaseTime, [this, asked](const StoreLeaseReply &reply) {
         m_leaseCallOpen = false;
@@ -184,8 +189,12 @@
     m_liveCallOpen = true;
     StoreTransaction transaction;
     transaction.puts.push_back({m_options.liveKey, m_options.liveValue, m_lease});
-    m_store.transact(transaction, [this](const StoreWriteReply &reply) {
+    m_store.transact(transaction, [this, lease = m_lease](const StoreWriteReply &reply) {
         m_liveCallOpen = false;
+        // What was written under a former lease went with it.
+        if (lease != m_lease) {
+            return;
+        }
         m_liveEntryWritten = reply.status == StoreStatus::Ok;
         if (reply.status == StoreStatus::NotFound) {
             onLeaseLost();
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -96,7 +96,8 @@
     std::uint64_t m_lease = 0;
     TimePoint m_renewedAt; // When the last renewal that the store confirmed was sent.
     TimePoint m_nextKeep;
-    bool m_leaseCallOpen = false;
+    bool m_leaseCallOpen = false; // The last of them.
+    std::uint64_t m_leaseCalls = 0;
     bool m_recordsCallOpen = false;
     bool m_liveEntryWritten = false;
     bool m_liveCallOpen = false;
