--- /dev/null
+++ b/godwit/relay/caller_connection_test.cpp
@@ -0,0 +1,102 @@
+#include "godwit/relay/caller_connection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <string>
+
+using namespace Godwit;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+// A router without a document, and a caller that is connected to it.
+struct Connected
+{
+    Connected()
+        : log(io, {})
+        , relay(io, {}, log)
+        , caller(io)
+    {
+        tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        caller.connect(acceptor.local_endpoint());
+        caller.non_blocking(true);
+        connection = std::make_shared<CallerConnection>(relay, connections, acceptor.accept());
+        connection->start();
+        run(std::chrono::milliseconds(5));
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
+    void ask(const std::string &connectionHeader)
+    {
+        boost::asio::write(caller,
+                           boost::asio::buffer("GET / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: 1\r\nConnection: "
+                                               + connectionHeader + "\r\n\r\n"));
+    }
+
+    std::string received()
+    {
+        std::array<char, 4096> bytes{};
+        boost::system::error_code error;
+        return std::string(bytes.data(), caller.read_some(boost::asio::buffer(bytes), error));
+    }
+
+    // Whether the router has closed its socket: bytes sent to it are answered with a reset, which the next ones meet.
+    bool isClosed()
+    {
+        boost::system::error_code error;
+        boost::asio::write(caller, boost::asio::buffer("x", 1), error);
+        run(std::chrono::milliseconds(5));
+        boost::asio::write(caller, boost::asio::buffer("x", 1), error);
+        return error.failed();
+    }
+
+    CallerConnections connections;
+    boost::asio::io_context io;
+    DecisionLog log;
+    Relay relay;
+    tcp::socket caller;
+    std::shared_ptr<CallerConnection> connection;
+};
+
+} // namespace
+
+TEST_CASE("a connection that is being closed in order is not cut by the next look for idle ones")
+{
+    // A router that stops looks for idle connections each 100 ms. The second look cancelled the read that waits for the
+    // caller's end, and its end by that was taken for the caller's: the socket was closed under an answer on its way.
+    Connected router;
+    SECTION("closed after an answer")
+    {
+        router.ask("close");
+        router.run(std::chrono::milliseconds(20));
+        REQUIRE(router.received().find("HTTP/1.1 503") == 0);
+    }
+    SECTION("closed as idle")
+    {
+        router.connection->closeIfIdle();
+        router.run(std::chrono::milliseconds(5));
+    }
+    router.connection->closeIfIdle();
+    router.run(std::chrono::milliseconds(5));
+    CHECK_FALSE(router.isClosed());
+}
+
+TEST_CASE("a request that has arrived is answered before its connection counts as idle")
+{
+    // The loop was busy while the request came, so that nobody had begun to read it. The connection was closed as idle
+    // and the request read and dropped: its caller heard nothing and may not repeat it.
+    Connected router;
+    router.ask("keep-alive");
+    router.connection->closeIfIdle();
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().find("HTTP/1.1 503") == 0);
+}
