A connection that is being closed is not idle, nor is one on which a request has arrived

Cause: closeIfIdle() went by what the loop had seen, and closed again what it was closing: the cancelled read of the first close then counted as the caller's end, so that the socket was closed 100 ms after an answer instead of up to 1 s. It now knows that it is closing, and looks at the socket itself; a request that waits there is answered.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -68,7 +68,10 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (!m_call && !m_beganReading && m_buffer.size() == 0 && !m_writeOpen) {
+    // A request may have arrived that the loop has not come to. And a second close would cancel the read that waits for
+    // the caller's end, which then looks as if the caller had left.
+    const bool idle = !m_call && !m_beganReading && m_buffer.size() == 0 && !m_writeOpen;
+    if (idle && !m_closing && !m_closed && isQuiet(m_socket)) {
         closeInOrder();
     }
 }
@@ -299,6 +302,7 @@
 // comes, and wait for the caller to close.
 void CallerConnection::closeInOrder()
 {
+    m_closing = true;
     error_code ignored;
     m_socket.cancel(ignored);
     m_readOpen = false;
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -79,6 +79,7 @@
     mutable bool m_saidClose = false; // An answer's head has said that the connection closes after it.
     bool m_readOpen = false; // A request is being read, or waited for.
     bool m_beganReading = false;
+    bool m_closing = false; // Nothing more is sent; the caller's end is waited for.
     bool m_closed = false;
 };
 
