The test of a connect limit that ends late takes one outcome only

It accepted a connection that was given up as well, and would have passed without trying the case. The bytes were at the endpoint in 380 of 380 runs, so that they are demanded now, and that nothing is reported. With the phase taken out: red in 50 of 50 runs.

--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -64,11 +64,9 @@
         attempt.io.poll();
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
     }
-    if (attempt.bytesAtEndpoint() > 0) {
-        CHECK_FALSE(attempt.failure == ExchangeFailure::NotConnected);
-    } else {
-        CHECK(attempt.failure == ExchangeFailure::NotConnected);
-    }
+    // Else the connection was given up before it came about, and nothing was tried here.
+    REQUIRE(attempt.bytesAtEndpoint() > 0);
+    CHECK_FALSE(attempt.failure);
     attempt.exchange->cancel();
     attempt.io.poll();
 }
