A kept connection to a service is used again only while it is quiet

Cause: bytes that came after an answer stayed in the buffer or the socket, and were taken for the answer to the next call, of whatever kind. Such a connection, and one that the service has closed, is now replaced before the call: a write on a closed one had an unknown outcome besides.

--- a/godwit/http/call_client.cpp
+++ b/godwit/http/call_client.cpp
@@ -8,6 +8,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <deque>
 
 namespace Godwit
@@ -35,6 +38,9 @@
                          const CallRules &rules,
                          const asio::yield_context &yield)
     {
+        if (m_open && !isQuiet()) {
+            close();
+        }
         const bool reused = m_open;
         const CallOutcome first = tryOnce(request, response, rules.timeout, yield);
         // The service may close an idle connection at any time. A read can be sent again; a write can't, since it
@@ -47,6 +53,15 @@
     }
 
 private:
+    // Bytes that nobody asked for would be taken for the answer to the next call, so that a write which the service
+    // hasn't done would count as done; and a write on a connection that the service has closed has an unknown outcome.
+    bool isQuiet()
+    {
+        char byte = 0;
+        const ssize_t got = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return m_buffer.size() == 0 && got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     bool connect(const asio::yield_context &yield)
     {
         for (std::size_t tries = 0; tries < m_options.addresses.size(); ++tries) {
