A failure is never passed on as the rest of a stream

Found by reading: with the head passed on and no event yet, another endpoint's whole answer ended the stream. Test red before (200 with the error's text, complete), green after.

--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -390,8 +390,9 @@
         tryAgain("unsealed_answer", true);
         return;
     }
-    if (m_headPassed && !m_streams && m_eventsPassed > 0) {
-        // A stream that should go on was answered with a failure.
+    if (m_headPassed && !m_streams && m_route->kind == GatewayRouteKind::Streaming) {
+        // A stream that should go on was answered with a failure, perhaps before its first event. Passed on, its text
+        // would end the stream as if that were whole.
         endAttempt(AttemptVerdict::Failed);
         tryAgain("resume_failed", true);
         return;
