prepaid_share.cpp is split along its jobs

One file of 823 lines held five jobs. Now: limits and reservations stay in prepaid_share.cpp (201 lines); recent demand goes to share_demand.cpp (124), the grant and marks to ask for to share_targets.cpp (140), writes planned and their outcomes to share_writes.cpp (281), records read and the takeover to share_records.cpp (127), tokens between routers to share_tokens.cpp (71). What they use of one another is declared in share_internal.h; prepaid_share.h is unchanged. Functions moved as they are: the sorted lines of before and after differ only by includes, namespaces and the comments that now stand at the declarations.

--- /dev/null
+++ b/godwit/prepaid/share_records.cpp
@@ -0,0 +1,127 @@
+// Records read from the platform: taking over from an earlier process on this host, and what an unanswered write did.
+
+#include "godwit/prepaid/prepaid_share.h"
+#include "godwit/prepaid/share_internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Godwit
+{
+
+using internal::clearPending;
+using internal::grantedTo;
+using internal::grantWithin;
+using internal::shortestBinds;
+
+namespace
+{
+
+// How old an earlier process's mark may have been when this process started; unset when the clocks can't tell.
+std::optional<std::chrono::milliseconds> ageAtStart(const PrepaidOptions &options, const MarkRecord &mark)
+{
+    using std::chrono::milliseconds;
+    const milliseconds uptime = options.startedAt.uptime - mark.writtenAt.uptime;
+    const milliseconds wall = options.startedAt.wall - mark.writtenAt.wall;
+    const milliseconds apart = uptime > wall ? uptime - wall : wall - uptime;
+    if (wall < milliseconds(0)) {
+        return std::nullopt;
+    }
+    // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
+    const bool uptimeShared = options.startedAt.boot == mark.writtenAt.boot && apart <= options.clockTolerance;
+    return (uptimeShared ? std::max(uptime, wall) : wall) + options.markCaution;
+}
+
+bool holdsAnyOf(const PrepaidLedger &ledger, const HolderId &holder)
+{
+    return std::any_of(ledger.accounts.begin(), ledger.accounts.end(), [&holder](const auto &entry) {
+        return entry.second.granted.count(holder) != 0;
+    });
+}
+
+// Charges what an earlier process on this host may have used and gives the rest of its grant back.
+void takeOver(PrepaidShare &share, PrepaidLedger &ledger, const std::optional<MarkRecord> &mark)
+{
+    share.foundMarkAge = mark ? ageAtStart(share.options, *mark) : std::nullopt;
+    for (auto &[customer, account] : ledger.accounts) {
+        const auto held = account.granted.find(share.options.self);
+        if (held == account.granted.end()) {
+            continue;
+        }
+        Tokens charge = held->second;
+        Tokens unsure = charge;
+        if (mark) {
+            const auto entry = mark->marks.find(customer);
+            const Mark found = entry == mark->marks.end() ? Mark{} : entry->second;
+            const Tokens reach = share.foundMarkAge ? reachOf(found, *share.foundMarkAge) : furthestReachOf(found);
+            charge = std::min(charge, reach);
+            // It had used this much when it wrote the mark, and may have received tokens since.
+            unsure = charge - std::min(charge, found.used);
+        }
+        account.spent += charge;
+        account.unsure += std::max<Tokens>(0, unsure);
+        account.granted.erase(held);
+    }
+}
+
+// The room as the newer of document and ledger gives the total.
+Tokens roomUnder(const PrepaidShare &share, const PrepaidLedger &ledger, const CustomerId &customer)
+{
+    const auto entry = ledger.accounts.find(customer);
+    const auto own = share.accounts.find(customer);
+    if (entry == ledger.accounts.end() || own == share.accounts.end()) {
+        return 0;
+    }
+    const bool ledgerNewer = ledger.documentVersion > share.documentVersion;
+    const Tokens total = ledgerNewer ? entry->second.total : own->second.total;
+    return roomOf(entry->second) - entry->second.total + total;
+}
+
+} // namespace
+
+void onRecordsRead(PrepaidShare &share,
+                   PrepaidLedger ledger,
+                   std::uint64_t ledgerRevision,
+                   const std::optional<MarkRecord> &mark,
+                   std::uint64_t markRevision)
+{
+    share.takenOver = share.takenOver || (mark && mark->writer == share.options.incarnation);
+    if (!share.takenOver && !mark && !holdsAnyOf(ledger, share.options.self)) {
+        // Nothing to take over, so that nothing has to be written before this process counts as ready.
+        share.takenOver = true;
+    }
+    if (!share.takenOver) {
+        takeOver(share, ledger, mark);
+    } else {
+        if (mark && share.markWrittenAt.wall.count() == 0) {
+            // An earlier process's write has landed after this one's first reading. A successor will go by its mark.
+            share.markWrittenAt = mark->writtenAt;
+            share.shortestBinds = shortestBinds(*mark);
+            share.markAge = std::chrono::milliseconds(0);
+        }
+        // What an unanswered write did shows here.
+        for (auto &[customer, account] : share.accounts) {
+            account.granted = grantedTo(ledger, customer, share.options.self);
+            account.mark = mark && mark->marks.count(customer) != 0 ? mark->marks.at(customer) : Mark{};
+            account.granted = grantWithin(account, roomUnder(share, ledger, customer));
+        }
+    }
+    share.ledger = std::move(ledger);
+    share.ledgerRevision = ledgerRevision;
+    share.markRevision = markRevision;
+    share.ledgerKnown = true;
+    clearPending(share);
+}
+
+void onLedgerHeard(PrepaidShare &share, PrepaidLedger ledger, std::uint64_t ledgerRevision)
+{
+    // While a write is open its condition decides; while the records are in doubt they have to be read. Before the
+    // first write of this process its own copy has what its predecessor is charged, which would be lost.
+    if (!share.takenOver || share.writing || !share.ledgerKnown || ledgerRevision <= share.ledgerRevision) {
+        return;
+    }
+    share.ledger = std::move(ledger);
+    share.ledgerRevision = ledgerRevision;
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/prepaid/share_writes.cpp
@@ -0,0 +1,281 @@
+// Writes to the platform: when one is due, what it says, and what each outcome leaves.
+
+#include "godwit/prepaid/prepaid_share.h"
+#include "godwit/prepaid/share_internal.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Godwit
+{
+
+using internal::clearPending;
+using internal::committed;
+using internal::grantedTo;
+using internal::markIsLow;
+using internal::shortestBinds;
+using internal::wantedGrant;
+using internal::wantedMark;
+
+namespace
+{
+
+// The total to use in a write: never one of an older document than the ledger has seen.
+void adoptTotals(PrepaidShare &share, PrepaidLedger &ledger)
+{
+    if (ledger.documentVersion > share.documentVersion) {
+        return;
+    }
+    for (auto &[customer, account] : share.accounts) {
+        LedgerAccount &entry = ledger.accounts[customer];
+        if (account.bounded && entry.total != account.total) {
+            entry.total = account.total;
+            // Only versions that change a total are written: the others would make each router write.
+            ledger.documentVersion = share.documentVersion;
+        }
+    }
+}
+
+void lowerTo(std::map<CustomerId, Tokens> &bounds, const CustomerId &customer, Tokens bound)
+{
+    const auto [entry, isNew] = bounds.emplace(customer, bound);
+    if (!isNew) {
+        entry->second = std::min(entry->second, bound);
+    }
+}
+
+void lowerTo(std::map<CustomerId, Mark> &bounds, const CustomerId &customer, const Mark &bound)
+{
+    const auto [entry, isNew] = bounds.emplace(customer, bound);
+    if (!isNew) {
+        entry->second.limit = std::min(entry->second.limit, bound.limit);
+        entry->second.perSecond = std::min(entry->second.perSecond, bound.perSecond);
+        entry->second.binds = std::max(entry->second.binds, bound.binds);
+    }
+}
+
+// A write of the mark alone leaves the grants as they are.
+void limitToGrants(PrepaidShare &share, MarkRecord &mark)
+{
+    for (auto &[customer, entry] : mark.marks) {
+        const Tokens granted = share.accounts[customer].granted;
+        share.pendingGrants[customer] = granted;
+        entry.limit = std::min(entry.limit, granted);
+    }
+    share.pendingMarks = mark.marks;
+}
+
+} // namespace
+
+namespace internal
+{
+
+Tokens grantedTo(const PrepaidLedger &ledger, const CustomerId &customer, const HolderId &holder)
+{
+    const auto entry = ledger.accounts.find(customer);
+    if (entry == ledger.accounts.end()) {
+        return 0;
+    }
+    const auto held = entry->second.granted.find(holder);
+    return held == entry->second.granted.end() ? 0 : held->second;
+}
+
+std::chrono::milliseconds shortestBinds(const MarkRecord &record)
+{
+    std::optional<std::chrono::milliseconds> shortest;
+    for (const auto &[customer, mark] : record.marks) {
+        if (mark.limit > mark.used) {
+            shortest = shortest ? std::min(*shortest, mark.binds) : mark.binds;
+        }
+    }
+    return shortest.value_or(std::chrono::milliseconds(0));
+}
+
+void clearPending(PrepaidShare &share)
+{
+    share.writing = false;
+    share.pendingWritesLedger = false;
+    share.pendingGrants.clear();
+    share.pendingMarks.clear();
+}
+
+} // namespace internal
+
+bool checkMarks(PrepaidShare &share, const HostTime &hostTime)
+{
+    const HostTime &written = share.markWrittenAt;
+    // By both clocks: a successor may have only the time of day to go by, and that may have been set back.
+    share.markAge = std::max(std::chrono::milliseconds(0),
+                             std::min(hostTime.uptime - written.uptime, hostTime.wall - written.wall));
+    share.marksBind = written.wall.count() > 0 && share.markAge < share.shortestBinds;
+    return !share.marksBind;
+}
+
+std::optional<ShareWrite> planWrite(PrepaidShare &share, TimePoint now, const HostTime &hostTime)
+{
+    if (share.writing || !share.ledgerKnown || share.returned) {
+        return std::nullopt;
+    }
+    PrepaidLedger ledger = share.ledger;
+    adoptTotals(share, ledger);
+    MarkRecord mark;
+    mark.writer = share.options.incarnation;
+    mark.writtenAt = hostTime;
+    bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
+    const std::chrono::milliseconds refresh(
+        std::llround(static_cast<double>(share.shortestBinds.count()) * share.options.markRefreshPart));
+    const bool markIsOld = !share.marksBind || hostTime.uptime >= share.markWrittenAt.uptime + refresh;
+    bool markLow = markIsOld;
+    bool urgent = !share.takenOver;
+    bool markSuffices = share.takenOver;
+    bool anyWaits = false;
+    bool holdsAny = !share.takenOver;
+    for (auto &[customer, account] : share.accounts) {
+        if (!account.bounded) {
+            continue;
+        }
+        LedgerAccount &entry = ledger.accounts[customer];
+        const Tokens heldBefore = grantedTo(ledger, customer, share.options.self);
+        entry.granted[share.options.self] = account.granted;
+        const Tokens granted = wantedGrant(share, customer, account, roomOf(entry), now);
+        entry.granted[share.options.self] = granted;
+        if (granted == 0) {
+            entry.granted.erase(share.options.self);
+        }
+        holdsAny = holdsAny || granted > committed(account);
+        const bool low = markIsLow(share, customer, account, now);
+        // A waiting request is a reason to hurry only if the write can help it.
+        const bool markHelps = account.shortOf > 0 && low && account.shortOf <= unusedGrant(share, customer);
+        urgent = urgent || markHelps || (account.shortOf > 0 && granted > account.granted);
+        markSuffices = markSuffices && (account.shortOf == 0 || markHelps);
+        anyWaits = anyWaits || account.shortOf > 0;
+        ledgerChanges = ledgerChanges || granted != heldBefore;
+        markLow = markLow || low;
+        share.pendingGrants[customer] = granted;
+        mark.marks[customer] = wantedMark(share, customer, account, granted, now);
+        account.shortOf = 0;
+    }
+    share.pendingMarks = mark.marks;
+    // The mark is this router's own, so that its write is never refused because another router was faster. Where the
+    // ledger is contended a mark that is overdue goes first: it would grow old, and with it what a death costs.
+    const bool markOverdue = share.takenOver && share.ledgerContended && markIsOld;
+    if ((anyWaits && markSuffices) || (ledgerChanges && markOverdue)) {
+        ledgerChanges = false;
+        // The ledger's turn is next, whatever else is due.
+        share.ledgerContended = false;
+        limitToGrants(share, mark);
+    }
+    // A little shorter than the time between two marks, which the caller's ticks would else stretch.
+    // A mark of a router that holds nothing unused says nothing: its successor charges no more than the grant.
+    markLow = markLow && holdsAny;
+    const Duration usual = Duration(markInterval(share)) * 9 / 10;
+    const Duration interval = urgent ? share.options.urgentInterval : usual;
+    if ((!ledgerChanges && !markLow) || (share.takenOver && now - share.lastWriteAt < interval)) {
+        clearPending(share);
+        return std::nullopt;
+    }
+    ShareWrite write;
+    write.ledgerRevision = share.ledgerRevision;
+    if (ledgerChanges) {
+        write.ledger = encodePrepaidLedger(ledger);
+    }
+    write.mark = encodeMark(mark);
+    write.markRevision = share.markRevision;
+    share.pendingLedger = std::move(ledger);
+    share.pendingWritesLedger = ledgerChanges;
+    share.writing = true;
+    share.lastWriteBefore = std::exchange(share.lastWriteAt, now);
+    share.markWrittenBefore = share.markWrittenAt;
+    share.markWrittenAt = hostTime;
+    share.markAge = std::chrono::milliseconds(0);
+    share.shortestBinds = shortestBinds(mark);
+    share.marksBind = true;
+    return write;
+}
+
+std::optional<ShareWrite> planReturn(PrepaidShare &share, TimePoint now)
+{
+    if (share.writing || !share.ledgerKnown || share.returned || !share.takenOver) {
+        return std::nullopt;
+    }
+    PrepaidLedger ledger = share.ledger;
+    for (auto &[customer, account] : share.accounts) {
+        const auto entry = ledger.accounts.find(customer);
+        if (entry == ledger.accounts.end()) {
+            continue;
+        }
+        entry->second.granted.erase(share.options.self);
+        entry->second.spent += committed(account);
+        // Nothing may be spent once this is on its way, whatever becomes of it.
+        share.pendingGrants[customer] = committed(account);
+    }
+    ShareWrite write;
+    write.ledger = encodePrepaidLedger(ledger);
+    write.ledgerRevision = share.ledgerRevision;
+    write.markRevision = share.markRevision;
+    write.removesMark = true;
+    share.pendingLedger = std::move(ledger);
+    share.pendingWritesLedger = true;
+    share.writing = true;
+    share.lastWasReturn = true;
+    // If it is refused, the mark that stands is as old as it was.
+    share.markWrittenBefore = share.markWrittenAt;
+    share.lastWriteBefore = std::exchange(share.lastWriteAt, now);
+    return write;
+}
+
+void onWriteDone(PrepaidShare &share, std::uint64_t revision)
+{
+    if (share.lastWasReturn) {
+        share.returned = true;
+        clearPending(share);
+        return;
+    }
+    for (const auto &[customer, granted] : share.pendingGrants) {
+        ShareAccount &account = share.accounts[customer];
+        // A total that was lowered meanwhile has taken the grant down to what is committed.
+        account.granted = share.ledgerKnown ? granted : std::min(granted, committed(account));
+    }
+    for (const auto &[customer, mark] : share.pendingMarks) {
+        share.accounts[customer].mark = mark;
+    }
+    if (share.pendingWritesLedger) {
+        share.ledgerContended = false;
+        share.ledger = std::move(share.pendingLedger);
+        share.ledgerRevision = revision;
+    }
+    share.markRevision = revision;
+    share.takenOver = true;
+    share.doubtfulGrants.clear();
+    share.doubtfulMarks.clear();
+    clearPending(share);
+}
+
+void onWriteRefused(PrepaidShare &share, bool conditionFailed)
+{
+    share.markWrittenAt = share.markWrittenBefore;
+    if (conditionFailed) {
+        // What stands is known now: the next try need not wait.
+        share.lastWriteAt = share.lastWriteBefore;
+    }
+    share.ledgerContended = share.ledgerContended || (conditionFailed && share.pendingWritesLedger);
+    share.ledgerKnown = share.ledgerKnown && !conditionFailed;
+    share.lastWasReturn = false;
+    clearPending(share);
+}
+
+void onWriteUnknown(PrepaidShare &share)
+{
+    for (const auto &[customer, granted] : share.pendingGrants) {
+        lowerTo(share.doubtfulGrants, customer, granted);
+    }
+    for (const auto &[customer, mark] : share.pendingMarks) {
+        lowerTo(share.doubtfulMarks, customer, mark);
+    }
+    share.ledgerKnown = false;
+    share.lastWasReturn = false;
+    clearPending(share);
+}
+
+} // namespace Godwit
