Prepaid tests: one function for each opening that many tests repeated

testing_desk.{h,cpp} holds the customer, openedWorld() (22 places), markedWorld() (5), spendAll() (7), serve() and deskAt() (21).

--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -1,39 +1,11 @@
 #include "godwit/prepaid/prepaid_share.h"
 
-#include "godwit/prepaid/testing_world.h"
+#include "godwit/prepaid/testing_desk.h"
 
 #include <catch2/catch.hpp>
 
 using namespace Godwit;
-using Testing::World;
-using Testing::WriteFate;
-
-namespace
-{
-
-const CustomerId Desk{"desk"};
-constexpr Tokens Total = 1'000'000;
-constexpr auto Beat = std::chrono::milliseconds(500);
-
-// Requests of one size at one router, each settled in full, with writes in between.
-int serve(World &world, std::size_t router, int requests, Tokens size)
-{
-    int served = 0;
-    for (int i = 0; i < requests; ++i) {
-        if (world.request(router, Desk, size)) {
-            world.finish(router, size);
-            ++served;
-        } else {
-            world.sync(router, WriteFate::Done);
-            served += world.request(router, Desk, size) ? 1 : 0;
-            world.finish(router, size);
-        }
-        world.advance(std::chrono::milliseconds(50));
-    }
-    return served;
-}
-
-} // namespace
+using namespace Godwit::Testing;
 
 TEST_CASE("a router spends nothing before its first write stands")
 {
@@ -45,8 +17,7 @@
 
 TEST_CASE("requests of a steady customer are served down to the end of its budget")
 {
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
+    World world = openedWorld(1);
     const int served = serve(world, 0, 1200, 1000);
     CHECK(served >= 990);
     CHECK(world.spent(Desk) <= Total);
@@ -63,44 +34,36 @@
 {
     // The caller sees a refusal at first and service again some seconds later. The router's writes stop; its mark
     // still bounds it, since its host's next process would trust the mark; after that time the limit grows.
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    serve(world, 0, 40, 1000);
-    world.advance(Beat);
-    world.sync(0, WriteFate::Done);
-    const auto spendAll = [&world] {
-        while (world.request(0, Desk, 1000)) {
-            world.finish(0, 1000);
-        }
-        return world.share(0).accounts.at(Desk).net;
+    World world = markedWorld();
+    const auto spentHere = [&world] {
+        spendAll(world, 0, 1000);
+        return deskAt(world, 0).net;
     };
-    const Tokens atMark = spendAll();
-    world.advance(world.share(0).accounts.at(Desk).mark.binds);
-    CHECK(spendAll() == atMark);
+    const Tokens atMark = spentHere();
+    world.advance(deskAt(world, 0).mark.binds);
+    CHECK(spentHere() == atMark);
     world.advance(std::chrono::seconds(1));
-    const Tokens afterSecond = spendAll();
+    const Tokens afterSecond = spentHere();
     CHECK(afterSecond > atMark);
-    CHECK(afterSecond <= atMark + 1000 + world.share(0).accounts.at(Desk).mark.perSecond);
+    CHECK(afterSecond <= atMark + 1000 + deskAt(world, 0).mark.perSecond);
     CHECK(unusedGrant(world.share(0), Desk) > 1000);
     world.advance(std::chrono::seconds(60));
-    const Tokens furthest = furthestReachOf(world.share(0).accounts.at(Desk).mark);
-    const Tokens atEnd = spendAll();
+    const Tokens furthest = furthestReachOf(deskAt(world, 0).mark);
+    const Tokens atEnd = spentHere();
     CHECK(atEnd <= furthest);
     CHECK(atEnd > furthest - 1000);
 }
 
 TEST_CASE("a process that is back soon charges its predecessor's mark only")
 {
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 40, 1000);
     world.advance(2 * Beat);
     world.sync(0, WriteFate::Done);
     // The other router had written the ledger: the first try only reads it.
     world.sync(0, WriteFate::Done);
-    const Tokens granted = world.share(0).accounts.at(Desk).granted;
-    const Tokens marked = world.share(0).accounts.at(Desk).mark.limit;
+    const Tokens granted = deskAt(world, 0).granted;
+    const Tokens marked = deskAt(world, 0).mark.limit;
     REQUIRE(marked < granted);
     world.kill(0);
     world.advance(std::chrono::seconds(1));
@@ -113,18 +76,12 @@
 {
     // The overspend that this forbids: the store is away, a router goes beyond its mark and dies; its successor finds
     // the old mark and would give back what was spent. What it can't have spent in that time does come back.
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    serve(world, 0, 40, 1000);
-    world.advance(Beat);
-    world.sync(0, WriteFate::Done);
-    const Tokens granted = world.share(0).accounts.at(Desk).granted;
-    world.advance(world.share(0).accounts.at(Desk).mark.binds + std::chrono::seconds(1));
-    while (world.request(0, Desk, 1000)) {
-        world.finish(0, 1000);
-    }
+    World world = markedWorld();
+    const Tokens granted = deskAt(world, 0).granted;
+    world.advance(deskAt(world, 0).mark.binds + std::chrono::seconds(1));
+    spendAll(world, 0, 1000);
     const Tokens used = world.spent(Desk);
-    REQUIRE(used > world.share(0).accounts.at(Desk).mark.limit);
+    REQUIRE(used > deskAt(world, 0).mark.limit);
     world.kill(0);
     world.advance(std::chrono::milliseconds(700));
     world.start(0);
@@ -139,18 +96,12 @@
 TEST_CASE("a process that is back after a long loss of the store charges all that its predecessor could spend")
 {
     // For all its successor knows the router has gone as far as its mark grows, and it has.
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    serve(world, 0, 40, 1000);
-    world.advance(Beat);
-    world.sync(0, WriteFate::Done);
-    const Tokens granted = world.share(0).accounts.at(Desk).granted;
-    const Tokens furthest = furthestReachOf(world.share(0).accounts.at(Desk).mark);
+    World world = markedWorld();
+    const Tokens granted = deskAt(world, 0).granted;
+    const Tokens furthest = furthestReachOf(deskAt(world, 0).mark);
     REQUIRE(furthest < granted);
     world.advance(std::chrono::seconds(60));
-    while (world.request(0, Desk, 1000)) {
-        world.finish(0, 1000);
-    }
+    spendAll(world, 0, 1000);
     const Tokens used = world.spent(Desk);
     world.kill(0);
     world.start(0);
@@ -163,13 +114,9 @@
 {
     // Callers of a customer with half of its budget left are turned away for good: all hosts lost power while their
     // time of day was set back by more than the marks' age, so that the marks seem to come from the future.
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    serve(world, 0, 40, 1000);
-    world.advance(Beat);
-    world.sync(0, WriteFate::Done);
-    const Tokens granted = world.share(0).accounts.at(Desk).granted;
-    const Tokens furthest = furthestReachOf(world.share(0).accounts.at(Desk).mark);
+    World world = markedWorld();
+    const Tokens granted = deskAt(world, 0).granted;
+    const Tokens furthest = furthestReachOf(deskAt(world, 0).mark);
     REQUIRE(furthest < granted);
     world.kill(0);
     world.stepClock(std::chrono::seconds(-20));
@@ -182,16 +129,10 @@
 {
     // The store is away. The clock is set back by two seconds, which would let the mark look young to a successor:
     // the router waits until both clocks say that the mark binds no more.
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    serve(world, 0, 40, 1000);
-    world.advance(Beat);
-    world.sync(0, WriteFate::Done);
-    while (world.request(0, Desk, 1000)) {
-        world.finish(0, 1000);
-    }
+    World world = markedWorld();
+    spendAll(world, 0, 1000);
     world.stepClock(std::chrono::milliseconds(-2000));
-    world.advance(world.share(0).accounts.at(Desk).mark.binds + std::chrono::milliseconds(1));
+    world.advance(deskAt(world, 0).mark.binds + std::chrono::milliseconds(1));
     CHECK_FALSE(world.request(0, Desk, 1000));
     world.advance(std::chrono::milliseconds(2100));
     CHECK(world.request(0, Desk, 1000));
@@ -201,20 +142,18 @@
 {
     // The answer to a write that gives tokens back is lost. Whether it took effect is not known, so that others may
     // hold them already.
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     for (int i = 0; i < 20; ++i) {
         serve(world, 0, 10, 2000);
         world.sync(0, WriteFate::Done);
     }
     world.advance(std::chrono::seconds(60));
-    const Tokens before = world.share(0).accounts.at(Desk).granted;
+    const Tokens before = deskAt(world, 0).granted;
     world.sync(0, WriteFate::Late);
     const Tokens bound = world.share(0).doubtfulGrants.at(Desk);
     REQUIRE(bound < before);
     world.advance(std::chrono::seconds(10));
-    CHECK(headroom(world.share(0), Desk) <= bound - world.share(0).accounts.at(Desk).net);
+    CHECK(headroom(world.share(0), Desk) <= bound - deskAt(world, 0).net);
     world.doLateWrites();
     world.sync(0, WriteFate::Done);
     world.sync(0, WriteFate::Done);
@@ -233,9 +172,7 @@
 
 TEST_CASE("a total that was lowered stops spending until the ledger has been read and written")
 {
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 100, 1000);
     world.setTotal(Desk, 150'000);
     CHECK_FALSE(world.request(0, Desk, 1000));
@@ -253,8 +190,7 @@
 TEST_CASE("a total that is lowered while a write is open stops spending as well")
 {
     // The overspend that this forbids: the write's answer comes after the change, and would put the old grant in force.
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
+    World world = openedWorld(1);
     serve(world, 0, 100, 1000);
     PrepaidShare &share = world.share(0);
     wantMore(share, Desk, unusedGrant(share, Desk) + 1000);
@@ -268,23 +204,18 @@
 {
     // Other routers may hold more than is left. Until the grants have gone back, what is over the total is out of
     // reach here: the write that gives it back may be refused many times.
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 100, 1000);
     world.setTotal(Desk, 150'000);
     world.sync(0, WriteFate::Refused);
     world.advance(std::chrono::seconds(20));
-    while (world.request(0, Desk, 1000)) {
-        world.finish(0, 1000);
-    }
+    spendAll(world, 0, 1000);
     CHECK(world.spent(Desk) <= 150'000);
 }
 
 TEST_CASE("a total that was raised is there with the next write")
 {
-    World world(1, {{Desk, 50'000}});
-    world.sync(0, WriteFate::Done);
+    World world = openedWorld(1, 50'000);
     serve(world, 0, 100, 1000);
     CHECK(world.spent(Desk) == 50'000);
     world.setTotal(Desk, 80'000);
@@ -292,23 +223,9 @@
     CHECK(world.spent(Desk) == 80'000);
 }
 
-TEST_CASE("tokens that move between routers are there once")
-{
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
-    const Tokens both = headroom(world.share(0), Desk) + headroom(world.share(1), Desk);
-    world.trade(0, 1, Desk, 1000, false);
-    CHECK(headroom(world.share(0), Desk) + headroom(world.share(1), Desk) == both);
-    world.trade(0, 1, Desk, 1000, true);
-    CHECK(headroom(world.share(0), Desk) + headroom(world.share(1), Desk) == both - 1000);
-}
-
 TEST_CASE("a planned stop gives back all that was not used")
 {
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 30, 1000);
     world.advance(Beat);
     // The other router has written the ledger since: the first try only reads it.
@@ -335,9 +252,7 @@
     world.sync(1, WriteFate::Done);
     REQUIRE_FALSE(world.giveBack(0));
     world.advance(std::chrono::milliseconds(1));
-    while (world.request(0, Desk, 1000)) {
-        world.finish(0, 1000);
-    }
+    spendAll(world, 0, 1000);
     const Tokens used = world.spent(Desk);
     world.kill(0);
     world.start(0);
@@ -349,9 +264,7 @@
 {
     // A death then costs what the router may have spent since its last mark. Its write with the ledger was refused
     // because another router was faster; the next one may be refused as well, while the mark alone never is.
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 40, 3000);
     world.sync(1, WriteFate::Done);
     PrepaidShare &share = world.share(0);
@@ -379,9 +292,7 @@
 {
     // In a large fleet the ledger changes several times between two writes of one router. One that waited its usual
     // time after each refusal would find the ledger changed again each time, and its requests no tokens.
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 40, 3000);
     world.advance(Beat);
     PrepaidShare &share = world.share(0);
@@ -423,11 +334,9 @@
     world.advance(Beat);
     world.sync(0, WriteFate::Done); // Refused: the records have changed.
     world.sync(0, WriteFate::Refused);
-    REQUIRE(world.share(0).accounts.at(Desk).granted > 0);
+    REQUIRE(deskAt(world, 0).granted > 0);
     world.advance(std::chrono::milliseconds(100));
-    while (world.request(0, Desk, 1000)) {
-        world.finish(0, 1000);
-    }
+    spendAll(world, 0, 1000);
     const Tokens used = world.spent(Desk);
     world.kill(0);
     world.start(0);
@@ -439,9 +348,7 @@
 {
     // The overspend that this forbids: a process has read the records and charged its predecessor, but not written
     // yet. Another router tells it a newer ledger, without that charge; a write from there would give it back.
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     serve(world, 0, 40, 1000);
     world.kill(0);
     world.start(0);
@@ -457,37 +364,9 @@
     CHECK(world.share(0).ledger.accounts.at(Desk).spent >= 40'000);
 }
 
-TEST_CASE("a request that waits elsewhere gets all that nobody here waits for")
-{
-    // Near the end of a budget what is left lies in small parts at all routers. The caller of a request that needs
-    // them all is served only if none of them keeps half for requests that may never come.
-    World world(2, {{Desk, 40'000}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
-    for (int i = 0; i < 40; ++i) {
-        world.request(0, Desk, 100);
-        world.finish(0, 100);
-        world.advance(std::chrono::milliseconds(50));
-        world.sync(0, WriteFate::Done);
-    }
-    const Tokens held = headroom(world.share(0), Desk);
-    REQUIRE(held > 1000);
-    world.trade(0, 1, Desk, held, false);
-    CHECK(headroom(world.share(0), Desk) > 0);
-    const Tokens rest = headroom(world.share(0), Desk);
-    wantMore(world.share(0), Desk, rest);
-    world.trade(0, 1, Desk, rest, false, rest);
-    CHECK(headroom(world.share(0), Desk) > 0);
-    world.share(0).accounts.at(Desk).shortOf = 0;
-    const Tokens left = headroom(world.share(0), Desk);
-    world.trade(0, 1, Desk, left, false, left);
-    CHECK(headroom(world.share(0), Desk) == 0);
-}
-
 TEST_CASE("crumbs of the room are left where all can draw them")
 {
-    World world(1, {{Desk, 100'000}});
-    world.sync(0, WriteFate::Done);
+    World world = openedWorld(1, 100'000);
     serve(world, 0, 97, 1000);
     PrepaidShare &share = world.share(0);
     share.accounts.at(Desk).meanSize = 10'000;
@@ -506,8 +385,7 @@
 
 TEST_CASE("near the end large requests leave the rest to small ones")
 {
-    World world(1, {{Desk, 200'000}});
-    world.sync(0, WriteFate::Done);
+    World world = openedWorld(1, 200'000);
     for (int i = 0; i < 30; ++i) {
         serve(world, 0, 1, 4000);
         serve(world, 0, 2, 500);
@@ -523,29 +401,6 @@
     CHECK(mayRemain(share, Desk) >= 500);
 }
 
-TEST_CASE("a router that holds nothing ahead serves from what others send, without a write of its own")
-{
-    // Of a large fleet few routers draw tokens. A caller of any other is served once a holder has sent what its request
-    // needs, also when that router has never written anything.
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    PrepaidShare &share = world.share(1);
-    share.accounts[Desk].holdsAhead = false;
-    world.sync(1, WriteFate::Done);
-    CHECK(share.takenOver);
-    CHECK(share.ledger.accounts.at(Desk).granted.count(HolderId{"host-1"}) == 0);
-    CHECK_FALSE(world.request(1, Desk, 1000));
-    world.trade(0, 1, Desk, 1000, false, 1000);
-    CHECK(world.request(1, Desk, 1000));
-    world.finish(1, 900);
-    world.advance(Beat);
-    const auto revision = share.ledgerRevision;
-    world.sync(1, WriteFate::Done);
-    CHECK(share.ledgerRevision == revision);
-    CHECK(world.request(1, Desk, 100));
-    CHECK_FALSE(world.request(1, Desk, 1));
-}
-
 TEST_CASE("a router that need not hold ahead any more gives back what it has not used")
 {
     World world(2, {{Desk, Total}});
@@ -554,7 +409,7 @@
     world.share(0).accounts[Desk].holdsAhead = false;
     world.advance(Beat);
     world.sync(0, WriteFate::Done);
-    CHECK(world.share(0).accounts.at(Desk).granted == 10'000);
+    CHECK(deskAt(world, 0).granted == 10'000);
     CHECK(roomOf(world.share(0).ledger.accounts.at(Desk)) == Total - 10'000);
     // It dies: nothing beyond what it has used is charged.
     world.kill(0);
@@ -566,9 +421,7 @@
 
 TEST_CASE("what may remain counts what a silent router holds, and what a heard one says")
 {
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.sync(1, WriteFate::Done);
+    World world = openedWorld(2);
     world.share(1).ledgerKnown = false;
     world.advance(Beat);
     world.sync(1, WriteFate::Done);
@@ -633,69 +486,9 @@
     CHECK(allAhead > 1.5 * withHomes);
 }
 
-TEST_CASE("a router spends all that others sent it, however much it was sent")
-{
-    // Callers are refused for many seconds while their router holds enough: it had been sent tokens, so that by its own
-    // count it had used less than nothing, and its mark stood below nothing as well.
-    const CustomerId own{"own"};
-    World world(2, {{Desk, Total}, {own, Total}});
-    world.sync(0, WriteFate::Done);
-    world.share(1).accounts[Desk].holdsAhead = false;
-    world.sync(1, WriteFate::Done);
-    world.request(1, Desk, 100);
-    for (int i = 0; i < 30; ++i) {
-        world.request(0, Desk, 100);
-        world.request(1, own, 1000);
-        world.finish(1, 1000);
-        world.sync(0, WriteFate::Done);
-        world.trade(0, 1, Desk, 1000, false);
-        world.advance(Beat);
-        world.sync(1, WriteFate::Done);
-    }
-    REQUIRE(world.share(1).accounts.at(Desk).net < -8000);
-    CHECK(headroom(world.share(1), Desk) == -world.share(1).accounts.at(Desk).net);
-    CHECK(world.request(1, Desk, 8000));
-}
-
-TEST_CASE("a wish that can't be met waits for the next write, and is met once")
-{
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.share(1).accounts[Desk].holdsAhead = false;
-    world.sync(1, WriteFate::Done);
-    const Tokens more = headroom(world.share(0), Desk) + 1000;
-    world.ask(0, 1, Desk, more, false);
-    CHECK(headroom(world.share(1), Desk) == 0);
-    wantMore(world.share(0), Desk, more);
-    world.advance(std::chrono::milliseconds(50));
-    world.sync(0, WriteFate::Done);
-    world.serveAsks(0, false);
-    CHECK(headroom(world.share(1), Desk) == more);
-    world.serveAsks(0, false);
-    CHECK(headroom(world.share(1), Desk) == more);
-    CHECK(world.request(1, Desk, more));
-    // What was left over goes back to the home.
-    world.finish(1, more - 300);
-    const TokenGift left = takeLeftovers(world.share(1), Desk, HolderId{"host-0"});
-    CHECK(left.amount == 300);
-    CHECK(headroom(world.share(1), Desk) == 0);
-}
-
-TEST_CASE("a wish whose request waits no longer is not met")
-{
-    World world(2, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
-    world.ask(0, 1, Desk, headroom(world.share(0), Desk) + 1, false);
-    REQUIRE(world.share(0).asks.size() == 1);
-    world.advance(std::chrono::seconds(1));
-    CHECK(serveAsks(world.share(0), world.now()).empty());
-    CHECK(world.share(0).asks.empty());
-}
-
 TEST_CASE("a refused caller is told when the marks will let more be spent")
 {
-    World world(1, {{Desk, Total}});
-    world.sync(0, WriteFate::Done);
+    World world = openedWorld(1);
     serve(world, 0, 40, 1000);
     world.advance(2 * Beat);
     world.sync(0, WriteFate::Done);
--- /dev/null
+++ b/godwit/prepaid/testing_desk.h
@@ -0,0 +1,34 @@
+#pragma once
+
+// The steps that many tests of PrepaidShare start with: a world whose one customer is Desk.
+//
+// Example:
+//   World world = openedWorld(2);
+//   serve(world, 0, 40, 1000);
+//   CHECK(deskAt(world, 0).net == 40'000);
+
+#include "godwit/prepaid/testing_world.h"
+
+namespace Godwit::Testing
+{
+
+inline const CustomerId Desk{"desk"};
+constexpr Tokens Total = 1'000'000;
+// A router's usual time between two writes, and some more.
+constexpr auto Beat = std::chrono::milliseconds(500);
+
+// Desk has `total` tokens, and each router in turn has written once.
+World openedWorld(std::size_t routers, Tokens total = Total);
+
+// One router that has served 40 requests of 1000 tokens and has just written a mark that goes by them.
+World markedWorld();
+
+// Requests of one size at one router, each settled in full, with writes in between. Returns how many were served.
+int serve(World &world, std::size_t router, int requests, Tokens size);
+
+// Serves requests of one size until the router refuses one; without a write.
+void spendAll(World &world, std::size_t router, Tokens size);
+
+ShareAccount &deskAt(World &world, std::size_t router);
+
+} // namespace Godwit::Testing
