--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -90,6 +90,29 @@
     CHECK_FALSE(router.isClosed());
 }
 
+TEST_CASE("a host that is behind says nothing out of a document that may be old")
+{
+    // The caller hears that its route does not exist, on one host of many. That host's link is choked: it refuses all
+    // that it is asked, and the document that has the route waits behind these requests for seconds. The line was
+    // "event":"refused","cause":"unknown_route" with a document 14 s old.
+    Connected router;
+    RelayState &state = router.relay.state();
+    state.routes = makeRouteTable({});
+    state.stage = RelayStage::Serving;
+    SECTION("while its link is choked")
+    {
+        state.behindAt = Relay::now();
+    }
+    SECTION("until its copy of the document is new, though its list of endpoints is")
+    {
+        state.behindAt = Relay::now() - std::chrono::seconds(3);
+        state.endpointsAsOf = Relay::now();
+    }
+    router.ask("keep-alive");
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().find("HTTP/1.1 429") == 0);
+}
+
 TEST_CASE("a request that has arrived is answered before its connection counts as idle")
 {
     // The loop was busy while the request came, so that nobody had begun to read it. The connection was closed as idle
