--- /dev/null
+++ b/soak/caller.cpp
@@ -0,0 +1,218 @@
+#include "soak/caller.h"
+
+#include "godwit/http/address.h"
+#include "soak/fleet.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <functional>
+#include <random>
+
+namespace Godwit::Soak
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::yield_context;
+using boost::system::error_code;
+
+constexpr auto ConnectLimit = std::chrono::seconds(1);
+// Longer than any route's limit, so that what a router says at that limit is heard.
+constexpr auto Patience = std::chrono::milliseconds(4500);
+constexpr auto DocumentStep = std::chrono::milliseconds(150);
+constexpr int Permille = 1000;
+constexpr int NewConnectionPermille = 120;
+constexpr int PrepaidPermille = 700; // Of streams.
+constexpr int LongestThought = 120; // Milliseconds between two requests of a caller.
+
+void waitFor(boost::asio::io_context &io, std::chrono::milliseconds time, const yield_context &yield)
+{
+    boost::asio::steady_timer timer(io, time);
+    timer.async_wait(yield);
+}
+
+int draw(std::mt19937_64 &random, int below)
+{
+    return std::uniform_int_distribution<int>(0, below - 1)(random);
+}
+
+RequestKind drawKind(std::mt19937_64 &random)
+{
+    constexpr std::array kinds = {
+        RequestKind::Read, RequestKind::Book, RequestKind::Book, RequestKind::Chat, RequestKind::Write};
+    return kinds.at(static_cast<std::size_t>(draw(random, static_cast<int>(kinds.size()))));
+}
+
+const char *pathOf(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Read:
+        return "/read/1";
+    case RequestKind::Book:
+        return "/book/1";
+    case RequestKind::Chat:
+        return "/chat/1";
+    case RequestKind::Write:
+        return "/write/1";
+    }
+    return "/";
+}
+
+CallerRequest makeRequest(http::verb verb, const std::string &target, const std::string &attempt, const char *key)
+{
+    CallerRequest request(verb, target, 11);
+    request.set(http::field::host, SoakHost);
+    request.set("X-Attempt-Id", attempt);
+    request.set("X-Api-Key", key);
+    request.set("X-Time-Remaining-Ms", "3000");
+    return request;
+}
+
+CallerRequest makeRequest(const SentRequest &sent, const std::string &attempt)
+{
+    const bool stream = sent.kind == RequestKind::Chat || sent.kind == RequestKind::Write;
+    const auto verb = sent.kind == RequestKind::Read ? http::verb::get : http::verb::post;
+    CallerRequest request = makeRequest(verb, pathOf(sent.kind), attempt, sent.prepaid ? PrepaidKey : OtherKey);
+    if (stream) {
+        constexpr int mostTokens = EventsOfStream * TokensPerEvent;
+        request.set("X-Token-Counts", std::to_string(sent.promptTokens) + ',' + std::to_string(mostTokens));
+        request.body() = "the prompt";
+    }
+    if (verb == http::verb::post) {
+        request.prepare_payload();
+    }
+    return request;
+}
+
+OutcomeKind kindOf(const error_code &error)
+{
+    if (error == boost::beast::error::timeout) {
+        return OutcomeKind::Unfinished;
+    }
+    const error_code ended = http::error::end_of_stream;
+    const bool isEnd = error == ended || error == http::error::partial_message;
+    return error.category() == ended.category() && !isEnd ? OutcomeKind::Damaged : OutcomeKind::Cut;
+}
+
+} // namespace
+
+Caller::Caller(boost::asio::io_context &io)
+    : m_io(io)
+{
+}
+
+void Caller::disconnect()
+{
+    m_stream.reset();
+    m_buffer.clear();
+}
+
+bool Caller::connect(const std::string &address, const yield_context &yield)
+{
+    LastReason reason;
+    m_stream = std::make_unique<boost::beast::tcp_stream>(m_io);
+    m_stream->expires_after(ConnectLimit);
+    error_code error;
+    m_stream->async_connect(parseAddress(address, reason).value(), yield[error]);
+    if (error) {
+        disconnect();
+    }
+    return !error;
+}
+
+Outcome Caller::call(const std::string &address,
+                     const CallerRequest &request,
+                     const std::function<void(const std::string &body)> &onBody,
+                     const yield_context &yield)
+{
+    Outcome outcome;
+    if (!isConnected() && !connect(address, yield)) {
+        return outcome;
+    }
+    m_stream->expires_after(Patience);
+    error_code error;
+    http::async_write(*m_stream, request, yield[error]);
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        http::async_read_some(*m_stream, m_buffer, parser, yield[error]);
+        if (parser.is_header_done() && parser.get().body().size() > outcome.body.size()) {
+            outcome.body = parser.get().body();
+            onBody(outcome.body);
+        }
+    }
+    if (parser.is_header_done()) {
+        outcome.status = parser.get().result_int();
+        outcome.attempt = std::string(parser.get()["X-Attempt-Id"]);
+        outcome.seal = std::string(parser.get()["X-Response-Seal"]);
+    }
+    if (error) {
+        outcome.kind = kindOf(error);
+        disconnect();
+        return outcome;
+    }
+    outcome.kind = OutcomeKind::Answered;
+    outcome.bytesAfter = m_buffer.size() > 0;
+    if (!parser.keep_alive()) {
+        disconnect();
+    }
+    return outcome;
+}
+
+void runCaller(Fleet &fleet, std::uint64_t seed, int number, const yield_context &yield)
+{
+    std::mt19937_64 random(seed * Permille + static_cast<std::uint64_t>(number));
+    Caller caller(fleet.io);
+    std::size_t router = 0;
+    for (int i = 0; !fleet.ending; ++i) {
+        waitFor(fleet.io, std::chrono::milliseconds(draw(random, LongestThought)), yield);
+        SentRequest sent;
+        sent.kind = drawKind(random);
+        const bool stream = sent.kind == RequestKind::Chat || sent.kind == RequestKind::Write;
+        sent.prepaid = draw(random, Permille) < PrepaidPermille && stream;
+        sent.promptTokens = 20 + draw(random, 200);
+        if (draw(random, Permille) < NewConnectionPermille) {
+            caller.disconnect();
+        }
+        const auto other = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
+        router = caller.isConnected() ? router : other;
+        sent.router = router;
+        sent.sentAt = steadyNow();
+        const std::string attempt = "c" + std::to_string(number) + '-' + std::to_string(i);
+        noteSent(fleet.promises, attempt, sent);
+        const auto onBody = [&](const std::string &body) {
+            noteEvents(fleet.promises, attempt, stream ? countEvents(body) : 0);
+        };
+        const Outcome outcome =
+            caller.call(fleet.routers[router].process->callers(), makeRequest(sent, attempt), onBody, yield);
+        noteOutcome(fleet.promises, attempt, outcome, steadyNow());
+    }
+}
+
+void watchDocuments(Fleet &fleet, std::uint64_t seed, const yield_context &yield)
+{
+    std::mt19937_64 random(seed);
+    for (int i = 0; !fleet.ending; ++i) {
+        waitFor(fleet.io, DocumentStep, yield);
+        DocumentAnswer answer;
+        answer.router = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
+        const Router &router = fleet.routers[answer.router];
+        answer.boot = router.boot;
+        answer.version = fleet.promises.document - (draw(random, 3) == 0 ? 1 : 0);
+        answer.sentAt = steadyNow();
+        Caller caller(fleet.io);
+        const std::string attempt = "d-" + std::to_string(i);
+        const auto request = makeRequest(http::verb::get, documentPath(answer.version) + "1", attempt, OtherKey);
+        const Outcome outcome = caller.call(
+            router.process->callers(), request, [](const std::string &) {}, yield);
+        answer.status = outcome.status;
+        if (outcome.kind == OutcomeKind::Answered && router.boot == answer.boot) {
+            noteDocument(fleet.promises, answer, steadyNow());
+        }
+    }
+}
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/fault_player.cpp
@@ -0,0 +1,397 @@
+#include "soak/fault_player.h"
+
+#include "godwit/base/enum_names.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <signal.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Godwit::Soak
+{
+namespace
+{
+
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+constexpr EnumName<Fault> FaultNames[] = {
+    {Fault::StopRouter, "stop"},
+    {Fault::ReloadRouter, "reload"},
+    {Fault::LeaveEndpoint, "endpoint leaves"},
+    {Fault::NewDocument, "new document"},
+    {Fault::PauseRouter, "pause"},
+    {Fault::KillRouter, "kill"},
+    {Fault::DelayLink, "delay"},
+    {Fault::ResetLink, "reset"},
+    {Fault::CutToServer, "cut to server"},
+    {Fault::CutToRouter, "cut to router"},
+    {Fault::SilenceLink, "silence"},
+    {Fault::AcceptLate, "accept late"},
+    {Fault::HoldUpConnecting, "hold up connecting"},
+    {Fault::RepeatAnswers, "repeat answers"},
+    {Fault::StoreRefuses, "store refuses"},
+    {Fault::StoreSilent, "store silent"},
+    {Fault::StoreLosesAnswers, "store loses answers"},
+    {Fault::StoreDeafWatches, "store deaf watches"},
+    {Fault::EndpointSheds, "endpoint sheds"},
+    {Fault::EndpointFails, "endpoint fails"},
+    {Fault::EndpointHangs, "endpoint hangs"},
+    {Fault::EndpointBreaksAfterRun, "endpoint breaks after run"},
+    {Fault::EndpointBreaksStreams, "endpoint breaks streams"},
+};
+
+constexpr std::array Planned = {
+    Fault::StopRouter, Fault::ReloadRouter, Fault::LeaveEndpoint, Fault::NewDocument, Fault::NewDocument};
+
+// Between a SIGTERM and the platform's SIGKILL.
+constexpr auto StopGrace = std::chrono::seconds(8);
+constexpr auto WatchStep = milliseconds(50);
+// An opening packet that was dropped is repeated after this.
+constexpr auto OpeningRepeat = milliseconds(1000);
+// Some longer than any request takes, so that faults end before the fleet does.
+constexpr auto EndingTime = std::chrono::seconds(5);
+
+void waitFor(boost::asio::io_context &io, milliseconds time, const yield_context &yield)
+{
+    boost::asio::steady_timer timer(io, time);
+    timer.async_wait(yield);
+}
+
+void extend(TimePoint &until, milliseconds time)
+{
+    until = std::max(until, steadyNow() + time);
+}
+
+} // namespace
+
+std::string_view faultName(Fault fault)
+{
+    return enumName(FaultNames, fault);
+}
+
+FaultPlayer::FaultPlayer(Fleet &fleet, std::uint64_t seed, std::ostream &out)
+    : m_fleet(fleet)
+    , m_random(seed)
+    , m_out(out)
+    , m_start(steadyNow())
+{
+}
+
+void FaultPlayer::run(Time time, const yield_context &yield)
+{
+    const TimePoint end = steadyNow() + time;
+    const auto left = [&end](int most) {
+        return std::min(milliseconds(most), std::chrono::duration_cast<milliseconds>(end - steadyNow()));
+    };
+    waitFor(m_fleet.io, left(2000), yield);
+    while (steadyNow() < end) {
+        playFor(left(draw(6000, 12000)), true, yield);
+        waitFor(m_fleet.io, left(draw(3200, 4500)), yield);
+        playFor(left(draw(3000, 6000)), false, yield);
+    }
+    m_fleet.ending = true;
+    waitFor(m_fleet.io, EndingTime, yield);
+}
+
+void FaultPlayer::playFor(Time time, bool storm, const yield_context &yield)
+{
+    const TimePoint end = steadyNow() + time;
+    while (steadyNow() < end) {
+        const bool planned = !storm || draw(0, 3) == 0;
+        if (planned) {
+            begin(Planned.at(static_cast<std::size_t>(draw(0, Planned.size() - 1))));
+        } else {
+            begin(static_cast<Fault>(
+                draw(static_cast<int>(Fault::PauseRouter), static_cast<int>(Fault::EndpointBreaksStreams))));
+        }
+        waitFor(m_fleet.io, milliseconds(storm ? draw(50, 1000) : draw(400, 2000)), yield);
+    }
+}
+
+void FaultPlayer::watchRouters(const yield_context &yield)
+{
+    while (!m_fleet.ending) {
+        waitFor(m_fleet.io, WatchStep, yield);
+        for (std::size_t i = 0; i < m_fleet.routers.size(); ++i) {
+            Router &router = m_fleet.routers[i];
+            const auto ended = router.process->takeEnd();
+            if (!ended) {
+                continue;
+            }
+            router.running = false;
+            if (!router.killed && (!router.stopping || *ended != 0)) {
+                noteBreach(m_fleet.promises,
+                           Promise::Crash,
+                           {},
+                           "router-" + std::to_string(i) + " ended with code " + std::to_string(*ended)
+                               + (router.stopping ? " after a signal to stop" : ", which nobody asked for"));
+            }
+            spawn([this, i, wait = milliseconds(draw(100, 1500))](const yield_context &own) {
+                waitFor(m_fleet.io, wait, own);
+                Router &again = m_fleet.routers[i];
+                again.running = true;
+                again.stopping = false;
+                again.killed = false;
+                ++again.boot;
+                again.process->start();
+                disturbRouter(i, milliseconds(0), true);
+            });
+        }
+    }
+}
+
+int FaultPlayer::draw(int from, int to)
+{
+    return std::uniform_int_distribution<int>(from, to)(m_random);
+}
+
+void FaultPlayer::spawn(std::function<void(const yield_context &)> body)
+{
+    boost::asio::spawn(m_fleet.io, std::move(body), [](const std::exception_ptr &) {});
+}
+
+void FaultPlayer::begin(Fault fault)
+{
+    ++m_played[fault];
+    switch (fault) {
+    case Fault::StopRouter:
+    case Fault::ReloadRouter:
+    case Fault::PauseRouter:
+    case Fault::KillRouter:
+        beginOnRouter(fault);
+        return;
+    case Fault::NewDocument: {
+        const int more = draw(0, 2) == 0 ? draw(1'000, 20'000) : 0;
+        putNextDocument(m_fleet, more);
+        say(fault, std::to_string(m_fleet.promises.document) + " with " + std::to_string(more) + " tokens more", {});
+        return;
+    }
+    case Fault::DelayLink:
+    case Fault::ResetLink:
+    case Fault::CutToServer:
+    case Fault::CutToRouter:
+    case Fault::SilenceLink:
+        beginOnLink(fault);
+        return;
+    case Fault::StoreRefuses:
+    case Fault::StoreSilent:
+    case Fault::StoreLosesAnswers:
+    case Fault::StoreDeafWatches:
+        beginOnStore(fault);
+        return;
+    default:
+        beginOnEndpoint(fault);
+        return;
+    }
+}
+
+void FaultPlayer::beginOnRouter(Fault fault)
+{
+    const auto router = static_cast<std::size_t>(draw(0, static_cast<int>(m_fleet.routers.size()) - 1));
+    const std::string name = "router-" + std::to_string(router);
+    if (fault == Fault::StopRouter) {
+        say(fault, name, {});
+        stopRouter(router);
+    } else if (fault == Fault::KillRouter) {
+        say(fault, name, {});
+        killRouter(router);
+    } else if (fault == Fault::ReloadRouter) {
+        say(fault, name, {});
+        m_fleet.routers[router].process->signal(SIGHUP);
+    } else {
+        const Time time(draw(0, 1) == 0 ? draw(20, 800) : draw(1000, 2600));
+        say(fault, name, time);
+        pauseRouter(router, Time(0), time);
+    }
+}
+
+// Half of these are on the way from a router to the store, half on the way to an endpoint.
+void FaultPlayer::beginOnLink(Fault fault)
+{
+    const bool toStore = draw(0, 1) == 0;
+    const auto count = toStore ? m_fleet.routers.size() : m_fleet.endpoints.size();
+    const auto index = static_cast<std::size_t>(draw(0, static_cast<int>(count) - 1));
+    FaultProxy &proxy = toStore ? *m_fleet.routers[index].store : *m_fleet.endpoints[index].proxy;
+    const Time time(draw(200, 3000));
+    const Time delay(draw(10, 250));
+    say(fault, toStore ? "store of router-" + std::to_string(index) : m_fleet.endpoints[index].id, time);
+    if (toStore) {
+        disturbRouter(index, time, false);
+    } else {
+        disturbEndpoint(index, time);
+    }
+    if (fault == Fault::ResetLink) {
+        proxy.resetAll();
+    } else if (fault == Fault::SilenceLink) {
+        proxy.silenceAll();
+    } else {
+        proxy.faults().delay = fault == Fault::DelayLink ? delay : proxy.faults().delay;
+        proxy.faults().cutToServer = proxy.faults().cutToServer || fault == Fault::CutToServer;
+        proxy.faults().cutToCaller = proxy.faults().cutToCaller || fault == Fault::CutToRouter;
+        spawn([this, &proxy, time](const yield_context &yield) {
+            waitFor(m_fleet.io, time, yield);
+            proxy.faults() = {};
+        });
+    }
+}
+
+void FaultPlayer::beginOnStore(Fault fault)
+{
+    const Time time(draw(200, 4000));
+    say(fault, "store", time);
+    extend(m_fleet.promises.disturbed.store, time);
+    extend(m_fleet.promises.disturbed.unplanned, time);
+    Testing::StoreFaults &faults = m_fleet.store.faults();
+    faults.refuse = faults.refuse || fault == Fault::StoreRefuses;
+    faults.silent = faults.silent || fault == Fault::StoreSilent;
+    faults.loseAnswers = faults.loseAnswers || fault == Fault::StoreLosesAnswers;
+    faults.deafWatches = faults.deafWatches || fault == Fault::StoreDeafWatches;
+    spawn([this, time](const yield_context &yield) {
+        waitFor(m_fleet.io, time, yield);
+        m_fleet.store.faults() = {};
+    });
+}
+
+void FaultPlayer::beginOnEndpoint(Fault fault)
+{
+    const auto index = static_cast<std::size_t>(draw(0, static_cast<int>(m_fleet.endpoints.size()) - 1));
+    Endpoint &endpoint = m_fleet.endpoints[index];
+    const Time time(draw(200, 2500));
+    if (fault == Fault::LeaveEndpoint) {
+        leaveEndpoint(index);
+        return;
+    }
+    if (fault == Fault::HoldUpConnecting) {
+        holdUpConnecting(index);
+        return;
+    }
+    say(fault, endpoint.id, time);
+    disturbEndpoint(index, time);
+    Testing::ReplicaFaults &faults = endpoint.replica->faults();
+    faults.shed = faults.shed || fault == Fault::EndpointSheds;
+    faults.fail = faults.fail || fault == Fault::EndpointFails;
+    faults.hang = faults.hang || fault == Fault::EndpointHangs;
+    faults.breakAfterRun = faults.breakAfterRun || fault == Fault::EndpointBreaksAfterRun;
+    faults.breakAfterEvents = fault == Fault::EndpointBreaksStreams ? draw(0, EventsOfStream - 1) : -1;
+    endpoint.proxy->faults().repeatAnswers = fault == Fault::RepeatAnswers;
+    if (fault == Fault::AcceptLate) {
+        endpoint.proxy->acceptLate();
+    }
+    spawn([this, index, time](const yield_context &yield) {
+        waitFor(m_fleet.io, time, yield);
+        m_fleet.endpoints[index].replica->faults() = {};
+        m_fleet.endpoints[index].proxy->faults().repeatAnswers = false;
+        m_fleet.endpoints[index].proxy->acceptAgain();
+    });
+}
+
+// The endpoint's connections end, its accept queue is full, and a router that connects anew is held up; the endpoint
+// accepts again before the opening packets are repeated, so that they meet a router that does not run.
+void FaultPlayer::holdUpConnecting(std::size_t endpoint)
+{
+    const auto router = static_cast<std::size_t>(draw(0, static_cast<int>(m_fleet.routers.size()) - 1));
+    const Time connecting(draw(40, 350));
+    const Time paused = OpeningRepeat + Time(draw(0, 600));
+    say(Fault::HoldUpConnecting,
+        m_fleet.endpoints[endpoint].id + " and router-" + std::to_string(router),
+        connecting + paused);
+    disturbEndpoint(endpoint, connecting + paused);
+    FaultProxy &proxy = *m_fleet.endpoints[endpoint].proxy;
+    proxy.acceptLate();
+    proxy.resetAll();
+    pauseRouter(router, connecting, paused);
+    spawn([this, &proxy, connecting](const yield_context &yield) {
+        waitFor(m_fleet.io, connecting + milliseconds(100), yield);
+        proxy.acceptAgain();
+    });
+}
+
+void FaultPlayer::pauseRouter(std::size_t router, Time before, Time time)
+{
+    disturbRouter(router, before + time, false);
+    spawn([this, router, before, time](const yield_context &yield) {
+        waitFor(m_fleet.io, before, yield);
+        m_fleet.routers[router].process->signal(SIGSTOP);
+        waitFor(m_fleet.io, time, yield);
+        m_fleet.routers[router].process->signal(SIGCONT);
+    });
+}
+
+void FaultPlayer::stopRouter(std::size_t router)
+{
+    Router &stopped = m_fleet.routers[router];
+    stopped.process->signal(SIGTERM);
+    disturbRouter(router, milliseconds(0), true);
+    if (std::exchange(stopped.stopping, true)) {
+        return;
+    }
+    spawn([this, router, boot = stopped.boot](const yield_context &yield) {
+        const TimePoint limit = steadyNow() + StopGrace;
+        Router &own = m_fleet.routers[router];
+        while (own.boot == boot && own.running && steadyNow() < limit) {
+            disturbRouter(router, milliseconds(0), true);
+            waitFor(m_fleet.io, WatchStep, yield);
+        }
+        if (own.boot != boot || !own.running) {
+            return;
+        }
+        if (m_fleet.promises.disturbed.unplanned + ContactTime < limit - StopGrace) {
+            noteBreach(m_fleet.promises, Promise::StopTooLong, {}, "router-" + std::to_string(router));
+        }
+        killRouter(router);
+    });
+}
+
+void FaultPlayer::killRouter(std::size_t router)
+{
+    m_fleet.routers[router].killed = true;
+    m_fleet.routers[router].process->signal(SIGKILL);
+    disturbRouter(router, milliseconds(0), false);
+}
+
+// One of a service at a time, so that others can take what comes.
+void FaultPlayer::leaveEndpoint(std::size_t endpoint)
+{
+    auto &leaving = m_fleet.promises.leavingSince;
+    for (std::size_t i = 0; i < leaving.size(); ++i) {
+        if (leaving[i] && m_fleet.endpoints[i].service == m_fleet.endpoints[endpoint].service) {
+            return;
+        }
+    }
+    const Time time(draw(1000, 7000));
+    say(Fault::LeaveEndpoint, m_fleet.endpoints[endpoint].id, time);
+    listEndpoint(m_fleet, endpoint, "draining");
+    spawn([this, endpoint, time](const yield_context &yield) {
+        waitFor(m_fleet.io, time, yield);
+        listEndpoint(m_fleet, endpoint, "ready");
+    });
+}
+
+void FaultPlayer::disturbRouter(std::size_t router, Time time, bool planned)
+{
+    extend(m_fleet.promises.disturbed.routers[router], time);
+    if (!planned) {
+        extend(m_fleet.promises.disturbed.unplanned, time);
+    }
+}
+
+void FaultPlayer::disturbEndpoint(std::size_t endpoint, Time time)
+{
+    extend(m_fleet.promises.disturbed.endpoints[endpoint], time);
+    extend(m_fleet.promises.disturbed.unplanned, time);
+}
+
+void FaultPlayer::say(Fault fault, const std::string &where, Time time)
+{
+    const auto now = std::chrono::duration_cast<milliseconds>(steadyNow() - m_start);
+    m_out << "  " << now.count() << " ms: " << faultName(fault) << ' ' << where;
+    if (time.count() > 0) {
+        m_out << " for " << time.count() << " ms";
+    }
+    m_out << std::endl;
+}
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/fault_player.h
@@ -0,0 +1,95 @@
+#pragma once
+
+// Plays faults on a fleet, from outside of its routers: one after another and several at once, all drawn from a seed.
+//
+// Example:
+//   FaultPlayer player(fleet, seed, out);
+//   player.run(seconds, yield);
+
+#include "soak/fleet.h"
+
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <ostream>
+#include <random>
+#include <string>
+
+namespace Godwit::Soak
+{
+
+enum class Fault {
+    StopRouter, // SIGTERM, and a new start after its end.
+    ReloadRouter, // SIGHUP.
+    LeaveEndpoint, // An endpoint says that it leaves, and comes back.
+    NewDocument,
+    PauseRouter, // SIGSTOP and SIGCONT.
+    KillRouter, // SIGKILL and a new start.
+    DelayLink,
+    ResetLink,
+    CutToServer,
+    CutToRouter,
+    SilenceLink,
+    AcceptLate,
+    HoldUpConnecting, // An endpoint accepts late, and a router is paused while it connects there.
+    RepeatAnswers,
+    StoreRefuses,
+    StoreSilent,
+    StoreLosesAnswers,
+    StoreDeafWatches,
+    EndpointSheds,
+    EndpointFails,
+    EndpointHangs,
+    EndpointBreaksAfterRun,
+    EndpointBreaksStreams,
+};
+
+std::string_view faultName(Fault fault);
+
+class FaultPlayer
+{
+public:
+    FaultPlayer(Fleet &fleet, std::uint64_t seed, std::ostream &out);
+
+    // Plays for `time`, then lets the fleet end. Storms of all faults, planned work alone and calm take turns.
+    void run(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
+
+    // Ends that nobody asked for, and starts that are due. Runs beside run().
+    void watchRouters(const boost::asio::yield_context &yield);
+
+    const std::map<Fault, int> &played() const
+    {
+        return m_played;
+    }
+
+private:
+    using Time = std::chrono::milliseconds;
+
+    int draw(int from, int to);
+    void spawn(std::function<void(const boost::asio::yield_context &)> body);
+    void playFor(Time time, bool storm, const boost::asio::yield_context &yield);
+    void begin(Fault fault);
+    void beginOnRouter(Fault fault);
+    void beginOnLink(Fault fault);
+    void beginOnStore(Fault fault);
+    void beginOnEndpoint(Fault fault);
+    void pauseRouter(std::size_t router, Time before, Time time);
+    void stopRouter(std::size_t router);
+    void killRouter(std::size_t router);
+    void leaveEndpoint(std::size_t endpoint);
+    void holdUpConnecting(std::size_t endpoint);
+    void disturbRouter(std::size_t router, Time time, bool planned);
+    void disturbEndpoint(std::size_t endpoint, Time time);
+    void say(Fault fault, const std::string &where, Time time);
+
+    Fleet &m_fleet;
+    std::mt19937_64 m_random;
+    std::ostream &m_out;
+    TimePoint m_start;
+    std::map<Fault, int> m_played;
+};
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/fault_proxy.cpp
@@ -0,0 +1,189 @@
+#include "soak/fault_proxy.h"
+
+#include "godwit/http/address.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace Godwit::Soak
+{
+namespace
+{
+
+using boost::asio::yield_context;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t PieceBytes = 8192;
+// How often a piece that is held asks whether it may pass.
+constexpr auto HoldStep = std::chrono::milliseconds(20);
+constexpr int UsualBacklog = 128;
+// A backlog of 0 still takes one connection, and another may come about meanwhile.
+constexpr int QueueFillers = 2;
+
+void waitFor(boost::asio::io_context &io, std::chrono::milliseconds time, const yield_context &yield)
+{
+    boost::asio::steady_timer timer(io, time);
+    timer.async_wait(yield);
+}
+
+} // namespace
+
+struct FaultProxy::Link
+{
+    explicit Link(tcp::socket accepted)
+        : caller(std::move(accepted))
+        , server(caller.get_executor())
+    {
+    }
+
+    tcp::socket caller;
+    tcp::socket server;
+    std::string lastAnswer; // The last piece that the server sent.
+    bool silent = false;
+};
+
+FaultProxy::FaultProxy(boost::asio::io_context &io, const std::string &server)
+    : m_io(io)
+    , m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+{
+    LastReason reason;
+    m_server = parseAddress(server, reason).value();
+    accept();
+}
+
+std::string FaultProxy::address() const
+{
+    return formatAddress(m_acceptor.local_endpoint());
+}
+
+void FaultProxy::resetAll()
+{
+    for (const auto &link : openLinks()) {
+        for (tcp::socket *socket : {&link->caller, &link->server}) {
+            error_code ignored;
+            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            socket->close(ignored);
+        }
+    }
+}
+
+void FaultProxy::silenceAll()
+{
+    for (const auto &link : openLinks()) {
+        link->silent = true;
+    }
+}
+
+void FaultProxy::acceptLate()
+{
+    if (std::exchange(m_late, true)) {
+        return;
+    }
+    m_acceptor.cancel();
+    m_acceptor.listen(0);
+    for (int i = 0; i < QueueFillers; ++i) {
+        m_fillers.emplace_back(m_io).async_connect(m_acceptor.local_endpoint(), [](const error_code &) {});
+    }
+}
+
+void FaultProxy::acceptAgain()
+{
+    if (std::exchange(m_late, false)) {
+        m_fillers.clear();
+        m_acceptor.listen(UsualBacklog);
+        accept();
+    }
+}
+
+void FaultProxy::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        const auto link = std::make_shared<Link>(std::move(socket));
+        m_links.push_back(link);
+        boost::asio::spawn(
+            m_io,
+            [this, link](const yield_context &yield) {
+                serve(link, yield);
+            },
+            [](const std::exception_ptr &) {});
+        if (!m_late) {
+            accept();
+        }
+    });
+}
+
+void FaultProxy::serve(const std::shared_ptr<Link> &link, const yield_context &yield)
+{
+    error_code error;
+    link->server.async_connect(m_server, yield[error]);
+    if (error) {
+        link->caller.close(error);
+        return;
+    }
+    link->caller.set_option(tcp::no_delay(true), error);
+    link->server.set_option(tcp::no_delay(true), error);
+    boost::asio::spawn(
+        m_io,
+        [this, link](const yield_context &own) {
+            pump(link, false, own);
+        },
+        [](const std::exception_ptr &) {});
+    pump(link, true, yield);
+}
+
+void FaultProxy::pump(const std::shared_ptr<Link> &link, bool toServer, const yield_context &yield)
+{
+    tcp::socket &from = toServer ? link->caller : link->server;
+    tcp::socket &to = toServer ? link->server : link->caller;
+    std::array<char, PieceBytes> piece{};
+    for (;;) {
+        error_code error;
+        const std::size_t count = from.async_read_some(boost::asio::buffer(piece), yield[error]);
+        hold(link, toServer, yield);
+        if (error) {
+            error_code ignored;
+            to.shutdown(tcp::socket::shutdown_send, ignored);
+            if (error != boost::asio::error::eof) {
+                to.close(ignored);
+            }
+            return;
+        }
+        if (toServer && m_faults.repeatAnswers && !link->lastAnswer.empty()) {
+            boost::asio::async_write(link->caller, boost::asio::buffer(link->lastAnswer), yield[error]);
+        }
+        if (!toServer) {
+            link->lastAnswer.assign(piece.data(), count);
+        }
+        boost::asio::async_write(to, boost::asio::buffer(piece.data(), count), yield[error]);
+    }
+}
+
+void FaultProxy::hold(const std::shared_ptr<Link> &link, bool toServer, const yield_context &yield) const
+{
+    if (m_faults.delay.count() > 0) {
+        waitFor(m_io, m_faults.delay, yield);
+    }
+    while (link->silent || (toServer ? m_faults.cutToServer : m_faults.cutToCaller)) {
+        waitFor(m_io, HoldStep, yield);
+    }
+}
+
+std::vector<std::shared_ptr<FaultProxy::Link>> FaultProxy::openLinks()
+{
+    std::vector<std::shared_ptr<Link>> links;
+    for (auto &weak : std::exchange(m_links, {})) {
+        if (const auto link = weak.lock()) {
+            m_links.push_back(link);
+            links.push_back(link);
+        }
+    }
+    return links;
+}
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/fault_proxy.h
@@ -0,0 +1,67 @@
+#pragma once
+
+// A TCP proxy on the loopback interface that misbehaves on demand, between routers and an endpoint or the store.
+//
+// Example:
+//   FaultProxy proxy(io, store.address());
+//   proxy.faults().delay = std::chrono::milliseconds(200);
+//   proxy.acceptLate();
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Godwit::Soak
+{
+
+struct ProxyFaults
+{
+    std::chrono::milliseconds delay{0}; // Of each piece that passes, in both directions.
+    bool cutToServer = false; // What callers send is held until this ends.
+    bool cutToCaller = false; // What the server sends is held until this ends.
+    bool repeatAnswers = false; // The bytes of an answer come once more, in the place of the next answer.
+};
+
+class FaultProxy
+{
+public:
+    FaultProxy(boost::asio::io_context &io, const std::string &server);
+
+    std::string address() const;
+    ProxyFaults &faults()
+    {
+        return m_faults;
+    }
+
+    // Ends all connections at once, without the rest of what they carried.
+    void resetAll();
+    // All connections of this moment stay open and carry nothing any more; new ones work.
+    void silenceAll();
+    // Opening packets are dropped, as of a server whose accept queue is full, until acceptAgain().
+    void acceptLate();
+    void acceptAgain();
+
+private:
+    struct Link;
+
+    void accept();
+    void serve(const std::shared_ptr<Link> &link, const boost::asio::yield_context &yield);
+    void pump(const std::shared_ptr<Link> &link, bool toServer, const boost::asio::yield_context &yield);
+    void hold(const std::shared_ptr<Link> &link, bool toServer, const boost::asio::yield_context &yield) const;
+    std::vector<std::shared_ptr<Link>> openLinks();
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::endpoint m_server;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    ProxyFaults m_faults;
+    std::vector<std::weak_ptr<Link>> m_links;
+    std::vector<boost::asio::ip::tcp::socket> m_fillers; // They fill the accept queue.
+    bool m_late = false;
+};
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/fleet.cpp
@@ -0,0 +1,127 @@
+#include "soak/fleet.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Godwit::Soak
+{
+namespace
+{
+
+using nlohmann::json;
+
+// An answer takes long enough that signals and faults meet requests on their way.
+constexpr auto AnswerAfter = std::chrono::milliseconds(15);
+constexpr auto EventPause = std::chrono::milliseconds(25);
+
+json route(const std::string &name, const std::string &prefix, const char *kind, const char *service, int attempts)
+{
+    return json{{"Name", name},
+                {"Host", SoakHost},
+                {"PathPrefix", prefix},
+                {"Kind", kind},
+                {"TimeoutMs", 2500},
+                {"TargetLatencyMs", 400},
+                {"Priority", 0},
+                {"Service", service},
+                {"Attempts", attempts},
+                {"Public", false},
+                {"Sticky", false},
+                {"Resumable", name == "write"}};
+}
+
+json document(int version, std::int64_t prepaid)
+{
+    json plain{{"Name", "plain"}, {"HealthPath", "/health"}, {"MaxConnections", 200}};
+    json engine{{"Name", "engine"},
+                {"HealthPath", "/health"},
+                {"MaxConnections", 200},
+                {"Engine", {{"Slots", 16}, {"KvCapacityTokens", 1'000'000}, {"Stride", TokensPerEvent}}}};
+    return json{
+        {"Version", version},
+        {"Routes",
+         {route("read", "/read/", "idempotent", "plain", 2),
+          route("book", "/book/", "non_idempotent", "plain", 1),
+          route("write", "/write/", "streaming", "engine", 2),
+          route("chat", "/chat/", "streaming", "engine", 1),
+          route("document", documentPath(version), "idempotent", "plain", 2)}},
+        {"Services", {std::move(plain), std::move(engine)}},
+        {"Limits",
+         {{"MaxHeaderBytes", 4096}, {"MaxBodyBytes", 10000}, {"HeaderTimeoutMs", 1000}, {"IdleTimeoutMs", 20000}}},
+        {"Tenants",
+         {{{"Name", "anna"}, {"ApiKeys", {PrepaidKey}}, {"Prepaid", prepaid}},
+          {{"Name", "ben"}, {"ApiKeys", {OtherKey}}}}}};
+}
+
+void addEndpoint(Fleet &fleet, const std::string &service, std::size_t number)
+{
+    Endpoint endpoint;
+    endpoint.id = "i-" + service + '-' + std::to_string(number);
+    endpoint.service = service;
+    endpoint.replica = std::make_unique<Testing::ReplicaService>(fleet.io, endpoint.id, EventsOfStream);
+    endpoint.replica->pace() = Testing::ReplicaPace{AnswerAfter, EventPause, true};
+    endpoint.proxy = std::make_unique<FaultProxy>(fleet.io, endpoint.replica->address());
+    const std::size_t index = fleet.endpoints.size();
+    endpoint.replica->onRun([&fleet, index](const std::string &attempt) {
+        noteRun(fleet.promises, index, attempt, steadyNow());
+    });
+    fleet.endpoints.push_back(std::move(endpoint));
+    listEndpoint(fleet, index, "ready");
+}
+
+} // namespace
+
+Fleet::Fleet(boost::asio::io_context &loop, const std::string &program, const FleetSize &size)
+    : io(loop)
+    , store(loop)
+{
+    promises.prepaidTotal = size.prepaid;
+    promises.leavingSince.resize(size.plainEndpoints + size.engines);
+    promises.views.resize(size.routers);
+    promises.disturbed.endpoints.resize(size.plainEndpoints + size.engines);
+    // Routers start disturbed: their first seconds are those after a start.
+    promises.disturbed.routers.resize(size.routers, steadyNow());
+    promises.disturbed.unplanned = steadyNow();
+    for (std::size_t i = 0; i < size.plainEndpoints; ++i) {
+        addEndpoint(*this, "plain", i);
+    }
+    for (std::size_t i = 0; i < size.engines; ++i) {
+        addEndpoint(*this, "engine", i);
+    }
+    putNextDocument(*this, 0);
+    for (std::size_t i = 0; i < size.routers; ++i) {
+        Router router;
+        router.store = std::make_unique<FaultProxy>(io, store.address());
+        router.process =
+            std::make_unique<Testing::RouterProcess>(program, "router-" + std::to_string(i), router.store->address());
+        routers.push_back(std::move(router));
+    }
+}
+
+void listEndpoint(Fleet &fleet, std::size_t endpoint, const std::string &state)
+{
+    const Endpoint &listed = fleet.endpoints[endpoint];
+    json entry = json::parse(listed.replica->listing(listed.service, state));
+    entry["Address"] = listed.proxy->address();
+    fleet.store.put("servers/" + listed.id, entry.dump());
+    if (state == "ready") {
+        fleet.promises.leavingSince[endpoint].reset();
+    } else {
+        fleet.promises.leavingSince[endpoint] = steadyNow();
+    }
+}
+
+void putNextDocument(Fleet &fleet, std::int64_t more)
+{
+    Promises &promises = fleet.promises;
+    promises.prepaidTotal += more;
+    ++promises.document;
+    promises.documentAt = steadyNow();
+    fleet.store.put("op/config", document(promises.document, promises.prepaidTotal).dump());
+}
+
+std::string documentPath(int version)
+{
+    return "/document-" + std::to_string(version) + '/';
+}
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/fleet.h
@@ -0,0 +1,78 @@
+#pragma once
+
+// What one play of a soak runs: routers as processes of their own; the store, the endpoints and the proxies before
+// them on the soak's loop.
+//
+// Example:
+//   boost::asio::io_context io;
+//   Fleet fleet(io, program, FleetSize{});
+
+#include "platform/testing/replica_service.h"
+#include "platform/testing/router_process.h"
+#include "platform/testing/store_service.h"
+#include "soak/fault_proxy.h"
+#include "soak/promises.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Godwit::Soak
+{
+
+constexpr const char *SoakHost = "desk.example";
+constexpr const char *PrepaidKey = "secret-of-anna";
+constexpr const char *OtherKey = "secret-of-ben";
+
+struct FleetSize
+{
+    std::size_t routers = 3;
+    std::size_t plainEndpoints = 3;
+    std::size_t engines = 2;
+    std::int64_t prepaid = 40'000; // Tokens.
+};
+
+struct Router
+{
+    std::unique_ptr<FaultProxy> store; // Between it and the store.
+    std::unique_ptr<Testing::RouterProcess> process;
+    int boot = 1;
+    bool running = true;
+    bool stopping = false; // Has been told to stop, and has not been started again.
+    bool killed = false; // Since its last start.
+};
+
+struct Endpoint
+{
+    std::string id;
+    std::string service;
+    std::unique_ptr<Testing::ReplicaService> replica;
+    std::unique_ptr<FaultProxy> proxy;
+};
+
+struct Fleet
+{
+    Fleet(boost::asio::io_context &loop, const std::string &program, const FleetSize &size);
+
+    boost::asio::io_context &io;
+    Promises promises;
+    Testing::StoreService store;
+    std::vector<Endpoint> endpoints;
+    std::vector<Router> routers;
+    bool ending = false; // Nothing new begins.
+};
+
+// What the endpoint writes about itself into the store.
+void listEndpoint(Fleet &fleet, std::size_t endpoint, const std::string &state);
+
+// Writes the next document: the same routes, but for one that only this document has, and a prepaid total that is
+// `more` higher.
+void putNextDocument(Fleet &fleet, std::int64_t more);
+
+// The path of the route that only document `version` has.
+std::string documentPath(int version);
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,121 @@
+// The fault soak: plays seeds one after another and ends with a summary.
+//
+//   soak --program build/godwit/daemon/godwitd --seed 1 --minutes 0.7 --seeds 50 --logs soak-logs
+//
+// Exit codes: 0 all promises kept, 1 one was broken, 2 wrong arguments.
+
+#include "soak/play.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <exception>
+#include <iostream>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using Godwit::Soak::PlayOptions;
+using Godwit::Soak::PlayResult;
+
+struct Arguments
+{
+    PlayOptions play;
+    std::uint64_t seeds = 1;
+};
+
+// Throws std::invalid_argument or std::out_of_range with an argument that can't be read.
+Arguments readArguments(const std::vector<std::string> &words)
+{
+    Arguments arguments;
+    if (words.size() % 2 != 0) {
+        throw std::invalid_argument("an option lacks its value");
+    }
+    for (std::size_t i = 0; i < words.size(); i += 2) {
+        const std::string &value = words[i + 1];
+        if (words[i] == "--program") {
+            arguments.play.program = value;
+        } else if (words[i] == "--seed") {
+            arguments.play.seed = std::stoull(value);
+        } else if (words[i] == "--seeds") {
+            arguments.seeds = std::stoull(value);
+        } else if (words[i] == "--minutes") {
+            constexpr double millisecondsOfMinute = 60'000;
+            arguments.play.time = std::chrono::milliseconds(std::llround(std::stod(value) * millisecondsOfMinute));
+        } else if (words[i] == "--logs") {
+            arguments.play.logFolder = value;
+        } else {
+            throw std::invalid_argument("unknown option " + words[i]);
+        }
+    }
+    return arguments;
+}
+
+void printSummary(const std::vector<PlayResult> &results)
+{
+    std::size_t requests = 0;
+    std::size_t breaches = 0;
+    std::map<std::string, int> outcomes;
+    std::map<Godwit::Soak::Fault, int> faults;
+    std::string broken;
+    std::chrono::milliseconds lag{0};
+    for (const PlayResult &result : results) {
+        requests += result.requests;
+        breaches += result.breaches.size();
+        lag = std::max(lag, result.longestLag);
+        for (const auto &[name, count] : result.outcomes) {
+            outcomes[name] += count;
+        }
+        for (const auto &[fault, count] : result.faults) {
+            faults[fault] += count;
+        }
+        std::map<std::string, int> kinds;
+        for (const auto &breach : result.breaches) {
+            ++kinds[std::string(promiseName(breach.promise))];
+        }
+        for (const auto &[kind, count] : kinds) {
+            broken += "  seed " + std::to_string(result.seed) + ": " + kind + ' ' + std::to_string(count) + '\n';
+        }
+    }
+    std::cout << "\nsummary: " << results.size() << " seeds, " << requests << " requests, " << breaches
+              << " times a promise was broken\n  outcomes:";
+    for (const auto &[name, count] : outcomes) {
+        std::cout << ' ' << name << ' ' << count << ';';
+    }
+    std::cout << "\n  faults:";
+    for (const auto &[fault, count] : faults) {
+        std::cout << ' ' << faultName(fault) << ' ' << count << ';';
+    }
+    std::cout << "\n  longest lag of the soak itself: " << lag.count() << " ms\n" << broken << std::flush;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Arguments arguments;
+    try {
+        arguments = readArguments({argv + 1, argv + argc});
+    } catch (const std::exception &error) {
+        std::cerr << "soak: " << error.what() << '\n';
+        return 2;
+    }
+    std::vector<PlayResult> results;
+    bool kept = true;
+    for (std::uint64_t i = 0; i < arguments.seeds; ++i) {
+        PlayOptions options = arguments.play;
+        options.seed += i;
+        results.push_back(playSeed(options, std::cout));
+        const PlayResult &result = results.back();
+        kept = kept && result.breaches.empty();
+        std::cout << "seed " << result.seed << ": " << result.requests << " requests, served " << result.spent << " of "
+                  << result.prepaidTotal << " tokens, " << result.breaches.size() << " times a promise was broken"
+                  << std::endl;
+    }
+    printSummary(results);
+    return kept ? 0 : 1;
+}
--- /dev/null
+++ b/soak/play.cpp
@@ -0,0 +1,152 @@
+#include "soak/play.h"
+
+#include "soak/caller.h"
+#include "soak/fleet.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace Godwit::Soak
+{
+namespace
+{
+
+using boost::asio::yield_context;
+using std::chrono::milliseconds;
+
+constexpr auto LagStep = milliseconds(20);
+constexpr auto ReportStep = milliseconds(200);
+// One cause can break a promise for many requests; the first ones tell it.
+constexpr std::size_t MostReported = 12;
+
+void waitFor(boost::asio::io_context &io, milliseconds time, const yield_context &yield)
+{
+    boost::asio::steady_timer timer(io, time);
+    timer.async_wait(yield);
+}
+
+template<typename Body>
+void spawn(boost::asio::io_context &io, Body body)
+{
+    boost::asio::spawn(io, std::move(body), [](const std::exception_ptr &thrown) {
+        if (thrown) {
+            std::rethrow_exception(thrown);
+        }
+    });
+}
+
+FleetSize drawSize(std::mt19937_64 &random)
+{
+    FleetSize size;
+    size.routers = 2 + random() % 3;
+    size.plainEndpoints = 2 + random() % 3;
+    size.engines = 2 + random() % 2;
+    size.prepaid = static_cast<std::int64_t>(20'000 + random() % 60'000);
+    return size;
+}
+
+void printLogLines(const Fleet &fleet, const std::string &attempt, std::ostream &out)
+{
+    for (std::size_t i = 0; i < fleet.routers.size(); ++i) {
+        std::istringstream log(fleet.routers[i].process->logText());
+        for (std::string line; std::getline(log, line);) {
+            if (line.find('"' + attempt + '"') != std::string::npos) {
+                out << "    router-" << i << ": " << line << '\n';
+            }
+        }
+    }
+}
+
+void printBreach(const Fleet &fleet, std::uint64_t seed, const Breach &breach, TimePoint start, std::ostream &out)
+{
+    const auto after = std::chrono::duration_cast<milliseconds>(breach.at - start);
+    out << "BROKEN seed " << seed << " at " << after.count() << " ms: " << promiseName(breach.promise) << ": "
+        << breach.attempt << (breach.attempt.empty() ? "" : " ") << breach.text << '\n';
+    if (!breach.attempt.empty()) {
+        printLogLines(fleet, breach.attempt, out);
+    }
+    out.flush();
+}
+
+void keepLogs(const Fleet &fleet, const PlayOptions &options)
+{
+    const std::filesystem::path folder =
+        std::filesystem::path(options.logFolder) / ("seed-" + std::to_string(options.seed));
+    std::filesystem::create_directories(folder);
+    for (std::size_t i = 0; i < fleet.routers.size(); ++i) {
+        std::ofstream(folder / ("router-" + std::to_string(i) + ".log")) << fleet.routers[i].process->logText();
+    }
+}
+
+} // namespace
+
+PlayResult playSeed(const PlayOptions &options, std::ostream &out)
+{
+    std::mt19937_64 random(options.seed);
+    const FleetSize size = drawSize(random);
+    const int callers = static_cast<int>(12 + random() % 24);
+    out << "seed " << options.seed << ": " << size.routers << " routers, " << size.plainEndpoints
+        << " plain endpoints, " << size.engines << " engines, " << callers << " callers, " << size.prepaid
+        << " tokens prepaid" << std::endl;
+
+    boost::asio::io_context io;
+    Fleet fleet(io, options.program, size);
+    FaultPlayer player(fleet, options.seed, out);
+    PlayResult result;
+    result.seed = options.seed;
+    const TimePoint start = steadyNow();
+    for (int i = 0; i < callers; ++i) {
+        spawn(io, [&fleet, &options, i](const yield_context &yield) {
+            runCaller(fleet, options.seed, i, yield);
+        });
+    }
+    spawn(io, [&](const yield_context &yield) {
+        watchDocuments(fleet, options.seed, yield);
+    });
+    spawn(io, [&](const yield_context &yield) {
+        player.watchRouters(yield);
+    });
+    spawn(io, [&](const yield_context &yield) {
+        while (!fleet.ending) {
+            const TimePoint before = steadyNow();
+            waitFor(io, LagStep, yield);
+            const auto took = std::chrono::duration_cast<milliseconds>(steadyNow() - before);
+            result.longestLag = std::max(result.longestLag, took - LagStep);
+        }
+    });
+    std::size_t reported = 0;
+    const auto report = [&] {
+        for (; reported < std::min(fleet.promises.breaches.size(), MostReported); ++reported) {
+            printBreach(fleet, options.seed, fleet.promises.breaches[reported], start, out);
+        }
+    };
+    spawn(io, [&](const yield_context &yield) {
+        while (!fleet.ending) {
+            waitFor(io, ReportStep, yield);
+            report();
+        }
+    });
+    spawn(io, [&](const yield_context &yield) {
+        player.run(options.time, yield);
+        io.stop();
+    });
+    io.run();
+    report();
+    if (!fleet.promises.breaches.empty() && !options.logFolder.empty()) {
+        keepLogs(fleet, options);
+    }
+    result.requests = fleet.promises.requests.size();
+    result.outcomes = fleet.promises.outcomes;
+    result.faults = player.played();
+    result.breaches = fleet.promises.breaches;
+    result.spent = fleet.promises.spent;
+    result.prepaidTotal = fleet.promises.prepaidTotal;
+    return result;
+}
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/play.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// One play of a soak from its seed to its result.
+//
+// Example:
+//   const PlayResult result = playSeed({program, 7, std::chrono::seconds(40), "soak-logs"}, std::cout);
+
+#include "soak/fault_player.h"
+#include "soak/promises.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace Godwit::Soak
+{
+
+struct PlayOptions
+{
+    std::string program; // godwitd.
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds time{40'000};
+    std::string logFolder; // Where the routers' logs of a play that broke a promise go; empty: nowhere.
+};
+
+struct PlayResult
+{
+    std::uint64_t seed = 0;
+    std::size_t requests = 0;
+    std::map<std::string, int> outcomes;
+    std::map<Fault, int> faults;
+    std::vector<Breach> breaches;
+    std::int64_t spent = 0;
+    std::int64_t prepaidTotal = 0;
+    std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
+};
+
+// Says on `out` what it does, and each broken promise with the log lines that show it as soon as it is found.
+PlayResult playSeed(const PlayOptions &options, std::ostream &out);
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/promises.cpp
@@ -0,0 +1,288 @@
+#include "soak/promises.h"
+
+#include "godwit/base/enum_names.h"
+
+#include <algorithm>
+
+namespace Godwit::Soak
+{
+namespace
+{
+
+constexpr EnumName<Promise> PromiseNames[] = {
+    {Promise::Overspend, "budget overspent"},
+    {Promise::SecondRun, "second run"},
+    {Promise::TooManyRuns, "more endpoints than attempts allowed"},
+    {Promise::ForeignAnswer, "foreign or damaged answer"},
+    {Promise::CutLooksWhole, "cut answer looks whole"},
+    {Promise::FalseRefusal, "refused, yet it has run"},
+    {Promise::SentToLeaving, "request to an endpoint that leaves"},
+    {Promise::PlannedCut, "planned work cut an answer"},
+    {Promise::StopTooLong, "a stop took too long"},
+    {Promise::DocumentLate, "document not in force"},
+    {Promise::DocumentBack, "document went back"},
+    {Promise::Crash, "router ended by itself"},
+};
+
+// Of requests that may be repeated, as the documents of the soak have it.
+constexpr std::size_t EndpointsAllowed = 2;
+constexpr unsigned NotFound = 404;
+
+bool runsAtMostOnce(RequestKind kind)
+{
+    return kind == RequestKind::Book || kind == RequestKind::Chat;
+}
+
+bool isStream(RequestKind kind)
+{
+    return kind == RequestKind::Chat || kind == RequestKind::Write;
+}
+
+bool saysNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::string wholeStream(const std::string &attempt)
+{
+    std::string text;
+    for (int i = 1; i <= EventsOfStream; ++i) {
+        const std::string number = std::to_string(i);
+        text.append("id: ").append(number).append("\ndata: part ").append(number).append(" for ");
+        text.append(attempt).append("\n\n");
+    }
+    return text;
+}
+
+bool beginsWith(std::string_view text, std::string_view start)
+{
+    return text.substr(0, start.size()) == start;
+}
+
+bool endsWith(std::string_view text, std::string_view end)
+{
+    return text.size() >= end.size() && text.substr(text.size() - end.size()) == end;
+}
+
+void checkSpent(Promises &promises, const std::string &attempt)
+{
+    if (promises.spent > promises.prepaidTotal) {
+        noteBreach(promises,
+                   Promise::Overspend,
+                   attempt,
+                   "served " + std::to_string(promises.spent) + " tokens of " + std::to_string(promises.prepaidTotal));
+    }
+}
+
+bool routerInTouch(const Promises &promises, std::size_t router, TimePoint now)
+{
+    return std::max(promises.disturbed.store, promises.disturbed.routers[router]) + ContactTime < now;
+}
+
+// The store must have been stable when it acknowledged the leaving; the router and the link to the endpoint now.
+void checkLeaving(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now)
+{
+    const auto &since = promises.leavingSince[endpoint];
+    const SentRequest &request = promises.requests[attempt];
+    if (!since || now <= *since + DrainBound || !routerInTouch(promises, request.router, now)
+        || promises.disturbed.store + ContactTime > *since
+        || promises.disturbed.endpoints[endpoint] + ContactTime > now) {
+        return;
+    }
+    const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(now - *since).count();
+    noteBreach(promises,
+               Promise::SentToLeaving,
+               attempt,
+               "router-" + std::to_string(request.router) + " sent it to endpoint " + std::to_string(endpoint) + ", "
+                   + std::to_string(after) + " ms after that had said that it leaves");
+}
+
+void checkAnswer(Promises &promises, const std::string &attempt, const SentRequest &request, const Outcome &outcome)
+{
+    if (!outcome.attempt.empty() && outcome.attempt != attempt) {
+        noteBreach(promises, Promise::ForeignAnswer, attempt, "the answer names attempt " + outcome.attempt);
+        return;
+    }
+    if (outcome.bytesAfter) {
+        noteBreach(promises, Promise::ForeignAnswer, attempt, "bytes follow the whole answer");
+    }
+    if (outcome.status / 100 != 2) {
+        return;
+    }
+    if (outcome.attempt != attempt || outcome.seal != "seal." + attempt) {
+        noteBreach(promises, Promise::ForeignAnswer, attempt, "a success with seal '" + outcome.seal + "'");
+        return;
+    }
+    const bool whole = isStream(request.kind)
+        ? outcome.body == wholeStream(attempt)
+        : beginsWith(outcome.body, "done by ") && endsWith(outcome.body, " for " + attempt);
+    if (!whole) {
+        noteBreach(promises, Promise::CutLooksWhole, attempt, "status 200 with the body: " + outcome.body);
+    }
+}
+
+// Events that came before a stream broke off are its own and in order.
+void checkCut(Promises &promises, const std::string &attempt, const SentRequest &request, const Outcome &outcome)
+{
+    const std::string whole = isStream(request.kind) ? wholeStream(attempt) : std::string();
+    const auto lastWhole = outcome.body.rfind("\n\n");
+    if (isStream(request.kind) && lastWhole != std::string::npos
+        && !beginsWith(whole, outcome.body.substr(0, lastWhole + 2))) {
+        noteBreach(promises, Promise::ForeignAnswer, attempt, "a stream that broke off after: " + outcome.body);
+    }
+}
+
+void checkPlannedCut(Promises &promises, const std::string &attempt, const SentRequest &request, TimePoint now)
+{
+    if (request.runs.empty() || promises.disturbed.unplanned + ContactTime >= request.sentAt) {
+        return;
+    }
+    const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.sentAt).count();
+    noteBreach(promises,
+               Promise::PlannedCut,
+               attempt,
+               "router-" + std::to_string(request.router) + " cut it after " + std::to_string(after)
+                   + " ms, with no unplanned disturbance since 3 s before it was sent");
+}
+
+} // namespace
+
+std::string_view promiseName(Promise promise)
+{
+    return enumName(PromiseNames, promise);
+}
+
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+void noteBreach(Promises &promises, Promise promise, const std::string &attempt, std::string text)
+{
+    promises.breaches.push_back({promise, steadyNow(), attempt, std::move(text)});
+}
+
+void noteSent(Promises &promises, const std::string &attempt, const SentRequest &request)
+{
+    promises.requests[attempt] = request;
+}
+
+void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now)
+{
+    const auto found = promises.requests.find(attempt);
+    if (found == promises.requests.end()) {
+        return; // A request for a document, or a check of health.
+    }
+    SentRequest &request = found->second;
+    request.runs.push_back(endpoint);
+    if (request.prepaid && request.runs.size() == 1) {
+        promises.spent += request.promptTokens;
+        checkSpent(promises, attempt);
+    }
+    if (request.runs.size() > 1 && runsAtMostOnce(request.kind)) {
+        noteBreach(promises,
+                   Promise::SecondRun,
+                   attempt,
+                   "ran at endpoint " + std::to_string(request.runs[0]) + " and at " + std::to_string(endpoint));
+    }
+    if (request.runs.size() > EndpointsAllowed) {
+        noteBreach(promises, Promise::TooManyRuns, attempt, std::to_string(request.runs.size()) + " runs");
+    }
+    if (saysNotRun(request.status) && runsAtMostOnce(request.kind)) {
+        noteBreach(promises, Promise::FalseRefusal, attempt, "runs after an answer " + std::to_string(request.status));
+    }
+    checkLeaving(promises, endpoint, attempt, now);
+}
+
+void noteEvents(Promises &promises, const std::string &attempt, int events)
+{
+    SentRequest &request = promises.requests[attempt];
+    const int more = events - request.events;
+    request.events = events;
+    if (request.prepaid && more > 0) {
+        promises.spent += static_cast<std::int64_t>(more) * TokensPerEvent;
+        checkSpent(promises, attempt);
+    }
+}
+
+void noteOutcome(Promises &promises, const std::string &attempt, const Outcome &outcome, TimePoint now)
+{
+    SentRequest &request = promises.requests[attempt];
+    switch (outcome.kind) {
+    case OutcomeKind::NotConnected:
+        ++promises.outcomes["not connected"];
+        return;
+    case OutcomeKind::Unfinished:
+        ++promises.outcomes["given up"];
+        checkCut(promises, attempt, request, outcome);
+        return;
+    case OutcomeKind::Cut:
+        ++promises.outcomes["cut"];
+        checkCut(promises, attempt, request, outcome);
+        checkPlannedCut(promises, attempt, request, now);
+        return;
+    case OutcomeKind::Damaged:
+        noteBreach(promises, Promise::ForeignAnswer, attempt, "bytes that are no answer, after: " + outcome.body);
+        return;
+    case OutcomeKind::Answered:
+        break;
+    }
+    request.status = outcome.status;
+    ++promises.outcomes[std::to_string(outcome.status)];
+    if (saysNotRun(outcome.status) && runsAtMostOnce(request.kind) && !request.runs.empty()) {
+        noteBreach(promises,
+                   Promise::FalseRefusal,
+                   attempt,
+                   "answered " + std::to_string(outcome.status) + " after its run at endpoint "
+                       + std::to_string(request.runs[0]));
+    }
+    checkAnswer(promises, attempt, request, outcome);
+}
+
+void noteDocument(Promises &promises, const DocumentAnswer &answer, TimePoint now)
+{
+    DocumentView &view = promises.views[answer.router];
+    if (view.boot != answer.boot) {
+        view = DocumentView{answer.boot, 0, now};
+    }
+    const bool inForce = answer.status / 100 == 2;
+    const bool unknown = answer.status == NotFound;
+    const std::string who = "router-" + std::to_string(answer.router);
+    const std::string version = std::to_string(answer.version);
+    if (answer.sentAt > view.seenAt + RollbackSlack) {
+        if (inForce && answer.version < view.newest) {
+            noteBreach(promises,
+                       Promise::DocumentBack,
+                       {},
+                       who + " serves document " + version + " after " + std::to_string(view.newest));
+        }
+        if (unknown && answer.version == view.newest && answer.version == promises.document) {
+            noteBreach(promises, Promise::DocumentBack, {}, who + " no longer knows document " + version);
+        }
+    }
+    const bool mustKnow =
+        answer.sentAt > promises.documentAt + DocumentBound && routerInTouch(promises, answer.router, now);
+    if (mustKnow
+        && ((unknown && answer.version == promises.document) || (inForce && answer.version < promises.document))) {
+        noteBreach(promises,
+                   Promise::DocumentLate,
+                   {},
+                   who + " answers " + std::to_string(answer.status) + " for document " + version + " while "
+                       + std::to_string(promises.document) + " is in the store");
+    }
+    if (inForce && answer.version > view.newest) {
+        view.newest = answer.version;
+        view.seenAt = now;
+    }
+}
+
+int countEvents(std::string_view body)
+{
+    int count = 0;
+    for (auto at = body.find("\n\n"); at != std::string_view::npos; at = body.find("\n\n", at + 2)) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace Godwit::Soak
--- /dev/null
+++ b/soak/promises.h
@@ -0,0 +1,151 @@
+#pragma once
+
+// What the system promises, checked from what callers and endpoints see while a soak runs.
+//
+// Example:
+//   noteSent(promises, "attempt-1", request);
+//   noteRun(promises, endpoint, "attempt-1", now);
+//   noteOutcome(promises, "attempt-1", outcome, now);
+//   const bool kept = promises.breaches.empty();
+
+#include "godwit/base/time.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Godwit::Soak
+{
+
+// Bounds of the deployment under test.
+constexpr Duration DrainBound = std::chrono::milliseconds(2000);
+constexpr Duration DocumentBound = std::chrono::milliseconds(2000);
+// How long a router must have been undisturbed before bounds in time hold for it.
+constexpr Duration ContactTime = std::chrono::milliseconds(3000);
+// After a router showed one document, requests sent later than this must not meet an older one.
+constexpr Duration RollbackSlack = std::chrono::milliseconds(250);
+
+enum class Promise {
+    Overspend,
+    SecondRun,
+    TooManyRuns,
+    ForeignAnswer,
+    CutLooksWhole,
+    FalseRefusal,
+    SentToLeaving,
+    PlannedCut,
+    StopTooLong,
+    DocumentLate,
+    DocumentBack,
+    Crash,
+};
+
+std::string_view promiseName(Promise promise);
+
+enum class RequestKind {
+    Read, // May be repeated.
+    Book, // Runs at most once.
+    Chat, // A stream that runs at most once.
+    Write, // A stream that may go on at another endpoint.
+};
+
+struct SentRequest
+{
+    RequestKind kind = RequestKind::Read;
+    std::size_t router = 0;
+    bool prepaid = false;
+    std::int64_t promptTokens = 0;
+    TimePoint sentAt;
+    std::vector<std::size_t> runs; // Endpoints, in the order of their runs.
+    int events = 0; // That its caller got.
+    unsigned status = 0; // Of its answer; 0: none yet.
+};
+
+enum class OutcomeKind {
+    NotConnected,
+    Unfinished, // The caller gave up waiting.
+    Cut, // The connection ended before the whole answer.
+    Damaged, // Bytes came that are no answer.
+    Answered,
+};
+
+struct Outcome
+{
+    OutcomeKind kind = OutcomeKind::NotConnected;
+    unsigned status = 0;
+    std::string attempt; // As the answer names it.
+    std::string seal;
+    std::string body; // What was read of it.
+    bool bytesAfter = false; // More came than the answer.
+};
+
+struct Breach
+{
+    Promise promise = Promise::Overspend;
+    TimePoint at;
+    std::string attempt; // May be empty.
+    std::string text;
+};
+
+// A moment up to which something was disturbed. It lies ahead while a disturbance of known length lasts.
+struct Disturbances
+{
+    TimePoint store;
+    TimePoint unplanned; // Of anything, but for planned work.
+    std::vector<TimePoint> routers; // Planned work among it.
+    std::vector<TimePoint> endpoints;
+};
+
+struct DocumentView
+{
+    int boot = 0;
+    int newest = 0;
+    TimePoint seenAt;
+};
+
+struct Promises
+{
+    std::map<std::string, SentRequest> requests;
+    std::vector<std::optional<TimePoint>> leavingSince; // By endpoint.
+    std::int64_t prepaidTotal = 0;
+    std::int64_t spent = 0;
+    int document = 0; // The newest that was put into the store.
+    TimePoint documentAt;
+    std::vector<DocumentView> views; // By router.
+    Disturbances disturbed;
+    std::vector<Breach> breaches;
+    std::map<std::string, int> outcomes;
+};
+
+TimePoint steadyNow();
+
+void noteBreach(Promises &promises, Promise promise, const std::string &attempt, std::string text);
+void noteSent(Promises &promises, const std::string &attempt, const SentRequest &request);
+void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
+// `events`: whole events that its caller has by now.
+void noteEvents(Promises &promises, const std::string &attempt, int events);
+void noteOutcome(Promises &promises, const std::string &attempt, const Outcome &outcome, TimePoint now);
+
+// What one router said to a request for the route that only document `version` has.
+struct DocumentAnswer
+{
+    std::size_t router = 0;
+    int boot = 0; // The router's, before the request and after its answer.
+    int version = 0;
+    unsigned status = 0;
+    TimePoint sentAt;
+};
+void noteDocument(Promises &promises, const DocumentAnswer &answer, TimePoint now);
+
+// Whole events in the body of a stream.
+int countEvents(std::string_view body);
+
+// Streams of the endpoints.
+constexpr int EventsOfStream = 12;
+constexpr int TokensPerEvent = 10;
+
+} // namespace Godwit::Soak
