--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -26,7 +26,7 @@
 constexpr int Permille = 1000;
 constexpr int NewConnectionPermille = 120;
 constexpr int PrepaidPermille = 700; // Of streams.
-constexpr int LongestThought = 120; // Milliseconds between two requests of a caller.
+constexpr int LongestThought = 100; // Milliseconds between two requests of a caller.
 
 void waitFor(boost::asio::io_context &io, std::chrono::milliseconds time, const yield_context &yield)
 {
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -103,6 +103,9 @@
         const bool planned = !storm || draw(0, 3) == 0;
         if (planned) {
             begin(Planned.at(static_cast<std::size_t>(draw(0, Planned.size() - 1))));
+        } else if (draw(0, 4) == 0) {
+            // Needs many requests at one moment to show anything, so it comes more often than the others.
+            begin(Fault::HoldUpConnecting);
         } else {
             begin(static_cast<Fault>(
                 draw(static_cast<int>(Fault::PauseRouter), static_cast<int>(Fault::EndpointBreaksStreams))));
@@ -288,21 +291,26 @@
     });
 }
 
-// The endpoint's connections end, its accept queue is full, and a router that connects anew is held up; the endpoint
-// accepts again before the opening packets are repeated, so that they meet a router that does not run.
+// The endpoint's connections end, its accept queue is full, and routers that connect anew are held up; the endpoint
+// accepts again before the opening packets are repeated, so that they meet routers that do not run.
 void FaultPlayer::holdUpConnecting(std::size_t endpoint)
 {
     const auto router = static_cast<std::size_t>(draw(0, static_cast<int>(m_fleet.routers.size()) - 1));
-    const Time connecting(draw(40, 350));
+    const bool all = draw(0, 1) == 0;
+    const Time connecting(draw(150, 380));
     const Time paused = OpeningRepeat + Time(draw(0, 600));
     say(Fault::HoldUpConnecting,
-        m_fleet.endpoints[endpoint].id + " and router-" + std::to_string(router),
+        m_fleet.endpoints[endpoint].id + " and " + (all ? "all routers" : "router-" + std::to_string(router)),
         connecting + paused);
     disturbEndpoint(endpoint, connecting + paused);
     FaultProxy &proxy = *m_fleet.endpoints[endpoint].proxy;
     proxy.acceptLate();
     proxy.resetAll();
-    pauseRouter(router, connecting, paused);
+    for (std::size_t i = 0; i < m_fleet.routers.size(); ++i) {
+        if (all || i == router) {
+            pauseRouter(i, connecting, paused);
+        }
+    }
     spawn([this, &proxy, connecting](const yield_context &yield) {
         waitFor(m_fleet.io, connecting + milliseconds(100), yield);
         proxy.acceptAgain();
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -52,6 +52,9 @@
 
 void printLogLines(const Fleet &fleet, const std::string &attempt, std::ostream &out)
 {
+    if (attempt.empty()) {
+        return;
+    }
     for (std::size_t i = 0; i < fleet.routers.size(); ++i) {
         std::istringstream log(fleet.routers[i].process->logText());
         for (std::string line; std::getline(log, line);) {
@@ -66,11 +69,7 @@
 {
     const auto after = std::chrono::duration_cast<milliseconds>(breach.at - start);
     out << "BROKEN seed " << seed << " at " << after.count() << " ms: " << promiseName(breach.promise) << ": "
-        << breach.attempt << (breach.attempt.empty() ? "" : " ") << breach.text << '\n';
-    if (!breach.attempt.empty()) {
-        printLogLines(fleet, breach.attempt, out);
-    }
-    out.flush();
+        << breach.attempt << (breach.attempt.empty() ? "" : " ") << breach.text << std::endl;
 }
 
 void keepLogs(const Fleet &fleet, const PlayOptions &options)
@@ -89,7 +88,7 @@
 {
     std::mt19937_64 random(options.seed);
     const FleetSize size = drawSize(random);
-    const int callers = static_cast<int>(12 + random() % 24);
+    const int callers = static_cast<int>(30 + random() % 40);
     out << "seed " << options.seed << ": " << size.routers << " routers, " << size.plainEndpoints
         << " plain endpoints, " << size.engines << " engines, " << callers << " callers, " << size.prepaid
         << " tokens prepaid" << std::endl;
@@ -137,6 +136,10 @@
     });
     io.run();
     report();
+    // Routers write their logs late, so the lines are looked for at the end.
+    for (std::size_t i = 0; i < reported; ++i) {
+        printLogLines(fleet, fleet.promises.breaches[i].attempt, out);
+    }
     if (!fleet.promises.breaches.empty() && !options.logFolder.empty()) {
         keepLogs(fleet, options);
     }
--- a/soak/play.h
+++ b/soak/play.h
@@ -38,7 +38,7 @@
     std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
 };
 
-// Says on `out` what it does, and each broken promise with the log lines that show it as soon as it is found.
+// Says on `out` what it does, each broken promise as soon as it is found, and at the end the routers' log lines on it.
 PlayResult playSeed(const PlayOptions &options, std::ostream &out);
 
 } // namespace Godwit::Soak
