--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-void printBreach(const Fleet &fleet, std::uint64_t seed, const Breach &breach, TimePoint start, std::ostream &out)
+void printBreach(std::uint64_t seed, const Breach &breach, TimePoint start, std::ostream &out)
 {
     const auto after = std::chrono::duration_cast<milliseconds>(breach.at - start);
     out << "BROKEN seed " << seed << " at " << after.count() << " ms: " << promiseName(breach.promise) << ": "
@@ -121,7 +121,7 @@
     std::size_t reported = 0;
     const auto report = [&] {
         for (; reported < std::min(fleet.promises.breaches.size(), MostReported); ++reported) {
-            printBreach(fleet, options.seed, fleet.promises.breaches[reported], start, out);
+            printBreach(options.seed, fleet.promises.breaches[reported], start, out);
         }
     };
     spawn(io, [&](const yield_context &yield) {
