--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <utility>
 
 namespace Godwit::Soak
 {
@@ -41,7 +42,7 @@
 
     tcp::socket caller;
     tcp::socket server;
-    std::string lastAnswer; // The last piece that the server sent.
+    std::string lastAnswer; // What the server sent since the last request.
     bool silent = false;
 };
 
@@ -154,11 +155,14 @@
             }
             return;
         }
-        if (toServer && m_faults.repeatAnswers && !link->lastAnswer.empty()) {
-            boost::asio::async_write(link->caller, boost::asio::buffer(link->lastAnswer), yield[error]);
-        }
-        if (!toServer) {
-            link->lastAnswer.assign(piece.data(), count);
+        if (toServer) {
+            // One request at a time is on a connection, so what came since the one before is its answer.
+            const std::string answer = std::exchange(link->lastAnswer, {});
+            if (m_faults.repeatAnswers) {
+                boost::asio::async_write(link->caller, boost::asio::buffer(answer), yield[error]);
+            }
+        } else {
+            link->lastAnswer.append(piece.data(), count);
         }
         boost::asio::async_write(to, boost::asio::buffer(piece.data(), count), yield[error]);
     }
