--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -272,6 +272,7 @@
     std::function<void(const PrefixWatch::Items &)> watchDocuments()
     {
         return [this](const PrefixWatch::Items &items) {
+            m_relay.state().documentAsOf = m_documents.asOf();
             const auto found = items.find(std::string(SiteDocumentKey));
             if (found != items.end() && found->second.revision != m_documentRevision) {
                 m_documentRevision = found->second.revision;
@@ -441,7 +442,7 @@
                 return;
             }
             m_relay.pool().sweep(Relay::now());
-            renewListIfBehind();
+            renewCopiesIfBehind();
             logLoad();
             if (m_settingsText.empty()) {
                 m_settingsText = readFile(m_settingsFile);
@@ -476,14 +477,21 @@
                      {"store_leases", calls(StoreCallKind::Lease)}});
     }
 
-    void renewListIfBehind()
+    void renewCopiesIfBehind()
     {
         RelayState &state = m_relay.state();
         state.endpointsAsOf = m_endpointWatch.asOf();
+        state.documentAsOf = m_documents.asOf();
         const bool queueEmpty = Relay::now() >= state.behindAt + m_relay.options().behindFor;
-        if (state.behindAt != TimePoint{} && queueEmpty && m_relay.isBehind(Relay::now())) {
+        if (state.behindAt == TimePoint{} || !queueEmpty || !m_relay.isBehind(Relay::now())) {
+            return;
+        }
+        if (state.endpointsAsOf < state.behindAt) {
             m_endpointWatch.readNow();
         }
+        if (state.documentAsOf < state.behindAt) {
+            m_documents.readNow();
+        }
     }
 
     void beginStop(int signal)
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -30,8 +30,8 @@
 
 bool Relay::isBehind(TimePoint now) const
 {
-    const bool listIsOld = m_state.endpointsAsOf < m_state.behindAt;
-    return now < m_state.behindAt + (listIsOld ? m_options.listPatience : m_options.behindFor);
+    const bool copiesAreOld = std::min(m_state.endpointsAsOf, m_state.documentAsOf) < m_state.behindAt;
+    return now < m_state.behindAt + (copiesAreOld ? m_options.copyPatience : m_options.behindFor);
 }
 
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -55,9 +55,10 @@
     // What a refused caller is told when nothing better is known.
     Duration comeBack = std::chrono::milliseconds(700);
     // No request is taken for this long after the host was seen to be behind: by that time its queue has emptied. Then
-    // it waits for a new list of endpoints, and no longer than `listPatience`, since the store may be away.
+    // it waits for a new list of endpoints and a new document, and no longer than `copyPatience`, since the store may
+    // be away.
     Duration behindFor = std::chrono::milliseconds(1200);
-    Duration listPatience = std::chrono::seconds(10);
+    Duration copyPatience = std::chrono::seconds(10);
     // Time kept at the end of a caller's patience, so that the final answer still arrives.
     Duration answerMargin = std::chrono::milliseconds(15);
     // An endpoint that has said nothing for so long when its request is given up counts as slow. Work of plain
@@ -81,6 +82,7 @@
     // When this host's link was last seen to be choked: what it knew then was old, and what it sends comes late.
     TimePoint behindAt;
     TimePoint endpointsAsOf; // The list of endpoints is at least as new as this.
+    TimePoint documentAsOf; // So is the document.
 };
 
 struct RelayCounters
@@ -137,7 +139,7 @@
     // Whether callers may be sent here.
     bool isReady() const;
 
-    // Whether this host was lately behind, and its list of endpoints may still be from then.
+    // Whether this host was lately behind, and its document or its list of endpoints may still be from then.
     bool isBehind(TimePoint now) const;
 
     // Called when requests wait for tokens of a customer, with what they need in all.
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -80,13 +80,14 @@
         return;
     }
     m_facts = *facts;
-    if (!findRoute() || !findCustomer()) {
-        return;
-    }
+    // Before the route: what the document of a host that is behind doesn't have may have been added seconds ago.
     if (m_relay.isBehind(m_arrived)) {
         refuse(ErrorKind::Overloaded, "this router's link is choked", comeBackByLot());
         return;
     }
+    if (!findRoute() || !findCustomer()) {
+        return;
+    }
     const Duration callerPatience = m_facts.timeLeft.value_or(m_route->timeout);
     m_deadline = m_arrived + std::min(m_route->timeout, callerPatience - m_relay.options().answerMargin);
     m_timer.expires_at(m_deadline);
