--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -220,7 +220,10 @@
     const Choice choice =
         chooseEndpoint(m_relay.state().endpoints, query, m_relay.options().choice, m_relay.random(), Relay::now());
     if (choice.endpoint == nullptr) {
-        if (m_progress == Progress::Sent) {
+        if (m_headPassed) {
+            // A refusal's head in the middle of a stream would be bytes that are no answer.
+            breakOff("no_endpoint");
+        } else if (m_progress == Progress::Sent) {
             refuse(ErrorKind::EndpointFailed, "the endpoint failed and no other is left", std::nullopt);
         } else {
             refuse(ErrorKind::NoEndpoint, "no endpoint of the service takes requests", m_relay.options().comeBack);
