--- a/godwit/http/call_client.cpp
+++ b/godwit/http/call_client.cpp
@@ -151,9 +151,11 @@
         if (m_idle.empty() && m_workers < m_options.connections) {
             startWorker();
         } else if (!m_idle.empty()) {
-            asio::steady_timer *worker = m_idle.back();
+            const auto worker = m_idle.back().lock();
             m_idle.pop_back();
-            worker->cancel();
+            if (worker) {
+                worker->cancel();
+            }
         }
     }
 
@@ -161,8 +163,10 @@
     {
         m_stopped = true;
         m_queue.clear();
-        for (asio::steady_timer *worker : std::exchange(m_idle, {})) {
-            worker->cancel();
+        for (const auto &idle : std::exchange(m_idle, {})) {
+            if (const auto worker = idle.lock()) {
+                worker->cancel();
+            }
         }
     }
 
@@ -188,13 +192,13 @@
     void work(const asio::yield_context &yield)
     {
         Connection connection(m_io, m_options, m_preferred);
-        asio::steady_timer wake(m_io);
+        const auto wake = std::make_shared<asio::steady_timer>(m_io);
         while (!m_stopped) {
             if (m_queue.empty()) {
-                m_idle.push_back(&wake);
-                wake.expires_at(asio::steady_timer::time_point::max());
+                m_idle.push_back(wake);
+                wake->expires_at(asio::steady_timer::time_point::max());
                 beast::error_code cancelled;
-                wake.async_wait(yield[cancelled]);
+                wake->async_wait(yield[cancelled]);
                 continue;
             }
             Call call = std::move(m_queue.front());
@@ -210,7 +214,7 @@
     asio::io_context &m_io;
     CallClientOptions m_options;
     std::deque<Call> m_queue;
-    std::vector<asio::steady_timer *> m_idle; // Workers that wait for a call.
+    std::vector<std::weak_ptr<asio::steady_timer>> m_idle; // Workers that wait for a call.
     int m_workers = 0;
     std::size_t m_preferred = 0;
     bool m_stopped = false;
