--- a/godwit/prepaid/tokens_ahead_test.cpp
+++ b/godwit/prepaid/tokens_ahead_test.cpp
@@ -125,5 +125,5 @@
     CHECK_FALSE(keeps(shareWithHomeElsewhere(Total / 10)));
     PrepaidShare atHome = shareWithHomeElsewhere(Total);
     atHome.accounts[Desk].holdsAhead = true;
-    CHECK_FALSE(keeps(std::move(atHome)));
+    CHECK_FALSE(keeps(atHome));
 }
