--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -60,7 +60,7 @@
         m_nextRecords = now + m_options.probeInterval;
         readRecords();
     }
-    if (!m_liveEntryWritten && m_lease != 0 && !m_leaving && m_relay.isReady()) {
+    if (!m_liveEntryWritten && m_lease != 0 && !m_leaving) {
         writeLiveEntry();
     }
     if (m_returned && !share.writing) {
@@ -92,9 +92,8 @@
     // What others wrote meanwhile is not known.
     m_relay.state().prepaid.ledgerKnown = false;
     m_relay.log().write(reached ? "platform_regained" : "platform_lost", {});
-    const auto &changed = reached ? onRegained : onLost;
-    if (changed) {
-        changed();
+    if (reached && onRegained) {
+        onRegained();
     }
 }
 
@@ -196,6 +195,9 @@
             return;
         }
         m_liveEntryWritten = reply.status == StoreStatus::Ok;
+        if (m_liveEntryWritten && onLiveWritten) {
+            onLiveWritten();
+        }
         if (reply.status == StoreStatus::NotFound) {
             onLeaseLost();
         }
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -56,10 +56,12 @@
     // Called when the store was heard, or not.
     void onReached(bool reached);
 
-    // The store is out of reach, or within it again.
-    std::function<void()> onLost;
+    // The store is within reach again.
     std::function<void()> onRegained;
 
+    // This router's entry stands among the live ones.
+    std::function<void()> onLiveWritten;
+
     // This router has found the store again by a probe: others may be told.
     std::function<void()> onFoundAgain;
 
--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-// Entries lapse after three heartbeats of silence, which are some 1.2 s apart, so none can in less time than this.
-constexpr Duration ShortestLapse = std::chrono::milliseconds(2000);
 // Lapsed entries are back within about two seconds of the store's return.
 constexpr Duration MissingGrace = std::chrono::milliseconds(2300);
 
@@ -26,27 +24,28 @@
 {
 }
 
-void EndpointList::onStoreLost()
-{
-    m_lostAt = Relay::now();
-}
-
-// Only after a loss in which entries can have lapsed: a router whose link is choked loses the store every second, and
-// would else go on sending to endpoints that left long ago.
-void EndpointList::onStoreRegained()
+void EndpointList::onStoreReturn(std::optional<TimePoint> at)
 {
     const TimePoint now = Relay::now();
-    if (now < m_lostAt + ShortestLapse) {
+    const TimePoint keepUntil = at ? *at + MissingGrace : now;
+    if (now >= keepUntil) {
+        // Another router has heard the store all the while: what is missing has gone.
+        if (now < m_keepMissingUntil) {
+            m_keepMissingUntil = now;
+            apply();
+        }
         return;
     }
-    m_keepMissingUntil = now + MissingGrace;
-    m_mayHaveLapsed.clear();
-    for (const auto &[id, endpoint] : m_used) {
-        m_mayHaveLapsed.insert(id);
+    if (now >= m_keepMissingUntil) {
+        m_mayHaveLapsed.clear();
+        for (const auto &[id, endpoint] : m_used) {
+            m_mayHaveLapsed.insert(id);
+        }
     }
+    m_keepMissingUntil = keepUntil;
 }
 
-void EndpointList::onListed(const PrefixWatch::Items &items)
+void EndpointList::onListed(const SharedPrefix::Items &items)
 {
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         it = items.count(it->first) == 0 ? m_entries.erase(it) : std::next(it);
--- a/godwit/daemon/endpoint_list.h
+++ b/godwit/daemon/endpoint_list.h
@@ -6,7 +6,7 @@
 // seconds of its return: what is missing at its return waits for that time. What goes later has really gone. An entry
 // that can't be read, or that comes from another writer, names no endpoint; the others hold. Not thread-safe.
 
-#include "godwit/daemon/prefix_watch.h"
+#include "godwit/daemon/shared_prefix.h"
 #include "godwit/relay/relay.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,10 +27,10 @@
 public:
     EndpointList(boost::asio::io_context &io, Relay &relay);
 
-    void onListed(const PrefixWatch::Items &items);
+    void onListed(const SharedPrefix::Items &items);
 
-    void onStoreLost();
-    void onStoreRegained();
+    // When the store came back after an absence in which entries can have lapsed; unset when it was not away lately.
+    void onStoreReturn(std::optional<TimePoint> at);
 
 private:
     // What one entry says, decoded once for each revision: with hundreds of endpoints each change would else decode
@@ -54,7 +54,6 @@
     std::map<EndpointId, ListedEndpoint> m_listed; // What the store says.
     std::map<EndpointId, ListedEndpoint> m_used; // With entries that may have lapsed while the store was away.
     std::set<EndpointId> m_mayHaveLapsed; // Not seen since its return.
-    TimePoint m_lostAt;
     TimePoint m_keepMissingUntil;
     bool m_armed = false;
 };
--- a/godwit/daemon/endpoint_list_test.cpp
+++ b/godwit/daemon/endpoint_list_test.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <thread>
 
 using namespace Godwit;
 
@@ -29,7 +28,7 @@
     void tell(const std::string &text)
     {
         ++revision;
-        PrefixWatch::Items items;
+        SharedPrefix::Items items;
         items["servers/a"] = StoreItem{"servers/a", text, revision, false};
         items["servers/other"] = StoreItem{"servers/other", entryOf("ready", 5), 1, false};
         items["servers/third"] = StoreItem{"servers/third", entryOf("ready", 5), 1, false};
@@ -38,16 +37,15 @@
 
     void remove()
     {
-        PrefixWatch::Items items;
+        SharedPrefix::Items items;
         items["servers/other"] = StoreItem{"servers/other", entryOf("ready", 5), 1, false};
         list.onListed(items);
     }
 
-    void loseStoreFor(std::chrono::milliseconds time)
+    // The store came back just now, after seconds.
+    void returnStore()
     {
-        list.onStoreLost();
-        std::this_thread::sleep_for(time);
-        list.onStoreRegained();
+        list.onStoreReturn(Relay::now());
     }
 
     bool takesWork(const char *id)
@@ -97,7 +95,7 @@
 {
     List list;
     list.tell(entryOf("ready", 9));
-    list.loseStoreFor(std::chrono::milliseconds(2100));
+    list.returnStore();
     list.tell("what is this");
     CHECK_FALSE(list.takesWork("a"));
 }
@@ -106,7 +104,7 @@
 {
     List list;
     list.tell(entryOf("ready", 9));
-    list.loseStoreFor(std::chrono::milliseconds(2100));
+    list.returnStore();
     list.remove();
     CHECK(list.takesWork("a"));
     list.tell(entryOf("ready", 9));
@@ -114,21 +112,31 @@
     CHECK_FALSE(list.takesWork("a"));
 }
 
-TEST_CASE("a store that is lost for a moment at a time keeps no endpoint that has left")
+TEST_CASE("a router that was cut off alone keeps no endpoint that has left")
 {
-    // A request reaches an endpoint 4 s after its entry went: the router's link is choked, so that it loses the store
-    // and finds it again each second, and each time it took the missing entry for one that had lapsed meanwhile.
+    // A request reaches an endpoint 4 s after its entry went: the router's link was choked, so that it took its own
+    // silence for a loss of the store, and the missing entry for one that had lapsed meanwhile.
     List list;
     list.tell(entryOf("ready", 9));
-    list.loseStoreFor(std::chrono::milliseconds(20));
-    list.remove();
+    SECTION("the others say so before it reads")
+    {
+        list.list.onStoreReturn(std::nullopt);
+        list.remove();
+    }
+    SECTION("the others say so after it has read")
+    {
+        list.returnStore();
+        list.remove();
+        CHECK(list.takesWork("a"));
+        list.list.onStoreReturn(std::nullopt);
+    }
     CHECK_FALSE(list.takesWork("a"));
 }
 
 TEST_CASE("one foreign entry that tells a start drops none of the endpoints that tell none")
 {
     List list;
-    PrefixWatch::Items items;
+    SharedPrefix::Items items;
     for (const char *id : {"a", "b", "c"}) {
         const std::string key = std::string("servers/") + id;
         items[key] = StoreItem{key, entryOf("ready", 0), 1, false};
--- /dev/null
+++ b/godwit/daemon/fleet_copies.cpp
@@ -0,0 +1,198 @@
+// The part of FleetLinks that carries what the routers read in the platform's store: news of its prefixes, and snapshots
+// for those that lack something.
+
+#include "godwit/base/hash.h"
+#include "godwit/daemon/fleet_links.h"
+#include "godwit/daemon/fleet_messages.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Godwit
+{
+
+using nlohmann::json;
+using namespace internal;
+
+namespace
+{
+
+// News that a router passes on to the members of its group.
+struct RelayedNews
+{
+    std::vector<std::string> members; // Incarnations.
+    std::string origin; // Whose news it is.
+    PrefixState state; // As in the news: who has it all need not read them.
+    std::string news; // As encodeNews() makes it.
+};
+
+std::string encodeRelayed(const RelayedNews &relayed)
+{
+    const PrefixState &state = relayed.state;
+    return toBytes(json::array(
+        {relayed.members, relayed.origin, state.prefix, state.completeTo, state.digest, relayed.news}));
+}
+
+std::optional<RelayedNews> decodeRelayed(const std::string &bytes)
+{
+    const json message = fromBytes(bytes);
+    try {
+        RelayedNews relayed;
+        relayed.members = message.at(0).get<std::vector<std::string>>();
+        relayed.origin = message.at(1).get<std::string>();
+        relayed.state.prefix = message.at(2).get<std::string>();
+        relayed.state.completeTo = message.at(3).get<std::uint64_t>();
+        relayed.state.digest = message.at(4).get<std::uint64_t>();
+        relayed.news = message.at(5).get<std::string>();
+        return relayed;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+void FleetLinks::tellNews(const PrefixNews &news)
+{
+    const std::string body = encodeNews(news);
+    if (body.size() < m_options.relayNewsFrom) {
+        m_mesh->broadcast({NewsTopic, body});
+        return;
+    }
+    // Only routers that callers are told of have links with all others: they pass on, the largest first.
+    std::vector<const Peer *> peers;
+    std::size_t entries = 0;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked) {
+            peers.push_back(&peer);
+            entries += isEntry(peer) ? 1 : 0;
+        }
+    }
+    std::stable_sort(peers.begin(), peers.end(), [](const Peer *a, const Peer *b) {
+        return a->member.capacity > b->member.capacity;
+    });
+    const auto square = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(peers.size()))));
+    const std::size_t groups = entries == 0 ? peers.size() : std::min(entries, square);
+    std::vector<RelayedNews> messages(groups, RelayedNews{{}, m_options.own.incarnation.value, news.state, body});
+    for (std::size_t i = groups; i < peers.size(); ++i) {
+        messages[i % groups].members.push_back(peers[i]->member.incarnation.value);
+    }
+    for (std::size_t i = 0; i < groups; ++i) {
+        m_mesh->send(peers[i]->member.incarnation, {RelayedNewsTopic, encodeRelayed(messages[i])});
+    }
+}
+
+void FleetLinks::onRelayedNews(const std::string &body)
+{
+    const auto relayed = decodeRelayed(body);
+    if (!relayed) {
+        return;
+    }
+    const std::string passedOn = encodeRelayed({{}, relayed->origin, relayed->state, relayed->news});
+    for (const std::string &member : relayed->members) {
+        m_mesh->send(Incarnation{member}, {RelayedNewsTopic, passedOn});
+    }
+    if (!hasAll(relayed->state)) {
+        onNewsTold(Incarnation{relayed->origin}, relayed->news);
+    }
+}
+
+bool FleetLinks::hasAll(const PrefixState &state) const
+{
+    const auto own = copyStates ? copyStates() : std::vector<PrefixState>{};
+    return std::any_of(own.begin(), own.end(), [&state](const PrefixState &copy) {
+        return copy.prefix == state.prefix && copy.digest == state.digest;
+    });
+}
+
+void FleetLinks::onNewsTold(const Incarnation &from, const std::string &body)
+{
+    const auto news = decodeNews(body);
+    if (news && onNews) {
+        onNews(from, *news);
+    }
+}
+
+bool FleetLinks::askSnapshot(const Incarnation &peer, const PrefixState &own)
+{
+    const std::int64_t stamp = Relay::now().time_since_epoch().count();
+    return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest({own.prefix, stamp, own.digest})});
+}
+
+bool FleetLinks::askAnySnapshot(const PrefixState &own)
+{
+    std::vector<Incarnation> candidates;
+    const TimePoint now = Relay::now();
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked && peer.ready && isEntry(peer) && isFresh(peer, now)) {
+            candidates.push_back(incarnation);
+        }
+    }
+    return !candidates.empty() && askSnapshot(candidates[m_relay.random() % candidates.size()], own);
+}
+
+void FleetLinks::onSnapshotRequest(const Incarnation &from, const std::string &body)
+{
+    const auto request = decodeSnapshotRequest(body);
+    auto snapshot = request && snapshotFor ? snapshotFor(*request) : std::nullopt;
+    if (!snapshot) {
+        return;
+    }
+    snapshot->stamp = request->stamp;
+    const std::string answer = encodeSnapshot(*snapshot);
+    m_mesh->send(from, {SnapshotTopic, answer});
+    m_relay.log().write("snapshot_sent",
+                        {{"prefix", std::string_view(request->prefix)},
+                         {"peer", std::string_view(from.value)},
+                         {"bytes", static_cast<std::int64_t>(answer.size())}});
+}
+
+// By rank, so that all agree without a word.
+std::optional<int> FleetLinks::readerRankOf(const std::string &prefix) const
+{
+    if (!m_relay.isReady() || !isEntry()) {
+        return std::nullopt;
+    }
+    const TimePoint now = Relay::now();
+    std::vector<std::uint64_t> weights;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked && peer.beatHeard && peer.ready && peer.storeInReach && isEntry(peer) && isFresh(peer, now)) {
+            weights.push_back(rendezvousWeight(prefix, peer.member.callerAddress));
+        }
+    }
+    return readerRank(rendezvousWeight(prefix, m_options.own.callerAddress), weights, m_options.readers);
+}
+
+json FleetLinks::copyStatesRow() const
+{
+    json row = json::array();
+    if (copyStates) {
+        for (const PrefixState &state : copyStates()) {
+            row.push_back(json::array({state.prefix, state.completeTo, state.digest}));
+        }
+    }
+    return row;
+}
+
+// A router that came while nobody could read, or lost all that was told, sees here that others hold more.
+void FleetLinks::readCopyStates(const Incarnation &from, const json &beat)
+{
+    const auto row = beat.find("copies");
+    if (row == beat.end() || !row->is_array() || !onNews) {
+        return;
+    }
+    for (const json &copy : *row) {
+        PrefixNews news;
+        try {
+            news.state = PrefixState{
+                copy.at(0).get<std::string>(), copy.at(1).get<std::uint64_t>(), copy.at(2).get<std::uint64_t>()};
+        } catch (const json::exception &) {
+            return;
+        }
+        onNews(from, news);
+    }
+}
+
+} // namespace Godwit
--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -136,7 +136,7 @@
 
 bool FleetLinks::mayBeHome(const Peer &peer, TimePoint now) const
 {
-    return peer.linked && peer.ready && isEntry(peer) && isFresh(peer, now) && now >= peer.passedOverUntil;
+    return peer.linked && peer.beatHeard && peer.ready && isEntry(peer) && isFresh(peer, now) && now >= peer.passedOverUntil;
 }
 
 // By rank, so that all agree without a word, and by address, so that a restart changes nothing. Routers that differ on
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -108,7 +108,7 @@
         }
         Peer &peer = m_peers[member.incarnation];
         if (!peer.listed && peer.heardAt == TimePoint{}) {
-            // Until its link stands the platform's word is enough.
+            // Until its link stands the platform's word is enough, but for sending anyone there.
             peer.heardAt = Relay::now();
             peer.ready = true;
         }
@@ -120,18 +120,11 @@
     chooseHomes();
 }
 
-void FleetLinks::shareDocument(std::uint64_t version, const std::string &text)
-{
-    m_documentVersion = version;
-    m_documentAt = Relay::now();
-    m_document = text;
-}
-
 // At once when it changes: until the others know, each of the routers that start together takes itself for the home of
-// all customers, and requests go on to a home that is leaving.
+// all customers, and requests go on to a home that is leaving; and each that reaches the store again for a reader.
 void FleetLinks::tellReadiness()
 {
-    if (m_readyTold != m_relay.isReady()) {
+    if (m_readyTold != m_relay.isReady() || m_inReachTold != m_relay.state().platformInReach) {
         beat();
     }
 }
@@ -139,6 +132,7 @@
 void FleetLinks::beat()
 {
     m_readyTold = m_relay.isReady();
+    m_inReachTold = m_relay.state().platformInReach;
     m_mesh->broadcast({BeatTopic, beatBody()});
 }
 
@@ -147,11 +141,6 @@
     m_mesh->broadcast({FoundTopic, {}});
 }
 
-void FleetLinks::tellReading(const std::string &prefix, std::uint64_t digest)
-{
-    m_mesh->broadcast({ReadingTopic, toBytes(json::array({prefix, digest}))});
-}
-
 bool FleetLinks::isEntry(const Peer &peer) const
 {
     return peer.member.capacity >= m_leastEntry;
@@ -225,7 +214,7 @@
     const TimePoint now = Relay::now();
     std::vector<CallerAddress> addresses;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.ready && isEntry(peer) && isFresh(peer, now)) {
+        if (peer.ready && peer.beatHeard && isEntry(peer) && isFresh(peer, now)) {
             addresses.push_back({peer.member.callerAddress, peer.member.dataCentre});
         }
     }
@@ -283,8 +272,9 @@
             held[customer.value] = heldRow(customer);
         }
     }
-    return toBytes(json{{"version", m_documentVersion},
-                        {"ready", m_relay.isReady()},
+    return toBytes(json{{"ready", m_relay.isReady()},
+                        {"store", m_relay.state().platformInReach},
+                        {"copies", copyStatesRow()},
                         {"load", m_load},
                         {"capacity", m_options.ownCapacity},
                         {"held", std::move(held)}});
@@ -301,6 +291,7 @@
             FleetMember{hello.host, hello.incarnation, hello.dataCentre, hello.callerAddress, hello.peerAddress};
     }
     m_relay.log().write("peer_linked", {{"peer", std::string_view(hello.incarnation.value)}});
+    m_mesh->send(hello.incarnation, {BeatTopic, beatBody()});
 }
 
 void FleetLinks::onLinkDown(const Incarnation &incarnation)
@@ -330,14 +321,20 @@
         onGive(found->second, envelope.body);
     } else if (envelope.topic == LedgerTopic) {
         onLedger(envelope.body);
-    } else if (envelope.topic == DocumentTopic && onDocument) {
-        onDocument(envelope.body);
     } else if (envelope.topic == FoundTopic && onStoreFound) {
         onStoreFound();
     } else if (envelope.topic == PromptTopic) {
         onPromptTold(envelope.body);
-    } else if (envelope.topic == ReadingTopic) {
-        onReadingTold(envelope.body);
+    } else if (envelope.topic == NewsTopic) {
+        onNewsTold(from, envelope.body);
+    } else if (envelope.topic == RelayedNewsTopic) {
+        onRelayedNews(envelope.body);
+    } else if (envelope.topic == SnapshotRequestTopic) {
+        onSnapshotRequest(from, envelope.body);
+    } else if (envelope.topic == SnapshotTopic && onSnapshot) {
+        if (const auto snapshot = decodeSnapshot(envelope.body)) {
+            onSnapshot(*snapshot);
+        }
     }
 }
 
@@ -348,12 +345,10 @@
         return;
     }
     const auto ready = beat.find("ready");
-    const bool wasReady = peer.ready;
+    const bool wasReady = peer.ready && std::exchange(peer.beatHeard, true);
     peer.ready = ready != beat.end() && ready->is_boolean() && ready->get<bool>();
-    const auto version = beat.find("version");
-    if (version != beat.end() && version->is_number_unsigned()) {
-        peer.documentVersion = version->get<std::uint64_t>();
-    }
+    const auto store = beat.find("store");
+    peer.storeInReach = store != beat.end() && store->is_boolean() && store->get<bool>();
     const auto load = beat.find("load");
     peer.load = load != beat.end() && load->is_number() ? load->get<double>() : 0;
     const auto capacity = beat.find("capacity");
@@ -365,25 +360,7 @@
         m_relay.askAgain();
     }
     readHeld(beat, HolderId{peer.member.callerAddress});
-    if (mayOfferDocument(peer)) {
-        offerDocument(peer);
-    }
-}
-
-bool FleetLinks::mayOfferDocument(const Peer &peer)
-{
-    const TimePoint now = Relay::now();
-    if (peer.documentVersion >= m_documentVersion || now < m_documentAt + m_options.offerDocumentAfter
-        || now < peer.offeredAt + m_options.offerAgainAfter) {
-        return false;
-    }
-    const auto others = std::count_if(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
-        return entry.second.linked && isFresh(entry.second, now) && entry.second.documentVersion >= m_documentVersion;
-    });
-    // By lot, so that those who have it need no word with each other.
-    constexpr std::uint64_t draws = 1024;
-    const double part = m_options.documentOffers / static_cast<double>(1 + others);
-    return static_cast<double>(m_relay.random() % draws) < part * static_cast<double>(draws);
+    readCopyStates(peer.member.incarnation, beat);
 }
 
 void FleetLinks::tellLedger(std::uint64_t revision, const std::string &ledger)
@@ -447,24 +424,6 @@
     notePromptElsewhere(m_relay.state().endpoints, prompt, m_relay.options().choice, Relay::now());
 }
 
-void FleetLinks::onReadingTold(const std::string &body)
-{
-    const json message = fromBytes(body);
-    const bool wellFormed =
-        message.is_array() && message.size() == 2 && message[0].is_string() && message[1].is_number_unsigned();
-    if (wellFormed && onReading) {
-        onReading(message[0].get<std::string>(), message[1].get<std::uint64_t>());
-    }
-}
-
-void FleetLinks::offerDocument(Peer &peer)
-{
-    if (peer.linked && !m_document.empty()) {
-        peer.offeredAt = Relay::now();
-        m_mesh->send(peer.member.incarnation, {DocumentTopic, m_document});
-    }
-}
-
 // Grows with the fleet, so that a router's messages a second do not.
 Duration FleetLinks::beatInterval() const
 {
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -1,12 +1,14 @@
 #pragma once
 
-// What the routers tell each other over their links: that they live, which document they have, what they hold of
-// each budget, and tokens that move from one to another.
+// What the routers tell each other over their links: that they live, what is new in the platform's store, what they hold
+// of each budget, and tokens that move from one to another.
 //
 // A message may be lost with its link; nothing here depends on one. Not thread-safe.
 
 #include "godwit/base/time.h"
+#include "godwit/daemon/prefix_messages.h"
 #include "godwit/gateway/entry_hosts.h"
+#include "godwit/gateway/reading_turns.h"
 #include "godwit/prepaid/tokens_ahead.h"
 #include "godwit/relay/relay.h"
 #include "godwit/router/router_mesh.h"
@@ -60,14 +62,10 @@
     // others' entries take some 150 ms to arrive.
     Duration aloneFor = std::chrono::milliseconds(350);
     Duration aloneInterval = std::chrono::milliseconds(100);
-    // A router whose beat names an older document than this one's gets it, once this one has had it for so long: most
-    // find it by themselves within a few tens of milliseconds.
-    Duration offerDocumentAfter = std::chrono::milliseconds(500);
-    // Of the routers that have the newest document about so many offer it to each that lacks it, and none again within
-    // `offerAgainAfter`. With 90 routers and links of 10 Mbit/s a copy from each kept a host's link busy for seconds,
-    // and its requests failed; a document of 1,500 routes takes such a link a third of a second.
-    double documentOffers = 1.5;
-    Duration offerAgainAfter = std::chrono::seconds(3);
+    // News of the store that are larger than this go to some routers, which pass them on to the rest: a document of 300 KB
+    // for each of 195 routers would keep one host's link busy for seconds.
+    std::size_t relayNewsFrom = 1024;
+    int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
     // is hardly later.
     Duration toldPromptFrom = std::chrono::milliseconds(12);
@@ -121,9 +119,6 @@
     // Sends what other routers wait for and is there now.
     void serveAsks();
 
-    // Tells all others the document in force.
-    void shareDocument(std::uint64_t version, const std::string &text);
-
     // Says now what the next beat would say, such as that this router is leaving.
     void beat();
 
@@ -139,8 +134,17 @@
     // Routers that take requests, this one included.
     int liveCount() const;
 
-    // Tells all others that this router has read everything under `prefix`, and what it found.
-    void tellReading(const std::string &prefix, std::uint64_t digest);
+    // Tells all others what is new under a prefix of the store.
+    void tellNews(const PrefixNews &news);
+
+    // Asks a router for its snapshot of a prefix, where it differs from this router's copy; false when it is not linked.
+    bool askSnapshot(const Incarnation &peer, const PrefixState &own);
+
+    // The same of any router that callers are told of.
+    bool askAnySnapshot(const PrefixState &own);
+
+    // Which of the prefix's readers this router is, if any.
+    std::optional<int> readerRankOf(const std::string &prefix) const;
 
     // Tells all others how the ledger of prepaid totals stands since this router's write.
     void tellLedger(std::uint64_t revision, const std::string &ledger);
@@ -154,11 +158,17 @@
     // Another router has reached the platform's store.
     std::function<void()> onStoreFound;
 
-    // Another router has read everything under the prefix.
-    std::function<void(const std::string &prefix, std::uint64_t digest)> onReading;
+    // Another router has told what is new under a prefix, or what its copy holds.
+    std::function<void(const Incarnation &from, const PrefixNews &news)> onNews;
+
+    // Another router has sent its snapshot.
+    std::function<void(const PrefixSnapshot &)> onSnapshot;
+
+    // Answers another router's request; unset while there is nothing to send.
+    std::function<std::optional<PrefixSnapshot>(const SnapshotRequest &)> snapshotFor;
 
-    // Another router has a newer document than this one.
-    std::function<void(const std::string &text)> onDocument;
+    // What this router's copies hold, for its beats.
+    std::function<std::vector<PrefixState>()> copyStates;
 
 private:
     struct Peer
@@ -167,6 +177,7 @@
         bool linked = false;
         bool listed = false;
         bool ready = false;
+        bool beatHeard = false;
         bool dialled = false;
         double load = 0; // Requests a second.
         TimePoint heardAt;
@@ -174,8 +185,7 @@
         std::optional<TimePoint> unansweredSince;
         TimePoint passedOverUntil;
         TimePoint linkedAt;
-        std::uint64_t documentVersion = 0;
-        TimePoint offeredAt;
+        bool storeInReach = false;
     };
 
     void armBeat();
@@ -205,11 +215,14 @@
     void onWish(const Peer &peer, const std::string &body);
     void onAsk(const Peer &peer, const std::string &body);
     void onLedger(const std::string &body);
-    void onReadingTold(const std::string &body);
+    void onNewsTold(const Incarnation &from, const std::string &body);
+    void onRelayedNews(const std::string &body);
+    bool hasAll(const PrefixState &state) const;
+    void onSnapshotRequest(const Incarnation &from, const std::string &body);
+    void readCopyStates(const Incarnation &from, const nlohmann::json &beat);
+    nlohmann::json copyStatesRow() const;
     void onPromptTold(const std::string &body);
     void onGive(Peer &peer, const std::string &body);
-    bool mayOfferDocument(const Peer &peer);
-    void offerDocument(Peer &peer);
     Duration beatInterval() const;
     bool isFresh(const Peer &peer, TimePoint now) const;
     bool isEntry(const Peer &peer) const;
@@ -239,6 +252,7 @@
     bool m_watchingAnswers = false;
     std::optional<TimePoint> m_readyAt;
     bool m_readyTold = false;
+    bool m_inReachTold = false;
     TimePoint m_beatAt;
     // The least capacity of the hosts that callers are told of.
     double m_leastEntry = 0;
@@ -246,9 +260,6 @@
     double m_fleetLoad = 0;
     std::uint64_t m_requestsBefore = 0;
     TimePoint m_measuredAt;
-    std::uint64_t m_documentVersion = 0;
-    TimePoint m_documentAt; // Since when this router has it.
-    std::string m_document;
     // The shortest prompt that is told now, as reading time in seconds; follows the bound on what is told.
     ExchangeTime m_exchangeTime; // With homes.
     double m_toldFrom = 0;
--- a/godwit/daemon/fleet_messages.h
+++ b/godwit/daemon/fleet_messages.h
@@ -22,9 +22,11 @@
 inline constexpr const char *WishTopic = "wish";
 inline constexpr const char *GiveTopic = "give";
 inline constexpr const char *LedgerTopic = "ledger";
-inline constexpr const char *DocumentTopic = "document";
 inline constexpr const char *FoundTopic = "store-found";
-inline constexpr const char *ReadingTopic = "reading";
+inline constexpr const char *NewsTopic = "news";
+inline constexpr const char *RelayedNewsTopic = "relayed-news";
+inline constexpr const char *SnapshotRequestTopic = "snapshot-request";
+inline constexpr const char *SnapshotTopic = "snapshot";
 inline constexpr const char *PromptTopic = "prompt";
 
 // An array of tokens has room for this many.
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -4,7 +4,7 @@
 #include "godwit/daemon/endpoint_list.h"
 #include "godwit/daemon/fleet_links.h"
 #include "godwit/daemon/gateway_metrics.h"
-#include "godwit/daemon/prefix_watch.h"
+#include "godwit/daemon/shared_prefix.h"
 #include "godwit/relay/caller_connection.h"
 #include "godwit/relay/entry_server.h"
 #include "godwit/relay/listener.h"
@@ -17,6 +17,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -35,6 +36,8 @@
 constexpr std::size_t MaxAddresses = 64;
 // How often idle connections and the settings file are looked at.
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
+// The entries of routers that the links have not told of yet.
+constexpr Duration LiveReadingInterval = std::chrono::seconds(2);
 // How often a line tells what the router has done so far.
 constexpr Duration LoadLineInterval = std::chrono::seconds(5);
 // Of the time that a stop may take: after the first part no new request is taken, so that those under way can end;
@@ -140,9 +143,9 @@
         , m_keeper(m_io, m_relay, m_store, keeperOptions(m_settings, m_self), clock())
         , m_links(m_io, m_relay, linkOptions(m_settings, m_self))
         , m_endpoints(m_io, m_relay)
-        , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, watchDocuments(), reached())
-        , m_endpointWatch(m_io, m_store, std::string(EndpointPrefix), {}, watchEndpoints(), reached())
-        , m_liveWatch(m_io, m_store, LivePrefix, {}, watchLive(), reached())
+        , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, onDocuments(), reached())
+        , m_endpointEntries(m_io, m_store, std::string(EndpointPrefix), {}, onEndpoints(), reached())
+        , m_liveEntries(m_io, m_store, LivePrefix, liveOptions(), onLive(), reached())
         , m_callers(m_io)
         , m_entry(m_io, answerEntry())
         , m_metrics(m_io, answerMetrics())
@@ -161,24 +164,46 @@
         m_relay.onPromptSent = [this](const PromptSent &prompt, Duration reading) {
             m_links.tellPrompt(prompt, reading);
         };
-        m_keeper.onLost = [this] {
-            m_endpoints.onStoreLost();
-        };
         m_keeper.onRegained = [this] {
-            m_endpoints.onStoreRegained();
-            for (PrefixWatch *watch : {&m_documents, &m_endpointWatch, &m_liveWatch}) {
-                watch->askAgain();
+            for (SharedPrefix *prefix : prefixes()) {
+                prefix->askAgain();
+            }
+        };
+        m_keeper.onLiveWritten = [this] {
+            // Whoever wrote its entry before is in this reading, and whoever does later reads this one's.
+            if (!m_liveEntries.isComplete()) {
+                m_liveEntries.readNow();
+            }
+        };
+        m_endpointEntries.onStoreReturn = [this](std::optional<TimePoint> at) {
+            m_endpoints.onStoreReturn(at);
+        };
+        for (SharedPrefix *prefix : prefixes()) {
+            share(*prefix);
+        }
+        m_links.onNews = [this](const Incarnation &from, const PrefixNews &news) {
+            if (SharedPrefix *prefix = prefixNamed(news.state.prefix)) {
+                prefix->onNews(news, [this, from, prefix] {
+                    return m_links.askSnapshot(from, prefix->state());
+                });
             }
         };
-        shareReadings(m_documents, SiteDocumentPrefix);
-        shareReadings(m_endpointWatch, EndpointPrefix);
-        shareReadings(m_liveWatch, LivePrefix);
-        m_links.onReading = [this](const std::string &prefix, std::uint64_t digest) {
-            const auto watch = m_watches.find(prefix);
-            if (watch != m_watches.end()) {
-                watch->second->onReadElsewhere(digest);
+        m_links.onSnapshot = [this](const PrefixSnapshot &snapshot) {
+            if (SharedPrefix *prefix = prefixNamed(snapshot.state.prefix)) {
+                prefix->onSnapshot(snapshot);
             }
         };
+        m_links.snapshotFor = [this](const SnapshotRequest &request) {
+            const SharedPrefix *prefix = prefixNamed(request.prefix);
+            return prefix == nullptr ? std::nullopt : prefix->snapshotFor(request.digest);
+        };
+        m_links.copyStates = [this] {
+            std::vector<PrefixState> states;
+            for (const SharedPrefix *prefix : prefixes()) {
+                states.push_back(prefix->state());
+            }
+            return states;
+        };
         m_keeper.onFoundAgain = [this] {
             m_links.tellStoreFound();
         };
@@ -188,9 +213,6 @@
         m_links.onStoreFound = [this] {
             m_keeper.probeNow();
         };
-        m_links.onDocument = [this](const std::string &text) {
-            takeDocument(text, "router");
-        };
     }
 
     bool start(LastReason &reason)
@@ -214,8 +236,8 @@
             return false;
         }
         m_documents.start();
-        m_endpointWatch.start();
-        m_liveWatch.start();
+        m_endpointEntries.start();
+        m_liveEntries.startLater();
         m_keeper.start();
         waitForSignals();
         armSweep();
@@ -237,21 +259,50 @@
         return options;
     }
 
-    // Routers take turns at reading what their watches may have missed, and tell the others what they found.
-    void shareReadings(PrefixWatch &watch, std::string_view prefix)
+    // The routers' own entries: links and beats tell sooner who comes and goes.
+    static SharedPrefixOptions liveOptions()
+    {
+        SharedPrefixOptions options;
+        options.watched = false;
+        options.readings.every = LiveReadingInterval;
+        return options;
+    }
+
+    std::array<SharedPrefix *, 3> prefixes()
     {
-        m_watches[std::string(prefix)] = &watch;
-        watch.routersSharing = [this] {
+        return {&m_documents, &m_endpointEntries, &m_liveEntries};
+    }
+
+    // Null for a name that this version does not know.
+    SharedPrefix *prefixNamed(const std::string &name)
+    {
+        for (SharedPrefix *prefix : prefixes()) {
+            if (prefix->prefix() == name) {
+                return prefix;
+            }
+        }
+        return nullptr;
+    }
+
+    void share(SharedPrefix &prefix)
+    {
+        prefix.routersSharing = [this] {
             return m_relay.state().liveRouters;
         };
-        watch.onStandby = [this] {
-            return !m_links.isEntry();
+        prefix.readerRank = [this, &prefix] {
+            return m_links.readerRankOf(prefix.prefix());
         };
-        watch.onMissed = [this, prefix = std::string(prefix)] {
-            m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix)}});
+        prefix.storeInReach = [this] {
+            return m_relay.state().platformInReach;
         };
-        watch.onRead = [this, prefix = std::string(prefix)](std::uint64_t digest) {
-            m_links.tellReading(prefix, digest);
+        prefix.onMissed = [this, &prefix] {
+            m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix.prefix())}});
+        };
+        prefix.askAny = [this, &prefix] {
+            return m_links.askAnySnapshot(prefix.state());
+        };
+        prefix.tell = [this](const PrefixNews &news) {
+            m_links.tellNews(news);
         };
     }
 
@@ -269,26 +320,25 @@
         };
     }
 
-    std::function<void(const PrefixWatch::Items &)> watchDocuments()
+    std::function<void(const SharedPrefix::Items &)> onDocuments()
     {
-        return [this](const PrefixWatch::Items &items) {
+        return [this](const SharedPrefix::Items &items) {
             m_relay.state().documentAsOf = m_documents.asOf();
             const auto found = items.find(std::string(SiteDocumentKey));
             if (found != items.end() && found->second.revision != m_documentRevision) {
                 m_documentRevision = found->second.revision;
-                takeDocument(found->second.value, "platform");
+                takeDocument(found->second.value);
             }
         };
     }
 
-    void takeDocument(const std::string &text, std::string_view source)
+    void takeDocument(const std::string &text)
     {
         LastReason reason;
         auto document = decodeSiteDocument(text, reason);
         if (!document) {
             m_log.write("document_refused",
                         {{"revision", static_cast<std::int64_t>(m_documentRevision)},
-                         {"source", source},
                          {"cause", std::string_view(reason->message)}});
             return;
         }
@@ -300,7 +350,6 @@
         m_log.write("document_in_force",
                     {{"document", static_cast<std::int64_t>(version)},
                      {"before", static_cast<std::int64_t>(state.routes ? state.routes->document.version : 0)},
-                     {"source", source},
                      {"routes", static_cast<std::int64_t>(document->routes.size())}});
         std::map<CustomerId, std::optional<Tokens>> totals;
         for (const PrepaidCustomer &customer : document->customers) {
@@ -308,23 +357,22 @@
         }
         state.routes = makeRouteTable(std::move(*document));
         applyTotals(state.prepaid, version, totals);
-        m_links.shareDocument(version, text);
         checkStage();
         m_keeper.hurry();
     }
 
-    std::function<void(const PrefixWatch::Items &)> watchEndpoints()
+    std::function<void(const SharedPrefix::Items &)> onEndpoints()
     {
-        return [this](const PrefixWatch::Items &items) {
-            m_relay.state().endpointsAsOf = m_endpointWatch.asOf();
+        return [this](const SharedPrefix::Items &items) {
+            m_relay.state().endpointsAsOf = m_endpointEntries.asOf();
             m_endpoints.onListed(items);
             checkStage();
         };
     }
 
-    std::function<void(const PrefixWatch::Items &)> watchLive()
+    std::function<void(const SharedPrefix::Items &)> onLive()
     {
-        return [this](const PrefixWatch::Items &items) {
+        return [this](const SharedPrefix::Items &items) {
             std::vector<FleetMember> members;
             for (const auto &[key, item] : items) {
                 if (auto member = decodeMember(item.value)) {
@@ -340,7 +388,7 @@
     void checkStage()
     {
         auto &state = m_relay.state();
-        if (state.stage == RelayStage::Starting && state.routes && m_endpointWatch.isComplete()) {
+        if (state.stage == RelayStage::Starting && state.routes && m_endpointEntries.isComplete()) {
             setStage(RelayStage::Serving, "serving");
             m_keeper.hurry();
         }
@@ -442,6 +490,9 @@
                 return;
             }
             m_relay.pool().sweep(Relay::now());
+            for (SharedPrefix *prefix : prefixes()) {
+                prefix->checkRole();
+            }
             renewCopiesIfBehind();
             logLoad();
             if (m_settingsText.empty()) {
@@ -480,17 +531,17 @@
     void renewCopiesIfBehind()
     {
         RelayState &state = m_relay.state();
-        state.endpointsAsOf = m_endpointWatch.asOf();
+        state.endpointsAsOf = m_endpointEntries.asOf();
         state.documentAsOf = m_documents.asOf();
         const bool queueEmpty = Relay::now() >= state.behindAt + m_relay.options().behindFor;
         if (state.behindAt == TimePoint{} || !queueEmpty || !m_relay.isBehind(Relay::now())) {
             return;
         }
         if (state.endpointsAsOf < state.behindAt) {
-            m_endpointWatch.readNow();
+            m_endpointEntries.confirm();
         }
         if (state.documentAsOf < state.behindAt) {
-            m_documents.readNow();
+            m_documents.confirm();
         }
     }
 
@@ -573,10 +624,9 @@
     BudgetKeeper m_keeper;
     FleetLinks m_links;
     EndpointList m_endpoints;
-    PrefixWatch m_documents;
-    PrefixWatch m_endpointWatch;
-    PrefixWatch m_liveWatch;
-    std::map<std::string, PrefixWatch *> m_watches; // By prefix.
+    SharedPrefix m_documents;
+    SharedPrefix m_endpointEntries;
+    SharedPrefix m_liveEntries;
     Listener m_callers;
     EntryServer m_entry;
     EntryServer m_metrics;
--- /dev/null
+++ b/godwit/daemon/prefix_messages.cpp
@@ -0,0 +1,144 @@
+#include "godwit/daemon/prefix_messages.h"
+
+#include "godwit/daemon/fleet_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Godwit
+{
+namespace
+{
+
+using nlohmann::json;
+using namespace internal;
+
+constexpr std::int64_t NotAway = -1;
+constexpr std::int64_t NotKnown = -2;
+
+std::int64_t toMilliseconds(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+json encodeItems(const std::vector<StoreItem> &items)
+{
+    json rows = json::array();
+    for (const StoreItem &item : items) {
+        rows.push_back(json::array({item.key, item.value, item.revision, item.removed}));
+    }
+    return rows;
+}
+
+std::vector<StoreItem> readItems(const json &rows)
+{
+    std::vector<StoreItem> items;
+    for (const json &row : rows) {
+        items.push_back(StoreItem{row.at(0).get<std::string>(),
+                                  row.at(1).get<std::string>(),
+                                  row.at(2).get<std::uint64_t>(),
+                                  row.at(3).get<bool>()});
+    }
+    return items;
+}
+
+std::int64_t encodeReturn(const StoreReturn &storeReturn)
+{
+    if (!storeReturn.known) {
+        return NotKnown;
+    }
+    return storeReturn.ago ? toMilliseconds(*storeReturn.ago) : NotAway;
+}
+
+StoreReturn readReturn(std::int64_t told)
+{
+    StoreReturn storeReturn;
+    storeReturn.known = told != NotKnown;
+    if (told >= 0) {
+        storeReturn.ago = std::chrono::milliseconds(told);
+    }
+    return storeReturn;
+}
+
+// `read` gets the message; what it throws means that the message is malformed.
+template<typename Message, typename Read>
+std::optional<Message> decode(const std::string &bytes, Read read)
+{
+    const json message = fromBytes(bytes);
+    if (!message.is_array()) {
+        return std::nullopt;
+    }
+    try {
+        return read(message);
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encodeNews(const PrefixNews &news)
+{
+    return toBytes(json::array({news.state.prefix,
+                                news.state.completeTo,
+                                news.state.digest,
+                                news.fromReading,
+                                news.truncated,
+                                encodeReturn(news.storeReturn),
+                                encodeItems(news.changes)}));
+}
+
+std::optional<PrefixNews> decodeNews(const std::string &bytes)
+{
+    return decode<PrefixNews>(bytes, [](const json &message) {
+        PrefixNews news;
+        news.state.prefix = message.at(0).get<std::string>();
+        news.state.completeTo = message.at(1).get<std::uint64_t>();
+        news.state.digest = message.at(2).get<std::uint64_t>();
+        news.fromReading = message.at(3).get<bool>();
+        news.truncated = message.at(4).get<bool>();
+        news.storeReturn = readReturn(message.at(5).get<std::int64_t>());
+        news.changes = readItems(message.at(6));
+        return news;
+    });
+}
+
+std::string encodeSnapshot(const PrefixSnapshot &snapshot)
+{
+    return toBytes(json::array({snapshot.state.prefix,
+                                snapshot.state.completeTo,
+                                snapshot.state.digest,
+                                toMilliseconds(snapshot.age),
+                                snapshot.stamp,
+                                snapshot.items ? encodeItems(*snapshot.items) : json()}));
+}
+
+std::optional<PrefixSnapshot> decodeSnapshot(const std::string &bytes)
+{
+    return decode<PrefixSnapshot>(bytes, [](const json &message) {
+        PrefixSnapshot snapshot;
+        snapshot.state.prefix = message.at(0).get<std::string>();
+        snapshot.state.completeTo = message.at(1).get<std::uint64_t>();
+        snapshot.state.digest = message.at(2).get<std::uint64_t>();
+        snapshot.age = std::chrono::milliseconds(message.at(3).get<std::int64_t>());
+        snapshot.stamp = message.at(4).get<std::int64_t>();
+        if (!message.at(5).is_null()) {
+            snapshot.items = readItems(message.at(5));
+        }
+        return snapshot;
+    });
+}
+
+std::string encodeSnapshotRequest(const SnapshotRequest &request)
+{
+    return toBytes(json::array({request.prefix, request.stamp, request.digest}));
+}
+
+std::optional<SnapshotRequest> decodeSnapshotRequest(const std::string &bytes)
+{
+    return decode<SnapshotRequest>(bytes, [](const json &message) {
+        return SnapshotRequest{
+            message.at(0).get<std::string>(), message.at(1).get<std::int64_t>(), message.at(2).get<std::uint64_t>()};
+    });
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/prefix_messages.h
@@ -0,0 +1,66 @@
+#pragma once
+
+// What routers tell each other of the store's prefixes: deltas, digests and snapshots, as CBOR.
+//
+// Decoding never throws: a message of another version, or a broken one, reads as nothing.
+
+#include "godwit/base/time.h"
+#include "godwit/gateway/store_item.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Godwit
+{
+
+// What a copy of a prefix holds, without its entries.
+struct PrefixState
+{
+    std::string prefix;
+    std::uint64_t completeTo = 0; // The store's revision up to which nothing is missing.
+    std::uint64_t digest = 0;
+};
+
+// Whether the store was away lately: entries on leases may lapse meanwhile, and come back after its return.
+struct StoreReturn
+{
+    bool known = false; // A router that has just come, or was cut off itself, can't say.
+    std::optional<Duration> ago; // Unset: it was not away.
+};
+
+struct PrefixNews
+{
+    PrefixState state; // Of the sender's copy, these changes applied.
+    bool fromReading = false; // The sender has just read everything under the prefix.
+    bool truncated = false; // Some changes are too large to be told.
+    StoreReturn storeReturn;
+    std::vector<StoreItem> changes;
+};
+
+struct PrefixSnapshot
+{
+    PrefixState state;
+    Duration age{}; // Since the sender last heard of a reading.
+    std::int64_t stamp = 0; // Of the request that is answered.
+    std::optional<std::vector<StoreItem>> items; // Unset: the asker has them.
+};
+
+struct SnapshotRequest
+{
+    std::string prefix;
+    std::int64_t stamp = 0; // The asker's clock; comes back with the answer.
+    std::uint64_t digest = 0; // Of the asker's copy.
+};
+
+std::string encodeNews(const PrefixNews &news);
+std::optional<PrefixNews> decodeNews(const std::string &bytes);
+
+std::string encodeSnapshot(const PrefixSnapshot &snapshot);
+std::optional<PrefixSnapshot> decodeSnapshot(const std::string &bytes);
+
+std::string encodeSnapshotRequest(const SnapshotRequest &request);
+std::optional<SnapshotRequest> decodeSnapshotRequest(const std::string &bytes);
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/shared_prefix.cpp
@@ -0,0 +1,379 @@
+#include "godwit/daemon/shared_prefix.h"
+
+#include "godwit/relay/relay.h"
+
+#include <algorithm>
+#include <random>
+
+namespace Godwit
+{
+namespace
+{
+
+// From 0 to 1.
+double drawLot()
+{
+    static std::minstd_rand lots{std::random_device{}()};
+    return std::uniform_real_distribution<double>(0, 1)(lots);
+}
+
+} // namespace
+
+SharedPrefix::SharedPrefix(boost::asio::io_context &io,
+                           StoreClient &store,
+                           std::string prefix,
+                           SharedPrefixOptions options,
+                           std::function<void(const Items &)> changed,
+                           std::function<void(bool)> reached)
+    : m_timer(io)
+    , m_readingTimer(io)
+    , m_renewTimer(io)
+    , m_store(store)
+    , m_prefix(std::move(prefix))
+    , m_options(options)
+    , m_changed(std::move(changed))
+    , m_reached(std::move(reached))
+{
+}
+
+void SharedPrefix::start()
+{
+    m_started = true;
+    readAll();
+    armReading();
+}
+
+void SharedPrefix::startLater()
+{
+    armReading();
+}
+
+bool SharedPrefix::inReach() const
+{
+    return !storeInReach || storeInReach();
+}
+
+std::optional<int> SharedPrefix::rank() const
+{
+    if (!inReach()) {
+        return std::nullopt;
+    }
+    return readerRank ? readerRank() : 0;
+}
+
+void SharedPrefix::armReading()
+{
+    // The readers alone take turns as long as there are any.
+    const bool standby = !rank();
+    const int routers = routersSharing ? routersSharing() : 1;
+    const int sharing = standby ? routers : std::min(routers, m_options.readings.readers);
+    m_readingTimer.expires_at(nextReading(m_options.readings, Relay::now(), sharing, drawLot(), standby));
+    m_readingTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            readInTurn();
+        }
+    });
+}
+
+void SharedPrefix::readInTurn()
+{
+    if (inReach() && m_copy.complete) {
+        read(true);
+    } else if (inReach()) {
+        readAll();
+    }
+    armReading();
+}
+
+void SharedPrefix::readNow()
+{
+    if (m_copy.complete) {
+        read(false);
+    } else {
+        readAll();
+    }
+}
+
+void SharedPrefix::read(bool inTurn)
+{
+    m_store.range(m_prefix, [this, inTurn, began = Relay::now()](const StoreItemsReply &reply) {
+        m_reached(reply.status == StoreStatus::Ok);
+        if (reply.status == StoreStatus::Ok) {
+            onRead(reply, began, inTurn);
+        }
+    });
+}
+
+void SharedPrefix::onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn)
+{
+    // Calls go over several connections, and their answers overtake each other.
+    if (reply.at < m_copy.completeTo) {
+        return;
+    }
+    noteOwnReading();
+    m_asOf = std::max(m_asOf, began);
+    const auto changes = adoptSnapshot(m_copy, reply.items, reply.at);
+    if (!changes.empty()) {
+        m_changed(m_copy.items);
+    }
+    if (!changes.empty() && m_following && onMissed) {
+        onMissed();
+    }
+    if (inTurn) {
+        tellOthers(changes, true);
+    }
+}
+
+void SharedPrefix::noteOwnReading()
+{
+    if (!m_readAt) {
+        m_firstReadAt = Relay::now();
+    }
+    noteReading(StoreReturn{});
+}
+
+// A router that heard of readings all the while knows best. One that did not takes its silence for a loss of the store
+// until such a router says otherwise: after a cut of its own, or with its link full, it would keep endpoints that left.
+void SharedPrefix::noteReading(const StoreReturn &told)
+{
+    const TimePoint now = Relay::now();
+    const bool wasSilent = m_readAt && now >= *m_readAt + m_options.shortestLapse;
+    m_readAt = now;
+    if (m_returnedAt && now >= *m_returnedAt + m_options.newcomerFor) {
+        m_returnedAt.reset();
+        m_returnGuessed = false;
+    }
+    if (told.known && (wasSilent || m_returnGuessed)) {
+        m_returnGuessed = false;
+        m_returnedAt = told.ago ? std::optional(now - *told.ago) : std::nullopt;
+    } else if (wasSilent) {
+        m_returnGuessed = true;
+        m_returnedAt = now;
+    }
+    if (onStoreReturn) {
+        onStoreReturn(m_returnedAt);
+    }
+}
+
+StoreReturn SharedPrefix::storeReturn() const
+{
+    const TimePoint now = Relay::now();
+    StoreReturn storeReturn;
+    storeReturn.known = !m_returnGuessed && now >= m_firstReadAt + m_options.newcomerFor;
+    if (m_returnedAt) {
+        storeReturn.ago = now - *m_returnedAt;
+    }
+    return storeReturn;
+}
+
+void SharedPrefix::tellOthers(const std::vector<StoreItem> &changes, bool fromReading)
+{
+    if (!tell) {
+        return;
+    }
+    PrefixNews news;
+    news.state = state();
+    news.fromReading = fromReading;
+    news.storeReturn = storeReturn();
+    for (const StoreItem &change : changes) {
+        if (change.value.size() <= m_options.longestToldValue) {
+            news.changes.push_back(change);
+        } else {
+            news.truncated = true;
+        }
+    }
+    tell(news);
+}
+
+void SharedPrefix::onNews(const PrefixNews &news, const Ask &askSender)
+{
+    if (news.fromReading) {
+        armReading();
+        noteReading(news.storeReturn);
+    }
+    if (!applyDelta(m_copy, news.changes).empty() && m_copy.complete) {
+        m_changed(m_copy.items);
+    }
+    if (m_copy.complete && digestOf(m_copy) == news.state.digest) {
+        markComplete(m_copy, news.state.completeTo);
+        return;
+    }
+    if (news.truncated && inReach()) {
+        renew(news.state, std::chrono::duration_cast<Duration>(m_options.readSpread * drawLot()), nullptr);
+    } else if (news.state.completeTo > m_copy.completeTo || news.truncated) {
+        renew(news.state, m_copy.complete ? m_options.missedAfter : Duration::zero(), askSender);
+    }
+}
+
+// Catches up with a copy that holds more: from a fellow if `ask` is set, and if that brings nothing from the store.
+void SharedPrefix::renew(const PrefixState &elsewhere, Duration after, const Ask &ask)
+{
+    if (std::exchange(m_renewing, true)) {
+        return;
+    }
+    m_renewTimer.expires_after(after);
+    m_renewTimer.async_wait([this, elsewhere, ask](const boost::system::error_code &error) {
+        m_renewing = false;
+        const bool caughtUp = m_copy.completeTo > elsewhere.completeTo || digestOf(m_copy) == elsewhere.digest;
+        if (error || (m_copy.complete && caughtUp)) {
+            return;
+        }
+        if (ask && ask()) {
+            renew(elsewhere, m_options.snapshotLimit, nullptr);
+        } else if (inReach()) {
+            readNow();
+        }
+    });
+}
+
+void SharedPrefix::confirm()
+{
+    if (!askAny || !askAny()) {
+        readNow();
+    }
+}
+
+void SharedPrefix::onSnapshot(const PrefixSnapshot &snapshot)
+{
+    if (snapshot.items) {
+        const bool first = !m_copy.complete;
+        const auto changes = adoptSnapshot(m_copy, *snapshot.items, snapshot.state.completeTo);
+        if (first || !changes.empty()) {
+            m_changed(m_copy.items);
+        }
+    } else if (digestOf(m_copy) == snapshot.state.digest) {
+        markComplete(m_copy, snapshot.state.completeTo);
+    } else {
+        return;
+    }
+    m_asOf = std::max(m_asOf, TimePoint(Duration(snapshot.stamp)) - snapshot.age);
+}
+
+std::optional<PrefixSnapshot> SharedPrefix::snapshotFor(std::uint64_t digest) const
+{
+    if (!m_copy.complete) {
+        return std::nullopt;
+    }
+    PrefixSnapshot snapshot;
+    snapshot.state = state();
+    // While the store is away from here too, there is nothing newer to have.
+    snapshot.age = inReach() && m_readAt ? Relay::now() - *m_readAt : Duration::zero();
+    if (digest != snapshot.state.digest) {
+        snapshot.items = itemsOf(m_copy);
+    }
+    return snapshot;
+}
+
+PrefixState SharedPrefix::state() const
+{
+    return PrefixState{m_prefix, m_copy.completeTo, digestOf(m_copy)};
+}
+
+void SharedPrefix::checkRole()
+{
+    const bool watches = m_options.watched && m_copy.complete && rank();
+    if (watches == m_following) {
+        return;
+    }
+    m_following = watches;
+    ++m_round;
+    m_timer.cancel();
+    m_store.dropWatch(m_prefix);
+    if (watches) {
+        m_watchedTo = m_copy.completeTo;
+        follow();
+    }
+}
+
+void SharedPrefix::askAgain()
+{
+    ++m_round;
+    m_timer.cancel();
+    m_store.dropWatch(m_prefix);
+    m_following = false;
+    if (m_copy.complete) {
+        // By then the others have said that they reach it too.
+        later(m_options.gather, [this] {
+            checkRole();
+        });
+    } else if (m_started) {
+        readAll();
+    }
+}
+
+void SharedPrefix::readAll()
+{
+    m_store.range(m_prefix, [this, round = ++m_round, began = Relay::now()](const StoreItemsReply &reply) {
+        if (round != m_round) {
+            return;
+        }
+        m_reached(reply.status == StoreStatus::Ok);
+        if (reply.status != StoreStatus::Ok) {
+            later(m_options.retry, [this] {
+                readAll();
+            });
+            return;
+        }
+        noteOwnReading();
+        adoptSnapshot(m_copy, reply.items, reply.at);
+        m_asOf = std::max(m_asOf, began);
+        m_changed(m_copy.items);
+    });
+}
+
+void SharedPrefix::follow()
+{
+    m_store.watch(m_prefix, m_watchedTo, m_options.wait, [this, round = ++m_round](const StoreItemsReply &reply) {
+        if (round == m_round) {
+            onWatched(reply);
+        }
+    });
+}
+
+void SharedPrefix::onWatched(const StoreItemsReply &reply)
+{
+    m_reached(reply.status == StoreStatus::Ok || reply.status == StoreStatus::HistoryGone);
+    if (reply.status != StoreStatus::Ok) {
+        const bool gone = reply.status == StoreStatus::HistoryGone;
+        if (gone) {
+            read(true);
+        }
+        m_following = false;
+        later(gone ? m_options.gather : m_options.retry, [this] {
+            checkRole();
+        });
+        return;
+    }
+    m_watchedTo = std::max(m_watchedTo, reply.at);
+    if (reply.items.empty()) {
+        follow();
+        return;
+    }
+    later(m_options.readerDelay * rank().value_or(0), [this, reply] {
+        takeWatched(reply);
+    });
+}
+
+void SharedPrefix::takeWatched(const StoreItemsReply &reply)
+{
+    const auto news = applyDelta(m_copy, reply.items);
+    if (!news.empty()) {
+        m_changed(m_copy.items);
+        tellOthers(news, false);
+    }
+    later(m_options.gather, [this] {
+        follow();
+    });
+}
+
+void SharedPrefix::later(Duration pause, const std::function<void()> &step)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this, step, round = m_round](const boost::system::error_code &error) {
+        if (!error && round == m_round) {
+            step();
+        }
+    });
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/daemon/shared_prefix.h
@@ -0,0 +1,182 @@
+#pragma once
+
+// Keeps a copy of everything under one prefix of the platform's store, together with the other routers.
+//
+// A few routers, the readers, watch the prefix, read everything again in turns, and tell the others what is new; those
+// compare digests, and ask a fellow for a snapshot where theirs differs. So the store's calls follow the changes and
+// not the size of the fleet, and a router that can't reach the store still learns what the others read. A router that
+// hears of no reading reads by itself (reading_turns.h). Not thread-safe.
+//
+// Example:
+//   SharedPrefix endpoints(io, store, "servers/", options, [](const SharedPrefix::Items &items) { ... }, reached);
+//   endpoints.tell = [](const PrefixNews &news) { ... to all others ... };
+//   endpoints.start();
+
+#include "godwit/base/time.h"
+#include "godwit/daemon/prefix_messages.h"
+#include "godwit/gateway/prefix_copy.h"
+#include "godwit/gateway/reading_turns.h"
+#include "platform/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Godwit
+{
+
+struct SharedPrefixOptions
+{
+    // Where changes may be known a little later, the readings alone bring them.
+    bool watched = true;
+    // Longer waits cost fewer calls; a connection that went silent is noticed no sooner than this.
+    Duration wait = std::chrono::seconds(8);
+    // Of the first reading, while the store is out of reach.
+    Duration retry = std::chrono::milliseconds(1500);
+    // After an answer, so that a series of changes comes in one.
+    Duration gather = std::chrono::milliseconds(100);
+    ReadingOptions readings;
+    // A message can overtake another one, from another router, by this much.
+    Duration missedAfter = std::chrono::milliseconds(100);
+    // A fellow that has not sent its snapshot by then is left alone, and the store asked.
+    Duration snapshotLimit = std::chrono::milliseconds(300);
+    // What each further reader leaves to the one before it: else all of them would tell the same.
+    Duration readerDelay = std::chrono::milliseconds(25);
+    // A larger value is read by each router, spread over `readSpread`: passing it on keeps small hosts' links busy, and the
+    // tokens that go over them late.
+    std::size_t longestToldValue = 64UL * 1024;
+    Duration readSpread = std::chrono::milliseconds(300);
+    // Entries on leases can lapse while the store is away for so long.
+    Duration shortestLapse = std::chrono::seconds(2);
+    // A process that has read for the first time within this time can't say whether the store was away.
+    Duration newcomerFor = std::chrono::seconds(3);
+};
+
+class SharedPrefix
+{
+public:
+    using Items = std::map<std::string, StoreItem>;
+    // Asks a fellow for its snapshot; false when it can't be asked.
+    using Ask = std::function<bool()>;
+
+    // `changed` gets the whole copy after each change; `reached` says after each answer whether the store spoke.
+    SharedPrefix(boost::asio::io_context &io,
+                 StoreClient &store,
+                 std::string prefix,
+                 SharedPrefixOptions options,
+                 std::function<void(const Items &)> changed,
+                 std::function<void(bool)> reached);
+
+    // Reads everything, and goes on in turns.
+    void start();
+
+    // Waits for its turn instead, or for a fellow's snapshot.
+    void startLater();
+
+    // Begins or ends to watch, where the role of this router has changed.
+    void checkRole();
+
+    // A fellow has told changes, or what its copy holds.
+    void onNews(const PrefixNews &news, const Ask &askSender);
+
+    // A fellow has sent what it was asked for.
+    void onSnapshot(const PrefixSnapshot &snapshot);
+
+    // What a fellow gets whose copy has that digest; unset while this copy is not complete.
+    std::optional<PrefixSnapshot> snapshotFor(std::uint64_t digest) const;
+
+    // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
+    void askAgain();
+
+    // Reads everything now, for this router alone.
+    void readNow();
+
+    // Makes sure that the copy is as new as those of the others: asks one of them, or else the store.
+    void confirm();
+
+    // What the copy holds now.
+    PrefixState state() const;
+
+    const std::string &prefix() const
+    {
+        return m_prefix;
+    }
+
+    // The copy is at least as new as this, or as new as the fellow's that was asked then while nobody reached the store.
+    TimePoint asOf() const
+    {
+        return m_asOf;
+    }
+
+    // Whether the copy has been complete once.
+    bool isComplete() const
+    {
+        return m_copy.complete;
+    }
+
+    // All other routers are to be told.
+    std::function<void(const PrefixNews &)> tell;
+
+    // Asks any fellow for its snapshot.
+    Ask askAny;
+
+    // Called when a reading showed changes that this router's watch had not brought.
+    std::function<void()> onMissed;
+
+    // Called with each reading, before its changes: when the store came back, if it was away lately.
+    std::function<void(std::optional<TimePoint>)> onStoreReturn;
+
+    // Which of the readers this router is, if any; unset: the first.
+    std::function<std::optional<int>()> readerRank;
+
+    // Whether the store answers this router; unset: it does.
+    std::function<bool()> storeInReach;
+
+    // How many routers share the readings.
+    std::function<int()> routersSharing;
+
+private:
+    void readAll();
+    void follow();
+    void onWatched(const StoreItemsReply &reply);
+    void takeWatched(const StoreItemsReply &reply);
+    void armReading();
+    void readInTurn();
+    void read(bool inTurn);
+    void onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn);
+    void noteOwnReading();
+    void noteReading(const StoreReturn &told);
+    StoreReturn storeReturn() const;
+    void tellOthers(const std::vector<StoreItem> &changes, bool fromReading);
+    void renew(const PrefixState &elsewhere, Duration after, const Ask &ask);
+    std::optional<int> rank() const;
+    bool inReach() const;
+    void later(Duration pause, const std::function<void()> &step);
+
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_readingTimer;
+    boost::asio::steady_timer m_renewTimer;
+    StoreClient &m_store;
+    std::string m_prefix;
+    SharedPrefixOptions m_options;
+    std::function<void(const Items &)> m_changed;
+    std::function<void(bool)> m_reached;
+    PrefixCopy m_copy;
+    std::uint64_t m_watchedTo = 0;
+    bool m_started = false;
+    bool m_following = false;
+    bool m_renewing = false;
+    TimePoint m_asOf;
+    TimePoint m_firstReadAt;
+    std::optional<TimePoint> m_readAt; // The last reading, of whichever router.
+    std::optional<TimePoint> m_returnedAt; // The end of the store's last absence, while it matters.
+    bool m_returnGuessed = false; // From this router's own silence.
+    std::uint64_t m_round = 0; // Answers to calls of earlier rounds come too late.
+};
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/gateway/prefix_copy.cpp
@@ -0,0 +1,115 @@
+#include "godwit/gateway/prefix_copy.h"
+
+#include "godwit/base/hash.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+namespace
+{
+
+// The newest revision that the copy knows of `key`, or 0.
+std::uint64_t knownRevision(const PrefixCopy &copy, const std::string &key)
+{
+    const auto item = copy.items.find(key);
+    const auto removal = copy.removed.find(key);
+    return std::max(item == copy.items.end() ? 0 : item->second.revision,
+                    removal == copy.removed.end() ? 0 : removal->second);
+}
+
+// What turns `before` into `after`. An entry that went counts as removed at `at`.
+std::vector<StoreItem> difference(const std::map<std::string, StoreItem> &before,
+                                  const std::map<std::string, StoreItem> &after,
+                                  std::uint64_t at)
+{
+    std::vector<StoreItem> changes;
+    for (const auto &[key, item] : after) {
+        const auto found = before.find(key);
+        if (found == before.end() || found->second.revision != item.revision) {
+            changes.push_back(item);
+        }
+    }
+    for (const auto &[key, item] : before) {
+        if (after.count(key) == 0) {
+            changes.push_back(StoreItem{key, "", at, true});
+        }
+    }
+    return changes;
+}
+
+} // namespace
+
+std::vector<StoreItem> adoptSnapshot(PrefixCopy &copy, const std::vector<StoreItem> &items, std::uint64_t at)
+{
+    if (copy.complete && at < copy.completeTo) {
+        return {};
+    }
+    std::map<std::string, StoreItem> entries;
+    for (const auto &[key, item] : copy.items) {
+        if (item.revision > at) {
+            entries[key] = item;
+        }
+    }
+    for (const StoreItem &item : items) {
+        if (item.revision >= knownRevision(copy, item.key)) {
+            entries[item.key] = item;
+        }
+    }
+    auto changes = difference(copy.items, entries, at);
+    copy.items = std::move(entries);
+    copy.complete = true;
+    markComplete(copy, at);
+    return changes;
+}
+
+std::vector<StoreItem> applyDelta(PrefixCopy &copy, const std::vector<StoreItem> &changes)
+{
+    std::map<std::string, StoreItem> news;
+    for (const StoreItem &change : changes) {
+        if (change.revision <= copy.completeTo || change.revision <= knownRevision(copy, change.key)) {
+            continue;
+        }
+        if (change.removed) {
+            copy.items.erase(change.key);
+            copy.removed[change.key] = change.revision;
+        } else {
+            copy.items[change.key] = change;
+            copy.removed.erase(change.key);
+        }
+        news[change.key] = change;
+    }
+    std::vector<StoreItem> newest;
+    for (auto &[key, change] : news) {
+        newest.push_back(std::move(change));
+    }
+    return newest;
+}
+
+void markComplete(PrefixCopy &copy, std::uint64_t revision)
+{
+    copy.completeTo = std::max(copy.completeTo, revision);
+    for (auto it = copy.removed.begin(); it != copy.removed.end();) {
+        it = it->second <= copy.completeTo ? copy.removed.erase(it) : std::next(it);
+    }
+}
+
+std::uint64_t digestOf(const PrefixCopy &copy)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, item] : copy.items) {
+        sum += rendezvousWeight(key, std::to_string(item.revision));
+    }
+    return sum;
+}
+
+std::vector<StoreItem> itemsOf(const PrefixCopy &copy)
+{
+    std::vector<StoreItem> items;
+    for (const auto &[key, item] : copy.items) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/gateway/prefix_copy_test.cpp
@@ -0,0 +1,137 @@
+#include "godwit/gateway/prefix_copy.h"
+#include "godwit/gateway/reading_turns.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace Godwit;
+
+namespace
+{
+
+StoreItem entry(const std::string &key, std::uint64_t revision, const std::string &value = "ready")
+{
+    return StoreItem{key, value, revision, false};
+}
+
+StoreItem removal(const std::string &key, std::uint64_t revision)
+{
+    return StoreItem{key, "", revision, true};
+}
+
+// What the store holds after each of its changes, which are numbered from 1.
+struct History
+{
+    explicit History(unsigned seed)
+    {
+        std::mt19937 random(seed);
+        std::map<std::string, StoreItem> items;
+        states.push_back(items);
+        for (std::uint64_t revision = 1; revision <= 60; ++revision) {
+            const std::string key(1, static_cast<char>('a' + random() % 6));
+            const bool goes = items.count(key) != 0 && random() % 3 == 0;
+            changes.push_back(goes ? removal(key, revision) : entry(key, revision));
+            if (goes) {
+                items.erase(key);
+            } else {
+                items[key] = changes.back();
+            }
+            states.push_back(items);
+        }
+    }
+
+    std::vector<StoreItem> snapshot(std::uint64_t at) const
+    {
+        std::vector<StoreItem> items;
+        for (const auto &[key, item] : states[at]) {
+            items.push_back(item);
+        }
+        return items;
+    }
+
+    std::vector<StoreItem> changes;
+    std::vector<std::map<std::string, StoreItem>> states; // By revision.
+};
+
+} // namespace
+
+TEST_CASE("deltas and snapshots in any order, and twice, end in what the store holds")
+{
+    // Two readers tell a router of changes, and a third sends a snapshot; links are of different speed, so that older
+    // news comes after newer. An entry that had left came back, or a newer one gave way to an older.
+    for (unsigned seed = 0; seed < 200; ++seed) {
+        const History history(seed);
+        std::mt19937 random(seed);
+        std::vector<std::vector<StoreItem>> deltas;
+        for (int teller = 0; teller < 2; ++teller) {
+            for (const StoreItem &change : history.changes) {
+                deltas.push_back({change});
+            }
+        }
+        std::shuffle(deltas.begin(), deltas.end(), random);
+        PrefixCopy copy;
+        for (const auto &delta : deltas) {
+            applyDelta(copy, delta);
+            if (random() % 20 == 0) {
+                const std::uint64_t at = random() % history.states.size();
+                adoptSnapshot(copy, history.snapshot(at), at);
+            }
+        }
+        adoptSnapshot(copy, history.snapshot(30), 30);
+        INFO("seed " << seed);
+        PrefixCopy whole;
+        adoptSnapshot(whole, history.snapshot(60), 60);
+        CHECK(digestOf(copy) == digestOf(whole));
+    }
+}
+
+TEST_CASE("a snapshot says what it changes, and an older one changes nothing")
+{
+    PrefixCopy copy;
+    CHECK(adoptSnapshot(copy, {entry("a", 3), entry("b", 4)}, 5).size() == 2);
+    const auto changes = adoptSnapshot(copy, {entry("b", 7, "draining")}, 8);
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].key == "b");
+    CHECK(changes[1].removed);
+    CHECK(changes[1].revision == 8);
+    CHECK(adoptSnapshot(copy, {entry("a", 3), entry("b", 4)}, 6).empty());
+    CHECK(copy.items.count("a") == 0);
+}
+
+TEST_CASE("an entry that left stays away when an older delta comes late")
+{
+    PrefixCopy copy;
+    adoptSnapshot(copy, {entry("a", 3)}, 5);
+    CHECK(applyDelta(copy, {removal("a", 9)}).size() == 1);
+    CHECK(applyDelta(copy, {entry("a", 7, "draining")}).empty());
+    CHECK(copy.items.empty());
+    // Also once a fellow with an equal copy has told to which revision it is complete.
+    markComplete(copy, 9);
+    CHECK(copy.removed.empty());
+    CHECK(applyDelta(copy, {entry("a", 7, "draining")}).empty());
+    CHECK(applyDelta(copy, {entry("a", 10)}).size() == 1);
+}
+
+TEST_CASE("routers that see the same others agree on who reads, and one steps in for each that goes")
+{
+    std::vector<std::uint64_t> weights{50, 20, 90, 70, 10};
+    const auto readers = [&weights] {
+        std::vector<std::uint64_t> chosen;
+        for (const std::uint64_t own : weights) {
+            auto others = weights;
+            others.erase(std::find(others.begin(), others.end(), own));
+            if (readerRank(own, others, 2)) {
+                chosen.push_back(own);
+            }
+        }
+        return chosen;
+    };
+    CHECK(readers() == std::vector<std::uint64_t>{90, 70});
+    CHECK(readerRank(90, {50, 20, 70, 10}, 2) == 0);
+    CHECK(readerRank(70, {50, 20, 90, 10}, 2) == 1);
+    weights.erase(weights.begin() + 2);
+    CHECK(readers() == std::vector<std::uint64_t>{50, 70});
+    CHECK(readerRank(50, {}, 2) == 0);
+}
--- a/godwit/gateway/reading_turns.h
+++ b/godwit/gateway/reading_turns.h
@@ -2,10 +2,11 @@
 
 // Who reads a prefix of the store again, and when.
 //
-// A watch can fall silent while changes are made, and then go on after them. So the fleet reads everything again in
-// turns: one router reads and tells the others what it found, they compare it with their copies, and only those that
-// differ read as well. A router that hears of no reading reads by itself, so that no loss of messages and no chance
-// makes the gap between two readings longer than `longestGap`.
+// A few routers, the readers, watch the prefix and tell the others of changes. A watch can fall silent while changes are
+// made, and then go on after them, and a message can be lost. So the readers read everything again in turns: one reads
+// and tells all others what it found, they compare it with their copies, and those that differ ask for a snapshot. A
+// router that hears of no reading reads by itself, so that no loss of messages and no chance makes the gap between two
+// readings longer than `longestGap`, and without readers not longer than that and `standby`.
 //
 // Pure. Example:
 //   timer.expires_at(nextReading(options, lastHeard, liveRouters, lot));
@@ -13,12 +14,17 @@
 #include "godwit/base/time.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <vector>
 
 namespace Godwit
 {
 
 struct ReadingOptions
 {
+    // More than one, so that the loss of one delays nothing.
+    int readers = 2;
     // A change that the watches missed has to be in force within 2 s on small fleets: this and the rest of the gap,
     // the wait of those that heard, and two readings leave half a second of that.
     Duration every = std::chrono::milliseconds(700);
@@ -26,7 +32,7 @@
     Duration apart = std::chrono::milliseconds(25);
     // Large fleets, whose changes may take 3 s, have more routers than fit into this.
     Duration longestSpread = std::chrono::milliseconds(600);
-    // Routers that callers are not told of wait this much longer, so that they read only when the others don't.
+    // Routers that are no readers wait this much longer, so that they read only when the readers don't.
     Duration standby = std::chrono::milliseconds(600);
 };
 
@@ -41,6 +47,15 @@
     return options.every + spreadOf(options, routers);
 }
 
+// Which of the readers a router of this weight is, from 0; unset when it is none. `weights` are those of the others.
+inline std::optional<int> readerRank(std::uint64_t own, const std::vector<std::uint64_t> &weights, int readers)
+{
+    const auto before = std::count_if(weights.begin(), weights.end(), [own](std::uint64_t weight) {
+        return weight > own;
+    });
+    return before < readers ? std::optional(static_cast<int>(before)) : std::nullopt;
+}
+
 // When this router reads unless it hears of another's reading before. `lot` is drawn anew each time, from 0 to 1.
 inline TimePoint nextReading(
     const ReadingOptions &options, TimePoint lastHeard, int routers, double lot, bool onStandby = false)
