Six routers are homes, none before it has heard of the others; probes by lot from the first

After the death of all 195 routers took themselves for homes until their links stood: 2,533 writes in 10 s.

Change: the first probe falls by lot into two turns; who hears that the store is back renews its lease, for a tenth of a probe. A router is home or reader only once it has heard nine in ten of the routers that it links to, or for 350 ms and 10 ms for each. Six routers are homes to all customers: a mark is one write, whatever it holds. The lease of the entry outlasts a usual loss. The entry of a former process on the same host is not dialled.

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -29,6 +29,8 @@
 
 void BudgetKeeper::start()
 {
+    // The first readings show whether the store answers.
+    m_nextProbe = Relay::now() + m_options.firstProbeAfter;
     onTick();
 }
 
@@ -87,7 +89,7 @@
             m_liveEntryWritten = false;
         }
     } else {
-        m_nextProbe = now;
+        m_nextProbe = now + probeTurn();
     }
     // What others wrote meanwhile is not known.
     m_relay.state().prepaid.ledgerKnown = false;
@@ -97,16 +99,22 @@
     }
 }
 
+// By lot from the first probe on: routers that all lost the store at once would else all ask at once, and then none for
+// as long as a whole turn takes.
+Duration BudgetKeeper::probeTurn()
+{
+    const Duration turn = m_options.probeInterval * std::max(1, m_relay.state().liveRouters);
+    const double lot = static_cast<double>(m_relay.random() % 1024) / 1024.0;
+    return std::chrono::duration_cast<Duration>(turn * 2 * lot);
+}
+
 // Routers take turns at asking whether the store is back, and tell each other.
 void BudgetKeeper::probe(TimePoint now)
 {
     if (m_relay.state().platformInReach || m_probeOpen || now < m_nextProbe) {
         return;
     }
-    const Duration turn = m_options.probeInterval * std::max(1, m_relay.state().liveRouters);
-    // Half of the turn is drawn by lot, so that the routers don't ask all at once.
-    const double lot = 0.5 + static_cast<double>(m_relay.random() % 1024) / 1024.0;
-    m_nextProbe = now + std::chrono::duration_cast<Duration>(turn * lot);
+    m_nextProbe = now + probeTurn();
     probeNow();
 }
 
@@ -132,11 +140,27 @@
     if (m_leaseCallOpen || now < m_nextKeep || m_returned || !m_relay.state().platformInReach) {
         return;
     }
-    m_nextKeep = now + m_options.keepInterval;
     if (m_lease == 0) {
+        m_nextKeep = now + m_options.keepInterval;
         grantLease();
         return;
     }
+    renewLease(now);
+}
+
+// A renewal costs a tenth of a probe, and shows as well whether the store is back.
+void BudgetKeeper::onFoundElsewhere()
+{
+    if (m_lease == 0 || m_leaseCallOpen) {
+        probeNow();
+    } else if (!m_relay.state().platformInReach) {
+        renewLease(Relay::now());
+    }
+}
+
+void BudgetKeeper::renewLease(TimePoint now)
+{
+    m_nextKeep = now + m_options.keepInterval;
     m_leaseCallOpen = true;
     m_store.keepLease(m_lease, [this, now, call = ++m_leaseCalls](StoreStatus status) {
         // News of a former lease says nothing of its successor.
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -25,11 +25,12 @@
     std::string markKey; // This host's own.
     std::string liveKey;
     std::string liveValue;
-    // Of the entry among the live routers. Links tell sooner who is gone.
-    Duration leaseTime = std::chrono::seconds(4);
-    Duration keepInterval = std::chrono::milliseconds(1200);
+    // Of the entry among the live routers. Links tell sooner who is gone, and it outlasts a usual loss of the store.
+    Duration leaseTime = std::chrono::seconds(12);
+    Duration keepInterval = std::chrono::milliseconds(3500);
     // While the store is away, the fleet as a whole asks this often whether it is back.
     Duration probeInterval = std::chrono::milliseconds(120);
+    Duration firstProbeAfter = std::chrono::milliseconds(500);
     Duration tick = std::chrono::milliseconds(100);
 };
 
@@ -68,14 +69,17 @@
     // This router has written the ledger, as it now stands at that revision: others may be told.
     std::function<void(std::uint64_t revision, const std::string &ledger)> onLedgerWritten;
 
-    // Asks at once whether the store is back: another router has found it.
-    void probeNow();
+    // Another router has found that the store is back.
+    void onFoundElsewhere();
 
 private:
     void armTick();
     void onTick();
     void keepLease(TimePoint now);
     void probe(TimePoint now);
+    void probeNow();
+    Duration probeTurn();
+    void renewLease(TimePoint now);
     void grantLease();
     void onLeaseLost();
     void writeLiveEntry();
--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -1,5 +1,5 @@
-// The part of FleetLinks that carries what the routers read in the platform's store: news of its prefixes, and snapshots
-// for those that lack something.
+// The part of FleetLinks that carries what the routers read in the platform's store: news of its prefixes, and
+// snapshots for those that lack something.
 
 #include "godwit/base/hash.h"
 #include "godwit/daemon/fleet_links.h"
@@ -31,8 +31,8 @@
 std::string encodeRelayed(const RelayedNews &relayed)
 {
     const PrefixState &state = relayed.state;
-    return toBytes(json::array(
-        {relayed.members, relayed.origin, state.prefix, state.completeTo, state.digest, relayed.news}));
+    return toBytes(
+        json::array({relayed.members, relayed.origin, state.prefix, state.completeTo, state.digest, relayed.news}));
 }
 
 std::optional<RelayedNews> decodeRelayed(const std::string &bytes)
@@ -152,7 +152,7 @@
 // By rank, so that all agree without a word.
 std::optional<int> FleetLinks::readerRankOf(const std::string &prefix) const
 {
-    if (!m_relay.isReady() || !isEntry()) {
+    if (!m_relay.isReady() || !isEntry() || !m_settled) {
         return std::nullopt;
     }
     const TimePoint now = Relay::now();
--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Godwit
 {
@@ -15,6 +16,13 @@
 using nlohmann::json;
 using namespace internal;
 
+namespace
+{
+
+constexpr const char *HomeHostsKey = "homes";
+
+} // namespace
+
 void FleetLinks::askForTokens(const CustomerId &customer, Tokens needed)
 {
     const PrepaidShare &share = m_relay.state().prepaid;
@@ -29,7 +37,7 @@
 void FleetLinks::askHome(const CustomerId &customer, Tokens needed)
 {
     const TimePoint now = Relay::now();
-    Peer *home = homeOf(customer, now);
+    Peer *home = homeOf(customer, homeHosts(now));
     if (home == nullptr) {
         return;
     }
@@ -136,24 +144,66 @@
 
 bool FleetLinks::mayBeHome(const Peer &peer, TimePoint now) const
 {
-    return peer.linked && peer.beatHeard && peer.ready && isEntry(peer) && isFresh(peer, now) && now >= peer.passedOverUntil;
+    return peer.linked && peer.beatHeard && peer.ready && isEntry(peer) && isFresh(peer, now)
+        && now >= peer.passedOverUntil;
+}
+
+// Few routers are homes: each writes one mark for all customers that it is home to, however many these are.
+std::vector<FleetLinks::Peer *> FleetLinks::homeHosts(TimePoint now)
+{
+    std::vector<std::pair<std::uint64_t, Peer *>> candidates;
+    if (m_relay.isReady() && isEntry()) {
+        candidates.emplace_back(rendezvousWeight(HomeHostsKey, m_options.own.callerAddress), nullptr);
+    }
+    for (auto &[incarnation, peer] : m_peers) {
+        if (mayBeHome(peer, now)) {
+            candidates.emplace_back(rendezvousWeight(HomeHostsKey, peer.member.callerAddress), &peer);
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), std::greater<>());
+    candidates.resize(std::min(candidates.size(), m_options.homeHosts));
+    std::vector<Peer *> hosts;
+    for (const auto &[weight, peer] : candidates) {
+        hosts.push_back(peer);
+    }
+    return hosts;
 }
 
 // By rank, so that all agree without a word, and by address, so that a restart changes nothing. Routers that differ on
 // it for a while cost some writes and no tokens.
-FleetLinks::Peer *FleetLinks::homeOf(const CustomerId &customer, TimePoint now)
+FleetLinks::Peer *FleetLinks::homeOf(const CustomerId &customer, const std::vector<Peer *> &hosts) const
 {
-    Peer *best = nullptr;
-    const bool mayBeHere = m_relay.isReady() && isEntry();
-    std::uint64_t bestRank = mayBeHere ? rendezvousWeight(customer.value, m_options.own.callerAddress) : 0;
-    for (auto &[incarnation, peer] : m_peers) {
-        const std::uint64_t rank = rendezvousWeight(customer.value, peer.member.callerAddress);
-        if (rank > bestRank && mayBeHome(peer, now)) {
-            best = &peer;
-            bestRank = rank;
+    const auto rank = [this, &customer](const Peer *peer) {
+        return rendezvousWeight(customer.value,
+                                peer == nullptr ? m_options.own.callerAddress : peer->member.callerAddress);
+    };
+    const auto best = std::max_element(hosts.begin(), hosts.end(), [&rank](const Peer *a, const Peer *b) {
+        return rank(a) < rank(b);
+    });
+    return best == hosts.end() ? nullptr : *best;
+}
+
+// Where a fleet starts at once each router would take itself for the home of all customers, and for a reader, until it
+// has heard of the others.
+void FleetLinks::checkSettled(TimePoint now)
+{
+    if (m_settled || !m_readyAt || now < *m_readyAt + m_options.aloneFor) {
+        return;
+    }
+    std::set<std::string> listed;
+    std::set<std::string> heard;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.listed && peer.dialled) {
+            listed.insert(peer.member.callerAddress);
+        }
+        if (peer.beatHeard) {
+            heard.insert(peer.member.callerAddress);
         }
     }
-    return best;
+    const Duration most = m_options.aloneFor + m_options.settlePerRouter * static_cast<Duration::rep>(listed.size());
+    constexpr double enough = 0.9;
+    m_settled =
+        static_cast<double>(heard.size()) >= enough * static_cast<double>(listed.size()) || now >= *m_readyAt + most;
 }
 
 void FleetLinks::chooseHomes()
@@ -162,30 +212,29 @@
     if (!m_readyAt && m_relay.isReady()) {
         m_readyAt = now;
     }
-    const bool knowsOthers = std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
-        return isFresh(entry.second, now);
-    });
-    const bool mayBeAlone = knowsOthers || (m_readyAt && now >= *m_readyAt + m_options.aloneFor);
+    checkSettled(now);
     PrepaidShare &share = m_relay.state().prepaid;
-    std::size_t bounded = 0;
+    int bounded = 0;
+    const auto hosts = homeHosts(now);
     for (auto &[customer, account] : share.accounts) {
         bounded += account.bounded ? 1 : 0;
-        const bool isHome = m_relay.isReady() && isEntry() && mayBeAlone && homeOf(customer, now) == nullptr;
+        const bool isHome = m_relay.isReady() && isEntry() && m_settled && homeOf(customer, hosts) == nullptr;
         if (account.bounded && account.holdsAhead != isHome) {
             account.holdsAhead = isHome;
             m_relay.log().write("home", {{"customer", std::string_view(customer.value)}, {"holds", isHome}});
         }
     }
-    share.markWriters = std::max(1, std::min(liveCount(), static_cast<int>(bounded)));
+    share.markWriters = std::max(1, std::min(static_cast<int>(hosts.size()), bounded));
 }
 
 // Near the end of a budget what requests have left over would lie idle at each of the routers, and be lost with it.
 void FleetLinks::sendLeftovers()
 {
     PrepaidShare &share = m_relay.state().prepaid;
-    const TimePoint now = Relay::now();
+    const auto hosts = homeHosts(Relay::now());
     for (const auto &[customer, account] : share.accounts) {
-        Peer *home = account.bounded && !account.holdsAhead && account.reserved == 0 ? homeOf(customer, now) : nullptr;
+        Peer *home =
+            account.bounded && !account.holdsAhead && account.reserved == 0 ? homeOf(customer, hosts) : nullptr;
         const Tokens left = headroom(share, customer);
         const auto most = static_cast<Tokens>(m_options.leftoversBelow * static_cast<double>(account.total));
         if (home != nullptr && left > 0 && mayRemain(share, customer) < most) {
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -103,7 +103,8 @@
         peer.listed = false;
     }
     for (const FleetMember &member : members) {
-        if (member.incarnation == m_options.own.incarnation) {
+        // Also the entry of an earlier process on this host.
+        if (member.callerAddress == m_options.own.callerAddress) {
             continue;
         }
         Peer &peer = m_peers[member.incarnation];
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// What the routers tell each other over their links: that they live, what is new in the platform's store, what they hold
-// of each budget, and tokens that move from one to another.
+// What the routers tell each other over their links: that they live, what is new in the platform's store, what they
+// hold of each budget, and tokens that move from one to another.
 //
 // A message may be lost with its link; nothing here depends on one. Not thread-safe.
 
@@ -52,18 +52,21 @@
     Duration answerLimit = std::chrono::milliseconds(40);
     Duration passOver = std::chrono::seconds(1);
     TokensAheadOptions ahead;
+    std::size_t homeHosts = 6;
     // How long a wish waits at a home, and how long it counts as on its way here: no request waits longer.
     Duration wishWaits = std::chrono::milliseconds(200);
     // A ledger up to this size is told to all others once it is written; a longer one costs more than the refused
     // writes that it saves.
     std::size_t maxSharedLedgerBytes = 12UL * 1024;
-    // A router that is ready and knows no other one waits this long before it is home to any customer, and looks this
-    // often: where the whole fleet starts at once it would be one of many, and their writes refuse each other's. The
-    // others' entries take some 150 ms to arrive.
+    // A router that is ready waits this long before it is home to any customer, and by `settlePerRouter` longer for
+    // each router that it has not heard yet; meanwhile it looks this often. Where the whole fleet starts at once it
+    // would be one of many, and their writes refuse each other's. The others' entries take some 150 ms to arrive, and a
+    // host with a tenth of a core some 8 ms for each link.
     Duration aloneFor = std::chrono::milliseconds(350);
+    Duration settlePerRouter = std::chrono::milliseconds(10);
     Duration aloneInterval = std::chrono::milliseconds(100);
-    // News of the store that are larger than this go to some routers, which pass them on to the rest: a document of 300 KB
-    // for each of 195 routers would keep one host's link busy for seconds.
+    // News of the store that are larger than this go to some routers, which pass them on to the rest: a document of 300
+    // KB for each of 195 routers would keep one host's link busy for seconds.
     std::size_t relayNewsFrom = 1024;
     int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
@@ -137,7 +140,8 @@
     // Tells all others what is new under a prefix of the store.
     void tellNews(const PrefixNews &news);
 
-    // Asks a router for its snapshot of a prefix, where it differs from this router's copy; false when it is not linked.
+    // Asks a router for its snapshot of a prefix, where it differs from this router's copy; false when it is not
+    // linked.
     bool askSnapshot(const Incarnation &peer, const PrefixState &own);
 
     // The same of any router that callers are told of.
@@ -191,10 +195,13 @@
     void armBeat();
     void armLook();
     void tellReadiness();
+    void checkSettled(TimePoint now);
     void chooseHomes();
     bool mayBeHome(const Peer &peer, TimePoint now) const;
+    // The routers that are homes now; null stands for this one.
+    std::vector<Peer *> homeHosts(TimePoint now);
     // Null when this router is the home, or when there is none.
-    Peer *homeOf(const CustomerId &customer, TimePoint now);
+    Peer *homeOf(const CustomerId &customer, const std::vector<Peer *> &hosts) const;
     void askHome(const CustomerId &customer, Tokens needed);
     void keepAhead();
     void askHolders(const CustomerId &customer, Tokens needed);
@@ -251,6 +258,7 @@
     boost::asio::steady_timer m_answerTimer;
     bool m_watchingAnswers = false;
     std::optional<TimePoint> m_readyAt;
+    bool m_settled = false;
     bool m_readyTold = false;
     bool m_inReachTold = false;
     TimePoint m_beatAt;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -211,7 +211,7 @@
             m_links.tellLedger(revision, ledger);
         };
         m_links.onStoreFound = [this] {
-            m_keeper.probeNow();
+            m_keeper.onFoundElsewhere();
         };
     }
 
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -287,26 +287,28 @@
 
 void SharedPrefix::askAgain()
 {
-    ++m_round;
-    m_timer.cancel();
-    m_store.dropWatch(m_prefix);
-    m_following = false;
     if (m_copy.complete) {
+        ++m_round;
+        m_timer.cancel();
+        m_store.dropWatch(m_prefix);
+        m_following = false;
         // By then the others have said that they reach it too.
         later(m_options.gather, [this] {
             checkRole();
         });
-    } else if (m_started) {
+    } else if (m_started && !m_readingAll) {
         readAll();
     }
 }
 
 void SharedPrefix::readAll()
 {
+    m_readingAll = true;
     m_store.range(m_prefix, [this, round = ++m_round, began = Relay::now()](const StoreItemsReply &reply) {
         if (round != m_round) {
             return;
         }
+        m_readingAll = false;
         m_reached(reply.status == StoreStatus::Ok);
         if (reply.status != StoreStatus::Ok) {
             later(m_options.retry, [this] {
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -47,8 +47,8 @@
     Duration snapshotLimit = std::chrono::milliseconds(300);
     // What each further reader leaves to the one before it: else all of them would tell the same.
     Duration readerDelay = std::chrono::milliseconds(25);
-    // A larger value is read by each router, spread over `readSpread`: passing it on keeps small hosts' links busy, and the
-    // tokens that go over them late.
+    // A larger value is read by each router, spread over `readSpread`: passing it on keeps small hosts' links busy, and
+    // the tokens that go over them late.
     std::size_t longestToldValue = 64UL * 1024;
     Duration readSpread = std::chrono::milliseconds(300);
     // Entries on leases can lapse while the store is away for so long.
@@ -107,7 +107,8 @@
         return m_prefix;
     }
 
-    // The copy is at least as new as this, or as new as the fellow's that was asked then while nobody reached the store.
+    // The copy is at least as new as this, or as new as the fellow's that was asked then while nobody reached the
+    // store.
     TimePoint asOf() const
     {
         return m_asOf;
@@ -169,6 +170,7 @@
     PrefixCopy m_copy;
     std::uint64_t m_watchedTo = 0;
     bool m_started = false;
+    bool m_readingAll = false;
     bool m_following = false;
     bool m_renewing = false;
     TimePoint m_asOf;
