--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -308,8 +308,8 @@
         if (round != m_round) {
             return;
         }
-        m_readingAll = false;
         m_reached(reply.status == StoreStatus::Ok);
+        m_readingAll = false;
         if (reply.status != StoreStatus::Ok) {
             later(m_options.retry, [this] {
                 readAll();
--- a/godwit/gateway/reading_turns.h
+++ b/godwit/gateway/reading_turns.h
@@ -2,11 +2,11 @@
 
 // Who reads a prefix of the store again, and when.
 //
-// A few routers, the readers, watch the prefix and tell the others of changes. A watch can fall silent while changes are
-// made, and then go on after them, and a message can be lost. So the readers read everything again in turns: one reads
-// and tells all others what it found, they compare it with their copies, and those that differ ask for a snapshot. A
-// router that hears of no reading reads by itself, so that no loss of messages and no chance makes the gap between two
-// readings longer than `longestGap`, and without readers not longer than that and `standby`.
+// A few routers, the readers, watch the prefix and tell the others of changes. A watch can fall silent while changes
+// are made, and then go on after them, and a message can be lost. So the readers read everything again in turns: one
+// reads and tells all others what it found, they compare it with their copies, and those that differ ask for a
+// snapshot. A router that hears of no reading reads by itself, so that no loss of messages and no chance makes the gap
+// between two readings longer than `longestGap`, and without readers not longer than that and `standby`.
 //
 // Pure. Example:
 //   timer.expires_at(nextReading(options, lastHeard, liveRouters, lot));
--- a/godwit/prepaid/share_tokens_test.cpp
+++ b/godwit/prepaid/share_tokens_test.cpp
@@ -66,6 +66,26 @@
     CHECK_FALSE(world.request(1, Desk, 1));
 }
 
+TEST_CASE("a router that holds only what others sent it writes no marks")
+{
+    // Nearly every router of a large fleet keeps some tokens that a home sent. Each wrote a mark that said nothing, time
+    // and again: the store got three times the writes that the homes need.
+    World world(2, {{Desk, Total}});
+    world.sync(0, WriteFate::Done);
+    PrepaidShare &share = world.share(1);
+    share.accounts[Desk].holdsAhead = false;
+    world.sync(1, WriteFate::Done);
+    const auto revision = share.markRevision;
+    for (int i = 0; i < 5; ++i) {
+        world.trade(0, 1, Desk, 1000, false);
+        world.advance(Beat * 2);
+        world.sync(0, WriteFate::Done);
+        world.sync(1, WriteFate::Done);
+    }
+    REQUIRE(headroom(share, Desk) > 0);
+    CHECK(share.markRevision == revision);
+}
+
 TEST_CASE("a router spends all that others sent it, however much it was sent")
 {
     // Callers are refused for many seconds while their router holds enough: it had been sent tokens, so that by its own
--- a/godwit/prepaid/share_writes.cpp
+++ b/godwit/prepaid/share_writes.cpp
@@ -143,7 +143,8 @@
         if (granted == 0) {
             entry.granted.erase(share.options.self);
         }
-        holdsAny = holdsAny || granted > committed(account);
+        // Tokens that others sent are no part of a grant.
+        holdsAny = holdsAny || granted > std::max<Tokens>(0, committed(account));
         const bool low = markIsLow(share, customer, account, now);
         // A waiting request is a reason to hurry only if the write can help it.
         const bool markHelps = account.shortOf > 0 && low && account.shortOf <= unusedGrant(share, customer);
