--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -143,10 +143,12 @@
     snapshot->stamp = request->stamp;
     const std::string answer = encodeSnapshot(*snapshot);
     m_mesh->send(from, {SnapshotTopic, answer});
-    m_relay.log().write("snapshot_sent",
-                        {{"prefix", std::string_view(request->prefix)},
-                         {"peer", std::string_view(from.value)},
-                         {"bytes", static_cast<std::int64_t>(answer.size())}});
+    if (snapshot->items) {
+        m_relay.log().write("snapshot_sent",
+                            {{"prefix", std::string_view(request->prefix)},
+                             {"peer", std::string_view(from.value)},
+                             {"bytes", static_cast<std::int64_t>(answer.size())}});
+    }
 }
 
 // By rank, so that all agree without a word.
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -334,6 +334,7 @@
         onSnapshotRequest(from, envelope.body);
     } else if (envelope.topic == SnapshotTopic && onSnapshot) {
         if (const auto snapshot = decodeSnapshot(envelope.body)) {
+            noteLag(snapshot->stamp);
             onSnapshot(*snapshot);
         }
     }
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -494,6 +494,7 @@
                 prefix->checkRole();
             }
             renewCopiesIfBehind();
+            measureLag();
             logLoad();
             if (m_settingsText.empty()) {
                 m_settingsText = readFile(m_settingsFile);
@@ -528,6 +529,16 @@
                      {"store_leases", calls(StoreCallKind::Lease)}});
     }
 
+    // A host that has enough tokens asks the others for nothing: without a question of its own it would not see that its
+    // link is full, and send requests to endpoints that left while the news of it waited there.
+    void measureLag()
+    {
+        const std::uint64_t requests = m_relay.counters().requests;
+        if (requests != std::exchange(m_requestsAtSweep, requests)) {
+            m_links.askAnySnapshot(m_endpointEntries.state());
+        }
+    }
+
     void renewCopiesIfBehind()
     {
         RelayState &state = m_relay.state();
@@ -637,6 +648,7 @@
     std::mt19937_64 m_random{std::random_device{}()};
     std::uint64_t m_documentRevision = 0;
     TimePoint m_nextLoadLine;
+    std::uint64_t m_requestsAtSweep = 0;
     bool m_stopping = false;
     TimePoint m_stopBegan;
 };
