--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -61,20 +61,21 @@
         m_mesh->broadcast({NewsTopic, body});
         return;
     }
-    // Only routers that callers are told of have links with all others: they pass on, the largest first.
+    // The largest hosts pass on: they have links with all others, and a small one's own requests would wait.
+    const double least = leastOfLargestKind(Relay::now());
     std::vector<const Peer *> peers;
-    std::size_t entries = 0;
+    std::size_t large = 0;
     for (const auto &[incarnation, peer] : m_peers) {
         if (peer.linked) {
             peers.push_back(&peer);
-            entries += isEntry(peer) ? 1 : 0;
+            large += isEntry(peer) && peer.member.capacity >= least ? 1 : 0;
         }
     }
     std::stable_sort(peers.begin(), peers.end(), [](const Peer *a, const Peer *b) {
         return a->member.capacity > b->member.capacity;
     });
     const auto square = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(peers.size()))));
-    const std::size_t groups = entries == 0 ? peers.size() : std::min(entries, square);
+    const std::size_t groups = large == 0 ? peers.size() : std::min(large, square);
     std::vector<RelayedNews> messages(groups, RelayedNews{{}, m_options.own.incarnation.value, news.state, body});
     for (std::size_t i = groups; i < peers.size(); ++i) {
         messages[i % groups].members.push_back(peers[i]->member.incarnation.value);
@@ -117,20 +118,61 @@
 
 bool FleetLinks::askSnapshot(const Incarnation &peer, const PrefixState &own)
 {
-    const std::int64_t stamp = Relay::now().time_since_epoch().count();
+    return sendSnapshotRequest(peer, own, Relay::now().time_since_epoch().count());
+}
+
+bool FleetLinks::sendSnapshotRequest(const Incarnation &peer, const PrefixState &own, std::int64_t stamp)
+{
     return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest({own.prefix, stamp, own.digest})});
 }
 
-bool FleetLinks::askAnySnapshot(const PrefixState &own)
+// Linked routers that callers are told of, in an order drawn by lot.
+std::vector<Incarnation> FleetLinks::drawFellows()
 {
-    std::vector<Incarnation> candidates;
+    std::vector<Incarnation> fellows;
     const TimePoint now = Relay::now();
     for (const auto &[incarnation, peer] : m_peers) {
         if (peer.linked && peer.ready && isEntry(peer) && isFresh(peer, now)) {
-            candidates.push_back(incarnation);
+            fellows.push_back(incarnation);
         }
     }
-    return !candidates.empty() && askSnapshot(candidates[m_relay.random() % candidates.size()], own);
+    for (std::size_t i = fellows.size(); i > 1; --i) {
+        std::swap(fellows[i - 1], fellows[m_relay.random() % i]);
+    }
+    return fellows;
+}
+
+bool FleetLinks::askAnySnapshot(const PrefixState &own)
+{
+    const auto fellows = drawFellows();
+    return !fellows.empty() && askSnapshot(fellows.front(), own);
+}
+
+// Of two, so that a slow fellow does not count as a full link of this host: the first answer says how late they come.
+void FleetLinks::measureLag(const PrefixState &own)
+{
+    constexpr std::size_t asked = 2;
+    auto fellows = drawFellows();
+    fellows.resize(std::min(fellows.size(), asked));
+    m_lagStamp = Relay::now().time_since_epoch().count();
+    for (const Incarnation &fellow : fellows) {
+        sendSnapshotRequest(fellow, own, m_lagStamp);
+    }
+}
+
+void FleetLinks::onSnapshotSent(const std::string &body)
+{
+    const auto snapshot = decodeSnapshot(body);
+    if (!snapshot) {
+        return;
+    }
+    if (snapshot->stamp == m_lagStamp) {
+        m_lagStamp = 0;
+        noteLag(snapshot->stamp);
+    }
+    if (onSnapshot) {
+        onSnapshot(*snapshot);
+    }
 }
 
 void FleetLinks::onSnapshotRequest(const Incarnation &from, const std::string &body)
@@ -154,13 +196,14 @@
 // By rank, so that all agree without a word.
 std::optional<int> FleetLinks::readerRankOf(const std::string &prefix) const
 {
-    if (!m_relay.isReady() || !isEntry() || !m_settled) {
+    const TimePoint now = Relay::now();
+    const double least = leastOfLargestKind(now);
+    if (!m_relay.isReady() || !isEntry() || !m_settled || m_options.ownCapacity < least) {
         return std::nullopt;
     }
-    const TimePoint now = Relay::now();
     std::vector<std::uint64_t> weights;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.linked && peer.beatHeard && peer.ready && peer.storeInReach && isEntry(peer) && isFresh(peer, now)) {
+        if (mayBeHome(peer, now) && peer.storeInReach && peer.member.capacity >= least) {
             weights.push_back(rendezvousWeight(prefix, peer.member.callerAddress));
         }
     }
--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -148,15 +148,28 @@
         && now >= peer.passedOverUntil;
 }
 
-// Few routers are homes: each writes one mark for all customers that it is home to, however many these are.
+double FleetLinks::leastOfLargestKind(TimePoint now) const
+{
+    double largest = m_options.ownCapacity;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (mayBeHome(peer, now)) {
+            largest = std::max(largest, peer.member.capacity);
+        }
+    }
+    return largest * m_options.entryHosts.sameKindFrom;
+}
+
+// Few routers are homes: each writes one mark for all customers that it is home to, however many these are. Large
+// hosts, since the tokens of all requests pass through them.
 std::vector<FleetLinks::Peer *> FleetLinks::homeHosts(TimePoint now)
 {
+    const double least = leastOfLargestKind(now);
     std::vector<std::pair<std::uint64_t, Peer *>> candidates;
-    if (m_relay.isReady() && isEntry()) {
+    if (m_relay.isReady() && isEntry() && m_options.ownCapacity >= least) {
         candidates.emplace_back(rendezvousWeight(HomeHostsKey, m_options.own.callerAddress), nullptr);
     }
     for (auto &[incarnation, peer] : m_peers) {
-        if (mayBeHome(peer, now)) {
+        if (mayBeHome(peer, now) && peer.member.capacity >= least) {
             candidates.emplace_back(rendezvousWeight(HomeHostsKey, peer.member.callerAddress), &peer);
         }
     }
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -332,11 +332,8 @@
         onRelayedNews(envelope.body);
     } else if (envelope.topic == SnapshotRequestTopic) {
         onSnapshotRequest(from, envelope.body);
-    } else if (envelope.topic == SnapshotTopic && onSnapshot) {
-        if (const auto snapshot = decodeSnapshot(envelope.body)) {
-            noteLag(snapshot->stamp);
-            onSnapshot(*snapshot);
-        }
+    } else if (envelope.topic == SnapshotTopic) {
+        onSnapshotSent(envelope.body);
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -147,6 +147,9 @@
     // The same of any router that callers are told of.
     bool askAnySnapshot(const PrefixState &own);
 
+    // Asks some routers for what they hold, to see how late answers come here; a host whose link is full is behind.
+    void measureLag(const PrefixState &own);
+
     // Which of the prefix's readers this router is, if any.
     std::optional<int> readerRankOf(const std::string &prefix) const;
 
@@ -198,6 +201,8 @@
     void checkSettled(TimePoint now);
     void chooseHomes();
     bool mayBeHome(const Peer &peer, TimePoint now) const;
+    // Hosts of this capacity and more are of the largest kind that is up.
+    double leastOfLargestKind(TimePoint now) const;
     // The routers that are homes now; null stands for this one.
     std::vector<Peer *> homeHosts(TimePoint now);
     // Null when this router is the home, or when there is none.
@@ -226,6 +231,9 @@
     void onRelayedNews(const std::string &body);
     bool hasAll(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
+    void onSnapshotSent(const std::string &body);
+    bool sendSnapshotRequest(const Incarnation &peer, const PrefixState &own, std::int64_t stamp);
+    std::vector<Incarnation> drawFellows();
     void readCopyStates(const Incarnation &from, const nlohmann::json &beat);
     nlohmann::json copyStatesRow() const;
     void onPromptTold(const std::string &body);
@@ -259,6 +267,7 @@
     bool m_watchingAnswers = false;
     std::optional<TimePoint> m_readyAt;
     bool m_settled = false;
+    std::int64_t m_lagStamp = 0; // Of the question whose first answer is still out.
     bool m_readyTold = false;
     bool m_inReachTold = false;
     TimePoint m_beatAt;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -7,7 +7,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
-#include <thread>
+#include <memory>
+#include <vector>
 
 using namespace Godwit;
 
@@ -69,60 +70,82 @@
     int snapshots = 0;
 };
 
-struct Pair
+struct Routers
 {
-    Pair()
-        : a("a")
-        , b("b")
+    explicit Routers(const std::vector<std::string> &names)
     {
-        a.links.setListed({a.self, b.self});
-        b.links.setListed({a.self, b.self});
-        runBoth(std::chrono::milliseconds(800));
+        std::vector<FleetMember> members;
+        for (const std::string &name : names) {
+            all.push_back(std::make_unique<Router>(name));
+            members.push_back(all.back()->self);
+        }
+        for (const auto &router : all) {
+            router->links.setListed(members);
+        }
+        run(std::chrono::milliseconds(900));
+    }
+
+    Router &operator[](std::size_t number)
+    {
+        return *all[number];
     }
 
-    void runBoth(std::chrono::milliseconds time)
+    void run(std::chrono::milliseconds time, const Router *heldUp = nullptr)
     {
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end) {
-            a.run(std::chrono::milliseconds(5));
-            b.run(std::chrono::milliseconds(5));
+            for (const auto &router : all) {
+                if (router.get() != heldUp) {
+                    router->run(std::chrono::milliseconds(4));
+                }
+            }
         }
     }
 
-    Router a;
-    Router b;
+    std::vector<std::unique_ptr<Router>> all;
 };
 
 } // namespace
 
-TEST_CASE("an answer that comes late tells a router that it is behind")
+TEST_CASE("answers that come late tell a router that it is behind")
+{
+    // A host whose callers fill its link had tokens enough and asked nobody. It took requests 4 s after they were sent,
+    // and passed one on to an endpoint that had left 3 s before.
+    Routers routers({"a", "b"});
+    REQUIRE(routers[0].links.liveCount() == 2);
+    routers[0].links.measureLag({"servers/", 5, 9});
+    routers.run(std::chrono::milliseconds(100));
+    REQUIRE(routers[0].snapshots == 1);
+    CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
+    routers[0].links.measureLag({"servers/", 5, 9});
+    routers.run(std::chrono::milliseconds(600), &routers[1]);
+    CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
+    routers.run(std::chrono::milliseconds(100));
+    CHECK(routers[0].snapshots == 2);
+    CHECK(routers[0].relay.isBehind(Relay::now()));
+}
+
+TEST_CASE("a fellow that is slow to answer makes nobody else behind")
 {
-    // A host whose callers fill its link had tokens enough and asked nobody. It took requests 4 s after they were sent, and
-    // passed one on to an endpoint that had left 3 s before.
-    Pair pair;
-    REQUIRE(pair.a.links.liveCount() == 2);
-    REQUIRE(pair.a.links.askAnySnapshot({"servers/", 5, 9}));
-    pair.runBoth(std::chrono::milliseconds(100));
-    REQUIRE(pair.a.snapshots == 1);
-    CHECK_FALSE(pair.a.relay.isBehind(Relay::now()));
-    REQUIRE(pair.a.links.askAnySnapshot({"servers/", 5, 9}));
-    pair.a.run(std::chrono::milliseconds(600));
-    CHECK_FALSE(pair.a.relay.isBehind(Relay::now()));
-    pair.runBoth(std::chrono::milliseconds(100));
-    CHECK(pair.a.snapshots == 2);
-    CHECK(pair.a.relay.isBehind(Relay::now()));
+    // One host with a full link made each router that asked it refuse all its callers for a second.
+    Routers routers({"a", "b", "c"});
+    routers[0].links.measureLag({"servers/", 5, 9});
+    routers.run(std::chrono::milliseconds(600), &routers[1]);
+    routers.run(std::chrono::milliseconds(100));
+    CHECK(routers[0].snapshots == 2);
+    CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
 }
 
 TEST_CASE("routers that have heard of each other agree on readers and addresses")
 {
-    Pair pair;
-    CHECK(pair.a.links.callerAddresses().size() == 1);
+    Routers routers({"a", "b"});
+    CHECK(routers[0].links.callerAddresses().size() == 1);
     // Both, as two are wanted, and not in the same place.
-    pair.a.relay.state().platformInReach = true;
-    pair.b.relay.state().platformInReach = true;
-    pair.runBoth(std::chrono::milliseconds(600));
-    const auto first = pair.a.links.readerRankOf("servers/");
-    const auto second = pair.b.links.readerRankOf("servers/");
+    routers[0].relay.state().platformInReach = true;
+    routers[1].relay.state().platformInReach = true;
+    routers.run(std::chrono::milliseconds(600));
+    const auto first = routers[0].links.readerRankOf("servers/");
+    const auto second = routers[1].links.readerRankOf("servers/");
     REQUIRE(first.has_value());
     REQUIRE(second.has_value());
     CHECK(*first != *second);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -529,13 +529,13 @@
                      {"store_leases", calls(StoreCallKind::Lease)}});
     }
 
-    // A host that has enough tokens asks the others for nothing: without a question of its own it would not see that its
-    // link is full, and send requests to endpoints that left while the news of it waited there.
+    // A host that has enough tokens asks the others for nothing: without a question of its own it would not see that
+    // its link is full, and send requests to endpoints that left while the news of it waited there.
     void measureLag()
     {
         const std::uint64_t requests = m_relay.counters().requests;
         if (requests != std::exchange(m_requestsAtSweep, requests)) {
-            m_links.askAnySnapshot(m_endpointEntries.state());
+            m_links.measureLag(m_endpointEntries.state());
         }
     }
 
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -200,11 +200,21 @@
     }
     if (news.truncated && inReach()) {
         renew(news.state, std::chrono::duration_cast<Duration>(m_options.readSpread * drawLot()), nullptr);
-    } else if (news.state.completeTo > m_copy.completeTo || news.truncated) {
-        renew(news.state, m_copy.complete ? m_options.missedAfter : Duration::zero(), askSender);
+    } else if (!m_copy.complete) {
+        renew(news.state, Duration::zero(), askSender);
+    } else if (lacks(news.state) || news.truncated) {
+        const bool tellsWhatIsNew = news.fromReading || news.truncated;
+        renew(news.state, tellsWhatIsNew ? m_options.missedAfter : m_options.lateAfter, askSender);
     }
 }
 
+// Where changes come faster than readings a copy differs from each reading, and lacks nothing.
+bool SharedPrefix::lacks(const PrefixState &elsewhere) const
+{
+    return elsewhere.completeTo > m_copy.completeTo && digestOf(m_copy) != elsewhere.digest
+        && !hasNewer(m_copy, elsewhere.completeTo);
+}
+
 // Catches up with a copy that holds more: from a fellow if `ask` is set, and if that brings nothing from the store.
 void SharedPrefix::renew(const PrefixState &elsewhere, Duration after, const Ask &ask)
 {
@@ -214,11 +224,12 @@
     m_renewTimer.expires_after(after);
     m_renewTimer.async_wait([this, elsewhere, ask](const boost::system::error_code &error) {
         m_renewing = false;
-        const bool caughtUp = m_copy.completeTo > elsewhere.completeTo || digestOf(m_copy) == elsewhere.digest;
+        const bool caughtUp = m_copy.completeTo > elsewhere.completeTo || digestOf(m_copy) == elsewhere.digest
+            || hasNewer(m_copy, elsewhere.completeTo);
         if (error || (m_copy.complete && caughtUp)) {
             return;
         }
-        if (ask && ask()) {
+        if (ask && !(isLarge() && inReach()) && ask()) {
             renew(elsewhere, m_options.snapshotLimit, nullptr);
         } else if (inReach()) {
             readNow();
@@ -233,6 +244,16 @@
     }
 }
 
+// The store's link carries a large snapshot better than a fellow's, whose requests would wait behind it.
+bool SharedPrefix::isLarge() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, item] : m_copy.items) {
+        bytes += item.value.size();
+    }
+    return bytes > m_options.longestToldValue;
+}
+
 void SharedPrefix::onSnapshot(const PrefixSnapshot &snapshot)
 {
     if (snapshot.items) {
@@ -363,7 +384,8 @@
         m_changed(m_copy.items);
         tellOthers(news, false);
     }
-    later(m_options.gather, [this] {
+    const int routers = routersSharing ? routersSharing() : 1;
+    later(std::max(m_options.gather, m_options.gatherPerRouter * routers), [this] {
         follow();
     });
 }
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -40,9 +40,14 @@
     Duration retry = std::chrono::milliseconds(1500);
     // After an answer, so that a series of changes comes in one.
     Duration gather = std::chrono::milliseconds(100);
+    // Each change goes to every router, so that the pause grows with the fleet: to 0.5 s at 90 routers, well within the
+    // seconds in which a change has to be known there. Without it a storm of documents fills the links.
+    Duration gatherPerRouter = std::chrono::milliseconds(6);
     ReadingOptions readings;
     // A message can overtake another one, from another router, by this much.
     Duration missedAfter = std::chrono::milliseconds(100);
+    // What a fellow's copy holds besides is on its way here in most cases.
+    Duration lateAfter = std::chrono::milliseconds(1000);
     // A fellow that has not sent its snapshot by then is left alone, and the store asked.
     Duration snapshotLimit = std::chrono::milliseconds(300);
     // What each further reader leaves to the one before it: else all of them would tell the same.
@@ -155,6 +160,8 @@
     StoreReturn storeReturn() const;
     void tellOthers(const std::vector<StoreItem> &changes, bool fromReading);
     void renew(const PrefixState &elsewhere, Duration after, const Ask &ask);
+    bool lacks(const PrefixState &elsewhere) const;
+    bool isLarge() const;
     std::optional<int> rank() const;
     bool inReach() const;
     void later(Duration pause, const std::function<void()> &step);
--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -94,6 +94,16 @@
     }
 }
 
+bool hasNewer(const PrefixCopy &copy, std::uint64_t revision)
+{
+    const bool changed = std::any_of(copy.items.begin(), copy.items.end(), [revision](const auto &entry) {
+        return entry.second.revision > revision;
+    });
+    return changed || std::any_of(copy.removed.begin(), copy.removed.end(), [revision](const auto &entry) {
+               return entry.second > revision;
+           });
+}
+
 std::uint64_t digestOf(const PrefixCopy &copy)
 {
     std::uint64_t sum = 0;
--- a/godwit/gateway/prefix_copy.h
+++ b/godwit/gateway/prefix_copy.h
@@ -41,6 +41,10 @@
 // Nothing is missing up to `revision`: the copy equals another one that is complete to it.
 void markComplete(PrefixCopy &copy, std::uint64_t revision);
 
+// Whether the copy holds what came after `revision`. One that does differs from a copy of that revision, and lacks
+// nothing for all that can be seen.
+bool hasNewer(const PrefixCopy &copy, std::uint64_t revision);
+
 // Equal for copies with the same keys at the same revisions.
 std::uint64_t digestOf(const PrefixCopy &copy);
 
