--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -1,4 +1,4 @@
-// The part of FleetLinks that carries what the routers read in the platform's store: news of its prefixes, and
+// The part of FleetLinks that carries what the routers read in the platform's store: updates of its prefixes, and
 // snapshots for those that lack something.
 
 #include "godwit/base/hash.h"
@@ -19,33 +19,33 @@
 namespace
 {
 
-// News that a router passes on to the members of its group.
-struct RelayedNews
+// An update that a router passes on to the members of its group.
+struct RelayedUpdate
 {
     std::vector<std::string> members; // Incarnations.
-    std::string origin; // Whose news it is.
-    PrefixState state; // As in the news: who has it all need not read them.
-    std::string news; // As encodeNews() makes it.
+    std::string origin; // Whose update it is.
+    PrefixState state; // As in the update: who has it all need not read it.
+    std::string update; // As encodeUpdate() makes it.
 };
 
-std::string encodeRelayed(const RelayedNews &relayed)
+std::string encodeRelayed(const RelayedUpdate &relayed)
 {
     const PrefixState &state = relayed.state;
     return toBytes(
-        json::array({relayed.members, relayed.origin, state.prefix, state.completeTo, state.digest, relayed.news}));
+        json::array({relayed.members, relayed.origin, state.prefix, state.completeTo, state.digest, relayed.update}));
 }
 
-std::optional<RelayedNews> decodeRelayed(const std::string &bytes)
+std::optional<RelayedUpdate> decodeRelayed(const std::string &bytes)
 {
     const json message = fromBytes(bytes);
     try {
-        RelayedNews relayed;
+        RelayedUpdate relayed;
         relayed.members = message.at(0).get<std::vector<std::string>>();
         relayed.origin = message.at(1).get<std::string>();
         relayed.state.prefix = message.at(2).get<std::string>();
         relayed.state.completeTo = message.at(3).get<std::uint64_t>();
         relayed.state.digest = message.at(4).get<std::uint64_t>();
-        relayed.news = message.at(5).get<std::string>();
+        relayed.update = message.at(5).get<std::string>();
         return relayed;
     } catch (const json::exception &) {
         return std::nullopt;
@@ -54,11 +54,11 @@
 
 } // namespace
 
-void FleetLinks::tellNews(const PrefixNews &news)
+void FleetLinks::sendUpdate(const PrefixUpdate &update)
 {
-    const std::string body = encodeNews(news);
-    if (body.size() < m_options.relayNewsFrom) {
-        m_mesh->broadcast({NewsTopic, body});
+    const std::string body = encodeUpdate(update);
+    if (body.size() < m_options.relayUpdatesFrom) {
+        m_mesh->broadcast({UpdateTopic, body});
         return;
     }
     // The largest hosts pass on: they have links with all others, and a small one's own requests would wait.
@@ -76,27 +76,27 @@
     });
     const auto square = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(peers.size()))));
     const std::size_t groups = large == 0 ? peers.size() : std::min(large, square);
-    std::vector<RelayedNews> messages(groups, RelayedNews{{}, m_options.own.incarnation.value, news.state, body});
+    std::vector<RelayedUpdate> messages(groups, RelayedUpdate{{}, m_options.own.incarnation.value, update.state, body});
     for (std::size_t i = groups; i < peers.size(); ++i) {
         messages[i % groups].members.push_back(peers[i]->member.incarnation.value);
     }
     for (std::size_t i = 0; i < groups; ++i) {
-        m_mesh->send(peers[i]->member.incarnation, {RelayedNewsTopic, encodeRelayed(messages[i])});
+        m_mesh->send(peers[i]->member.incarnation, {RelayedUpdateTopic, encodeRelayed(messages[i])});
     }
 }
 
-void FleetLinks::onRelayedNews(const std::string &body)
+void FleetLinks::onRelayedUpdate(const std::string &body)
 {
     const auto relayed = decodeRelayed(body);
     if (!relayed) {
         return;
     }
-    const std::string passedOn = encodeRelayed({{}, relayed->origin, relayed->state, relayed->news});
+    const std::string passedOn = encodeRelayed({{}, relayed->origin, relayed->state, relayed->update});
     for (const std::string &member : relayed->members) {
-        m_mesh->send(Incarnation{member}, {RelayedNewsTopic, passedOn});
+        m_mesh->send(Incarnation{member}, {RelayedUpdateTopic, passedOn});
     }
     if (!hasAll(relayed->state)) {
-        onNewsTold(Incarnation{relayed->origin}, relayed->news);
+        onUpdateReceived(Incarnation{relayed->origin}, relayed->update);
     }
 }
 
@@ -108,11 +108,11 @@
     });
 }
 
-void FleetLinks::onNewsTold(const Incarnation &from, const std::string &body)
+void FleetLinks::onUpdateReceived(const Incarnation &from, const std::string &body)
 {
-    const auto news = decodeNews(body);
-    if (news && onNews) {
-        onNews(from, *news);
+    const auto update = decodeUpdate(body);
+    if (update && onUpdate) {
+        onUpdate(from, *update);
     }
 }
 
@@ -127,40 +127,40 @@
 }
 
 // Linked routers that callers are told of, in an order drawn by lot.
-std::vector<Incarnation> FleetLinks::drawFellows()
+std::vector<Incarnation> FleetLinks::drawPeers()
 {
-    std::vector<Incarnation> fellows;
+    std::vector<Incarnation> peers;
     const TimePoint now = Relay::now();
     for (const auto &[incarnation, peer] : m_peers) {
         if (peer.linked && peer.ready && isEntry(peer) && isFresh(peer, now)) {
-            fellows.push_back(incarnation);
+            peers.push_back(incarnation);
         }
     }
-    for (std::size_t i = fellows.size(); i > 1; --i) {
-        std::swap(fellows[i - 1], fellows[m_relay.random() % i]);
+    for (std::size_t i = peers.size(); i > 1; --i) {
+        std::swap(peers[i - 1], peers[m_relay.random() % i]);
     }
-    return fellows;
+    return peers;
 }
 
 bool FleetLinks::askAnySnapshot(const PrefixState &own)
 {
-    const auto fellows = drawFellows();
-    return !fellows.empty() && askSnapshot(fellows.front(), own);
+    const auto peers = drawPeers();
+    return !peers.empty() && askSnapshot(peers.front(), own);
 }
 
-// Of two, so that a slow fellow does not count as a full link of this host: the first answer says how late they come.
+// Of two, so that a slow peer does not count as a full link of this host: the first answer says how late they come.
 void FleetLinks::measureLag(const PrefixState &own)
 {
     constexpr std::size_t asked = 2;
-    auto fellows = drawFellows();
-    fellows.resize(std::min(fellows.size(), asked));
+    auto peers = drawPeers();
+    peers.resize(std::min(peers.size(), asked));
     m_lagStamp = Relay::now().time_since_epoch().count();
-    for (const Incarnation &fellow : fellows) {
-        sendSnapshotRequest(fellow, own, m_lagStamp);
+    for (const Incarnation &peer : peers) {
+        sendSnapshotRequest(peer, own, m_lagStamp);
     }
 }
 
-void FleetLinks::onSnapshotSent(const std::string &body)
+void FleetLinks::onSnapshotReceived(const std::string &body)
 {
     const auto snapshot = decodeSnapshot(body);
     if (!snapshot) {
@@ -203,7 +203,7 @@
     }
     std::vector<std::uint64_t> weights;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (mayBeHome(peer, now) && peer.storeInReach && peer.member.capacity >= least) {
+        if (isServing(peer, now) && peer.storeInReach && peer.member.capacity >= least) {
             weights.push_back(rendezvousWeight(prefix, peer.member.callerAddress));
         }
     }
@@ -225,18 +225,18 @@
 void FleetLinks::readCopyStates(const Incarnation &from, const json &beat)
 {
     const auto row = beat.find("copies");
-    if (row == beat.end() || !row->is_array() || !onNews) {
+    if (row == beat.end() || !row->is_array() || !onUpdate) {
         return;
     }
     for (const json &copy : *row) {
-        PrefixNews news;
+        PrefixUpdate update;
         try {
-            news.state = PrefixState{
+            update.state = PrefixState{
                 copy.at(0).get<std::string>(), copy.at(1).get<std::uint64_t>(), copy.at(2).get<std::uint64_t>()};
         } catch (const json::exception &) {
             return;
         }
-        onNews(from, news);
+        onUpdate(from, update);
     }
 }
 
--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -138,7 +138,7 @@
     }
 }
 
-bool FleetLinks::mayBeHome(const Peer &peer, TimePoint now) const
+bool FleetLinks::isServing(const Peer &peer, TimePoint now) const
 {
     return peer.linked && peer.beatHeard && peer.ready && isEntry(peer) && isFresh(peer, now)
         && now >= peer.passedOverUntil;
@@ -148,7 +148,7 @@
 {
     double largest = m_options.ownCapacity;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (mayBeHome(peer, now)) {
+        if (isServing(peer, now)) {
             largest = std::max(largest, peer.member.capacity);
         }
     }
@@ -165,7 +165,7 @@
         candidates.emplace_back(rendezvousWeight(HomeHostsKey, m_options.own.callerAddress), nullptr);
     }
     for (auto &[incarnation, peer] : m_peers) {
-        if (mayBeHome(peer, now) && peer.member.capacity >= least) {
+        if (isServing(peer, now) && peer.member.capacity >= least) {
             candidates.emplace_back(rendezvousWeight(HomeHostsKey, peer.member.callerAddress), &peer);
         }
     }
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -326,14 +326,14 @@
         onStoreFound();
     } else if (envelope.topic == PromptTopic) {
         onPromptTold(envelope.body);
-    } else if (envelope.topic == NewsTopic) {
-        onNewsTold(from, envelope.body);
-    } else if (envelope.topic == RelayedNewsTopic) {
-        onRelayedNews(envelope.body);
+    } else if (envelope.topic == UpdateTopic) {
+        onUpdateReceived(from, envelope.body);
+    } else if (envelope.topic == RelayedUpdateTopic) {
+        onRelayedUpdate(envelope.body);
     } else if (envelope.topic == SnapshotRequestTopic) {
         onSnapshotRequest(from, envelope.body);
     } else if (envelope.topic == SnapshotTopic) {
-        onSnapshotSent(envelope.body);
+        onSnapshotReceived(envelope.body);
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -65,9 +65,9 @@
     Duration aloneFor = std::chrono::milliseconds(350);
     Duration settlePerRouter = std::chrono::milliseconds(10);
     Duration aloneInterval = std::chrono::milliseconds(100);
-    // News of the store that are larger than this go to some routers, which pass them on to the rest: a document of 300
+    // Updates that are larger than this go to some routers, which pass them on to the rest: a document of 300
     // KB for each of 195 routers would keep one host's link busy for seconds.
-    std::size_t relayNewsFrom = 1024;
+    std::size_t relayUpdatesFrom = 1024;
     int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
     // is hardly later.
@@ -138,7 +138,7 @@
     int liveCount() const;
 
     // Tells all others what is new under a prefix of the store.
-    void tellNews(const PrefixNews &news);
+    void sendUpdate(const PrefixUpdate &update);
 
     // Asks a router for its snapshot of a prefix, where it differs from this router's copy; false when it is not
     // linked.
@@ -166,7 +166,7 @@
     std::function<void()> onStoreFound;
 
     // Another router has told what is new under a prefix, or what its copy holds.
-    std::function<void(const Incarnation &from, const PrefixNews &news)> onNews;
+    std::function<void(const Incarnation &from, const PrefixUpdate &update)> onUpdate;
 
     // Another router has sent its snapshot.
     std::function<void(const PrefixSnapshot &)> onSnapshot;
@@ -200,7 +200,7 @@
     void tellReadiness();
     void checkSettled(TimePoint now);
     void chooseHomes();
-    bool mayBeHome(const Peer &peer, TimePoint now) const;
+    bool isServing(const Peer &peer, TimePoint now) const;
     // Hosts of this capacity and more are of the largest kind that is up.
     double leastOfLargestKind(TimePoint now) const;
     // The routers that are homes now; null stands for this one.
@@ -227,13 +227,13 @@
     void onWish(const Peer &peer, const std::string &body);
     void onAsk(const Peer &peer, const std::string &body);
     void onLedger(const std::string &body);
-    void onNewsTold(const Incarnation &from, const std::string &body);
-    void onRelayedNews(const std::string &body);
+    void onUpdateReceived(const Incarnation &from, const std::string &body);
+    void onRelayedUpdate(const std::string &body);
     bool hasAll(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
-    void onSnapshotSent(const std::string &body);
+    void onSnapshotReceived(const std::string &body);
     bool sendSnapshotRequest(const Incarnation &peer, const PrefixState &own, std::int64_t stamp);
-    std::vector<Incarnation> drawFellows();
+    std::vector<Incarnation> drawPeers();
     void readCopyStates(const Incarnation &from, const nlohmann::json &beat);
     nlohmann::json copyStatesRow() const;
     void onPromptTold(const std::string &body);
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -125,7 +125,7 @@
     CHECK(routers[0].relay.isBehind(Relay::now()));
 }
 
-TEST_CASE("a fellow that is slow to answer makes nobody else behind")
+TEST_CASE("a peer that is slow to answer makes nobody else behind")
 {
     // One host with a full link made each router that asked it refuse all its callers for a second.
     Routers routers({"a", "b", "c"});
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -181,9 +181,9 @@
         for (SharedPrefix *prefix : prefixes()) {
             share(*prefix);
         }
-        m_links.onNews = [this](const Incarnation &from, const PrefixNews &news) {
-            if (SharedPrefix *prefix = prefixNamed(news.state.prefix)) {
-                prefix->onNews(news, [this, from, prefix] {
+        m_links.onUpdate = [this](const Incarnation &from, const PrefixUpdate &update) {
+            if (SharedPrefix *prefix = prefixNamed(update.state.prefix)) {
+                prefix->onUpdate(update, [this, from, prefix] {
                     return m_links.askSnapshot(from, prefix->state());
                 });
             }
@@ -301,8 +301,8 @@
         prefix.askAny = [this, &prefix] {
             return m_links.askAnySnapshot(prefix.state());
         };
-        prefix.tell = [this](const PrefixNews &news) {
-            m_links.tellNews(news);
+        prefix.tell = [this](const PrefixUpdate &update) {
+            m_links.sendUpdate(update);
         };
     }
 
@@ -530,7 +530,7 @@
     }
 
     // A host that has enough tokens asks the others for nothing: without a question of its own it would not see that
-    // its link is full, and send requests to endpoints that left while the news of it waited there.
+    // its link is full, and send requests to endpoints that left while word of it waited there.
     void measureLag()
     {
         const std::uint64_t requests = m_relay.counters().requests;
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -76,29 +76,29 @@
 
 } // namespace
 
-std::string encodeNews(const PrefixNews &news)
+std::string encodeUpdate(const PrefixUpdate &update)
 {
-    return toBytes(json::array({news.state.prefix,
-                                news.state.completeTo,
-                                news.state.digest,
-                                news.fromReading,
-                                news.truncated,
-                                encodeReturn(news.storeReturn),
-                                encodeItems(news.changes)}));
+    return toBytes(json::array({update.state.prefix,
+                                update.state.completeTo,
+                                update.state.digest,
+                                update.fromReading,
+                                update.truncated,
+                                encodeReturn(update.storeReturn),
+                                encodeItems(update.changes)}));
 }
 
-std::optional<PrefixNews> decodeNews(const std::string &bytes)
+std::optional<PrefixUpdate> decodeUpdate(const std::string &bytes)
 {
-    return decode<PrefixNews>(bytes, [](const json &message) {
-        PrefixNews news;
-        news.state.prefix = message.at(0).get<std::string>();
-        news.state.completeTo = message.at(1).get<std::uint64_t>();
-        news.state.digest = message.at(2).get<std::uint64_t>();
-        news.fromReading = message.at(3).get<bool>();
-        news.truncated = message.at(4).get<bool>();
-        news.storeReturn = readReturn(message.at(5).get<std::int64_t>());
-        news.changes = readItems(message.at(6));
-        return news;
+    return decode<PrefixUpdate>(bytes, [](const json &message) {
+        PrefixUpdate update;
+        update.state.prefix = message.at(0).get<std::string>();
+        update.state.completeTo = message.at(1).get<std::uint64_t>();
+        update.state.digest = message.at(2).get<std::uint64_t>();
+        update.fromReading = message.at(3).get<bool>();
+        update.truncated = message.at(4).get<bool>();
+        update.storeReturn = readReturn(message.at(5).get<std::int64_t>());
+        update.changes = readItems(message.at(6));
+        return update;
     });
 }
 
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -30,7 +30,7 @@
     std::optional<Duration> ago; // Unset: it was not away.
 };
 
-struct PrefixNews
+struct PrefixUpdate
 {
     PrefixState state; // Of the sender's copy, these changes applied.
     bool fromReading = false; // The sender has just read everything under the prefix.
@@ -54,8 +54,8 @@
     std::uint64_t digest = 0; // Of the asker's copy.
 };
 
-std::string encodeNews(const PrefixNews &news);
-std::optional<PrefixNews> decodeNews(const std::string &bytes);
+std::string encodeUpdate(const PrefixUpdate &update);
+std::optional<PrefixUpdate> decodeUpdate(const std::string &bytes);
 
 std::string encodeSnapshot(const PrefixSnapshot &snapshot);
 std::optional<PrefixSnapshot> decodeSnapshot(const std::string &bytes);
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -171,40 +171,40 @@
     if (!tell) {
         return;
     }
-    PrefixNews news;
-    news.state = state();
-    news.fromReading = fromReading;
-    news.storeReturn = storeReturn();
+    PrefixUpdate update;
+    update.state = state();
+    update.fromReading = fromReading;
+    update.storeReturn = storeReturn();
     for (const StoreItem &change : changes) {
         if (change.value.size() <= m_options.longestToldValue) {
-            news.changes.push_back(change);
+            update.changes.push_back(change);
         } else {
-            news.truncated = true;
+            update.truncated = true;
         }
     }
-    tell(news);
+    tell(update);
 }
 
-void SharedPrefix::onNews(const PrefixNews &news, const Ask &askSender)
+void SharedPrefix::onUpdate(const PrefixUpdate &update, const Ask &askSender)
 {
-    if (news.fromReading) {
+    if (update.fromReading) {
         armReading();
-        noteReading(news.storeReturn);
+        noteReading(update.storeReturn);
     }
-    if (!applyDelta(m_copy, news.changes).empty() && m_copy.complete) {
+    if (!applyDelta(m_copy, update.changes).empty() && m_copy.complete) {
         m_changed(m_copy.items);
     }
-    if (m_copy.complete && digestOf(m_copy) == news.state.digest) {
-        markComplete(m_copy, news.state.completeTo);
+    if (m_copy.complete && digestOf(m_copy) == update.state.digest) {
+        markComplete(m_copy, update.state.completeTo);
         return;
     }
-    if (news.truncated && inReach()) {
-        renew(news.state, std::chrono::duration_cast<Duration>(m_options.readSpread * drawLot()), nullptr);
+    if (update.truncated && inReach()) {
+        renew(update.state, std::chrono::duration_cast<Duration>(m_options.readSpread * drawLot()), nullptr);
     } else if (!m_copy.complete) {
-        renew(news.state, Duration::zero(), askSender);
-    } else if (lacks(news.state) || news.truncated) {
-        const bool tellsWhatIsNew = news.fromReading || news.truncated;
-        renew(news.state, tellsWhatIsNew ? m_options.missedAfter : m_options.lateAfter, askSender);
+        renew(update.state, Duration::zero(), askSender);
+    } else if (lacks(update.state) || update.truncated) {
+        const bool tellsWhatIsNew = update.fromReading || update.truncated;
+        renew(update.state, tellsWhatIsNew ? m_options.missedAfter : m_options.lateAfter, askSender);
     }
 }
 
@@ -215,7 +215,7 @@
         && !hasNewer(m_copy, elsewhere.completeTo);
 }
 
-// Catches up with a copy that holds more: from a fellow if `ask` is set, and if that brings nothing from the store.
+// Catches up with a copy that holds more: from a peer if `ask` is set, and if that brings nothing from the store.
 void SharedPrefix::renew(const PrefixState &elsewhere, Duration after, const Ask &ask)
 {
     if (std::exchange(m_renewing, true)) {
@@ -244,7 +244,7 @@
     }
 }
 
-// The store's link carries a large snapshot better than a fellow's, whose requests would wait behind it.
+// The store's link carries a large snapshot better than a peer's, whose requests would wait behind it.
 bool SharedPrefix::isLarge() const
 {
     std::size_t bytes = 0;
@@ -379,10 +379,10 @@
 
 void SharedPrefix::takeWatched(const StoreItemsReply &reply)
 {
-    const auto news = applyDelta(m_copy, reply.items);
-    if (!news.empty()) {
+    const auto delta = applyDelta(m_copy, reply.items);
+    if (!delta.empty()) {
         m_changed(m_copy.items);
-        tellOthers(news, false);
+        tellOthers(delta, false);
     }
     const int routers = routersSharing ? routersSharing() : 1;
     later(std::max(m_options.gather, m_options.gatherPerRouter * routers), [this] {
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -3,13 +3,13 @@
 // Keeps a copy of everything under one prefix of the platform's store, together with the other routers.
 //
 // A few routers, the readers, watch the prefix, read everything again in turns, and tell the others what is new; those
-// compare digests, and ask a fellow for a snapshot where theirs differs. So the store's calls follow the changes and
+// compare digests, and ask a peer for a snapshot where theirs differs. So the store's calls follow the changes and
 // not the size of the fleet, and a router that can't reach the store still learns what the others read. A router that
 // hears of no reading reads by itself (reading_turns.h). Not thread-safe.
 //
 // Example:
 //   SharedPrefix endpoints(io, store, "servers/", options, [](const SharedPrefix::Items &items) { ... }, reached);
-//   endpoints.tell = [](const PrefixNews &news) { ... to all others ... };
+//   endpoints.tell = [](const PrefixUpdate &update) { ... to all others ... };
 //   endpoints.start();
 
 #include "godwit/base/time.h"
@@ -46,9 +46,9 @@
     ReadingOptions readings;
     // A message can overtake another one, from another router, by this much.
     Duration missedAfter = std::chrono::milliseconds(100);
-    // What a fellow's copy holds besides is on its way here in most cases.
+    // What a peer's copy holds besides is on its way here in most cases.
     Duration lateAfter = std::chrono::milliseconds(1000);
-    // A fellow that has not sent its snapshot by then is left alone, and the store asked.
+    // A peer that has not sent its snapshot by then is left alone, and the store asked.
     Duration snapshotLimit = std::chrono::milliseconds(300);
     // What each further reader leaves to the one before it: else all of them would tell the same.
     Duration readerDelay = std::chrono::milliseconds(25);
@@ -66,7 +66,7 @@
 {
 public:
     using Items = std::map<std::string, StoreItem>;
-    // Asks a fellow for its snapshot; false when it can't be asked.
+    // Asks a peer for its snapshot; false when it can't be asked.
     using Ask = std::function<bool()>;
 
     // `changed` gets the whole copy after each change; `reached` says after each answer whether the store spoke.
@@ -80,19 +80,19 @@
     // Reads everything, and goes on in turns.
     void start();
 
-    // Waits for its turn instead, or for a fellow's snapshot.
+    // Waits for its turn instead, or for a peer's snapshot.
     void startLater();
 
     // Begins or ends to watch, where the role of this router has changed.
     void checkRole();
 
-    // A fellow has told changes, or what its copy holds.
-    void onNews(const PrefixNews &news, const Ask &askSender);
+    // A peer has told changes, or what its copy holds.
+    void onUpdate(const PrefixUpdate &update, const Ask &askSender);
 
-    // A fellow has sent what it was asked for.
+    // A peer has sent what it was asked for.
     void onSnapshot(const PrefixSnapshot &snapshot);
 
-    // What a fellow gets whose copy has that digest; unset while this copy is not complete.
+    // What a peer gets whose copy has that digest; unset while this copy is not complete.
     std::optional<PrefixSnapshot> snapshotFor(std::uint64_t digest) const;
 
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
@@ -112,7 +112,7 @@
         return m_prefix;
     }
 
-    // The copy is at least as new as this, or as new as the fellow's that was asked then while nobody reached the
+    // The copy is at least as new as this, or as new as the peer's that was asked then while nobody reached the
     // store.
     TimePoint asOf() const
     {
@@ -126,9 +126,9 @@
     }
 
     // All other routers are to be told.
-    std::function<void(const PrefixNews &)> tell;
+    std::function<void(const PrefixUpdate &)> tell;
 
-    // Asks any fellow for its snapshot.
+    // Asks any peer for its snapshot.
     Ask askAny;
 
     // Called when a reading showed changes that this router's watch had not brought.
--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -65,7 +65,7 @@
 
 std::vector<StoreItem> applyDelta(PrefixCopy &copy, const std::vector<StoreItem> &changes)
 {
-    std::map<std::string, StoreItem> news;
+    std::map<std::string, StoreItem> newestByKey;
     for (const StoreItem &change : changes) {
         if (change.revision <= copy.completeTo || change.revision <= knownRevision(copy, change.key)) {
             continue;
@@ -77,10 +77,10 @@
             copy.items[change.key] = change;
             copy.removed.erase(change.key);
         }
-        news[change.key] = change;
+        newestByKey[change.key] = change;
     }
     std::vector<StoreItem> newest;
-    for (auto &[key, change] : news) {
+    for (auto &[key, change] : newestByKey) {
         newest.push_back(std::move(change));
     }
     return newest;
--- a/godwit/gateway/prefix_copy.h
+++ b/godwit/gateway/prefix_copy.h
@@ -9,7 +9,7 @@
 // Pure. Example:
 //   PrefixCopy copy;
 //   adoptSnapshot(copy, items, at);
-//   const auto news = applyDelta(copy, changes);
+//   const auto delta = applyDelta(copy, changes);
 //   if (digestOf(copy) != digestElsewhere) { ... ask for a snapshot ... }
 
 #include "godwit/gateway/store_item.h"
