--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -60,13 +60,12 @@
     std::size_t maxSharedLedgerBytes = 12UL * 1024;
     // A router that is ready waits this long before it is home to any customer, and by `settlePerRouter` longer for
     // each router that it has not heard yet; meanwhile it looks this often. Where the whole fleet starts at once it
-    // would be one of many, and their writes refuse each other's. The others' entries take some 150 ms to arrive, and a
-    // host with a tenth of a core some 8 ms for each link.
+    // would be one of many, and their writes refuse each other's. Small hosts need their time for each link.
     Duration aloneFor = std::chrono::milliseconds(350);
     Duration settlePerRouter = std::chrono::milliseconds(10);
     Duration aloneInterval = std::chrono::milliseconds(100);
-    // Updates that are larger than this go to some routers, which pass them on to the rest: a document of 300
-    // KB for each of 195 routers would keep one host's link busy for seconds.
+    // Updates that are larger than this go to some routers, which pass them on to the rest: a document for each of
+    // hundreds of routers would keep one host's link busy for seconds.
     std::size_t relayUpdatesFrom = 1024;
     int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -40,8 +40,8 @@
     Duration retry = std::chrono::milliseconds(1500);
     // After an answer, so that a series of changes comes in one.
     Duration gather = std::chrono::milliseconds(100);
-    // Each change goes to every router, so that the pause grows with the fleet: to 0.5 s at 90 routers, well within the
-    // seconds in which a change has to be known there. Without it a storm of documents fills the links.
+    // Each change goes to every router, so that the pause grows with the fleet, well within the seconds in which a
+    // change has to be known. Without it a storm of documents fills the links.
     Duration gatherPerRouter = std::chrono::milliseconds(6);
     ReadingOptions readings;
     // A message can overtake another one, from another router, by this much.
