--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -172,6 +172,7 @@
     std::sort(candidates.begin(), candidates.end(), std::greater<>());
     candidates.resize(std::min(candidates.size(), m_options.homeHosts));
     std::vector<Peer *> hosts;
+    hosts.reserve(candidates.size());
     for (const auto &[weight, peer] : candidates) {
         hosts.push_back(peer);
     }
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -199,6 +199,7 @@
         };
         m_links.copyStates = [this] {
             std::vector<PrefixState> states;
+            states.reserve(prefixes().size());
             for (const SharedPrefix *prefix : prefixes()) {
                 states.push_back(prefix->state());
             }
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -32,6 +32,7 @@
 std::vector<StoreItem> readItems(const json &rows)
 {
     std::vector<StoreItem> items;
+    items.reserve(rows.size());
     for (const json &row : rows) {
         items.push_back(StoreItem{row.at(0).get<std::string>(),
                                   row.at(1).get<std::string>(),
--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -80,6 +80,7 @@
         newestByKey[change.key] = change;
     }
     std::vector<StoreItem> newest;
+    newest.reserve(newestByKey.size());
     for (auto &[key, change] : newestByKey) {
         newest.push_back(std::move(change));
     }
@@ -116,6 +117,7 @@
 std::vector<StoreItem> itemsOf(const PrefixCopy &copy)
 {
     std::vector<StoreItem> items;
+    items.reserve(copy.items.size());
     for (const auto &[key, item] : copy.items) {
         items.push_back(item);
     }
