--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -118,12 +118,12 @@
 
 bool FleetLinks::askSnapshot(const Incarnation &peer, const PrefixState &own)
 {
-    return sendSnapshotRequest(peer, own, Relay::now().time_since_epoch().count());
+    return sendSnapshotRequest(peer, {own.prefix, Relay::now().time_since_epoch().count(), own.digest});
 }
 
-bool FleetLinks::sendSnapshotRequest(const Incarnation &peer, const PrefixState &own, std::int64_t stamp)
+bool FleetLinks::sendSnapshotRequest(const Incarnation &peer, const SnapshotRequest &request)
 {
-    return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest({own.prefix, stamp, own.digest})});
+    return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
 }
 
 // Linked routers that callers are told of, in an order drawn by lot.
@@ -156,7 +156,8 @@
     peers.resize(std::min(peers.size(), asked));
     m_lagStamp = Relay::now().time_since_epoch().count();
     for (const Incarnation &peer : peers) {
-        sendSnapshotRequest(peer, own, m_lagStamp);
+        // While copies change each answer would else carry all entries.
+        sendSnapshotRequest(peer, {own.prefix, m_lagStamp, own.digest, true});
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -231,7 +231,7 @@
     bool hasAll(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
     void onSnapshotReceived(const std::string &body);
-    bool sendSnapshotRequest(const Incarnation &peer, const PrefixState &own, std::int64_t stamp);
+    bool sendSnapshotRequest(const Incarnation &peer, const SnapshotRequest &request);
     std::vector<Incarnation> drawPeers();
     void readCopyStates(const Incarnation &from, const nlohmann::json &beat);
     nlohmann::json copyStatesRow() const;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -31,7 +31,8 @@
         , links(io, relay, options())
     {
         relay.state().stage = RelayStage::Serving;
-        links.snapshotFor = [](const SnapshotRequest &request) {
+        links.snapshotFor = [this](const SnapshotRequest &request) {
+            entriesAsked += request.stateOnly ? 0 : 1;
             PrefixSnapshot snapshot;
             snapshot.state = {request.prefix, 7, request.digest};
             return std::optional(snapshot);
@@ -68,6 +69,7 @@
     FleetMember self;
     FleetLinks links;
     int snapshots = 0;
+    int entriesAsked = 0;
 };
 
 struct Routers
@@ -116,6 +118,7 @@
     routers[0].links.measureLag({"servers/", 5, 9});
     routers.run(std::chrono::milliseconds(100));
     REQUIRE(routers[0].snapshots == 1);
+    CHECK(routers[1].entriesAsked == 0);
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
     routers[0].links.measureLag({"servers/", 5, 9});
     routers.run(std::chrono::milliseconds(600), &routers[1]);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -195,7 +195,7 @@
         };
         m_links.snapshotFor = [this](const SnapshotRequest &request) {
             const SharedPrefix *prefix = prefixNamed(request.prefix);
-            return prefix == nullptr ? std::nullopt : prefix->snapshotFor(request.digest);
+            return prefix == nullptr ? std::nullopt : prefix->snapshotFor(request);
         };
         m_links.copyStates = [this] {
             std::vector<PrefixState> states;
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -131,14 +131,16 @@
 
 std::string encodeSnapshotRequest(const SnapshotRequest &request)
 {
-    return toBytes(json::array({request.prefix, request.stamp, request.digest}));
+    return toBytes(json::array({request.prefix, request.stamp, request.digest, request.stateOnly}));
 }
 
 std::optional<SnapshotRequest> decodeSnapshotRequest(const std::string &bytes)
 {
     return decode<SnapshotRequest>(bytes, [](const json &message) {
-        return SnapshotRequest{
-            message.at(0).get<std::string>(), message.at(1).get<std::int64_t>(), message.at(2).get<std::uint64_t>()};
+        return SnapshotRequest{message.at(0).get<std::string>(),
+                               message.at(1).get<std::int64_t>(),
+                               message.at(2).get<std::uint64_t>(),
+                               message.at(3).get<bool>()};
     });
 }
 
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -52,6 +52,7 @@
     std::string prefix;
     std::int64_t stamp = 0; // The asker's clock; comes back with the answer.
     std::uint64_t digest = 0; // Of the asker's copy.
+    bool stateOnly = false; // No items are wanted, whether the copies differ or not.
 };
 
 std::string encodeUpdate(const PrefixUpdate &update);
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -270,7 +270,7 @@
     m_asOf = std::max(m_asOf, TimePoint(Duration(snapshot.stamp)) - snapshot.age);
 }
 
-std::optional<PrefixSnapshot> SharedPrefix::snapshotFor(std::uint64_t digest) const
+std::optional<PrefixSnapshot> SharedPrefix::snapshotFor(const SnapshotRequest &request) const
 {
     if (!m_copy.complete) {
         return std::nullopt;
@@ -279,7 +279,7 @@
     snapshot.state = state();
     // While the store is away from here too, there is nothing newer to have.
     snapshot.age = inReach() && m_readAt ? Relay::now() - *m_readAt : Duration::zero();
-    if (digest != snapshot.state.digest) {
+    if (!request.stateOnly && request.digest != snapshot.state.digest) {
         snapshot.items = itemsOf(m_copy);
     }
     return snapshot;
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -92,8 +92,8 @@
     // A peer has sent what it was asked for.
     void onSnapshot(const PrefixSnapshot &snapshot);
 
-    // What a peer gets whose copy has that digest; unset while this copy is not complete.
-    std::optional<PrefixSnapshot> snapshotFor(std::uint64_t digest) const;
+    // What a peer gets that asks; unset while this copy is not complete.
+    std::optional<PrefixSnapshot> snapshotFor(const SnapshotRequest &request) const;
 
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
     void askAgain();
