--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -128,6 +128,21 @@
     CHECK(routers[0].relay.isBehind(Relay::now()));
 }
 
+TEST_CASE("answers that come after the next question still tell a router that it is behind")
+{
+    // A host whose full link held each answer up past the next question took none for late. It passed requests on to
+    // endpoints that had left, and refused by routes that had changed.
+    Routers routers({"a", "b"});
+    for (int i = 0; i < 3; ++i) {
+        routers[0].links.measureLag({"servers/", 5, 9});
+        routers.run(std::chrono::milliseconds(400), &routers[1]);
+    }
+    CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
+    routers.run(std::chrono::milliseconds(60));
+    CHECK(routers[0].snapshots == 3);
+    CHECK(routers[0].relay.isBehind(Relay::now()));
+}
+
 TEST_CASE("a peer that is slow to answer makes nobody else behind")
 {
     // One host with a full link made each router that asked it refuse all its callers for a second.
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -1,5 +1,6 @@
 #include "godwit/relay/caller_connection.h"
 
+#include "godwit/http/address.h"
 #include "platform/header_names.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -125,3 +126,45 @@
     router.run(std::chrono::milliseconds(20));
     CHECK(router.received().find("HTTP/1.1 503") == 0);
 }
+
+TEST_CASE("a request is not sent to an endpoint that leaves while the connection to it is made")
+{
+    // A busy router took up the new connection after it had read that the endpoint leaves, and sent the request all the
+    // same.
+    Connected router;
+    tcp::acceptor endpoint(router.io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    endpoint.non_blocking(true);
+    ListedEndpoint listed{EndpointId{"e"}, "s", formatAddress(endpoint.local_endpoint())};
+    RelayState &state = router.relay.state();
+    SiteDocument document;
+    document.routes.emplace_back();
+    document.routes.back().host = "a";
+    document.routes.back().pathPrefix = "/";
+    document.routes.back().services = {{"s", 1}};
+    state.routes = makeRouteTable(document);
+    state.stage = RelayStage::Serving;
+    replaceEndpoints(state.endpoints, {listed});
+    router.ask("keep-alive");
+    router.io.restart();
+    while (router.relay.counters().attempts == 0) {
+        REQUIRE(router.io.run_one_for(std::chrono::seconds(1)) == 1);
+    }
+    SECTION("it says so")
+    {
+        listed.leaving = true;
+        replaceEndpoints(state.endpoints, {listed});
+    }
+    SECTION("its entry goes")
+    {
+        replaceEndpoints(state.endpoints, {});
+    }
+    router.run(std::chrono::milliseconds(50));
+    boost::system::error_code error;
+    tcp::socket accepted = endpoint.accept(error);
+    if (!error) {
+        accepted.non_blocking(true);
+        std::array<char, 64> bytes{};
+        CHECK(accepted.read_some(boost::asio::buffer(bytes), error) == 0);
+    }
+    CHECK(router.received().find("HTTP/1.1 503") == 0);
+}
