A question about lag no longer forgets the ones before it; lines for updates that are passed on

Callers of a host that is behind got 404 by routes that had changed, and requests went to endpoints that had left. Cause: a host asks each 500 ms how late answers come, took only the answer to its last question, and counts one as late from 500 ms on: a late answer was hardly ever the one it waited for. Each open question now counts until it, or a later one, is answered; a peer that was frozen and answers old questions late makes nobody behind, since a later question was answered before. Sight: update_sent and update_received, for updates that go over other routers: origin, revision, bytes that wait.

--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -83,6 +83,13 @@
     for (std::size_t i = 0; i < groups; ++i) {
         m_mesh->send(peers[i]->member.incarnation, {RelayedUpdateTopic, encodeRelayed(messages[i])});
     }
+    m_relay.log().write("update_sent",
+                        {{"prefix", std::string_view(update.state.prefix)},
+                         {"complete_to", static_cast<std::int64_t>(update.state.completeTo)},
+                         {"from_reading", update.fromReading},
+                         {"bytes", static_cast<std::int64_t>(body.size())},
+                         {"peers", static_cast<std::int64_t>(peers.size())},
+                         {"groups", static_cast<std::int64_t>(groups)}});
 }
 
 void FleetLinks::onRelayedUpdate(const std::string &body)
@@ -91,15 +98,33 @@
     if (!relayed) {
         return;
     }
+    const bool isNew = !hasAll(relayed->state);
+    m_relay.log().write("update_received",
+                        {{"prefix", std::string_view(relayed->state.prefix)},
+                         {"complete_to", static_cast<std::int64_t>(relayed->state.completeTo)},
+                         {"origin", std::string_view(relayed->origin)},
+                         {"passed_on", static_cast<std::int64_t>(relayed->members.size())},
+                         {"queued_bytes", static_cast<std::int64_t>(queuedBytes())},
+                         {"new", isNew}});
     const std::string passedOn = encodeRelayed({{}, relayed->origin, relayed->state, relayed->update});
     for (const std::string &member : relayed->members) {
         m_mesh->send(Incarnation{member}, {RelayedUpdateTopic, passedOn});
     }
-    if (!hasAll(relayed->state)) {
+    if (isNew) {
         onUpdateReceived(Incarnation{relayed->origin}, relayed->update);
     }
 }
 
+// What waits for the slowest of the peers.
+std::size_t FleetLinks::queuedBytes() const
+{
+    std::size_t most = 0;
+    for (const LinkStatus &link : m_mesh->links()) {
+        most = std::max(most, link.queuedBytes);
+    }
+    return most;
+}
+
 bool FleetLinks::hasAll(const PrefixState &state) const
 {
     const auto own = copyStates ? copyStates() : std::vector<PrefixState>{};
@@ -154,10 +179,14 @@
     constexpr std::size_t asked = 2;
     auto peers = drawPeers();
     peers.resize(std::min(peers.size(), asked));
-    m_lagStamp = Relay::now().time_since_epoch().count();
+    const std::int64_t stamp = Relay::now().time_since_epoch().count();
+    m_lagStamps.push_back(stamp);
+    if (m_lagStamps.size() > m_options.maxOpenLagQuestions) {
+        m_lagStamps.pop_front();
+    }
     for (const Incarnation &peer : peers) {
         // While copies change each answer would else carry all entries.
-        sendSnapshotRequest(peer, {own.prefix, m_lagStamp, own.digest, true});
+        sendSnapshotRequest(peer, {own.prefix, stamp, own.digest, true});
     }
 }
 
@@ -167,8 +196,10 @@
     if (!snapshot) {
         return;
     }
-    if (snapshot->stamp == m_lagStamp) {
-        m_lagStamp = 0;
+    const auto question = std::find(m_lagStamps.begin(), m_lagStamps.end(), snapshot->stamp);
+    if (question != m_lagStamps.end()) {
+        // Answers to earlier questions that come after this one are late by their sender, not by this host's link.
+        m_lagStamps.erase(m_lagStamps.begin(), std::next(question));
         noteLag(snapshot->stamp);
     }
     if (onSnapshot) {
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -78,6 +79,8 @@
     // queue, and a list of endpoints as old and a request as late still meet the 2 s within which an endpoint that
     // leaves may get requests.
     Duration behindFrom = std::chrono::milliseconds(500);
+    // Questions whose answers are waited for; one that is older than these has been lost.
+    std::size_t maxOpenLagQuestions = 32;
     // Customers in one beat at most.
     std::size_t maxCustomersInBeat = 64;
 };
@@ -228,6 +231,7 @@
     void onLedger(const std::string &body);
     void onUpdateReceived(const Incarnation &from, const std::string &body);
     void onRelayedUpdate(const std::string &body);
+    std::size_t queuedBytes() const;
     bool hasAll(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
     void onSnapshotReceived(const std::string &body);
@@ -266,7 +270,7 @@
     bool m_watchingAnswers = false;
     std::optional<TimePoint> m_readyAt;
     bool m_settled = false;
-    std::int64_t m_lagStamp = 0; // Of the question whose first answer is still out.
+    std::deque<std::int64_t> m_lagStamps; // Of the questions whose first answer is still out, the oldest first.
     bool m_readyTold = false;
     bool m_inReachTold = false;
     TimePoint m_beatAt;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -32,6 +33,7 @@
     {
         relay.state().stage = RelayStage::Serving;
         links.snapshotFor = [this](const SnapshotRequest &request) {
+            ++questions;
             entriesAsked += request.stateOnly ? 0 : 1;
             PrefixSnapshot snapshot;
             snapshot.state = {request.prefix, 7, request.digest};
@@ -69,6 +71,7 @@
     FleetMember self;
     FleetLinks links;
     int snapshots = 0;
+    int questions = 0;
     int entriesAsked = 0;
 };
 
@@ -92,12 +95,12 @@
         return *all[number];
     }
 
-    void run(std::chrono::milliseconds time, const Router *heldUp = nullptr)
+    void run(std::chrono::milliseconds time, const std::vector<const Router *> &heldUp = {})
     {
         const auto end = std::chrono::steady_clock::now() + time;
         while (std::chrono::steady_clock::now() < end) {
             for (const auto &router : all) {
-                if (router.get() != heldUp) {
+                if (std::find(heldUp.begin(), heldUp.end(), router.get()) == heldUp.end()) {
                     router->run(std::chrono::milliseconds(4));
                 }
             }
@@ -121,7 +124,7 @@
     CHECK(routers[1].entriesAsked == 0);
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
     routers[0].links.measureLag({"servers/", 5, 9});
-    routers.run(std::chrono::milliseconds(600), &routers[1]);
+    routers.run(std::chrono::milliseconds(600), {&routers[1]});
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
     routers.run(std::chrono::milliseconds(100));
     CHECK(routers[0].snapshots == 2);
@@ -135,7 +138,7 @@
     Routers routers({"a", "b"});
     for (int i = 0; i < 3; ++i) {
         routers[0].links.measureLag({"servers/", 5, 9});
-        routers.run(std::chrono::milliseconds(400), &routers[1]);
+        routers.run(std::chrono::milliseconds(400), {&routers[1]});
     }
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
     routers.run(std::chrono::milliseconds(60));
@@ -148,12 +151,33 @@
     // One host with a full link made each router that asked it refuse all its callers for a second.
     Routers routers({"a", "b", "c"});
     routers[0].links.measureLag({"servers/", 5, 9});
-    routers.run(std::chrono::milliseconds(600), &routers[1]);
+    routers.run(std::chrono::milliseconds(600), {&routers[1]});
     routers.run(std::chrono::milliseconds(100));
     CHECK(routers[0].snapshots == 2);
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
 }
 
+TEST_CASE("an answer that comes after one to a later question makes nobody behind")
+{
+    // Hosts that had asked two frozen peers refused all their callers once these went on.
+    Routers routers({"a", "b", "c", "d"});
+    const std::vector<const Router *> frozen{&routers[1], &routers[2]};
+    const auto ask = [&] {
+        const int before = routers[3].questions;
+        routers[0].links.measureLag({"servers/", 5, 9});
+        routers.run(std::chrono::milliseconds(20), frozen);
+        return routers[3].questions > before;
+    };
+    while (ask()) {
+        routers.run(std::chrono::milliseconds(20));
+    }
+    while (!ask()) {
+    }
+    routers.run(std::chrono::milliseconds(600), frozen);
+    routers.run(std::chrono::milliseconds(100));
+    CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
+}
+
 TEST_CASE("routers that have heard of each other agree on readers and addresses")
 {
     Routers routers({"a", "b"});
