A choice is checked again once its connection stands

A request reached an endpoint that had said that it leaves before the request's first byte was sent: a busy router takes up the new connection up to 400 ms after the choice. Once a new connection stands the endpoint is looked up again; if it left or started anew meanwhile, nothing is sent and another one is chosen (attempt_failed, endpoint_left). No byte is out, so that this is right for requests that run once at most.

--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -226,6 +226,11 @@
     }
 }
 
+bool takesNewWork(const EndpointState &endpoint)
+{
+    return !endpoint.gone && !endpoint.listed.leaving;
+}
+
 void beginAttempt(EndpointState &endpoint)
 {
     ++endpoint.inFlight;
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -145,6 +145,9 @@
 // Another router has sent a prompt to an engine.
 void notePromptElsewhere(EndpointTable &table, const PromptSent &prompt, const ChoiceOptions &options, TimePoint now);
 
+// Whether the endpoint may still get a request that it was chosen for.
+bool takesNewWork(const EndpointState &endpoint);
+
 void beginAttempt(EndpointState &endpoint);
 
 void endAttempt(EndpointState &endpoint, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now);
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -17,6 +17,7 @@
 
 constexpr EnumName<ExchangeFailure> ExchangeFailureNames[] = {
     {ExchangeFailure::NotConnected, "not_connected"},
+    {ExchangeFailure::Withdrawn, "endpoint_left"},
     {ExchangeFailure::Broken, "connection_broken"},
     {ExchangeFailure::Malformed, "malformed_answer"},
 };
@@ -99,7 +100,7 @@
     const auto target = parseAddress(address, reason);
     if (!target) {
         asio::post(m_io, [self = shared_from_this()] {
-            self->giveUpConnecting();
+            self->giveUpConnecting(ExchangeFailure::NotConnected);
         });
         return;
     }
@@ -107,7 +108,7 @@
     m_timer.expires_after(m_options.connectTimeout);
     m_timer.async_wait([self = shared_from_this()](const beast::error_code &error) {
         if (!error) {
-            self->giveUpConnecting();
+            self->giveUpConnecting(ExchangeFailure::NotConnected);
         }
     });
     m_socket->async_connect(*target, [self = shared_from_this()](const beast::error_code &error) {
@@ -122,7 +123,11 @@
     }
     m_timer.cancel();
     if (error) {
-        giveUpConnecting();
+        giveUpConnecting(ExchangeFailure::NotConnected);
+        return;
+    }
+    if (m_handlers.maySend && !m_handlers.maySend()) {
+        giveUpConnecting(ExchangeFailure::Withdrawn);
         return;
     }
     beast::error_code ignored;
@@ -131,13 +136,13 @@
     send();
 }
 
-// The only way to NotConnected. The timer's handler may already wait in the loop's queue when the connection comes
+// The only way to a failure without a byte sent. The timer's handler may already wait in the loop's queue when the connection comes
 // about, and cancelling the timer doesn't take it back: it would then report that no byte went out while the endpoint
 // runs the request, and a second endpoint would get it. Once the request is being sent this does nothing.
-void EndpointExchange::giveUpConnecting()
+void EndpointExchange::giveUpConnecting(ExchangeFailure failure)
 {
     if (m_phase == Phase::Connecting) {
-        fail(ExchangeFailure::NotConnected);
+        fail(failure);
     }
 }
 
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -32,6 +32,7 @@
 
 enum class ExchangeFailure {
     NotConnected, // No byte of the request was sent.
+    Withdrawn, // Nor here: the endpoint may not get it any more.
     Broken, // The connection ended before the answer did: the request may have run.
     Malformed, // The endpoint sent bytes that are no answer: the request may have run.
 };
@@ -40,6 +41,8 @@
 
 struct ExchangeHandlers
 {
+    // Asked before the first byte goes out on a new connection; unset: it may.
+    std::function<bool()> maySend;
     std::function<void(const AnswerHead &, const AnswerFacts &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void()> onEnd;
@@ -92,7 +95,7 @@
 
     void connect(const std::string &address);
     void onConnected(const boost::system::error_code &error);
-    void giveUpConnecting();
+    void giveUpConnecting(ExchangeFailure failure);
     void send();
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -294,6 +294,10 @@
 
     ExchangeHandlers handlers;
     const auto self = shared_from_this();
+    handlers.maySend = [self] {
+        const EndpointState *chosen = self->currentEndpoint();
+        return chosen != nullptr && takesNewWork(*chosen);
+    };
     handlers.onHead = [self](const AnswerHead &head, const AnswerFacts &facts) {
         self->onHead(head, facts);
     };
@@ -452,8 +456,9 @@
 
 void RelayCall::onFailed(ExchangeFailure failure)
 {
-    if (failure == ExchangeFailure::NotConnected) {
-        endAttempt(AttemptVerdict::Unreachable);
+    const bool nothingSent = failure == ExchangeFailure::NotConnected || failure == ExchangeFailure::Withdrawn;
+    if (nothingSent) {
+        endAttempt(failure == ExchangeFailure::Withdrawn ? AttemptVerdict::Neutral : AttemptVerdict::Unreachable);
         tryAgain(std::string(exchangeFailureName(failure)), false);
         return;
     }
