A router asks its peers for how long its copies have been old, and refuses by that

Callers got 404 for routes that had been added 3 s before, at hosts that did not count as behind. So the lag of small messages says little of the age of a copy.

Change: with each question about lag go the newest revisions of the asker's list and document; the answer says for how long the peer has held something newer. Without answers it is cut off and serves what it can, as before; a peer that lags behind says nothing. Class: freshness that was taken for granted instead of shown. Tests: caller_connection_test (red with the clause taken out: 2 of 4 sections), shared_prefix_test, prefix_copy_test. Tried first: judged between answers as well.

--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -141,13 +141,9 @@
     }
 }
 
-bool FleetLinks::askSnapshot(const Incarnation &peer, const PrefixState &own)
-{
-    return sendSnapshotRequest(peer, {own.prefix, Relay::now().time_since_epoch().count(), own.digest});
-}
-
-bool FleetLinks::sendSnapshotRequest(const Incarnation &peer, const SnapshotRequest &request)
+bool FleetLinks::askSnapshot(const Incarnation &peer, SnapshotRequest request)
 {
+    request.stamp = Relay::now().time_since_epoch().count();
     return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
 }
 
@@ -167,14 +163,14 @@
     return peers;
 }
 
-bool FleetLinks::askAnySnapshot(const PrefixState &own)
+bool FleetLinks::askAnySnapshot(const SnapshotRequest &request)
 {
     const auto peers = drawPeers();
-    return !peers.empty() && askSnapshot(peers.front(), own);
+    return !peers.empty() && askSnapshot(peers.front(), request);
 }
 
 // Of two, so that a slow peer does not count as a full link of this host: the first answer says how late they come.
-void FleetLinks::measureLag(const PrefixState &own)
+void FleetLinks::compareCopies(const std::vector<SnapshotRequest> &requests)
 {
     constexpr std::size_t asked = 2;
     auto peers = drawPeers();
@@ -185,8 +181,12 @@
         m_lagStamps.pop_front();
     }
     for (const Incarnation &peer : peers) {
-        // While copies change each answer would else carry all entries.
-        sendSnapshotRequest(peer, {own.prefix, stamp, own.digest, true});
+        for (SnapshotRequest request : requests) {
+            request.stamp = stamp;
+            // While copies change each answer would else carry all entries.
+            request.stateOnly = true;
+            m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
+        }
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -144,13 +144,14 @@
 
     // Asks a router for its snapshot of a prefix, where it differs from this router's copy; false when it is not
     // linked.
-    bool askSnapshot(const Incarnation &peer, const PrefixState &own);
+    bool askSnapshot(const Incarnation &peer, SnapshotRequest request);
 
     // The same of any router that callers are told of.
-    bool askAnySnapshot(const PrefixState &own);
+    bool askAnySnapshot(const SnapshotRequest &request);
 
-    // Asks some routers for what they hold, to see how late answers come here; a host whose link is full is behind.
-    void measureLag(const PrefixState &own);
+    // Asks some routers whether they hold more than this one, and sees how late the answers come: a host whose link is
+    // full is behind.
+    void compareCopies(const std::vector<SnapshotRequest> &requests);
 
     // Which of the prefix's readers this router is, if any.
     std::optional<int> readerRankOf(const std::string &prefix) const;
@@ -235,7 +236,6 @@
     bool hasAll(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
     void onSnapshotReceived(const std::string &body);
-    bool sendSnapshotRequest(const Incarnation &peer, const SnapshotRequest &request);
     std::vector<Incarnation> drawPeers();
     void readCopyStates(const Incarnation &from, const nlohmann::json &beat);
     nlohmann::json copyStatesRow() const;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -118,12 +118,12 @@
     // and passed one on to an endpoint that had left 3 s before.
     Routers routers({"a", "b"});
     REQUIRE(routers[0].links.liveCount() == 2);
-    routers[0].links.measureLag({"servers/", 5, 9});
+    routers[0].links.compareCopies({{"servers/", 0, 9}});
     routers.run(std::chrono::milliseconds(100));
     REQUIRE(routers[0].snapshots == 1);
     CHECK(routers[1].entriesAsked == 0);
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
-    routers[0].links.measureLag({"servers/", 5, 9});
+    routers[0].links.compareCopies({{"servers/", 0, 9}});
     routers.run(std::chrono::milliseconds(600), {&routers[1]});
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
     routers.run(std::chrono::milliseconds(100));
@@ -137,7 +137,7 @@
     // endpoints that had left, and refused by routes that had changed.
     Routers routers({"a", "b"});
     for (int i = 0; i < 3; ++i) {
-        routers[0].links.measureLag({"servers/", 5, 9});
+        routers[0].links.compareCopies({{"servers/", 0, 9}});
         routers.run(std::chrono::milliseconds(400), {&routers[1]});
     }
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
@@ -150,7 +150,7 @@
 {
     // One host with a full link made each router that asked it refuse all its callers for a second.
     Routers routers({"a", "b", "c"});
-    routers[0].links.measureLag({"servers/", 5, 9});
+    routers[0].links.compareCopies({{"servers/", 0, 9}});
     routers.run(std::chrono::milliseconds(600), {&routers[1]});
     routers.run(std::chrono::milliseconds(100));
     CHECK(routers[0].snapshots == 2);
@@ -164,7 +164,7 @@
     const std::vector<const Router *> frozen{&routers[1], &routers[2]};
     const auto ask = [&] {
         const int before = routers[3].questions;
-        routers[0].links.measureLag({"servers/", 5, 9});
+        routers[0].links.compareCopies({{"servers/", 0, 9}});
         routers.run(std::chrono::milliseconds(20), frozen);
         return routers[3].questions > before;
     };
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -38,6 +38,8 @@
 constexpr auto SweepInterval = std::chrono::milliseconds(500);
 // The entries of routers that the links have not told of yet.
 constexpr Duration LiveReadingInterval = std::chrono::seconds(2);
+// A snapshot of a large copy takes a small host's link a while.
+constexpr Duration ConfirmInterval = std::chrono::seconds(1);
 // How often a line tells what the router has done so far.
 constexpr Duration LoadLineInterval = std::chrono::seconds(5);
 // Of the time that a stop may take: after the first part no new request is taken, so that those under way can end;
@@ -184,13 +186,14 @@
         m_links.onUpdate = [this](const Incarnation &from, const PrefixUpdate &update) {
             if (SharedPrefix *prefix = prefixNamed(update.state.prefix)) {
                 prefix->onUpdate(update, [this, from, prefix] {
-                    return m_links.askSnapshot(from, prefix->state());
+                    return m_links.askSnapshot(from, prefix->request());
                 });
             }
         };
         m_links.onSnapshot = [this](const PrefixSnapshot &snapshot) {
             if (SharedPrefix *prefix = prefixNamed(snapshot.state.prefix)) {
                 prefix->onSnapshot(snapshot);
+                noteAgreement();
             }
         };
         m_links.snapshotFor = [this](const SnapshotRequest &request) {
@@ -300,7 +303,7 @@
             m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix.prefix())}});
         };
         prefix.askAny = [this, &prefix] {
-            return m_links.askAnySnapshot(prefix.state());
+            return m_links.askAnySnapshot(prefix.request());
         };
         prefix.tell = [this](const PrefixUpdate &update) {
             m_links.sendUpdate(update);
@@ -495,7 +498,7 @@
                 prefix->checkRole();
             }
             renewCopiesIfBehind();
-            measureLag();
+            compareCopies();
             logLoad();
             if (m_settingsText.empty()) {
                 m_settingsText = readFile(m_settingsFile);
@@ -532,16 +535,52 @@
 
     // A host that has enough tokens asks the others for nothing: without a question of its own it would not see that
     // its link is full, and send requests to endpoints that left while word of it waited there.
-    void measureLag()
+    void compareCopies()
     {
         const std::uint64_t requests = m_relay.counters().requests;
         if (requests != std::exchange(m_requestsAtSweep, requests)) {
-            m_links.measureLag(m_endpointEntries.state());
+            m_links.compareCopies({m_endpointEntries.request(), m_documents.request()});
         }
     }
 
+    void noteAgreement()
+    {
+        RelayState &state = m_relay.state();
+        state.endpointsAgreement = m_endpointEntries.agreement();
+        state.documentAgreement = m_documents.agreement();
+        const bool outdated = m_relay.hasOutdatedCopy(Relay::now());
+        if (outdated && !m_outdated) {
+            m_log.write("copies_outdated",
+                        {{"endpoints_ms", agreedAgo(state.endpointsAgreement)},
+                         {"document_ms", agreedAgo(state.documentAgreement)}});
+        }
+        m_outdated = outdated;
+    }
+
+    // What the others hold was told to this router and has been lost, or is on its way over a full link.
+    void confirmIfOutdated()
+    {
+        const TimePoint now = Relay::now();
+        if (now < m_nextConfirm) {
+            return;
+        }
+        for (SharedPrefix *prefix : {&m_documents, &m_endpointEntries}) {
+            if (isOutdated(prefix->agreement(), m_relay.options().agreement, now)) {
+                m_nextConfirm = now + ConfirmInterval;
+                prefix->confirm();
+            }
+        }
+    }
+
+    static double agreedAgo(const CopyAgreement &agreement)
+    {
+        return toSeconds(Relay::now() - agreement.agreedAt) * 1000;
+    }
+
     void renewCopiesIfBehind()
     {
+        noteAgreement();
+        confirmIfOutdated();
         RelayState &state = m_relay.state();
         state.endpointsAsOf = m_endpointEntries.asOf();
         state.documentAsOf = m_documents.asOf();
@@ -650,6 +689,8 @@
     std::uint64_t m_documentRevision = 0;
     TimePoint m_nextLoadLine;
     std::uint64_t m_requestsAtSweep = 0;
+    bool m_outdated = false;
+    TimePoint m_nextConfirm;
     bool m_stopping = false;
     TimePoint m_stopBegan;
 };
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -110,7 +110,8 @@
                                 snapshot.state.digest,
                                 toMilliseconds(snapshot.age),
                                 snapshot.stamp,
-                                snapshot.items ? encodeItems(*snapshot.items) : json()}));
+                                snapshot.items ? encodeItems(*snapshot.items) : json(),
+                                toMilliseconds(snapshot.newerFor)}));
 }
 
 std::optional<PrefixSnapshot> decodeSnapshot(const std::string &bytes)
@@ -125,13 +126,15 @@
         if (!message.at(5).is_null()) {
             snapshot.items = readItems(message.at(5));
         }
+        snapshot.newerFor = std::chrono::milliseconds(message.at(6).get<std::int64_t>());
         return snapshot;
     });
 }
 
 std::string encodeSnapshotRequest(const SnapshotRequest &request)
 {
-    return toBytes(json::array({request.prefix, request.stamp, request.digest, request.stateOnly}));
+    return toBytes(
+        json::array({request.prefix, request.stamp, request.digest, request.stateOnly, request.newestRevision}));
 }
 
 std::optional<SnapshotRequest> decodeSnapshotRequest(const std::string &bytes)
@@ -140,7 +143,8 @@
         return SnapshotRequest{message.at(0).get<std::string>(),
                                message.at(1).get<std::int64_t>(),
                                message.at(2).get<std::uint64_t>(),
-                               message.at(3).get<bool>()};
+                               message.at(3).get<bool>(),
+                               message.at(4).get<std::uint64_t>()};
     });
 }
 
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -43,6 +43,8 @@
 {
     PrefixState state;
     Duration age{}; // Since the sender last heard of a reading.
+    // For how long the sender has held changes that the asker's copy lacks.
+    Duration newerFor{};
     std::int64_t stamp = 0; // Of the request that is answered.
     std::optional<std::vector<StoreItem>> items; // Unset: the asker has them.
 };
@@ -50,9 +52,10 @@
 struct SnapshotRequest
 {
     std::string prefix;
-    std::int64_t stamp = 0; // The asker's clock; comes back with the answer.
+    std::int64_t stamp = 0; // The asker's clock, set as it is sent; comes back with the answer.
     std::uint64_t digest = 0; // Of the asker's copy.
     bool stateOnly = false; // No items are wanted, whether the copies differ or not.
+    std::uint64_t newestRevision = 0; // Of the asker's copy.
 };
 
 std::string encodeUpdate(const PrefixUpdate &update);
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -110,11 +110,10 @@
     if (reply.at < m_copy.completeTo) {
         return;
     }
-    noteOwnReading();
-    m_asOf = std::max(m_asOf, began);
+    noteOwnReading(began);
     const auto changes = adoptSnapshot(m_copy, reply.items, reply.at);
     if (!changes.empty()) {
-        m_changed(m_copy.items);
+        onChanged(changes);
     }
     if (!changes.empty() && m_following && onMissed) {
         onMissed();
@@ -124,8 +123,18 @@
     }
 }
 
-void SharedPrefix::noteOwnReading()
+void SharedPrefix::onChanged(const std::vector<StoreItem> &changes)
+{
+    for (const StoreItem &change : changes) {
+        noteChange(m_changeTimes, change.revision, Relay::now());
+    }
+    m_changed(m_copy.items);
+}
+
+void SharedPrefix::noteOwnReading(TimePoint began)
 {
+    m_asOf = std::max(m_asOf, began);
+    Godwit::noteReading(m_agreement, began);
     if (!m_readAt) {
         m_firstReadAt = Relay::now();
     }
@@ -191,8 +200,9 @@
         armReading();
         noteReading(update.storeReturn);
     }
-    if (!applyDelta(m_copy, update.changes).empty() && m_copy.complete) {
-        m_changed(m_copy.items);
+    const auto delta = applyDelta(m_copy, update.changes);
+    if (!delta.empty() && m_copy.complete) {
+        onChanged(delta);
     }
     if (m_copy.complete && digestOf(m_copy) == update.state.digest) {
         markComplete(m_copy, update.state.completeTo);
@@ -256,18 +266,24 @@
 
 void SharedPrefix::onSnapshot(const PrefixSnapshot &snapshot)
 {
+    const TimePoint asked{Duration(snapshot.stamp)};
+    if (m_copy.complete) {
+        noteAnswer(m_agreement, asked, snapshot.newerFor, Relay::now());
+    }
     if (snapshot.items) {
         const bool first = !m_copy.complete;
         const auto changes = adoptSnapshot(m_copy, *snapshot.items, snapshot.state.completeTo);
         if (first || !changes.empty()) {
-            m_changed(m_copy.items);
+            onChanged(changes);
         }
+        // The peer's copy may hold changes beyond the revision that it is complete to; they are among its items.
+        noteAnswer(m_agreement, asked, Duration::zero(), Relay::now());
     } else if (digestOf(m_copy) == snapshot.state.digest) {
         markComplete(m_copy, snapshot.state.completeTo);
     } else {
         return;
     }
-    m_asOf = std::max(m_asOf, TimePoint(Duration(snapshot.stamp)) - snapshot.age);
+    m_asOf = std::max(m_asOf, asked - snapshot.age);
 }
 
 std::optional<PrefixSnapshot> SharedPrefix::snapshotFor(const SnapshotRequest &request) const
@@ -279,6 +295,7 @@
     snapshot.state = state();
     // While the store is away from here too, there is nothing newer to have.
     snapshot.age = inReach() && m_readAt ? Relay::now() - *m_readAt : Duration::zero();
+    snapshot.newerFor = heldNewerFor(m_changeTimes, request.newestRevision, Relay::now());
     if (!request.stateOnly && request.digest != snapshot.state.digest) {
         snapshot.items = itemsOf(m_copy);
     }
@@ -290,6 +307,11 @@
     return PrefixState{m_prefix, m_copy.completeTo, digestOf(m_copy)};
 }
 
+SnapshotRequest SharedPrefix::request() const
+{
+    return SnapshotRequest{m_prefix, 0, digestOf(m_copy), false, newestRevision(m_copy)};
+}
+
 void SharedPrefix::checkRole()
 {
     const bool watches = m_options.watched && m_copy.complete && rank();
@@ -337,10 +359,8 @@
             });
             return;
         }
-        noteOwnReading();
-        adoptSnapshot(m_copy, reply.items, reply.at);
-        m_asOf = std::max(m_asOf, began);
-        m_changed(m_copy.items);
+        noteOwnReading(began);
+        onChanged(adoptSnapshot(m_copy, reply.items, reply.at));
     });
 }
 
@@ -381,7 +401,7 @@
 {
     const auto delta = applyDelta(m_copy, reply.items);
     if (!delta.empty()) {
-        m_changed(m_copy.items);
+        onChanged(delta);
         tellOthers(delta, false);
     }
     const int routers = routersSharing ? routersSharing() : 1;
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -14,6 +14,7 @@
 
 #include "godwit/base/time.h"
 #include "godwit/daemon/prefix_messages.h"
+#include "godwit/gateway/copy_agreement.h"
 #include "godwit/gateway/prefix_copy.h"
 #include "godwit/gateway/reading_turns.h"
 #include "platform/store_client.h"
@@ -107,6 +108,9 @@
     // What the copy holds now.
     PrefixState state() const;
 
+    // Asks a peer whether it holds more.
+    SnapshotRequest request() const;
+
     const std::string &prefix() const
     {
         return m_prefix;
@@ -119,6 +123,12 @@
         return m_asOf;
     }
 
+    // What peers have said of the age of this copy.
+    const CopyAgreement &agreement() const
+    {
+        return m_agreement;
+    }
+
     // Whether the copy has been complete once.
     bool isComplete() const
     {
@@ -155,7 +165,8 @@
     void readInTurn();
     void read(bool inTurn);
     void onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn);
-    void noteOwnReading();
+    void noteOwnReading(TimePoint began);
+    void onChanged(const std::vector<StoreItem> &changes);
     void noteReading(const StoreReturn &told);
     StoreReturn storeReturn() const;
     void tellOthers(const std::vector<StoreItem> &changes, bool fromReading);
@@ -181,6 +192,8 @@
     bool m_following = false;
     bool m_renewing = false;
     TimePoint m_asOf;
+    ChangeTimes m_changeTimes;
+    CopyAgreement m_agreement;
     TimePoint m_firstReadAt;
     std::optional<TimePoint> m_readAt; // The last reading, of whichever router.
     std::optional<TimePoint> m_returnedAt; // The end of the store's last absence, while it matters.
--- /dev/null
+++ b/godwit/gateway/copy_agreement.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// Whether a copy of what the platform keeps is as new as those of the other routers.
+//
+// News travels over links that can be full: it may come seconds late while everything else looks sound, and a router
+// can't tell that by what it has received. So it asks others, and goes by the time of the question.
+//
+// Pure. Example:
+//   noteAnswer(agreement, asked, newerFor, now);
+//   if (isOutdated(agreement, options, now)) { ... refuse what the copy decides ... }
+
+#include "godwit/base/time.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+
+struct CopyAgreement
+{
+    TimePoint answeredAt; // When the last answer came.
+    TimePoint agreedAt; // Up to this moment the copy held all that another router did.
+};
+
+struct AgreementOptions
+{
+    // A copy may be this much older than another router's. Answers come twice a second, and the bound on the use of
+    // removed entries is 2 s.
+    Duration longestLag = std::chrono::milliseconds(1200);
+    // A router that has not been answered for longer is cut off, or has had nothing to ask for: it serves what it can
+    // reach.
+    Duration answersCountFor = std::chrono::milliseconds(1500);
+};
+
+// A peer was asked at `asked`, and had held changes that this copy lacks for `newerFor`.
+inline void noteAnswer(CopyAgreement &agreement, TimePoint asked, Duration newerFor, TimePoint now)
+{
+    agreement.answeredAt = now;
+    agreement.agreedAt = std::max(agreement.agreedAt, std::min(asked, now) - newerFor);
+}
+
+// This router has read everything itself, beginning at `began`.
+inline void noteReading(CopyAgreement &agreement, TimePoint began)
+{
+    agreement.agreedAt = std::max(agreement.agreedAt, began);
+}
+
+// By the last answer, since between answers nothing is known.
+inline bool isOutdated(const CopyAgreement &agreement, const AgreementOptions &options, TimePoint now)
+{
+    return now < agreement.answeredAt + options.answersCountFor
+        && agreement.answeredAt > agreement.agreedAt + options.longestLag;
+}
+
+} // namespace Godwit
--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -18,6 +18,16 @@
                     removal == copy.removed.end() ? 0 : removal->second);
 }
 
+// Of the latest changes; of a copy that is older than all of these it is enough to know that it is old.
+constexpr std::size_t MaxChangeTimes = 256;
+
+void noteNewest(PrefixCopy &copy, const std::vector<StoreItem> &changes)
+{
+    for (const StoreItem &change : changes) {
+        copy.newestChange = std::max(copy.newestChange, change.revision);
+    }
+}
+
 // What turns `before` into `after`. An entry that went counts as removed at `at`.
 std::vector<StoreItem> difference(const std::map<std::string, StoreItem> &before,
                                   const std::map<std::string, StoreItem> &after,
@@ -59,6 +69,7 @@
     auto changes = difference(copy.items, entries, at);
     copy.items = std::move(entries);
     copy.complete = true;
+    noteNewest(copy, changes);
     markComplete(copy, at);
     return changes;
 }
@@ -84,6 +95,7 @@
     for (auto &[key, change] : newestByKey) {
         newest.push_back(std::move(change));
     }
+    noteNewest(copy, newest);
     return newest;
 }
 
@@ -105,6 +117,31 @@
            });
 }
 
+std::uint64_t newestRevision(const PrefixCopy &copy)
+{
+    return std::max(copy.completeTo, copy.newestChange);
+}
+
+void noteChange(ChangeTimes &times, std::uint64_t revision, TimePoint now)
+{
+    if (!times.changes.empty() && revision <= times.changes.back().revision) {
+        return;
+    }
+    times.changes.push_back({revision, now});
+    if (times.changes.size() > MaxChangeTimes) {
+        times.changes.pop_front();
+    }
+}
+
+Duration heldNewerFor(const ChangeTimes &times, std::uint64_t revision, TimePoint now)
+{
+    const auto newer = std::upper_bound(
+        times.changes.begin(), times.changes.end(), revision, [](std::uint64_t known, const ChangeTimes::Change &change) {
+            return known < change.revision;
+        });
+    return newer == times.changes.end() ? Duration::zero() : now - newer->at;
+}
+
 std::uint64_t digestOf(const PrefixCopy &copy)
 {
     std::uint64_t sum = 0;
--- a/godwit/gateway/prefix_copy.h
+++ b/godwit/gateway/prefix_copy.h
@@ -12,9 +12,11 @@
 //   const auto delta = applyDelta(copy, changes);
 //   if (digestOf(copy) != digestElsewhere) { ... ask for a snapshot ... }
 
+#include "godwit/base/time.h"
 #include "godwit/gateway/store_item.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -28,9 +30,30 @@
     std::map<std::string, std::uint64_t> removed; // Revisions of removals after `completeTo`, by key.
     // Nothing is missing up to this revision of the store.
     std::uint64_t completeTo = 0;
+    std::uint64_t newestChange = 0; // The highest revision of a change that the copy has taken over.
     bool complete = false; // A snapshot was adopted.
 };
 
+// When a copy took over each of its latest changes, so that the holder of an older copy can be told how old that is.
+struct ChangeTimes
+{
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        TimePoint at;
+    };
+    std::deque<Change> changes; // By revision, the oldest first.
+};
+
+// Notes that the copy has taken over changes up to `revision`.
+void noteChange(ChangeTimes &times, std::uint64_t revision, TimePoint now);
+
+// For how long the copy has held a change after `revision`; zero when it holds none.
+Duration heldNewerFor(const ChangeTimes &times, std::uint64_t revision, TimePoint now);
+
+// The revision up to which the copy knows of changes.
+std::uint64_t newestRevision(const PrefixCopy &copy);
+
 // Takes over a snapshot of revision `at`, except for entries of the copy that are newer, and returns what it changed.
 // A snapshot that is older than the copy changes nothing.
 std::vector<StoreItem> adoptSnapshot(PrefixCopy &copy, const std::vector<StoreItem> &items, std::uint64_t at);
--- a/godwit/gateway/prefix_copy_test.cpp
+++ b/godwit/gateway/prefix_copy_test.cpp
@@ -1,3 +1,4 @@
+#include "godwit/gateway/copy_agreement.h"
 #include "godwit/gateway/prefix_copy.h"
 #include "godwit/gateway/reading_turns.h"
 
@@ -135,3 +136,51 @@
     CHECK(readers() == std::vector<std::uint64_t>{50, 70});
     CHECK(readerRank(50, {}, 2) == 0);
 }
+
+TEST_CASE("a copy knows for how long it has held what another one lacks")
+{
+    const TimePoint start{std::chrono::seconds(100)};
+    const auto at = [start](int milliseconds) {
+        return start + std::chrono::milliseconds(milliseconds);
+    };
+    ChangeTimes times;
+    CHECK(heldNewerFor(times, 0, at(0)) == Duration::zero());
+    noteChange(times, 5, at(0));
+    noteChange(times, 9, at(300));
+    noteChange(times, 7, at(400)); // Late, and of no account to a copy that knows 9.
+    CHECK(heldNewerFor(times, 9, at(1000)) == Duration::zero());
+    CHECK(heldNewerFor(times, 5, at(1000)) == std::chrono::milliseconds(700));
+    CHECK(heldNewerFor(times, 4, at(1000)) == std::chrono::seconds(1));
+    for (std::uint64_t revision = 10; revision < 2000; ++revision) {
+        noteChange(times, revision, at(1000));
+    }
+    CHECK(times.changes.size() <= 256);
+    CHECK(heldNewerFor(times, 4, at(2500)) == std::chrono::milliseconds(1500));
+}
+
+TEST_CASE("a copy is outdated when a peer has held newer ones for long, and not for want of answers")
+{
+    const TimePoint start{std::chrono::seconds(100)};
+    const AgreementOptions options;
+    CopyAgreement agreement;
+    CHECK_FALSE(isOutdated(agreement, options, start));
+    noteAnswer(agreement, start, Duration::zero(), start);
+    // A router that has nothing to ask for is not outdated by that.
+    CHECK_FALSE(isOutdated(agreement, options, start + options.answersCountFor - std::chrono::milliseconds(1)));
+    // An answer that comes late is as old as its question.
+    const TimePoint later = start + 2 * options.longestLag;
+    noteAnswer(agreement, start + std::chrono::milliseconds(10), Duration::zero(), later);
+    CHECK(isOutdated(agreement, options, later));
+    CHECK_FALSE(isOutdated(agreement, options, later + options.answersCountFor));
+    SECTION("what it has read itself is new")
+    {
+        noteReading(agreement, later - std::chrono::milliseconds(5));
+        CHECK_FALSE(isOutdated(agreement, options, later));
+    }
+    SECTION("a peer that lags behind says nothing of this copy")
+    {
+        noteAnswer(agreement, later, Duration::zero(), later);
+        noteAnswer(agreement, later, 3 * options.longestLag, later);
+        CHECK_FALSE(isOutdated(agreement, options, later));
+    }
+}
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -116,6 +116,47 @@
     CHECK(router.received().find("HTTP/1.1 429") == 0);
 }
 
+TEST_CASE("a host whose document is older than its peers' says nothing out of it")
+{
+    // A large document took seconds over a busy link on which small messages came at once, so that the host did not
+    // count as behind. It answered 404 for a route that had been added seconds ago.
+    Connected router;
+    RelayState &state = router.relay.state();
+    state.routes = makeRouteTable({});
+    state.stage = RelayStage::Serving;
+    const TimePoint now = Relay::now();
+    const std::string refused = "HTTP/1.1 429";
+    const std::string unknownRoute = "HTTP/1.1 404";
+    SECTION("a peer has held a newer one for two seconds")
+    {
+        noteAnswer(state.documentAgreement, now, std::chrono::seconds(2), now);
+        router.ask("keep-alive");
+        router.run(std::chrono::milliseconds(20));
+        CHECK(router.received().find(refused) == 0);
+    }
+    SECTION("a peer has held a newer list of endpoints")
+    {
+        noteAnswer(state.endpointsAgreement, now, std::chrono::seconds(2), now);
+        router.ask("keep-alive");
+        router.run(std::chrono::milliseconds(20));
+        CHECK(router.received().find(refused) == 0);
+    }
+    SECTION("no peer has answered for long: the host is cut off, and serves what it can")
+    {
+        noteAnswer(state.documentAgreement, now, std::chrono::seconds(2), now - std::chrono::seconds(3));
+        router.ask("keep-alive");
+        router.run(std::chrono::milliseconds(20));
+        CHECK(router.received().find(unknownRoute) == 0);
+    }
+    SECTION("the peers hold nothing newer")
+    {
+        noteAnswer(state.documentAgreement, now, Duration::zero(), now);
+        router.ask("keep-alive");
+        router.run(std::chrono::milliseconds(20));
+        CHECK(router.received().find(unknownRoute) == 0);
+    }
+}
+
 TEST_CASE("a request that has arrived is answered before its connection counts as idle")
 {
     // The loop was busy while the request came, so that nobody had begun to read it. The connection was closed as idle
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -31,7 +31,14 @@
 bool Relay::isBehind(TimePoint now) const
 {
     const bool copiesAreOld = std::min(m_state.endpointsAsOf, m_state.documentAsOf) < m_state.behindAt;
-    return now < m_state.behindAt + (copiesAreOld ? m_options.copyPatience : m_options.behindFor);
+    return now < m_state.behindAt + (copiesAreOld ? m_options.copyPatience : m_options.behindFor)
+        || hasOutdatedCopy(now);
+}
+
+bool Relay::hasOutdatedCopy(TimePoint now) const
+{
+    return isOutdated(m_state.endpointsAgreement, m_options.agreement, now)
+        || isOutdated(m_state.documentAgreement, m_options.agreement, now);
 }
 
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -11,6 +11,7 @@
 //   relay.tokensCame();
 
 #include "godwit/base/time.h"
+#include "godwit/gateway/copy_agreement.h"
 #include "godwit/gateway/endpoint_table.h"
 #include "godwit/gateway/repeat_allowance.h"
 #include "godwit/gateway/route_table.h"
@@ -59,6 +60,7 @@
     // be away.
     Duration behindFor = std::chrono::milliseconds(1200);
     Duration copyPatience = std::chrono::seconds(10);
+    AgreementOptions agreement;
     // Time kept at the end of a caller's patience, so that the final answer still arrives.
     Duration answerMargin = std::chrono::milliseconds(15);
     // An endpoint that has said nothing for so long when its request is given up counts as slow. Work of plain
@@ -83,6 +85,8 @@
     TimePoint behindAt;
     TimePoint endpointsAsOf; // The list of endpoints is at least as new as this.
     TimePoint documentAsOf; // So is the document.
+    CopyAgreement endpointsAgreement; // Whether the list is as new as those of the other routers.
+    CopyAgreement documentAgreement;
 };
 
 struct RelayCounters
@@ -139,9 +143,12 @@
     // Whether callers may be sent here.
     bool isReady() const;
 
-    // Whether this host was lately behind, and its document or its list of endpoints may still be from then.
+    // Whether this host was lately behind, and its document or its list of endpoints may still be from then, or one of
+    // them is older than those of other routers.
     bool isBehind(TimePoint now) const;
 
+    bool hasOutdatedCopy(TimePoint now) const;
+
     // Called when requests wait for tokens of a customer, with what they need in all.
     std::function<void(const CustomerId &, Tokens needed)> onTokensWanted;
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -82,7 +82,7 @@
     m_facts = *facts;
     // Before the route: what the document of a host that is behind doesn't have may have been added seconds ago.
     if (m_relay.isBehind(m_arrived)) {
-        refuse(ErrorKind::Overloaded, "this router's link is choked", comeBackByLot());
+        refuse(ErrorKind::Overloaded, "this router is behind the others", comeBackByLot());
         return;
     }
     if (!findRoute() || !findCustomer()) {
