A value that is too large to be told is read after each change, not at the next reading

Versions of a document of more than 64 KB waited for the next reading, 0.7 s later, from the second one on: whoever held anything newer than the sender's last reading passed for having all, and the first version was newer. Copies now say up to which revision they know of changes; one that knows less lacks something whatever it was complete to. While a router catches up it notes the newest state that it has heard of, so that none is forgotten. House: one pair of functions for a copy's state in messages instead of three.

--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -30,9 +30,7 @@
 
 std::string encodeRelayed(const RelayedUpdate &relayed)
 {
-    const PrefixState &state = relayed.state;
-    return toBytes(
-        json::array({relayed.members, relayed.origin, state.prefix, state.completeTo, state.digest, relayed.update}));
+    return toBytes(json::array({relayed.members, relayed.origin, encodeState(relayed.state), relayed.update}));
 }
 
 std::optional<RelayedUpdate> decodeRelayed(const std::string &bytes)
@@ -42,10 +40,8 @@
         RelayedUpdate relayed;
         relayed.members = message.at(0).get<std::vector<std::string>>();
         relayed.origin = message.at(1).get<std::string>();
-        relayed.state.prefix = message.at(2).get<std::string>();
-        relayed.state.completeTo = message.at(3).get<std::uint64_t>();
-        relayed.state.digest = message.at(4).get<std::uint64_t>();
-        relayed.update = message.at(5).get<std::string>();
+        relayed.state = readState(message.at(2));
+        relayed.update = message.at(3).get<std::string>();
         return relayed;
     } catch (const json::exception &) {
         return std::nullopt;
@@ -247,7 +243,7 @@
     json row = json::array();
     if (copyStates) {
         for (const PrefixState &state : copyStates()) {
-            row.push_back(json::array({state.prefix, state.completeTo, state.digest}));
+            row.push_back(encodeState(state));
         }
     }
     return row;
@@ -263,8 +259,7 @@
     for (const json &copy : *row) {
         PrefixUpdate update;
         try {
-            update.state = PrefixState{
-                copy.at(0).get<std::string>(), copy.at(1).get<std::uint64_t>(), copy.at(2).get<std::uint64_t>()};
+            update.state = readState(copy);
         } catch (const json::exception &) {
             return;
         }
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -77,11 +77,22 @@
 
 } // namespace
 
+json encodeState(const PrefixState &state)
+{
+    return json::array({state.prefix, state.completeTo, state.digest, state.newestRevision});
+}
+
+PrefixState readState(const json &row)
+{
+    return PrefixState{row.at(0).get<std::string>(),
+                       row.at(1).get<std::uint64_t>(),
+                       row.at(2).get<std::uint64_t>(),
+                       row.at(3).get<std::uint64_t>()};
+}
+
 std::string encodeUpdate(const PrefixUpdate &update)
 {
-    return toBytes(json::array({update.state.prefix,
-                                update.state.completeTo,
-                                update.state.digest,
+    return toBytes(json::array({encodeState(update.state),
                                 update.fromReading,
                                 update.truncated,
                                 encodeReturn(update.storeReturn),
@@ -92,22 +103,18 @@
 {
     return decode<PrefixUpdate>(bytes, [](const json &message) {
         PrefixUpdate update;
-        update.state.prefix = message.at(0).get<std::string>();
-        update.state.completeTo = message.at(1).get<std::uint64_t>();
-        update.state.digest = message.at(2).get<std::uint64_t>();
-        update.fromReading = message.at(3).get<bool>();
-        update.truncated = message.at(4).get<bool>();
-        update.storeReturn = readReturn(message.at(5).get<std::int64_t>());
-        update.changes = readItems(message.at(6));
+        update.state = readState(message.at(0));
+        update.fromReading = message.at(1).get<bool>();
+        update.truncated = message.at(2).get<bool>();
+        update.storeReturn = readReturn(message.at(3).get<std::int64_t>());
+        update.changes = readItems(message.at(4));
         return update;
     });
 }
 
 std::string encodeSnapshot(const PrefixSnapshot &snapshot)
 {
-    return toBytes(json::array({snapshot.state.prefix,
-                                snapshot.state.completeTo,
-                                snapshot.state.digest,
+    return toBytes(json::array({encodeState(snapshot.state),
                                 toMilliseconds(snapshot.age),
                                 snapshot.stamp,
                                 snapshot.items ? encodeItems(*snapshot.items) : json(),
@@ -118,15 +125,13 @@
 {
     return decode<PrefixSnapshot>(bytes, [](const json &message) {
         PrefixSnapshot snapshot;
-        snapshot.state.prefix = message.at(0).get<std::string>();
-        snapshot.state.completeTo = message.at(1).get<std::uint64_t>();
-        snapshot.state.digest = message.at(2).get<std::uint64_t>();
-        snapshot.age = std::chrono::milliseconds(message.at(3).get<std::int64_t>());
-        snapshot.stamp = message.at(4).get<std::int64_t>();
-        if (!message.at(5).is_null()) {
-            snapshot.items = readItems(message.at(5));
+        snapshot.state = readState(message.at(0));
+        snapshot.age = std::chrono::milliseconds(message.at(1).get<std::int64_t>());
+        snapshot.stamp = message.at(2).get<std::int64_t>();
+        if (!message.at(3).is_null()) {
+            snapshot.items = readItems(message.at(3));
         }
-        snapshot.newerFor = std::chrono::milliseconds(message.at(6).get<std::int64_t>());
+        snapshot.newerFor = std::chrono::milliseconds(message.at(4).get<std::int64_t>());
         return snapshot;
     });
 }
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -7,6 +7,8 @@
 #include "godwit/base/time.h"
 #include "godwit/gateway/store_item.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,8 +23,13 @@
     std::string prefix;
     std::uint64_t completeTo = 0; // The store's revision up to which nothing is missing.
     std::uint64_t digest = 0;
+    std::uint64_t newestRevision = 0; // Up to which the copy knows of changes.
 };
 
+// As a part of a message. Reading throws nlohmann::json::exception when it is malformed.
+nlohmann::json encodeState(const PrefixState &state);
+PrefixState readState(const nlohmann::json &row);
+
 // Whether the store was away lately: entries on leases may lapse meanwhile, and come back after its return.
 struct StoreReturn
 {
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -221,22 +221,28 @@
 // Where changes come faster than readings a copy differs from each reading, and lacks nothing.
 bool SharedPrefix::lacks(const PrefixState &elsewhere) const
 {
-    return elsewhere.completeTo > m_copy.completeTo && digestOf(m_copy) != elsewhere.digest
-        && !hasNewer(m_copy, elsewhere.completeTo);
+    if (digestOf(m_copy) == elsewhere.digest) {
+        return false;
+    }
+    return elsewhere.newestRevision > newestRevision(m_copy)
+        || (elsewhere.completeTo > m_copy.completeTo && !hasNewer(m_copy, elsewhere.completeTo));
 }
 
 // Catches up with a copy that holds more: from a peer if `ask` is set, and if that brings nothing from the store.
 void SharedPrefix::renew(const PrefixState &elsewhere, Duration after, const Ask &ask)
 {
     if (std::exchange(m_renewing, true)) {
+        if (elsewhere.newestRevision > m_wanted.newestRevision) {
+            m_wanted = elsewhere;
+        }
         return;
     }
+    m_wanted = elsewhere;
     m_renewTimer.expires_after(after);
-    m_renewTimer.async_wait([this, elsewhere, ask](const boost::system::error_code &error) {
+    m_renewTimer.async_wait([this, ask](const boost::system::error_code &error) {
         m_renewing = false;
-        const bool caughtUp = m_copy.completeTo > elsewhere.completeTo || digestOf(m_copy) == elsewhere.digest
-            || hasNewer(m_copy, elsewhere.completeTo);
-        if (error || (m_copy.complete && caughtUp)) {
+        const PrefixState elsewhere = m_wanted;
+        if (error || (m_copy.complete && !lacks(elsewhere))) {
             return;
         }
         if (ask && !(isLarge() && inReach()) && ask()) {
@@ -304,7 +310,7 @@
 
 PrefixState SharedPrefix::state() const
 {
-    return PrefixState{m_prefix, m_copy.completeTo, digestOf(m_copy)};
+    return PrefixState{m_prefix, m_copy.completeTo, digestOf(m_copy), newestRevision(m_copy)};
 }
 
 SnapshotRequest SharedPrefix::request() const
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -191,6 +191,7 @@
     bool m_readingAll = false;
     bool m_following = false;
     bool m_renewing = false;
+    PrefixState m_wanted; // What is being caught up with.
     TimePoint m_asOf;
     ChangeTimes m_changeTimes;
     CopyAgreement m_agreement;
