A change of a large value is told as what changed

Each version of a document went to each router as a whole: 50 KB for a change of a row, over links on which callers' requests wait as well. Now the reader cuts the value before and the new one into pieces at places that their bytes decide, names those that stand in both and sends the rest: some 3 KB, whatever the size. A router whose own value lacks a piece sees it by the hash and asks for the whole. Values over 64 KB are no longer read by each router either, unless most of them changed.

--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -42,6 +42,39 @@
     return items;
 }
 
+// In one row: for a part of the base its two numbers, for new bytes a string.
+json encodeDelta(const ItemDelta &delta)
+{
+    json parts = json::array();
+    for (const ValueDelta::Part &part : delta.value.parts) {
+        if (part.length > 0) {
+            parts.push_back(part.offset);
+            parts.push_back(part.length);
+        } else {
+            parts.push_back(part.bytes);
+        }
+    }
+    return json::array({delta.key, delta.revision, delta.value.hash, std::move(parts)});
+}
+
+ItemDelta readDelta(const json &row)
+{
+    ItemDelta delta;
+    delta.key = row.at(0).get<std::string>();
+    delta.revision = row.at(1).get<std::uint64_t>();
+    delta.value.hash = row.at(2).get<std::uint64_t>();
+    const json &parts = row.at(3);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        if (parts.at(i).is_string()) {
+            delta.value.parts.push_back({0, 0, parts.at(i).get<std::string>()});
+        } else {
+            delta.value.parts.push_back({parts.at(i).get<std::uint64_t>(), parts.at(i + 1).get<std::uint64_t>(), {}});
+            ++i;
+        }
+    }
+    return delta;
+}
+
 std::int64_t encodeReturn(const StoreReturn &storeReturn)
 {
     if (!storeReturn.known) {
@@ -92,11 +125,16 @@
 
 std::string encodeUpdate(const PrefixUpdate &update)
 {
+    json deltas = json::array();
+    for (const ItemDelta &delta : update.deltas) {
+        deltas.push_back(encodeDelta(delta));
+    }
     return toBytes(json::array({encodeState(update.state),
                                 update.fromReading,
                                 update.truncated,
                                 encodeReturn(update.storeReturn),
-                                encodeItems(update.changes)}));
+                                encodeItems(update.changes),
+                                std::move(deltas)}));
 }
 
 std::optional<PrefixUpdate> decodeUpdate(const std::string &bytes)
@@ -108,6 +146,9 @@
         update.truncated = message.at(2).get<bool>();
         update.storeReturn = readReturn(message.at(3).get<std::int64_t>());
         update.changes = readItems(message.at(4));
+        for (const json &row : message.at(5)) {
+            update.deltas.push_back(readDelta(row));
+        }
         return update;
     });
 }
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -6,6 +6,7 @@
 
 #include "godwit/base/time.h"
 #include "godwit/gateway/store_item.h"
+#include "godwit/gateway/value_delta.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -37,6 +38,14 @@
     std::optional<Duration> ago; // Unset: it was not away.
 };
 
+// A change of a large value, for those that hold the value before.
+struct ItemDelta
+{
+    std::string key;
+    std::uint64_t revision = 0;
+    ValueDelta value;
+};
+
 struct PrefixUpdate
 {
     PrefixState state; // Of the sender's copy, these changes applied.
@@ -44,6 +53,7 @@
     bool truncated = false; // Some changes are too large to be told.
     StoreReturn storeReturn;
     std::vector<StoreItem> changes;
+    std::vector<ItemDelta> deltas;
 };
 
 struct PrefixSnapshot
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -111,6 +111,7 @@
         return;
     }
     noteOwnReading(began);
+    const auto before = largeValues();
     const auto changes = adoptSnapshot(m_copy, reply.items, reply.at);
     if (!changes.empty()) {
         onChanged(changes);
@@ -119,7 +120,7 @@
         onMissed();
     }
     if (inTurn) {
-        tellOthers(changes, true);
+        tellOthers(changes, before, true);
     }
 }
 
@@ -175,7 +176,21 @@
     return storeReturn;
 }
 
-void SharedPrefix::tellOthers(const std::vector<StoreItem> &changes, bool fromReading)
+// Those that a delta pays for, by key.
+std::map<std::string, std::string> SharedPrefix::largeValues() const
+{
+    std::map<std::string, std::string> values;
+    for (const auto &[key, item] : m_copy.items) {
+        if (item.value.size() >= m_options.deltaFrom) {
+            values[key] = item.value;
+        }
+    }
+    return values;
+}
+
+void SharedPrefix::tellOthers(const std::vector<StoreItem> &changes,
+                              const std::map<std::string, std::string> &before,
+                              bool fromReading)
 {
     if (!tell) {
         return;
@@ -185,6 +200,14 @@
     update.fromReading = fromReading;
     update.storeReturn = storeReturn();
     for (const StoreItem &change : changes) {
+        const auto base = change.removed ? before.end() : before.find(change.key);
+        if (base != before.end()) {
+            ItemDelta delta{change.key, change.revision, makeValueDelta(base->second, change.value)};
+            if (encodedSize(delta.value) < std::min(change.value.size() / 2, m_options.longestToldValue)) {
+                update.deltas.push_back(std::move(delta));
+                continue;
+            }
+        }
         if (change.value.size() <= m_options.longestToldValue) {
             update.changes.push_back(change);
         } else {
@@ -200,7 +223,9 @@
         armReading();
         noteReading(update.storeReturn);
     }
-    const auto delta = applyDelta(m_copy, update.changes);
+    std::vector<StoreItem> changes = update.changes;
+    const bool lacksBase = !applyDeltas(update.deltas, changes);
+    const auto delta = applyDelta(m_copy, changes);
     if (!delta.empty() && m_copy.complete) {
         onChanged(delta);
     }
@@ -213,11 +238,29 @@
     } else if (!m_copy.complete) {
         renew(update.state, Duration::zero(), askSender);
     } else if (lacks(update.state) || update.truncated) {
-        const bool tellsWhatIsNew = update.fromReading || update.truncated;
+        const bool tellsWhatIsNew = update.fromReading || update.truncated || lacksBase;
         renew(update.state, tellsWhatIsNew ? m_options.missedAfter : m_options.lateAfter, askSender);
     }
 }
 
+bool SharedPrefix::applyDeltas(const std::vector<ItemDelta> &deltas, std::vector<StoreItem> &changes) const
+{
+    bool applied = true;
+    for (const ItemDelta &delta : deltas) {
+        const auto held = m_copy.items.find(delta.key);
+        if (held == m_copy.items.end()) {
+            applied = false;
+        } else if (held->second.revision < delta.revision) {
+            if (auto value = applyValueDelta(held->second.value, delta.value)) {
+                changes.push_back({delta.key, std::move(*value), delta.revision, false});
+            } else {
+                applied = false;
+            }
+        }
+    }
+    return applied;
+}
+
 // Where changes come faster than readings a copy differs from each reading, and lacks nothing.
 bool SharedPrefix::lacks(const PrefixState &elsewhere) const
 {
@@ -405,10 +448,11 @@
 
 void SharedPrefix::takeWatched(const StoreItemsReply &reply)
 {
+    const auto before = largeValues();
     const auto delta = applyDelta(m_copy, reply.items);
     if (!delta.empty()) {
         onChanged(delta);
-        tellOthers(delta, false);
+        tellOthers(delta, before, false);
     }
     const int routers = routersSharing ? routersSharing() : 1;
     later(std::max(m_options.gather, m_options.gatherPerRouter * routers), [this] {
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -53,6 +53,8 @@
     Duration snapshotLimit = std::chrono::milliseconds(300);
     // What each further reader leaves to the one before it: else all of them would tell the same.
     Duration readerDelay = std::chrono::milliseconds(25);
+    // A change of a larger value is told as what changed, to those that hold the value before.
+    std::size_t deltaFrom = 1024;
     // A larger value is read by each router, spread over `readSpread`: passing it on keeps small hosts' links busy, and
     // the tokens that go over them late.
     std::size_t longestToldValue = 64UL * 1024;
@@ -169,7 +171,12 @@
     void onChanged(const std::vector<StoreItem> &changes);
     void noteReading(const StoreReturn &told);
     StoreReturn storeReturn() const;
-    void tellOthers(const std::vector<StoreItem> &changes, bool fromReading);
+    std::map<std::string, std::string> largeValues() const;
+    void tellOthers(const std::vector<StoreItem> &changes,
+                    const std::map<std::string, std::string> &before,
+                    bool fromReading);
+    // What `deltas` make of the values held here; false when one of them needs another base.
+    bool applyDeltas(const std::vector<ItemDelta> &deltas, std::vector<StoreItem> &changes) const;
     void renew(const PrefixState &elsewhere, Duration after, const Ask &ask);
     bool lacks(const PrefixState &elsewhere) const;
     bool isLarge() const;
--- /dev/null
+++ b/godwit/gateway/value_delta.cpp
@@ -0,0 +1,122 @@
+#include "godwit/gateway/value_delta.h"
+
+#include "godwit/base/hash.h"
+
+#include <array>
+#include <numeric>
+#include <unordered_map>
+
+namespace Godwit
+{
+namespace
+{
+
+// A cut falls on average each 128 bytes: a row of a document is some 200, so that a change costs few rows.
+constexpr std::uint64_t CutMask = 0x7f;
+constexpr std::size_t ShortestPiece = 32;
+constexpr std::size_t LongestPiece = 1024;
+// A number and its frame in a message.
+constexpr std::size_t PartOverhead = 8;
+
+// A value for each byte for the rolling hash, equal in every version (splitmix64).
+constexpr std::array<std::uint64_t, 256> makeGears()
+{
+    std::array<std::uint64_t, 256> gears{};
+    std::uint64_t state = 0;
+    for (std::uint64_t &gear : gears) {
+        state += 0x9e3779b97f4a7c15ULL;
+        std::uint64_t mixed = state;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+        gear = mixed ^ (mixed >> 31U);
+    }
+    return gears;
+}
+
+constexpr std::array<std::uint64_t, 256> Gears = makeGears();
+
+// The next piece of `rest`: its end depends on the bytes before it alone.
+std::string_view takePiece(std::string_view &rest)
+{
+    std::uint64_t rolling = 0;
+    std::size_t length = 0;
+    while (length < rest.size() && length < LongestPiece) {
+        rolling = (rolling << 1U) + Gears[static_cast<unsigned char>(rest[length])];
+        ++length;
+        // The high bits hold the most bytes.
+        if (length >= ShortestPiece && ((rolling >> 32U) & CutMask) == 0) {
+            break;
+        }
+    }
+    const std::string_view piece = rest.substr(0, length);
+    rest.remove_prefix(length);
+    return piece;
+}
+
+void appendCopy(ValueDelta &delta, std::uint64_t offset, std::uint64_t length)
+{
+    if (!delta.parts.empty()) {
+        ValueDelta::Part &last = delta.parts.back();
+        if (last.length > 0 && last.offset + last.length == offset) {
+            last.length += length;
+            return;
+        }
+    }
+    delta.parts.push_back({offset, length, {}});
+}
+
+void appendBytes(ValueDelta &delta, std::string_view bytes)
+{
+    if (delta.parts.empty() || delta.parts.back().length > 0) {
+        delta.parts.emplace_back();
+    }
+    delta.parts.back().bytes += bytes;
+}
+
+} // namespace
+
+ValueDelta makeValueDelta(std::string_view base, std::string_view value)
+{
+    std::unordered_map<std::string_view, std::uint64_t> offsets;
+    for (std::string_view rest = base; !rest.empty();) {
+        const auto offset = static_cast<std::uint64_t>(base.size() - rest.size());
+        offsets.emplace(takePiece(rest), offset);
+    }
+    ValueDelta delta;
+    delta.hash = stableHash(value);
+    for (std::string_view rest = value; !rest.empty();) {
+        const std::string_view piece = takePiece(rest);
+        const auto found = offsets.find(piece);
+        if (found != offsets.end()) {
+            appendCopy(delta, found->second, piece.size());
+        } else {
+            appendBytes(delta, piece);
+        }
+    }
+    return delta;
+}
+
+std::optional<std::string> applyValueDelta(std::string_view base, const ValueDelta &delta)
+{
+    std::string value;
+    for (const ValueDelta::Part &part : delta.parts) {
+        if (part.length == 0) {
+            value += part.bytes;
+        } else if (part.offset <= base.size() && part.length <= base.size() - part.offset) {
+            value += base.substr(part.offset, part.length);
+        } else {
+            return std::nullopt;
+        }
+    }
+    return stableHash(value) == delta.hash ? std::optional(std::move(value)) : std::nullopt;
+}
+
+std::size_t encodedSize(const ValueDelta &delta)
+{
+    return std::accumulate(
+        delta.parts.begin(), delta.parts.end(), std::size_t{0}, [](std::size_t sum, const ValueDelta::Part &part) {
+            return sum + PartOverhead + part.bytes.size();
+        });
+}
+
+} // namespace Godwit
