Routers that are no readers tell of large values without sending them

Each fleet starts at once after a loss of power. Who has the value already needs nothing, and who lacks it sees that by the digest and asks. Red before: shared_prefix_test "a router that is no reader tells of a large value".

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -199,6 +199,7 @@
     update.state = state();
     update.fromReading = fromReading;
     update.storeReturn = storeReturn();
+    const bool isReader = rank().has_value();
     for (const StoreItem &change : changes) {
         const auto base = change.removed ? before.end() : before.find(change.key);
         if (base != before.end()) {
@@ -208,6 +209,10 @@
                 continue;
             }
         }
+        if (!isReader && change.value.size() >= m_options.deltaFrom) {
+            // Where a fleet starts at once all find it by themselves; who does not will see it by the digest and ask.
+            continue;
+        }
         if (change.value.size() <= m_options.longestToldValue) {
             update.changes.push_back(change);
         } else {
