Updates of some KB go to each router, not over a few

Updates over 1 KB went over a few large hosts, which pass them on: in a storm nearly all changes and readings. While one of these hosts is frozen, its part of the fleet (a fifth of 90, a third of 8) hears of no change and no reading, and reads by itself only 1.3 to 1.9 s later. Since large values are told as what changed, an update takes some KB: below 1 MB for the whole fleet it goes to each router. Larger ones go over some as before, and who misses one sees it by the next digest. Tests: fleet_links_test "a frozen router keeps no update from the others" (red before).

--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -53,7 +53,7 @@
 void FleetLinks::sendUpdate(const PrefixUpdate &update)
 {
     const std::string body = encodeUpdate(update);
-    if (body.size() < m_options.relayUpdatesFrom) {
+    if (body.size() * m_peers.size() < m_options.relayUpdatesFrom) {
         m_mesh->broadcast({UpdateTopic, body});
         return;
     }
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -39,6 +39,9 @@
             snapshot.state = {request.prefix, 7, request.digest};
             return std::optional(snapshot);
         };
+        links.onUpdate = [this](const Incarnation &, const PrefixUpdate &update) {
+            updates += update.changes.empty() ? 0 : 1;
+        };
         links.onSnapshot = [this](const PrefixSnapshot &) {
             ++snapshots;
         };
@@ -71,6 +74,7 @@
     FleetMember self;
     FleetLinks links;
     int snapshots = 0;
+    int updates = 0;
     int questions = 0;
     int entriesAsked = 0;
 };
@@ -178,6 +182,39 @@
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
 }
 
+TEST_CASE("a frozen router keeps no update from the others")
+{
+    // Updates of some KB went over a few large hosts. While one of these was frozen its share of the fleet heard of no
+    // change, and of no reading, for two seconds.
+    Routers routers({"a", "b", "c", "d", "e", "f"});
+    PrefixUpdate update;
+    update.state.prefix = "servers/";
+    update.changes = {StoreItem{"servers/a", std::string(3000, 'x'), 7, false}};
+    for (std::size_t frozen = 1; frozen < routers.all.size(); ++frozen) {
+        routers[0].links.sendUpdate(update);
+        routers.run(std::chrono::milliseconds(100), {&routers[frozen]});
+        for (std::size_t other = 1; other < routers.all.size(); ++other) {
+            CHECK(routers[other].updates == (other == frozen ? 0 : 1));
+            routers[other].updates = 0;
+        }
+        routers.run(std::chrono::milliseconds(50));
+        routers[frozen].updates = 0;
+    }
+}
+
+TEST_CASE("an update that is too large to be sent to each goes over some of them to all")
+{
+    Routers routers({"a", "b", "c", "d", "e", "f"});
+    PrefixUpdate update;
+    update.state.prefix = "servers/";
+    update.changes = {StoreItem{"servers/a", std::string(300000, 'x'), 7, false}};
+    routers[0].links.sendUpdate(update);
+    routers.run(std::chrono::milliseconds(200));
+    for (std::size_t other = 1; other < routers.all.size(); ++other) {
+        CHECK(routers[other].updates == 1);
+    }
+}
+
 TEST_CASE("routers that have heard of each other agree on readers and addresses")
 {
     Routers routers({"a", "b"});
