--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -65,9 +65,9 @@
     Duration aloneFor = std::chrono::milliseconds(350);
     Duration settlePerRouter = std::chrono::milliseconds(10);
     Duration aloneInterval = std::chrono::milliseconds(100);
-    // An update that takes more than this for all routers goes to some of them, which pass it on to the rest: a document
-    // for each of hundreds of routers would keep one host's link busy for seconds. Others go to each router, since what
-    // goes over a router is lost for its part of the fleet while that one is frozen.
+    // An update that takes more than this for all routers goes to some of them, which pass it on to the rest: a
+    // document for each of hundreds of routers would keep one host's link busy for seconds. Others go to each router,
+    // since what goes over a router is lost for its part of the fleet while that one is frozen.
     std::size_t relayUpdatesFrom = 1024UL * 1024;
     int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -175,8 +175,7 @@
     while (ask()) {
         routers.run(std::chrono::milliseconds(20));
     }
-    while (!ask()) {
-    }
+    while (!ask()) { }
     routers.run(std::chrono::milliseconds(600), frozen);
     routers.run(std::chrono::milliseconds(100));
     CHECK_FALSE(routers[0].relay.isBehind(Relay::now()));
--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -135,10 +135,12 @@
 
 Duration heldNewerFor(const ChangeTimes &times, std::uint64_t revision, TimePoint now)
 {
-    const auto newer = std::upper_bound(
-        times.changes.begin(), times.changes.end(), revision, [](std::uint64_t known, const ChangeTimes::Change &change) {
-            return known < change.revision;
-        });
+    const auto newer = std::upper_bound(times.changes.begin(),
+                                        times.changes.end(),
+                                        revision,
+                                        [](std::uint64_t known, const ChangeTimes::Change &change) {
+                                            return known < change.revision;
+                                        });
     return newer == times.changes.end() ? Duration::zero() : now - newer->at;
 }
 
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -136,9 +136,10 @@
     send();
 }
 
-// The only way to a failure without a byte sent. The timer's handler may already wait in the loop's queue when the connection comes
-// about, and cancelling the timer doesn't take it back: it would then report that no byte went out while the endpoint
-// runs the request, and a second endpoint would get it. Once the request is being sent this does nothing.
+// The only way to a failure without a byte sent. The timer's handler may already wait in the loop's queue when the
+// connection comes about, and cancelling the timer doesn't take it back: it would then report that no byte went out
+// while the endpoint runs the request, and a second endpoint would get it. Once the request is being sent this does
+// nothing.
 void EndpointExchange::giveUpConnecting(ExchangeFailure failure)
 {
     if (m_phase == Phase::Connecting) {
