A peer that holds newer changes is believed over one that holds none

Read again: of two answers to one question the better one counted, so that a peer that was as old as the asker hid from it what the other one held. Now a peer that holds newer changes settles it until they have come; one that holds none says nothing against that, and what has come while the answer was on its way counts as held.

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -320,24 +320,33 @@
 
 void SharedPrefix::onSnapshot(const PrefixSnapshot &snapshot)
 {
-    const TimePoint asked{Duration(snapshot.stamp)};
-    if (m_copy.complete) {
-        noteAnswer(m_agreement, asked, snapshot.newerFor, Relay::now());
-    }
+    const bool same = !snapshot.items && digestOf(m_copy) == snapshot.state.digest;
     if (snapshot.items) {
         const bool first = !m_copy.complete;
         const auto changes = adoptSnapshot(m_copy, *snapshot.items, snapshot.state.completeTo);
         if (first || !changes.empty()) {
             onChanged(changes);
         }
-        // The peer's copy may hold changes beyond the revision that it is complete to; they are among its items.
-        noteAnswer(m_agreement, asked, Duration::zero(), Relay::now());
-    } else if (digestOf(m_copy) == snapshot.state.digest) {
+    } else if (same) {
         markComplete(m_copy, snapshot.state.completeTo);
-    } else {
-        return;
     }
-    m_asOf = std::max(m_asOf, asked - snapshot.age);
+    noteAgreement(snapshot);
+    if (snapshot.items || same) {
+        m_asOf = std::max(m_asOf, TimePoint(Duration(snapshot.stamp)) - snapshot.age);
+    }
+}
+
+// What came while the answer was on its way counts as held.
+void SharedPrefix::noteAgreement(const PrefixSnapshot &snapshot)
+{
+    const TimePoint asked{Duration(snapshot.stamp)};
+    const std::uint64_t held = newestRevision(m_copy);
+    if (held < snapshot.state.newestRevision && snapshot.newerFor > Duration::zero()) {
+        m_lackingTo = std::max(m_lackingTo, snapshot.state.newestRevision);
+        noteAnswer(m_agreement, asked, snapshot.newerFor, Relay::now());
+    } else if (m_copy.complete && held >= m_lackingTo) {
+        noteAnswer(m_agreement, asked, Duration::zero(), Relay::now());
+    }
 }
 
 std::optional<PrefixSnapshot> SharedPrefix::snapshotFor(const SnapshotRequest &request) const
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -168,6 +168,7 @@
     void read(bool inTurn);
     void onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn);
     void noteOwnReading(TimePoint began);
+    void noteAgreement(const PrefixSnapshot &snapshot);
     void onChanged(const std::vector<StoreItem> &changes);
     void noteReading(const StoreReturn &told);
     StoreReturn storeReturn() const;
@@ -202,6 +203,7 @@
     TimePoint m_asOf;
     ChangeTimes m_changeTimes;
     CopyAgreement m_agreement;
+    std::uint64_t m_lackingTo = 0; // A peer is known to hold changes up to this revision.
     TimePoint m_firstReadAt;
     std::optional<TimePoint> m_readAt; // The last reading, of whichever router.
     std::optional<TimePoint> m_returnedAt; // The end of the store's last absence, while it matters.
--- a/godwit/gateway/copy_agreement.h
+++ b/godwit/gateway/copy_agreement.h
@@ -32,11 +32,13 @@
     Duration answersCountFor = std::chrono::milliseconds(1500);
 };
 
-// A peer was asked at `asked`, and had held changes that this copy lacks for `newerFor`.
+// A peer was asked at `asked`, and had held changes that this copy lacks for `newerFor`. Zero says no more than that
+// the peer holds nothing newer, since it may be old itself.
 inline void noteAnswer(CopyAgreement &agreement, TimePoint asked, Duration newerFor, TimePoint now)
 {
     agreement.answeredAt = now;
-    agreement.agreedAt = std::max(agreement.agreedAt, std::min(asked, now) - newerFor);
+    const TimePoint agreed = std::min(asked, now) - newerFor;
+    agreement.agreedAt = newerFor > Duration::zero() ? agreed : std::max(agreement.agreedAt, agreed);
 }
 
 // This router has read everything itself, beginning at `began`.
--- a/godwit/gateway/prefix_copy_test.cpp
+++ b/godwit/gateway/prefix_copy_test.cpp
@@ -177,10 +177,11 @@
         noteReading(agreement, later - std::chrono::milliseconds(5));
         CHECK_FALSE(isOutdated(agreement, options, later));
     }
-    SECTION("a peer that lags behind says nothing of this copy")
+    SECTION("one that holds newer changes is believed over one that does not")
     {
         noteAnswer(agreement, later, Duration::zero(), later);
-        noteAnswer(agreement, later, 3 * options.longestLag, later);
         CHECK_FALSE(isOutdated(agreement, options, later));
+        noteAnswer(agreement, later, 3 * options.longestLag, later);
+        CHECK(isOutdated(agreement, options, later));
     }
 }
