Large values that a router that is no reader tells of are read from the store, not asked of it

Read again: all others would have asked the small host that read first for a document of 50 KB each, 4 MB over 10 Mbit/s.

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -209,11 +209,10 @@
                 continue;
             }
         }
-        if (!isReader && change.value.size() >= m_options.deltaFrom) {
-            // Where a fleet starts at once all find it by themselves; who does not will see it by the digest and ask.
-            continue;
-        }
-        if (change.value.size() <= m_options.longestToldValue) {
+        // Where a fleet starts at once all find a large value by themselves, and a small host's link carries no copies
+        // for all others.
+        const std::size_t longest = isReader ? m_options.longestToldValue : m_options.deltaFrom;
+        if (change.value.size() <= longest) {
             update.changes.push_back(change);
         } else {
             update.truncated = true;
