Only the values that are replaced are kept for deltas

Each reading, one in 0.7 s for the fleet, copied all large values of the prefix before it was known whether any changed. Now those that the answer replaces.

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -111,7 +111,7 @@
         return;
     }
     noteOwnReading(began);
-    const auto before = largeValues();
+    const auto before = valuesBefore(reply.items);
     const auto changes = adoptSnapshot(m_copy, reply.items, reply.at);
     if (!changes.empty()) {
         onChanged(changes);
@@ -176,13 +176,14 @@
     return storeReturn;
 }
 
-// Those that a delta pays for, by key.
-std::map<std::string, std::string> SharedPrefix::largeValues() const
+std::map<std::string, std::string> SharedPrefix::valuesBefore(const std::vector<StoreItem> &items) const
 {
     std::map<std::string, std::string> values;
-    for (const auto &[key, item] : m_copy.items) {
-        if (item.value.size() >= m_options.deltaFrom) {
-            values[key] = item.value;
+    for (const StoreItem &item : items) {
+        const auto held = m_copy.items.find(item.key);
+        const bool changes = held != m_copy.items.end() && held->second.revision != item.revision;
+        if (changes && held->second.value.size() >= m_options.deltaFrom) {
+            values[item.key] = held->second.value;
         }
     }
     return values;
@@ -461,7 +462,7 @@
 
 void SharedPrefix::takeWatched(const StoreItemsReply &reply)
 {
-    const auto before = largeValues();
+    const auto before = valuesBefore(reply.items);
     const auto delta = applyDelta(m_copy, reply.items);
     if (!delta.empty()) {
         onChanged(delta);
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -172,7 +172,8 @@
     void onChanged(const std::vector<StoreItem> &changes);
     void noteReading(const StoreReturn &told);
     StoreReturn storeReturn() const;
-    std::map<std::string, std::string> largeValues() const;
+    // By key, the values that `items` replace and a delta pays for.
+    std::map<std::string, std::string> valuesBefore(const std::vector<StoreItem> &items) const;
     void tellOthers(const std::vector<StoreItem> &changes,
                     const std::map<std::string, std::string> &before,
                     bool fromReading);
