Cold endpoints, evacuated data centres and bounds on regions are served

Cold: of the routers that callers are told of, a few, ranked by a hash of endpoint and router, share half of what the bounds allow; the others leave the endpoint alone until it is warm. Half, since two groups of routers that don't hear each other name different senders. A choice that waited 250 ms for its connection is made anew. The bounds come from the settings, the limit from the document, the time from the endpoint's entry. Where all are cold the rest is refused with the time at which the first is warm. Evacuated: such endpoints take no new work, also none that was on its way to a connection; taken back, they count as cold for the service's time, since their own word comes up to two seconds later. Regions: routes and customers may be bound; both bind. Callers of a bound host are told of routers in its regions and their own.

--- a/godwit/base/ids.h
+++ b/godwit/base/ids.h
@@ -20,6 +20,8 @@
 using RouteId = StrongId<struct RouteTag, std::string>;
 using EndpointId = StrongId<struct EndpointTag, std::string>;
 using DataCentreId = StrongId<struct DataCentreTag, std::string>;
+// Data centres close to each other form a region.
+using RegionId = StrongId<struct RegionTag, std::string>;
 // The name of a host as its settings give it. It outlives a restart.
 using HostId = StrongId<struct HostTag, std::string>;
 // One run of one router process: host name, a dot and a random suffix. It never returns after a restart.
--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -28,6 +28,17 @@
     return text;
 }
 
+std::map<DataCentreId, RegionId> readRegions(const toml::table &table, FaultList &faults)
+{
+    TableReader reader(table, "gateway.regions", faults, UnknownKeys::Refuse);
+    std::map<DataCentreId, RegionId> regions;
+    for (const auto &[key, node] : table) {
+        const std::string dataCentre(key.str());
+        regions[DataCentreId{dataCentre}] = RegionId{reader.requiredText(dataCentre)};
+    }
+    return regions;
+}
+
 } // namespace
 
 bool hasGatewaySettings(std::string_view text)
@@ -63,6 +74,11 @@
         settings.repeatRatio = reader.number("repeat_ratio", settings.repeatRatio, {0, 10});
         settings.repeatSlack = reader.number("repeat_slack", settings.repeatSlack, {0, 1e6});
         settings.repeatWindow = seconds(reader.number("repeat_window_s", 10, {0.1, 3600}));
+        settings.coldOverrun = reader.number("cold_overrun", settings.coldOverrun, {0, 100});
+        settings.coldSlack = reader.number("cold_slack", settings.coldSlack, {0, 1e6});
+        if (const toml::table *regions = reader.table("regions")) {
+            settings.regions = readRegions(*regions, faults);
+        }
         reader.finish();
         top.finish();
     }
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -13,6 +13,7 @@
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -36,6 +37,10 @@
     double repeatRatio = 0.2;
     double repeatSlack = 0;
     Duration repeatWindow = std::chrono::seconds(10);
+    double coldOverrun = 1; // What the fleet may send to a cold endpoint in a second: this multiple of its limit,
+    double coldSlack = 0; // and so many requests besides.
+    std::map<DataCentreId, RegionId>
+        regions; // Of all data centres; needed where routes or customers are bound to some.
     Duration addressesFor = std::chrono::seconds(2); // How long callers keep an address answer.
 };
 
--- a/godwit/config/settings_test.cpp
+++ b/godwit/config/settings_test.cpp
@@ -1,5 +1,7 @@
 #include "godwit/config/settings.h"
 
+#include "godwit/config/gateway_settings.h"
+
 #include <catch2/catch.hpp>
 
 using namespace Godwit;
@@ -84,3 +86,22 @@
     CHECK(faultsOf(replaced(Good, "[peer]", "[peer]\ncertificate = \"c\"\nkey = \"k\"")).find("peer.ca: is missing")
           != std::string::npos);
 }
+
+TEST_CASE("a router on the platform knows the regions, and how far cold endpoints may be loaded")
+{
+    const std::string good = "host = \"a\"\ndata_centre = \"salt-lake\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
+                             "ready = \"10.0.0.1:2\"\npeers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:4\"\n";
+    LastReason reason;
+    const auto plain = parseGatewaySettings(good, "router.toml", reason);
+    REQUIRE(plain);
+    CHECK(plain->regions.empty());
+    CHECK(plain->coldOverrun == 1);
+    const std::string places = "cold_overrun = 1.5\ncold_slack = 5\n[gateway.regions]\n\"salt-lake\" = \"kolkata\"\n";
+    const auto settings = parseGatewaySettings(good + places, "router.toml", reason);
+    REQUIRE(settings);
+    CHECK(settings->coldOverrun == 1.5);
+    CHECK(settings->coldSlack == 5);
+    CHECK(settings->regions.at(DataCentreId{"salt-lake"}) == RegionId{"kolkata"});
+    CHECK_FALSE(parseGatewaySettings(good + "[gateway.regions]\nhowrah = 5\n", "router.toml", reason));
+    CHECK(reason->message.find("gateway.regions.howrah: must be a string") != std::string::npos);
+}
--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -45,6 +45,22 @@
     m_keepMissingUntil = keepUntil;
 }
 
+void EndpointList::setEvacuated(const std::set<DataCentreId> &evacuated)
+{
+    if (evacuated == m_evacuated) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    for (const DataCentreId &dataCentre : m_evacuated) {
+        if (evacuated.count(dataCentre) == 0) {
+            m_evacuationEnds[dataCentre] = now;
+        }
+    }
+    m_evacuated = evacuated;
+    m_relay.log().write("evacuation", {{"data_centres", static_cast<std::int64_t>(evacuated.size())}});
+    apply();
+}
+
 void EndpointList::onListed(const SharedPrefix::Items &items)
 {
     for (auto it = m_entries.begin(); it != m_entries.end();) {
@@ -84,6 +100,7 @@
         return;
     }
     newest = std::max(newest, endpoint->startedAt);
+    endpoint->coldUntil = Relay::now() + endpoint->coldFor;
     entry.endpoint = std::move(endpoint);
 }
 
@@ -133,7 +150,7 @@
     m_used = std::move(used);
     std::vector<ListedEndpoint> list;
     for (const auto &[id, endpoint] : m_used) {
-        list.push_back(endpoint);
+        list.push_back(withPlace(endpoint));
     }
     for (const EndpointId &id : replaceEndpoints(m_relay.state().endpoints, list)) {
         m_relay.pool().forget(id);
@@ -152,6 +169,22 @@
     }
 }
 
+ListedEndpoint EndpointList::withPlace(ListedEndpoint endpoint) const
+{
+    const auto &regions = m_relay.options().regions;
+    if (const auto region = regions.find(endpoint.dataCentre); region != regions.end()) {
+        endpoint.region = region->second;
+    }
+    endpoint.evacuated = m_evacuated.count(endpoint.dataCentre) != 0;
+    const auto end = m_evacuationEnds.find(endpoint.dataCentre);
+    const auto &routes = m_relay.state().routes;
+    const GatewayService *service = routes ? findService(*routes, endpoint.service) : nullptr;
+    if (end != m_evacuationEnds.end() && service != nullptr) {
+        endpoint.coldUntil = std::max(endpoint.coldUntil, end->second + service->coldStart.lasts);
+    }
+    return endpoint;
+}
+
 void EndpointList::armRemovals(TimePoint at)
 {
     if (m_armed) {
--- a/godwit/daemon/endpoint_list.h
+++ b/godwit/daemon/endpoint_list.h
@@ -29,6 +29,10 @@
 
     void onListed(const SharedPrefix::Items &items);
 
+    // The data centres whose endpoints are to get nothing. One that is left out again counts as cold: its endpoints may
+    // have lost their warm state meanwhile, and say so seconds later.
+    void setEvacuated(const std::set<DataCentreId> &evacuated);
+
     // When the store came back after an absence in which entries can have lapsed; unset when it was not away lately.
     void onStoreReturn(std::optional<TimePoint> at);
 
@@ -45,6 +49,7 @@
     void dropForeign();
     void logRefusal(const std::string &key, const Entry &entry, std::string_view cause);
     void apply();
+    ListedEndpoint withPlace(ListedEndpoint endpoint) const;
     void armRemovals(TimePoint at);
 
     Relay &m_relay;
@@ -53,6 +58,8 @@
     std::map<EndpointId, EndpointStart> m_newestStart; // Of each id, also for a while after it has gone.
     std::map<EndpointId, ListedEndpoint> m_listed; // What the store says.
     std::map<EndpointId, ListedEndpoint> m_used; // With entries that may have lapsed while the store was away.
+    std::set<DataCentreId> m_evacuated;
+    std::map<DataCentreId, TimePoint> m_evacuationEnds;
     std::set<EndpointId> m_mayHaveLapsed; // Not seen since its return.
     TimePoint m_keepMissingUntil;
     bool m_armed = false;
--- a/godwit/daemon/endpoint_list_test.cpp
+++ b/godwit/daemon/endpoint_list_test.cpp
@@ -146,3 +146,49 @@
     CHECK(list.takesWork("a"));
     CHECK(list.takesWork("c"));
 }
+
+TEST_CASE("an evacuated data centre gets no work, and is cold when it is taken back")
+{
+    // Guards against requests that flood endpoints which have lost their warm state while nothing reached them.
+    List list;
+    SiteDocument document;
+    GatewayService service;
+    service.name = "s";
+    service.coldStart = {17, std::chrono::seconds(3)};
+    document.services = {service};
+    list.relay.state().routes = makeRouteTable(document);
+    list.tell(entryOf("ready", 9));
+    const auto isColdNow = [&list] {
+        return isCold(list.relay.state().endpoints.endpoints.at(EndpointId{"a"}).cold, Relay::now());
+    };
+    CHECK_FALSE(isColdNow());
+    list.list.setEvacuated({DataCentreId{"z"}});
+    CHECK_FALSE(list.takesWork("a"));
+    CHECK_FALSE(takesNewWork(list.relay.state().endpoints.endpoints.at(EndpointId{"a"})));
+    // A newer entry doesn't bring it back.
+    list.tell(entryOf("ready", 9));
+    CHECK_FALSE(list.takesWork("a"));
+    list.list.setEvacuated({});
+    CHECK(list.takesWork("a"));
+    CHECK(isColdNow());
+}
+
+TEST_CASE("another data centre's evacuation changes nothing")
+{
+    List list;
+    list.list.setEvacuated({DataCentreId{"elsewhere"}});
+    list.tell(entryOf("ready", 9));
+    CHECK(list.takesWork("a"));
+}
+
+TEST_CASE("an endpoint that says that it is cold counts as cold for as long")
+{
+    // Guards against a full load on an endpoint that has started a moment ago.
+    List list;
+    std::string entry = entryOf("ready", 9);
+    entry.insert(entry.size() - 1, R"(,"ColdRemainingMs":2500)");
+    list.tell(entry);
+    const ColdState &cold = list.relay.state().endpoints.endpoints.at(EndpointId{"a"}).cold;
+    CHECK(isCold(cold, Relay::now() + std::chrono::milliseconds(2000)));
+    CHECK_FALSE(isCold(cold, Relay::now() + std::chrono::milliseconds(2600)));
+}
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -183,6 +183,23 @@
         m_relay.log().write(
             "entry_hosts", {{"least_capacity", least}, {"load", m_fleetLoad}, {"own_capacity", m_options.ownCapacity}});
     }
+    m_relay.state().endpoints.senders = senderGroup(now);
+}
+
+// The routers that callers are told of get nearly all requests, so that they share what cold endpoints take.
+SenderGroup FleetLinks::senderGroup(TimePoint now) const
+{
+    SenderGroup group;
+    group.self = m_options.own.callerAddress;
+    if (isEntry()) {
+        group.routers.push_back(group.self);
+    }
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.ready && isEntry(peer) && isAlive(peer, now)) {
+            group.routers.push_back(peer.member.callerAddress);
+        }
+    }
+    return group;
 }
 
 // Between two routers that callers are not told of no link is needed: in a fleet of 60 with six large hosts that leaves
@@ -215,8 +232,8 @@
     const TimePoint now = Relay::now();
     std::vector<CallerAddress> addresses;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.ready && peer.beatHeard && isEntry(peer) && isFresh(peer, now)) {
-            addresses.push_back({peer.member.callerAddress, peer.member.dataCentre});
+        if (peer.ready && peer.beatHeard && isFresh(peer, now)) {
+            addresses.push_back({peer.member.callerAddress, peer.member.dataCentre, isEntry(peer)});
         }
     }
     return addresses;
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -104,6 +104,7 @@
 {
     std::string address;
     DataCentreId dataCentre;
+    bool entry = false; // Callers are told of it.
 };
 
 class FleetLinks
@@ -128,7 +129,7 @@
     // Says now what the next beat would say, such as that this router is leaving.
     void beat();
 
-    // Where callers are told to connect, this router left out.
+    // The routers that take requests, this one left out.
     std::vector<CallerAddress> callerAddresses() const;
 
     // Whether callers are told of this router.
@@ -249,6 +250,7 @@
     Duration beatIntervalOf(bool entry) const;
     void measureLoad(TimePoint now);
     void chooseEntries(TimePoint now);
+    SenderGroup senderGroup(TimePoint now) const;
     void dialPeers();
     void tellEntries(const Envelope &envelope);
     void forgetSilent(TimePoint now);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -20,6 +20,7 @@
 #include <array>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 
 namespace Godwit
@@ -89,6 +90,8 @@
     RelayOptions options;
     options.host = settings.host;
     options.dataCentre = settings.dataCentre;
+    options.regions = settings.regions;
+    options.coldStart = ColdStartBounds{settings.coldOverrun, settings.coldSlack};
     options.prepaid.self = HolderId{settings.callerListen};
     options.prepaid.incarnation = incarnation;
     options.prepaid.startedAt = hostTimeNow(bootName());
@@ -328,6 +331,7 @@
     {
         return [this](const SharedPrefix::Items &items) {
             m_relay.state().documentAsOf = m_documents.asOf();
+            takeEvacuations(items);
             const auto found = items.find(std::string(SiteDocumentKey));
             if (found != items.end() && found->second.revision != m_documentRevision) {
                 m_documentRevision = found->second.revision;
@@ -336,6 +340,29 @@
         };
     }
 
+    void takeEvacuations(const SharedPrefix::Items &items)
+    {
+        std::set<DataCentreId> evacuated;
+        for (const auto &[key, item] : items) {
+            if (auto dataCentre = evacuatedDataCentre(key)) {
+                evacuated.insert(std::move(*dataCentre));
+            }
+        }
+        m_endpoints.setEvacuated(evacuated);
+    }
+
+    // A service whose endpoints bear few requests while cold says so in the document.
+    void planColdStarts()
+    {
+        auto &plans = m_relay.state().endpoints.coldPlans;
+        plans.clear();
+        for (const GatewayService &service : m_relay.state().routes->document.services) {
+            if (service.coldStart.requestsPerSecond > 0) {
+                plans[service.name] = planColdStart(service.coldStart, m_relay.options().coldStart);
+            }
+        }
+    }
+
     void takeDocument(const std::string &text)
     {
         LastReason reason;
@@ -360,6 +387,7 @@
             totals[customer.name] = customer.prepaid;
         }
         state.routes = makeRouteTable(std::move(*document));
+        planColdStarts();
         applyTotals(state.prepaid, version, totals);
         checkStage();
         m_keeper.hurry();
@@ -413,7 +441,7 @@
                 answer.status = m_relay.isReady() ? 200 : 503;
                 answer.body = "{}";
             } else if (question.call == EntryCall::Addresses) {
-                const auto addresses = addressAnswer();
+                const auto addresses = addressAnswer(question);
                 answer.status = addresses.empty() ? 503 : 200;
                 answer.body = addresses.empty() ? "{}" : writeAddresses(addresses, m_settings.addressesFor);
             }
@@ -421,20 +449,38 @@
         };
     }
 
-    std::vector<std::string> addressAnswer()
+    std::vector<std::string> addressAnswer(const EntryQuestion &question)
     {
-        std::vector<std::string> addresses;
+        std::vector<EntryAddress> hosts;
         for (const CallerAddress &router : m_links.callerAddresses()) {
-            addresses.push_back(router.address);
+            hosts.push_back({router.address, regionOf(router.dataCentre), router.entry});
         }
-        if (m_relay.isReady() && (m_links.isEntry() || addresses.empty())) {
-            addresses.push_back(m_settings.callerListen);
+        if (m_relay.isReady()) {
+            hosts.push_back({m_settings.callerListen, regionOf(m_settings.dataCentre), m_links.isEntry()});
         }
+        std::vector<std::string> addresses = addressesIn(hosts, entryRegions(question));
         std::shuffle(addresses.begin(), addresses.end(), m_random);
         addresses.resize(std::min(addresses.size(), MaxAddresses));
         return addresses;
     }
 
+    RegionId regionOf(const DataCentreId &dataCentre) const
+    {
+        const auto found = m_settings.regions.find(dataCentre);
+        return found == m_settings.regions.end() ? RegionId() : found->second;
+    }
+
+    // Where routes are bound to regions, a router elsewhere would pass their requests on to another region.
+    AllowedRegions entryRegions(const EntryQuestion &question)
+    {
+        const auto &routes = m_relay.state().routes;
+        AllowedRegions allowed = routes ? regionsOfHost(*routes, question.host) : AllowedRegions();
+        if (allowed) {
+            allowed->insert(RegionId{question.region});
+        }
+        return allowed;
+    }
+
     EntryServer::Answer answerMetrics()
     {
         return [this](const std::string &, const std::string &) {
@@ -483,6 +529,10 @@
         m_settings.stopWithin = settings->stopWithin;
         m_settings.addressesFor = settings->addressesFor;
         m_relay.setRepeatRules(settings->repeatRatio, settings->repeatSlack, settings->repeatWindow);
+        m_relay.setColdStartBounds({settings->coldOverrun, settings->coldSlack});
+        if (m_relay.state().routes) {
+            planColdStarts();
+        }
         m_log.write("reload", {{"cause", cause}});
     }
 
--- /dev/null
+++ b/godwit/gateway/cold_start_test.cpp
@@ -0,0 +1,171 @@
+#include "godwit/gateway/cold_start.h"
+
+#include "godwit/gateway/endpoint_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace Godwit;
+
+namespace
+{
+
+constexpr const char *Service = "engine";
+const TimePoint Start{std::chrono::seconds(50)};
+
+ListedEndpoint endpoint(const char *id, TimePoint coldUntil = {})
+{
+    ListedEndpoint listed;
+    listed.id = EndpointId{id};
+    listed.service = Service;
+    listed.dataCentre = DataCentreId{"north"};
+    listed.slots = 64;
+    listed.coldUntil = coldUntil;
+    return listed;
+}
+
+ChoiceQuery queryFor(Tokens prompt = 500)
+{
+    ChoiceQuery query;
+    query.service = Service;
+    query.promptTokens = prompt;
+    query.latencyTarget = std::chrono::milliseconds(500);
+    return query;
+}
+
+// Many routers, each with a table of its own, that choose for a load of theirs. Routers of two groups don't hear each
+// other.
+struct Fleet
+{
+    Fleet(int routers, int groups, const std::vector<ListedEndpoint> &listed, const ColdStartLimit &limit)
+        : tables(static_cast<std::size_t>(routers))
+    {
+        const ColdStartBounds bounds{1.5, 5};
+        for (int i = 0; i < routers; ++i) {
+            EndpointTable &table = tables[static_cast<std::size_t>(i)];
+            replaceEndpoints(table, listed);
+            table.coldPlans[Service] = planColdStart(limit, bounds);
+            table.senders.self = name(i);
+            for (int j = i % groups; j < routers; j += groups) {
+                table.senders.routers.push_back(name(j));
+            }
+        }
+    }
+
+    static std::string name(int router)
+    {
+        return "10.0.0." + std::to_string(router) + ":80";
+    }
+
+    // All routers get `perSecond` requests together; returns the most that one endpoint got within any second.
+    std::map<std::string, std::size_t> mostInSecond(int perSecond, Duration length)
+    {
+        std::map<std::string, std::deque<TimePoint>> sent;
+        std::map<std::string, std::size_t> most;
+        const auto requests = static_cast<int>(toSeconds(length) * perSecond);
+        for (int i = 0; i < requests; ++i) {
+            const TimePoint now = Start + Duration(i * 1'000'000LL / perSecond);
+            EndpointTable &table = tables[static_cast<std::size_t>(i * 7) % tables.size()];
+            const Choice choice = chooseEndpoint(table, queryFor(), {}, static_cast<std::uint64_t>(i * 13), now);
+            if (choice.endpoint == nullptr) {
+                ++refused;
+                continue;
+            }
+            beginAttempt(*choice.endpoint);
+            const std::string id = choice.endpoint->listed.id.value;
+            auto &times = sent[id];
+            times.push_back(now);
+            while (times.front() + std::chrono::seconds(1) <= now) {
+                times.pop_front();
+            }
+            most[id] = std::max(most[id], times.size());
+        }
+        return most;
+    }
+
+    std::vector<EndpointTable> tables;
+    int refused = 0;
+};
+
+} // namespace
+
+TEST_CASE("the routers of a fleet together don't flood an endpoint that comes back cold")
+{
+    // Guards against a crash of an endpoint that has just started and looks idle to every router.
+    const ColdStartLimit limit{17, std::chrono::seconds(3)};
+    const std::size_t bound = 17 * 1.5 + 5;
+    for (const int routers : {1, 6, 87, 400}) {
+        for (const int groups : {1, 2}) {
+            const TimePoint warm = Start + std::chrono::seconds(3);
+            Fleet fleet(routers, std::min(groups, routers), {endpoint("busy"), endpoint("cold", warm)}, limit);
+            for (EndpointTable &table : fleet.tables) {
+                table.endpoints.at(EndpointId{"busy"}).inFlight = 64;
+            }
+            const auto most = fleet.mostInSecond(900, std::chrono::seconds(3));
+            INFO(routers << " routers in " << groups << " groups");
+            CHECK(most.at("cold") <= bound);
+            CHECK(most.at("cold") >= 5);
+        }
+    }
+}
+
+TEST_CASE("when all endpoints are cold what they can't bear is refused, and callers hear when they are warm")
+{
+    // Guards against a crash of all endpoints one after the other when they come back together under full load.
+    const TimePoint warm = Start + std::chrono::seconds(3);
+    Fleet fleet(
+        20, 1, {endpoint("a", warm), endpoint("b", warm + std::chrono::seconds(1))}, {10, std::chrono::seconds(3)});
+    for (const auto &[id, count] : fleet.mostInSecond(400, std::chrono::seconds(3))) {
+        CHECK(count <= 10 * 1.5 + 5);
+    }
+    CHECK(fleet.refused > 900);
+    CHECK(warmAgainAt(fleet.tables[0], Service, Start) == warm);
+    CHECK_FALSE(warmAgainAt(fleet.tables[0], Service, warm + std::chrono::seconds(2)));
+}
+
+TEST_CASE("a warm endpoint takes what it can")
+{
+    Fleet fleet(6, 1, {endpoint("a", Start)}, {17, std::chrono::seconds(3)});
+    CHECK(fleet.mostInSecond(400, std::chrono::seconds(2)).at("a") == 400);
+    CHECK(fleet.refused == 0);
+}
+
+TEST_CASE("a cold endpoint of a service without a limit is an endpoint like others")
+{
+    Fleet fleet(6, 1, {endpoint("a", Start + std::chrono::seconds(9))}, {17, std::chrono::seconds(3)});
+    for (EndpointTable &table : fleet.tables) {
+        table.coldPlans.clear();
+    }
+    CHECK(fleet.mostInSecond(400, std::chrono::seconds(2)).at("a") == 400);
+}
+
+TEST_CASE("a start that is heard of late never shortens a cold time")
+{
+    EndpointTable table;
+    replaceEndpoints(table, {endpoint("a", Start + std::chrono::seconds(3))});
+    replaceEndpoints(table, {endpoint("a", Start)});
+    CHECK(isCold(table.endpoints.at(EndpointId{"a"}).cold, Start + std::chrono::seconds(2)));
+}
+
+TEST_CASE("limits that leave no room for a steady rate leave cold endpoints alone")
+{
+    const SenderGroup group{"a", {"a"}};
+    const EndpointId id{"e"};
+    CHECK_FALSE(mayReceiveCold({}, planColdStart({1, std::chrono::seconds(3)}, {1, 0}), group, id, Start));
+    ColdState state;
+    const ColdStartPlan plan = planColdStart({2, std::chrono::seconds(3)}, {1.5, 5});
+    CHECK(mayReceiveCold(state, plan, group, id, Start));
+    noteColdSend(state, plan, group, Start);
+    CHECK_FALSE(mayReceiveCold(state, plan, group, id, Start + std::chrono::milliseconds(330)));
+    CHECK(mayReceiveCold(state, plan, group, id, Start + std::chrono::milliseconds(340)));
+}
+
+TEST_CASE("a router that callers are not told of sends nothing to cold endpoints")
+{
+    const ColdStartPlan plan = planColdStart({17, std::chrono::seconds(3)}, {1.5, 5});
+    CHECK_FALSE(mayReceiveCold({}, plan, SenderGroup{"small", {"a", "b"}}, EndpointId{"e"}, Start));
+}
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -14,6 +14,24 @@
     return std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end();
 }
 
+bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint)
+{
+    return !isTried(query, endpoint.listed.id) && isAllowed(query.regions, endpoint.listed.region);
+}
+
+// A cold endpoint gets requests from a few routers only, at a bounded rate.
+bool isHeldBack(const EndpointTable &table, const ColdStartPlan *plan, const EndpointState &endpoint, TimePoint now)
+{
+    return plan != nullptr && isCold(endpoint.cold, now)
+        && !mayReceiveCold(endpoint.cold, *plan, table.senders, endpoint.listed.id, now);
+}
+
+const ColdStartPlan *coldPlan(const EndpointTable &table, const std::string &service)
+{
+    const auto found = table.coldPlans.find(service);
+    return found == table.coldPlans.end() ? nullptr : &found->second;
+}
+
 // Those that may be used now: the ones not avoided, or all when every one is.
 std::vector<EndpointState *> candidates(EndpointTable &table, const ChoiceQuery &query, TimePoint now)
 {
@@ -23,11 +41,12 @@
     if (service == table.byService.end()) {
         return sound;
     }
+    const ColdStartPlan *plan = coldPlan(table, query.service);
     for (const EndpointId &id : service->second) {
-        if (isTried(query, id)) {
+        EndpointState &endpoint = table.endpoints.at(id);
+        if (!isCandidate(query, endpoint) || isHeldBack(table, plan, endpoint, now)) {
             continue;
         }
-        EndpointState &endpoint = table.endpoints.at(id);
         (endpoint.avoidUntil > now ? avoided : sound).push_back(&endpoint);
     }
     return sound.empty() ? avoided : sound;
@@ -179,8 +198,9 @@
             startedAnew.push_back(entry.id);
         }
         endpoint.listed = entry;
+        endpoint.cold.until = std::max(endpoint.cold.until, entry.coldUntil);
         endpoint.gone = false;
-        if (!entry.leaving) {
+        if (!entry.leaving && !entry.evacuated) {
             table.byService[entry.service].push_back(entry.id);
         }
     }
@@ -207,10 +227,13 @@
     if (from.empty()) {
         return {};
     }
-    if (query.promptTokens > 0) {
-        return byReading(table, from, query, options, random, now);
+    Choice choice = query.promptTokens > 0 ? byReading(table, from, query, options, random, now)
+                                           : Choice{byLoad(from, query, random), 0};
+    if (isLimited(table, *choice.endpoint, now)) {
+        noteColdSend(choice.endpoint->cold, *coldPlan(table, query.service), table.senders, now);
+        choice.cold = true;
     }
-    return Choice{byLoad(from, query, random), 0};
+    return choice;
 }
 
 void notePromptElsewhere(EndpointTable &table, const PromptSent &prompt, const ChoiceOptions &options, TimePoint now)
@@ -228,7 +251,28 @@
 
 bool takesNewWork(const EndpointState &endpoint)
 {
-    return !endpoint.gone && !endpoint.listed.leaving;
+    return !endpoint.gone && !endpoint.listed.leaving && !endpoint.listed.evacuated;
+}
+
+bool isLimited(const EndpointTable &table, const EndpointState &endpoint, TimePoint now)
+{
+    return isCold(endpoint.cold, now) && coldPlan(table, endpoint.listed.service) != nullptr;
+}
+
+std::optional<TimePoint> warmAgainAt(const EndpointTable &table, const std::string &service, TimePoint now)
+{
+    std::optional<TimePoint> first;
+    const auto found = table.byService.find(service);
+    if (found == table.byService.end()) {
+        return first;
+    }
+    for (const EndpointId &id : found->second) {
+        const ColdState &cold = table.endpoints.at(id).cold;
+        if (isCold(cold, now) && (!first || cold.until < *first)) {
+            first = cold.until;
+        }
+    }
+    return first;
 }
 
 void beginAttempt(EndpointState &endpoint)
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -18,10 +18,13 @@
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
+#include "godwit/gateway/allowed_regions.h"
+#include "godwit/gateway/cold_start.h"
 #include "godwit/gateway/engine_load.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +45,10 @@
     int slots = 0;
     bool leaving = false;
     EndpointStart startedAt = 0;
+    RegionId region; // Of its data centre; empty when the settings don't name it.
+    Duration coldFor{}; // How much longer it was cold when it said so.
+    TimePoint coldUntil;
+    bool evacuated = false; // The operators want its data centre to get nothing.
 };
 
 // How an attempt ended, as far as it speaks of its endpoint.
@@ -62,6 +69,7 @@
     int failuresInRow = 0;
     TimePoint avoidUntil; // After failures: used only when nobody else is left.
     EngineLoad load; // Of a model engine.
+    ColdState cold;
     bool gone = false; // The list no longer names it: no new work.
 };
 
@@ -84,6 +92,8 @@
     std::map<EndpointId, EndpointState> endpoints;
     std::map<std::string, std::vector<EndpointId>> byService; // Those that may get work.
     std::map<std::string, EngineSpeed> speeds; // By service.
+    std::map<std::string, ColdStartPlan> coldPlans; // By service; only of those whose cold endpoints are limited.
+    SenderGroup senders;
     // Where a shared part of a prompt has lately been sent besides its usual place: the engine keeps it for a while.
     // By part.
     std::map<std::string, RecentPlace, std::less<>> recentPlaces;
@@ -122,6 +132,7 @@
     Duration latencyTarget{}; // What is left of the time within which the first event is worth most.
     std::vector<EndpointId> tried; // Not these.
     DataCentreId dataCentre; // This router's own.
+    AllowedRegions regions; // Only endpoints there.
 };
 
 // Takes over a new list. Endpoints that it no longer names get no new work; what they have under way goes on. Of an
@@ -136,9 +147,10 @@
 {
     EndpointState *endpoint = nullptr; // Null when the service has none that is not in `tried`.
     Tokens unread = 0; // What it has to read of the prompt.
+    bool cold = false; // The endpoint is cold, and this is one of the few requests that it gets.
 };
 
-// An endpoint for one attempt.
+// An endpoint for one attempt. A cold one that is chosen has this router's turn used up.
 Choice chooseEndpoint(
     EndpointTable &table, const ChoiceQuery &query, const ChoiceOptions &options, std::uint64_t random, TimePoint now);
 
@@ -148,6 +160,12 @@
 // Whether the endpoint may still get a request that it was chosen for.
 bool takesNewWork(const EndpointState &endpoint);
 
+// Whether the endpoint is cold and the fleet limits what it gets.
+bool isLimited(const EndpointTable &table, const EndpointState &endpoint, TimePoint now);
+
+// When the first of the service's endpoints that are cold now will be warm; unset when none is cold.
+std::optional<TimePoint> warmAgainAt(const EndpointTable &table, const std::string &service, TimePoint now);
+
 void beginAttempt(EndpointState &endpoint);
 
 void endAttempt(EndpointState &endpoint, AttemptVerdict verdict, const ChoiceOptions &options, TimePoint now);
--- a/godwit/gateway/entry_hosts.cpp
+++ b/godwit/gateway/entry_hosts.cpp
@@ -35,4 +35,22 @@
     return 0;
 }
 
+std::vector<std::string> addressesIn(const std::vector<EntryAddress> &hosts, const AllowedRegions &regions)
+{
+    std::vector<std::string> addresses;
+    for (const AllowedRegions &allowed : {regions, AllowedRegions()}) {
+        for (const bool listedOnly : {true, false}) {
+            for (const EntryAddress &host : hosts) {
+                if (isAllowed(allowed, host.region) && (host.listed || !listedOnly)) {
+                    addresses.push_back(host.address);
+                }
+            }
+            if (!addresses.empty()) {
+                return addresses;
+            }
+        }
+    }
+    return addresses;
+}
+
 } // namespace Godwit
--- a/godwit/gateway/entry_hosts.h
+++ b/godwit/gateway/entry_hosts.h
@@ -11,6 +11,9 @@
 //   const double least = leastListedCapacity(hosts, options);
 //   if (host.capacity >= least) { ... list it ... }
 
+#include "godwit/gateway/allowed_regions.h"
+
+#include <string>
 #include <vector>
 
 namespace Godwit
@@ -41,4 +44,15 @@
 // The least capacity that a listed host has. All hosts of the largest kind are listed.
 double leastListedCapacity(std::vector<EntryHost> hosts, const EntryHostOptions &options);
 
+// A router that takes requests.
+struct EntryAddress
+{
+    std::string address;
+    RegionId region;
+    bool listed = false; // Callers are told of it as long as one of these is left.
+};
+
+// Where a caller should connect: routers in `regions` before all others, and of those the listed ones.
+std::vector<std::string> addressesIn(const std::vector<EntryAddress> &hosts, const AllowedRegions &regions);
+
 } // namespace Godwit
--- a/godwit/gateway/entry_hosts_test.cpp
+++ b/godwit/gateway/entry_hosts_test.cpp
@@ -44,3 +44,19 @@
     CHECK(requestCapacity(0.5, 200, options) == Approx(500));
     CHECK(requestCapacity(0.12, 10, options) == Approx(62.5));
 }
+
+TEST_CASE("callers of a bound host are told of routers in its regions, small ones before large ones elsewhere")
+{
+    // Guards against prompts that leave the regions to which the operators have bound their route.
+    const RegionId east{"east"};
+    const RegionId west{"west"};
+    const std::vector<EntryAddress> hosts = {
+        {"east-large", east, true}, {"east-small", east, false}, {"west-small", west, false}};
+    using Addresses = std::vector<std::string>;
+    CHECK(addressesIn(hosts, {}) == Addresses{"east-large"});
+    CHECK(addressesIn(hosts, std::set<RegionId>{east}) == Addresses{"east-large"});
+    CHECK(addressesIn(hosts, std::set<RegionId>{west}) == Addresses{"west-small"});
+    CHECK(addressesIn(hosts, std::set<RegionId>{east, west}) == Addresses{"east-large"});
+    CHECK(addressesIn(hosts, std::set<RegionId>{RegionId{"north"}}) == Addresses{"east-large"});
+    CHECK(addressesIn({}, {}).empty());
+}
--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -211,3 +211,37 @@
     CHECK_FALSE(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(5)));
     CHECK(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(13)));
 }
+
+TEST_CASE("a bound request reaches endpoints of its regions only")
+{
+    // Guards against a prompt that is read in a region that its route or customer excludes.
+    EndpointTable table;
+    auto listed = threeEndpoints();
+    listed[0].region = RegionId{"east"};
+    listed[1].region = RegionId{"west"};
+    replaceEndpoints(table, listed);
+    ChoiceQuery query = queryFor();
+    restrictTo(query.regions, {});
+    CHECK_FALSE(query.regions);
+    restrictTo(query.regions, {RegionId{"west"}, RegionId{"north"}});
+    for (std::uint64_t lot = 0; lot < 6; ++lot) {
+        REQUIRE(chooseEndpoint(table, query, {}, lot, Start).endpoint != nullptr);
+        CHECK(chooseEndpoint(table, query, {}, lot, Start).endpoint->listed.id == EndpointId{"b"});
+    }
+    restrictTo(query.regions, {RegionId{"east"}});
+    CHECK(chooseEndpoint(table, query, {}, 1, Start).endpoint == nullptr);
+}
+
+TEST_CASE("a host is bound to the regions that all of its bound routes allow")
+{
+    SiteDocument document;
+    document.routes = {makeRoute("free", "a.example", "/"),
+                       makeRoute("one", "a.example", "/one/"),
+                       makeRoute("two", "A.example", "/two/"),
+                       makeRoute("other", "b.example", "/")};
+    document.routes[1].allowedRegions = {RegionId{"east"}, RegionId{"west"}};
+    document.routes[2].allowedRegions = {RegionId{"west"}};
+    const auto table = makeRouteTable(document);
+    CHECK(regionsOfHost(*table, "a.example:80") == std::set<RegionId>{RegionId{"west"}});
+    CHECK_FALSE(regionsOfHost(*table, "b.example"));
+}
--- a/godwit/gateway/route_table.cpp
+++ b/godwit/gateway/route_table.cpp
@@ -37,7 +37,11 @@
     table->document = std::move(document);
     const SiteDocument &site = table->document;
     for (std::size_t i = 0; i < site.routes.size(); ++i) {
-        table->routes.emplace(routeKey(normalHost(site.routes[i].host), site.routes[i].pathPrefix), i);
+        const GatewayRoute &route = site.routes[i];
+        table->routes.emplace(routeKey(normalHost(route.host), route.pathPrefix), i);
+        if (!route.allowedRegions.empty()) {
+            restrictTo(table->regionsByHost[normalHost(route.host)], route.allowedRegions);
+        }
     }
     for (std::size_t i = 0; i < site.customers.size(); ++i) {
         for (const std::string &key : site.customers[i].keys) {
@@ -67,6 +71,12 @@
     return nullptr;
 }
 
+AllowedRegions regionsOfHost(const RouteTable &table, std::string_view host)
+{
+    const auto found = table.regionsByHost.find(normalHost(host));
+    return found == table.regionsByHost.end() ? AllowedRegions() : found->second;
+}
+
 const PrepaidCustomer *findCustomer(const RouteTable &table, const std::string &key)
 {
     const auto found = table.customersByKey.find(key);
--- a/godwit/gateway/site_document.h
+++ b/godwit/gateway/site_document.h
@@ -7,6 +7,7 @@
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
+#include "godwit/gateway/cold_start.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -46,6 +47,7 @@
     bool open = false; // Needs no customer's key.
     bool cachesPrompts = false; // Requests name the parts of their prompt; keep those together.
     bool resumable = false; // A stream may go on at another endpoint after its last event.
+    std::vector<RegionId> allowedRegions; // The only ones whose endpoints may run it; empty: all.
 };
 
 // How a model engine batches, for services that have one.
@@ -62,6 +64,7 @@
     std::string healthPath;
     int maxConnections = 0; // From all callers together; 0: not bounded.
     std::optional<EngineTraits> engine;
+    ColdStartLimit coldStart;
 };
 
 // What a caller may send, and how long it may take.
@@ -79,6 +82,7 @@
     std::vector<std::string> keys;
     std::optional<int> priority; // Goes before the route's priority.
     std::optional<Tokens> prepaid; // All that the customer may use; absent: not bounded.
+    std::vector<RegionId> allowedRegions; // As of a route; both bind.
 };
 
 struct SiteDocument
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -46,6 +46,11 @@
 {
     HostId host;
     DataCentreId dataCentre;
+    std::map<DataCentreId, RegionId> regions; // Of all data centres.
+    ColdStartBounds coldStart;
+    // A choice of a cold endpoint that has waited so long for its connection is made anew: those that waited would
+    // reach it together.
+    Duration coldChoiceHolds = std::chrono::milliseconds(250);
     PrepaidOptions prepaid;
     ChoiceOptions choice;
     ExchangeOptions exchange;
@@ -123,6 +128,10 @@
         m_options.repeats.slack = slack;
         m_options.repeats.window = window;
     }
+    void setColdStartBounds(const ColdStartBounds &bounds)
+    {
+        m_options.coldStart = bounds;
+    }
     RelayState &state()
     {
         return m_state;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -132,6 +132,7 @@
         refuse(ErrorKind::Unauthenticated, "no customer holds this key", std::nullopt);
         return false;
     }
+    m_payer = customer;
     m_customer = customer->name;
     m_urgency = customer->priority.value_or(m_route->priority);
     if (customer->prepaid) {
@@ -209,6 +210,7 @@
     query.service = m_serviceName;
     query.tried = m_tried;
     query.dataCentre = m_relay.options().dataCentre;
+    query.regions = allowedRegions();
     if (m_service != nullptr && m_service->engine) {
         query.promptTokens = m_facts.promptTokens;
         query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
@@ -226,16 +228,34 @@
         } else if (m_progress == Progress::Sent) {
             refuse(ErrorKind::EndpointFailed, "the endpoint failed and no other is left", std::nullopt);
         } else {
-            refuse(ErrorKind::NoEndpoint, "no endpoint of the service takes requests", m_relay.options().comeBack);
+            refuse(ErrorKind::NoEndpoint, "no endpoint of the service takes requests", endpointsBack());
         }
         return;
     }
-    sendTo(*choice.endpoint);
+    sendTo(choice);
     if (query.promptTokens > 0) {
         beginReading(*choice.endpoint, choice.unread);
     }
 }
 
+AllowedRegions RelayCall::allowedRegions() const
+{
+    AllowedRegions allowed;
+    restrictTo(allowed, m_route->allowedRegions);
+    if (m_payer != nullptr) {
+        restrictTo(allowed, m_payer->allowedRegions);
+    }
+    return allowed;
+}
+
+// When the caller should come back for want of an endpoint: once a cold one is warm, if that is what is waited for.
+Duration RelayCall::endpointsBack() const
+{
+    const TimePoint now = Relay::now();
+    const auto warm = warmAgainAt(m_relay.state().endpoints, m_serviceName, now);
+    return warm ? *warm - now : m_relay.options().comeBack;
+}
+
 void RelayCall::beginReading(EndpointState &endpoint, Tokens unread)
 {
     const EngineSpeed &speed = m_relay.state().endpoints.speeds[m_serviceName];
@@ -270,8 +290,21 @@
     m_read = 0;
 }
 
-void RelayCall::sendTo(EndpointState &endpoint)
+// Asked once the connection stands.
+bool RelayCall::maySend()
+{
+    const EndpointState *chosen = currentEndpoint();
+    if (chosen == nullptr || !takesNewWork(*chosen)) {
+        return false;
+    }
+    const TimePoint now = Relay::now();
+    const bool limited = isLimited(m_relay.state().endpoints, *chosen, now);
+    return !limited || (m_coldChoice && now < m_sentAt + m_relay.options().coldChoiceHolds);
+}
+
+void RelayCall::sendTo(const Choice &choice)
 {
+    EndpointState &endpoint = *choice.endpoint;
     SendFacts send;
     send.endpoint = endpoint.listed.id.value;
     send.customer = m_customer.value;
@@ -285,6 +318,7 @@
     m_tried.push_back(m_endpoint);
     m_sentAt = Relay::now();
     m_attemptOpen = true;
+    m_coldChoice = choice.cold;
     m_answerHead.reset();
     m_whole.clear();
     m_events = {};
@@ -295,8 +329,7 @@
     ExchangeHandlers handlers;
     const auto self = shared_from_this();
     handlers.maySend = [self] {
-        const EndpointState *chosen = self->currentEndpoint();
-        return chosen != nullptr && takesNewWork(*chosen);
+        return self->maySend();
     };
     handlers.onHead = [self](const AnswerHead &head, const AnswerFacts &facts) {
         self->onHead(head, facts);
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -83,7 +83,10 @@
     Duration tokensBack() const;
     Duration comeBackByLot() const;
     void attempt();
-    void sendTo(EndpointState &endpoint);
+    void sendTo(const Choice &choice);
+    bool maySend();
+    AllowedRegions allowedRegions() const;
+    Duration endpointsBack() const;
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
     void onBody(std::string_view bytes);
     void onEnd();
@@ -118,6 +121,7 @@
     std::shared_ptr<const RouteTable> m_table; // Keeps m_route and m_service alive over changes.
     const GatewayRoute *m_route = nullptr;
     const GatewayService *m_service = nullptr;
+    const PrepaidCustomer *m_payer = nullptr; // Lives as long as m_table.
     CustomerId m_customer;
     std::string m_serviceName;
     int m_urgency = 5;
@@ -141,6 +145,7 @@
     TimePoint m_sentAt;
     bool m_attemptOpen = false;
     bool m_newConnection = false; // Of the latest attempt.
+    bool m_coldChoice = false; // The latest attempt is one of the few that a cold endpoint gets.
     ReadId m_read = 0; // The prompt that the endpoint still has to read; 0: none.
 
     std::optional<AnswerHead> m_answerHead;
