--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -18,6 +18,21 @@
                     removal == copy.removed.end() ? 0 : removal->second);
 }
 
+std::uint64_t weightOf(const StoreItem &item)
+{
+    return rendezvousWeight(item.key, std::to_string(item.revision));
+}
+
+// Takes `changes` into the digest while `copy` still holds what they replace.
+void noteInDigest(PrefixCopy &copy, const std::vector<StoreItem> &changes)
+{
+    for (const StoreItem &change : changes) {
+        const auto before = copy.items.find(change.key);
+        copy.digest -= before == copy.items.end() ? 0 : weightOf(before->second);
+        copy.digest += change.removed ? 0 : weightOf(change);
+    }
+}
+
 // Of the latest changes; of a copy that is older than all of these it is enough to know that it is old.
 constexpr std::size_t MaxChangeTimes = 256;
 
@@ -67,6 +82,7 @@
         }
     }
     auto changes = difference(copy.items, entries, at);
+    noteInDigest(copy, changes);
     copy.items = std::move(entries);
     copy.complete = true;
     noteNewest(copy, changes);
@@ -81,6 +97,7 @@
         if (change.revision <= copy.completeTo || change.revision <= knownRevision(copy, change.key)) {
             continue;
         }
+        noteInDigest(copy, {change});
         if (change.removed) {
             copy.items.erase(change.key);
             copy.removed[change.key] = change.revision;
@@ -146,11 +163,7 @@
 
 std::uint64_t digestOf(const PrefixCopy &copy)
 {
-    std::uint64_t sum = 0;
-    for (const auto &[key, item] : copy.items) {
-        sum += rendezvousWeight(key, std::to_string(item.revision));
-    }
-    return sum;
+    return copy.digest;
 }
 
 std::vector<StoreItem> itemsOf(const PrefixCopy &copy)
--- a/godwit/gateway/prefix_copy.h
+++ b/godwit/gateway/prefix_copy.h
@@ -27,6 +27,7 @@
 struct PrefixCopy
 {
     std::map<std::string, StoreItem> items; // By key.
+    std::uint64_t digest = 0; // Of the items' keys and revisions; kept with each change, since every message names it.
     std::map<std::string, std::uint64_t> removed; // Revisions of removals after `completeTo`, by key.
     // Nothing is missing up to this revision of the store.
     std::uint64_t completeTo = 0;
