Marks of customers with more left run further ahead, by the same part of what is left

What was refused then was refused in the first seconds, for customers with most of their total left: their marks stood still at 2.3 s of the demand before, and more callers than that came. 2.3 s is the same for who has 18 s left and who has minutes.

Ruled out: holding requests until limits grow, leftovers that always go home (docs/design/shifted-work.md).

--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -50,6 +50,8 @@
     // 2 s of their end and find a mark that still binds, so that they charge its limit and no more. A router that can't
     // reach the store goes on without a pause.
     std::chrono::milliseconds markLead{2300};
+    // A customer that has more left gets a longer lead, up to this: while the mark binds more callers may come.
+    std::chrono::milliseconds longestLead{3500};
     // A customer that will have used up its total within this time at its present demand is marked closely: whatever
     // nobody can account for after a death is missing at the end, and a twentieth of the total turns away everything
     // that is still due. The others have enough left.
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -497,3 +497,51 @@
     world.advance(at + std::chrono::milliseconds(1));
     CHECK(untilTokensGrow(world.share(0), Desk, world.now()) == Duration::zero());
 }
+
+namespace
+{
+
+// Requests of 1000 tokens, `perSecond` of them for `time`, and a write every half second unless the store is away.
+// Returns how many were refused.
+int play(World &world, int perSecond, std::chrono::milliseconds time, bool storeAway)
+{
+    int refused = 0;
+    const auto requests = static_cast<int>(time.count()) * perSecond / 1000;
+    for (int i = 0; i < requests; ++i) {
+        if (world.request(0, Desk, 1000)) {
+            world.finish(0, 1000);
+        } else {
+            ++refused;
+        }
+        world.advance(Duration(1'000'000 / perSecond));
+        checkMarks(world.share(0), world.hostTime());
+        if (!storeAway && i % (perSecond / 2) == 0) {
+            world.sync(0, WriteFate::Done);
+        }
+    }
+    return refused;
+}
+
+} // namespace
+
+TEST_CASE("a customer with plenty left is served through a loss of the store in which more of its callers come")
+{
+    // Guards against refusals of customers that have paid for minutes more, while their marks stand still.
+    World world = openedWorld(1, 2'500'000);
+    REQUIRE(play(world, 20, std::chrono::seconds(10), false) == 0);
+    CHECK(play(world, 29, std::chrono::seconds(7), true) == 0);
+}
+
+TEST_CASE("what marks run ahead is the same part of what is left, however much that is")
+{
+    // Guards against a death that costs a customer with little left more than one with much.
+    for (const Tokens total : {500'000, 800'000, 1'200'000, 2'500'000, 9'000'000}) {
+        World world = openedWorld(1, total);
+        play(world, 20, std::chrono::seconds(6), false);
+        world.sync(0, WriteFate::Done);
+        const Mark &mark = deskAt(world, 0).mark;
+        INFO(total << ": " << mark.limit - mark.used << " ahead, binding for " << mark.binds.count() << " ms");
+        CHECK(mark.limit - mark.used <= (total - mark.used) * 135 / 1000);
+        CHECK(mark.binds <= std::chrono::milliseconds(2300));
+    }
+}
--- a/godwit/prepaid/share_targets.cpp
+++ b/godwit/prepaid/share_targets.cpp
@@ -33,6 +33,14 @@
     std::chrono::milliseconds binds{};
 };
 
+// The same part of what is left for each customer that is not marked closely, so that a death costs none of them more.
+std::chrono::milliseconds usualLead(const PrepaidOptions &options, double untilUsedUp)
+{
+    const double part = toSeconds(options.markLead) / toSeconds(options.closeMarksWithin);
+    const double seconds = std::min(part * untilUsedUp, toSeconds(options.longestLead));
+    return std::max(options.markLead, std::chrono::milliseconds(std::llround(seconds * 1000)));
+}
+
 MarkTimes markTimes(const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, TimePoint now)
 {
     const PrepaidOptions &options = share.options;
@@ -48,7 +56,8 @@
                                      usual);
         return {lead, std::max(options.closeBinds, lead)};
     }
-    return {usual, usual};
+    // It binds no longer than usual: what grows afterwards grows faster than the demand.
+    return {std::max(usualLead(options, untilUsedUp), least), usual};
 }
 
 } // namespace
