--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -37,10 +37,12 @@
     double repeatRatio = 0.2;
     double repeatSlack = 0;
     Duration repeatWindow = std::chrono::seconds(10);
-    double coldOverrun = 1; // What the fleet may send to a cold endpoint in a second: this multiple of its limit,
-    double coldSlack = 0; // and so many requests besides.
-    std::map<DataCentreId, RegionId>
-        regions; // Of all data centres; needed where routes or customers are bound to some.
+    // What the fleet may send to a cold endpoint within a second: this multiple of the service's limit, and so many
+    // requests besides.
+    double coldOverrun = 1;
+    double coldSlack = 0;
+    // Of all data centres; needed where routes or customers are bound to regions.
+    std::map<DataCentreId, RegionId> regions;
     Duration addressesFor = std::chrono::seconds(2); // How long callers keep an address answer.
 };
 
--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -150,7 +150,7 @@
     m_used = std::move(used);
     std::vector<ListedEndpoint> list;
     for (const auto &[id, endpoint] : m_used) {
-        list.push_back(withPlace(endpoint));
+        list.push_back(placed(endpoint));
     }
     for (const EndpointId &id : replaceEndpoints(m_relay.state().endpoints, list)) {
         m_relay.pool().forget(id);
@@ -169,7 +169,7 @@
     }
 }
 
-ListedEndpoint EndpointList::withPlace(ListedEndpoint endpoint) const
+ListedEndpoint EndpointList::placed(ListedEndpoint endpoint) const
 {
     const auto &regions = m_relay.options().regions;
     if (const auto region = regions.find(endpoint.dataCentre); region != regions.end()) {
--- a/godwit/daemon/endpoint_list.h
+++ b/godwit/daemon/endpoint_list.h
@@ -29,7 +29,7 @@
 
     void onListed(const SharedPrefix::Items &items);
 
-    // The data centres whose endpoints are to get nothing. One that is left out again counts as cold: its endpoints may
+    // The data centres whose endpoints are to get nothing. Those of one that is left out again count as cold: they may
     // have lost their warm state meanwhile, and say so seconds later.
     void setEvacuated(const std::set<DataCentreId> &evacuated);
 
@@ -49,7 +49,8 @@
     void dropForeign();
     void logRefusal(const std::string &key, const Entry &entry, std::string_view cause);
     void apply();
-    ListedEndpoint withPlace(ListedEndpoint endpoint) const;
+    // With what the settings and the operators say of its data centre.
+    ListedEndpoint placed(ListedEndpoint endpoint) const;
     void armRemovals(TimePoint at);
 
     Relay &m_relay;
@@ -59,7 +60,7 @@
     std::map<EndpointId, ListedEndpoint> m_listed; // What the store says.
     std::map<EndpointId, ListedEndpoint> m_used; // With entries that may have lapsed while the store was away.
     std::set<DataCentreId> m_evacuated;
-    std::map<DataCentreId, TimePoint> m_evacuationEnds;
+    std::map<DataCentreId, TimePoint> m_evacuationEnds; // Of those that were evacuated before.
     std::set<EndpointId> m_mayHaveLapsed; // Not seen since its return.
     TimePoint m_keepMissingUntil;
     bool m_armed = false;
--- a/godwit/gateway/cold_start_test.cpp
+++ b/godwit/gateway/cold_start_test.cpp
@@ -124,7 +124,8 @@
     }
     CHECK(fleet.refused > 900);
     CHECK(warmAgainAt(fleet.tables[0], Service, Start) == warm);
-    CHECK_FALSE(warmAgainAt(fleet.tables[0], Service, warm + std::chrono::seconds(2)));
+    CHECK_FALSE(warmAgainAt(fleet.tables[0], Service, warm));
+    CHECK_FALSE(warmAgainAt(fleet.tables[0], "another", Start));
 }
 
 TEST_CASE("a warm endpoint takes what it can")
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -268,9 +268,10 @@
     }
     for (const EndpointId &id : found->second) {
         const ColdState &cold = table.endpoints.at(id).cold;
-        if (isCold(cold, now) && (!first || cold.until < *first)) {
-            first = cold.until;
+        if (!isCold(cold, now)) {
+            return std::nullopt;
         }
+        first = std::min(first.value_or(cold.until), cold.until);
     }
     return first;
 }
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -47,7 +47,7 @@
     EndpointStart startedAt = 0;
     RegionId region; // Of its data centre; empty when the settings don't name it.
     Duration coldFor{}; // How much longer it was cold when it said so.
-    TimePoint coldUntil;
+    TimePoint coldUntil; // The same by this router's clock.
     bool evacuated = false; // The operators want its data centre to get nothing.
 };
 
@@ -163,7 +163,7 @@
 // Whether the endpoint is cold and the fleet limits what it gets.
 bool isLimited(const EndpointTable &table, const EndpointState &endpoint, TimePoint now);
 
-// When the first of the service's endpoints that are cold now will be warm; unset when none is cold.
+// When the first of the service's endpoints will be warm; unset when one is warm now, or when there is none.
 std::optional<TimePoint> warmAgainAt(const EndpointTable &table, const std::string &service, TimePoint now);
 
 void beginAttempt(EndpointState &endpoint);
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -248,12 +248,12 @@
     return allowed;
 }
 
-// When the caller should come back for want of an endpoint: once a cold one is warm, if that is what is waited for.
+// When the caller should come back for want of an endpoint: where all are cold, once the first is warm.
 Duration RelayCall::endpointsBack() const
 {
     const TimePoint now = Relay::now();
     const auto warm = warmAgainAt(m_relay.state().endpoints, m_serviceName, now);
-    return warm ? *warm - now : m_relay.options().comeBack;
+    return warm ? *warm - now + comeBackByLot() : m_relay.options().comeBack;
 }
 
 void RelayCall::beginReading(EndpointState &endpoint, Tokens unread)
