--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -229,7 +229,7 @@
     }
     Choice choice = query.promptTokens > 0 ? byReading(table, from, query, options, random, now)
                                            : Choice{byLoad(from, query, random), 0};
-    if (isLimited(table, *choice.endpoint, now)) {
+    if (choice.endpoint != nullptr && isLimited(table, *choice.endpoint, now)) {
         noteColdSend(choice.endpoint->cold, *coldPlan(table, query.service), table.senders, now);
         choice.cold = true;
     }
