--- a/godwit/gateway/cold_start_test.cpp
+++ b/godwit/gateway/cold_start_test.cpp
@@ -69,8 +69,8 @@
         const auto requests = static_cast<int>(toSeconds(length) * perSecond);
         for (int i = 0; i < requests; ++i) {
             const TimePoint now = Start + Duration(i * 1'000'000LL / perSecond);
-            EndpointTable &table = tables[static_cast<std::size_t>(i * 7) % tables.size()];
-            const Choice choice = chooseEndpoint(table, queryFor(), {}, static_cast<std::uint64_t>(i * 13), now);
+            EndpointTable &table = tables[static_cast<std::size_t>(i) * 7 % tables.size()];
+            const Choice choice = chooseEndpoint(table, queryFor(), {}, static_cast<std::uint64_t>(i) * 13, now);
             if (choice.endpoint == nullptr) {
                 ++refused;
                 continue;
@@ -97,7 +97,7 @@
 {
     // Guards against a crash of an endpoint that has just started and looks idle to every router.
     const ColdStartLimit limit{17, std::chrono::seconds(3)};
-    const std::size_t bound = 17 * 1.5 + 5;
+    constexpr std::size_t bound = 30; // 17 times 1.5, and 5.
     for (const int routers : {1, 6, 87, 400}) {
         for (const int groups : {1, 2}) {
             const TimePoint warm = Start + std::chrono::seconds(3);
