--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -171,10 +171,7 @@
 
 ListedEndpoint EndpointList::placed(ListedEndpoint endpoint) const
 {
-    const auto &regions = m_relay.options().regions;
-    if (const auto region = regions.find(endpoint.dataCentre); region != regions.end()) {
-        endpoint.region = region->second;
-    }
+    endpoint.region = regionOf(m_relay.options().regions, endpoint.dataCentre);
     endpoint.evacuated = m_evacuated.count(endpoint.dataCentre) != 0;
     const auto end = m_evacuationEnds.find(endpoint.dataCentre);
     const auto &routes = m_relay.state().routes;
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -227,13 +227,14 @@
     }
 }
 
-std::vector<CallerAddress> FleetLinks::callerAddresses() const
+std::vector<EntryAddress> FleetLinks::callerAddresses() const
 {
     const TimePoint now = Relay::now();
-    std::vector<CallerAddress> addresses;
+    const auto &regions = m_relay.options().regions;
+    std::vector<EntryAddress> addresses;
     for (const auto &[incarnation, peer] : m_peers) {
         if (peer.ready && peer.beatHeard && isFresh(peer, now)) {
-            addresses.push_back({peer.member.callerAddress, peer.member.dataCentre, isEntry(peer)});
+            addresses.push_back({peer.member.callerAddress, regionOf(regions, peer.member.dataCentre), isEntry(peer)});
         }
     }
     return addresses;
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -100,13 +100,6 @@
 std::string encodeMember(const FleetMember &member);
 std::optional<FleetMember> decodeMember(std::string_view text);
 
-struct CallerAddress
-{
-    std::string address;
-    DataCentreId dataCentre;
-    bool entry = false; // Callers are told of it.
-};
-
 class FleetLinks
 {
 public:
@@ -130,7 +123,7 @@
     void beat();
 
     // The routers that take requests, this one left out.
-    std::vector<CallerAddress> callerAddresses() const;
+    std::vector<EntryAddress> callerAddresses() const;
 
     // Whether callers are told of this router.
     bool isEntry() const
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -451,12 +451,10 @@
 
     std::vector<std::string> addressAnswer(const EntryQuestion &question)
     {
-        std::vector<EntryAddress> hosts;
-        for (const CallerAddress &router : m_links.callerAddresses()) {
-            hosts.push_back({router.address, regionOf(router.dataCentre), router.entry});
-        }
+        std::vector<EntryAddress> hosts = m_links.callerAddresses();
         if (m_relay.isReady()) {
-            hosts.push_back({m_settings.callerListen, regionOf(m_settings.dataCentre), m_links.isEntry()});
+            const RegionId own = regionOf(m_settings.regions, m_settings.dataCentre);
+            hosts.push_back({m_settings.callerListen, own, m_links.isEntry()});
         }
         std::vector<std::string> addresses = addressesIn(hosts, entryRegions(question));
         std::shuffle(addresses.begin(), addresses.end(), m_random);
@@ -464,12 +462,6 @@
         return addresses;
     }
 
-    RegionId regionOf(const DataCentreId &dataCentre) const
-    {
-        const auto found = m_settings.regions.find(dataCentre);
-        return found == m_settings.regions.end() ? RegionId() : found->second;
-    }
-
     // Where routes are bound to regions, a router elsewhere would pass their requests on to another region.
     AllowedRegions entryRegions(const EntryQuestion &question)
     {
--- a/godwit/gateway/allowed_regions.cpp
+++ b/godwit/gateway/allowed_regions.cpp
@@ -22,4 +22,10 @@
     return !allowed || allowed->count(region) != 0;
 }
 
+RegionId regionOf(const std::map<DataCentreId, RegionId> &regions, const DataCentreId &dataCentre)
+{
+    const auto found = regions.find(dataCentre);
+    return found == regions.end() ? RegionId() : found->second;
+}
+
 } // namespace Godwit
--- a/godwit/gateway/allowed_regions.h
+++ b/godwit/gateway/allowed_regions.h
@@ -10,6 +10,7 @@
 
 #include "godwit/base/ids.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
@@ -25,4 +26,7 @@
 
 bool isAllowed(const AllowedRegions &allowed, const RegionId &region);
 
+// The region of a data centre; empty when it is not among `regions`.
+RegionId regionOf(const std::map<DataCentreId, RegionId> &regions, const DataCentreId &dataCentre);
+
 } // namespace Godwit
--- a/godwit/gateway/cold_start_test.cpp
+++ b/godwit/gateway/cold_start_test.cpp
@@ -28,11 +28,11 @@
     return listed;
 }
 
-ChoiceQuery queryFor(Tokens prompt = 500)
+ChoiceQuery anyPrompt()
 {
     ChoiceQuery query;
     query.service = Service;
-    query.promptTokens = prompt;
+    query.promptTokens = 500;
     query.latencyTarget = std::chrono::milliseconds(500);
     return query;
 }
@@ -70,7 +70,7 @@
         for (int i = 0; i < requests; ++i) {
             const TimePoint now = Start + Duration(i * 1'000'000LL / perSecond);
             EndpointTable &table = tables[static_cast<std::size_t>(i) * 7 % tables.size()];
-            const Choice choice = chooseEndpoint(table, queryFor(), {}, static_cast<std::uint64_t>(i) * 13, now);
+            const Choice choice = chooseEndpoint(table, anyPrompt(), {}, static_cast<std::uint64_t>(i) * 13, now);
             if (choice.endpoint == nullptr) {
                 ++refused;
                 continue;
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -229,8 +229,9 @@
     }
     Choice choice = query.promptTokens > 0 ? byReading(table, from, query, options, random, now)
                                            : Choice{byLoad(from, query, random), 0};
-    if (choice.endpoint != nullptr && isLimited(table, *choice.endpoint, now)) {
-        noteColdSend(choice.endpoint->cold, *coldPlan(table, query.service), table.senders, now);
+    const ColdStartPlan *plan = coldPlan(table, query.service);
+    if (choice.endpoint != nullptr && plan != nullptr && isCold(choice.endpoint->cold, now)) {
+        noteColdSend(choice.endpoint->cold, *plan, table.senders, now);
         choice.cold = true;
     }
     return choice;
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -145,7 +145,7 @@
 
 struct Choice
 {
-    EndpointState *endpoint = nullptr; // Null when the service has none that is not in `tried`.
+    EndpointState *endpoint = nullptr; // Null when the service has none that may get this request now.
     Tokens unread = 0; // What it has to read of the prompt.
     bool cold = false; // The endpoint is cold, and this is one of the few requests that it gets.
 };
--- a/godwit/gateway/prefix_copy.cpp
+++ b/godwit/gateway/prefix_copy.cpp
@@ -23,14 +23,12 @@
     return rendezvousWeight(item.key, std::to_string(item.revision));
 }
 
-// Takes `changes` into the digest while `copy` still holds what they replace.
-void noteInDigest(PrefixCopy &copy, const std::vector<StoreItem> &changes)
+// Takes `change` into the digest while `copy` still holds what it replaces.
+void noteInDigest(PrefixCopy &copy, const StoreItem &change)
 {
-    for (const StoreItem &change : changes) {
-        const auto before = copy.items.find(change.key);
-        copy.digest -= before == copy.items.end() ? 0 : weightOf(before->second);
-        copy.digest += change.removed ? 0 : weightOf(change);
-    }
+    const auto before = copy.items.find(change.key);
+    copy.digest -= before == copy.items.end() ? 0 : weightOf(before->second);
+    copy.digest += change.removed ? 0 : weightOf(change);
 }
 
 // Of the latest changes; of a copy that is older than all of these it is enough to know that it is old.
@@ -82,7 +80,9 @@
         }
     }
     auto changes = difference(copy.items, entries, at);
-    noteInDigest(copy, changes);
+    for (const StoreItem &change : changes) {
+        noteInDigest(copy, change);
+    }
     copy.items = std::move(entries);
     copy.complete = true;
     noteNewest(copy, changes);
@@ -97,7 +97,7 @@
         if (change.revision <= copy.completeTo || change.revision <= knownRevision(copy, change.key)) {
             continue;
         }
-        noteInDigest(copy, {change});
+        noteInDigest(copy, change);
         if (change.removed) {
             copy.items.erase(change.key);
             copy.removed[change.key] = change.revision;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -117,6 +117,7 @@
     }
     m_serviceName = pickService(*m_route, stableHash(m_facts.attemptId));
     m_service = findService(*m_table, m_serviceName);
+    restrictTo(m_regions, m_route->allowedRegions);
     countRequest(m_relay.state().repeats[m_serviceName], m_relay.options().repeats, m_arrived);
     return true;
 }
@@ -132,8 +133,8 @@
         refuse(ErrorKind::Unauthenticated, "no customer holds this key", std::nullopt);
         return false;
     }
-    m_payer = customer;
     m_customer = customer->name;
+    restrictTo(m_regions, customer->allowedRegions);
     m_urgency = customer->priority.value_or(m_route->priority);
     if (customer->prepaid) {
         m_worstCase = m_facts.declaresTokens ? m_facts.promptTokens + m_facts.maxOutputTokens : NoTokens;
@@ -210,7 +211,7 @@
     query.service = m_serviceName;
     query.tried = m_tried;
     query.dataCentre = m_relay.options().dataCentre;
-    query.regions = allowedRegions();
+    query.regions = m_regions;
     if (m_service != nullptr && m_service->engine) {
         query.promptTokens = m_facts.promptTokens;
         query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
@@ -238,16 +239,6 @@
     }
 }
 
-AllowedRegions RelayCall::allowedRegions() const
-{
-    AllowedRegions allowed;
-    restrictTo(allowed, m_route->allowedRegions);
-    if (m_payer != nullptr) {
-        restrictTo(allowed, m_payer->allowedRegions);
-    }
-    return allowed;
-}
-
 // When the caller should come back for want of an endpoint: where all are cold, once the first is warm.
 Duration RelayCall::endpointsBack() const
 {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -85,7 +85,6 @@
     void attempt();
     void sendTo(const Choice &choice);
     bool maySend();
-    AllowedRegions allowedRegions() const;
     Duration endpointsBack() const;
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
     void onBody(std::string_view bytes);
@@ -121,9 +120,9 @@
     std::shared_ptr<const RouteTable> m_table; // Keeps m_route and m_service alive over changes.
     const GatewayRoute *m_route = nullptr;
     const GatewayService *m_service = nullptr;
-    const PrepaidCustomer *m_payer = nullptr; // Lives as long as m_table.
     CustomerId m_customer;
     std::string m_serviceName;
+    AllowedRegions m_regions; // By route and customer.
     int m_urgency = 5;
 
     TimePoint m_arrived;
