Charges are told by how calls ended

Budgets that RECOVER found used up had been charged by calls nobody was served with, and nothing in logs or metrics said so: a charge could only be worked out from spend and requests. godwit_tokens_charged_total counts tokens by customer, kind, end of the call and whether an event was passed on; calls that end without a whole answer write one "charged" line.

--- a/godwit/relay/call_metrics.cpp
+++ b/godwit/relay/call_metrics.cpp
@@ -31,6 +31,31 @@
         + '"';
 }
 
+// Customers beyond the bound share one series.
+RelayCallSeries &seriesOf(CallMetrics &metrics, const CustomerId &customer, GatewayRouteKind kind)
+{
+    auto key = std::make_pair(customer.value, kind);
+    if (metrics.series.size() >= metrics.maxSeries && metrics.series.count(key) == 0) {
+        key.first = OtherCustomers;
+    }
+    return metrics.series[key];
+}
+
+void renderCharges(std::ostream &out, const CallMetrics &metrics)
+{
+    out << "# HELP godwit_tokens_charged_total Tokens charged, by how the call ended and whether it passed on an "
+           "event.\n"
+           "# TYPE godwit_tokens_charged_total counter\n";
+    for (const auto &[key, series] : metrics.series) {
+        for (const auto &entry : CallEndNames) {
+            const auto end = static_cast<std::size_t>(entry.value);
+            const std::string labels = labelsOf(key) + ",end=\"" + std::string(entry.name) + "\",events=";
+            out << "godwit_tokens_charged_total{" << labels << "\"some\"} " << series.charged[end] << '\n'
+                << "godwit_tokens_charged_total{" << labels << "\"none\"} " << series.chargedWithoutEvent[end] << '\n';
+        }
+    }
+}
+
 void renderHistograms(std::ostream &out,
                       const CallMetrics &metrics,
                       std::string_view name,
@@ -47,11 +72,7 @@
 
 void recordCall(CallMetrics &metrics, const CallRecord &record)
 {
-    auto key = std::make_pair(record.customer.value, record.kind);
-    if (metrics.series.size() >= metrics.maxSeries && metrics.series.count(key) == 0) {
-        key.first = OtherCustomers;
-    }
-    RelayCallSeries &series = metrics.series[key];
+    RelayCallSeries &series = seriesOf(metrics, record.customer, record.kind);
     ++series.ended[static_cast<std::size_t>(record.end)];
     addSample(series.total, record.total);
     if (record.firstAnswer) {
@@ -59,6 +80,18 @@
     }
 }
 
+void recordCharge(CallMetrics &metrics, const ChargeRecord &record)
+{
+    RelayCallSeries &series = seriesOf(metrics, record.customer, record.kind);
+    auto &charged = record.anyEvent ? series.charged : series.chargedWithoutEvent;
+    charged[static_cast<std::size_t>(record.end)] += record.tokens;
+}
+
+std::string_view callEndName(CallEnd end)
+{
+    return enumName(CallEndNames, end);
+}
+
 std::string renderCalls(const CallMetrics &metrics)
 {
     std::ostringstream out;
@@ -69,6 +102,7 @@
                 << series.ended[static_cast<std::size_t>(entry.value)] << '\n';
         }
     }
+    renderCharges(out, metrics);
     renderHistograms(
         out, metrics, "godwit_call_seconds", "From the whole request to the end of the call.", &RelayCallSeries::total);
     renderHistograms(out,
--- a/godwit/relay/call_metrics.h
+++ b/godwit/relay/call_metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// How the calls of one router ended and how long they took, by customer and kind of route.
+// How the calls of one router ended, how long they took and what they were charged, by customer and kind of route.
 //
 // The number of series is bounded: customers beyond the bound share the series "other", so that a fleet with many
 // thousand customers does not fill a small host.
@@ -12,6 +12,7 @@
 //
 // Not thread-safe.
 
+#include "godwit/base/ids.h"
 #include "godwit/gateway/site_document.h"
 #include "godwit/metrics/latency_series.h"
 
@@ -21,6 +22,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace Godwit
@@ -44,9 +46,21 @@
     std::optional<Duration> firstAnswer; // To the first event, or to an answer in one piece.
 };
 
+// What one call that held a reservation was charged in the end.
+struct ChargeRecord
+{
+    CustomerId customer;
+    GatewayRouteKind kind = GatewayRouteKind::NonIdempotent;
+    CallEnd end = CallEnd::Answered;
+    bool anyEvent = false; // At least one event was passed on.
+    Tokens tokens = 0;
+};
+
 struct RelayCallSeries
 {
     std::array<std::uint64_t, CallEnds> ended{};
+    std::array<Tokens, CallEnds> charged{}; // Of calls of which at least one event was passed on.
+    std::array<Tokens, CallEnds> chargedWithoutEvent{};
     LatencySeries total;
     LatencySeries firstAnswer;
 };
@@ -59,6 +73,10 @@
 
 void recordCall(CallMetrics &metrics, const CallRecord &record);
 
+void recordCharge(CallMetrics &metrics, const ChargeRecord &record);
+
+std::string_view callEndName(CallEnd end);
+
 std::string renderCalls(const CallMetrics &metrics);
 
 } // namespace Godwit
--- a/godwit/relay/call_metrics_test.cpp
+++ b/godwit/relay/call_metrics_test.cpp
@@ -30,6 +30,19 @@
     CHECK(text.find("godwit_first_answer_seconds_count" + labels + "} 1\n") != std::string::npos);
 }
 
+TEST_CASE("charges are counted by how the call ended and whether anything of an answer was passed on")
+{
+    // Budgets that are used up by calls nobody was served with look like busy customers without this.
+    CallMetrics metrics;
+    recordCharge(metrics, {CustomerId{"desk"}, GatewayRouteKind::Streaming, CallEnd::CallerLeft, false, 700});
+    recordCharge(metrics, {CustomerId{"desk"}, GatewayRouteKind::Streaming, CallEnd::CallerLeft, true, 40});
+    const std::string text = renderCalls(metrics);
+    const std::string series =
+        "godwit_tokens_charged_total{customer=\"desk\",kind=\"streaming\",end=\"caller_left\",events=";
+    CHECK(text.find(series + "\"none\"} 700\n") != std::string::npos);
+    CHECK(text.find(series + "\"some\"} 40\n") != std::string::npos);
+}
+
 TEST_CASE("the number of series stays bounded")
 {
     CallMetrics metrics;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -686,12 +686,30 @@
         m_relay.stopWaiting(shared_from_this());
     }
     if (m_holdsTokens) {
-        settle(m_relay.state().prepaid, m_customer, m_worstCase, usedTokens());
+        settleTokens(end);
     }
     recordEnd(end);
     --m_relay.callsOpen;
 }
 
+void RelayCall::settleTokens(CallEnd end)
+{
+    const Tokens charge = usedTokens();
+    settle(m_relay.state().prepaid, m_customer, m_worstCase, charge);
+    recordCharge(m_relay.counters().calls, {m_customer, m_route->kind, end, m_eventsPassed > 0, charge});
+    if (end == CallEnd::Answered || charge == 0) {
+        return;
+    }
+    m_relay.log().write("charged",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"customer", std::string_view(m_customer.value)},
+                         {"end", callEndName(end)},
+                         {"tokens", charge},
+                         {"reserved", m_worstCase},
+                         {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
+                         {"since_sent_ms", milliseconds(Relay::now() - m_sentAt)}});
+}
+
 void RelayCall::recordEnd(CallEnd end)
 {
     CallRecord record;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -103,6 +103,7 @@
     void breakOff(std::string_view cause);
     void complete();
     void close(CallEnd end);
+    void settleTokens(CallEnd end);
     void recordEnd(CallEnd end);
     Tokens spendableElsewhere() const;
     Tokens usedTokens() const;
