A call given up before its engine made an event costs nothing

Cause: a caller that leaves, and a deadline of our own, closed the endpoint's connection at once and charged the whole prompt, since the request might have begun. Most had not: they waited behind busy engines.

Now the request is withdrawn: the router ends its own direction of the connection and reads what the engine had sent until then. Charged nothing: the engine ends in order without a byte, or says that it did not run it. Charged the prompt: any byte of an answer, a reset, no end within 200 ms, and every answer in one piece, which may be made without a byte. The reservation stands until then.

Why spend stays within totals: a request begins with its first token, and engines send their first event with it. An end in order comes after all that was sent, so that nothing on its way is missed; a reset may overtake it and counts as begun.

Ruled out: charging nothing for any call without an event (a reset may lose one), the engine's own list of runs (some hundred ms old), holding the request open for the caller (engines read on for nobody).

Tests: both sections of "costs nothing" were red before (700 tokens charged); without the reading on, all three of "is charged its prompt" are red (nothing charged).

--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -209,3 +209,113 @@
     }
     CHECK(router.received().find("HTTP/1.1 503") == 0);
 }
+
+namespace
+{
+
+// A router whose one customer has asked its one engine for a stream, and the engine's side of that request.
+struct StreamAsked : Connected
+{
+    StreamAsked()
+        : acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , engine(io)
+    {
+        RelayState &state = relay.state();
+        SiteDocument document;
+        document.keysRequired = true;
+        document.customers.push_back({Desk, {"key"}, {}, Total, {}});
+        document.routes.emplace_back();
+        document.routes.back().host = "a";
+        document.routes.back().pathPrefix = "/";
+        document.routes.back().kind = GatewayRouteKind::Streaming;
+        document.routes.back().services = {{"s", 1}};
+        state.routes = makeRouteTable(document);
+        state.stage = RelayStage::Serving;
+        replaceEndpoints(state.endpoints,
+                         {ListedEndpoint{EndpointId{"e"}, "s", formatAddress(acceptor.local_endpoint())}});
+        applyTotals(state.prepaid, 1, {{Desk, Total}});
+        account().granted = Total;
+        account().mark = Mark{Total, 0, 0, std::chrono::hours(1)};
+        boost::asio::write(caller,
+                           boost::asio::buffer("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+                                               + std::string(AttemptIdField) + ": 1\r\n" + std::string(CustomerKeyField)
+                                               + ": key\r\n" + std::string(TimeLeftField) + ": 300\r\n"
+                                               + std::string(TokenCountsField) + ": 700,20\r\n\r\n"));
+        run(std::chrono::milliseconds(20));
+        engine = acceptor.accept();
+        run(std::chrono::milliseconds(20));
+        // Closing a socket with unread bytes would reset it.
+        std::array<char, 4096> request{};
+        engine.read_some(boost::asio::buffer(request));
+    }
+
+    void sendEvent()
+    {
+        const std::string event = "id: 1\n\n";
+        boost::asio::write(engine,
+                           boost::asio::buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                                               + std::string(AttemptIdField) + ": 1\r\n" + std::string(SealField)
+                                               + ": s\r\n\r\n7\r\n" + event + "\r\n"));
+    }
+
+    ShareAccount &account()
+    {
+        return relay.state().prepaid.accounts[Desk];
+    }
+
+    const CustomerId Desk{"desk"};
+    static constexpr Tokens Total = 10'000;
+    tcp::acceptor acceptor;
+    tcp::socket engine;
+};
+
+} // namespace
+
+TEST_CASE("a call given up before its engine made an event costs its customer nothing")
+{
+    // Guards against budgets used up by callers that left, or ran out of time, behind busy engines.
+    StreamAsked router;
+    REQUIRE(router.account().reserved == 720);
+    SECTION("the caller leaves")
+    {
+        router.caller.close();
+    }
+    SECTION("its time is over")
+    {
+        router.run(std::chrono::milliseconds(300));
+    }
+    router.run(std::chrono::milliseconds(20));
+    router.engine.close();
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.account().reserved == 0);
+    CHECK(router.account().net == 0);
+}
+
+TEST_CASE("a call whose engine may have made an event is charged its prompt though the caller left")
+{
+    // Guards against spending beyond a budget: the event was on its way when the caller left.
+    StreamAsked router;
+    SECTION("an event comes after the caller has left")
+    {
+        router.caller.close();
+        router.run(std::chrono::milliseconds(20));
+        router.sendEvent();
+    }
+    SECTION("the engine breaks the connection")
+    {
+        router.caller.close();
+        router.run(std::chrono::milliseconds(20));
+        router.engine.set_option(boost::asio::socket_base::linger(true, 0));
+        router.engine.close();
+    }
+    SECTION("the engine keeps the connection open")
+    {
+        router.caller.close();
+        router.run(std::chrono::milliseconds(20));
+        CHECK(router.account().reserved == 720);
+        router.run(std::chrono::milliseconds(250));
+    }
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.account().reserved == 0);
+    CHECK(router.account().net == 700);
+}
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -22,6 +22,13 @@
     {ExchangeFailure::Malformed, "malformed_answer"},
 };
 
+constexpr EnumName<WithdrawalOutcome> WithdrawalOutcomeNames[] = {
+    {WithdrawalOutcome::NotRun, "not_run"},
+    {WithdrawalOutcome::Unanswered, "unanswered"},
+    {WithdrawalOutcome::Answered, "answered"},
+    {WithdrawalOutcome::Unknown, "unknown"},
+};
+
 // An endpoint's head is a few hundred bytes.
 constexpr std::uint32_t MaxAnswerHeadBytes = 32U * 1024;
 
@@ -40,6 +47,11 @@
     return enumName(ExchangeFailureNames, failure);
 }
 
+std::string_view withdrawalOutcomeName(WithdrawalOutcome outcome)
+{
+    return enumName(WithdrawalOutcomeNames, outcome);
+}
+
 EndpointExchange::EndpointExchange(asio::io_context &io,
                                    ConnectionPool &pool,
                                    ExchangeOptions options,
@@ -76,12 +88,53 @@
         return;
     }
     closeConnection();
-    // Not at once: a handler may be what calls this.
+    clearHandlers();
+}
+
+void EndpointExchange::withdraw(Duration limit, std::function<void(WithdrawalOutcome)> done)
+{
+    if (m_phase != Phase::Sent || answerHasBegun()) {
+        const bool nothingSent = m_phase == Phase::Connecting;
+        cancel();
+        done(nothingSent ? WithdrawalOutcome::NotRun : WithdrawalOutcome::Answered);
+        return;
+    }
+    m_withdrawn = std::move(done);
+    clearHandlers();
+    beast::error_code ignored;
+    m_socket->shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    m_timer.expires_after(limit);
+    m_timer.async_wait([self = shared_from_this()](const beast::error_code &error) {
+        if (!error) {
+            self->endWithdrawal(WithdrawalOutcome::Unknown);
+        }
+    });
+    resume();
+}
+
+// Not at once: a handler may be what calls this.
+void EndpointExchange::clearHandlers()
+{
     asio::post(m_io, [self = shared_from_this()] {
         self->m_handlers = {};
     });
 }
 
+bool EndpointExchange::answerHasBegun() const
+{
+    return m_headTaken && !m_skipping && m_parser->get().result_int() / 100 != 1;
+}
+
+void EndpointExchange::endWithdrawal(WithdrawalOutcome outcome)
+{
+    if (isOver()) {
+        return;
+    }
+    closeConnection();
+    const auto done = std::exchange(m_withdrawn, {});
+    done(outcome);
+}
+
 void EndpointExchange::pause()
 {
     m_paused = true;
@@ -180,6 +233,12 @@
         answerEnds();
         return;
     }
+    if (error && m_withdrawn) {
+        // An end in order comes after all that the endpoint had sent; a reset may have overtaken it.
+        const bool inOrder = error == asio::error::eof && m_buffer.size() == 0 && !m_parser->got_some();
+        endWithdrawal(inOrder ? WithdrawalOutcome::Unanswered : WithdrawalOutcome::Unknown);
+        return;
+    }
     if (error) {
         fail(ExchangeFailure::Broken);
         return;
@@ -235,9 +294,14 @@
     m_facts = readAnswer(head);
     // A second answer to an earlier request on this connection may come in the place of ours.
     m_skipping = !m_facts.attemptId.empty() && m_facts.attemptId != m_attemptId;
-    if (!m_skipping) {
-        m_handlers.onHead(head, m_facts);
+    if (m_skipping) {
+        return true;
+    }
+    if (m_withdrawn) {
+        endWithdrawal(m_facts.notRun ? WithdrawalOutcome::NotRun : WithdrawalOutcome::Answered);
+        return false;
     }
+    m_handlers.onHead(head, m_facts);
     return !isOver();
 }
 
@@ -283,6 +347,10 @@
     if (isOver()) {
         return;
     }
+    if (m_withdrawn) {
+        endWithdrawal(WithdrawalOutcome::Unknown);
+        return;
+    }
     closeConnection();
     const auto handlers = std::exchange(m_handlers, {});
     handlers.onFailed(failure);
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -39,6 +39,16 @@
 
 std::string_view exchangeFailureName(ExchangeFailure failure);
 
+// What a request that was withdrawn after it was sent turned out to be.
+enum class WithdrawalOutcome {
+    NotRun, // No byte of it was sent, or the endpoint says that it did not run it.
+    Unanswered, // The endpoint closed the connection in order and had sent no byte of an answer.
+    Answered, // The endpoint had begun to answer.
+    Unknown, // The connection broke, or the endpoint kept it open for too long.
+};
+
+std::string_view withdrawalOutcomeName(WithdrawalOutcome outcome);
+
 struct ExchangeHandlers
 {
     // Asked before the first byte goes out on a new connection; unset: it may.
@@ -74,6 +84,11 @@
     // Stops and closes the connection: the endpoint sees that nobody waits any more.
     void cancel();
 
+    // Stops like cancel(), but learns what became of the request: ends only its own direction of the connection, and
+    // reads what the endpoint had sent until then. `done` is called once, within `limit`, perhaps before this returns.
+    // The handlers are called no more.
+    void withdraw(Duration limit, std::function<void(WithdrawalOutcome)> done);
+
     // Stops reading until resume(): the caller does not keep up.
     void pause();
     void resume();
@@ -106,6 +121,9 @@
     void finish();
     void fail(ExchangeFailure failure);
     void closeConnection();
+    void clearHandlers();
+    bool answerHasBegun() const;
+    void endWithdrawal(WithdrawalOutcome outcome);
     void startParser();
     bool isOver() const
     {
@@ -116,6 +134,7 @@
     ConnectionPool &m_pool;
     ExchangeOptions m_options;
     ExchangeHandlers m_handlers;
+    std::function<void(WithdrawalOutcome)> m_withdrawn; // Set once the request has been withdrawn.
     std::optional<ConnectionPool::Socket> m_socket;
     boost::asio::steady_timer m_timer;
     boost::beast::flat_buffer m_buffer;
--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -1,8 +1,10 @@
 #include "godwit/relay/endpoint_exchange.h"
 
 #include "godwit/http/address.h"
+#include "platform/header_names.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -34,6 +36,27 @@
         exchange->start(EndpointId{"e"}, formatAddress(acceptor.local_endpoint()), "GET / HTTP/1.1\r\n\r\n", "a");
     }
 
+    // Sends the request, and withdraws it once the endpoint has it.
+    tcp::socket withdrawn(Duration limit)
+    {
+        start();
+        tcp::socket endpoint = acceptor.accept();
+        run(std::chrono::milliseconds(5));
+        // Closing a socket with unread bytes would reset it.
+        std::array<char, 64> request{};
+        endpoint.read_some(boost::asio::buffer(request));
+        exchange->withdraw(limit, [this](WithdrawalOutcome reported) {
+            outcome = reported;
+        });
+        return endpoint;
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        io.restart();
+        io.run_for(time);
+    }
+
     std::size_t bytesAtEndpoint()
     {
         tcp::socket accepted = acceptor.accept();
@@ -48,8 +71,14 @@
     tcp::acceptor acceptor;
     std::shared_ptr<EndpointExchange> exchange;
     std::optional<ExchangeFailure> failure;
+    std::optional<WithdrawalOutcome> outcome;
 };
 
+void answer(tcp::socket &endpoint, const std::string &fields)
+{
+    boost::asio::write(endpoint, boost::asio::buffer("HTTP/1.1 " + fields + "\r\nContent-Length: 0\r\n\r\n"));
+}
+
 } // namespace
 
 TEST_CASE("a connection that comes about as its time runs out is not taken for one that never was")
@@ -87,3 +116,65 @@
     attempt.io.run_for(std::chrono::seconds(1));
     CHECK(attempt.failure == ExchangeFailure::NotConnected);
 }
+
+TEST_CASE("a request that is withdrawn counts as unanswered only if its endpoint ends in order without a byte")
+{
+    // Guards against spending beyond a budget: what an endpoint had sent when the caller left must still be seen.
+    Attempt attempt(std::chrono::milliseconds(200));
+    const std::string attemptOf = "\r\n" + std::string(AttemptIdField) + ": ";
+    tcp::socket endpoint = attempt.withdrawn(std::chrono::milliseconds(100));
+    WithdrawalOutcome expected = WithdrawalOutcome::Unanswered;
+    SECTION("it ends the connection")
+    {
+        endpoint.close();
+    }
+    SECTION("its answer was on the way")
+    {
+        answer(endpoint, "200 OK" + attemptOf + "a");
+        endpoint.close();
+        expected = WithdrawalOutcome::Answered;
+    }
+    SECTION("only the beginning of an answer's head has come")
+    {
+        boost::asio::write(endpoint, boost::asio::buffer("HTTP/1.1 2", 10));
+        endpoint.close();
+        expected = WithdrawalOutcome::Unknown;
+    }
+    SECTION("it says that it did not run the request")
+    {
+        answer(endpoint, "503 Busy\r\n" + std::string(NotRunField) + ": 1" + attemptOf + "a");
+        expected = WithdrawalOutcome::NotRun;
+    }
+    SECTION("an answer to an earlier request comes first")
+    {
+        answer(endpoint, "200 OK" + attemptOf + "earlier");
+        answer(endpoint, "200 OK" + attemptOf + "a");
+        expected = WithdrawalOutcome::Answered;
+    }
+    SECTION("it resets the connection")
+    {
+        endpoint.set_option(boost::asio::socket_base::linger(true, 0));
+        endpoint.close();
+        expected = WithdrawalOutcome::Unknown;
+    }
+    SECTION("it does not end the connection in time")
+    {
+        expected = WithdrawalOutcome::Unknown;
+    }
+    attempt.run(std::chrono::milliseconds(150));
+    REQUIRE(attempt.outcome);
+    CHECK(withdrawalOutcomeName(*attempt.outcome) == withdrawalOutcomeName(expected));
+    CHECK_FALSE(attempt.failure);
+}
+
+TEST_CASE("a request that is withdrawn before its connection stands has not run")
+{
+    Attempt attempt(std::chrono::milliseconds(200));
+    attempt.start();
+    attempt.exchange->withdraw(std::chrono::milliseconds(100), [&attempt](WithdrawalOutcome reported) {
+        attempt.outcome = reported;
+    });
+    CHECK(attempt.outcome == WithdrawalOutcome::NotRun);
+    attempt.run(std::chrono::milliseconds(20));
+    CHECK_FALSE(attempt.failure);
+}
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -68,6 +68,9 @@
     AgreementOptions agreement;
     // Time kept at the end of a caller's patience, so that the final answer still arrives.
     Duration answerMargin = std::chrono::milliseconds(15);
+    // How long an endpoint has to end the connection of a request that nobody waits for any more. Less than the time in
+    // which work for callers that have left must stop.
+    Duration withdrawalLimit = std::chrono::milliseconds(200);
     // An endpoint that has said nothing for so long when its request is given up counts as slow. Work of plain
     // services takes up to some 0.5 s, and callers abandon a stream after a gap of 2 s.
     Duration suspiciousSilence = std::chrono::seconds(1);
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -1,6 +1,7 @@
 #include "godwit/relay/relay_call.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/prepaid/call_charge.h"
 
 #include <boost/beast/http.hpp>
 
@@ -417,6 +418,7 @@
     }
     m_progress = Progress::Sent;
     ++m_ran;
+    m_mayHaveBegun = true;
     if (success && !m_answer.sealed) {
         endAttempt(AttemptVerdict::Failed);
         tryAgain("unsealed_answer", true);
@@ -488,6 +490,7 @@
     }
     m_progress = Progress::Sent;
     ++m_ran;
+    m_mayHaveBegun = true;
     endAttempt(AttemptVerdict::Unreachable);
     tryAgain(std::string(exchangeFailureName(failure)), true);
 }
@@ -553,10 +556,7 @@
         return;
     }
     if (m_attemptOpen) {
-        m_exchange->cancel();
-        m_progress = Progress::Sent;
-        ++m_ran;
-        endAttempt(silenceVerdict());
+        giveUpAttempt();
     }
     if (m_headPassed) {
         breakOff("deadline");
@@ -567,6 +567,39 @@
     }
 }
 
+// Nobody waits for the open attempt's answer any more.
+void RelayCall::giveUpAttempt()
+{
+    m_progress = Progress::Sent;
+    ++m_ran;
+    // Only the events of a stream show how far its engine has come: an answer in one piece may be made without a byte.
+    const bool eventsTell = m_route->kind == GatewayRouteKind::Streaming && m_eventsPassed == 0;
+    if (m_holdsTokens && !m_mayHaveBegun && eventsTell) {
+        m_withdrawing = true;
+        m_exchange->withdraw(m_relay.options().withdrawalLimit, [self = shared_from_this()](WithdrawalOutcome outcome) {
+            self->onWithdrawn(outcome);
+        });
+    } else {
+        m_mayHaveBegun = true;
+        m_exchange->cancel();
+    }
+    endAttempt(silenceVerdict());
+}
+
+void RelayCall::onWithdrawn(WithdrawalOutcome outcome)
+{
+    m_withdrawing = false;
+    m_mayHaveBegun = outcome == WithdrawalOutcome::Answered || outcome == WithdrawalOutcome::Unknown;
+    m_relay.log().write("withdrawn",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"outcome", withdrawalOutcomeName(outcome)},
+                         {"since_sent_ms", milliseconds(Relay::now() - m_sentAt)}});
+    if (m_closed) {
+        settleTokens();
+    }
+}
+
 // What an attempt that is given up says of its endpoint. An endpoint whose host has vanished closes no connection: its
 // silence is the only sign, and the requests that follow should not wait there as well.
 AttemptVerdict RelayCall::silenceVerdict() const
@@ -582,10 +615,7 @@
     }
     ++m_relay.counters().callersLeft;
     if (m_attemptOpen) {
-        m_exchange->cancel();
-        m_progress = Progress::Sent;
-        ++m_ran;
-        endAttempt(silenceVerdict());
+        giveUpAttempt();
     }
     m_relay.log().write("caller_left",
                         {{"id", std::string_view(m_facts.attemptId)},
@@ -665,12 +695,13 @@
 
 Tokens RelayCall::usedTokens() const
 {
-    if (m_ran == 0) {
-        return 0;
-    }
-    const Tokens perEvent = m_service != nullptr && m_service->engine ? m_service->engine->tokensPerEvent : 1;
-    const Tokens output = std::min<Tokens>(static_cast<Tokens>(m_eventsPassed) * perEvent, m_facts.maxOutputTokens);
-    return m_facts.promptTokens + output;
+    CallUsage usage;
+    usage.promptTokens = m_facts.promptTokens;
+    usage.maxOutputTokens = m_facts.maxOutputTokens;
+    usage.tokensPerEvent = m_service != nullptr && m_service->engine ? m_service->engine->tokensPerEvent : 1;
+    usage.eventsPassed = m_eventsPassed;
+    usage.mayHaveBegun = m_mayHaveBegun;
+    return chargeOf(usage);
 }
 
 void RelayCall::close(CallEnd end)
@@ -679,31 +710,32 @@
         return;
     }
     m_closed = true;
+    m_end = end;
     m_timer.cancel();
     m_patience.cancel();
     if (m_waitsForTokens) {
         m_waitsForTokens = false;
         m_relay.stopWaiting(shared_from_this());
     }
-    if (m_holdsTokens) {
-        settleTokens(end);
+    if (m_holdsTokens && !m_withdrawing) {
+        settleTokens();
     }
     recordEnd(end);
     --m_relay.callsOpen;
 }
 
-void RelayCall::settleTokens(CallEnd end)
+void RelayCall::settleTokens()
 {
     const Tokens charge = usedTokens();
     settle(m_relay.state().prepaid, m_customer, m_worstCase, charge);
-    recordCharge(m_relay.counters().calls, {m_customer, m_route->kind, end, m_eventsPassed > 0, charge});
-    if (end == CallEnd::Answered || charge == 0) {
+    recordCharge(m_relay.counters().calls, {m_customer, m_route->kind, m_end, m_eventsPassed > 0, charge});
+    if (m_end == CallEnd::Answered || charge == 0) {
         return;
     }
     m_relay.log().write("charged",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"customer", std::string_view(m_customer.value)},
-                         {"end", callEndName(end)},
+                         {"end", callEndName(m_end)},
                          {"tokens", charge},
                          {"reserved", m_worstCase},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -95,6 +95,8 @@
     void passWhole();
     void endAttempt(AttemptVerdict verdict);
     AttemptVerdict silenceVerdict() const;
+    void giveUpAttempt();
+    void onWithdrawn(WithdrawalOutcome outcome);
     void tryAgain(const std::string &cause, bool reachedEndpoint);
     bool mayRepeat() const;
     bool runsAtMostOnce() const;
@@ -103,7 +105,7 @@
     void breakOff(std::string_view cause);
     void complete();
     void close(CallEnd end);
-    void settleTokens(CallEnd end);
+    void settleTokens();
     void recordEnd(CallEnd end);
     Tokens spendableElsewhere() const;
     Tokens usedTokens() const;
@@ -138,6 +140,8 @@
     Progress m_progress = Progress::NotRun;
     std::vector<EndpointId> m_tried;
     int m_ran = 0; // Endpoints on which it may have run.
+    bool m_mayHaveBegun = false; // An endpoint may have made a part of an answer.
+    bool m_withdrawing = false; // It is not known yet whether the last endpoint had.
     int m_sends = 0;
     std::shared_ptr<EndpointExchange> m_exchange;
     EndpointId m_endpoint;
@@ -159,6 +163,7 @@
     std::optional<TimePoint> m_firstAnswerAt; // The first event, or an answer in one piece.
     std::optional<TimePoint> m_lastEventAt;
     bool m_closed = false;
+    CallEnd m_end = CallEnd::Answered; // Once closed.
 };
 
 } // namespace Godwit
