A mark is placed in time though the time of day was stepped and set back

Cause: a successor dated its predecessor's mark by the time of day alone. A step ahead that ended while the hosts were off put the marks into the future; such a mark costs all of its growth.

The same clock shows too little as well: with the store away a router goes beyond its mark, dies, the step ahead ends, and its successor takes the mark for younger than the router did and gives back what was spent.

Now a mark carries two times: the time of day, and the one that its writer started with, carried on by the uptime. A successor goes by the greater age.

Why that suffices: a step before the mark was written is in one of the two times only. After a step back behind the mark the writer itself goes by the time of day, as before. Not covered: a step back of a clock that was ahead already when the writer started, while its host is off (docs/PROOFS.md).

Ruled out: leases of the store as the clock (they pause or lapse while it is down), a shorter growth (deaths during losses of the store need it).

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -72,9 +72,16 @@
 }
 
 // The uptime goes on while the host is suspended, and only a restart of the host sets it back.
-HostTime hostTimeNow(const std::string &boot)
+HostTime hostTimeAtStart(const std::string &boot)
 {
-    return HostTime{clockNow(CLOCK_BOOTTIME), clockNow(CLOCK_REALTIME), boot};
+    const std::chrono::milliseconds wall = clockNow(CLOCK_REALTIME);
+    return HostTime{clockNow(CLOCK_BOOTTIME), wall, wall, boot};
+}
+
+HostTime hostTimeNow(const HostTime &start)
+{
+    const std::chrono::milliseconds uptime = clockNow(CLOCK_BOOTTIME);
+    return HostTime{uptime, clockNow(CLOCK_REALTIME), start.wall + (uptime - start.uptime), start.boot};
 }
 
 // Which start of the host this is; empty where the system does not tell.
@@ -94,7 +101,7 @@
     options.coldStart = ColdStartBounds{settings.coldOverrun, settings.coldSlack};
     options.prepaid.self = HolderId{settings.callerListen};
     options.prepaid.incarnation = incarnation;
-    options.prepaid.startedAt = hostTimeNow(bootName());
+    options.prepaid.startedAt = hostTimeAtStart(bootName());
     options.repeats.ratio = settings.repeatRatio;
     options.repeats.slack = settings.repeatSlack;
     options.repeats.window = settings.repeatWindow;
@@ -315,8 +322,8 @@
 
     std::function<HostTime()> clock() const
     {
-        return [boot = m_relay.options().prepaid.startedAt.boot] {
-            return hostTimeNow(boot);
+        return [start = m_relay.options().prepaid.startedAt] {
+            return hostTimeNow(start);
         };
     }
 
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -109,6 +109,7 @@
     return json{{"writer", mark.writer.value},
                 {"uptime_ms", mark.writtenAt.uptime.count()},
                 {"wall_ms", mark.writtenAt.wall.count()},
+                {"steady_wall_ms", mark.writtenAt.steadyWall.count()},
                 {"boot", mark.writtenAt.boot},
                 {"marks", std::move(marks)}}
         .dump();
@@ -122,6 +123,10 @@
         mark.writer = Incarnation{value.at("writer").get<std::string>()};
         mark.writtenAt.uptime = std::chrono::milliseconds(tokensOf(value.at("uptime_ms")));
         mark.writtenAt.wall = std::chrono::milliseconds(tokensOf(value.at("wall_ms")));
+        // Marks of earlier versions have none.
+        const auto steady = value.find("steady_wall_ms");
+        mark.writtenAt.steadyWall =
+            steady == value.end() ? mark.writtenAt.wall : std::chrono::milliseconds(tokensOf(*steady));
         mark.writtenAt.boot = value.at("boot").get<std::string>();
         for (const auto &[customer, entry] : value.at("marks").items()) {
             mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)),
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -57,6 +57,8 @@
 {
     std::chrono::milliseconds uptime{}; // Counts while the host is suspended.
     std::chrono::milliseconds wall{}; // Since the Unix epoch.
+    // The time of day as the process found it at its start, carried on by the uptime: it does not follow later steps.
+    std::chrono::milliseconds steadyWall{};
     std::string boot; // Which start of the host; empty when the system does not tell.
 };
 
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -125,6 +125,69 @@
     CHECK(world.share(0).ledger.accounts.at(Desk).spent == furthest);
 }
 
+TEST_CASE("a step of the time of day that is taken back while the host is off costs no growth of the mark")
+{
+    // Guards against budgets used up by a loss of power soon after a mark was written.
+    World world = openedWorld(1);
+    world.stepClock(std::chrono::milliseconds(2500));
+    serve(world, 0, 40, 1000);
+    world.advance(2 * Beat);
+    world.sync(0, WriteFate::Done);
+    const Tokens marked = deskAt(world, 0).mark.limit;
+    REQUIRE(marked < deskAt(world, 0).granted);
+    world.losePower(0);
+    world.stepClock(std::chrono::milliseconds(-2500));
+    world.advance(std::chrono::milliseconds(1500));
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == marked);
+}
+
+TEST_CASE("a step of the time of day that is taken back while the host is off does not make the mark look young")
+{
+    // Guards against spending beyond a budget: what was spent once the mark bound no more would be given back.
+    World world = openedWorld(1);
+    world.stepClock(std::chrono::milliseconds(2500));
+    serve(world, 0, 40, 1000);
+    world.advance(2 * Beat);
+    world.sync(0, WriteFate::Done);
+    const Mark mark = deskAt(world, 0).mark;
+    world.advance(mark.binds + std::chrono::seconds(1));
+    spendAll(world, 0, 1000);
+    const Tokens used = world.spent(Desk);
+    REQUIRE(used > mark.limit);
+    world.losePower(0);
+    world.stepClock(std::chrono::milliseconds(-2500));
+    world.advance(std::chrono::milliseconds(700));
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent >= used);
+}
+
+TEST_CASE("a killed process's mark is placed by the uptime of its host whatever the time of day does")
+{
+    // Guards against budgets used up by a step of the time of day beside a death.
+    World world = openedWorld(1);
+    world.stepClock(std::chrono::seconds(4));
+    serve(world, 0, 40, 1000);
+    world.advance(2 * Beat);
+    world.sync(0, WriteFate::Done);
+    const Tokens marked = deskAt(world, 0).mark.limit;
+    REQUIRE(marked < deskAt(world, 0).granted);
+    world.kill(0);
+    world.advance(std::chrono::seconds(1));
+    SECTION("the step stays")
+    {
+    }
+    SECTION("the step is taken back")
+    {
+        world.stepClock(std::chrono::seconds(-4));
+    }
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == marked);
+}
+
 TEST_CASE("a time of day that was set back before the end of the mark does not lengthen the mark's trust")
 {
     // The store is away. The clock is set back by two seconds, which would let the mark look young to a successor:
@@ -194,7 +257,7 @@
     serve(world, 0, 100, 1000);
     PrepaidShare &share = world.share(0);
     wantMore(share, Desk, unusedGrant(share, Desk) + 1000);
-    REQUIRE(planWrite(share, world.now(), world.hostTime()));
+    REQUIRE(planWrite(share, world.now(), world.hostTime(0)));
     world.setTotal(Desk, 110'000);
     onWriteDone(share, 100);
     CHECK_FALSE(world.request(0, Desk, 1000));
@@ -270,7 +333,7 @@
     PrepaidShare &share = world.share(0);
     const auto plan = [&] {
         wantMore(share, Desk, unusedGrant(share, Desk) + 1000);
-        return planWrite(share, world.now(), world.hostTime());
+        return planWrite(share, world.now(), world.hostTime(0));
     };
     const auto lost = plan();
     REQUIRE(lost);
@@ -296,10 +359,10 @@
     serve(world, 0, 40, 3000);
     world.advance(Beat);
     PrepaidShare &share = world.share(0);
-    REQUIRE(planWrite(share, world.now(), world.hostTime()));
+    REQUIRE(planWrite(share, world.now(), world.hostTime(0)));
     onWriteRefused(share, true);
     share.ledgerKnown = true; // The refusal says what stands.
-    CHECK(planWrite(share, world.now(), world.hostTime()));
+    CHECK(planWrite(share, world.now(), world.hostTime(0)));
 }
 
 TEST_CASE("a router that heard the ledger from its writer is not refused for an old revision")
@@ -514,7 +577,7 @@
             ++refused;
         }
         world.advance(Duration(1'000'000 / perSecond));
-        checkMarks(world.share(0), world.hostTime());
+        checkMarks(world.share(0), world.hostTime(0));
         if (!storeAway && i % (perSecond / 2) == 0) {
             world.sync(0, WriteFate::Done);
         }
--- a/godwit/prepaid/share_records.cpp
+++ b/godwit/prepaid/share_records.cpp
@@ -18,19 +18,38 @@
 namespace
 {
 
+std::chrono::milliseconds apart(std::chrono::milliseconds a, std::chrono::milliseconds b)
+{
+    return a > b ? a - b : b - a;
+}
+
 // How old an earlier process's mark may have been when this process started; unset when the clocks can't tell.
+//
+// The time of day may have been stepped, and the step taken back since. So the mark has its time in two ways: by the time
+// of day when it was written, and by the one that its writer started with. A step before the mark is in only one of them,
+// so that the greater age is not too small; after a step back the writer itself went by the time of day.
 std::optional<std::chrono::milliseconds> ageAtStart(const PrepaidOptions &options, const MarkRecord &mark)
 {
     using std::chrono::milliseconds;
-    const milliseconds uptime = options.startedAt.uptime - mark.writtenAt.uptime;
-    const milliseconds wall = options.startedAt.wall - mark.writtenAt.wall;
-    const milliseconds apart = uptime > wall ? uptime - wall : wall - uptime;
-    if (wall < milliseconds(0)) {
+    const HostTime &started = options.startedAt;
+    const HostTime &written = mark.writtenAt;
+    const milliseconds uptime = started.uptime - written.uptime;
+    const milliseconds byDay = started.wall - written.wall;
+    const milliseconds bySteadyDay = started.wall - written.steadyWall;
+    // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
+    const milliseconds difference = std::min(apart(uptime, byDay), apart(uptime, bySteadyDay));
+    const bool uptimeShared = started.boot == written.boot && uptime >= milliseconds(0);
+    if (uptimeShared && difference <= options.clockAgreement) {
+        return uptime + options.markCaution;
+    }
+    milliseconds age = std::max(byDay, bySteadyDay);
+    if (age < milliseconds(0)) {
         return std::nullopt;
     }
-    // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
-    const bool uptimeShared = options.startedAt.boot == mark.writtenAt.boot && apart <= options.clockTolerance;
-    return (uptimeShared ? std::max(uptime, wall) : wall) + options.markCaution;
+    if (uptimeShared && difference <= options.clockTolerance) {
+        age = std::max(age, uptime);
+    }
+    return age + options.markCaution;
 }
 
 bool holdsAnyOf(const PrepaidLedger &ledger, const HolderId &holder)
--- a/godwit/prepaid/testing_world.cpp
+++ b/godwit/prepaid/testing_world.cpp
@@ -31,9 +31,9 @@
 void World::advance(Duration time)
 {
     m_now += time;
-    for (Router &router : m_routers) {
-        if (router.share) {
-            checkMarks(*router.share, hostTime());
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        if (m_routers[i].share) {
+            checkMarks(*m_routers[i].share, hostTime(i));
         }
     }
 }
@@ -50,7 +50,9 @@
         return;
     }
     ++router.starts;
-    router.share = makePrepaidShare(optionsOf(index, router.starts, hostTime()));
+    router.startedAt = hostTime(index);
+    router.startedAt.steadyWall = router.startedAt.wall;
+    router.share = makePrepaidShare(optionsOf(index, router.starts, router.startedAt));
     router.share->markWriters = static_cast<int>(m_routers.size());
     applyTotals(*router.share, m_documentVersion, totalsAsGiven());
 }
@@ -65,6 +67,12 @@
     router.share.reset();
 }
 
+void World::losePower(std::size_t index)
+{
+    kill(index);
+    m_routers[index].uptimeOffset += std::chrono::hours(1);
+}
+
 void World::sync(std::size_t index, WriteFate fate)
 {
     Router &router = m_routers[index];
@@ -74,7 +82,7 @@
     if (!router.share->ledgerKnown) {
         readRecords(index);
     }
-    const auto write = planWrite(*router.share, m_now, hostTime());
+    const auto write = planWrite(*router.share, m_now, hostTime(index));
     if (!write) {
         return;
     }
@@ -247,10 +255,13 @@
     return m_routers[router].share.has_value();
 }
 
-HostTime World::hostTime() const
+HostTime World::hostTime(std::size_t index) const
 {
-    const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch());
-    return HostTime{uptime, uptime + m_wallOffset, "boot"};
+    const Router &router = m_routers[index];
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch());
+    const std::chrono::milliseconds uptime = time + router.uptimeOffset;
+    const HostTime &started = router.startedAt;
+    return HostTime{uptime, time + m_wallOffset, started.wall + uptime - started.uptime, "boot"};
 }
 
 std::map<CustomerId, std::optional<Tokens>> World::totalsAsGiven() const
--- a/godwit/prepaid/testing_world.h
+++ b/godwit/prepaid/testing_world.h
@@ -52,6 +52,8 @@
     std::optional<PrepaidShare> share; // Absent while it is dead.
     std::vector<Reservation> open;
     int starts = 0;
+    HostTime startedAt;
+    std::chrono::milliseconds uptimeOffset{}; // Changes with each restart of its host.
 };
 
 class World
@@ -66,6 +68,8 @@
     void start(std::size_t router);
     // What was reserved counts as spent: the endpoint may have run it to the end.
     void kill(std::size_t router);
+    // The same, and the uptime of its host starts anew.
+    void losePower(std::size_t router);
 
     // Reads, plans and writes once, if the router has something to write.
     void sync(std::size_t router, WriteFate fate);
@@ -99,7 +103,7 @@
     {
         return m_now;
     }
-    HostTime hostTime() const;
+    HostTime hostTime(std::size_t router) const;
 
 private:
     std::map<CustomerId, std::optional<Tokens>> totalsAsGiven() const;
