A change that has to be fetched no longer waits for a slower catching up

A router that a beat had shown a newer copy waits up to 1 s for what is most likely on its way. A change that it then has to fetch (a value over 64 KB, a delta without its base, a reading's news) waited as long instead of 0.1 to 0.3 s, and its callers got answers out of the older document meanwhile.

The earlier of the two times counts now.

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -279,18 +279,23 @@
 // Catches up with a copy that holds more: from a peer if `ask` is set, and if that brings nothing from the store.
 void SharedPrefix::renew(const PrefixState &elsewhere, Duration after, const Ask &ask)
 {
-    if (std::exchange(m_renewing, true)) {
-        if (elsewhere.newestRevision > m_wanted.newestRevision) {
-            m_wanted = elsewhere;
-        }
+    const TimePoint due = Relay::now() + after;
+    if (!m_renewDue || elsewhere.newestRevision > m_wanted.newestRevision) {
+        m_wanted = elsewhere;
+    }
+    // A change that has to be fetched at once must not wait for one that may still be on its way.
+    if (m_renewDue && *m_renewDue <= due) {
         return;
     }
-    m_wanted = elsewhere;
-    m_renewTimer.expires_after(after);
-    m_renewTimer.async_wait([this, ask](const boost::system::error_code &error) {
-        m_renewing = false;
+    m_renewDue = due;
+    m_renewTimer.expires_at(due);
+    m_renewTimer.async_wait([this, ask, due](const boost::system::error_code &error) {
+        if (error || m_renewDue != due) {
+            return;
+        }
+        m_renewDue.reset();
         const PrefixState elsewhere = m_wanted;
-        if (error || (m_copy.complete && !lacks(elsewhere))) {
+        if (m_copy.complete && !lacks(elsewhere)) {
             return;
         }
         if (ask && !(isLarge() && inReach()) && ask()) {
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -199,7 +199,7 @@
     bool m_started = false;
     bool m_readingAll = false;
     bool m_following = false;
-    bool m_renewing = false;
+    std::optional<TimePoint> m_renewDue; // When it will be caught up with what is wanted.
     PrefixState m_wanted; // What is being caught up with.
     TimePoint m_asOf;
     ChangeTimes m_changeTimes;
