--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -211,13 +211,20 @@
         return;
     }
     snapshot->stamp = request->stamp;
-    const std::string answer = encodeSnapshot(*snapshot);
+    std::string answer = encodeSnapshot(*snapshot);
+    const auto bytes = static_cast<std::int64_t>(answer.size());
+    const bool hasItems = snapshot->items.has_value();
+    const bool deferred = hasItems && !takeBytes(m_snapshotBytes, m_options.snapshots, answer.size(), Relay::now());
+    if (deferred) {
+        // The asker hears that it lacks something, and asks whoever else holds it by then.
+        snapshot->items.reset();
+        answer = encodeSnapshot(*snapshot);
+    }
     m_mesh->send(from, {SnapshotTopic, answer});
-    if (snapshot->items) {
-        m_relay.log().write("snapshot_sent",
-                            {{"prefix", std::string_view(request->prefix)},
-                             {"peer", std::string_view(from.value)},
-                             {"bytes", static_cast<std::int64_t>(answer.size())}});
+    if (hasItems) {
+        m_relay.log().write(
+            deferred ? "snapshot_deferred" : "snapshot_sent",
+            {{"prefix", std::string_view(request->prefix)}, {"peer", std::string_view(from.value)}, {"bytes", bytes}});
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -7,6 +7,7 @@
 
 #include "godwit/base/time.h"
 #include "godwit/daemon/prefix_messages.h"
+#include "godwit/gateway/byte_allowance.h"
 #include "godwit/gateway/entry_hosts.h"
 #include "godwit/gateway/reading_turns.h"
 #include "godwit/prepaid/tokens_ahead.h"
@@ -69,6 +70,9 @@
     // document for each of hundreds of routers would keep one host's link busy for seconds. Others go to each router,
     // since what goes over a router is lost for its part of the fleet while that one is frozen.
     std::size_t relayUpdatesFrom = 1024UL * 1024;
+    // Snapshots for the peers. Where few hosts reach the store all others ask them at once, and whole documents for
+    // each would keep a small host's link busy for seconds.
+    ByteRate snapshots{bytesPerSecond(500)};
     int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
     // is hardly later.
@@ -266,6 +270,7 @@
     bool m_watchingAnswers = false;
     std::optional<TimePoint> m_readyAt;
     bool m_settled = false;
+    ByteAllowance m_snapshotBytes;
     std::deque<std::int64_t> m_lagStamps; // Of the questions whose first answer is still out, the oldest first.
     bool m_readyTold = false;
     bool m_inReachTold = false;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -37,13 +37,17 @@
             entriesAsked += request.stateOnly ? 0 : 1;
             PrefixSnapshot snapshot;
             snapshot.state = {request.prefix, 7, request.digest};
+            if (entryBytes > 0) {
+                snapshot.items = {StoreItem{"op/a", std::string(entryBytes, 'x'), 7, false}};
+            }
             return std::optional(snapshot);
         };
         links.onUpdate = [this](const Incarnation &, const PrefixUpdate &update) {
             updates += update.changes.empty() ? 0 : 1;
         };
-        links.onSnapshot = [this](const PrefixSnapshot &) {
+        links.onSnapshot = [this](const PrefixSnapshot &snapshot) {
             ++snapshots;
+            withEntries += snapshot.items ? 1 : 0;
         };
         LastReason reason;
         REQUIRE(links.start(reason));
@@ -59,6 +63,7 @@
         options.own.callerAddress = self.callerAddress;
         options.listenAddress = self.peerAddress;
         options.ownCapacity = self.capacity;
+        options.snapshots.perSecond = 1'000'000;
         return options;
     }
 
@@ -73,7 +78,9 @@
     Relay relay;
     FleetMember self;
     FleetLinks links;
+    std::size_t entryBytes = 0; // Of the entries in this router's snapshots.
     int snapshots = 0;
+    int withEntries = 0; // Of these.
     int updates = 0;
     int questions = 0;
     int entriesAsked = 0;
@@ -228,3 +235,27 @@
     REQUIRE(second.has_value());
     CHECK(*first != *second);
 }
+
+TEST_CASE("a router that many ask for a large snapshot sends it to a few at a time")
+{
+    // Guards against a full link, and an old document behind it, at the only host that reaches the store.
+    Routers routers({"a", "b"});
+    Router &asker = routers[0];
+    Router &asked = routers[1];
+    asked.entryBytes = 200UL * 1024;
+    const auto askTwenty = [&] {
+        for (int i = 0; i < 20; ++i) {
+            CHECK(asker.links.askSnapshot(asked.self.incarnation, {"op/", 0, 9}));
+        }
+        routers.run(std::chrono::milliseconds(200));
+    };
+    askTwenty();
+    CHECK(asker.snapshots == 20);
+    CHECK(asker.withEntries >= 2);
+    CHECK(asker.withEntries <= 4);
+    // Later askers get theirs.
+    routers.run(std::chrono::milliseconds(600));
+    const int before = asker.withEntries;
+    askTwenty();
+    CHECK(asker.withEntries > before);
+}
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -41,6 +41,8 @@
 constexpr Duration LiveReadingInterval = std::chrono::seconds(2);
 // A snapshot of a large copy takes a small host's link a while.
 constexpr Duration ConfirmInterval = std::chrono::seconds(1);
+// Of this host's link; callers have the rest.
+constexpr double SnapshotLinkPart = 0.5;
 // How often a line tells what the router has done so far.
 constexpr Duration LoadLineInterval = std::chrono::seconds(5);
 // Of the time that a stop may take: after the first part no new request is taken, so that those under way can end;
@@ -127,6 +129,7 @@
     options.own.peerAddress = self.peerAddress;
     options.own.callerAddress = self.callerAddress;
     options.ownCapacity = self.capacity;
+    options.snapshots.perSecond = SnapshotLinkPart * bytesPerSecond(settings.linkMbps);
     return options;
 }
 
--- a/godwit/gateway/entry_hosts.cpp
+++ b/godwit/gateway/entry_hosts.cpp
@@ -1,19 +1,15 @@
 #include "godwit/gateway/entry_hosts.h"
 
+#include "godwit/gateway/byte_allowance.h"
+
 #include <algorithm>
 
 namespace Godwit
 {
-namespace
-{
-
-constexpr double BytesPerMegabit = 125'000;
-
-} // namespace
 
 double requestCapacity(double cores, double linkMbps, const EntryHostOptions &options)
 {
-    return std::min(cores / options.coreSecondsPerRequest, linkMbps * BytesPerMegabit / options.linkBytesPerRequest);
+    return std::min(cores / options.coreSecondsPerRequest, bytesPerSecond(linkMbps) / options.linkBytesPerRequest);
 }
 
 double leastListedCapacity(std::vector<EntryHost> hosts, const EntryHostOptions &options)
