--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -100,13 +100,14 @@
 }
 
 // By lot from the first probe on: routers that all lost the store at once would else all ask at once, and then none for
-// as long as a whole turn takes.
+// as long as a whole turn takes. Those that reach the store take no turns: a router that has lost it alone would wait
+// for all of theirs.
 Duration BudgetKeeper::probeTurn()
 {
-    Duration turn = m_options.probeInterval * std::max(1, m_relay.state().liveRouters);
-    if (reachedElsewhere && reachedElsewhere()) {
-        turn = std::min(turn, m_options.ownProbeInterval);
-    }
+    const int routers = std::max(1, m_relay.state().liveRouters);
+    const double lost = lostElsewhere ? lostElsewhere() * routers : routers;
+    const Duration least = std::min<Duration>(m_options.probeInterval * routers, m_options.ownProbeInterval);
+    const Duration turn = std::max(least, std::chrono::duration_cast<Duration>(m_options.probeInterval * lost));
     const double lot = static_cast<double>(m_relay.random() % 1024) / 1024.0;
     return std::chrono::duration_cast<Duration>(turn * 2 * lot);
 }
--- a/godwit/daemon/budget_keeper.h
+++ b/godwit/daemon/budget_keeper.h
@@ -30,7 +30,7 @@
     Duration keepInterval = std::chrono::milliseconds(3500);
     // While the store is away, the fleet as a whole asks this often whether it is back.
     Duration probeInterval = std::chrono::milliseconds(120);
-    // Where others reach the store nobody's answer tells this router that it is back: its own turn comes this soon.
+    // One router asks no more often than this, however few have lost the store.
     Duration ownProbeInterval = std::chrono::milliseconds(800);
     Duration firstProbeAfter = std::chrono::milliseconds(500);
     Duration tick = std::chrono::milliseconds(100);
@@ -74,8 +74,8 @@
     // Another router has found that the store is back.
     void onFoundElsewhere();
 
-    // Whether another router reaches the store now; unset: none does.
-    std::function<bool()> reachedElsewhere;
+    // Which part of the other routers lately had the store out of reach; unset: all.
+    std::function<double()> lostElsewhere;
 
 private:
     void armTick();
--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -203,6 +203,19 @@
     }
 }
 
+// A small host passes what is large on to the largest hosts alone, and the others have it from them.
+bool FleetLinks::maySendSnapshot(const Incarnation &to, std::size_t bytes)
+{
+    const TimePoint now = Relay::now();
+    const double least = leastOfLargestKind(now);
+    const auto peer = m_peers.find(to);
+    const bool toLargest = peer != m_peers.end() && peer->second.member.capacity >= least;
+    if (bytes >= m_options.largeSnapshot && m_options.ownCapacity < least && !toLargest) {
+        return false;
+    }
+    return takeBytes(m_snapshotBytes, m_options.snapshots, bytes, now);
+}
+
 void FleetLinks::onSnapshotRequest(const Incarnation &from, const std::string &body)
 {
     const auto request = decodeSnapshotRequest(body);
@@ -214,7 +227,7 @@
     std::string answer = encodeSnapshot(*snapshot);
     const auto bytes = static_cast<std::int64_t>(answer.size());
     const bool hasItems = snapshot->items.has_value();
-    const bool deferred = hasItems && !takeBytes(m_snapshotBytes, m_options.snapshots, answer.size(), Relay::now());
+    const bool deferred = hasItems && !maySendSnapshot(from, answer.size());
     if (deferred) {
         // The asker hears that it lacks something, and asks whoever else holds it by then.
         snapshot->items.reset();
@@ -228,12 +241,18 @@
     }
 }
 
-bool FleetLinks::othersReachStore() const
+double FleetLinks::partWithoutStore() const
 {
     const TimePoint now = Relay::now();
-    return std::any_of(m_peers.begin(), m_peers.end(), [this, now](const auto &entry) {
-        return entry.second.linked && entry.second.storeInReach && isFresh(entry.second, now);
-    });
+    int heard = 0;
+    int without = 0;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked && peer.beatHeard && isFresh(peer, now)) {
+            ++heard;
+            without += peer.storeInReach ? 0 : 1;
+        }
+    }
+    return heard == 0 ? 1.0 : static_cast<double>(without) / heard;
 }
 
 // By rank, so that all agree without a word.
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -73,6 +73,7 @@
     // Snapshots for the peers. Where few hosts reach the store all others ask them at once, and whole documents for
     // each would keep a small host's link busy for seconds.
     ByteRate snapshots{bytesPerSecond(500)};
+    std::size_t largeSnapshot = 64UL * 1024;
     int readers = ReadingOptions{}.readers;
     // Prompts that take an engine less time than this are not told to the other routers: a request behind one of them
     // is hardly later.
@@ -161,8 +162,9 @@
     // Tells all others that this router has sent a long prompt to an engine.
     void tellPrompt(const PromptSent &prompt, Duration reading);
 
-    // Whether another router has lately said that it reaches the platform's store.
-    bool othersReachStore() const;
+    // Which part of the routers that are heard has lately said that the platform's store is out of its reach; 1 when
+    // none is heard.
+    double partWithoutStore() const;
 
     // Tells all others that the platform's store answers again.
     void tellStoreFound();
@@ -237,6 +239,7 @@
     std::size_t queuedBytes() const;
     bool hasAll(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
+    bool maySendSnapshot(const Incarnation &to, std::size_t bytes);
     void onSnapshotReceived(const std::string &body);
     std::vector<Incarnation> drawPeers();
     void readCopyStates(const Incarnation &from, const nlohmann::json &beat);
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -25,10 +25,10 @@
 
 struct Router
 {
-    explicit Router(const std::string &name)
+    explicit Router(const std::string &name, double capacity = 100)
         : log(io, {})
         , relay(io, {}, log)
-        , self{HostId{name}, Incarnation{name + ".1"}, DataCentreId{"north"}, freeAddress(), freeAddress(), 100}
+        , self{HostId{name}, Incarnation{name + ".1"}, DataCentreId{"north"}, freeAddress(), freeAddress(), capacity}
         , links(io, relay, options())
     {
         relay.state().stage = RelayStage::Serving;
@@ -64,6 +64,8 @@
         options.listenAddress = self.peerAddress;
         options.ownCapacity = self.capacity;
         options.snapshots.perSecond = 1'000'000;
+        // Hosts of all sizes are listed, and so linked.
+        options.entryHosts.plannedLoad = -1;
         return options;
     }
 
@@ -88,11 +90,12 @@
 
 struct Routers
 {
-    explicit Routers(const std::vector<std::string> &names)
+    explicit Routers(const std::vector<std::string> &names, const std::vector<double> &capacities = {})
     {
         std::vector<FleetMember> members;
         for (const std::string &name : names) {
-            all.push_back(std::make_unique<Router>(name));
+            const std::size_t number = all.size();
+            all.push_back(std::make_unique<Router>(name, number < capacities.size() ? capacities[number] : 100));
             members.push_back(all.back()->self);
         }
         for (const auto &router : all) {
@@ -259,3 +262,18 @@
     askTwenty();
     CHECK(asker.withEntries > before);
 }
+
+TEST_CASE("a small host sends a large snapshot to the largest hosts alone")
+{
+    // Guards against documents that reach the fleet late because a small host's link carries them to its like first.
+    Routers routers({"small", "alike", "large"}, {10, 10, 100});
+    Router &small = routers[0];
+    const auto entriesFor = [&](Router &asker) {
+        CHECK(asker.links.askSnapshot(small.self.incarnation, {"op/", 0, 9}));
+        routers.run(std::chrono::milliseconds(100));
+        return asker.withEntries;
+    };
+    small.entryBytes = 100UL * 1024;
+    CHECK(entriesFor(routers[1]) == 0);
+    CHECK(entriesFor(routers[2]) == 1);
+}
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -221,8 +221,8 @@
             }
             return states;
         };
-        m_keeper.reachedElsewhere = [this] {
-            return m_links.othersReachStore();
+        m_keeper.lostElsewhere = [this] {
+            return m_links.partWithoutStore();
         };
         m_keeper.onFoundAgain = [this] {
             m_links.tellStoreFound();
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -276,7 +276,8 @@
         || (elsewhere.completeTo > m_copy.completeTo && !hasNewer(m_copy, elsewhere.completeTo));
 }
 
-// Catches up with a copy that holds more: from a peer if `ask` is set, and if that brings nothing from the store.
+// Catches up with a copy that holds more: from a peer if `ask` is set, and if that brings nothing from the store. Out
+// of its reach other peers are asked, which may have it by then.
 void SharedPrefix::renew(const PrefixState &elsewhere, Duration after, const Ask &ask)
 {
     const TimePoint due = Relay::now() + after;
@@ -289,7 +290,7 @@
     }
     m_renewDue = due;
     m_renewTimer.expires_at(due);
-    m_renewTimer.async_wait([this, ask, due](const boost::system::error_code &error) {
+    m_renewTimer.async_wait([this, ask, due, after](const boost::system::error_code &error) {
         if (error || m_renewDue != due) {
             return;
         }
@@ -302,6 +303,9 @@
             renew(elsewhere, m_options.snapshotLimit, nullptr);
         } else if (inReach()) {
             readNow();
+        } else if (const Duration next = 2 * std::max(after, m_options.snapshotLimit);
+                   next <= m_options.longestRetry && askAny && askAny()) {
+            renew(elsewhere, next, nullptr);
         }
     });
 }
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -51,6 +51,8 @@
     Duration lateAfter = std::chrono::milliseconds(1000);
     // A peer that has not sent its snapshot by then is left alone, and the store asked.
     Duration snapshotLimit = std::chrono::milliseconds(300);
+    // Peers are asked again after twice the time each, up to this; then the next beat begins anew.
+    Duration longestRetry = std::chrono::milliseconds(2400);
     // What each further reader leaves to the one before it: else all of them would tell the same.
     Duration readerDelay = std::chrono::milliseconds(25);
     // A change of a larger value is told as what changed, to those that hold the value before.
