--- a/godwit/prepaid/share_records.cpp
+++ b/godwit/prepaid/share_records.cpp
@@ -25,9 +25,9 @@
 
 // How old an earlier process's mark may have been when this process started; unset when the clocks can't tell.
 //
-// The time of day may have been stepped, and the step taken back since. So the mark has its time in two ways: by the time
-// of day when it was written, and by the one that its writer started with. A step before the mark is in only one of them,
-// so that the greater age is not too small; after a step back the writer itself went by the time of day.
+// The time of day may have been stepped, and the step taken back since. So the mark has its time in two ways: by the
+// time of day when it was written, and by the one that its writer started with. A step before the mark is in only one
+// of them, so that the greater age is not too small; after a step back the writer itself went by the time of day.
 std::optional<std::chrono::milliseconds> ageAtStart(const PrepaidOptions &options, const MarkRecord &mark)
 {
     using std::chrono::milliseconds;
