--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -74,8 +74,8 @@
     // death comes with a loss of the store, and a customer that sends five times its usual would lose half of its
     // total.
     double fastGrowthPart = 0.02;
-    // Uptime and time of day that differ by no more than this over the same span speak of the same host start for sure:
-    // the uptime, which makes no steps, then counts alone. Less than `markCaution`.
+    // Where uptime and time of day differ by no more than this over the same span, the uptime, which makes no steps,
+    // counts alone. Less than `markCaution`, so that a difference by chance does no harm.
     std::chrono::milliseconds clockAgreement{100};
     // Uptime and time of day that are further apart than this over the same span don't speak of the same host start.
     std::chrono::milliseconds clockTolerance{3000};
--- a/godwit/prepaid/share_records.cpp
+++ b/godwit/prepaid/share_records.cpp
@@ -36,17 +36,17 @@
     const milliseconds uptime = started.uptime - written.uptime;
     const milliseconds byDay = started.wall - written.wall;
     const milliseconds bySteadyDay = started.wall - written.steadyWall;
-    // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
     const milliseconds difference = std::min(apart(uptime, byDay), apart(uptime, bySteadyDay));
-    const bool uptimeShared = started.boot == written.boot && uptime >= milliseconds(0);
-    if (uptimeShared && difference <= options.clockAgreement) {
+    const bool sameBoot = started.boot == written.boot && uptime >= milliseconds(0);
+    if (sameBoot && difference <= options.clockAgreement) {
         return uptime + options.markCaution;
     }
+    // Where each process has an uptime of its own, or after a restart of the host, the time of day has to do.
     milliseconds age = std::max(byDay, bySteadyDay);
     if (age < milliseconds(0)) {
         return std::nullopt;
     }
-    if (uptimeShared && difference <= options.clockTolerance) {
+    if (sameBoot && difference <= options.clockTolerance) {
         age = std::max(age, uptime);
     }
     return age + options.markCaution;
