--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -3,6 +3,8 @@
 #include "godwit/gateway/repeat_allowance.h"
 #include "godwit/gateway/route_table.h"
 
+#include "godwit/gateway/byte_allowance.h"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -245,3 +247,15 @@
     CHECK(regionsOfHost(*table, "a.example:80") == std::set<RegionId>{RegionId{"west"}});
     CHECK_FALSE(regionsOfHost(*table, "b.example"));
 }
+
+TEST_CASE("bytes beyond the burst wait until the rate has paid for them")
+{
+    // Guards against a link that one kind of message fills.
+    const ByteRate rate{100'000, 1000};
+    ByteAllowance allowance;
+    const TimePoint now{std::chrono::seconds(100)};
+    CHECK(takeBytes(allowance, rate, 50'000, now));
+    CHECK_FALSE(takeBytes(allowance, rate, 1, now + std::chrono::milliseconds(480)));
+    CHECK(takeBytes(allowance, rate, 50'000, now + std::chrono::milliseconds(495)));
+    CHECK_FALSE(takeBytes(allowance, rate, 1, now + std::chrono::milliseconds(980)));
+}
