--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -7,6 +7,22 @@
 using namespace Godwit;
 using namespace Godwit::Testing;
 
+namespace
+{
+
+// One router that has written a mark by its demand after the time of day was stepped in its life.
+World steppedWorld(std::chrono::milliseconds by)
+{
+    World world = openedWorld(1);
+    world.stepClock(by);
+    serve(world, 0, 40, 1000);
+    world.advance(2 * Beat);
+    world.sync(0, WriteFate::Done);
+    return world;
+}
+
+} // namespace
+
 TEST_CASE("a router spends nothing before its first write stands")
 {
     World world(1, {{Desk, Total}});
@@ -128,11 +144,7 @@
 TEST_CASE("a step of the time of day that is taken back while the host is off costs no growth of the mark")
 {
     // Guards against budgets used up by a loss of power soon after a mark was written.
-    World world = openedWorld(1);
-    world.stepClock(std::chrono::milliseconds(2500));
-    serve(world, 0, 40, 1000);
-    world.advance(2 * Beat);
-    world.sync(0, WriteFate::Done);
+    World world = steppedWorld(std::chrono::milliseconds(2500));
     const Tokens marked = deskAt(world, 0).mark.limit;
     REQUIRE(marked < deskAt(world, 0).granted);
     world.losePower(0);
@@ -146,11 +158,7 @@
 TEST_CASE("a step of the time of day that is taken back while the host is off does not make the mark look young")
 {
     // Guards against spending beyond a budget: what was spent once the mark bound no more would be given back.
-    World world = openedWorld(1);
-    world.stepClock(std::chrono::milliseconds(2500));
-    serve(world, 0, 40, 1000);
-    world.advance(2 * Beat);
-    world.sync(0, WriteFate::Done);
+    World world = steppedWorld(std::chrono::milliseconds(2500));
     const Mark mark = deskAt(world, 0).mark;
     world.advance(mark.binds + std::chrono::seconds(1));
     spendAll(world, 0, 1000);
@@ -167,11 +175,7 @@
 TEST_CASE("a killed process's mark is placed by the uptime of its host whatever the time of day does")
 {
     // Guards against budgets used up by a step of the time of day beside a death.
-    World world = openedWorld(1);
-    world.stepClock(std::chrono::seconds(4));
-    serve(world, 0, 40, 1000);
-    world.advance(2 * Beat);
-    world.sync(0, WriteFate::Done);
+    World world = steppedWorld(std::chrono::seconds(4));
     const Tokens marked = deskAt(world, 0).mark.limit;
     REQUIRE(marked < deskAt(world, 0).granted);
     world.kill(0);
