The steady time of day is worked out where marks are written

A mark's second time follows from its writer's start, which the share has already. The clock handed it in with each reading, so that HostTime, the gateway and the tests' world each kept it besides. No behaviour changes: the record is the same, and the tests' expectations stand as they were.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -74,16 +74,9 @@
 }
 
 // The uptime goes on while the host is suspended, and only a restart of the host sets it back.
-HostTime hostTimeAtStart(const std::string &boot)
+HostTime hostTimeNow(const std::string &boot)
 {
-    const std::chrono::milliseconds wall = clockNow(CLOCK_REALTIME);
-    return HostTime{clockNow(CLOCK_BOOTTIME), wall, wall, boot};
-}
-
-HostTime hostTimeNow(const HostTime &start)
-{
-    const std::chrono::milliseconds uptime = clockNow(CLOCK_BOOTTIME);
-    return HostTime{uptime, clockNow(CLOCK_REALTIME), start.wall + (uptime - start.uptime), start.boot};
+    return HostTime{clockNow(CLOCK_BOOTTIME), clockNow(CLOCK_REALTIME), boot};
 }
 
 // Which start of the host this is; empty where the system does not tell.
@@ -103,7 +96,7 @@
     options.coldStart = ColdStartBounds{settings.coldOverrun, settings.coldSlack};
     options.prepaid.self = HolderId{settings.callerListen};
     options.prepaid.incarnation = incarnation;
-    options.prepaid.startedAt = hostTimeAtStart(bootName());
+    options.prepaid.startedAt = hostTimeNow(bootName());
     options.repeats.ratio = settings.repeatRatio;
     options.repeats.slack = settings.repeatSlack;
     options.repeats.window = settings.repeatWindow;
@@ -328,8 +321,8 @@
 
     std::function<HostTime()> clock() const
     {
-        return [start = m_relay.options().prepaid.startedAt] {
-            return hostTimeNow(start);
+        return [boot = m_relay.options().prepaid.startedAt.boot] {
+            return hostTimeNow(boot);
         };
     }
 
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -109,7 +109,7 @@
     return json{{"writer", mark.writer.value},
                 {"uptime_ms", mark.writtenAt.uptime.count()},
                 {"wall_ms", mark.writtenAt.wall.count()},
-                {"steady_wall_ms", mark.writtenAt.steadyWall.count()},
+                {"steady_wall_ms", mark.steadyWall.count()},
                 {"boot", mark.writtenAt.boot},
                 {"marks", std::move(marks)}}
         .dump();
@@ -125,8 +125,7 @@
         mark.writtenAt.wall = std::chrono::milliseconds(tokensOf(value.at("wall_ms")));
         // Marks of earlier versions have none.
         const auto steady = value.find("steady_wall_ms");
-        mark.writtenAt.steadyWall =
-            steady == value.end() ? mark.writtenAt.wall : std::chrono::milliseconds(tokensOf(*steady));
+        mark.steadyWall = steady == value.end() ? mark.writtenAt.wall : std::chrono::milliseconds(tokensOf(*steady));
         mark.writtenAt.boot = value.at("boot").get<std::string>();
         for (const auto &[customer, entry] : value.at("marks").items()) {
             mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)),
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -57,8 +57,6 @@
 {
     std::chrono::milliseconds uptime{}; // Counts while the host is suspended.
     std::chrono::milliseconds wall{}; // Since the Unix epoch.
-    // The time of day as the process found it at its start, carried on by the uptime: it does not follow later steps.
-    std::chrono::milliseconds steadyWall{};
     std::string boot; // Which start of the host; empty when the system does not tell.
 };
 
@@ -67,6 +65,8 @@
     // The process that wrote it. A process that finds its own mark knows that its write took effect.
     Incarnation writer;
     HostTime writtenAt;
+    // The time of day that the writer started with, carried on by the uptime: it does not follow later steps.
+    std::chrono::milliseconds steadyWall{};
     std::map<CustomerId, Mark> marks;
 };
 
--- a/godwit/prepaid/prepaid_record_test.cpp
+++ b/godwit/prepaid/prepaid_record_test.cpp
@@ -18,14 +18,14 @@
 
     MarkRecord mark;
     mark.writer = Incarnation{"host.1"};
-    mark.writtenAt =
-        HostTime{std::chrono::milliseconds(5), std::chrono::milliseconds(6), std::chrono::milliseconds(7), "boot"};
+    mark.writtenAt = HostTime{std::chrono::milliseconds(5), std::chrono::milliseconds(6), "boot"};
+    mark.steadyWall = std::chrono::milliseconds(7);
     mark.marks[CustomerId{"desk"}] = Mark{90, 70, 12};
     const auto readMark = decodeMark(encodeMark(mark), reason);
     REQUIRE(readMark);
     CHECK(readMark->writer == mark.writer);
     CHECK(readMark->writtenAt.uptime == std::chrono::milliseconds(5));
-    CHECK(readMark->writtenAt.steadyWall == std::chrono::milliseconds(7));
+    CHECK(readMark->steadyWall == std::chrono::milliseconds(7));
     CHECK(readMark->marks.at(CustomerId{"desk"}).limit == 90);
     CHECK(readMark->marks.at(CustomerId{"desk"}).perSecond == 12);
 }
--- a/godwit/prepaid/share_records.cpp
+++ b/godwit/prepaid/share_records.cpp
@@ -35,7 +35,7 @@
     const HostTime &written = mark.writtenAt;
     const milliseconds uptime = started.uptime - written.uptime;
     const milliseconds byDay = started.wall - written.wall;
-    const milliseconds bySteadyDay = started.wall - written.steadyWall;
+    const milliseconds bySteadyDay = started.wall - mark.steadyWall;
     const milliseconds difference = std::min(apart(uptime, byDay), apart(uptime, bySteadyDay));
     const bool sameBoot = started.boot == written.boot && uptime >= milliseconds(0);
     if (sameBoot && difference <= options.clockAgreement) {
--- a/godwit/prepaid/share_writes.cpp
+++ b/godwit/prepaid/share_writes.cpp
@@ -122,6 +122,8 @@
     MarkRecord mark;
     mark.writer = share.options.incarnation;
     mark.writtenAt = hostTime;
+    const HostTime &started = share.options.startedAt;
+    mark.steadyWall = started.wall + (hostTime.uptime - started.uptime);
     bool ledgerChanges = !share.takenOver || ledger.documentVersion != share.ledger.documentVersion;
     const std::chrono::milliseconds refresh(
         std::llround(static_cast<double>(share.shortestBinds.count()) * share.options.markRefreshPart));
--- a/godwit/prepaid/testing_world.cpp
+++ b/godwit/prepaid/testing_world.cpp
@@ -50,9 +50,7 @@
         return;
     }
     ++router.starts;
-    router.startedAt = hostTime(index);
-    router.startedAt.steadyWall = router.startedAt.wall;
-    router.share = makePrepaidShare(optionsOf(index, router.starts, router.startedAt));
+    router.share = makePrepaidShare(optionsOf(index, router.starts, hostTime(index)));
     router.share->markWriters = static_cast<int>(m_routers.size());
     applyTotals(*router.share, m_documentVersion, totalsAsGiven());
 }
@@ -257,11 +255,9 @@
 
 HostTime World::hostTime(std::size_t index) const
 {
-    const Router &router = m_routers[index];
     const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch());
-    const std::chrono::milliseconds uptime = time + router.uptimeOffset;
-    const HostTime &started = router.startedAt;
-    return HostTime{uptime, time + m_wallOffset, started.wall + uptime - started.uptime, "boot"};
+    const std::chrono::milliseconds uptime = time + m_routers[index].uptimeOffset;
+    return HostTime{uptime, time + m_wallOffset, "boot"};
 }
 
 std::map<CustomerId, std::optional<Tokens>> World::totalsAsGiven() const
--- a/godwit/prepaid/testing_world.h
+++ b/godwit/prepaid/testing_world.h
@@ -52,7 +52,6 @@
     std::optional<PrepaidShare> share; // Absent while it is dead.
     std::vector<Reservation> open;
     int starts = 0;
-    HostTime startedAt;
     std::chrono::milliseconds uptimeOffset{}; // Changes with each restart of its host.
 };
 
