--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -41,6 +41,8 @@
 constexpr Duration LiveReadingInterval = std::chrono::seconds(2);
 // A snapshot of a large copy takes a small host's link a while.
 constexpr Duration ConfirmInterval = std::chrono::seconds(1);
+// From here on a fetch of a copy is worth a line.
+constexpr Duration SlowFetch = std::chrono::milliseconds(250);
 // Of this host's link; callers have the rest.
 constexpr double SnapshotLinkPart = 0.5;
 // How often a line tells what the router has done so far.
@@ -311,6 +313,9 @@
         prefix.onMissed = [this, &prefix] {
             m_log.write("watch_missed_change", {{"prefix", std::string_view(prefix.prefix())}});
         };
+        prefix.onFetched = [this, &prefix](const CopyFetch &fetch) {
+            logFetch(prefix.prefix(), fetch);
+        };
         prefix.askAny = [this, &prefix] {
             return m_links.askAnySnapshot(prefix.request());
         };
@@ -319,6 +324,20 @@
         };
     }
 
+    // Readings that end at once are many, and say nothing.
+    void logFetch(const std::string &prefix, const CopyFetch &fetch)
+    {
+        if (fetch.answered && fetch.took < SlowFetch) {
+            return;
+        }
+        m_log.write("copy_fetched",
+                    {{"prefix", std::string_view(prefix)},
+                     {"from", fetchSourceName(fetch.source)},
+                     {"answered", fetch.answered},
+                     {"bytes", static_cast<std::int64_t>(fetch.bytes)},
+                     {"took_ms", toSeconds(fetch.took) * 1000}});
+    }
+
     std::function<HostTime()> clock() const
     {
         return [boot = m_relay.options().prepaid.startedAt.boot] {
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -1,5 +1,6 @@
 #include "godwit/daemon/shared_prefix.h"
 
+#include "godwit/base/enum_names.h"
 #include "godwit/relay/relay.h"
 
 #include <algorithm>
@@ -10,6 +11,20 @@
 namespace
 {
 
+constexpr EnumName<FetchSource> FetchSourceNames[] = {
+    {FetchSource::Store, "store"},
+    {FetchSource::Peer, "peer"},
+};
+
+std::size_t bytesOf(const std::vector<StoreItem> &items)
+{
+    std::size_t bytes = 0;
+    for (const StoreItem &item : items) {
+        bytes += item.value.size();
+    }
+    return bytes;
+}
+
 // From 0 to 1.
 double drawLot()
 {
@@ -19,6 +34,11 @@
 
 } // namespace
 
+std::string_view fetchSourceName(FetchSource source)
+{
+    return enumName(FetchSourceNames, source);
+}
+
 SharedPrefix::SharedPrefix(boost::asio::io_context &io,
                            StoreClient &store,
                            std::string prefix,
@@ -97,6 +117,7 @@
 void SharedPrefix::read(bool inTurn)
 {
     m_store.range(m_prefix, [this, inTurn, began = Relay::now()](const StoreItemsReply &reply) {
+        noteFetch(reply, began);
         m_reached(reply.status == StoreStatus::Ok);
         if (reply.status == StoreStatus::Ok) {
             onRead(reply, began, inTurn);
@@ -104,6 +125,13 @@
     });
 }
 
+void SharedPrefix::noteFetch(const StoreItemsReply &reply, TimePoint began) const
+{
+    if (onFetched) {
+        onFetched({FetchSource::Store, reply.status == StoreStatus::Ok, bytesOf(reply.items), Relay::now() - began});
+    }
+}
+
 void SharedPrefix::onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn)
 {
     // Calls go over several connections, and their answers overtake each other.
@@ -331,6 +359,10 @@
 {
     const bool same = !snapshot.items && digestOf(m_copy) == snapshot.state.digest;
     if (snapshot.items) {
+        if (onFetched) {
+            const TimePoint asked{Duration(snapshot.stamp)};
+            onFetched({FetchSource::Peer, true, bytesOf(*snapshot.items), Relay::now() - asked});
+        }
         const bool first = !m_copy.complete;
         const auto changes = adoptSnapshot(m_copy, *snapshot.items, snapshot.state.completeTo);
         if (first || !changes.empty()) {
@@ -423,6 +455,7 @@
         if (round != m_round) {
             return;
         }
+        noteFetch(reply, began);
         m_reached(reply.status == StoreStatus::Ok);
         m_readingAll = false;
         if (reply.status != StoreStatus::Ok) {
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Godwit
 {
@@ -67,6 +68,22 @@
     Duration newcomerFor = std::chrono::seconds(3);
 };
 
+enum class FetchSource {
+    Store,
+    Peer,
+};
+
+std::string_view fetchSourceName(FetchSource source);
+
+// One answer with everything under a prefix, or the lack of one.
+struct CopyFetch
+{
+    FetchSource source = FetchSource::Store;
+    bool answered = false;
+    std::size_t bytes = 0; // Of the values.
+    Duration took{};
+};
+
 class SharedPrefix
 {
 public:
@@ -148,6 +165,9 @@
     // Called when a reading showed changes that this router's watch had not brought.
     std::function<void()> onMissed;
 
+    // Called after each reading, and with each snapshot of a peer that brought entries.
+    std::function<void(const CopyFetch &)> onFetched;
+
     // Called with each reading, before its changes: when the store came back, if it was away lately.
     std::function<void(std::optional<TimePoint>)> onStoreReturn;
 
@@ -169,6 +189,7 @@
     void readInTurn();
     void read(bool inTurn);
     void onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn);
+    void noteFetch(const StoreItemsReply &reply, TimePoint began) const;
     void noteOwnReading(TimePoint began);
     void noteAgreement(const PrefixSnapshot &snapshot);
     void onChanged(const std::vector<StoreItem> &changes);
