A call is given up when its answer falls silent, not while it keeps coming

Callers of hosts with a narrow link heard 404 for routes that had been in force elsewhere for seconds, and 429 most of the time. A document of 853 KB takes 1.1 MB as the store sends it: 0.9 s of a link of 10 Mbit/s that carries nothing else, which is all that a call had.

The limit now holds for the wait for the first byte and between two pieces, which is what tells a dead connection; a whole answer may take 10 s. Calls with small answers are as before.

--- a/godwit/http/call_client.cpp
+++ b/godwit/http/call_client.cpp
@@ -9,7 +9,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <deque>
+#include <optional>
 
 namespace Godwit
 {
@@ -92,7 +94,7 @@
         http::response_parser<http::string_body> parser;
         if (!error) {
             parser.body_limit(m_options.maxAnswerBytes);
-            http::async_read(m_stream, m_buffer, parser, yield[error]);
+            error = readAnswer(parser, timeout, yield);
         }
         if (error) {
             m_timedOut = error == beast::error::timeout;
@@ -107,6 +109,29 @@
         return CallOutcome::Answered;
     }
 
+    beast::error_code readAnswer(http::response_parser<http::string_body> &parser,
+                                 Duration timeout,
+                                 const asio::yield_context &yield)
+    {
+        using Clock = std::chrono::steady_clock;
+        std::optional<Clock::time_point> last;
+        // Else a read would end with a whole chunk only, however slowly it comes.
+        parser.eager(false);
+        while (!parser.is_done()) {
+            beast::error_code error;
+            const std::size_t bytes = http::async_read_some(m_stream, m_buffer, parser, yield[error]);
+            if (error) {
+                return error;
+            }
+            // A call without a byte of its answer keeps the time that it was sent with.
+            if (bytes > 0) {
+                last = last.value_or(Clock::now() + m_options.longestAnswer);
+                m_stream.expires_at(std::min<Clock::time_point>(Clock::now() + timeout, *last));
+            }
+        }
+        return {};
+    }
+
     void close()
     {
         beast::error_code ignored;
--- a/godwit/http/call_client.h
+++ b/godwit/http/call_client.h
@@ -43,11 +43,15 @@
     // A service in the same region accepts within milliseconds; one lost opening packet is sent again after a second.
     Duration connectTimeout = std::chrono::milliseconds(500);
     std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
+    // From the first byte of an answer to its last one, however steadily it comes.
+    Duration longestAnswer = std::chrono::seconds(10);
 };
 
 struct CallRules
 {
-    Duration timeout; // From the sending to the whole answer.
+    // From the sending to the first byte of the answer, and between two of its pieces. A large answer over a narrow
+    // link takes longer than a silence that means a dead connection.
+    Duration timeout;
     // True for calls that may be sent again at once when a kept connection turns out to be closed.
     bool idempotent = false;
 };
