A large copy is fetched once at a time

A process that started asked for the whole anew with each beat it heard, and dropped the answer to its question before.

One reading of a large copy is open at a time, and is followed by another one only if something is lacking still. A peer that sends none says so.

--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -231,6 +231,7 @@
     if (deferred) {
         // The asker hears that it lacks something, and asks whoever else holds it by then.
         snapshot->items.reset();
+        snapshot->deferred = true;
         answer = encodeSnapshot(*snapshot);
     }
     m_mesh->send(from, {SnapshotTopic, answer});
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -159,7 +159,8 @@
                                 toMilliseconds(snapshot.age),
                                 snapshot.stamp,
                                 snapshot.items ? encodeItems(*snapshot.items) : json(),
-                                toMilliseconds(snapshot.newerFor)}));
+                                toMilliseconds(snapshot.newerFor),
+                                snapshot.deferred}));
 }
 
 std::optional<PrefixSnapshot> decodeSnapshot(const std::string &bytes)
@@ -173,6 +174,8 @@
             snapshot.items = readItems(message.at(3));
         }
         snapshot.newerFor = std::chrono::milliseconds(message.at(4).get<std::int64_t>());
+        // Earlier versions don't say it.
+        snapshot.deferred = message.size() > 5 && message.at(5).get<bool>();
         return snapshot;
     });
 }
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -63,7 +63,8 @@
     // For how long the sender has held changes that the asker's copy lacks.
     Duration newerFor{};
     std::int64_t stamp = 0; // Of the request that is answered.
-    std::optional<std::vector<StoreItem>> items; // Unset: the asker has them.
+    std::optional<std::vector<StoreItem>> items; // Unset: the asker has them, or wanted none.
+    bool deferred = false; // The sender has no room on its link for the items that were asked for.
 };
 
 struct SnapshotRequest
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -53,6 +53,7 @@
     , m_options(options)
     , m_changed(std::move(changed))
     , m_reached(std::move(reached))
+    , m_snapshotWait(options.largeSnapshotTakes)
 {
 }
 
@@ -99,7 +100,7 @@
 {
     if (inReach() && m_copy.complete) {
         read(true);
-    } else if (inReach()) {
+    } else if (inReach() && !m_readingAll) {
         readAll();
     }
     armReading();
@@ -109,19 +110,29 @@
 {
     if (m_copy.complete) {
         read(false);
-    } else {
+    } else if (!m_readingAll) {
         readAll();
     }
 }
 
+// Two readings of a large copy would share this host's link, and make each other late.
 void SharedPrefix::read(bool inTurn)
 {
+    if (m_readingsOpen > 0 && isLarge()) {
+        m_readAgain = m_readAgain || !inTurn;
+        return;
+    }
+    ++m_readingsOpen;
     m_store.range(m_prefix, [this, inTurn, began = Relay::now()](const StoreItemsReply &reply) {
+        --m_readingsOpen;
         noteFetch(reply, began);
         m_reached(reply.status == StoreStatus::Ok);
         if (reply.status == StoreStatus::Ok) {
             onRead(reply, began, inTurn);
         }
+        if (m_readingsOpen == 0 && std::exchange(m_readAgain, false) && inReach() && lacks(m_wanted)) {
+            read(false);
+        }
     });
 }
 
@@ -327,12 +338,12 @@
         if (m_copy.complete && !lacks(elsewhere)) {
             return;
         }
-        if (ask && !(isLarge() && inReach()) && ask()) {
+        if (!(isLarge() && inReach()) && askPeer(ask)) {
             renew(elsewhere, m_options.snapshotLimit, nullptr);
         } else if (inReach()) {
             readNow();
         } else if (const Duration next = 2 * std::max(after, m_options.snapshotLimit);
-                   next <= m_options.longestRetry && askAny && askAny()) {
+                   next <= m_options.longestRetry && askPeer(askAny)) {
             renew(elsewhere, next, nullptr);
         }
     });
@@ -340,11 +351,32 @@
 
 void SharedPrefix::confirm()
 {
-    if (!askAny || !askAny()) {
+    if ((isLarge() && inReach()) || !askPeer(askAny)) {
         readNow();
     }
 }
 
+// What a copy that is not complete yet lacks may be large.
+bool SharedPrefix::askPeer(const Ask &ask)
+{
+    if (!ask) {
+        return false;
+    }
+    const TimePoint now = Relay::now();
+    if (m_copy.complete && !isLarge()) {
+        return ask();
+    }
+    if (now < m_snapshotDue) {
+        return true;
+    }
+    if (!ask()) {
+        return false;
+    }
+    m_snapshotDue = now + m_snapshotWait;
+    m_snapshotWait = std::min(2 * m_snapshotWait, m_options.longestSnapshotWait);
+    return true;
+}
+
 // The store's link carries a large snapshot better than a peer's, whose requests would wait behind it.
 bool SharedPrefix::isLarge() const
 {
@@ -358,6 +390,10 @@
 void SharedPrefix::onSnapshot(const PrefixSnapshot &snapshot)
 {
     const bool same = !snapshot.items && digestOf(m_copy) == snapshot.state.digest;
+    if (snapshot.items || snapshot.deferred) {
+        m_snapshotDue = {};
+        m_snapshotWait = m_options.largeSnapshotTakes;
+    }
     if (snapshot.items) {
         if (onFetched) {
             const TimePoint asked{Duration(snapshot.stamp)};
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -54,6 +54,10 @@
     Duration snapshotLimit = std::chrono::milliseconds(300);
     // Peers are asked again after twice the time each, up to this; then the next beat begins anew.
     Duration longestRetry = std::chrono::milliseconds(2400);
+    // A large snapshot counts as on its way for so long, and for twice as long after each one that did not come: how
+    // wide this host's link is, and what else it carries, is not known.
+    Duration largeSnapshotTakes = std::chrono::seconds(1);
+    Duration longestSnapshotWait = std::chrono::seconds(8);
     // What each further reader leaves to the one before it: else all of them would tell the same.
     Duration readerDelay = std::chrono::milliseconds(25);
     // A change of a larger value is told as what changed, to those that hold the value before.
@@ -120,7 +124,8 @@
     // Asks anew at once: the store has come back, and an open watch may hang on a dead connection.
     void askAgain();
 
-    // Reads everything now, for this router alone.
+    // Reads everything now, for this router alone. A large copy is read once at a time: then after the reading that is
+    // open, if something is lacking still.
     void readNow();
 
     // Makes sure that the copy is as new as those of the others: asks one of them, or else the store.
@@ -188,6 +193,8 @@
     void armReading();
     void readInTurn();
     void read(bool inTurn);
+    // Asks with `ask` unless a large snapshot is on its way; false when nobody can be asked.
+    bool askPeer(const Ask &ask);
     void onRead(const StoreItemsReply &reply, TimePoint began, bool inTurn);
     void noteFetch(const StoreItemsReply &reply, TimePoint began) const;
     void noteOwnReading(TimePoint began);
@@ -221,6 +228,10 @@
     std::uint64_t m_watchedTo = 0;
     bool m_started = false;
     bool m_readingAll = false;
+    int m_readingsOpen = 0;
+    bool m_readAgain = false; // Once the open reading has ended.
+    TimePoint m_snapshotDue; // Until then one that a peer was asked for counts as on its way.
+    Duration m_snapshotWait{};
     bool m_following = false;
     std::optional<TimePoint> m_renewDue; // When it will be caught up with what is wanted.
     PrefixState m_wanted; // What is being caught up with.
