Readers tell what a large value has gained, up to 512 KB

A document that grew by 1,400 routes is 280 KB longer; told were 64 KB at most, so each of 60 hosts read 1.1 MB, and the change that followed found hosts without the version before, which had to read it once more. Readers have wide links, and pass long updates on over the largest hosts. The second of them waits for 250 ms with what is long. Others still tell 64 KB at most.

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -244,7 +244,8 @@
         const auto base = change.removed ? before.end() : before.find(change.key);
         if (base != before.end()) {
             ItemDelta delta{change.key, change.revision, makeValueDelta(base->second, change.value)};
-            if (encodedSize(delta.value) < std::min(change.value.size() / 2, m_options.longestToldValue)) {
+            const std::size_t longest = isReader ? m_options.longestToldDelta : m_options.longestToldValue;
+            if (encodedSize(delta.value) < std::min(change.value.size() / 2, longest)) {
                 update.deltas.push_back(std::move(delta));
                 continue;
             }
@@ -533,7 +534,8 @@
         follow();
         return;
     }
-    later(m_options.readerDelay * rank().value_or(0), [this, reply] {
+    const bool isLong = bytesOf(reply.items) > m_options.longestToldValue;
+    later((isLong ? m_options.largeReaderDelay : m_options.readerDelay) * rank().value_or(0), [this, reply] {
         takeWatched(reply);
     });
 }
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -58,13 +58,17 @@
     // wide this host's link is, and what else it carries, is not known.
     Duration largeSnapshotTakes = std::chrono::seconds(1);
     Duration longestSnapshotWait = std::chrono::seconds(8);
-    // What each further reader leaves to the one before it: else all of them would tell the same.
+    // What each further reader leaves to the one before it: else all of them would tell the same. More of it where that
+    // takes the other a while.
     Duration readerDelay = std::chrono::milliseconds(25);
+    Duration largeReaderDelay = std::chrono::milliseconds(250);
     // A change of a larger value is told as what changed, to those that hold the value before.
     std::size_t deltaFrom = 1024;
     // A larger value is read by each router, spread over `readSpread`: passing it on keeps small hosts' links busy, and
     // the tokens that go over them late.
     std::size_t longestToldValue = 64UL * 1024;
+    // Readers, whose links are wide, tell more than that of what has changed: it is less than each router would read.
+    std::size_t longestToldDelta = 512UL * 1024;
     Duration readSpread = std::chrono::milliseconds(300);
     // Entries on leases can lapse while the store is away for so long.
     Duration shortestLapse = std::chrono::seconds(2);
