A router denies a route or key only out of a document that was lately confirmed

A caller heard 404 for a route that had been in force for 17 s, from a host whose peers' answers did not come: after 1.5 s without one a host takes itself for cut off, and served what it had, which includes a final no. Nothing had shown that its document was current.

An unknown route or key is now answered 503 (not run, come back) unless the document was confirmed within 2 s: by a reading of this router, by a peer's answer, or by another router's reading that found no more. Known routes are served as before.

--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -276,6 +276,9 @@
     }
     if (m_copy.complete && digestOf(m_copy) == update.state.digest) {
         markComplete(m_copy, update.state.completeTo);
+        if (update.fromReading) {
+            noteEqualReading(m_agreement, Relay::now());
+        }
         return;
     }
     if (update.truncated && inReach()) {
--- a/godwit/gateway/copy_agreement.h
+++ b/godwit/gateway/copy_agreement.h
@@ -20,6 +20,7 @@
 {
     TimePoint answeredAt; // When the last answer came.
     TimePoint agreedAt; // Up to this moment the copy held all that another router did.
+    TimePoint heardEqualAt; // When a reading of another router was heard that had found no more than the copy holds.
 };
 
 struct AgreementOptions
@@ -30,6 +31,9 @@
     // A router that has not been answered for longer is cut off, or has had nothing to ask for: it serves what it can
     // reach.
     Duration answersCountFor = std::chrono::milliseconds(1500);
+    // Longer than the gap between two readings, which a calm router hears of, and no longer than a change of the
+    // document may take to be in force.
+    Duration confirmedFor = std::chrono::seconds(2);
 };
 
 // A peer was asked at `asked`, and had held changes that this copy lacks for `newerFor`. Zero says no more than that
@@ -47,6 +51,19 @@
     agreement.agreedAt = std::max(agreement.agreedAt, began);
 }
 
+// Another router has told of a reading that found what this copy holds.
+inline void noteEqualReading(CopyAgreement &agreement, TimePoint now)
+{
+    agreement.heardEqualAt = now;
+}
+
+// Whether the copy has lately been shown to be current. Where it has not, what it lacks may exist: this router can be
+// cut off, or what it should know waits on its link.
+inline bool isConfirmed(const CopyAgreement &agreement, const AgreementOptions &options, TimePoint now)
+{
+    return now < std::max(agreement.agreedAt, agreement.heardEqualAt) + options.confirmedFor;
+}
+
 // By the last answer, since between answers nothing is known.
 inline bool isOutdated(const CopyAgreement &agreement, const AgreementOptions &options, TimePoint now)
 {
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -41,6 +41,11 @@
         || isOutdated(m_state.documentAgreement, m_options.agreement, now);
 }
 
+bool Relay::hasConfirmedDocument(TimePoint now) const
+{
+    return isConfirmed(m_state.documentAgreement, m_options.agreement, now);
+}
+
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
 {
     m_waiting.push_back(call);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -161,6 +161,9 @@
 
     bool hasOutdatedCopy(TimePoint now) const;
 
+    // Whether what the document lacks can be denied for good.
+    bool hasConfirmedDocument(TimePoint now) const;
+
     // Called when requests wait for tokens of a customer, with what they need in all.
     std::function<void(const CustomerId &, Tokens needed)> onTokensWanted;
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -113,7 +113,7 @@
     }
     m_route = Godwit::findRoute(*m_table, m_facts.host, m_facts.target);
     if (m_route == nullptr) {
-        refuse(ErrorKind::UnknownRoute, "no route begins this path at this host", std::nullopt);
+        refuseUnknown(ErrorKind::UnknownRoute, "no route begins this path at this host");
         return false;
     }
     m_serviceName = pickService(*m_route, stableHash(m_facts.attemptId));
@@ -123,6 +123,17 @@
     return true;
 }
 
+// Callers take it for final that a route or key is unknown. A document that may be old does not show it, and another
+// router may know better.
+void RelayCall::refuseUnknown(ErrorKind kind, const std::string &message)
+{
+    if (m_relay.hasConfirmedDocument(m_arrived)) {
+        refuse(kind, message, std::nullopt);
+    } else {
+        refuse(ErrorKind::NotConfigured, "unconfirmed document: " + message, comeBackByLot());
+    }
+}
+
 bool RelayCall::findCustomer()
 {
     m_urgency = m_route->priority;
@@ -131,7 +142,7 @@
     }
     const PrepaidCustomer *customer = Godwit::findCustomer(*m_table, m_facts.key);
     if (customer == nullptr) {
-        refuse(ErrorKind::Unauthenticated, "no customer holds this key", std::nullopt);
+        refuseUnknown(ErrorKind::Unauthenticated, "no customer holds this key");
         return false;
     }
     m_customer = customer->name;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -77,6 +77,7 @@
     };
 
     bool findRoute();
+    void refuseUnknown(ErrorKind kind, const std::string &message);
     bool findCustomer();
     void reserveTokens();
     void refuseForBudget(const std::string &message);
