--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -196,7 +196,7 @@
                 prefix->onUpdate(update, [this, from, prefix] {
                     return m_links.askSnapshot(from, prefix->request());
                 });
-                m_relay.state().documentAgreement = m_documents.agreement();
+                noteAgreement();
             }
         };
         m_links.onSnapshot = [this](const PrefixSnapshot &snapshot) {
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -130,7 +130,8 @@
         if (reply.status == StoreStatus::Ok) {
             onRead(reply, began, inTurn);
         }
-        if (m_readingsOpen == 0 && std::exchange(m_readAgain, false) && inReach() && lacks(m_wanted)) {
+        const bool again = m_readingsOpen == 0 && std::exchange(m_readAgain, false);
+        if (again && inReach() && lacks(m_wanted)) {
             read(false);
         }
     });
@@ -360,7 +361,7 @@
     }
 }
 
-// What a copy that is not complete yet lacks may be large.
+// One large snapshot at a time, like readings; what a copy that is not complete yet lacks may be large.
 bool SharedPrefix::askPeer(const Ask &ask)
 {
     if (!ask) {
