A connection that ends in order without a byte is told apart from a broken one

attempt_failed and the counter of failed attempts named both connection_broken. After the first the endpoint had sent nothing, after the second that is not known; what callers without an answer are charged depends on which of the two it was.

--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -18,6 +18,7 @@
 constexpr EnumName<ExchangeFailure> ExchangeFailureNames[] = {
     {ExchangeFailure::NotConnected, "not_connected"},
     {ExchangeFailure::Withdrawn, "endpoint_left"},
+    {ExchangeFailure::Unanswered, "unanswered"},
     {ExchangeFailure::Broken, "connection_broken"},
     {ExchangeFailure::Malformed, "malformed_answer"},
 };
@@ -234,13 +235,11 @@
         return;
     }
     if (error && m_withdrawn) {
-        // An end in order comes after all that the endpoint had sent; a reset may have overtaken it.
-        const bool inOrder = error == asio::error::eof && m_buffer.size() == 0 && !m_parser->got_some();
-        endWithdrawal(inOrder ? WithdrawalOutcome::Unanswered : WithdrawalOutcome::Unknown);
+        endWithdrawal(endsUnanswered(error) ? WithdrawalOutcome::Unanswered : WithdrawalOutcome::Unknown);
         return;
     }
     if (error) {
-        fail(ExchangeFailure::Broken);
+        fail(endsUnanswered(error) ? ExchangeFailure::Unanswered : ExchangeFailure::Broken);
         return;
     }
     if (!parse() || isOver()) {
@@ -251,6 +250,13 @@
     }
 }
 
+// Whether the endpoint has sent no byte of an answer: an end in order comes after all that it had sent, while a reset may
+// have overtaken it.
+bool EndpointExchange::endsUnanswered(const beast::error_code &error) const
+{
+    return error == asio::error::eof && m_buffer.size() == 0 && !m_parser->got_some();
+}
+
 // False when this exchange has ended.
 bool EndpointExchange::parse()
 {
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -33,6 +33,7 @@
 enum class ExchangeFailure {
     NotConnected, // No byte of the request was sent.
     Withdrawn, // Nor here: the endpoint may not get it any more.
+    Unanswered, // The endpoint ended the connection in order and had sent no byte of an answer.
     Broken, // The connection ended before the answer did: the request may have run.
     Malformed, // The endpoint sent bytes that are no answer: the request may have run.
 };
@@ -123,6 +124,7 @@
     void closeConnection();
     void clearHandlers();
     bool answerHasBegun() const;
+    bool endsUnanswered(const boost::system::error_code &error) const;
     void endWithdrawal(WithdrawalOutcome outcome);
     void startParser();
     bool isOver() const
--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -36,8 +36,8 @@
         exchange->start(EndpointId{"e"}, formatAddress(acceptor.local_endpoint()), "GET / HTTP/1.1\r\n\r\n", "a");
     }
 
-    // Sends the request, and withdraws it once the endpoint has it.
-    tcp::socket withdrawn(Duration limit)
+    // Sends the request, and gives back the endpoint's side once it has it.
+    tcp::socket sent()
     {
         start();
         tcp::socket endpoint = acceptor.accept();
@@ -47,6 +47,12 @@
         // Closing a socket with unread bytes would reset it.
         std::array<char, 64> request{};
         endpoint.read_some(boost::asio::buffer(request));
+        return endpoint;
+    }
+
+    tcp::socket withdrawn(Duration limit)
+    {
+        tcp::socket endpoint = sent();
         exchange->withdraw(limit, [this](WithdrawalOutcome reported) {
             outcome = reported;
         });
@@ -123,6 +129,32 @@
     CHECK(attempt.failure == ExchangeFailure::NotConnected);
 }
 
+TEST_CASE("a request counts as unanswered only if its endpoint ends in order without a byte")
+{
+    // Guards against spending beyond a budget: a reset may have overtaken an event.
+    Attempt attempt(std::chrono::milliseconds(200));
+    tcp::socket endpoint = attempt.sent();
+    ExchangeFailure expected = ExchangeFailure::Broken;
+    SECTION("it ends the connection")
+    {
+        expected = ExchangeFailure::Unanswered;
+    }
+    SECTION("only the beginning of an answer's head has come")
+    {
+        boost::asio::write(endpoint, boost::asio::buffer("HTTP/1.1 2", 10));
+    }
+    SECTION("it resets the connection")
+    {
+        endpoint.set_option(boost::asio::socket_base::linger(true, 0));
+    }
+    endpoint.close();
+    attempt.runUntil([&] {
+        return attempt.failure.has_value();
+    });
+    REQUIRE(attempt.failure);
+    CHECK(exchangeFailureName(*attempt.failure) == exchangeFailureName(expected));
+}
+
 TEST_CASE("a request that is withdrawn counts as unanswered only if its endpoint ends in order without a byte")
 {
     // Guards against spending beyond a budget: what an endpoint had sent when the caller left must still be seen.
