An engine that ends its connection without an event is charged for, in order or not

Trial, not kept: nothing charged where the engine's connection ends in order without a byte, as after a withdrawal. The test's section "in order" gave 0 instead of 700 with the trial.

A withdrawn call stays free of charge: its engine still holds the connection open, and one that had lost the answer would have ended it.

--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -386,6 +386,22 @@
     CHECK(router.account().net == 0);
 }
 
+TEST_CASE("a call whose engine ends its connection without an event is charged its prompt")
+{
+    // Guards against spending beyond a budget: an engine that has run a request may lose its answer.
+    StreamAsked router;
+    SECTION("in order")
+    {
+    }
+    SECTION("by a reset")
+    {
+        router.engine.set_option(boost::asio::socket_base::linger(true, 0));
+    }
+    router.engine.close();
+    router.runUntilSettled();
+    CHECK(router.account().net == 700);
+}
+
 TEST_CASE("a call whose engine may have made an event is charged its prompt though the caller left")
 {
     // Guards against spending beyond a budget: the event was on its way when the caller left.
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -33,7 +33,7 @@
 enum class ExchangeFailure {
     NotConnected, // No byte of the request was sent.
     Withdrawn, // Nor here: the endpoint may not get it any more.
-    Unanswered, // The endpoint ended the connection in order and had sent no byte of an answer.
+    Unanswered, // The endpoint ended the connection in order without a byte of an answer: the request may have run.
     Broken, // The connection ended before the answer did: the request may have run.
     Malformed, // The endpoint sent bytes that are no answer: the request may have run.
 };
