--- a/godwit/prepaid/call_charge.h
+++ b/godwit/prepaid/call_charge.h
@@ -3,9 +3,9 @@
 // What one call costs its customer.
 //
 // A total counts the prompt once for each request that an engine began to answer, and the output that was passed on.
-// An engine sends its first event with the first token that it makes, or loses it and ends the connection at once, so that
-// a request that its engine still holds open without a byte has not begun. Where nobody can say whether one has, the
-// prompt is charged.
+// An engine sends its first event with the first token that it makes, or loses it and ends the connection at once, so
+// that a request that its engine still holds open without a byte has not begun. Where nobody can say whether one has,
+// the prompt is charged.
 //
 // Pure. Example:
 //   CallUsage usage;
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -250,8 +250,8 @@
     }
 }
 
-// Whether the endpoint has sent no byte of an answer: an end in order comes after all that it had sent, while a reset may
-// have overtaken it.
+// Whether the endpoint has sent no byte of an answer: an end in order comes after all that it had sent, while a reset
+// may have overtaken it.
 bool EndpointExchange::endsUnanswered(const beast::error_code &error) const
 {
     return error == asio::error::eof && m_buffer.size() == 0 && !m_parser->got_some();
