Tests of the listener reserve their port

A pause gives up the port for some milliseconds. One that the system had given out could meanwhile go to an outgoing connection of any process, and the listener would not open again: the same fault as in the routers that tests start. Found by reading; it was not seen.

--- a/godwit/relay/listener_test.cpp
+++ b/godwit/relay/listener_test.cpp
@@ -1,6 +1,7 @@
 #include "godwit/relay/listener.h"
 
 #include "godwit/http/address.h"
+#include "platform/testing/reserved_port.h"
 
 #include <catch2/catch.hpp>
 
@@ -19,7 +20,7 @@
     {
         LastReason reason;
         REQUIRE(listener.open(
-            "127.0.0.1:0",
+            port.address(),
             [this](tcp::socket socket) {
                 taken.push_back(std::move(socket));
             },
@@ -42,6 +43,8 @@
     }
 
     boost::asio::io_context io;
+    // Nobody else can take the port during a pause.
+    Testing::ReservedPort port;
     Listener listener;
     tcp::endpoint address;
     std::vector<tcp::socket> callers;
