--- a/godwit/gateway/connection_pause_test.cpp
+++ b/godwit/gateway/connection_pause_test.cpp
@@ -53,7 +53,8 @@
     for (const TimePoint end = now + std::chrono::seconds(30); now < end; now += Step) {
         const bool closed = pauses && now < state.until;
         owedRequests += requestsPerSecond * toSeconds(Step);
-        for (; owedRequests >= 1; --owedRequests) {
+        while (owedRequests >= 1) {
+            owedRequests -= 1;
             ++outcome.requests;
             queue.push_back({now, closed ? RefusedConnectionBytes : RequestBytes, !closed});
         }
