--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -172,7 +172,7 @@
     // Another router has reached the platform's store.
     std::function<void()> onStoreFound;
 
-    // So late came another router's answer. Not called while all answers are in time or missing.
+    // How late another router's answer came; called for each that tells when it was sent, also for those in time.
     std::function<void(Duration)> onLag;
 
     // Another router has told what is new under a prefix, or what its copy holds.
