Which requests get a budget's last tokens is logged

Line reserved_near_end: a request's size at its most, what may remain and the total, while less than 0.15 of the total is left. Refusals were logged with these figures, those that were let in were not, so that nothing showed who used up the end of a total.

--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -17,6 +17,8 @@
 // A request that declares no token counts can't be charged by tokens.
 constexpr Tokens NoTokens = 0;
 constexpr int LeastUrgent = 9;
+// A budget is near its end when less than this part of its total is left.
+constexpr double NearEndPart = 0.15;
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -163,6 +165,7 @@
     }
     if (m_worstCase == 0 || reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
         m_holdsTokens = m_worstCase > 0;
+        logReservation();
         attempt();
         return;
     }
@@ -212,11 +215,33 @@
     }
     m_waitsForTokens = false;
     m_holdsTokens = true;
+    logReservation();
     m_patience.cancel();
     attempt();
     return true;
 }
 
+// Shows which requests a budget's last tokens go to.
+void RelayCall::logReservation() const
+{
+    const PrepaidShare &share = m_relay.state().prepaid;
+    const auto account = share.accounts.find(m_customer);
+    if (!m_holdsTokens || account == share.accounts.end() || !account->second.bounded) {
+        return;
+    }
+    const Tokens remains = mayRemain(share, m_customer);
+    const Tokens total = account->second.total;
+    if (static_cast<double>(remains) >= NearEndPart * static_cast<double>(total)) {
+        return;
+    }
+    m_relay.log().write("reserved_near_end",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"customer", std::string_view(m_customer.value)},
+                         {"tokens", m_worstCase},
+                         {"may_remain", remains},
+                         {"total", total}});
+}
+
 void RelayCall::attempt()
 {
     ChoiceQuery query;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -80,6 +80,7 @@
     void refuseUnknown(ErrorKind kind, const std::string &message);
     bool findCustomer();
     void reserveTokens();
+    void logReservation() const;
     void refuseForBudget(const std::string &message);
     Duration tokensBack() const;
     Duration comeBackByLot() const;
