Near the end what is kept from a request grows with how many smaller ones it displaces

Two seconds of the demand of requests up to the mean size were kept; the mean is three times the largest chat, so that the shorter plans took what was kept.

Now each smaller size x is kept from a request of size s for 8 s * ln(s / x) of its demand, 2% of the total at most. The home tells its demand by size near the end alone. The refusal stays 429 with "not run" and names the remedy: the balance covers the request, so a 402 would be untrue. Nothing is charged less.

Red before: "the last tokens of a budget do not go to few requests of a middle size", 1 small request served after the last larger one, 30 asked.

--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <set>
 
 namespace Godwit
@@ -21,6 +23,46 @@
 
 constexpr const char *HomeHostsKey = "homes";
 
+// Sizes come from callers' words: more classes than any request can have are not taken from a peer.
+constexpr std::size_t MostSizeClasses = 128;
+
+// [class, tokens a second, class, ...].
+json sizesRow(const std::map<SizeClass, double> &rates)
+{
+    json row = json::array();
+    for (const auto &[sizeClass, rate] : rates) {
+        row.push_back(sizeClass);
+        row.push_back(static_cast<Tokens>(rate));
+    }
+    return row;
+}
+
+bool areIntegers(const json::const_iterator &begin, const json::const_iterator &end)
+{
+    return std::all_of(begin, end, [](const json &value) {
+        return value.is_number_integer();
+    });
+}
+
+// Unset unless the row is one of sizesRow().
+std::optional<std::map<SizeClass, double>> readSizes(const json &row)
+{
+    if (!row.is_array() || row.size() % 2 != 0 || row.size() > 2 * MostSizeClasses
+        || !areIntegers(row.begin(), row.end())) {
+        return std::nullopt;
+    }
+    std::map<SizeClass, double> rates;
+    for (std::size_t i = 0; i < row.size(); i += 2) {
+        const auto sizeClass = row[i].get<std::int64_t>();
+        const auto rate = row[i + 1].get<Tokens>();
+        if (sizeClass < 0 || sizeClass >= static_cast<std::int64_t>(MostSizeClasses) || rate < 0) {
+            return std::nullopt;
+        }
+        rates[static_cast<SizeClass>(sizeClass)] = static_cast<double>(rate);
+    }
+    return rates;
+}
+
 } // namespace
 
 void FleetLinks::askForTokens(const CustomerId &customer, Tokens needed)
@@ -246,8 +288,7 @@
         Peer *home =
             account.bounded && !account.holdsAhead && account.reserved == 0 ? homeOf(customer, hosts) : nullptr;
         const Tokens left = headroom(share, customer);
-        const auto most = static_cast<Tokens>(m_options.leftoversBelow * static_cast<double>(account.total));
-        if (home != nullptr && left > 0 && mayRemain(share, customer) < most) {
+        if (home != nullptr && left > 0 && isNearEnd(share, customer)) {
             send(takeLeftovers(share, customer, HolderId{home->member.callerAddress}));
         }
     }
@@ -258,23 +299,25 @@
 {
     const auto &share = m_relay.state().prepaid;
     const TimePoint now = Relay::now();
+    // Sizes matter near the end alone, and there are many customers in a beat.
+    const bool tellsSizes = isNearEnd(share, customer);
     return json::array({headroom(share, customer),
                         unusedGrant(share, customer),
                         static_cast<Tokens>(demandPerSecond(share, customer, now)),
                         roomKnown(share, customer),
-                        static_cast<Tokens>(smallDemandPerSecond(share, customer, now)),
                         mayRemain(share, customer),
                         share.ledgerRevision,
-                        m_relay.state().platformInReach ? 0 : untilTokensGrow(share, customer, now).count()});
+                        m_relay.state().platformInReach ? 0 : untilTokensGrow(share, customer, now).count(),
+                        tellsSizes ? sizesRow(demandBySize(share, customer, now)) : json::array()});
 }
 
 void FleetLinks::readRow(const CustomerId &customer, const HolderId &holder, const json &row)
 {
-    const bool wellFormed =
-        row.is_array() && row.size() == 8 && std::all_of(row.begin(), row.end(), [](const json &value) {
-            return value.is_number_integer();
-        });
-    if (!wellFormed) {
+    if (!row.is_array() || row.size() != 8 || !areIntegers(row.begin(), row.end() - 1)) {
+        return;
+    }
+    const auto sizes = readSizes(row[7]);
+    if (!sizes) {
         return;
     }
     HeldElsewhere &known = m_relay.state().prepaid.heldElsewhere[customer][holder];
@@ -282,10 +325,10 @@
     known.unused = row[1].get<Tokens>();
     known.demandPerSecond = row[2].get<double>();
     known.room = row[3].get<Tokens>();
-    known.smallDemandPerSecond = row[4].get<double>();
-    known.remaining = row[5].get<Tokens>();
-    known.ledgerRevision = row[6].get<std::uint64_t>();
-    known.growsAt = Relay::now() + Duration(row[7].get<Duration::rep>());
+    known.remaining = row[4].get<Tokens>();
+    known.ledgerRevision = row[5].get<std::uint64_t>();
+    known.growsAt = Relay::now() + Duration(row[6].get<Duration::rep>());
+    known.demandBySize = *sizes;
 }
 
 void FleetLinks::readHeld(const json &beat, const HolderId &holder)
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -43,8 +43,6 @@
     Duration loadMemory = std::chrono::seconds(10);
     // How soon the others hear that this router has become ready, or leaves.
     Duration lookInterval = std::chrono::milliseconds(50);
-    // With less than this part of a total left, routers send what requests have left over to the customer's home.
-    double leftoversBelow = 0.15;
     // Callers are sent to a router that was heard within so many beats.
     int freshBeats = 4;
     // No second question to other homes about the same customer within this time.
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -281,3 +281,35 @@
     CHECK(routers[1].withEntries == 0);
     CHECK(routers[2].withEntries == 1);
 }
+
+TEST_CASE("near the end of a budget a router tells the others what sizes it is asked for")
+{
+    // Guards against large requests that take the last tokens at routers that know of no smaller ones.
+    const CustomerId desk{"desk"};
+    constexpr Tokens total = 100'000;
+    Routers routers({"teller", "listener"});
+    PrepaidShare &share = routers[0].relay.state().prepaid;
+    applyTotals(share, 1, {{desk, total}});
+    share.accounts.at(desk).granted = 4000;
+    share.ledger.accounts[desk].total = total;
+    noteRequest(share, desk, 500, Relay::now());
+    const auto &heard = routers[1].relay.state().prepaid.heldElsewhere;
+    const auto told = [&] {
+        const auto found = heard.find(desk);
+        return found == heard.end() || found->second.empty() ? std::nullopt
+                                                             : std::optional(found->second.begin()->second);
+    };
+    routers.runUntil([&] {
+        return told().has_value();
+    });
+    REQUIRE(told().has_value());
+    CHECK(told()->remaining == total + 4000);
+    CHECK(told()->demandBySize.empty());
+
+    share.ledger.accounts[desk].spent = total - 2000;
+    routers.runUntil([&] {
+        return !told()->demandBySize.empty();
+    });
+    CHECK(told()->remaining == 6000);
+    CHECK(told()->demandBySize.size() == 1);
+}
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -194,6 +194,14 @@
     return remaining + std::max<Tokens>(0, room);
 }
 
+bool isNearEnd(const PrepaidShare &share, const CustomerId &customer)
+{
+    const ShareAccount *account = accountOf(share, customer);
+    return account != nullptr && account->bounded
+        && static_cast<double>(mayRemain(share, customer))
+        < share.options.nearEndPart * static_cast<double>(account->total);
+}
+
 Duration untilTokensGrow(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
 {
     const ShareAccount *own = accountOf(share, customer);
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -101,15 +101,24 @@
     Duration urgentInterval = std::chrono::milliseconds(40);
     // With no demand yet, each router holds this part of its even share of what is left, ready for the first calls.
     double idleShare = 0.5;
-    // Near the end of a budget this much of the demand of small requests is kept for them: where one large request
-    // takes the tokens of six small ones, five callers more are served. Zero: first come, first served.
-    Duration keepForSmall = std::chrono::seconds(2);
+    // A budget with less than this part of its total left is near its end: what requests have left over goes to the
+    // customer's home, and routers tell one another what sizes are asked for.
+    double nearEndPart = 0.15;
+    // Of the last tokens the demand of each smaller size is kept from a request, for this long times the logarithm of
+    // how many times smaller it is: one large request takes the tokens of many small ones. Zero: first come, first
+    // served.
+    Duration keepForSmaller = std::chrono::seconds(8);
+    // No more than this part of the total is kept, so that little is left unused if no more requests come.
+    double keepForSmallerPart = 0.02;
     // A draw of less than this part of a usual request is left undone, unless a request waits for it.
     double leastDraw = 0.5;
     // More than this multiple of what it wants to hold goes back.
     double returnAbove = 1.4;
 };
 
+// Sizes of requests in half octaves: one class is some 1.4 times the one before.
+using SizeClass = int;
+
 // What a customer asked for here lately, as decaying sums.
 struct RecentDemand
 {
@@ -127,7 +136,7 @@
     Mark mark; // As the platform has acknowledged.
     RecentDemand demand;
     double meanSize = 0; // Of recent requests.
-    RecentDemand smallDemand; // Of those that are not above the mean size.
+    std::map<SizeClass, RecentDemand> demandBySize;
     Tokens shortOf = 0; // What waiting requests lack.
     Tokens total = 0;
     bool bounded = false; // The customer has a prepaid total.
@@ -167,7 +176,7 @@
     Tokens spendable = 0; // It could spend or send this now.
     Tokens unused = 0; // What is left of its grant.
     double demandPerSecond = 0;
-    double smallDemandPerSecond = 0; // Of requests that are not above the mean size.
+    std::map<SizeClass, double> demandBySize; // Tokens a second.
     Tokens room = 0; // What was left to grant at `ledgerRevision`.
     std::uint64_t ledgerRevision = 0;
     Tokens remaining = 0; // By its own mayRemain().
@@ -231,11 +240,17 @@
 // Counts a request that has just arrived towards the customer's recent demand here. Once for each request.
 void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
 
-// Whether a request of this size has to leave what is left of the budget to smaller ones.
+// How many of the tokens that are left a request of this size has to leave to smaller ones, whoever holds them.
+Tokens keptForSmaller(const PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
+
+// Whether a request of this size would take tokens that are kept for smaller ones.
 bool mustLeaveToSmaller(const PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now);
 
-// The part of demandPerSecond() that comes from requests not above the mean size.
-double smallDemandPerSecond(const PrepaidShare &share, const CustomerId &customer, TimePoint now);
+// demandPerSecond() by the size of requests; sizes with less than a token a second are left out.
+std::map<SizeClass, double> demandBySize(const PrepaidShare &share, const CustomerId &customer, TimePoint now);
+
+// Forgets the customer's demand by size. For customers whose requests have ceased: memory is for those that are served.
+void forgetSizes(PrepaidShare &share, const CustomerId &customer);
 
 // Reserves `tokens`, or says no. Customers without a total always get a yes.
 bool reserve(PrepaidShare &share, const CustomerId &customer, Tokens tokens);
@@ -261,6 +276,9 @@
 // What the customer may still have, anywhere in the fleet, counting as unused all that may be unused.
 Tokens mayRemain(const PrepaidShare &share, const CustomerId &customer);
 
+// Whether little of the customer's total is left: see PrepaidOptions::nearEndPart. Never for one without a total.
+bool isNearEnd(const PrepaidShare &share, const CustomerId &customer);
+
 // How long it takes until more of the customer's tokens can be spent than now, here or at its home; zero when nothing
 // but time on the way keeps them. While the store is away this is when the marks cease to bind: a caller that comes
 // back sooner is refused again.
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -468,6 +468,88 @@
     CHECK(mayRemain(share, Desk) >= 500);
 }
 
+namespace
+{
+
+// One request as a router takes it. True when it was served.
+bool serveUnlessKept(World &world, Tokens size)
+{
+    if (mustLeaveToSmaller(world.share(0), Desk, size, world.now())) {
+        noteRequest(world.share(0), Desk, size, world.now());
+        return false;
+    }
+    if (!world.request(0, Desk, size)) {
+        return false;
+    }
+    world.finish(0, size);
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("the last tokens of a budget do not go to few requests of a middle size")
+{
+    // Guards against small requests that are refused at the end since larger ones below the mean size took the rest.
+    World world = openedWorld(1);
+    int smallServed = 0;
+    int smallSinceLarger = 0;
+    for (int step = 0; step < 200; ++step) {
+        const bool large = serveUnlessKept(world, 12'000);
+        const bool middle = serveUnlessKept(world, 4000);
+        smallSinceLarger = large || middle ? 0 : smallSinceLarger;
+        if (serveUnlessKept(world, 500)) {
+            ++smallServed;
+            ++smallSinceLarger;
+        }
+        world.advance(std::chrono::milliseconds(100));
+        world.sync(0, WriteFate::Done);
+    }
+    CHECK(smallSinceLarger >= 30);
+    CHECK(smallServed > smallSinceLarger);
+    CHECK(world.spent(Desk) > Total - 500);
+}
+
+TEST_CASE("nothing is kept from requests that have no smaller ones beside them")
+{
+    // Guards against the last tokens of a customer whose requests are alike going unused.
+    World world = openedWorld(1);
+    serve(world, 0, 30, 4000);
+    CHECK(keptForSmaller(world.share(0), Desk, 4000, world.now()) == 0);
+    CHECK_FALSE(mustLeaveToSmaller(world.share(0), Desk, 4000, world.now()));
+    CHECK(keptForSmaller(world.share(0), Desk, 40'000, world.now()) > 0);
+}
+
+TEST_CASE("what is kept for smaller requests grows with the size and is bounded by a part of the total")
+{
+    // Guards against a burst of small requests that shuts large ones out while much is left.
+    World world = openedWorld(1);
+    for (int i = 0; i < 20; ++i) {
+        serve(world, 0, 1, 4000);
+        serve(world, 0, 1, 500);
+        world.advance(Beat);
+    }
+    const PrepaidShare &share = world.share(0);
+    const Tokens most = static_cast<Tokens>(share.options.keepForSmallerPart * Total);
+    CHECK(keptForSmaller(share, Desk, 500, world.now()) == 0);
+    CHECK(keptForSmaller(share, Desk, 1000, world.now()) > 0);
+    CHECK(keptForSmaller(share, Desk, 1000, world.now()) < keptForSmaller(share, Desk, 2000, world.now()));
+    CHECK(keptForSmaller(share, Desk, 400'000, world.now()) == most);
+    CHECK_FALSE(mustLeaveToSmaller(share, Desk, 400'000, world.now()));
+}
+
+TEST_CASE("a router that is no home keeps tokens for the small requests that its home was asked for")
+{
+    // Guards against large requests that find no small ones beside them at their own router.
+    World world = openedWorld(2);
+    PrepaidShare &share = world.share(1);
+    share.accounts[Desk].holdsAhead = false;
+    HeldElsewhere &home = share.heldElsewhere[Desk][HolderId{"host-0"}];
+    home.remaining = 10'000;
+    home.demandBySize[18] = 20'000;
+    CHECK(mustLeaveToSmaller(share, Desk, 8000, world.now()));
+    CHECK_FALSE(mustLeaveToSmaller(share, Desk, 500, world.now()));
+}
+
 TEST_CASE("a router that need not hold ahead any more gives back what it has not used")
 {
     World world(2, {{Desk, Total}});
--- a/godwit/prepaid/share_demand.cpp
+++ b/godwit/prepaid/share_demand.cpp
@@ -1,4 +1,5 @@
-// Recent demand: what a customer lately asked for here, as rates, and what that keeps for its small requests.
+// Recent demand: what a customer lately asked for here, as rates, and what is kept from large requests for smaller
+// ones.
 
 #include "godwit/prepaid/prepaid_share.h"
 #include "godwit/prepaid/share_internal.h"
@@ -20,6 +21,20 @@
 // Weight of the newest request in the mean size.
 constexpr double MeanSizeNewest = 0.1;
 
+constexpr double SizeClassesInOctave = 2;
+
+SizeClass sizeClassOf(Tokens tokens)
+{
+    return static_cast<SizeClass>(
+        std::lround(SizeClassesInOctave * std::log2(std::max(1.0, static_cast<double>(tokens)))));
+}
+
+// The middle of the class.
+double sizeOf(SizeClass sizeClass)
+{
+    return std::exp2(sizeClass / SizeClassesInOctave);
+}
+
 double decayed(double sum, Duration passed, Duration memory)
 {
     return sum * std::exp(-std::max(0.0, toSeconds(passed)) / toSeconds(memory));
@@ -56,12 +71,50 @@
     demand.at = now;
 }
 
+Tokens mostKept(const PrepaidShare &share, const CustomerId &customer)
+{
+    const ShareAccount *account = accountOf(share, customer);
+    const bool bounded = account != nullptr && account->bounded;
+    return bounded ? static_cast<Tokens>(share.options.keepForSmallerPart * static_cast<double>(account->total)) : 0;
+}
+
+// What this router knows of the demand at all routers.
+std::map<SizeClass, double> fleetDemandBySize(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
+{
+    std::map<SizeClass, double> rates = demandBySize(share, customer, now);
+    const ShareAccount *account = accountOf(share, customer);
+    for (const auto &[holder, held] : heldByOthers(share, customer)) {
+        for (const auto &[sizeClass, rate] : held.demandBySize) {
+            // A home has been asked for this router's requests as well.
+            double &known = rates[sizeClass];
+            known = account != nullptr && account->holdsAhead ? known + rate : std::max(known, rate);
+        }
+    }
+    return rates;
+}
+
+// If requests may cease at any moment, with a mean of keepForSmaller until then, a token is better kept for a request
+// that is n times smaller as long as that one comes with a chance of over 1 / n: for keepForSmaller * ln(n). The size
+// that is still served then falls steadily with what is left, and a budget of requests of one size is used to its end.
+double keptFrom(const PrepaidShare &share,
+                const CustomerId &customer,
+                double size,
+                const std::map<SizeClass, double> &demandBySize)
+{
+    const SizeClass ownClass = sizeClassOf(static_cast<Tokens>(size));
+    double kept = 0;
+    for (const auto &[sizeClass, rate] : demandBySize) {
+        if (sizeClass < ownClass) {
+            kept += rate * toSeconds(share.options.keepForSmaller) * std::log(size / sizeOf(sizeClass));
+        }
+    }
+    return std::min(kept, static_cast<double>(mostKept(share, customer)));
+}
+
 void noteDemand(const PrepaidShare &share, ShareAccount &account, Tokens tokens, TimePoint now)
 {
     add(share.options, account.demand, tokens, now);
-    if (static_cast<double>(tokens) <= account.meanSize) {
-        add(share.options, account.smallDemand, tokens, now);
-    }
+    add(share.options, account.demandBySize[sizeClassOf(tokens)], tokens, now);
     // The first request counts in full.
     const double newest = account.meanSize > 0 ? MeanSizeNewest : 1.0;
     account.meanSize += newest * (static_cast<double>(tokens) - account.meanSize);
@@ -98,25 +151,43 @@
     return account == nullptr ? 0 : demandNow(share, *account, now);
 }
 
-double smallDemandPerSecond(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
+std::map<SizeClass, double> demandBySize(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
 {
+    std::map<SizeClass, double> rates;
     const ShareAccount *account = accountOf(share, customer);
-    return account == nullptr ? 0 : rateOf(share.options, account->smallDemand, now);
+    if (account == nullptr) {
+        return rates;
+    }
+    for (const auto &[sizeClass, demand] : account->demandBySize) {
+        const double rate = rateOf(share.options, demand, now);
+        if (rate >= 1) {
+            rates.emplace(sizeClass, rate);
+        }
+    }
+    return rates;
+}
+
+void forgetSizes(PrepaidShare &share, const CustomerId &customer)
+{
+    if (ShareAccount *account = boundedAccount(share, customer)) {
+        account->demandBySize.clear();
+    }
+}
+
+Tokens keptForSmaller(const PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now)
+{
+    return static_cast<Tokens>(
+        keptFrom(share, customer, static_cast<double>(tokens), fleetDemandBySize(share, customer, now)));
 }
 
 bool mustLeaveToSmaller(const PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now)
 {
-    const ShareAccount *account = accountOf(share, customer);
-    if (account == nullptr || !account->bounded || static_cast<double>(tokens) <= account->meanSize) {
+    const Tokens remains = mayRemain(share, customer);
+    if (remains >= tokens + mostKept(share, customer)) {
         return false;
     }
-    double demand = smallDemandPerSecond(share, customer, now);
-    for (const auto &[holder, held] : heldByOthers(share, customer)) {
-        // A home has been asked for this router's requests as well.
-        demand = account->holdsAhead ? demand + held.smallDemandPerSecond : std::max(demand, held.smallDemandPerSecond);
-    }
-    const auto kept = static_cast<Tokens>(demand * toSeconds(share.options.keepForSmall));
-    return mayRemain(share, customer) < tokens + kept;
+    const Tokens kept = keptForSmaller(share, customer, tokens, now);
+    return kept > 0 && remains < tokens + kept;
 }
 
 } // namespace Godwit
--- a/godwit/prepaid/tokens_ahead.cpp
+++ b/godwit/prepaid/tokens_ahead.cpp
@@ -55,7 +55,12 @@
         if (tokens > 0) {
             wanted.push_back({customer, tokens});
         }
-        it = demand < 1 ? share.askedFor.erase(it) : std::next(it);
+        if (demand < 1) {
+            forgetSizes(share, customer);
+            it = share.askedFor.erase(it);
+        } else {
+            ++it;
+        }
     }
     return wanted;
 }
--- a/godwit/prepaid/tokens_ahead_test.cpp
+++ b/godwit/prepaid/tokens_ahead_test.cpp
@@ -151,4 +151,5 @@
     CHECK(share.askedFor.size() == 1);
     tokensAhead(share, options.most, options, now + std::chrono::minutes(2));
     CHECK(share.askedFor.empty());
+    CHECK(share.accounts.at(CustomerId{"customer-7"}).demandBySize.empty());
 }
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -17,8 +17,6 @@
 // A request that declares no token counts can't be charged by tokens.
 constexpr Tokens NoTokens = 0;
 constexpr int LeastUrgent = 9;
-// A budget is near its end when less than this part of its total is left.
-constexpr double NearEndPart = 0.15;
 
 std::int64_t milliseconds(Duration duration)
 {
@@ -160,7 +158,7 @@
 void RelayCall::reserveTokens()
 {
     if (m_worstCase > 0 && mustLeaveToSmaller(m_relay.state().prepaid, m_customer, m_worstCase, m_arrived)) {
-        refuseForBudget("what is left of the budget is kept for smaller requests");
+        refuseForBudget("what is left of the budget is kept for smaller requests: ask for fewer tokens");
         return;
     }
     if (m_worstCase == 0 || reserve(m_relay.state().prepaid, m_customer, m_worstCase)) {
@@ -225,21 +223,15 @@
 void RelayCall::logReservation() const
 {
     const PrepaidShare &share = m_relay.state().prepaid;
-    const auto account = share.accounts.find(m_customer);
-    if (!m_holdsTokens || account == share.accounts.end() || !account->second.bounded) {
-        return;
-    }
-    const Tokens remains = mayRemain(share, m_customer);
-    const Tokens total = account->second.total;
-    if (static_cast<double>(remains) >= NearEndPart * static_cast<double>(total)) {
+    if (!m_holdsTokens || !isNearEnd(share, m_customer)) {
         return;
     }
     m_relay.log().write("reserved_near_end",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"customer", std::string_view(m_customer.value)},
                          {"tokens", m_worstCase},
-                         {"may_remain", remains},
-                         {"total", total}});
+                         {"may_remain", mayRemain(share, m_customer)},
+                         {"total", share.accounts.at(m_customer).total}});
 }
 
 void RelayCall::attempt()
