Close marks run ahead by what is let in, and by a quarter of what is left

Callers saw: after a death near the end of a total even the smallest requests were answered 402.

Cause: a close mark ran ahead by 1.2% of the total, sized by all that was asked for, also by the requests that have to leave the rest to smaller ones.

The lead is now reckoned by the demand of what is let in and is a quarter of what is left at most, with the same least time as before. A mark that is lower lets its router go less far, so that nothing can be overspent by it; a request that it would hold up asks for a write at once, as before.

--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -509,6 +509,34 @@
     CHECK(world.spent(Desk) > Total - 500);
 }
 
+TEST_CASE("a death at the very end takes a part of what is kept for small requests, not all")
+{
+    // Guards against marks that run ahead by the demand of requests that are not let in any more.
+    World world = openedWorld(1);
+    int larger = 1;
+    for (int step = 0; step < 200 && larger > 0; ++step) {
+        larger = 0;
+        // A second at a time.
+        for (int i = 0; i < 10; ++i) {
+            larger += serveUnlessKept(world, 12'000) ? 1 : 0;
+            larger += serveUnlessKept(world, 4000) ? 1 : 0;
+            serveUnlessKept(world, 500);
+            world.advance(std::chrono::milliseconds(100));
+            world.sync(0, WriteFate::Done);
+        }
+    }
+    const Tokens used = world.spent(Desk);
+    const Tokens left = Total - used;
+    REQUIRE(left > 5000);
+    world.losePower(0);
+    world.advance(std::chrono::milliseconds(1400));
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    const Tokens lost = world.share(0).ledger.accounts.at(Desk).spent - used;
+    CHECK(lost >= 0);
+    CHECK(lost <= left / 2);
+}
+
 TEST_CASE("nothing is kept from requests that have no smaller ones beside them")
 {
     // Guards against the last tokens of a customer whose requests are alike going unused.
--- a/godwit/prepaid/share_demand.cpp
+++ b/godwit/prepaid/share_demand.cpp
@@ -135,6 +135,20 @@
     return static_cast<Tokens>(demandNow(share, account, now) * toSeconds(time));
 }
 
+double admittedDemand(const PrepaidShare &share, const CustomerId &customer, TimePoint now)
+{
+    const std::map<SizeClass, double> all = fleetDemandBySize(share, customer, now);
+    const auto remains = static_cast<double>(mayRemain(share, customer));
+    double sum = 0;
+    for (const auto &[sizeClass, rate] : demandBySize(share, customer, now)) {
+        const double size = sizeOf(sizeClass);
+        if (size + keptFrom(share, customer, size, all) <= remains) {
+            sum += rate;
+        }
+    }
+    return sum;
+}
+
 } // namespace internal
 
 void noteRequest(PrepaidShare &share, const CustomerId &customer, Tokens tokens, TimePoint now)
--- a/godwit/prepaid/share_internal.h
+++ b/godwit/prepaid/share_internal.h
@@ -35,6 +35,9 @@
 // Tokens a second that the customer lately asked for here.
 double demandNow(const PrepaidShare &share, const ShareAccount &account, TimePoint now);
 
+// The part of it that is let in now: requests that have to leave the rest to smaller ones use nothing up.
+double admittedDemand(const PrepaidShare &share, const CustomerId &customer, TimePoint now);
+
 // What the customer would ask for here in `time`.
 Tokens tokensFor(const PrepaidShare &share, const ShareAccount &account, Duration time, TimePoint now);
 
--- a/godwit/prepaid/share_targets.cpp
+++ b/godwit/prepaid/share_targets.cpp
@@ -9,6 +9,7 @@
 namespace Godwit
 {
 
+using internal::admittedDemand;
 using internal::demandNow;
 using internal::heldByOthers;
 
@@ -26,9 +27,10 @@
     return all > 0 ? own / all : 1.0;
 }
 
-// How far a customer's marks run ahead of what is used, as a time of its demand, and how long they bind.
+// How far a customer's marks run ahead of what is used, as a time of `demand`, and how long they bind.
 struct MarkTimes
 {
+    double demand = 0; // Tokens a second.
     Duration lead{};
     std::chrono::milliseconds binds{};
 };
@@ -48,16 +50,25 @@
     const std::chrono::milliseconds least = markInterval(share) * 6 / 5;
     const std::chrono::milliseconds usual = std::max(options.markLead, least);
     const double demand = demandNow(share, account, now);
-    const double untilUsedUp = demand > 0 ? static_cast<double>(mayRemain(share, customer)) / demand : 0;
+    const auto remains = static_cast<double>(mayRemain(share, customer));
+    const double untilUsedUp = demand > 0 ? remains / demand : 0;
     if (demand > 0 && untilUsedUp < toSeconds(options.closeMarksWithin)) {
-        const double seconds = options.closeLeadPart * static_cast<double>(account.total) / demand;
+        const double admitted = std::max(1.0, admittedDemand(share, customer, now));
+        const double most =
+            std::min(options.closeLeadPart * static_cast<double>(account.total), options.closeLeadOfRest * remains);
+        const double seconds = most / admitted;
         const auto lead = std::clamp(std::chrono::milliseconds(std::llround(std::min(seconds, 1e6) * 1000)),
                                      std::max(options.closeLeadLeast, least),
                                      usual);
-        return {lead, std::max(options.closeBinds, lead)};
+        return {admitted, lead, std::max(options.closeBinds, lead)};
     }
     // It binds no longer than usual: what grows afterwards grows faster than the demand.
-    return {std::max(usualLead(options, untilUsedUp), least), usual};
+    return {demand, std::max(usualLead(options, untilUsedUp), least), usual};
+}
+
+Tokens leadOf(const MarkTimes &times)
+{
+    return static_cast<Tokens>(times.demand * toSeconds(times.lead));
 }
 
 } // namespace
@@ -107,8 +118,7 @@
     const PrepaidShare &share, const CustomerId &customer, const ShareAccount &account, Tokens granted, TimePoint now)
 {
     const MarkTimes times = markTimes(share, customer, account, now);
-    Tokens ahead =
-        std::max({tokensFor(share, account, times.lead, now), static_cast<Tokens>(account.meanSize), account.shortOf});
+    Tokens ahead = std::max({leadOf(times), static_cast<Tokens>(account.meanSize), account.shortOf});
     const double demand = demandNow(share, account, now);
     const double fastest = share.options.fastGrowthPart * static_cast<double>(account.total);
     const double wished = std::min(share.options.markGrowth * demand, std::max(demand, fastest));
@@ -132,7 +142,7 @@
 {
     const Tokens left = account.mark.limit - committed(account);
     // Half of the lead may be used before the mark counts as low.
-    const Tokens refill = tokensFor(share, account, markTimes(share, customer, account, now).lead / 2, now);
+    const Tokens refill = leadOf(markTimes(share, customer, account, now)) / 2;
     return account.mark.limit < account.granted && left < std::max(refill, account.shortOf);
 }
 
