--- a/godwit/daemon/fleet_homes.cpp
+++ b/godwit/daemon/fleet_homes.cpp
@@ -23,7 +23,7 @@
 
 constexpr const char *HomeHostsKey = "homes";
 
-// Sizes come from callers' words: more classes than any request can have are not taken from a peer.
+// More than any size of a request can have.
 constexpr std::size_t MostSizeClasses = 128;
 
 // [class, tokens a second, class, ...].
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -59,8 +59,8 @@
     // Close marks run ahead by this part of the total, within the bounds. They bind longer than they run ahead: where
     // the store is away such a customer waits for the difference.
     double closeLeadPart = 0.012;
-    // They run ahead by this part of what is left at most: what is kept for small requests at the very end is less than
-    // a few such leads, and a death would take all of it.
+    // They run ahead by this part of what is left at most, so that a death does not take all that is kept for small
+    // requests.
     double closeLeadOfRest = 0.25;
     std::chrono::milliseconds closeLeadLeast{300};
     std::chrono::milliseconds closeBinds{2300};
