--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -184,6 +184,7 @@
         sent.sentAt = steadyNow();
         const std::string attempt = "c" + std::to_string(number) + '-' + std::to_string(i);
         noteSent(fleet.promises, attempt, sent);
+        noteRequest(fleet.promises, serviceOf(sent.kind), sent.sentAt);
         const auto onBody = [&](const std::string &body) {
             noteEvents(fleet.promises, attempt, stream ? countEvents(body) : 0);
         };
@@ -206,6 +207,7 @@
         answer.sentAt = steadyNow();
         Caller caller(fleet.io);
         const std::string attempt = "d-" + std::to_string(i);
+        noteRequest(fleet.promises, "plain", answer.sentAt);
         const auto request = makeRequest(http::verb::get, documentPath(answer.version) + "1", attempt, OtherKey);
         const Outcome outcome = caller.call(
             router.process->callers(), request, [](const std::string &) {}, yield);
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -41,6 +41,8 @@
     {Fault::EndpointHangs, "endpoint hangs"},
     {Fault::EndpointBreaksAfterRun, "endpoint breaks after run"},
     {Fault::EndpointBreaksStreams, "endpoint breaks streams"},
+    {Fault::KillFleet, "kill fleet"},
+    {Fault::CutPeers, "cut peers"},
 };
 
 constexpr std::array Planned = {
@@ -74,9 +76,15 @@
     return enumName(FaultNames, fault);
 }
 
-FaultPlayer::FaultPlayer(Fleet &fleet, std::uint64_t seed, std::ostream &out)
+std::optional<Fault> faultNamed(std::string_view name)
+{
+    return enumFromName(FaultNames, name);
+}
+
+FaultPlayer::FaultPlayer(Fleet &fleet, std::uint64_t seed, FaultChoice choice, std::ostream &out)
     : m_fleet(fleet)
     , m_random(seed)
+    , m_choice(choice)
     , m_out(out)
     , m_start(steadyNow())
 {
@@ -103,7 +111,11 @@
     const TimePoint end = steadyNow() + time;
     while (steadyNow() < end) {
         const bool planned = !storm || draw(0, 3) == 0;
-        if (planned) {
+        if (m_choice.only) {
+            begin(*m_choice.only);
+        } else if (m_choice.onFleet && draw(0, 2) == 0) {
+            begin(draw(0, 2) == 0 ? Fault::KillFleet : Fault::CutPeers);
+        } else if (planned) {
             begin(Planned.at(static_cast<std::size_t>(draw(0, Planned.size() - 1))));
         } else if (draw(0, 4) == 0) {
             // Needs many requests at one moment to show anything, so it comes more often than the others.
@@ -190,6 +202,12 @@
     case Fault::StoreDeafWatches:
         beginOnStore(fault);
         return;
+    case Fault::KillFleet:
+        killFleet();
+        return;
+    case Fault::CutPeers:
+        cutPeers();
+        return;
     default:
         beginOnEndpoint(fault);
         return;
@@ -290,7 +308,7 @@
     }
     spawn([this, index, time](const yield_context &yield) {
         waitFor(m_fleet.io, time, yield);
-        m_fleet.endpoints[index].replica->faults() = {};
+        m_fleet.endpoints[index].replica->faults() = m_fleet.lastingFaults;
         m_fleet.endpoints[index].proxy->faults().repeatAnswers = false;
         m_fleet.endpoints[index].proxy->acceptAgain();
     });
@@ -322,6 +340,41 @@
     });
 }
 
+void FaultPlayer::killFleet()
+{
+    const int times = draw(1, 3);
+    say(Fault::KillFleet, std::to_string(times) + " times", {});
+    spawn([this, times](const yield_context &yield) {
+        for (int i = 0; i < times; ++i) {
+            for (std::size_t router = 0; router < m_fleet.routers.size(); ++router) {
+                killRouter(router);
+            }
+            waitFor(m_fleet.io, milliseconds(draw(1600, 4000)), yield);
+        }
+    });
+}
+
+void FaultPlayer::cutPeers()
+{
+    const bool all = draw(0, 1) == 0;
+    const auto chosen = static_cast<std::size_t>(draw(0, static_cast<int>(m_fleet.routers.size()) - 1));
+    const Time time(draw(1500, 8000));
+    say(Fault::CutPeers, all ? "all routers" : "router-" + std::to_string(chosen), time);
+    for (std::size_t i = 0; i < m_fleet.routers.size(); ++i) {
+        if (!all && i != chosen) {
+            continue;
+        }
+        disturbRouter(i, time, false);
+        FaultProxy &proxy = *m_fleet.routers[i].peers;
+        proxy.faults().cutToServer = true;
+        proxy.faults().cutToCaller = true;
+        spawn([this, &proxy, time](const yield_context &yield) {
+            waitFor(m_fleet.io, time, yield);
+            proxy.faults() = {};
+        });
+    }
+}
+
 void FaultPlayer::pauseRouter(std::size_t router, Time before, Time time)
 {
     disturbRouter(router, before + time, false);
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <string>
@@ -45,14 +46,24 @@
     EndpointHangs,
     EndpointBreaksAfterRun,
     EndpointBreaksStreams,
+    // On fleets with a low allowance of repeats alone:
+    KillFleet, // SIGKILL of all routers, several times in a row.
+    CutPeers, // What routers send to each other is held; of one router or of all.
 };
 
 std::string_view faultName(Fault fault);
+std::optional<Fault> faultNamed(std::string_view name);
+
+struct FaultChoice
+{
+    bool onFleet = false; // Also what concerns all routers at once, and that most of the time.
+    std::optional<Fault> only; // Nothing but this.
+};
 
 class FaultPlayer
 {
 public:
-    FaultPlayer(Fleet &fleet, std::uint64_t seed, std::ostream &out);
+    FaultPlayer(Fleet &fleet, std::uint64_t seed, FaultChoice choice, std::ostream &out);
 
     // Plays for `time`, then lets the fleet end. Storms of all faults, planned work alone and calm take turns.
     void run(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
@@ -81,12 +92,15 @@
     void killRouter(std::size_t router);
     void leaveEndpoint(std::size_t endpoint);
     void holdUpConnecting(std::size_t endpoint);
+    void killFleet();
+    void cutPeers();
     void disturbRouter(std::size_t router, Time time, bool planned);
     void disturbEndpoint(std::size_t endpoint, Time time);
     void say(Fault fault, const std::string &where, Time time);
 
     Fleet &m_fleet;
     std::mt19937_64 m_random;
+    FaultChoice m_choice;
     std::ostream &m_out;
     TimePoint m_start;
     std::map<Fault, int> m_played;
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -54,6 +54,19 @@
           {{"Name", "ben"}, {"ApiKeys", {OtherKey}}}}}};
 }
 
+// A router learns from the store where the others listen; so it connects to their proxies.
+std::string throughProxies(const Fleet &fleet, std::string entry)
+{
+    for (const Router &router : fleet.routers) {
+        const std::string address = '"' + router.process->peers() + '"';
+        const auto found = entry.find(address);
+        if (found != std::string::npos) {
+            entry.replace(found, address.size(), '"' + router.peers->address() + '"');
+        }
+    }
+    return entry;
+}
+
 void addEndpoint(Fleet &fleet, const std::string &service, std::size_t number)
 {
     Endpoint endpoint;
@@ -63,6 +76,10 @@
     endpoint.replica->pace() = Testing::ReplicaPace{AnswerAfter, EventPause, true};
     endpoint.proxy = std::make_unique<FaultProxy>(fleet.io, endpoint.replica->address());
     const std::size_t index = fleet.endpoints.size();
+    endpoint.replica->faults() = fleet.lastingFaults;
+    endpoint.replica->onArrival([&fleet, service](const std::string &attempt) {
+        noteArrival(fleet.promises, service, attempt, steadyNow());
+    });
     endpoint.replica->onRun([&fleet, index](const std::string &attempt) {
         noteRun(fleet.promises, index, attempt, steadyNow());
     });
@@ -77,6 +94,13 @@
     , store(loop)
 {
     promises.prepaidTotal = size.prepaid;
+    promises.repeatRatio = size.repeats.ratio;
+    promises.repeatSlack = size.repeats.slack;
+    lastingFaults.failEach = size.failEach;
+    lastingFaults.shedEach = size.shedEach;
+    store.rewrite = [this](const std::string &, std::string bytes) {
+        return throughProxies(*this, std::move(bytes));
+    };
     promises.leavingSince.resize(size.plainEndpoints + size.engines);
     promises.views.resize(size.routers);
     promises.disturbed.endpoints.resize(size.plainEndpoints + size.engines);
@@ -93,8 +117,9 @@
     for (std::size_t i = 0; i < size.routers; ++i) {
         Router router;
         router.store = std::make_unique<FaultProxy>(io, store.address());
-        router.process =
-            std::make_unique<Testing::RouterProcess>(program, "router-" + std::to_string(i), router.store->address());
+        router.process = std::make_unique<Testing::RouterProcess>(
+            program, "router-" + std::to_string(i), router.store->address(), size.repeats);
+        router.peers = std::make_unique<FaultProxy>(io, router.process->peers());
         routers.push_back(std::move(router));
     }
 }
@@ -121,6 +146,11 @@
     fleet.store.put(std::string(SiteDocumentKey), document(promises.document, promises.prepaidTotal).dump());
 }
 
+std::string serviceOf(RequestKind kind)
+{
+    return kind == RequestKind::Read || kind == RequestKind::Book ? "plain" : "engine";
+}
+
 std::string documentPath(int version)
 {
     return "/document-" + std::to_string(version) + '/';
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -33,11 +33,15 @@
     std::size_t plainEndpoints = 3;
     std::size_t engines = 2;
     std::int64_t prepaid = 40'000; // Tokens.
+    Testing::RepeatSettings repeats;
+    int failEach = 0; // As an endpoint's lasting fault.
+    int shedEach = 0;
 };
 
 struct Router
 {
     std::unique_ptr<FaultProxy> store; // Between it and the store.
+    std::unique_ptr<FaultProxy> peers; // Before its port for the other routers.
     std::unique_ptr<Testing::RouterProcess> process;
     int boot = 1;
     bool running = true;
@@ -63,6 +67,7 @@
     Testing::StoreService store;
     std::vector<Endpoint> endpoints;
     std::vector<Router> routers;
+    Testing::ReplicaFaults lastingFaults; // Of all endpoints, beside those that come and go.
     bool ending = false; // Nothing new begins.
 };
 
@@ -73,6 +78,9 @@
 // `more` higher.
 void putNextDocument(Fleet &fleet, std::int64_t more);
 
+// What requests of this kind ask for, as the documents of the soak have it.
+std::string serviceOf(RequestKind kind);
+
 // The path of the route that only document `version` has.
 std::string documentPath(int version);
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,6 +1,7 @@
 // The fault soak: plays seeds one after another and ends with a summary.
 //
 //   soak --program build/godwit/daemon/godwitd --seed 1 --minutes 0.7 --seeds 50 --logs soak-logs
+//   soak --program build/godwit/daemon/godwitd --seed 700 --minutes 0.5 --routers many
 //   soak --program build/godwit/daemon/godwitd --file soak/seeds.txt --minutes 0.6
 //
 // Exit codes: 0 all promises kept, 1 one was broken, 2 wrong arguments.
@@ -49,6 +50,16 @@
         } else if (words[i] == "--minutes") {
             constexpr double millisecondsOfMinute = 60'000;
             arguments.play.time = std::chrono::milliseconds(std::llround(std::stod(value) * millisecondsOfMinute));
+        } else if (words[i] == "--routers") {
+            if (value != "many" && value != "few") {
+                throw std::invalid_argument("--routers takes many or few");
+            }
+            arguments.play.fleet = value == "many";
+        } else if (words[i] == "--only") {
+            arguments.play.only = Godwit::Soak::faultNamed(value);
+            if (!arguments.play.only) {
+                throw std::invalid_argument("--only takes a fault as the summary names it, such as 'kill fleet'");
+            }
         } else if (words[i] == "--file") {
             arguments.file = value;
         } else if (words[i] == "--logs") {
@@ -119,6 +130,14 @@
     std::cout << "\n  longest lag of the soak itself: " << lag.count() << " ms\n" << broken << std::flush;
 }
 
+void printRepeats(const PlayResult &result)
+{
+    for (const auto &[service, traffic] : result.traffic) {
+        std::cout << "  " << service << ": " << traffic.repeats.size() << " repeats, at most " << traffic.mostRepeats
+                  << " in a window that allows " << traffic.allowedThen << '\n';
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -143,6 +162,7 @@
         std::cout << "seed " << result.seed << ": " << result.requests << " requests, served " << result.spent << " of "
                   << result.prepaidTotal << " tokens, " << result.breaches.size() << " times a promise was broken"
                   << std::endl;
+        printRepeats(result);
     }
     printSummary(results);
     return kept ? 0 : 1;
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -50,6 +50,21 @@
     return size;
 }
 
+// An allowance so low that it binds while one request in three of each endpoint asks for a repeat.
+FleetSize drawFleet(std::mt19937_64 &random)
+{
+    constexpr double repeatRatio = 0.02;
+    FleetSize size;
+    size.routers = 8 + random() % 5;
+    size.plainEndpoints = 4 + random() % 3;
+    size.engines = 3;
+    size.prepaid = 1'000'000;
+    size.repeats = {repeatRatio, static_cast<double>(40 + random() % 81)};
+    size.failEach = 4;
+    size.shedEach = 9;
+    return size;
+}
+
 void printLogLines(const Fleet &fleet, const std::string &attempt, std::ostream &out)
 {
     if (attempt.empty()) {
@@ -87,15 +102,15 @@
 PlayResult playSeed(const PlayOptions &options, std::ostream &out)
 {
     std::mt19937_64 random(options.seed);
-    const FleetSize size = drawSize(random);
-    const int callers = static_cast<int>(30 + random() % 40);
+    const FleetSize size = options.fleet ? drawFleet(random) : drawSize(random);
+    const int callers = static_cast<int>(options.fleet ? 80 + random() % 41 : 30 + random() % 40);
     out << "seed " << options.seed << ": " << size.routers << " routers, " << size.plainEndpoints
         << " plain endpoints, " << size.engines << " engines, " << callers << " callers, " << size.prepaid
         << " tokens prepaid" << std::endl;
 
     boost::asio::io_context io;
     Fleet fleet(io, options.program, size);
-    FaultPlayer player(fleet, options.seed, out);
+    FaultPlayer player(fleet, options.seed, {options.fleet, options.only}, out);
     PlayResult result;
     result.seed = options.seed;
     const TimePoint start = steadyNow();
@@ -147,6 +162,7 @@
     result.outcomes = fleet.promises.outcomes;
     result.faults = player.played();
     result.breaches = fleet.promises.breaches;
+    result.traffic = fleet.promises.traffic;
     result.spent = fleet.promises.spent;
     result.prepaidTotal = fleet.promises.prepaidTotal;
     return result;
--- a/soak/play.h
+++ b/soak/play.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
     std::string program; // godwitd.
     std::uint64_t seed = 1;
     std::chrono::milliseconds time{40'000};
+    std::optional<Fault> only; // Plays nothing but this fault.
+    bool fleet = false; // Many routers with a low allowance of repeats, and faults that concern all of them at once.
     std::string logFolder; // Where the routers' logs of a play that broke a promise go; empty: nowhere.
 };
 
@@ -35,6 +38,7 @@
     std::vector<Breach> breaches;
     std::int64_t spent = 0;
     std::int64_t prepaidTotal = 0;
+    std::map<std::string, ServiceTraffic> traffic;
     std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
 };
 
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -22,6 +22,7 @@
     {Promise::DocumentLate, "document not in force"},
     {Promise::DocumentBack, "document went back"},
     {Promise::Crash, "router ended by itself"},
+    {Promise::RepeatsBeyond, "repeats beyond the allowance"},
 };
 
 // Of requests that may be repeated, as the documents of the soak have it.
@@ -145,6 +146,23 @@
                    + " ms, with no unplanned disturbance since 3 s before it was sent");
 }
 
+// Moments after `from`, and up to `to`.
+std::size_t countBetween(const std::vector<TimePoint> &moments, TimePoint from, TimePoint to)
+{
+    const auto first = std::upper_bound(moments.begin(), moments.end(), from);
+    return static_cast<std::size_t>(std::upper_bound(first, moments.end(), to) - first);
+}
+
+// The requests of this window, of the one before it or of the one half a window before it, whichever are most.
+double allowedRepeats(const Promises &promises, const ServiceTraffic &traffic, TimePoint now)
+{
+    std::size_t most = 0;
+    for (const Duration ago : {Duration::zero(), RepeatWindow / 2, RepeatWindow}) {
+        most = std::max(most, countBetween(traffic.requests, now - ago - RepeatWindow, now - ago));
+    }
+    return promises.repeatRatio * static_cast<double>(most) + promises.repeatSlack;
+}
+
 } // namespace
 
 std::string_view promiseName(Promise promise)
@@ -167,6 +185,37 @@
     promises.requests[attempt] = request;
 }
 
+void noteRequest(Promises &promises, const std::string &service, TimePoint now)
+{
+    promises.traffic[service].requests.push_back(now);
+}
+
+void noteArrival(Promises &promises, const std::string &service, const std::string &attempt, TimePoint now)
+{
+    ServiceTraffic &traffic = promises.traffic[service];
+    if (traffic.arrived.insert(attempt).second) {
+        return;
+    }
+    traffic.repeats.push_back(now);
+    const std::size_t repeats = countBetween(traffic.repeats, now - RepeatWindow, now);
+    const double allowed = allowedRepeats(promises, traffic, now);
+    const bool worst =
+        static_cast<double>(repeats) - allowed > static_cast<double>(traffic.mostRepeats) - traffic.allowedThen;
+    if (!worst && traffic.mostRepeats > 0) {
+        return;
+    }
+    traffic.mostRepeats = repeats;
+    traffic.allowedThen = allowed;
+    if (static_cast<double>(repeats) > allowed) {
+        noteBreach(promises,
+                   Promise::RepeatsBeyond,
+                   attempt,
+                   std::to_string(repeats) + " repeats at " + service + " in "
+                       + std::to_string(RepeatWindow.count() / 1'000'000) + " s, "
+                       + std::to_string(static_cast<int>(allowed)) + " allowed");
+    }
+}
+
 void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now)
 {
     const auto found = promises.requests.find(attempt);
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,7 @@
 constexpr Duration ContactTime = std::chrono::milliseconds(3000);
 // After a router showed one document, requests sent later than this must not meet an older one.
 constexpr Duration RollbackSlack = std::chrono::milliseconds(250);
+constexpr Duration RepeatWindow = std::chrono::seconds(10);
 
 enum class Promise {
     Overspend,
@@ -42,6 +44,7 @@
     DocumentLate,
     DocumentBack,
     Crash,
+    RepeatsBeyond,
 };
 
 std::string_view promiseName(Promise promise);
@@ -107,12 +110,25 @@
     TimePoint seenAt;
 };
 
+// What callers asked of one service, and what reached its endpoints.
+struct ServiceTraffic
+{
+    std::vector<TimePoint> requests; // In the order of their sending.
+    std::vector<TimePoint> repeats; // Arrivals beyond the first of a request, refused ones too.
+    std::set<std::string> arrived; // Requests.
+    std::size_t mostRepeats = 0; // In a window.
+    double allowedThen = 0;
+};
+
 struct Promises
 {
     std::map<std::string, SentRequest> requests;
     std::vector<std::optional<TimePoint>> leavingSince; // By endpoint.
     std::int64_t prepaidTotal = 0;
     std::int64_t spent = 0;
+    double repeatRatio = 0; // Of a service's requests in a window, that the fleet may repeat.
+    double repeatSlack = 0; // Repeats of a service in a window besides.
+    std::map<std::string, ServiceTraffic> traffic; // By service.
     int document = 0; // The newest that was put into the store.
     TimePoint documentAt;
     std::vector<DocumentView> views; // By router.
@@ -125,6 +141,10 @@
 
 void noteBreach(Promises &promises, Promise promise, const std::string &attempt, std::string text);
 void noteSent(Promises &promises, const std::string &attempt, const SentRequest &request);
+// A request of any kind that a caller sends to a service.
+void noteRequest(Promises &promises, const std::string &service, TimePoint now);
+// An endpoint of the service got a request, whether it runs it or refuses it.
+void noteArrival(Promises &promises, const std::string &service, const std::string &attempt, TimePoint now);
 void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
 // `events`: whole events that its caller has by now.
 void noteEvents(Promises &promises, const std::string &attempt, int events);
