Each repeat that is taken, denied or free writes a line and a counter

The repeat after an answer of 5xx left no trace, and no line said that a repeat was denied or out of which figures. The line repeat bears cause, requests and repeats of the window, both parts of what is allowed and the live routers; godwit_repeat_draws_total counts by service, cause and outcome.

--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -33,6 +33,10 @@
     for (const auto &[cause, count] : counters.attemptsFailed) {
         out << "godwit_attempts_failed_total{cause=\"" << cause << "\"} " << count << '\n';
     }
+    for (const auto &[kind, count] : counters.repeatDraws) {
+        out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
+            << "\",outcome=\"" << repeatOutcomeName(kind.outcome) << "\"} " << count << '\n';
+    }
     line(out, "godwit_calls_open", relay.callsOpen);
     line(out, "godwit_platform_calls_total", static_cast<double>(store.calls));
     for (std::size_t kind = 0; kind < StoreCallKinds; ++kind) {
--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -206,12 +206,12 @@
         countRequest(allowance, rules, Start);
     }
     int taken = 0;
-    while (taken < 1000 && takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(1))) {
+    while (taken < 1000 && takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(1)).granted) {
         ++taken;
     }
     CHECK(taken == 21);
-    CHECK_FALSE(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(5)));
-    CHECK(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(13)));
+    CHECK_FALSE(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(5)).granted);
+    CHECK(takeRepeat(allowance, rules, 8, Start + std::chrono::seconds(13)).granted);
 }
 
 TEST_CASE("a bound request reaches endpoints of its regions only")
--- a/godwit/gateway/repeat_allowance.cpp
+++ b/godwit/gateway/repeat_allowance.cpp
@@ -32,23 +32,23 @@
     ++currentSlice(allowance, sliceNumber(rules, now)).requests;
 }
 
-bool takeRepeat(RepeatAllowance &allowance, const RepeatRules &rules, int liveRouters, TimePoint now)
+RepeatDraw takeRepeat(RepeatAllowance &allowance, const RepeatRules &rules, int liveRouters, TimePoint now)
 {
     const std::int64_t number = sliceNumber(rules, now);
-    double requests = 0;
-    double repeats = 0;
+    RepeatDraw draw;
     for (const auto &slice : allowance.slices) {
         if (slice.number >= 0 && slice.number <= number && slice.number >= number - SlicesInWindow) {
-            requests += slice.requests;
-            repeats += slice.repeats;
+            draw.requests += slice.requests;
+            draw.repeats += slice.repeats;
         }
     }
-    const double allowed = rules.caution * (rules.ratio * requests + rules.slack / std::max(1, liveRouters));
-    if (repeats + 1 > allowed) {
-        return false;
+    draw.allowedByRequests = rules.caution * rules.ratio * draw.requests;
+    draw.allowedFixed = rules.caution * rules.slack / std::max(1, liveRouters);
+    draw.granted = draw.repeats + 1 <= draw.allowedByRequests + draw.allowedFixed;
+    if (draw.granted) {
+        ++currentSlice(allowance, number).repeats;
     }
-    ++currentSlice(allowance, number).repeats;
-    return true;
+    return draw;
 }
 
 } // namespace Godwit
--- a/godwit/gateway/repeat_allowance.h
+++ b/godwit/gateway/repeat_allowance.h
@@ -8,7 +8,7 @@
 //
 // Example:
 //   countRequest(allowance, now);
-//   if (takeRepeat(allowance, rules, liveRouters, now)) { sendAgain(); }
+//   if (takeRepeat(allowance, rules, liveRouters, now).granted) { sendAgain(); }
 
 #include "godwit/base/time.h"
 
@@ -42,7 +42,17 @@
 
 void countRequest(RepeatAllowance &allowance, const RepeatRules &rules, TimePoint now);
 
-// Takes one repeat; false when the router's part is used up.
-bool takeRepeat(RepeatAllowance &allowance, const RepeatRules &rules, int liveRouters, TimePoint now);
+// Whether a repeat may be sent, and by which figures of the window.
+struct RepeatDraw
+{
+    bool granted = false;
+    double requests = 0;
+    double repeats = 0; // Before this one.
+    double allowedByRequests = 0;
+    double allowedFixed = 0; // This router's part of the fixed number.
+};
+
+// Takes one repeat, unless the router's part is used up.
+RepeatDraw takeRepeat(RepeatAllowance &allowance, const RepeatRules &rules, int liveRouters, TimePoint now);
 
 } // namespace Godwit
--- a/godwit/gateway/repeat_allowance_test.cpp
+++ b/godwit/gateway/repeat_allowance_test.cpp
@@ -50,7 +50,7 @@
             RepeatAllowance &router = fleet.routers[turn++ % fleet.routers.size()];
             requests.push_back(now);
             countRequest(router, fleet.rules, now);
-            if (takeRepeat(router, fleet.rules, fleet.heard, now)) {
+            if (takeRepeat(router, fleet.rules, fleet.heard, now).granted) {
                 repeats.push_back(now);
                 ++result.taken;
             }
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -1,11 +1,27 @@
 #include "godwit/relay/relay.h"
 
+#include "godwit/base/enum_names.h"
 #include "godwit/relay/relay_call.h"
 
 #include <algorithm>
 
 namespace Godwit
 {
+namespace
+{
+
+constexpr EnumName<RepeatOutcome> RepeatOutcomeNames[] = {
+    {RepeatOutcome::Taken, "taken"},
+    {RepeatOutcome::Denied, "denied"},
+    {RepeatOutcome::Free, "free"},
+};
+
+} // namespace
+
+std::string_view repeatOutcomeName(RepeatOutcome outcome)
+{
+    return enumName(RepeatOutcomeNames, outcome);
+}
 
 Relay::Relay(boost::asio::io_context &io, RelayOptions options, DecisionLog &log)
     : m_io(io)
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -29,6 +29,8 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
+#include <tuple>
 
 namespace Godwit
 {
@@ -98,6 +100,27 @@
     CopyAgreement documentAgreement;
 };
 
+// What became of a wish to send a request once more.
+enum class RepeatOutcome {
+    Taken, // Drawn from the allowance.
+    Denied, // The allowance was used up.
+    Free, // No byte of the attempt before was sent, so nothing is drawn.
+};
+
+std::string_view repeatOutcomeName(RepeatOutcome outcome);
+
+struct RepeatKind
+{
+    std::string service;
+    std::string cause;
+    RepeatOutcome outcome = RepeatOutcome::Taken;
+
+    bool operator<(const RepeatKind &other) const
+    {
+        return std::tie(service, cause, outcome) < std::tie(other.service, other.cause, other.outcome);
+    }
+};
+
 struct RelayCounters
 {
     std::uint64_t requests = 0;
@@ -111,6 +134,7 @@
     std::uint64_t connectionsOpened = 0;
     std::map<ErrorKind, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> attemptsFailed; // By cause.
+    std::map<RepeatKind, std::uint64_t> repeatDraws;
     CallMetrics calls;
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -461,11 +461,7 @@
     }
     const bool failed = m_answer.status >= 500;
     endAttempt(failed ? AttemptVerdict::Failed : AttemptVerdict::Good);
-    if (failed && mayRepeat() && !m_headPassed
-        && takeRepeat(m_relay.state().repeats[m_serviceName],
-                      m_relay.options().repeats,
-                      m_relay.state().liveRouters,
-                      Relay::now())) {
+    if (failed && mayRepeat() && !m_headPassed && drawRepeat("failed_answer")) {
         ++m_relay.counters().repeats;
         attempt();
         return;
@@ -538,6 +534,33 @@
     return timeLeft() > Duration::zero();
 }
 
+bool RelayCall::drawRepeat(std::string_view cause)
+{
+    const RelayOptions &options = m_relay.options();
+    RelayState &state = m_relay.state();
+    const RepeatDraw draw = takeRepeat(state.repeats[m_serviceName], options.repeats, state.liveRouters, Relay::now());
+    recordRepeat(cause, draw.granted ? RepeatOutcome::Taken : RepeatOutcome::Denied, draw);
+    return draw.granted;
+}
+
+void RelayCall::recordRepeat(std::string_view cause, RepeatOutcome outcome, const RepeatDraw &draw)
+{
+    ++m_relay.counters().repeatDraws[{m_serviceName, std::string(cause), outcome}];
+    m_relay.log().write("repeat",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"outcome", repeatOutcomeName(outcome)},
+                         {"service", std::string_view(m_serviceName)},
+                         {"cause", cause},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"status", static_cast<std::int64_t>(m_answerHead ? m_answer.status : 0)},
+                         {"sends", static_cast<std::int64_t>(m_sends)},
+                         {"requests", draw.requests},
+                         {"repeats", draw.repeats},
+                         {"allowed_by_requests", draw.allowedByRequests},
+                         {"allowed_fixed", draw.allowedFixed},
+                         {"live_routers", static_cast<std::int64_t>(m_relay.state().liveRouters)}});
+}
+
 void RelayCall::tryAgain(const std::string &cause, bool reachedEndpoint)
 {
     ++m_relay.counters().attemptsFailed[cause];
@@ -551,17 +574,15 @@
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
                          {"may_have_run", m_ran > 0}});
     // An attempt that reached no endpoint adds nothing to its load, so it draws on no allowance.
-    const bool allowed = mayRepeat()
-        && (!reachedEndpoint
-            || takeRepeat(m_relay.state().repeats[m_serviceName],
-                          m_relay.options().repeats,
-                          m_relay.state().liveRouters,
-                          Relay::now()));
+    const bool allowed = mayRepeat() && (!reachedEndpoint || drawRepeat(cause));
     // A stream can go on only after an event that has a number.
     const bool resumable = m_eventsPassed == 0 || m_lastEvent > 0;
     if (allowed && resumable && (!m_headPassed || m_streams || m_eventsPassed > 0)) {
         m_relay.counters().repeats += reachedEndpoint ? 1 : 0;
         m_relay.counters().resumedStreams += m_eventsPassed > 0 ? 1 : 0;
+        if (!reachedEndpoint) {
+            recordRepeat(cause, RepeatOutcome::Free, {});
+        }
         attempt();
         return;
     }
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -101,6 +101,8 @@
     void onWithdrawn(WithdrawalOutcome outcome);
     void tryAgain(const std::string &cause, bool reachedEndpoint);
     bool mayRepeat() const;
+    bool drawRepeat(std::string_view cause);
+    void recordRepeat(std::string_view cause, RepeatOutcome outcome, const RepeatDraw &draw);
     bool runsAtMostOnce() const;
     void onDeadline();
     void refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter);
