A stream that can't go on draws no repeat

The test was red before (one draw counted instead of none), and covers the counters of taken and denied repeats.

--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -279,7 +279,7 @@
 // A router whose one customer has asked its one engine for a stream, and the engine's side of that request.
 struct StreamAsked : Connected
 {
-    explicit StreamAsked(const std::string &millisecondsLeft = "9000")
+    explicit StreamAsked(const std::string &millisecondsLeft = "9000", bool resumable = false)
         : acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
         , engine(io)
     {
@@ -292,6 +292,8 @@
         document.routes.back().pathPrefix = "/";
         document.routes.back().kind = GatewayRouteKind::Streaming;
         document.routes.back().services = {{"s", 1}};
+        document.routes.back().resumable = resumable;
+        document.routes.back().maxEndpoints = 2;
         state.routes = makeRouteTable(document);
         state.stage = RelayStage::Serving;
         replaceEndpoints(state.endpoints,
@@ -341,9 +343,9 @@
         CHECK(account().reserved == 0);
     }
 
-    void sendEvent()
+    // Seven bytes.
+    void sendEvent(const std::string &event = "id: 1\n\n")
     {
-        const std::string event = "id: 1\n\n";
         boost::asio::write(engine,
                            boost::asio::buffer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
                                                + std::string(AttemptIdField) + ": 1\r\n" + std::string(SealField)
@@ -363,6 +365,45 @@
 
 } // namespace
 
+TEST_CASE("each wish to repeat is counted with its outcome, and a stream that can't go on draws no repeat")
+{
+    // Guards against an allowance that is used up by repeats that are never sent.
+    StreamAsked router("9000", true);
+    router.relay.setRepeatRules(0, 0, std::chrono::seconds(10));
+    const auto draws = [&router](RepeatOutcome outcome) {
+        return router.relay.counters().repeatDraws[{"s", "connection_broken", outcome}];
+    };
+    bool goesOn = true;
+    bool allowed = false;
+    SECTION("the allowance is used up")
+    {
+    }
+    SECTION("the allowance has room")
+    {
+        allowed = true;
+    }
+    SECTION("the last event has no number")
+    {
+        goesOn = false;
+        allowed = true;
+    }
+    if (allowed) {
+        router.relay.setRepeatRules(10, 0, std::chrono::seconds(10));
+    }
+    router.sendEvent(goesOn ? "id: 1\n\n" : "data:\n\n");
+    router.runUntil([&router] {
+        return router.caller.available() > 0;
+    });
+    router.engine.set_option(boost::asio::socket_base::linger(true, 0));
+    router.engine.close();
+    router.runUntil([&router] {
+        return router.relay.counters().brokenOff > 0;
+    });
+    CHECK(router.relay.counters().brokenOff == 1);
+    CHECK(draws(RepeatOutcome::Taken) == (goesOn && allowed ? 1 : 0));
+    CHECK(draws(RepeatOutcome::Denied) == (goesOn && !allowed ? 1 : 0));
+}
+
 TEST_CASE("a call given up before its engine made an event costs its customer nothing")
 {
     // Guards against budgets used up by callers that left, or ran out of time, behind busy engines.
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -573,11 +573,11 @@
                          {"status", static_cast<std::int64_t>(m_answerHead ? m_answer.status : 0)},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
                          {"may_have_run", m_ran > 0}});
-    // An attempt that reached no endpoint adds nothing to its load, so it draws on no allowance.
-    const bool allowed = mayRepeat() && (!reachedEndpoint || drawRepeat(cause));
     // A stream can go on only after an event that has a number.
     const bool resumable = m_eventsPassed == 0 || m_lastEvent > 0;
-    if (allowed && resumable && (!m_headPassed || m_streams || m_eventsPassed > 0)) {
+    const bool canGoOn = resumable && (!m_headPassed || m_streams || m_eventsPassed > 0);
+    // An attempt that reached no endpoint adds nothing to its load, so it draws on no allowance.
+    if (canGoOn && mayRepeat() && (!reachedEndpoint || drawRepeat(cause))) {
         m_relay.counters().repeats += reachedEndpoint ? 1 : 0;
         m_relay.counters().resumedStreams += m_eventsPassed > 0 ? 1 : 0;
         if (!reachedEndpoint) {
