Cold endpoints are sent to by holders of shares

The same class as the repeats: each group of routers that hear one another named its own senders to a cold endpoint, and the bounds were halved for two groups. Pure test: 3, 8 and 60 routers that hear nobody sent 42, 116 and 480 requests in a second where 30 are allowed; red before, at most 30 now.

A hash gives each cold endpoint a few of the fleet's shares, and their holders send. The tests had groups of routers that don't hear each other; there are none any more that matter, so that they now give each share one holder, under the same bounds.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -183,10 +183,10 @@
         m_relay.log().write(
             "entry_hosts", {{"least_capacity", least}, {"load", m_fleetLoad}, {"own_capacity", m_options.ownCapacity}});
     }
-    m_relay.state().endpoints.senders = senderGroup(now);
+    m_relay.state().senders = senderGroup(now);
 }
 
-// The routers that callers are told of get nearly all requests, so that they share what cold endpoints take.
+// The routers that callers are told of get nearly all requests, so that they hold the shares of the fleet's limits.
 SenderGroup FleetLinks::senderGroup(TimePoint now) const
 {
     SenderGroup group;
--- a/godwit/daemon/limit_share_keeper.cpp
+++ b/godwit/daemon/limit_share_keeper.cpp
@@ -42,7 +42,7 @@
     if (shares.lease != std::exchange(m_lease, shares.lease)) {
         m_nextCall = now + m_options.settle + byLot(m_options.settleSpread);
     }
-    const SenderGroup &group = state.endpoints.senders;
+    const SenderGroup &group = state.senders;
     const bool sends = std::find(group.routers.begin(), group.routers.end(), group.self) != group.routers.end();
     if (now < m_nextCall || !sends) {
         return;
@@ -124,7 +124,7 @@
 
 void LimitShareKeeper::retryLater()
 {
-    const auto routers = static_cast<Duration::rep>(m_relay.state().endpoints.senders.routers.size());
+    const auto routers = static_cast<Duration::rep>(m_relay.state().senders.routers.size());
     const Duration turn = m_options.retryInterval * std::max<Duration::rep>(1, routers);
     m_nextCall = Relay::now() + turn / 2 + byLot(turn);
 }
@@ -135,7 +135,7 @@
     if (m_hadConflict) {
         return static_cast<int>(m_relay.random() % static_cast<std::uint64_t>(LimitShareCount));
     }
-    const SenderGroup &group = m_relay.state().endpoints.senders;
+    const SenderGroup &group = m_relay.state().senders;
     const auto before = std::count_if(group.routers.begin(), group.routers.end(), [&group](const std::string &router) {
         return router < group.self;
     });
--- a/godwit/gateway/cold_start.cpp
+++ b/godwit/gateway/cold_start.cpp
@@ -10,36 +10,23 @@
 namespace
 {
 
-// Part of the bounds that one group of routers uses.
+// Part of the bounds that is used.
 constexpr double UsedPart = 0.5;
 
-// How many routers of the group send to one endpoint. Each may begin a second with one request, so that half of what is
-// allowed is left for a steady rate. 0: nothing is left, and none sends.
-int countSenders(const ColdStartPlan &plan, const SenderGroup &group)
+// Each licence may begin a second with one request, so that half of what is allowed is left for a steady rate. 0:
+// nothing is left.
+int licencesFor(double mostPerSecond)
 {
-    const auto most = static_cast<std::size_t>(plan.mostPerSecond / 2);
-    const std::size_t atLeastOne = plan.mostPerSecond > 1 ? 1 : 0;
-    return static_cast<int>(std::min(std::max(most, atLeastOne), group.routers.size()));
-}
-
-bool isSender(const ColdStartPlan &plan, const SenderGroup &group, const EndpointId &endpoint)
-{
-    const auto own = std::find(group.routers.begin(), group.routers.end(), group.self);
-    if (own == group.routers.end()) {
-        return false;
-    }
-    const std::uint64_t weight = rendezvousWeight(endpoint.value, group.self);
-    const auto before = std::count_if(group.routers.begin(), group.routers.end(), [&](const std::string &router) {
-        return rendezvousWeight(endpoint.value, router) > weight;
-    });
-    return before < countSenders(plan, group);
+    const int atLeastOne = mostPerSecond > 1 ? 1 : 0;
+    return std::min(std::max(static_cast<int>(mostPerSecond / 2), atLeastOne), LimitShareCount);
 }
 
 } // namespace
 
 ColdStartPlan planColdStart(const ColdStartLimit &limit, const ColdStartBounds &bounds)
 {
-    return ColdStartPlan{UsedPart * (limit.requestsPerSecond * bounds.overrun + bounds.slack)};
+    const double most = UsedPart * (limit.requestsPerSecond * bounds.overrun + bounds.slack);
+    return ColdStartPlan{most, licencesFor(most)};
 }
 
 bool isCold(const ColdState &state, TimePoint now)
@@ -47,20 +34,30 @@
     return now < state.until;
 }
 
-bool mayReceiveCold(const ColdState &state,
-                    const ColdStartPlan &plan,
-                    const SenderGroup &group,
-                    const EndpointId &endpoint,
-                    TimePoint now)
+int countLicences(const ColdStartPlan &plan, const EndpointId &endpoint, const ShareNumbers &usable)
+{
+    if (plan.licences == 0 || usable.none()) {
+        return 0;
+    }
+    // Spread evenly, since routers hold shares whose numbers follow each other.
+    const std::uint64_t first = stableHash(endpoint.value) % LimitShareCount;
+    int count = 0;
+    for (int i = 0; i < plan.licences; ++i) {
+        count +=
+            usable.test((first + static_cast<std::uint64_t>(i * LimitShareCount / plan.licences)) % LimitShareCount);
+    }
+    return count;
+}
+
+bool mayReceiveCold(const ColdState &state, int licences, TimePoint now)
 {
-    return now >= state.nextSendAt && isSender(plan, group, endpoint);
+    return licences > 0 && now >= state.nextSendAt;
 }
 
-void noteColdSend(ColdState &state, const ColdStartPlan &plan, const SenderGroup &group, TimePoint now)
+void noteColdSend(ColdState &state, const ColdStartPlan &plan, int licences, TimePoint now)
 {
-    const int senders = countSenders(plan, group);
-    const double rate = plan.mostPerSecond - senders;
-    state.nextSendAt = now + Duration(std::llround(1e6 * senders / rate));
+    const double rate = (plan.mostPerSecond - plan.licences) * licences / plan.licences;
+    state.nextSendAt = now + Duration(std::llround(1e6 / rate));
 }
 
 } // namespace Godwit
--- a/godwit/gateway/cold_start.h
+++ b/godwit/gateway/cold_start.h
@@ -4,21 +4,20 @@
 // crashes when it gets many requests at once.
 //
 // Each router sees an idle endpoint and would send it all that it has, so a limit of each router alone doesn't bound
-// the fleet. A few routers, ranked by a hash of endpoint and router, share a steady rate among them; the others leave
-// the endpoint alone until it is warm. No message is needed.
+// the fleet. A hash gives each endpoint a few of the fleet's shares (limit_shares.h); the routers that hold these send
+// at a steady rate, and the others leave the endpoint alone until it is warm.
 //
 // Pure: time is passed in.
 //
 // Example:
 //   const ColdStartPlan plan = planColdStart(limit, bounds);
-//   if (!isCold(state, now) || mayReceiveCold(state, plan, senders, endpoint, now)) { ... a candidate ... }
-//   noteColdSend(state, plan, senders, now);
+//   const int licences = countLicences(plan, endpoint, usableShares(shares, now, uptime));
+//   if (!isCold(state, now) || mayReceiveCold(state, licences, now)) { ... a candidate ... }
+//   noteColdSend(state, plan, licences, now);
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
-
-#include <string>
-#include <vector>
+#include "godwit/gateway/limit_shares.h"
 
 namespace Godwit
 {
@@ -37,16 +36,10 @@
     double slack = 0; // Requests besides.
 };
 
-// The routers that callers are told of, this one included; by their addresses.
-struct SenderGroup
-{
-    std::string self;
-    std::vector<std::string> routers;
-};
-
 struct ColdStartPlan
 {
-    double mostPerSecond = 0; // Requests to one cold endpoint within any second, of one group of routers.
+    double mostPerSecond = 0; // Requests to one cold endpoint within any second.
+    int licences = 0; // Shares whose holders send to one endpoint; 0: none does.
 };
 
 struct ColdState
@@ -55,18 +48,17 @@
     TimePoint nextSendAt; // Of this router.
 };
 
-// Takes half of what the bounds allow, since two groups of routers that don't hear each other name different senders.
+// Takes half of what the bounds allow, since requests that were sent over more than a second may arrive within one.
 ColdStartPlan planColdStart(const ColdStartLimit &limit, const ColdStartBounds &bounds);
 
 bool isCold(const ColdState &state, TimePoint now);
 
+// How many of the endpoint's licences are among the shares that this router may use.
+int countLicences(const ColdStartPlan &plan, const EndpointId &endpoint, const ShareNumbers &usable);
+
 // Whether this router is one of the endpoint's senders, and its next request is due.
-bool mayReceiveCold(const ColdState &state,
-                    const ColdStartPlan &plan,
-                    const SenderGroup &group,
-                    const EndpointId &endpoint,
-                    TimePoint now);
+bool mayReceiveCold(const ColdState &state, int licences, TimePoint now);
 
-void noteColdSend(ColdState &state, const ColdStartPlan &plan, const SenderGroup &group, TimePoint now);
+void noteColdSend(ColdState &state, const ColdStartPlan &plan, int licences, TimePoint now);
 
 } // namespace Godwit
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -23,7 +23,7 @@
 bool isHeldBack(const EndpointTable &table, const ColdStartPlan *plan, const EndpointState &endpoint, TimePoint now)
 {
     return plan != nullptr && isCold(endpoint.cold, now)
-        && !mayReceiveCold(endpoint.cold, *plan, table.senders, endpoint.listed.id, now);
+        && !mayReceiveCold(endpoint.cold, countLicences(*plan, endpoint.listed.id, table.usableShares), now);
 }
 
 const ColdStartPlan *coldPlan(const EndpointTable &table, const std::string &service)
@@ -231,7 +231,8 @@
                                            : Choice{byLoad(from, query, random), 0};
     const ColdStartPlan *plan = coldPlan(table, query.service);
     if (choice.endpoint != nullptr && plan != nullptr && isCold(choice.endpoint->cold, now)) {
-        noteColdSend(choice.endpoint->cold, *plan, table.senders, now);
+        const int licences = countLicences(*plan, choice.endpoint->listed.id, table.usableShares);
+        noteColdSend(choice.endpoint->cold, *plan, licences, now);
         choice.cold = true;
     }
     return choice;
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -93,7 +93,7 @@
     std::map<std::string, std::vector<EndpointId>> byService; // Those that may get work.
     std::map<std::string, EngineSpeed> speeds; // By service.
     std::map<std::string, ColdStartPlan> coldPlans; // By service; only of those whose cold endpoints are limited.
-    SenderGroup senders;
+    ShareNumbers usableShares; // Of the fleet's limits; up to date where `coldPlans` has any.
     // Where a shared part of a prompt has lately been sent besides its usual place: the engine keeps it for a while.
     // By part.
     std::map<std::string, RecentPlace, std::less<>> recentPlaces;
--- a/godwit/gateway/limit_shares.h
+++ b/godwit/gateway/limit_shares.h
@@ -38,6 +38,14 @@
     Duration lateness = std::chrono::seconds(2);
 };
 
+// The routers that callers are told of, this one included; by their addresses. They get nearly all requests, so that
+// they alone hold shares.
+struct SenderGroup
+{
+    std::string self;
+    std::vector<std::string> routers;
+};
+
 struct HeldShare
 {
     std::uint64_t revision = 0; // Of its key.
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -91,6 +91,7 @@
     PrepaidShare prepaid;
     std::map<std::string, RepeatAllowance> repeats; // By service.
     LimitShares limitShares;
+    SenderGroup senders;
     RelayStage stage = RelayStage::Starting;
     int liveRouters = 1;
     bool platformInReach = false;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -249,6 +249,10 @@
         query.affinity = sharedPart(m_facts);
         query.sharedTokens = sharedTokens(m_facts);
     }
+    RelayState &state = m_relay.state();
+    if (!state.endpoints.coldPlans.empty()) {
+        state.endpoints.usableShares = usableShares(state.limitShares, Relay::now(), Relay::uptime());
+    }
     const Choice choice =
         chooseEndpoint(m_relay.state().endpoints, query, m_relay.options().choice, m_relay.random(), Relay::now());
     if (choice.endpoint == nullptr) {
