--- a/godwit/gateway/limit_shares.cpp
+++ b/godwit/gateway/limit_shares.cpp
@@ -69,7 +69,7 @@
 std::vector<ShareClaim> releaseSurplus(LimitShares &shares, const LimitShareOptions &options, int fair)
 {
     std::vector<ShareClaim> released;
-    if (static_cast<int>(shares.held.size()) <= 2 * fair) {
+    if (static_cast<int>(shares.held.size()) < 2 * fair) {
         return released;
     }
     while (static_cast<int>(shares.held.size()) > fair && static_cast<int>(released.size()) < options.mostClaims) {
