--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -43,6 +43,7 @@
     {Fault::EndpointBreaksStreams, "endpoint breaks streams"},
     {Fault::KillFleet, "kill fleet"},
     {Fault::CutPeers, "cut peers"},
+    {Fault::RestartFleet, "restart fleet"},
 };
 
 constexpr std::array Planned = {
@@ -208,6 +209,9 @@
     case Fault::CutPeers:
         cutPeers();
         return;
+    case Fault::RestartFleet:
+        restartFleet();
+        return;
     default:
         beginOnEndpoint(fault);
         return;
@@ -354,6 +358,22 @@
     });
 }
 
+void FaultPlayer::restartFleet()
+{
+    if (std::exchange(m_restarting, true)) {
+        return;
+    }
+    spawn([this](const yield_context &yield) {
+        while (!m_fleet.ending) {
+            waitFor(m_fleet.io, milliseconds(draw(4500, 6000)), yield);
+            say(Fault::RestartFleet, "all routers", {});
+            for (std::size_t router = 0; router < m_fleet.routers.size(); ++router) {
+                killRouter(router);
+            }
+        }
+    });
+}
+
 void FaultPlayer::cutPeers()
 {
     const bool all = draw(0, 1) == 0;
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -49,6 +49,8 @@
     // On fleets with a low allowance of repeats alone:
     KillFleet, // SIGKILL of all routers, several times in a row.
     CutPeers, // What routers send to each other is held; of one router or of all.
+    RestartFleet, // SIGKILL of all routers each few seconds, so that each process lives to take its part. Only by
+                  // choice.
 };
 
 std::string_view faultName(Fault fault);
@@ -93,6 +95,7 @@
     void leaveEndpoint(std::size_t endpoint);
     void holdUpConnecting(std::size_t endpoint);
     void killFleet();
+    void restartFleet();
     void cutPeers();
     void disturbRouter(std::size_t router, Time time, bool planned);
     void disturbEndpoint(std::size_t endpoint, Time time);
@@ -103,6 +106,7 @@
     FaultChoice m_choice;
     std::ostream &m_out;
     TimePoint m_start;
+    bool m_restarting = false;
     std::map<Fault, int> m_played;
 };
 
