--- a/godwit/gateway/repeat_allowance_test.cpp
+++ b/godwit/gateway/repeat_allowance_test.cpp
@@ -171,7 +171,9 @@
                 claimShares(fleet, router, now, static_cast<int>(random() % 64));
             }
         }
-        for (due += fleet.requestsPerSecond * toSeconds(Step); due >= 1; --due) {
+        due += fleet.requestsPerSecond * toSeconds(Step);
+        while (due >= 1) {
+            due -= 1;
             Router &router = fleet.routers[turn++ % fleet.routers.size()];
             requests.push_back(now);
             countRequest(router.allowance, fleet.rules, now);
