Answers are counted by their framing, their connection's end and where in an event they stop

No logic changes. The hypotheses of the incident of broken-off streams can't be told apart by the log: an answer that its router takes for whole writes no line, and attempt_failed doesn't say how the answer was framed or what ended it.

- godwit_answers_ended_total by framing (length, chunked, connection), connection (open, in_order, broken) and position (before_first, at_edge, inside_number, inside_event, none).
- A line answer_ended for each answer that ends with its connection, or inside an event.
- attempt_failed names the three as well.

--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -36,6 +36,11 @@
     for (const auto &[cause, count] : counters.attemptsFailed) {
         out << "godwit_attempts_failed_total{cause=\"" << cause << "\"} " << count << '\n';
     }
+    for (const auto &[ending, count] : counters.answersEnded) {
+        out << "godwit_answers_ended_total{framing=\"" << answerFramingName(ending.framing) << "\",connection=\""
+            << connectionEndName(ending.connection) << "\",position=\"" << positionName(ending) << "\"} " << count
+            << '\n';
+    }
     for (const auto &[kind, count] : counters.repeatDraws) {
         out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
             << "\",outcome=\"" << repeatOutcomeName(kind.outcome) << "\"} " << count << '\n';
--- a/godwit/gateway/request_facts.h
+++ b/godwit/gateway/request_facts.h
@@ -4,6 +4,7 @@
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
+#include "godwit/gateway/answer_ending.h"
 
 #include <cstdint>
 #include <optional>
@@ -45,6 +46,7 @@
     bool leaving = false; // The endpoint closes this connection after the answer.
     std::optional<Duration> keepAlive; // How long the endpoint keeps the connection while it is idle.
     std::optional<Duration> retryAfter;
+    AnswerFraming framing = AnswerFraming::Length;
 };
 
 // What the gateway adds to a request on its way to an endpoint.
--- a/godwit/http/event_stream.cpp
+++ b/godwit/http/event_stream.cpp
@@ -8,6 +8,8 @@
 {
 
 constexpr std::string_view DataPrefix = "data:";
+constexpr std::string_view NumberPrefix = "id:";
+constexpr std::string_view LineEnds = "\r\n";
 // Consumed bytes are dropped from the buffer only now and then: dropping them at each event would copy too often.
 constexpr std::size_t CompactAfterBytes = 16UL * 1024;
 
@@ -52,6 +54,7 @@
     }
     std::string event(rest.substr(0, end + length));
     splitter.begin += event.size();
+    splitter.tookEvent = true;
     return event;
 }
 
@@ -60,6 +63,18 @@
     return splitter.buffer.size() - splitter.begin;
 }
 
+StreamPosition positionIn(const EventSplitter &splitter)
+{
+    const std::string_view rest = std::string_view(splitter.buffer).substr(splitter.begin);
+    if (rest.find_first_not_of(LineEnds) == std::string_view::npos) {
+        return splitter.tookEvent ? StreamPosition::AtEdge : StreamPosition::BeforeFirst;
+    }
+    const std::size_t lineEnd = rest.find_last_of(LineEnds);
+    const std::string_view lastLine = lineEnd == std::string_view::npos ? rest : rest.substr(lineEnd + 1);
+    const bool inNumber = lastLine.substr(0, NumberPrefix.size()) == NumberPrefix;
+    return inNumber ? StreamPosition::InsideNumber : StreamPosition::InsideEvent;
+}
+
 bool isDoneEvent(std::string_view event)
 {
     return dataOf(event) == "[DONE]";
--- a/godwit/http/event_stream.h
+++ b/godwit/http/event_stream.h
@@ -10,6 +10,7 @@
 //   }
 
 #include "godwit/base/ids.h"
+#include "godwit/base/stream_position.h"
 
 #include <cstddef>
 #include <optional>
@@ -23,6 +24,7 @@
 {
     std::string buffer;
     std::size_t begin = 0;
+    bool tookEvent = false;
 };
 
 void appendBytes(EventSplitter &splitter, std::string_view bytes);
@@ -33,6 +35,9 @@
 // Bytes of an event that has not ended yet.
 std::size_t pendingBytes(const EventSplitter &splitter);
 
+// Where the bytes so far stop. Blank lines between events are no part of one.
+StreamPosition positionIn(const EventSplitter &splitter);
+
 // True for "data: [DONE]".
 bool isDoneEvent(std::string_view event);
 
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -36,6 +36,14 @@
 // Bodies are passed on as they come and never gathered here; the library reserves a declared length, though.
 constexpr std::uint64_t MaxAnswerBytes = 64ULL * 1024 * 1024;
 
+AnswerFraming framingOf(const http::response_parser<http::string_body> &parser)
+{
+    if (parser.chunked()) {
+        return AnswerFraming::Chunked;
+    }
+    return parser.need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
+}
+
 TimePoint steadyNow()
 {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
@@ -227,6 +235,9 @@
 void EndpointExchange::onRead(const beast::error_code &error, std::size_t count)
 {
     m_buffer.commit(count);
+    if (error) {
+        m_connectionEnd = error == asio::error::eof ? ConnectionEnd::InOrder : ConnectionEnd::Broken;
+    }
     if (error == asio::error::eof && m_headTaken && !m_parser->is_done() && m_parser->need_eof()) {
         // An answer without a length ends with its connection, if that ends in order.
         beast::error_code ignored;
@@ -298,6 +309,7 @@
         return true;
     }
     m_facts = readAnswer(head);
+    m_facts.framing = framingOf(*m_parser);
     // A second answer to an earlier request on this connection may come in the place of ours.
     m_skipping = !m_facts.attemptId.empty() && m_facts.attemptId != m_attemptId;
     if (m_skipping) {
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -99,6 +99,12 @@
         return m_newConnection;
     }
 
+    // What had become of the connection at onEnd or onFailed.
+    ConnectionEnd connectionEnd() const
+    {
+        return m_connectionEnd;
+    }
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -151,6 +157,7 @@
     bool m_skipping = false; // The answer that is being read belongs to another attempt.
     bool m_paused = false;
     bool m_reading = false;
+    ConnectionEnd m_connectionEnd = ConnectionEnd::Open;
     Phase m_phase = Phase::Connecting;
 };
 
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -11,6 +11,7 @@
 //   relay.tokensCame();
 
 #include "godwit/base/time.h"
+#include "godwit/gateway/answer_ending.h"
 #include "godwit/gateway/copy_agreement.h"
 #include "godwit/gateway/endpoint_table.h"
 #include "godwit/gateway/limit_shares.h"
@@ -139,6 +140,7 @@
     std::map<ErrorKind, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> attemptsFailed; // By cause.
     std::map<RepeatKind, std::uint64_t> repeatDraws;
+    std::map<AnswerEnding, std::uint64_t> answersEnded; // Answers of endpoints, or what came of them.
     CallMetrics calls;
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -344,6 +344,7 @@
     m_attemptOpen = true;
     m_coldChoice = choice.cold;
     m_answerHead.reset();
+    m_ending.reset();
     m_whole.clear();
     m_events = {};
     ++m_sends;
@@ -439,8 +440,43 @@
     }
 }
 
+// Of an attempt whose answer has begun.
+void RelayCall::noteEnding()
+{
+    AnswerEnding ending;
+    ending.framing = m_answer.framing;
+    ending.connection = m_exchange->connectionEnd();
+    if (m_streams) {
+        ending.position = positionIn(m_events);
+    }
+    m_ending = ending;
+    ++m_relay.counters().answersEnded[ending];
+}
+
+// Writes a line for an answer whose end its endpoint didn't declare, or declared inside an event.
+void RelayCall::logUndeclaredEnd() const
+{
+    const auto position = m_ending->position.value_or(StreamPosition::AtEdge);
+    const bool insideEvent = position == StreamPosition::InsideNumber || position == StreamPosition::InsideEvent;
+    if (m_ending->framing != AnswerFraming::Connection && !insideEvent) {
+        return;
+    }
+    m_relay.log().write("answer_ended",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"status", static_cast<std::int64_t>(m_answer.status)},
+                         {"framing", answerFramingName(m_ending->framing)},
+                         {"connection", connectionEndName(m_ending->connection)},
+                         {"position", positionName(*m_ending)},
+                         {"pending_bytes", static_cast<std::int64_t>(pendingBytes(m_events))},
+                         {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
+                         {"attempt_ms", milliseconds(Relay::now() - m_sentAt)}});
+}
+
 void RelayCall::onEnd()
 {
+    noteEnding();
+    logUndeclaredEnd();
     const bool success = m_answer.status / 100 == 2;
     if (m_answer.notRun) {
         // Between streams that are resumed a refusal leaves the earlier part as it was.
@@ -516,6 +552,9 @@
         tryAgain(std::string(exchangeFailureName(failure)), false);
         return;
     }
+    if (m_answerHead) {
+        noteEnding();
+    }
     m_progress = Progress::Sent;
     ++m_ran;
     m_mayHaveBegun = true;
@@ -577,6 +616,9 @@
                          {"new_connection", m_newConnection},
                          {"attempt_ms", milliseconds(Relay::now() - m_sentAt)},
                          {"status", static_cast<std::int64_t>(m_answerHead ? m_answer.status : 0)},
+                         {"framing", m_ending ? answerFramingName(m_ending->framing) : "none"},
+                         {"connection", m_ending ? connectionEndName(m_ending->connection) : "none"},
+                         {"position", m_ending ? positionName(*m_ending) : "none"},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
                          {"may_have_run", m_ran > 0}});
     // A stream can go on only after an event that has a number.
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -95,6 +95,8 @@
     void passEvents(std::string_view bytes);
     void passHead(AnswerFraming framing);
     void passWhole();
+    void noteEnding();
+    void logUndeclaredEnd() const;
     void endAttempt(AttemptVerdict verdict);
     AttemptVerdict silenceVerdict() const;
     void giveUpAttempt();
@@ -158,6 +160,7 @@
 
     std::optional<AnswerHead> m_answerHead;
     AnswerFacts m_answer;
+    std::optional<AnswerEnding> m_ending; // Of the latest attempt's answer, once it has ended.
     bool m_streams = false; // The answer is passed on event by event.
     bool m_headPassed = false;
     std::string m_whole; // An answer that is gathered before it is passed on.
