--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -60,6 +60,10 @@
     {
         return m_keepAlive;
     }
+    void closeAfterAnswer()
+    {
+        m_keepAlive = false;
+    }
 
     std::function<void()> peerGone;
 
@@ -113,15 +117,23 @@
         end(serialize(response));
     }
 
-    void startStream(unsigned status, const std::string &contentType, const HttpHeaders &headers) override
+    void startStream(unsigned status,
+                     const std::string &contentType,
+                     const HttpHeaders &headers,
+                     BodyFraming framing) override
     {
         if (!m_open) {
             return;
         }
+        m_framing = framing.kind;
         http::response<http::empty_body> response;
         fillHead(response, status, headers);
         response.set(http::field::content_type, contentType);
-        response.chunked(true);
+        if (framing.kind == BodyFraming::Kind::Chunked) {
+            response.chunked(true);
+        } else if (framing.kind == BodyFraming::Kind::Length) {
+            response.content_length(framing.length);
+        }
         http::response_serializer<http::empty_body> serializer(response);
         std::string head;
         ErrorCode error;
@@ -134,15 +146,29 @@
 
     void chunk(const std::string &data) override
     {
-        if (m_open) {
-            m_connection->send(beast::buffers_to_string(http::make_chunk(asio::buffer(data))), false);
+        if (!m_open) {
+            return;
         }
+        const bool chunked = m_framing == BodyFraming::Kind::Chunked;
+        m_connection->send(chunked ? beast::buffers_to_string(http::make_chunk(asio::buffer(data))) : data, false);
     }
 
     void finish() override
+    {
+        if (!m_open) {
+            return;
+        }
+        if (m_framing == BodyFraming::Kind::Connection) {
+            m_connection->closeAfterAnswer();
+        }
+        end(m_framing == BodyFraming::Kind::Chunked ? beast::buffers_to_string(http::make_chunk_last()) : "");
+    }
+
+    void closeInOrder() override
     {
         if (m_open) {
-            end(beast::buffers_to_string(http::make_chunk_last()));
+            m_connection->closeAfterAnswer();
+            end("");
         }
     }
 
@@ -206,6 +232,7 @@
     std::shared_ptr<Connection> m_connection;
     std::function<void()> m_gone;
     unsigned m_version;
+    BodyFraming::Kind m_framing = BodyFraming::Kind::Chunked;
     bool m_open = true;
     bool m_lost = false;
 };
--- a/standins/common/http_server.h
+++ b/standins/common/http_server.h
@@ -27,6 +27,15 @@
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+// What says where the body of an answer that comes in pieces ends.
+struct BodyFraming
+{
+    enum class Kind { Chunked, Length, Connection };
+
+    Kind kind = Kind::Chunked;
+    std::size_t length = 0; // Of the whole body, for Kind::Length.
+};
+
 // The answer to one request. It may be given long after the handler has returned; calls after the end of the answer
 // or of the connection do nothing.
 class Responder
@@ -37,11 +46,17 @@
     // Sends a whole answer.
     virtual void reply(unsigned status, std::string body, const HttpHeaders &headers = {}) = 0;
 
-    // Starts a chunked answer: any number of chunks and finish() follow.
-    virtual void startStream(unsigned status, const std::string &contentType, const HttpHeaders &headers = {}) = 0;
+    // Starts an answer in pieces: any number of chunks and finish() follow.
+    virtual void startStream(unsigned status,
+                             const std::string &contentType,
+                             const HttpHeaders &headers = {},
+                             BodyFraming framing = {}) = 0;
     virtual void chunk(const std::string &data) = 0;
     virtual void finish() = 0;
 
+    // Closes the connection in order after what was sent, whatever the framing still wants.
+    virtual void closeInOrder() = 0;
+
     // Closes the connection without any further byte; what was queued may be lost.
     virtual void reset() = 0;
 
--- a/standins/loadtool/http_client.cpp
+++ b/standins/loadtool/http_client.cpp
@@ -32,6 +32,7 @@
 {
     const auto &head = parser.get();
     result.status = head.result_int();
+    result.endDeclared = !parser.need_eof();
     result.notRunHeader = head["Godwit-Not-Run"] == "true";
     result.streamed = head[http::field::content_type].starts_with("text/event-stream");
     const auto retryAfter = head[http::field::retry_after];
--- a/standins/loadtool/http_client.h
+++ b/standins/loadtool/http_client.h
@@ -30,6 +30,7 @@
 {
     bool connected = false; // False: no byte of the request left.
     bool complete = false; // The whole answer was read.
+    bool endDeclared = false; // By a length or a last chunk; else the connection's end in order completes the answer.
     unsigned status = 0; // 0: no head of an answer was read.
     bool notRunHeader = false;
     bool streamed = false;
