What is left of a stream after its whole events is passed on once

The rest was sent as the splitter's whole buffer, from which events that were taken are erased only beyond 16 KB, while pendingBytes() counts from behind them. takePending() gives what is counted.

--- a/godwit/http/event_stream.cpp
+++ b/godwit/http/event_stream.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace Godwit
 {
 namespace
@@ -63,6 +65,12 @@
     return splitter.buffer.size() - splitter.begin;
 }
 
+std::string takePending(EventSplitter &splitter)
+{
+    const EventSplitter taken = std::exchange(splitter, {});
+    return taken.buffer.substr(taken.begin);
+}
+
 StreamPosition positionIn(const EventSplitter &splitter)
 {
     const std::string_view rest = std::string_view(splitter.buffer).substr(splitter.begin);
--- a/godwit/http/event_stream.h
+++ b/godwit/http/event_stream.h
@@ -32,8 +32,9 @@
 // Returns the next whole event with its closing blank line, as it came.
 std::optional<std::string> takeEvent(EventSplitter &splitter);
 
-// Bytes of an event that has not ended yet.
+// Bytes after the last event that was taken.
 std::size_t pendingBytes(const EventSplitter &splitter);
+std::string takePending(EventSplitter &splitter);
 
 // Where the bytes so far stop. Blank lines between events are no part of one.
 StreamPosition positionIn(const EventSplitter &splitter);
--- a/godwit/http/http_test.cpp
+++ b/godwit/http/http_test.cpp
@@ -58,6 +58,41 @@
     CHECK_FALSE(usageOfEvent("data: {\"usage\":null}\n\n"));
 }
 
+TEST_CASE("the place where a stream's bytes stop is known at each byte")
+{
+    // Guards against a part of an event, or of its number, being taken for an event, and against events that were taken
+    // already being left over.
+    const std::string event = "id: 12\ndata: a\n\n";
+    const std::size_t numberBegins = std::string("id:").size();
+    const std::size_t numberEnds = std::string("id: 12").size();
+    for (std::size_t cut = 0; cut <= event.size(); ++cut) {
+        for (const bool first : {true, false}) {
+            EventSplitter splitter;
+            appendBytes(splitter, (first ? "" : event) + event.substr(0, cut));
+            int taken = 0;
+            while (takeEvent(splitter)) {
+                ++taken;
+            }
+            const bool whole = cut == event.size();
+            CHECK(taken == (first ? 0 : 1) + (whole ? 1 : 0));
+            StreamPosition expected = StreamPosition::InsideEvent;
+            if (whole || cut == 0) {
+                expected = taken > 0 ? StreamPosition::AtEdge : StreamPosition::BeforeFirst;
+            } else if (cut >= numberBegins && cut <= numberEnds) {
+                expected = StreamPosition::InsideNumber;
+            }
+            INFO(cut);
+            CHECK(positionIn(splitter) == expected);
+            CHECK(takePending(splitter) == (whole ? "" : event.substr(0, cut)));
+            CHECK(pendingBytes(splitter) == 0);
+        }
+    }
+    EventSplitter blank;
+    appendBytes(blank, event + "\r\n");
+    takeEvent(blank);
+    CHECK(positionIn(blank) == StreamPosition::AtEdge);
+}
+
 TEST_CASE("targets are decoded and broken escapes refused")
 {
     const auto target = parseTarget("/v1/kv/budgets%2F7?expect=3&lease=a%20b&flag");
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -508,7 +508,7 @@
     }
     if (m_streams) {
         if (pendingBytes(m_events) > 0) {
-            m_sink->send(chunk(std::exchange(m_events, {}).buffer));
+            m_sink->send(chunk(takePending(m_events)));
         }
         complete();
         return;
