An end that was inferred is not passed on as one that was declared, and a part of an event is no event

Nothing was resumed, and the endpoint counted as good.

Cause: EndpointExchange takes the end in order of an answer without length or chunks for the answer's end, as HTTP has it, and RelayCall passed each such end on as its own word: chunks with a last chunk, or a Content-Length. What was left of the splitter went out before it, as though an event had ended there. The class: an end that was inferred, passed on as declared.

What was broken off is resumed, repeated or cut like a reset, and its endpoint counts as unreachable. What was inferred reaches the caller without length or chunks, ended by its connection, so that it knows what the router knows. As such a caller takes an end in order for whole, its connection is set to be reset by any other close, also that of a killed process. A stream that goes on after its answer had begun in chunks is cut where nobody declares the end of its rest. A streaming route's answer that is no series of events is passed on in one piece instead of being taken for an event without an end.

--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -41,6 +41,7 @@
             << connectionEndName(ending.connection) << "\",position=\"" << positionName(ending) << "\"} " << count
             << '\n';
     }
+    line(out, "godwit_answers_without_declared_end_total", static_cast<double>(counters.answersWithoutDeclaredEnd));
     for (const auto &[kind, count] : counters.repeatDraws) {
         out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
             << "\",outcome=\"" << repeatOutcomeName(kind.outcome) << "\"} " << count << '\n';
--- a/godwit/gateway/request_facts.h
+++ b/godwit/gateway/request_facts.h
@@ -47,6 +47,7 @@
     std::optional<Duration> keepAlive; // How long the endpoint keeps the connection while it is idle.
     std::optional<Duration> retryAfter;
     AnswerFraming framing = AnswerFraming::Length;
+    bool carriesEvents = false; // A series of events, or the endpoint doesn't say what.
 };
 
 // What the gateway adds to a request on its way to an endpoint.
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -248,14 +248,26 @@
     close();
 }
 
-bool CallerConnection::closesAfterAnswer() const
+bool CallerConnection::beginAnswer(AnswerFraming framing)
 {
     const RelayState &state = m_relay.state();
     const bool stops = state.stage == RelayStage::Leaving || state.stage == RelayStage::Stopping;
-    m_saidClose = !m_keepAlive || stops || state.endsConnections;
+    const bool endsWithConnection = framing == AnswerFraming::Connection;
+    m_saidClose = !m_keepAlive || stops || state.endsConnections || endsWithConnection;
+    if (endsWithConnection) {
+        resetOnClose(true);
+    }
     return m_saidClose;
 }
 
+// Where an end in order says that the answer is whole, any other close has to be a reset, also that of a process that
+// is killed.
+void CallerConnection::resetOnClose(bool wanted)
+{
+    error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(wanted, 0), ignored);
+}
+
 void CallerConnection::write()
 {
     if (m_writeOpen || m_queued.empty()) {
@@ -309,6 +321,7 @@
     error_code ignored;
     m_socket.cancel(ignored);
     m_readOpen = false;
+    resetOnClose(false);
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_timer.expires_after(CloseLimit);
     m_timer.async_wait([self = shared_from_this()](const error_code &error) {
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -45,7 +45,7 @@
     std::size_t queuedBytes() const override;
     void finish() override;
     void breakOff() override;
-    bool closesAfterAnswer() const override;
+    bool beginAnswer(AnswerFraming framing) override;
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -60,6 +60,7 @@
     void watchCaller();
     void write();
     void onWritten(const boost::system::error_code &error);
+    void resetOnClose(bool wanted);
     void closeInOrder();
     void drainUntilClosed();
     void close();
@@ -76,7 +77,7 @@
     bool m_writeOpen = false;
     bool m_answerDone = false;
     bool m_keepAlive = true;
-    mutable bool m_saidClose = false; // An answer's head has said that the connection closes after it.
+    bool m_saidClose = false; // An answer's head has said that the connection closes after it.
     bool m_readOpen = false; // A request is being read, or waited for.
     bool m_beganReading = false;
     bool m_closing = false; // Nothing more is sent; the caller's end is waited for.
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -141,6 +141,7 @@
     std::map<std::string, std::uint64_t> attemptsFailed; // By cause.
     std::map<RepeatKind, std::uint64_t> repeatDraws;
     std::map<AnswerEnding, std::uint64_t> answersEnded; // Answers of endpoints, or what came of them.
+    std::uint64_t answersWithoutDeclaredEnd = 0; // Begun by this router; each takes its caller's connection with it.
     CallMetrics calls;
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -381,16 +381,24 @@
     m_answerHead = head;
     m_answer = facts;
     const bool success = facts.status / 100 == 2;
-    m_streams = success && facts.sealed && m_route->kind == GatewayRouteKind::Streaming;
+    m_streams = success && facts.sealed && facts.carriesEvents && m_route->kind == GatewayRouteKind::Streaming;
     if (m_streams && !m_headPassed) {
         passHead(AnswerFraming::Chunked);
     }
 }
 
-void RelayCall::passHead(AnswerFraming framing)
+void RelayCall::passHead(AnswerFraming framing, std::string_view body)
 {
     m_headPassed = true;
-    m_sink->send(writeAnswerHead(*m_answerHead, framing, m_whole.size(), m_sink->closesAfterAnswer()));
+    m_passedFraming = framingToPass(m_answer.framing, framing);
+    m_relay.counters().answersWithoutDeclaredEnd += m_passedFraming == AnswerFraming::Connection ? 1 : 0;
+    const bool closes = m_sink->beginAnswer(m_passedFraming);
+    m_sink->send(writeAnswerHead(*m_answerHead, m_passedFraming, body.size(), closes).append(body));
+}
+
+void RelayCall::passPiece(std::string_view bytes)
+{
+    m_sink->send(m_passedFraming == AnswerFraming::Chunked ? chunk(bytes) : std::string(bytes));
 }
 
 void RelayCall::onBody(std::string_view bytes)
@@ -405,7 +413,7 @@
         if (!m_headPassed) {
             passHead(AnswerFraming::Chunked);
         }
-        m_sink->send(chunk(std::exchange(m_whole, {})));
+        passPiece(std::exchange(m_whole, {}));
     }
     if (m_exchange && m_sink->queuedBytes() > m_relay.options().callerQueueBytes) {
         m_exchange->pause();
@@ -427,7 +435,7 @@
     onFirstEvent();
     m_lastEventAt = Relay::now();
     m_firstAnswerAt = m_firstAnswerAt.value_or(*m_lastEventAt);
-    m_sink->send(chunk(whole));
+    passPiece(whole);
     if (m_exchange && m_sink->queuedBytes() > m_relay.options().callerQueueBytes) {
         m_exchange->pause();
     }
@@ -468,6 +476,7 @@
                          {"framing", answerFramingName(m_ending->framing)},
                          {"connection", connectionEndName(m_ending->connection)},
                          {"position", positionName(*m_ending)},
+                         {"extent", answerExtentName(extentOf(*m_ending))},
                          {"pending_bytes", static_cast<std::int64_t>(pendingBytes(m_events))},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
                          {"attempt_ms", milliseconds(Relay::now() - m_sentAt)}});
@@ -499,47 +508,39 @@
         tryAgain("resume_failed", true);
         return;
     }
+    const AnswerExtent extent = extentOf(*m_ending);
+    if (extent == AnswerExtent::BrokenOff) {
+        endAttempt(AttemptVerdict::Unreachable);
+        tryAgain("ended_inside_stream", true);
+        return;
+    }
     const bool failed = m_answer.status >= 500;
     endAttempt(failed ? AttemptVerdict::Failed : AttemptVerdict::Good);
+    if (m_headPassed && !mayEndWhole(m_passedFraming, extent)) {
+        tryAgain("end_not_declared", true);
+        return;
+    }
     if (failed && mayRepeat() && !m_headPassed && drawRepeat("failed_answer")) {
         ++m_relay.counters().repeats;
         attempt();
         return;
     }
-    if (m_streams) {
-        if (pendingBytes(m_events) > 0) {
-            m_sink->send(chunk(takePending(m_events)));
-        }
-        complete();
-        return;
+    if (!m_headPassed) {
+        m_firstAnswerAt = Relay::now();
+        passHead(AnswerFraming::Length, m_whole);
+    } else if (const std::string rest = m_streams ? takePending(m_events) : m_whole; !rest.empty()) {
+        passPiece(rest);
     }
-    passWhole();
-}
-
-void RelayCall::passWhole()
-{
-    if (m_headPassed) {
-        if (!m_whole.empty()) {
-            m_sink->send(chunk(m_whole));
-        }
-        complete();
-        return;
-    }
-    m_headPassed = true;
-    m_firstAnswerAt = Relay::now();
-    m_sink->send(writeAnswerHead(*m_answerHead, AnswerFraming::Length, m_whole.size(), m_sink->closesAfterAnswer())
-                 + m_whole);
-    ++m_relay.counters().answered;
-    auto *sink = m_sink;
-    close(CallEnd::Answered);
-    sink->finish();
+    complete();
 }
 
 void RelayCall::complete()
 {
     ++m_relay.counters().answered;
     auto *sink = m_sink;
-    sink->send("0\r\n\r\n");
+    if (m_passedFraming == AnswerFraming::Chunked) {
+        sink->send("0\r\n\r\n");
+    }
     close(CallEnd::Answered);
     sink->finish();
 }
@@ -757,7 +758,7 @@
                          {"platform_in_reach", m_relay.state().platformInReach},
                          {"may_have_run", m_ran > 0}});
     auto *sink = m_sink;
-    const std::string bytes = writeRefusal(error, m_facts.attemptId, sink->closesAfterAnswer());
+    const std::string bytes = writeRefusal(error, m_facts.attemptId, sink->beginAnswer(AnswerFraming::Length));
     close(CallEnd::Refused);
     sink->send(bytes);
     sink->finish();
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -39,8 +39,8 @@
     virtual void finish() = 0;
     // The answer can't be completed: the caller must see that it is cut.
     virtual void breakOff() = 0;
-    // Whether the connection will be closed after this answer.
-    virtual bool closesAfterAnswer() const = 0;
+    // Called before the head of an answer that is framed so. Returns whether the connection closes after it.
+    virtual bool beginAnswer(AnswerFraming framing) = 0;
 };
 
 class RelayCall : public std::enable_shared_from_this<RelayCall>
@@ -93,8 +93,8 @@
     void onEnd();
     void onFailed(ExchangeFailure failure);
     void passEvents(std::string_view bytes);
-    void passHead(AnswerFraming framing);
-    void passWhole();
+    void passHead(AnswerFraming framing, std::string_view body = {});
+    void passPiece(std::string_view bytes);
     void noteEnding();
     void logUndeclaredEnd() const;
     void endAttempt(AttemptVerdict verdict);
@@ -163,6 +163,7 @@
     std::optional<AnswerEnding> m_ending; // Of the latest attempt's answer, once it has ended.
     bool m_streams = false; // The answer is passed on event by event.
     bool m_headPassed = false;
+    AnswerFraming m_passedFraming = AnswerFraming::Length; // Once the head has been passed on.
     std::string m_whole; // An answer that is gathered before it is passed on.
     EventSplitter m_events;
     std::uint64_t m_lastEvent = 0;
