Another request's answer that its connection ends is no answer to this one

A late answer to an earlier attempt, without a length, may stand where the next answer is expected. The end of its connection was taken for the end of the answer to the request that waits: the call then passed on a head that it had never been given, and a request that was withdrawn called a handler that was no longer there (std::bad_function_call, which ends the process). Such an end is now what it is for any answer that has not begun: broken.

--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -238,7 +238,8 @@
     if (error) {
         m_connectionEnd = error == asio::error::eof ? ConnectionEnd::InOrder : ConnectionEnd::Broken;
     }
-    if (error == asio::error::eof && m_headTaken && !m_parser->is_done() && m_parser->need_eof()) {
+    const bool ownAnswerOpen = m_headTaken && !m_skipping && !m_parser->is_done();
+    if (error == asio::error::eof && ownAnswerOpen && m_parser->need_eof()) {
         // An answer without a length ends with its connection, if that ends in order.
         beast::error_code ignored;
         m_parser->put_eof(ignored);
--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -25,6 +25,9 @@
         ExchangeOptions options;
         options.connectTimeout = connectTimeout;
         ExchangeHandlers handlers;
+        handlers.onEnd = [this] {
+            ended = true;
+        };
         handlers.onFailed = [this](ExchangeFailure reported) {
             failure = reported;
         };
@@ -84,6 +87,7 @@
     std::shared_ptr<EndpointExchange> exchange;
     std::optional<ExchangeFailure> failure;
     std::optional<WithdrawalOutcome> outcome;
+    bool ended = false; // It reported a whole answer.
 };
 
 void answer(tcp::socket &endpoint, const std::string &fields)
@@ -207,6 +211,34 @@
     CHECK_FALSE(attempt.failure);
 }
 
+TEST_CASE("another request's answer that its connection ends is no answer to this one")
+{
+    // Guards against a late answer without a length ending the request that waits on its connection.
+    Attempt attempt(std::chrono::milliseconds(200));
+    const std::string late = "HTTP/1.1 200 OK\r\n" + std::string(AttemptIdField) + ": earlier\r\n\r\nlate";
+    SECTION("the request waits")
+    {
+        tcp::socket endpoint = attempt.sent();
+        boost::asio::write(endpoint, boost::asio::buffer(late));
+        endpoint.close();
+        attempt.runUntil([&] {
+            return attempt.failure || attempt.ended;
+        });
+        CHECK(attempt.failure == ExchangeFailure::Broken);
+    }
+    SECTION("the request was withdrawn")
+    {
+        tcp::socket endpoint = attempt.withdrawn(std::chrono::seconds(1));
+        boost::asio::write(endpoint, boost::asio::buffer(late));
+        endpoint.close();
+        attempt.runUntil([&] {
+            return attempt.outcome.has_value();
+        });
+        CHECK(attempt.outcome == WithdrawalOutcome::Unknown);
+    }
+    CHECK_FALSE(attempt.ended);
+}
+
 TEST_CASE("a request that is withdrawn before its connection stands has not run")
 {
     Attempt attempt(std::chrono::milliseconds(200));
