--- a/godwit/http/call_client.cpp
+++ b/godwit/http/call_client.cpp
@@ -96,6 +96,9 @@
             parser.body_limit(m_options.maxAnswerBytes);
             error = readAnswer(parser, timeout, yield);
         }
+        if (!error && parser.need_eof() && m_options.needsDeclaredEnd) {
+            error = http::error::partial_message;
+        }
         if (error) {
             m_timedOut = error == beast::error::timeout;
             close();
--- a/godwit/http/call_client.h
+++ b/godwit/http/call_client.h
@@ -45,6 +45,9 @@
     std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
     // From the first byte of an answer to its last one, however steadily it comes.
     Duration longestAnswer = std::chrono::seconds(10);
+    // Whether an answer without a length or chunks counts as lost, since its connection may have ended before it. False
+    // only where every body that is read shows its own end.
+    bool needsDeclaredEnd = true;
 };
 
 struct CallRules
--- a/godwit/platform/http_platform.cpp
+++ b/godwit/platform/http_platform.cpp
@@ -95,7 +95,11 @@
     }
     if (command.verb == KvVerb::List) {
         const auto listing = nlohmann::json::parse(response.body(), nullptr, false);
-        reply.value = listing.is_object() && listing.contains("keys") ? listing["keys"].dump() : "[]";
+        if (!listing.is_object() || !listing.contains("keys")) {
+            reply.status = KvStatus::Unknown;
+            return reply;
+        }
+        reply.value = listing["keys"].dump();
     } else if (command.verb == KvVerb::GrantLease) {
         const auto granted = nlohmann::json::parse(response.body(), nullptr, false);
         reply.value = granted.is_object() ? memberText(granted, "lease") : std::string();
