An endpoint's answer in one piece that only its connection ends must show itself that it is whole

The older interface's side of the class: a cut body without a length was billed, kept for repeats of its id and handed out with a length. It now counts as a broken connection unless it is a whole JSON object or array. Streams there were sound: they are whole only with their closing event.

--- a/godwit/caller/caller_session_test.cpp
+++ b/godwit/caller/caller_session_test.cpp
@@ -299,6 +299,27 @@
     }
 }
 
+TEST_CASE("an answer in one piece that only its connection ends is taken for whole if it shows that itself")
+{
+    // Guards against a cut body being billed, kept for repeats and handed out with a length as all of it.
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+    Bench bench;
+    for (const bool whole : {true, false}) {
+        Wire caller = bench.caller();
+        caller.write(chat(false));
+        const CallId call = bench.next<CallArrived>().call;
+        bench.dispatch(call, false);
+        Wire endpoint = bench.accept();
+        endpoint.readMessage();
+        endpoint.write(head + (whole ? UsageBody : UsageBody.substr(0, UsageBody.size() / 2)));
+        endpoint.close();
+        const auto ended = bench.next<AttemptEnded>();
+        CHECK(ended.result == (whole ? AttemptResult::Completed : AttemptResult::ConnectionBroken));
+        bench.server().deliver(AbortCall{call, Error{ErrorKind::AnswerIncomplete, "cut"}});
+        caller.readUntil("answer_incomplete");
+    }
+}
+
 TEST_CASE("not run is only reported when no byte went out or the endpoint says so")
 {
     Bench bench;
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -47,6 +47,13 @@
     return request;
 }
 
+// Of an object or array no proper prefix is a document, unlike of a number.
+bool isJsonDocument(std::string_view body)
+{
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    return document.is_object() || document.is_array();
+}
+
 // Engines send events without text too, such as one that only names the role; a resumed stream counts tokens.
 bool carriesText(std::string_view event)
 {
@@ -254,6 +261,10 @@
             outcome.result = error == beast::error::timeout ? AttemptResult::TimedOut : AttemptResult::ConnectionBroken;
             return;
         }
+        // The end of a connection does not show that a body is whole; a JSON document shows it itself.
+        if (parser.need_eof() && !isJsonDocument(outcome.body)) {
+            return;
+        }
         outcome.result = AttemptResult::Completed;
         if (from.chat) {
             outcome.usage = usageOfBody(outcome.body);
