godwitctl does not take an answer that only its connection ends for a whole one

A part of a document could be printed, edited and applied as all of it. The test is red without the check: the call returns the part.

--- a/godwit/ctl/admin_client.cpp
+++ b/godwit/ctl/admin_client.cpp
@@ -44,6 +44,10 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     http::read(stream, buffer, parser, error);
+    if (!error && parser.need_eof()) {
+        // A document of which a part came could be edited and applied.
+        error = http::error::partial_message;
+    }
     if (error) {
         return {};
     }
--- a/godwit/ctl/ctl_test.cpp
+++ b/godwit/ctl/ctl_test.cpp
@@ -1,12 +1,18 @@
 #include "godwit/ctl/commands.h"
 #include "godwit/ctl/line_diff.h"
 #include "godwit/ctl/render.h"
+#include "godwit/http/address.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <sstream>
+#include <thread>
 
 using namespace Godwit;
+using boost::asio::ip::tcp;
 
 namespace
 {
@@ -67,6 +73,25 @@
     CHECK(away.err.find("check --operator") != std::string::npos);
 }
 
+TEST_CASE("an answer that only its connection ends is not taken for a whole one")
+{
+    // Guards against a part of a document being printed, edited and applied as all of it.
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    std::thread router([&acceptor] {
+        tcp::socket socket = acceptor.accept();
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nthe beginning")));
+    });
+    AdminClient client;
+    client.address = formatAddress(acceptor.local_endpoint());
+    client.tries = 1;
+    LastReason reason;
+    CHECK_FALSE(call(client, "GET", "/v1/config", "", reason));
+    router.join();
+}
+
 TEST_CASE("digests need no router")
 {
     const auto digest = runAlone({"digest", "secret"});
