The soak's endpoints frame, stop and close their answers in any way, and its proxies pass on resets as resets

An answer without a declared end may stop between events if an endpoint's answer to that request had none either; an end that was declared must be declared to the caller.

Each play now says how much of the allowance of repeats its fullest window used, and when that was under a third.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -149,6 +149,7 @@
         outcome.status = parser.get().result_int();
         outcome.attempt = std::string(parser.get()[AttemptIdField]);
         outcome.seal = std::string(parser.get()[SealField]);
+        outcome.endDeclared = !parser.need_eof();
     }
     if (error) {
         outcome.kind = kindOf(error);
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -44,6 +44,7 @@
     {Fault::KillFleet, "kill fleet"},
     {Fault::CutPeers, "cut peers"},
     {Fault::RestartFleet, "restart fleet"},
+    {Fault::ShapeAnswers, "shape answers"},
 };
 
 constexpr std::array Planned = {
@@ -65,6 +66,11 @@
     timer.async_wait(yield);
 }
 
+int drawFrom(std::mt19937_64 &random, int from, int to)
+{
+    return std::uniform_int_distribution<int>(from, to)(random);
+}
+
 void extend(TimePoint &until, milliseconds time)
 {
     until = std::max(until, steadyNow() + time);
@@ -85,6 +91,7 @@
 FaultPlayer::FaultPlayer(Fleet &fleet, std::uint64_t seed, FaultChoice choice, std::ostream &out)
     : m_fleet(fleet)
     , m_random(seed)
+    , m_shapeRandom(seed)
     , m_choice(choice)
     , m_out(out)
     , m_start(steadyNow())
@@ -125,6 +132,9 @@
             begin(static_cast<Fault>(
                 draw(static_cast<int>(Fault::PauseRouter), static_cast<int>(Fault::EndpointBreaksStreams))));
         }
+        if (storm && !m_choice.only && drawFrom(m_shapeRandom, 0, 2) == 0) {
+            begin(Fault::ShapeAnswers);
+        }
         waitFor(m_fleet.io, milliseconds(storm ? draw(50, 1000) : draw(400, 2000)), yield);
     }
 }
@@ -166,7 +176,7 @@
 
 int FaultPlayer::draw(int from, int to)
 {
-    return std::uniform_int_distribution<int>(from, to)(m_random);
+    return drawFrom(m_random, from, to);
 }
 
 void FaultPlayer::spawn(std::function<void(const yield_context &)> body)
@@ -212,6 +222,9 @@
     case Fault::RestartFleet:
         restartFleet();
         return;
+    case Fault::ShapeAnswers:
+        shapeAnswers();
+        return;
     default:
         beginOnEndpoint(fault);
         return;
@@ -457,6 +470,47 @@
     });
 }
 
+// An answer that its endpoint ends too early, and yet declares whole, is left out: nobody could tell.
+Testing::AnswerShape FaultPlayer::drawShape(bool stream)
+{
+    using Framing = Standins::BodyFraming::Kind;
+    using Testing::AnswerClose;
+    using Testing::AnswerStop;
+    Testing::AnswerShape shape;
+    shape.framing = static_cast<Framing>(drawFrom(m_shapeRandom, 0, 2));
+    shape.stop = static_cast<AnswerStop>(drawFrom(m_shapeRandom, 0, 4));
+    shape.stopAfter = drawFrom(m_shapeRandom, 1, EventsOfStream - 1);
+    shape.close = static_cast<AnswerClose>(drawFrom(m_shapeRandom, 0, 2));
+    const bool inside = shape.stop == AnswerStop::InsideNumber || shape.stop == AnswerStop::InsideEvent;
+    const bool shows = shape.framing == Framing::Connection || shape.stop == AnswerStop::AtEnd || (stream && inside);
+    if (shape.close == AnswerClose::AsFramed && !shows) {
+        shape.close = AnswerClose::InOrder;
+    }
+    return shape;
+}
+
+void FaultPlayer::shapeAnswers()
+{
+    const auto index =
+        static_cast<std::size_t>(drawFrom(m_shapeRandom, 0, static_cast<int>(m_fleet.endpoints.size()) - 1));
+    const Endpoint &endpoint = m_fleet.endpoints[index];
+    const bool stream = endpoint.service == "engine";
+    const Time time(drawFrom(m_shapeRandom, 200, 2500));
+    say(Fault::ShapeAnswers, endpoint.id, time);
+    disturbEndpoint(index, time);
+    endpoint.replica->shapeAnswers([this, stream](const std::string &attempt) {
+        const Testing::AnswerShape shape = drawShape(stream);
+        if (shape.framing == Standins::BodyFraming::Kind::Connection) {
+            noteUndeclaredEnd(m_fleet.promises, attempt);
+        }
+        return std::optional(shape);
+    });
+    spawn([this, index, time](const yield_context &yield) {
+        waitFor(m_fleet.io, time, yield);
+        m_fleet.endpoints[index].replica->shapeAnswers(nullptr);
+    });
+}
+
 void FaultPlayer::disturbRouter(std::size_t router, Time time, bool planned)
 {
     extend(m_fleet.promises.disturbed.routers[router], time);
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -51,6 +51,8 @@
     CutPeers, // What routers send to each other is held; of one router or of all.
     RestartFleet, // SIGKILL of all routers each few seconds, so that each process lives to take its part. Only by
                   // choice.
+    // Beside the others, with choices of its own:
+    ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
 };
 
 std::string_view faultName(Fault fault);
@@ -93,6 +95,8 @@
     void stopRouter(std::size_t router);
     void killRouter(std::size_t router);
     void leaveEndpoint(std::size_t endpoint);
+    void shapeAnswers();
+    Testing::AnswerShape drawShape(bool stream);
     void holdUpConnecting(std::size_t endpoint);
     void killFleet();
     void restartFleet();
@@ -103,6 +107,7 @@
 
     Fleet &m_fleet;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_shapeRandom; // So that the other faults of a seed stay as they are without shapes.
     FaultChoice m_choice;
     std::ostream &m_out;
     TimePoint m_start;
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -149,8 +149,11 @@
         hold(link, toServer, yield);
         if (error) {
             error_code ignored;
-            to.shutdown(tcp::socket::shutdown_send, ignored);
-            if (error != boost::asio::error::eof) {
+            if (error == boost::asio::error::eof) {
+                to.shutdown(tcp::socket::shutdown_send, ignored);
+            } else {
+                // A reset is passed on as one: an end in order would say that all has come.
+                to.set_option(boost::asio::socket_base::linger(true, 0), ignored);
                 to.close(ignored);
             }
             return;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -133,8 +133,12 @@
 void printRepeats(const PlayResult &result)
 {
     for (const auto &[service, traffic] : result.traffic) {
+        // A play with few repeats says little of a share that is used twice.
+        constexpr double leastPart = 1.0 / 3;
         std::cout << "  " << service << ": " << traffic.repeats.size() << " repeats, at most " << traffic.mostRepeats
-                  << " in a window that allows " << traffic.allowedThen << '\n';
+                  << " in a window that allows " << traffic.allowedThen << ", no window used more than "
+                  << std::lround(traffic.mostUsed * 100) << '%'
+                  << (traffic.mostUsed < leastPart ? ": the allowance was hardly tried\n" : "\n");
     }
 }
 
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -28,6 +28,7 @@
 // Of requests that may be repeated, as the documents of the soak have it.
 constexpr std::size_t EndpointsAllowed = 2;
 constexpr unsigned NotFound = 404;
+constexpr std::string_view AnswerBegins = "done by ";
 
 bool runsAtMostOnce(RequestKind kind)
 {
@@ -98,6 +99,21 @@
                    + std::to_string(after) + " ms after that had said that it leaves");
 }
 
+bool isWhole(const std::string &attempt, const SentRequest &request, const Outcome &outcome)
+{
+    return isStream(request.kind) ? outcome.body == wholeStream(attempt)
+                                  : beginsWith(outcome.body, AnswerBegins) && endsWith(outcome.body, " for " + attempt);
+}
+
+// Of a stream, one or more whole events.
+bool isBeginning(const std::string &attempt, const SentRequest &request, const Outcome &outcome)
+{
+    if (isStream(request.kind)) {
+        return endsWith(outcome.body, "\n\n") && beginsWith(wholeStream(attempt), outcome.body);
+    }
+    return beginsWith(outcome.body, AnswerBegins.substr(0, outcome.body.size()));
+}
+
 void checkAnswer(Promises &promises, const std::string &attempt, const SentRequest &request, const Outcome &outcome)
 {
     if (!outcome.attempt.empty() && outcome.attempt != attempt) {
@@ -114,11 +130,16 @@
         noteBreach(promises, Promise::ForeignAnswer, attempt, "a success with seal '" + outcome.seal + "'");
         return;
     }
-    const bool whole = isStream(request.kind)
-        ? outcome.body == wholeStream(attempt)
-        : beginsWith(outcome.body, "done by ") && endsWith(outcome.body, " for " + attempt);
-    if (!whole) {
-        noteBreach(promises, Promise::CutLooksWhole, attempt, "status 200 with the body: " + outcome.body);
+    if (!outcome.endDeclared && !request.endsUndeclared) {
+        noteBreach(promises, Promise::CutLooksWhole, attempt, "nobody declares an end that its endpoint declared");
+    }
+    const bool mayBeCut = !outcome.endDeclared && request.endsUndeclared;
+    if (!isWhole(attempt, request, outcome) && !(mayBeCut && isBeginning(attempt, request, outcome))) {
+        noteBreach(promises,
+                   Promise::CutLooksWhole,
+                   attempt,
+                   std::string("status 200, ") + (outcome.endDeclared ? "declared whole" : "ended in order")
+                       + ", with the body: " + outcome.body);
     }
 }
 
@@ -199,6 +220,7 @@
     traffic.repeats.push_back(now);
     const std::size_t repeats = countBetween(traffic.repeats, now - RepeatWindow, now);
     const double allowed = allowedRepeats(promises, traffic, now);
+    traffic.mostUsed = std::max(traffic.mostUsed, static_cast<double>(repeats) / allowed);
     const bool worst =
         static_cast<double>(repeats) - allowed > static_cast<double>(traffic.mostRepeats) - traffic.allowedThen;
     if (!worst && traffic.mostRepeats > 0) {
@@ -243,6 +265,14 @@
     checkLeaving(promises, endpoint, attempt, now);
 }
 
+void noteUndeclaredEnd(Promises &promises, const std::string &attempt)
+{
+    const auto found = promises.requests.find(attempt);
+    if (found != promises.requests.end()) {
+        found->second.endsUndeclared = true;
+    }
+}
+
 void noteEvents(Promises &promises, const std::string &attempt, int events)
 {
     SentRequest &request = promises.requests[attempt];
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -66,6 +66,7 @@
     std::vector<std::size_t> runs; // Endpoints, in the order of their runs.
     int events = 0; // That its caller got.
     unsigned status = 0; // Of its answer; 0: none yet.
+    bool endsUndeclared = false; // An endpoint's answer to it ended with its connection.
 };
 
 enum class OutcomeKind {
@@ -84,6 +85,7 @@
     std::string seal;
     std::string body; // What was read of it.
     bool bytesAfter = false; // More came than the answer.
+    bool endDeclared = true; // By a length or a last chunk.
 };
 
 struct Breach
@@ -118,6 +120,7 @@
     std::set<std::string> arrived; // Requests.
     std::size_t mostRepeats = 0; // In a window.
     double allowedThen = 0;
+    double mostUsed = 0; // The largest part of the allowance that a window used.
 };
 
 struct Promises
@@ -146,6 +149,8 @@
 // An endpoint of the service got a request, whether it runs it or refuses it.
 void noteArrival(Promises &promises, const std::string &service, const std::string &attempt, TimePoint now);
 void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
+// An endpoint answers it without a length or chunks.
+void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
 // `events`: whole events that its caller has by now.
 void noteEvents(Promises &promises, const std::string &attempt, int events);
 void noteOutcome(Promises &promises, const std::string &attempt, const Outcome &outcome, TimePoint now);
