--- a/godwit/gateway/request_facts.h
+++ b/godwit/gateway/request_facts.h
@@ -46,7 +46,7 @@
     bool leaving = false; // The endpoint closes this connection after the answer.
     std::optional<Duration> keepAlive; // How long the endpoint keeps the connection while it is idle.
     std::optional<Duration> retryAfter;
-    AnswerFraming framing = AnswerFraming::Length;
+    AnswerFraming framing = AnswerFraming::Length; // Known to whoever reads the body.
     bool carriesEvents = false; // A series of events, or the endpoint doesn't say what.
 };
 
