Observability: which requests were under way at an endpoint's death, and what is believed of them

A request has a fingerprint that its attempts share. When a connection ends under it, the router asks the endpoint's port; a port that refuses, or another id at the address, is a death, which a line and a counter tell with the requests that were there. The book of suspects moves out of the routing of the older interface, so that the gateway reaches it as well; it learns when a call was sent and what is certain. Nothing is decided by it yet.

routing_test and kernel_test pass (5,184 and 66 assertions).

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -6,6 +6,7 @@
 #include "godwit/daemon/gateway_metrics.h"
 #include "godwit/daemon/limit_share_keeper.h"
 #include "godwit/daemon/shared_prefix.h"
+#include "godwit/daemon/suspect_keeper.h"
 #include "godwit/gateway/connection_pause.h"
 #include "godwit/relay/caller_connection.h"
 #include "godwit/relay/entry_server.h"
@@ -156,6 +157,7 @@
         , m_limitShares(m_relay, m_store, {m_settings.callerListen})
         , m_links(m_io, m_relay, linkOptions(m_settings, m_self))
         , m_endpoints(m_io, m_relay)
+        , m_suspects(m_io, m_relay, {})
         , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, onDocuments(), reached())
         , m_endpointEntries(m_io, m_store, std::string(EndpointPrefix), {}, onEndpoints(), reached())
         , m_liveEntries(m_io, m_store, LivePrefix, liveOptions(), onLive(), reached())
@@ -432,6 +434,7 @@
         return [this](const SharedPrefix::Items &items) {
             m_relay.state().endpointsAsOf = m_endpointEntries.asOf();
             m_endpoints.onListed(items);
+            m_suspects.onListed();
             checkStage();
         };
     }
@@ -779,6 +782,7 @@
     LimitShareKeeper m_limitShares;
     FleetLinks m_links;
     EndpointList m_endpoints;
+    SuspectKeeper m_suspects;
     SharedPrefix m_documents;
     SharedPrefix m_endpointEntries;
     SharedPrefix m_liveEntries;
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -41,6 +41,10 @@
             << connectionEndName(ending.connection) << "\",position=\"" << positionName(ending) << "\"} " << count
             << '\n';
     }
+    for (const auto &[service, count] : counters.endpointDeaths) {
+        out << "godwit_endpoint_deaths_total{service=\"" << escapeLabel(service) << "\"} " << count << '\n';
+    }
+    line(out, "godwit_suspect_requests", static_cast<double>(state.suspects.deathCount.size()));
     line(out, "godwit_answers_without_declared_end_total", static_cast<double>(counters.answersWithoutDeclaredEnd));
     for (const auto &[kind, count] : counters.repeatDraws) {
         out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
--- /dev/null
+++ b/godwit/gateway/request_identity.cpp
@@ -0,0 +1,29 @@
+#include "godwit/gateway/request_identity.h"
+
+#include "godwit/base/hash.h"
+
+#include <array>
+#include <cstdio>
+
+namespace Godwit
+{
+
+std::uint64_t requestFingerprint(const RequestIdentity &identity)
+{
+    std::string text;
+    for (const std::string_view field :
+         {identity.method, identity.host, identity.target, std::string_view(identity.customer.value)}) {
+        // With its length, so that no two lists of fields make the same text.
+        text.append(std::to_string(field.size())).append(1, ':').append(field);
+    }
+    return stableHash(text.append(fingerprintText(stableHash(identity.body))));
+}
+
+std::string fingerprintText(std::uint64_t fingerprint)
+{
+    std::array<char, 17> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(fingerprint));
+    return digits.data();
+}
+
+} // namespace Godwit
--- a/godwit/kernel/call_decisions.cpp
+++ b/godwit/kernel/call_decisions.cpp
@@ -2,7 +2,7 @@
 
 #include "godwit/base/hash.h"
 #include "godwit/kernel/call_state.h"
-#include "godwit/kernel/suspect_codec.h"
+#include "godwit/suspects/suspect_codec.h"
 
 #include <algorithm>
 
--- a/godwit/kernel/kernel_test.cpp
+++ b/godwit/kernel/kernel_test.cpp
@@ -1,7 +1,7 @@
 #include "godwit/kernel/call_lifecycle.h"
 #include "godwit/kernel/kernel.h"
 #include "godwit/kernel/rate_limit.h"
-#include "godwit/kernel/suspect_codec.h"
+#include "godwit/suspects/suspect_codec.h"
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/godwit/relay/endpoint_probe.cpp
@@ -0,0 +1,78 @@
+#include "godwit/relay/endpoint_probe.h"
+
+#include "godwit/base/enum_names.h"
+#include "godwit/http/address.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace Godwit
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr EnumName<ProbeOutcome> ProbeOutcomeNames[] = {
+    {ProbeOutcome::Accepts, "accepts"},
+    {ProbeOutcome::Refuses, "refuses"},
+    {ProbeOutcome::Silent, "silent"},
+};
+
+struct Probe
+{
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    std::function<void(ProbeOutcome)> done;
+};
+
+void end(Probe &probe, ProbeOutcome outcome)
+{
+    if (const auto done = std::exchange(probe.done, {})) {
+        error_code ignored;
+        probe.socket.close(ignored);
+        probe.timer.cancel();
+        done(outcome);
+    }
+}
+
+} // namespace
+
+std::string_view probeOutcomeName(ProbeOutcome outcome)
+{
+    return enumName(ProbeOutcomeNames, outcome);
+}
+
+void probeEndpoint(asio::io_context &io,
+                   const std::string &address,
+                   Duration limit,
+                   std::function<void(ProbeOutcome)> done)
+{
+    auto probe = std::make_shared<Probe>(Probe{asio::ip::tcp::socket(io), asio::steady_timer(io), std::move(done)});
+    LastReason reason;
+    const auto target = parseAddress(address, reason);
+    if (!target) {
+        asio::post(io, [probe] {
+            end(*probe, ProbeOutcome::Silent);
+        });
+        return;
+    }
+    probe->timer.expires_after(limit);
+    probe->timer.async_wait([probe](const error_code &error) {
+        if (!error) {
+            end(*probe, ProbeOutcome::Silent);
+        }
+    });
+    probe->socket.async_connect(*target, [probe](const error_code &error) {
+        const bool refused = error == asio::error::connection_refused || error == asio::error::connection_reset;
+        const ProbeOutcome failure = refused ? ProbeOutcome::Refuses : ProbeOutcome::Silent;
+        end(*probe, error ? failure : ProbeOutcome::Accepts);
+    });
+}
+
+} // namespace Godwit
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -13,6 +13,7 @@
 #include "godwit/base/time.h"
 #include "godwit/gateway/answer_ending.h"
 #include "godwit/gateway/copy_agreement.h"
+#include "godwit/gateway/crash_watch.h"
 #include "godwit/gateway/endpoint_table.h"
 #include "godwit/gateway/limit_shares.h"
 #include "godwit/gateway/repeat_allowance.h"
@@ -22,6 +23,7 @@
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
+#include "godwit/suspects/suspects.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -103,6 +105,15 @@
     bool endsConnections = false; // Connections end after their answers, so that their callers connect anew.
     CopyAgreement endpointsAgreement; // Whether the list is as new as those of the other routers.
     CopyAgreement documentAgreement;
+    SuspectBook suspects; // Requests under which endpoints died.
+};
+
+// A request that was under way at an endpoint when its connection ended.
+struct RequestCut
+{
+    EndpointId endpoint;
+    EndpointStart start = 0;
+    CutRun run;
 };
 
 // What became of a wish to send a request once more.
@@ -141,6 +152,7 @@
     std::map<std::string, std::uint64_t> attemptsFailed; // By cause.
     std::map<RepeatKind, std::uint64_t> repeatDraws;
     std::map<AnswerEnding, std::uint64_t> answersEnded; // Answers of endpoints, or what came of them.
+    std::map<std::string, std::uint64_t> endpointDeaths; // While requests were under way; by service.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Begun by this router; each takes its caller's connection with it.
     CallMetrics calls;
 };
@@ -206,6 +218,9 @@
     // Called when a prompt goes to an engine that will take `reading` for what it has to read of it.
     std::function<void(const PromptSent &, Duration reading)> onPromptSent;
 
+    // Called when a request's connection has ended before its answer.
+    std::function<void(const RequestCut &)> onCut;
+
     void waitForTokens(const std::shared_ptr<RelayCall> &call);
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -1,6 +1,7 @@
 #include "godwit/relay/relay_call.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/gateway/request_identity.h"
 #include "godwit/prepaid/call_charge.h"
 
 #include <boost/beast/http.hpp>
@@ -511,6 +512,9 @@
     const AnswerExtent extent = extentOf(*m_ending);
     if (extent == AnswerExtent::BrokenOff) {
         endAttempt(AttemptVerdict::Unreachable);
+        if (m_ending->connection != ConnectionEnd::Open) {
+            noteCut();
+        }
         tryAgain("ended_inside_stream", true);
         return;
     }
@@ -560,9 +564,30 @@
     ++m_ran;
     m_mayHaveBegun = true;
     endAttempt(AttemptVerdict::Unreachable);
+    if (failure != ExchangeFailure::Malformed) {
+        noteCut();
+    }
     tryAgain(std::string(exchangeFailureName(failure)), true);
 }
 
+// The connection of the latest attempt has ended, and so may have its endpoint.
+void RelayCall::noteCut()
+{
+    if (m_relay.onCut) {
+        m_relay.onCut({m_endpoint, m_endpointStart, {fingerprint(), m_sentAt, Relay::now()}});
+    }
+}
+
+std::uint64_t RelayCall::fingerprint()
+{
+    if (!m_fingerprint) {
+        const auto method = m_head.method_string();
+        m_fingerprint =
+            requestFingerprint({{method.data(), method.size()}, m_facts.host, m_facts.target, m_customer, m_body});
+    }
+    return *m_fingerprint;
+}
+
 bool RelayCall::runsAtMostOnce() const
 {
     return m_route->kind == GatewayRouteKind::NonIdempotent
@@ -610,6 +635,7 @@
 void RelayCall::tryAgain(const std::string &cause, bool reachedEndpoint)
 {
     ++m_relay.counters().attemptsFailed[cause];
+    const std::string request = fingerprintText(m_fingerprint.value_or(0));
     m_relay.log().write("attempt_failed",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"endpoint", std::string_view(m_endpoint.value)},
@@ -621,7 +647,8 @@
                          {"connection", m_ending ? connectionEndName(m_ending->connection) : "none"},
                          {"position", m_ending ? positionName(*m_ending) : "none"},
                          {"events_passed", static_cast<std::int64_t>(m_eventsPassed)},
-                         {"may_have_run", m_ran > 0}});
+                         {"may_have_run", m_ran > 0},
+                         {"request", m_fingerprint ? std::string_view(request) : std::string_view()}});
     // A stream can go on only after an event that has a number.
     const bool resumable = m_eventsPassed == 0 || m_lastEvent > 0;
     const bool canGoOn = resumable && (!m_headPassed || m_streams || m_eventsPassed > 0);
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -96,6 +96,8 @@
     void passHead(AnswerFraming framing, std::string_view body = {});
     void passPiece(std::string_view bytes);
     void noteEnding();
+    void noteCut();
+    std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
     void endAttempt(AttemptVerdict verdict);
     AttemptVerdict silenceVerdict() const;
@@ -132,6 +134,7 @@
     CustomerId m_customer;
     std::string m_serviceName;
     AllowedRegions m_regions; // By route and customer.
+    std::optional<std::uint64_t> m_fingerprint; // Once it has been asked for.
     int m_urgency = 5;
 
     TimePoint m_arrived;
--- a/godwit/routing/routing.h
+++ b/godwit/routing/routing.h
@@ -20,7 +20,7 @@
 #include "godwit/base/time.h"
 #include "godwit/routing/load_report.h"
 #include "godwit/routing/routing_state.h"
-#include "godwit/routing/suspect_notice.h"
+#include "godwit/suspects/suspect_notice.h"
 
 #include <cstdint>
 #include <optional>
--- a/godwit/routing/routing_state.h
+++ b/godwit/routing/routing_state.h
@@ -8,7 +8,7 @@
 #include "godwit/routing/fair_queue.h"
 #include "godwit/routing/load_report.h"
 #include "godwit/routing/prefix_index.h"
-#include "godwit/routing/suspects.h"
+#include "godwit/suspects/suspects.h"
 
 #include <array>
 #include <cstddef>
--- a/godwit/routing/suspects_test.cpp
+++ b/godwit/routing/suspects_test.cpp
@@ -1,6 +1,6 @@
 #include "godwit/routing/routing.h"
 #include "godwit/routing/sim_fleet.h"
-#include "godwit/routing/suspects.h"
+#include "godwit/suspects/suspects.h"
 
 #include <catch2/catch.hpp>
 
--- a/godwit/kernel/suspect_codec.cpp
+++ b/godwit/suspects/suspect_codec.cpp
@@ -1,4 +1,4 @@
-#include "godwit/kernel/suspect_codec.h"
+#include "godwit/suspects/suspect_codec.h"
 
 #include "godwit/base/cbor_shape.h"
 
--- a/godwit/kernel/suspect_codec.h
+++ b/godwit/suspects/suspect_codec.h
@@ -5,7 +5,7 @@
 // Example:
 //   const auto notice = decodeSuspectNotice(encodeSuspectNotice(told));
 
-#include "godwit/routing/suspect_notice.h"
+#include "godwit/suspects/suspect_notice.h"
 
 #include <optional>
 #include <string>
--- a/godwit/routing/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -1,4 +1,4 @@
-#include "godwit/routing/suspects.h"
+#include "godwit/suspects/suspects.h"
 
 #include <algorithm>
 #include <iterator>
@@ -59,6 +59,8 @@
         });
     EndpointDeath fresh = death;
     fresh.fingerprints.clear();
+    fresh.sentAt.clear();
+    fresh.certain.clear();
     return *book.deaths.insert(place, std::move(fresh));
 }
 
@@ -74,7 +76,9 @@
     Coincidence result;
     std::set<EndpointId> others;
     for (const auto &other : book.deaths) {
-        if (other.endpoint == death.endpoint || !sameTime(book, other.at, death.at) || holds(other, fingerprint)) {
+        // A death that is laid to a request is no sign of a failure of the network.
+        if (other.endpoint == death.endpoint || !sameTime(book, other.at, death.at) || holds(other, fingerprint)
+            || !other.certain.empty()) {
             continue;
         }
         others.insert(other.endpoint);
@@ -88,22 +92,19 @@
 // together that share no request; without this rule whoever was retried from one of them to another is condemned.
 bool isSound(const SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint)
 {
+    if (death.certain.count(fingerprint) != 0) {
+        return true;
+    }
     const auto coincidence = coincidenceWith(book, death, fingerprint);
     return !coincidence.sameHost && coincidence.endpoints < book.options.unrelatedDeaths;
 }
 
-std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint)
+// Whether a call was sent there only after `before`, so that it may be what ended both. One that was in flight at
+// several endpoints when they died together has ended one of them at most.
+bool cameAfter(const EndpointDeath &death, std::uint64_t fingerprint, const EndpointDeath &before)
 {
-    std::vector<const EndpointDeath *> sound;
-    for (const auto *death : deathsOf(book, fingerprint)) {
-        const bool known = std::any_of(sound.begin(), sound.end(), [&](const EndpointDeath *other) {
-            return other->endpoint == death->endpoint;
-        });
-        if (!known && isSound(book, *death, fingerprint)) {
-            sound.push_back(death);
-        }
-    }
-    return sound;
+    const auto sent = death.sentAt.find(fingerprint);
+    return sent == death.sentAt.end() || sent->second >= before.at;
 }
 
 // Whether another fingerprint was in flight at each of the deaths, so that it may be the one to blame.
@@ -119,12 +120,20 @@
 
 } // namespace
 
-bool noteSuspect(SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint)
+bool noteSuspect(SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint, const InFlight &run)
 {
     if (book.deathCount.size() >= book.options.maxFingerprints && book.deathCount.count(fingerprint) == 0) {
         return false;
     }
-    auto &fingerprints = deathFor(book, death).fingerprints;
+    EndpointDeath &known = deathFor(book, death);
+    if (run.sentAt) {
+        auto &sentAt = known.sentAt.emplace(fingerprint, *run.sentAt).first->second;
+        sentAt = std::min(sentAt, *run.sentAt);
+    }
+    if (run.certain) {
+        known.certain.insert(fingerprint);
+    }
+    auto &fingerprints = known.fingerprints;
     const auto place = std::lower_bound(fingerprints.begin(), fingerprints.end(), fingerprint);
     if (place != fingerprints.end() && *place == fingerprint) {
         return false;
@@ -163,10 +172,24 @@
         }
         auto &list = death.fingerprints;
         list.erase(std::lower_bound(list.begin(), list.end(), fingerprint));
+        death.sentAt.erase(fingerprint);
+        death.certain.erase(fingerprint);
         forgetCount(book, fingerprint);
     }
 }
 
+void pardon(SuspectBook &book, std::uint64_t fingerprint)
+{
+    std::set<EndpointId> endpoints;
+    for (const auto *death : deathsOf(book, fingerprint)) {
+        endpoints.insert(death->endpoint);
+    }
+    for (const auto &endpoint : endpoints) {
+        clearSuspect(book, endpoint, fingerprint);
+    }
+    book.refusedUntil.erase(fingerprint);
+}
+
 Verdict verdictOn(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now)
 {
     if (refusedFor(book, fingerprint, now) > Duration::zero()) {
@@ -177,15 +200,34 @@
 
 Verdict judge(SuspectBook &book, std::uint64_t fingerprint, TimePoint now)
 {
-    constexpr std::size_t deathsToConvict = 2;
     const auto sound = soundDeaths(book, fingerprint);
-    if (sound.size() < deathsToConvict || isAmbiguous(sound, fingerprint)) {
+    if (sound.size() < book.options.deathsToConvict || isAmbiguous(sound, fingerprint)) {
         return verdictOn(book, fingerprint, now);
     }
-    recordConviction(book, fingerprint, now + book.options.refuseFor);
+    recordConviction(book, fingerprint, now + termFor(book.options, sound.size()));
     return Verdict::Convicted;
 }
 
+Duration termFor(const SuspectOptions &options, std::size_t deaths)
+{
+    return deaths > options.deathsToConvict ? options.refuseFor : options.firstRefuseFor;
+}
+
+std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint)
+{
+    std::vector<const EndpointDeath *> sound;
+    for (const auto *death : deathsOf(book, fingerprint)) {
+        const bool known = std::any_of(sound.begin(), sound.end(), [&](const EndpointDeath *other) {
+            return other->endpoint == death->endpoint;
+        });
+        const bool follows = sound.empty() || cameAfter(*death, fingerprint, *sound.back());
+        if (!known && follows && isSound(book, *death, fingerprint)) {
+            sound.push_back(death);
+        }
+    }
+    return sound;
+}
+
 void recordConviction(SuspectBook &book, std::uint64_t fingerprint, TimePoint until)
 {
     if (book.refusedUntil.size() >= book.options.maxFingerprints && book.refusedUntil.count(fingerprint) == 0) {
--- a/godwit/routing/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -3,9 +3,10 @@
 // Requests that may crash endpoints: who was in flight when an endpoint died, and who is to be refused.
 //
 // One death makes all calls in flight there suspects and condemns nobody. A fingerprint is convicted when it is the
-// only one found at two sound deaths of different endpoints. A death is sound when it is no part of a failure of a
-// host or of the network, which shows by deaths at the same moment that the fingerprint had no part in. Judgement
-// waits until such deaths must have shown (SuspectOptions::settle).
+// only one found at SuspectOptions::deathsToConvict sound deaths of different endpoints, each of which it reached after
+// the one before. A death is sound when it is no part of a failure of a host or of the network, which shows by deaths
+// at the same moment that the fingerprint had no part in. Judgement waits until such deaths must have shown
+// (SuspectOptions::settle).
 //
 // Example:
 //   noteSuspect(book, death, call.fingerprint, now);
@@ -19,6 +20,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -32,7 +34,9 @@
     // How long a death counts against those who were in flight. Longer than refuseFor: a request that comes back after
     // its refusal and crashes a further endpoint is refused again at once.
     Duration memory = std::chrono::hours(2);
-    // How long a convicted fingerprint is refused.
+    std::size_t deathsToConvict = 2;
+    // How long a fingerprint is refused that was convicted with just so many deaths, and with more.
+    Duration firstRefuseFor = std::chrono::hours(1);
     Duration refuseFor = std::chrono::hours(1);
     // So many deaths at once that a fingerprint had no part in clear it.
     std::size_t unrelatedDeaths = 2;
@@ -48,6 +52,17 @@
     TimePoint at;
     // Who was in flight, sorted. Empty for a failure to connect, which is evidence of a host failure only.
     std::vector<std::uint64_t> fingerprints;
+    // When the calls were sent that died here, where that is known; the earliest of a fingerprint.
+    std::unordered_map<std::uint64_t, TimePoint> sentAt;
+    // Of these fingerprints it was a trial, or the death was counted before: no coincidence speaks for them.
+    std::set<std::uint64_t> certain;
+};
+
+// How a call came to be in flight at a death.
+struct InFlight
+{
+    std::optional<TimePoint> sentAt;
+    bool certain = false; // As EndpointDeath::certain.
 };
 
 enum class Verdict {
@@ -68,7 +83,7 @@
 
 // Notes that `fingerprint` was in flight when the endpoint died; joins a death of that endpoint at about that time.
 // Returns whether this was new.
-bool noteSuspect(SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint);
+bool noteSuspect(SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint, const InFlight &run = {});
 
 // Notes a failure that nobody is suspected of.
 void noteUnrelatedDeath(SuspectBook &book, const EndpointDeath &death);
@@ -79,6 +94,9 @@
 // Takes all deaths of `endpoint` back for one fingerprint.
 void clearSuspect(SuspectBook &book, const EndpointId &endpoint, std::uint64_t fingerprint);
 
+// Takes everything back that is held against a fingerprint: an answer of it came whole, or an operator says so.
+void pardon(SuspectBook &book, std::uint64_t fingerprint);
+
 // What is known by now. Suspected while a death counts against it or is not settled.
 Verdict verdictOn(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
 
@@ -103,6 +121,12 @@
 // The deaths that the fingerprint had part in, the earliest first.
 std::vector<const EndpointDeath *> deathsOf(const SuspectBook &book, std::uint64_t fingerprint);
 
+// The sound deaths of different endpoints that count against it, the earliest first.
+std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint);
+
+// How long a fingerprint is refused that is convicted with so many deaths.
+Duration termFor(const SuspectOptions &options, std::size_t deaths);
+
 // How long a conviction still holds; zero when there is none.
 Duration refusedFor(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
 
--- a/scenarios/fuzz/record_fuzz.cpp
+++ b/scenarios/fuzz/record_fuzz.cpp
@@ -7,8 +7,8 @@
 #include "godwit/claims/claim_record.h"
 #include "godwit/config/config_codec.h"
 #include "godwit/config/config_document.h"
-#include "godwit/kernel/suspect_codec.h"
 #include "godwit/membership/membership.h"
+#include "godwit/suspects/suspect_codec.h"
 
 #include <cstdlib>
 #include <string>
