--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 
+#include <sys/socket.h>
+
 #include <optional>
 
 namespace Godwit::Standins
@@ -376,16 +378,40 @@
     return m_acceptor.local_endpoint();
 }
 
+void HttpServer::die()
+{
+    // Keeps the port, which a closed socket would leave to whoever asks for any.
+    m_dead = true;
+    m_acceptor.cancel();
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    for (const auto &reset : std::exchange(m_resets, {})) {
+        reset();
+    }
+}
+
+void HttpServer::listenAgain()
+{
+    m_dead = false;
+    m_acceptor.listen();
+    accept();
+}
+
 void HttpServer::accept()
 {
     m_acceptor.async_accept([this](ErrorCode error, Tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
+        if (error == asio::error::operation_aborted || m_dead) {
             return;
         }
         if (!error) {
             ErrorCode ignored;
             socket.set_option(Tcp::no_delay(true), ignored);
-            std::make_shared<Connection>(std::move(socket), m_options, m_handler)->read();
+            const auto connection = std::make_shared<Connection>(std::move(socket), m_options, m_handler);
+            m_resets.emplace_back([weak = std::weak_ptr(connection)] {
+                if (const auto open = weak.lock()) {
+                    open->reset();
+                }
+            });
+            connection->read();
         }
         accept();
     });
--- a/standins/common/http_server.h
+++ b/standins/common/http_server.h
@@ -87,10 +87,16 @@
     // The address that it listens on, with the port that the system chose when port 0 was asked for.
     boost::asio::ip::tcp::endpoint address() const;
 
+    // As when the process dies: resets all connections, and the port refuses until listenAgain().
+    void die();
+    void listenAgain();
+
 private:
     void accept();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    bool m_dead = false;
+    std::vector<std::function<void()>> m_resets; // Of the connections that were accepted since the last death.
     HttpServerOptions m_options;
     HttpHandler m_handler;
 };
