The soak plays requests that crash endpoints, beside harmless ones and deaths of other causes

Two such requests come at any router in each play, and endpoints die by themselves. New promises: none is sent more than three times later than 3 s after its third death by routers in touch; no harmless request is condemned, some of which come once and some from many callers.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -27,6 +27,8 @@
 constexpr int Permille = 1000;
 constexpr int NewConnectionPermille = 120;
 constexpr int PrepaidPermille = 700; // Of streams.
+constexpr int LongestCalm = 6000; // Milliseconds before a request that crashes endpoints comes.
+constexpr int LongestCrasherPause = 500; // Milliseconds between its sends.
 constexpr int LongestThought = 100; // Milliseconds between two requests of a caller.
 
 void waitFor(boost::asio::io_context &io, std::chrono::milliseconds time, const yield_context &yield)
@@ -72,11 +74,11 @@
     return request;
 }
 
-CallerRequest makeRequest(const SentRequest &sent, const std::string &attempt)
+CallerRequest makeRequest(const SentRequest &sent, const std::string &target, const std::string &attempt)
 {
     const bool stream = sent.kind == RequestKind::Chat || sent.kind == RequestKind::Write;
     const auto verb = sent.kind == RequestKind::Read ? http::verb::get : http::verb::post;
-    CallerRequest request = makeRequest(verb, pathOf(sent.kind), attempt, sent.prepaid ? PrepaidKey : OtherKey);
+    CallerRequest request = makeRequest(verb, target, attempt, sent.prepaid ? PrepaidKey : OtherKey);
     if (stream) {
         constexpr int mostTokens = EventsOfStream * TokensPerEvent;
         request.set(TokenCountsField, std::to_string(sent.promptTokens) + ',' + std::to_string(mostTokens));
@@ -184,13 +186,43 @@
         sent.router = router;
         sent.sentAt = steadyNow();
         const std::string attempt = "c" + std::to_string(number) + '-' + std::to_string(i);
+        // Some come once, others are the same one from many callers.
+        const std::string target = pathOf(sent.kind) + (i % 3 == 0 ? '?' + attempt : std::string());
         noteSent(fleet.promises, attempt, sent);
         noteRequest(fleet.promises, serviceOf(sent.kind), sent.sentAt);
         const auto onBody = [&](const std::string &body) {
             noteEvents(fleet.promises, attempt, stream ? countEvents(body) : 0);
         };
         const Outcome outcome =
-            caller.call(fleet.routers[router].process->callers(), makeRequest(sent, attempt), onBody, yield);
+            caller.call(fleet.routers[router].process->callers(), makeRequest(sent, target, attempt), onBody, yield);
+        noteOutcome(fleet.promises, attempt, outcome, steadyNow());
+    }
+}
+
+void runCrasher(Fleet &fleet, std::uint64_t seed, int number, const yield_context &yield)
+{
+    constexpr std::array kinds = {RequestKind::Read, RequestKind::Write, RequestKind::Book};
+    std::mt19937_64 random(seed + static_cast<std::uint64_t>(number));
+    const RequestKind kind = kinds.at(static_cast<std::size_t>(draw(random, static_cast<int>(kinds.size()))));
+    const std::string target = pathOf(kind) + std::string("/") + CrashTarget + std::to_string(number);
+    waitFor(fleet.io, std::chrono::milliseconds(2000 + draw(random, LongestCalm)), yield);
+    for (int i = 0; !fleet.ending; ++i) {
+        waitFor(fleet.io, std::chrono::milliseconds(150 + draw(random, LongestCrasherPause)), yield);
+        SentRequest sent;
+        sent.kind = kind;
+        sent.crashes = true;
+        sent.promptTokens = 20;
+        sent.router = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
+        sent.sentAt = steadyNow();
+        const std::string attempt = "x" + std::to_string(number) + '-' + std::to_string(i);
+        noteSent(fleet.promises, attempt, sent);
+        noteRequest(fleet.promises, serviceOf(sent.kind), sent.sentAt);
+        Caller caller(fleet.io);
+        const auto onBody = [&](const std::string &body) {
+            noteEvents(fleet.promises, attempt, kind == RequestKind::Write ? countEvents(body) : 0);
+        };
+        const Outcome outcome = caller.call(
+            fleet.routers[sent.router].process->callers(), makeRequest(sent, target, attempt), onBody, yield);
         noteOutcome(fleet.promises, attempt, outcome, steadyNow());
     }
 }
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -56,6 +56,9 @@
 // Asks with requests of all kinds until the fleet is ending. `number` tells the callers of a play apart.
 void runCaller(Fleet &fleet, std::uint64_t seed, int number, const boost::asio::yield_context &yield);
 
+// Sends one request under which endpoints die, again and again at any router, until the fleet is ending.
+void runCrasher(Fleet &fleet, std::uint64_t seed, int number, const boost::asio::yield_context &yield);
+
 // Asks each router for the routes of the newest documents until the fleet is ending.
 void watchDocuments(Fleet &fleet, std::uint64_t seed, const boost::asio::yield_context &yield);
 
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -44,6 +44,7 @@
     {Fault::KillFleet, "kill fleet"},
     {Fault::CutPeers, "cut peers"},
     {Fault::RestartFleet, "restart fleet"},
+    {Fault::CrashRequests, "crash requests"},
     {Fault::ShapeAnswers, "shape answers"},
 };
 
@@ -91,6 +92,7 @@
 FaultPlayer::FaultPlayer(Fleet &fleet, std::uint64_t seed, FaultChoice choice, std::ostream &out)
     : m_fleet(fleet)
     , m_random(seed)
+    , m_deathRandom(seed)
     , m_shapeRandom(seed)
     , m_choice(choice)
     , m_out(out)
@@ -139,6 +141,21 @@
     }
 }
 
+void FaultPlayer::killEndpoints(const yield_context &yield)
+{
+    while (!m_fleet.ending) {
+        waitFor(m_fleet.io, milliseconds(drawFrom(m_deathRandom, 2500, 7000)), yield);
+        for (int left = drawFrom(m_deathRandom, 1, 2); left > 0 && !m_fleet.ending; --left) {
+            const auto endpoint =
+                static_cast<std::size_t>(drawFrom(m_deathRandom, 0, static_cast<int>(m_fleet.endpoints.size()) - 1));
+            const Time down(drawFrom(m_deathRandom, 500, 3000));
+            ++m_played[Fault::CrashRequests];
+            say(Fault::CrashRequests, m_fleet.endpoints[endpoint].id + " dies", down);
+            killEndpoint(m_fleet, endpoint, down);
+        }
+    }
+}
+
 void FaultPlayer::watchRouters(const yield_context &yield)
 {
     while (!m_fleet.ending) {
@@ -222,6 +239,9 @@
     case Fault::RestartFleet:
         restartFleet();
         return;
+    case Fault::CrashRequests:
+        // They come beside all other faults.
+        return;
     case Fault::ShapeAnswers:
         shapeAnswers();
         return;
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -52,6 +52,7 @@
     RestartFleet, // SIGKILL of all routers each few seconds, so that each process lives to take its part. Only by
                   // choice.
     // Beside the others, with choices of its own:
+    CrashRequests, // Requests that crash endpoints come again and again, and endpoints die of other causes.
     ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
 };
 
@@ -72,6 +73,9 @@
     // Plays for `time`, then lets the fleet end. Storms of all faults, planned work alone and calm take turns.
     void run(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
 
+    // Endpoints that die of no request. Runs beside run().
+    void killEndpoints(const boost::asio::yield_context &yield);
+
     // Ends that nobody asked for, and starts that are due. Runs beside run().
     void watchRouters(const boost::asio::yield_context &yield);
 
@@ -107,6 +111,7 @@
 
     Fleet &m_fleet;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_deathRandom; // As m_shapeRandom.
     std::mt19937_64 m_shapeRandom; // So that the other faults of a seed stay as they are without shapes.
     FaultChoice m_choice;
     std::ostream &m_out;
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <array>
 #include <utility>
 
@@ -30,6 +32,12 @@
     timer.async_wait(yield);
 }
 
+tcp::endpoint endpointOf(const std::string &address)
+{
+    LastReason reason;
+    return parseAddress(address, reason).value();
+}
+
 } // namespace
 
 struct FaultProxy::Link
@@ -48,10 +56,9 @@
 
 FaultProxy::FaultProxy(boost::asio::io_context &io, const std::string &server)
     : m_io(io)
-    , m_acceptor(io, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    , m_acceptor(io, endpointOf(m_port.address()))
 {
-    LastReason reason;
-    m_server = parseAddress(server, reason).value();
+    m_server = endpointOf(server);
     accept();
 }
 
@@ -80,7 +87,7 @@
 
 void FaultProxy::acceptLate()
 {
-    if (std::exchange(m_late, true)) {
+    if (m_refuses || std::exchange(m_late, true)) {
         return;
     }
     m_acceptor.cancel();
@@ -92,13 +99,31 @@
 
 void FaultProxy::acceptAgain()
 {
-    if (std::exchange(m_late, false)) {
+    if (!m_refuses && std::exchange(m_late, false)) {
         m_fillers.clear();
         m_acceptor.listen(UsualBacklog);
         accept();
     }
 }
 
+void FaultProxy::refuse()
+{
+    m_refuses = true;
+    m_late = false;
+    m_fillers.clear();
+    m_acceptor.cancel();
+    // Keeps the port, which a closed socket would leave to whoever asks for any.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    resetAll();
+}
+
+void FaultProxy::listenAgain()
+{
+    m_refuses = false;
+    m_acceptor.listen(UsualBacklog);
+    accept();
+}
+
 void FaultProxy::accept()
 {
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
@@ -113,7 +138,7 @@
                 serve(link, yield);
             },
             [](const std::exception_ptr &) {});
-        if (!m_late) {
+        if (!m_late && !m_refuses) {
             accept();
         }
     });
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -7,6 +7,8 @@
 //   proxy.faults().delay = std::chrono::milliseconds(200);
 //   proxy.acceptLate();
 
+#include "platform/testing/reserved_port.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
@@ -45,6 +47,9 @@
     // Opening packets are dropped, as of a server whose accept queue is full, until acceptAgain().
     void acceptLate();
     void acceptAgain();
+    // As of a server that has died: all connections end and the port refuses, until listenAgain().
+    void refuse();
+    void listenAgain();
 
 private:
     struct Link;
@@ -57,11 +62,13 @@
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::endpoint m_server;
+    Testing::ReservedPort m_port; // Also while nothing listens there.
     boost::asio::ip::tcp::acceptor m_acceptor;
     ProxyFaults m_faults;
     std::vector<std::weak_ptr<Link>> m_links;
     std::vector<boost::asio::ip::tcp::socket> m_fillers; // They fill the accept queue.
     bool m_late = false;
+    bool m_refuses = false;
 };
 
 } // namespace Godwit::Soak
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -2,13 +2,22 @@
 
 #include "platform/site_codec.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 namespace Godwit::Soak
 {
 namespace
 {
 
+// How long a request runs before its endpoint dies of it, and until that endpoint is back.
+constexpr auto CrashAfter = std::chrono::milliseconds(30);
+constexpr auto DownAfterCrash = std::chrono::milliseconds(1500);
+
 using nlohmann::json;
 
 // An answer takes long enough that signals and faults meet requests on their way.
@@ -67,6 +76,27 @@
     return entry;
 }
 
+void after(boost::asio::io_context &io, std::chrono::milliseconds time, std::function<void()> step)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(io, time);
+    timer->async_wait([timer, step = std::move(step)](const boost::system::error_code &error) {
+        if (!error) {
+            step();
+        }
+    });
+}
+
+void crashSoon(Fleet &fleet, std::size_t index, const std::string &target)
+{
+    after(fleet.io, CrashAfter, [&fleet, index, target, start = fleet.endpoints[index].start] {
+        const Endpoint &endpoint = fleet.endpoints[index];
+        if (!endpoint.dead && endpoint.start == start) {
+            noteCrash(fleet.promises, target, steadyNow());
+            killEndpoint(fleet, index, DownAfterCrash);
+        }
+    });
+}
+
 void addEndpoint(Fleet &fleet, const std::string &service, std::size_t number)
 {
     Endpoint endpoint;
@@ -80,6 +110,14 @@
     endpoint.replica->onArrival([&fleet, service](const std::string &attempt) {
         noteArrival(fleet.promises, service, attempt, steadyNow());
     });
+    endpoint.replica->onRequest([&fleet, index](const std::string &target, const std::string &attempt) {
+        if (target.find(CrashTarget) != std::string::npos) {
+            noteCrashRun(fleet.promises, target, attempt, steadyNow());
+            crashSoon(fleet, index, target);
+            return false;
+        }
+        return true;
+    });
     endpoint.replica->onRun([&fleet, index](const std::string &attempt) {
         noteRun(fleet.promises, index, attempt, steadyNow());
     });
@@ -137,6 +175,29 @@
     }
 }
 
+void killEndpoint(Fleet &fleet, std::size_t index, std::chrono::milliseconds down)
+{
+    Endpoint &endpoint = fleet.endpoints[index];
+    if (std::exchange(endpoint.dead, true)) {
+        return;
+    }
+    Disturbances &disturbed = fleet.promises.disturbed;
+    for (TimePoint *until : {&disturbed.endpoints[index], &disturbed.unplanned}) {
+        *until = std::max(*until, steadyNow() + down);
+    }
+    endpoint.proxy->refuse();
+    endpoint.replica->die();
+    after(fleet.io, down, [&fleet, index] {
+        Endpoint &back = fleet.endpoints[index];
+        fleet.store.remove("servers/" + back.id);
+        back.id = "i-" + back.service + '-' + std::to_string(index) + ".start-" + std::to_string(++back.start);
+        back.dead = false;
+        back.replica->restart(back.id);
+        back.proxy->listenAgain();
+        listEndpoint(fleet, index, "ready");
+    });
+}
+
 void putNextDocument(Fleet &fleet, std::int64_t more)
 {
     Promises &promises = fleet.promises;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -54,6 +55,8 @@
 {
     std::string id;
     std::string service;
+    int start = 1;
+    bool dead = false;
     std::unique_ptr<Testing::ReplicaService> replica;
     std::unique_ptr<FaultProxy> proxy;
 };
@@ -74,6 +77,12 @@
 // What the endpoint writes about itself into the store.
 void listEndpoint(Fleet &fleet, std::size_t endpoint, const std::string &state);
 
+// The endpoint's process dies; after `down` it is back at its address under another id.
+void killEndpoint(Fleet &fleet, std::size_t endpoint, std::chrono::milliseconds down);
+
+// Requests whose target goes on so after their route's prefix crash the endpoint that runs them.
+constexpr const char *CrashTarget = "crash-";
+
 // Writes the next document: the same routes, but for one that only this document has, and a prepaid total that is
 // `more` higher.
 void putNextDocument(Fleet &fleet, std::int64_t more);
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -19,6 +19,7 @@
 using boost::asio::yield_context;
 using std::chrono::milliseconds;
 
+constexpr int Crashers = 2;
 constexpr auto LagStep = milliseconds(20);
 constexpr auto ReportStep = milliseconds(200);
 // One cause can break a promise for many requests; the first ones tell it.
@@ -125,6 +126,16 @@
     spawn(io, [&](const yield_context &yield) {
         player.watchRouters(yield);
     });
+    if (options.only.value_or(Fault::CrashRequests) == Fault::CrashRequests) {
+        for (int i = 0; i < Crashers; ++i) {
+            spawn(io, [&fleet, &options, i](const yield_context &yield) {
+                runCrasher(fleet, options.seed, i, yield);
+            });
+        }
+        spawn(io, [&](const yield_context &yield) {
+            player.killEndpoints(yield);
+        });
+    }
     spawn(io, [&](const yield_context &yield) {
         while (!fleet.ending) {
             const TimePoint before = steadyNow();
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -23,6 +23,8 @@
     {Promise::DocumentBack, "document went back"},
     {Promise::Crash, "router ended by itself"},
     {Promise::RepeatsBeyond, "repeats beyond the allowance"},
+    {Promise::CrashesOn, "a request that crashes endpoints was sent on"},
+    {Promise::Condemned, "a harmless request was condemned"},
 };
 
 // Of requests that may be repeated, as the documents of the soak have it.
@@ -265,6 +267,32 @@
     checkLeaving(promises, endpoint, attempt, now);
 }
 
+void noteCrashRun(Promises &promises, const std::string &target, const std::string &attempt, TimePoint now)
+{
+    CrashHistory &history = promises.crashes[target];
+    const auto request = promises.requests.find(attempt);
+    if (request == promises.requests.end() || history.deaths.size() < DeathsThatTell
+        || now <= history.deaths[DeathsThatTell - 1] + ContactTime) {
+        return;
+    }
+    const Disturbances &disturbed = promises.disturbed;
+    const bool inTouch =
+        now > disturbed.routers[request->second.router] + ContactTime && now > disturbed.store + ContactTime;
+    history.sentAfterwards += inTouch ? 1 : 0;
+    if (inTouch && history.sentAfterwards > SendsAfterwards) {
+        noteBreach(promises,
+                   Promise::CrashesOn,
+                   attempt,
+                   target + ": sent " + std::to_string(history.sentAfterwards) + " times more, "
+                       + std::to_string(history.deaths.size()) + " endpoints have died");
+    }
+}
+
+void noteCrash(Promises &promises, const std::string &target, TimePoint now)
+{
+    promises.crashes[target].deaths.push_back(now);
+}
+
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt)
 {
     const auto found = promises.requests.find(attempt);
@@ -308,6 +336,9 @@
     }
     request.status = outcome.status;
     ++promises.outcomes[std::to_string(outcome.status)];
+    if (!request.crashes && outcome.body.find("suspect_request") != std::string::npos) {
+        noteBreach(promises, Promise::Condemned, attempt, outcome.body);
+    }
     if (saysNotRun(outcome.status) && runsAtMostOnce(request.kind) && !request.runs.empty()) {
         noteBreach(promises,
                    Promise::FalseRefusal,
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -29,6 +29,9 @@
 constexpr Duration ContactTime = std::chrono::milliseconds(3000);
 // After a router showed one document, requests sent later than this must not meet an older one.
 constexpr Duration RollbackSlack = std::chrono::milliseconds(250);
+// A request under which so many endpoints died may be sent so often later than ContactTime after that.
+constexpr std::size_t DeathsThatTell = 3;
+constexpr int SendsAfterwards = 3;
 constexpr Duration RepeatWindow = std::chrono::seconds(10);
 
 enum class Promise {
@@ -45,6 +48,8 @@
     DocumentBack,
     Crash,
     RepeatsBeyond,
+    CrashesOn,
+    Condemned,
 };
 
 std::string_view promiseName(Promise promise);
@@ -66,6 +71,7 @@
     std::vector<std::size_t> runs; // Endpoints, in the order of their runs.
     int events = 0; // That its caller got.
     unsigned status = 0; // Of its answer; 0: none yet.
+    bool crashes = false; // Its endpoint dies of it.
     bool endsUndeclared = false; // An endpoint's answer to it ended with its connection.
 };
 
@@ -123,9 +129,17 @@
     double mostUsed = 0; // The largest part of the allowance that a window used.
 };
 
+// What became of a request under which endpoints die.
+struct CrashHistory
+{
+    std::vector<TimePoint> deaths;
+    int sentAfterwards = 0; // By routers in touch.
+};
+
 struct Promises
 {
     std::map<std::string, SentRequest> requests;
+    std::map<std::string, CrashHistory> crashes; // By target.
     std::vector<std::optional<TimePoint>> leavingSince; // By endpoint.
     std::int64_t prepaidTotal = 0;
     std::int64_t spent = 0;
@@ -149,6 +163,9 @@
 // An endpoint of the service got a request, whether it runs it or refuses it.
 void noteArrival(Promises &promises, const std::string &service, const std::string &attempt, TimePoint now);
 void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
+// It runs, and its endpoint will die of it; the endpoint has died of it.
+void noteCrashRun(Promises &promises, const std::string &target, const std::string &attempt, TimePoint now);
+void noteCrash(Promises &promises, const std::string &target, TimePoint now);
 // An endpoint answers it without a length or chunks.
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
 // `events`: whole events that its caller has by now.
