A suspect is not tried at the last endpoint of its service that is known to live

The second death under a request comes within its first call, so that with three endpoints the trial took down the last one and all others of the service waited until the first was back. Notices go to the routers that callers are told of, and answers that clear suspects are told together. A router reads the others' entries again after it has written its own, as before.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -145,7 +145,7 @@
 
 void FleetLinks::tellSuspects(const std::vector<SuspectNotice> &notices)
 {
-    m_mesh->broadcast({SuspectsTopic, encodeSuspectNotices(notices)});
+    tellEntries({SuspectsTopic, encodeSuspectNotices(notices)});
 }
 
 bool FleetLinks::isEntry(const Peer &peer) const
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -161,7 +161,7 @@
     // Tells all others that this router has sent a long prompt to an engine.
     void tellPrompt(const PromptSent &prompt, Duration reading);
 
-    // Tells all others of requests that endpoints died under.
+    // Tells those that callers are told of about requests that endpoints died under.
     void tellSuspects(const std::vector<SuspectNotice> &notices);
 
     // Another router has told of such requests.
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -203,7 +203,7 @@
         };
         m_keeper.onLiveWritten = [this] {
             // Whoever wrote its entry before is in this reading, and whoever does later reads this one's.
-            if (!m_liveEntries.isComplete()) {
+            if (!std::exchange(m_readSinceEntry, true)) {
                 m_liveEntries.readNow();
             }
         };
@@ -834,6 +834,7 @@
     bool m_outdated = false;
     TimePoint m_nextConfirm;
     TimePoint m_startedAt;
+    bool m_readSinceEntry = false; // The others' entries, since this router's own was written first.
     bool m_stopping = false;
     TimePoint m_stopBegan;
 };
--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -355,19 +355,29 @@
     }
     pardon(state.suspects, fingerprint);
     ++m_relay.counters().suspectsCleared;
-    SuspectNotice notice;
-    notice.fingerprint = fingerprint;
-    notice.status = SuspectStatus::Cleared;
-    if (tell) {
-        tell({notice});
-    }
+    m_cleared.insert(fingerprint);
     if (recorded) {
+        tellCleared();
         logRequest("suspect_cleared", fingerprint);
         remove(fingerprint);
     }
     noteTrialEndpoints();
 }
 
+void SuspectKeeper::tellCleared()
+{
+    std::vector<SuspectNotice> notices;
+    for (const std::uint64_t fingerprint : std::exchange(m_cleared, {})) {
+        SuspectNotice notice;
+        notice.fingerprint = fingerprint;
+        notice.status = SuspectStatus::Cleared;
+        notices.push_back(std::move(notice));
+    }
+    if (tell && !notices.empty()) {
+        tell(notices);
+    }
+}
+
 void SuspectKeeper::keepRecord(std::uint64_t fingerprint)
 {
     const SuspectBook &book = m_relay.state().suspects;
@@ -572,6 +582,7 @@
     if (m_labels.size() >= m_options.maxLabels) {
         m_labels.clear();
     }
+    tellCleared();
     if (!m_relay.state().platformInReach) {
         return;
     }
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -64,10 +64,11 @@
     // Another router has told.
     void onNotices(const std::vector<SuspectNotice> &notices);
 
-    // Writes what could not be written, and forgets what is too old.
+    // To be called twice a second. Tells who was answered, writes what could not be written, and forgets what is too
+    // old.
     void step();
 
-    // All other routers are to be told.
+    // All other routers that callers are told of are to be told.
     std::function<void(const std::vector<SuspectNotice> &)> tell;
 
 private:
@@ -93,6 +94,7 @@
     bool mayClaim(std::uint64_t fingerprint, const KnownRecord &known);
     void onTrialEnded(std::uint64_t fingerprint);
     void onWholeAnswer(std::uint64_t fingerprint);
+    void tellCleared();
     // Brings the store's record to what is believed here, where it is worth a record.
     void keepRecord(std::uint64_t fingerprint);
     bool hasRoomFor(const SuspectLabel &label) const;
@@ -116,6 +118,7 @@
     std::map<std::uint64_t, KnownRecord> m_records;
     std::map<std::uint64_t, std::size_t> m_judged; // With how many deaths a request was last convicted.
     std::map<std::uint64_t, std::uint64_t> m_removedAt; // Revisions up to which a record no longer counts.
+    std::set<std::uint64_t> m_cleared; // Not told yet: after a death there are many.
     std::set<std::uint64_t> m_unwritten;
     std::set<std::uint64_t> m_unremoved;
 };
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -75,6 +75,8 @@
     Duration behindFor = std::chrono::milliseconds(1200);
     Duration copyPatience = std::chrono::seconds(10);
     AgreementOptions agreement;
+    // How long a suspect waits for its service to have endpoints to spare. Those that crash are back within seconds.
+    Duration trialPatience = std::chrono::seconds(10);
     // Time kept at the end of a caller's patience, so that the final answer still arrives.
     Duration answerMargin = std::chrono::milliseconds(15);
     // How long an endpoint has to end the connection of a request that nobody waits for any more. Less than the time in
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -253,6 +253,10 @@
         return;
     }
     const bool trial = admission == Admission::Trial && m_relay.onTrialWanted;
+    if (trial && !maySpareTrial()) {
+        refuseForNow();
+        return;
+    }
     ChoiceQuery query;
     query.service = m_serviceName;
     query.tried = m_tried;
@@ -658,6 +662,14 @@
     }
 }
 
+bool RelayCall::maySpareTrial()
+{
+    const RelayState &state = m_relay.state();
+    const auto listed = state.endpoints.byService.find(m_serviceName);
+    return listed == state.endpoints.byService.end()
+        || canSpareTrial(state.suspects, fingerprint(), listed->second, m_relay.options().trialPatience, Relay::now());
+}
+
 // It may only be tried by itself, and that is not possible now.
 void RelayCall::refuseForNow()
 {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -102,6 +102,7 @@
     void noteWholeAnswer();
     Admission admissionNow();
     void refuseSuspect();
+    bool maySpareTrial();
     void refuseForNow();
     void askForTrial(const Choice &choice);
     void endTrial();
--- a/godwit/suspects/suspect_admission.cpp
+++ b/godwit/suspects/suspect_admission.cpp
@@ -1,5 +1,7 @@
 #include "godwit/suspects/suspect_admission.h"
 
+#include <algorithm>
+
 namespace Godwit
 {
 
@@ -20,4 +22,20 @@
     return now < sound.back()->at + book.options.settle ? Admission::NotYet : Admission::Trial;
 }
 
+bool canSpareTrial(const SuspectBook &book,
+                   std::uint64_t fingerprint,
+                   const std::vector<EndpointId> &endpoints,
+                   Duration patience,
+                   TimePoint now)
+{
+    constexpr std::ptrdiff_t enough = 2;
+    const auto alive = std::count_if(endpoints.begin(), endpoints.end(), [&book](const EndpointId &endpoint) {
+        return std::none_of(book.deaths.begin(), book.deaths.end(), [&endpoint](const EndpointDeath &death) {
+            return death.endpoint == endpoint;
+        });
+    });
+    const EndpointDeath *last = lastDeathOf(book, fingerprint);
+    return alive >= enough || last == nullptr || now >= last->at + patience;
+}
+
 } // namespace Godwit
--- a/godwit/suspects/suspect_admission.h
+++ b/godwit/suspects/suspect_admission.h
@@ -8,6 +8,8 @@
 
 #include "godwit/suspects/suspects.h"
 
+#include <vector>
+
 namespace Godwit
 {
 
@@ -20,4 +22,13 @@
 
 Admission admissionOf(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
 
+// Whether the service can spare an endpoint for a trial. Of `endpoints`, those that it lists, one more must be alive:
+// else a request that takes down each one that it runs on would leave none for all others. After `patience` since its
+// last death it is tried all the same, since some services never have two.
+bool canSpareTrial(const SuspectBook &book,
+                   std::uint64_t fingerprint,
+                   const std::vector<EndpointId> &endpoints,
+                   Duration patience,
+                   TimePoint now);
+
 } // namespace Godwit
--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 using namespace Godwit;
 using namespace std::chrono_literals;
@@ -96,6 +97,19 @@
     CHECK(judge(book, Crasher, Start + 3s) == Verdict::Convicted);
 }
 
+// Guards against a service that is down for everybody while one request is being judged.
+TEST_CASE("a suspect is not tried at the last endpoint of its service that is known to live")
+{
+    SuspectBook book = makeBook();
+    die(book, "a", 0s, Crasher);
+    die(book, "b", 1s, Crasher);
+    const std::vector<EndpointId> all{EndpointId("a"), EndpointId("b"), EndpointId("c")};
+    const std::vector<EndpointId> back{EndpointId("a2"), EndpointId("b"), EndpointId("c")};
+    CHECK_FALSE(canSpareTrial(book, Crasher, all, 10s, Start + 2s));
+    CHECK(canSpareTrial(book, Crasher, back, 10s, Start + 2s));
+    CHECK(canSpareTrial(book, Crasher, all, 10s, Start + 11s));
+}
+
 // Guards against a crash that counts for nothing since other endpoints die meanwhile.
 TEST_CASE("the death of a trial counts, whatever else dies")
 {
