Suspects: answers without a declared end, and a copy that is behind

Found by reading. An answer that only its connection ends cleared nobody, so that a service that never declares ends could keep its callers' requests suspected: it clears now if its endpoint's port accepts afterwards. And where a record was removed and written anew while the copy of the store still had the old one, the copy's next state looked like an operator's pardon. Verdicts given long ago are forgotten.

--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -45,6 +45,9 @@
     m_relay.onTrialEnded = [this](std::uint64_t fingerprint) {
         onTrialEnded(fingerprint);
     };
+    m_relay.onDoubtfulAnswer = [this](std::uint64_t fingerprint, const EndpointId &endpoint) {
+        onDoubtfulAnswer(fingerprint, endpoint);
+    };
     m_relay.onWholeAnswer = [this](std::uint64_t fingerprint) {
         onWholeAnswer(fingerprint);
     };
@@ -364,6 +367,22 @@
     noteTrialEndpoints();
 }
 
+void SuspectKeeper::onDoubtfulAnswer(std::uint64_t fingerprint, const EndpointId &endpoint)
+{
+    const auto &endpoints = m_relay.state().endpoints.endpoints;
+    const auto found = endpoints.find(endpoint);
+    if (found == endpoints.end()
+        || verdictOn(m_relay.state().suspects, fingerprint, Relay::now()) == Verdict::Unsuspected) {
+        return;
+    }
+    const auto onPort = [this, fingerprint](ProbeOutcome outcome) {
+        if (outcome == ProbeOutcome::Accepts) {
+            onWholeAnswer(fingerprint);
+        }
+    };
+    probeEndpoint(m_io, found->second.listed.address, m_options.probeLimit, onPort);
+}
+
 void SuspectKeeper::tellCleared()
 {
     std::vector<SuspectNotice> notices;
@@ -455,6 +474,7 @@
             written.record = record;
             written.revision = reply.revision;
             written.seenAt = Relay::now();
+            written.inCopy = false;
         } else if (reply.status == StoreStatus::ConditionFailed) {
             takeStanding(fingerprint, reply);
         }
@@ -539,17 +559,18 @@
 
 void SuspectKeeper::onRecords(const std::map<std::string, StoreItem> &items)
 {
-    std::set<std::uint64_t> present;
+    std::map<std::uint64_t, std::uint64_t> revisions;
     for (const auto &[key, item] : items) {
         if (const auto fingerprint = fingerprintOf(key.substr(std::min(key.size(), m_options.prefix.size())))) {
-            present.insert(*fingerprint);
+            revisions[*fingerprint] = item.revision;
             take(*fingerprint, item);
         }
     }
     std::vector<std::uint64_t> gone;
     for (auto &[fingerprint, known] : m_records) {
-        if (present.count(fingerprint) != 0) {
-            known.inCopy = true;
+        const auto found = revisions.find(fingerprint);
+        if (found != revisions.end()) {
+            known.inCopy = found->second == known.revision;
         } else if (known.inCopy && !known.writing) {
             gone.push_back(fingerprint);
         }
@@ -583,6 +604,12 @@
         m_labels.clear();
     }
     tellCleared();
+    onListed();
+    for (auto it = m_judged.begin(); it != m_judged.end();) {
+        const bool over =
+            m_records.count(it->first) == 0 && refusedFor(m_relay.state().suspects, it->first, now) == Duration::zero();
+        it = over ? m_judged.erase(it) : std::next(it);
+    }
     if (!m_relay.state().platformInReach) {
         return;
     }
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -77,7 +77,7 @@
         SuspectRecord record;
         std::uint64_t revision = 0; // 0: the store has none.
         TimePoint seenAt; // When this revision was first seen.
-        bool inCopy = false; // The copy of the store has had it.
+        bool inCopy = false; // The copy of the store has had this revision.
         bool writing = false;
     };
 
@@ -94,6 +94,8 @@
     bool mayClaim(std::uint64_t fingerprint, const KnownRecord &known);
     void onTrialEnded(std::uint64_t fingerprint);
     void onWholeAnswer(std::uint64_t fingerprint);
+    // An answer that may be a part is whole if its endpoint is alive after it.
+    void onDoubtfulAnswer(std::uint64_t fingerprint, const EndpointId &endpoint);
     void tellCleared();
     // Brings the store's record to what is believed here, where it is worth a record.
     void keepRecord(std::uint64_t fingerprint);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -251,6 +251,9 @@
     // A request that is suspected, or was cut lately, has been answered whole.
     std::function<void(std::uint64_t fingerprint)> onWholeAnswer;
 
+    // The same of an answer whose end its endpoint did not declare.
+    std::function<void(std::uint64_t fingerprint, const EndpointId &endpoint)> onDoubtfulAnswer;
+
     void waitForTokens(const std::shared_ptr<RelayCall> &call);
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -632,12 +632,15 @@
     constexpr unsigned leastFailure = 500;
     const RelayState &state = m_relay.state();
     const bool watched = !state.suspects.deathCount.empty() || !state.crashWatch.cuts.empty();
-    const bool whole = m_ending && extentOf(*m_ending) == AnswerExtent::Declared && m_answer.status < leastFailure;
-    if (!watched || !whole || !m_relay.onWholeAnswer) {
+    if (!watched || !m_ending || m_answer.status >= leastFailure || !m_relay.onWholeAnswer) {
         return;
     }
-    m_trial = false;
-    m_relay.onWholeAnswer(fingerprint());
+    if (extentOf(*m_ending) == AnswerExtent::Declared) {
+        m_trial = false;
+        m_relay.onWholeAnswer(fingerprint());
+    } else {
+        m_relay.onDoubtfulAnswer(fingerprint(), m_endpoint);
+    }
 }
 
 Admission RelayCall::admissionNow()
