Suspects: a request that was answered just before, or ran far longer than before, is not condemned

A request that this router answered whole within 3 s is held to no account now, and a death after a run over four times as long, and a second more, than those at the deaths before does not count. Each has a test.

--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -140,6 +140,14 @@
         if (run.trial) {
             m_ownTrials.erase(run.fingerprint);
         }
+        const bool answeredLately =
+            wasAnsweredSince(m_relay.state().recentAnswers, run.fingerprint, noted.at - m_options.answerClears);
+        if (answeredLately) {
+            if (run.trial) {
+                keepRecord(run.fingerprint);
+            }
+            continue;
+        }
         fingerprints.insert(run.fingerprint);
         if (!noteSuspect(book, noted, run.fingerprint, {run.sentAt, run.trial})) {
             continue;
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -39,6 +39,8 @@
     Duration probeLimit = std::chrono::milliseconds(1300);
     // A request whose connection has ended waits no longer than this to learn whether its endpoint has died.
     Duration knownWithin = std::chrono::milliseconds(60);
+    // A request that was answered whole so shortly before an endpoint died is not to blame.
+    Duration answerClears = std::chrono::seconds(3);
     // A trial that its router has not ended by then is over if its endpoint lives.
     Duration trialLimit = std::chrono::seconds(15);
     // A request does not wait longer for the store to grant its trial.
--- a/godwit/gateway/crash_watch.cpp
+++ b/godwit/gateway/crash_watch.cpp
@@ -75,11 +75,11 @@
         const bool isReplaced = std::any_of(listed.begin(), listed.end(), [&cuts](const ListedEndpoint &endpoint) {
             return endpoint.address == cuts.address && endpoint.id != cuts.id;
         });
+        const bool old = cuts.askedFrom + watch.options.entryLate < now;
         if (isReplaced) {
             dropRunsBefore(cuts, cuts.askedFrom);
             replaced.push_back(std::move(cuts));
         }
-        const bool old = cuts.askedFrom + watch.options.entryLate < now;
         it = isReplaced || old ? watch.cuts.erase(it) : std::next(it);
     }
     return replaced;
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -23,6 +23,7 @@
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
+#include "godwit/suspects/recent_answers.h"
 #include "godwit/suspects/suspect_record.h"
 #include "godwit/suspects/suspects.h"
 
@@ -110,6 +111,7 @@
     CopyAgreement endpointsAgreement; // Whether the list is as new as those of the other routers.
     CopyAgreement documentAgreement;
     CrashWatch crashWatch;
+    RecentAnswers recentAnswers;
     SuspectBook suspects; // Requests under which endpoints died.
     std::set<EndpointId> trialEndpoints; // Where suspects are being tried, by any router.
 };
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -630,12 +630,18 @@
 void RelayCall::noteWholeAnswer()
 {
     constexpr unsigned leastFailure = 500;
-    const RelayState &state = m_relay.state();
-    const bool watched = !state.suspects.deathCount.empty() || !state.crashWatch.cuts.empty();
-    if (!watched || !m_ending || m_answer.status >= leastFailure || !m_relay.onWholeAnswer) {
+    RelayState &state = m_relay.state();
+    if (!m_ending || m_answer.status >= leastFailure || !m_relay.onWholeAnswer) {
+        return;
+    }
+    const bool declared = extentOf(*m_ending) == AnswerExtent::Declared;
+    if (declared) {
+        noteAnswer(state.recentAnswers, fingerprint(), Relay::now());
+    }
+    if (state.suspects.deathCount.empty() && state.crashWatch.cuts.empty()) {
         return;
     }
-    if (extentOf(*m_ending) == AnswerExtent::Declared) {
+    if (declared) {
         m_trial = false;
         m_relay.onWholeAnswer(fingerprint());
     } else {
--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -1,3 +1,4 @@
+#include "godwit/suspects/recent_answers.h"
 #include "godwit/suspects/suspect_admission.h"
 #include "godwit/suspects/suspect_codec.h"
 #include "godwit/suspects/suspect_record.h"
@@ -126,6 +127,18 @@
     }
 }
 
+// Guards against condemning a request that hangs at an endpoint until that dies of something else.
+TEST_CASE("a death after a far longer run than at the deaths before does not count")
+{
+    SuspectBook book = makeBook();
+    die(book, "a", 0s, Crasher, 40ms);
+    die(book, "b", 1s, Crasher, 90ms);
+    die(book, "c", 5s, Crasher, 1800ms, true);
+    CHECK(judge(book, Crasher, Start + 6s) == Verdict::Suspected);
+    die(book, "d", 7s, Crasher, 300ms, true);
+    CHECK(judge(book, Crasher, Start + 8s) == Verdict::Convicted);
+}
+
 TEST_CASE("a pardon takes back deaths and verdict")
 {
     SuspectBook book = makeBook();
@@ -138,6 +151,26 @@
     CHECK(book.deathCount.empty());
 }
 
+// Guards against condemning a busy request while endpoints die of others in quick succession.
+TEST_CASE("answers are remembered for a few seconds, and few of them")
+{
+    RecentAnswers answers;
+    noteAnswer(answers, Harmless, Start);
+    CHECK(wasAnsweredSince(answers, Harmless, Start - 1s));
+    CHECK_FALSE(wasAnsweredSince(answers, Harmless, Start + 1s));
+    CHECK_FALSE(wasAnsweredSince(answers, Crasher, Start - 1s));
+    noteAnswer(answers, Harmless, Start + 4s);
+    noteAnswer(answers, 20, Start + 6s);
+    CHECK(wasAnsweredSince(answers, Harmless, Start + 4s));
+    noteAnswer(answers, 20, Start + 12s);
+    CHECK(answers.lastOf.size() == 1);
+    for (std::uint64_t request = 100; request < 20'000; ++request) {
+        noteAnswer(answers, request, Start + 12s);
+    }
+    CHECK(answers.lastOf.size() <= answers.maxAnswers);
+    CHECK(answers.byTime.size() <= answers.maxAnswers);
+}
+
 TEST_CASE("several notices come through whole, and other bytes don't")
 {
     SuspectNotice told;
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -107,6 +107,13 @@
     return sent == death.sentAt.end() || sent->second >= before.at;
 }
 
+// How long a call had been there when the endpoint died, where that is known.
+std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint)
+{
+    const auto sent = death.sentAt.find(fingerprint);
+    return sent == death.sentAt.end() ? std::nullopt : std::optional(death.at - sent->second);
+}
+
 // Whether another fingerprint may be to blame for all of the deaths as well.
 bool isAmbiguous(const std::vector<const EndpointDeath *> &deaths, std::uint64_t fingerprint)
 {
@@ -222,13 +229,19 @@
 std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint)
 {
     std::vector<const EndpointDeath *> sound;
+    std::optional<Duration> longestRun;
     for (const auto *death : deathsOf(book, fingerprint)) {
         const bool known = std::any_of(sound.begin(), sound.end(), [&](const EndpointDeath *other) {
             return other->endpoint == death->endpoint;
         });
         const bool follows = sound.empty() || cameAfter(*death, fingerprint, *sound.back());
-        if (!known && follows && isSound(book, *death, fingerprint)) {
+        const auto ran = runTime(*death, fingerprint);
+        // What kills its endpoint within a moment does not run for seconds elsewhere.
+        const bool outlived =
+            ran && longestRun && *ran > book.options.longerRunFactor * *longestRun + book.options.longerRunSlack;
+        if (!known && follows && !outlived && isSound(book, *death, fingerprint)) {
             sound.push_back(death);
+            longestRun = ran ? std::max(longestRun.value_or(*ran), *ran) : longestRun;
         }
     }
     return sound;
--- a/godwit/suspects/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -38,6 +38,9 @@
     // How long a fingerprint is refused that was convicted with just so many deaths, and with more.
     Duration firstRefuseFor = std::chrono::hours(1);
     Duration refuseFor = std::chrono::hours(1);
+    // A death after a run that was so much longer than those at the deaths before does not count.
+    int longerRunFactor = 4;
+    Duration longerRunSlack = std::chrono::seconds(1);
     // So many deaths at once that a fingerprint had no part in clear it.
     std::size_t unrelatedDeaths = 2;
     std::size_t maxDeaths = 256;
