--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -451,7 +451,7 @@
     }
     record.deaths.clear();
     for (const EndpointDeath *death : soundDeaths(book, fingerprint)) {
-        record.deaths.push_back(death->endpoint);
+        record.deaths.push_back({death->endpoint, runTime(*death, fingerprint).value_or(Duration::zero())});
     }
     record.convicted = refusedFor(book, fingerprint, Relay::now()) > Duration::zero();
     const auto own = m_ownTrials.find(fingerprint);
@@ -460,7 +460,9 @@
     } else if (record.trial) {
         const auto &counted = record.deaths;
         const bool ended = record.trial->router == m_options.self
-            || std::find(counted.begin(), counted.end(), record.trial->endpoint) != counted.end();
+            || std::any_of(counted.begin(), counted.end(), [&record](const SuspectDeath &death) {
+                               return death.endpoint == record.trial->endpoint;
+                           });
         if (ended) {
             record.trial.reset();
         }
@@ -551,13 +553,19 @@
     taken.revision = item.revision;
     taken.seenAt = now;
     SuspectBook &book = m_relay.state().suspects;
-    for (std::size_t i = 0; i < record->deaths.size(); ++i) {
-        const EndpointId &endpoint = record->deaths[i];
-        if (!hadPartInDeathOf(book, fingerprint, endpoint, {})) {
-            // Before all that comes from here on, and in their order.
-            const auto age = std::chrono::seconds(1 + record->deaths.size() - i);
-            noteSuspect(book, {endpoint, {}, {}, now - age, {}}, fingerprint, {std::nullopt, true});
+    // Before all that comes from here on, and one after another.
+    TimePoint at = now - book.options.settle;
+    for (auto death = record->deaths.rbegin(); death != record->deaths.rend(); ++death) {
+        at -= std::chrono::seconds(1);
+        InFlight run;
+        run.certain = true;
+        if (death->ranFor > Duration::zero()) {
+            run.sentAt = at - death->ranFor;
         }
+        if (!hadPartInDeathOf(book, fingerprint, death->endpoint, {})) {
+            noteSuspect(book, {death->endpoint, {}, {}, at, {}}, fingerprint, run);
+        }
+        at -= death->ranFor;
     }
     if (record->convicted && refusedFor(book, fingerprint, now) == Duration::zero()) {
         recordConviction(book, fingerprint, now + termFor(book.options, record->deaths.size()));
--- a/godwit/suspects/suspect_record.cpp
+++ b/godwit/suspects/suspect_record.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t MaxLabelBytes = 256; // Of one text.
 constexpr std::size_t MaxDeaths = 16;
+constexpr std::int64_t MostRanMilliseconds = 86'400'000; // A day: more is not believed.
 constexpr std::size_t FingerprintDigits = 16;
 constexpr int Hexadecimal = 16;
 
@@ -30,7 +31,8 @@
 {
     json deaths = json::array();
     for (std::size_t i = 0; i < std::min(record.deaths.size(), MaxDeaths); ++i) {
-        deaths.push_back(record.deaths[i].value);
+        const auto ranFor = std::chrono::duration_cast<std::chrono::milliseconds>(record.deaths[i].ranFor);
+        deaths.push_back(json::array({record.deaths[i].endpoint.value, ranFor.count()}));
     }
     json value{{"host", shortened(record.label.host)},
                {"target", shortened(record.label.target)},
@@ -57,7 +59,8 @@
         record.label.customer = CustomerId{value.at("customer").get<std::string>()};
         record.convicted = value.at("convicted").get<bool>();
         for (const json &death : value.at("deaths")) {
-            record.deaths.push_back(EndpointId{death.get<std::string>()});
+            const auto ranFor = std::clamp<std::int64_t>(death.at(1).get<std::int64_t>(), 0, MostRanMilliseconds);
+            record.deaths.push_back({EndpointId{death.at(0).get<std::string>()}, std::chrono::milliseconds(ranFor)});
         }
         if (const auto trial = value.find("trial"); trial != value.end()) {
             record.trial = SuspectTrial{Incarnation{trial->at("router").get<std::string>()},
--- a/godwit/suspects/suspect_record.h
+++ b/godwit/suspects/suspect_record.h
@@ -7,6 +7,7 @@
 //   const auto record = decodeSuspectRecord(encodeSuspectRecord(known));
 
 #include "godwit/base/ids.h"
+#include "godwit/base/time.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,10 +32,16 @@
     EndpointId endpoint;
 };
 
+struct SuspectDeath
+{
+    EndpointId endpoint;
+    Duration ranFor{}; // How long the request had been there; zero where that is not known.
+};
+
 struct SuspectRecord
 {
     SuspectLabel label;
-    std::vector<EndpointId> deaths; // That count against it, the earliest first.
+    std::vector<SuspectDeath> deaths; // That count against it, the earliest first.
     std::optional<SuspectTrial> trial;
     bool convicted = false;
 };
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -107,13 +107,6 @@
     return sent == death.sentAt.end() || sent->second >= before.at;
 }
 
-// How long a call had been there when the endpoint died, where that is known.
-std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint)
-{
-    const auto sent = death.sentAt.find(fingerprint);
-    return sent == death.sentAt.end() ? std::nullopt : std::optional(death.at - sent->second);
-}
-
 // Whether another fingerprint may be to blame for all of the deaths as well.
 bool isAmbiguous(const std::vector<const EndpointDeath *> &deaths, std::uint64_t fingerprint)
 {
@@ -221,6 +214,12 @@
     return Verdict::Convicted;
 }
 
+std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint)
+{
+    const auto sent = death.sentAt.find(fingerprint);
+    return sent == death.sentAt.end() ? std::nullopt : std::optional(death.at - sent->second);
+}
+
 Duration termFor(const SuspectOptions &options, std::size_t deaths)
 {
     return deaths > options.deathsToConvict ? options.refuseFor : options.firstRefuseFor;
--- a/godwit/suspects/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -127,6 +127,9 @@
 // The sound deaths of different endpoints that count against it, the earliest first.
 std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint);
 
+// How long the earliest call of a fingerprint had been there when the endpoint died, where that is known.
+std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint);
+
 // How long a fingerprint is refused that is convicted with so many deaths.
 Duration termFor(const SuspectOptions &options, std::size_t deaths);
 
