--- a/godwit/relay/endpoint_probe.cpp
+++ b/godwit/relay/endpoint_probe.cpp
@@ -1,6 +1,5 @@
 #include "godwit/relay/endpoint_probe.h"
 
-#include "godwit/base/enum_names.h"
 #include "godwit/http/address.h"
 
 #include <boost/asio/error.hpp>
@@ -18,12 +17,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr EnumName<ProbeOutcome> ProbeOutcomeNames[] = {
-    {ProbeOutcome::Accepts, "accepts"},
-    {ProbeOutcome::Refuses, "refuses"},
-    {ProbeOutcome::Silent, "silent"},
-};
-
 struct Probe
 {
     asio::ip::tcp::socket socket;
@@ -43,11 +36,6 @@
 
 } // namespace
 
-std::string_view probeOutcomeName(ProbeOutcome outcome)
-{
-    return enumName(ProbeOutcomeNames, outcome);
-}
-
 void probeEndpoint(asio::io_context &io,
                    const std::string &address,
                    Duration limit,
--- a/godwit/relay/endpoint_probe.h
+++ b/godwit/relay/endpoint_probe.h
@@ -11,7 +11,6 @@
 
 #include <functional>
 #include <string>
-#include <string_view>
 
 namespace Godwit
 {
@@ -22,8 +21,6 @@
     Silent, // No answer within the limit: the way there may be cut.
 };
 
-std::string_view probeOutcomeName(ProbeOutcome outcome);
-
 // Calls `done` once, after this returns.
 void probeEndpoint(boost::asio::io_context &io,
                    const std::string &address,
