The soak plays a fleet of a given size, and checks the time left that endpoints are handed

Beside the repeats of the fleet in a window and requests that crash endpoints, which were checked before, the soak now looks at the time left that endpoints are handed, and its documents may differ in how many endpoints may run a request. New faults, by choice alone: half of the routers frozen and woken together, routers that run a small part of each tenth of a second, all routers killed as soon as an endpoint has died of a request. The summary names the window that used most of its allowance (it named two different ones), how many windows went beyond, and what became of each request that crashes endpoints.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -23,12 +23,12 @@
 constexpr auto ConnectLimit = std::chrono::seconds(1);
 // Longer than any route's limit, so that what a router says at that limit is heard.
 constexpr auto Patience = std::chrono::milliseconds(4500);
+constexpr auto TimeLeft = std::chrono::milliseconds(3000);
 constexpr auto DocumentStep = std::chrono::milliseconds(150);
 constexpr int Permille = 1000;
 constexpr int NewConnectionPermille = 120;
 constexpr int PrepaidPermille = 700; // Of streams.
 constexpr int LongestCalm = 6000; // Milliseconds before a request that crashes endpoints comes.
-constexpr int LongestCrasherPause = 500; // Milliseconds between its sends.
 constexpr int LongestThought = 100; // Milliseconds between two requests of a caller.
 
 void waitFor(boost::asio::io_context &io, std::chrono::milliseconds time, const yield_context &yield)
@@ -70,7 +70,7 @@
     request.set(http::field::host, SoakHost);
     request.set(AttemptIdField, attempt);
     request.set(CustomerKeyField, key);
-    request.set(TimeLeftField, "3000");
+    request.set(TimeLeftField, std::to_string(TimeLeft.count()));
     return request;
 }
 
@@ -184,6 +184,7 @@
         const auto other = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
         router = caller.isConnected() ? router : other;
         sent.router = router;
+        sent.timeLeft = TimeLeft;
         sent.sentAt = steadyNow();
         const std::string attempt = "c" + std::to_string(number) + '-' + std::to_string(i);
         // Some come once, others are the same one from many callers.
@@ -199,20 +200,22 @@
     }
 }
 
-void runCrasher(Fleet &fleet, std::uint64_t seed, int number, const yield_context &yield)
+void runCrasher(Fleet &fleet, std::uint64_t seed, int number, CrasherPace pace, const yield_context &yield)
 {
     constexpr std::array kinds = {RequestKind::Read, RequestKind::Write, RequestKind::Book};
     std::mt19937_64 random(seed + static_cast<std::uint64_t>(number));
     const RequestKind kind = kinds.at(static_cast<std::size_t>(draw(random, static_cast<int>(kinds.size()))));
     const std::string target = pathOf(kind) + std::string("/") + CrashTarget + std::to_string(number);
+    const int spread = static_cast<int>((pace.mostPause - pace.leastPause).count());
     waitFor(fleet.io, std::chrono::milliseconds(2000 + draw(random, LongestCalm)), yield);
     for (int i = 0; !fleet.ending; ++i) {
-        waitFor(fleet.io, std::chrono::milliseconds(150 + draw(random, LongestCrasherPause)), yield);
+        waitFor(fleet.io, pace.leastPause + std::chrono::milliseconds(draw(random, spread)), yield);
         SentRequest sent;
         sent.kind = kind;
         sent.crashes = true;
         sent.promptTokens = 20;
         sent.router = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
+        sent.timeLeft = TimeLeft;
         sent.sentAt = steadyNow();
         const std::string attempt = "x" + std::to_string(number) + '-' + std::to_string(i);
         noteSent(fleet.promises, attempt, sent);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -15,6 +15,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,8 +57,16 @@
 // Asks with requests of all kinds until the fleet is ending. `number` tells the callers of a play apart.
 void runCaller(Fleet &fleet, std::uint64_t seed, int number, const boost::asio::yield_context &yield);
 
+struct CrasherPace
+{
+    // Between two of its sends.
+    std::chrono::milliseconds leastPause{150};
+    std::chrono::milliseconds mostPause{650};
+};
+
 // Sends one request under which endpoints die, again and again at any router, until the fleet is ending.
-void runCrasher(Fleet &fleet, std::uint64_t seed, int number, const boost::asio::yield_context &yield);
+void runCrasher(
+    Fleet &fleet, std::uint64_t seed, int number, CrasherPace pace, const boost::asio::yield_context &yield);
 
 // Asks each router for the routes of the newest documents until the fleet is ending.
 void watchDocuments(Fleet &fleet, std::uint64_t seed, const boost::asio::yield_context &yield);
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -44,6 +44,9 @@
     {Fault::KillFleet, "kill fleet"},
     {Fault::CutPeers, "cut peers"},
     {Fault::RestartFleet, "restart fleet"},
+    {Fault::FreezeFleet, "freeze fleet"},
+    {Fault::StarveRouters, "starve routers"},
+    {Fault::KillAfterCrash, "kill after crash"},
     {Fault::CrashRequests, "crash requests"},
     {Fault::ShapeAnswers, "shape answers"},
 };
@@ -58,6 +61,10 @@
 constexpr auto WatchStep = milliseconds(50);
 // An opening packet that was dropped is repeated after this.
 constexpr auto OpeningRepeat = milliseconds(1000);
+// Of a router that gets little processor time.
+constexpr auto ProcessorPeriod = milliseconds(100);
+constexpr auto LeastTurn = milliseconds(5);
+constexpr auto MostTurn = milliseconds(14);
 // Some longer than any request takes, so that faults end before the fleet does.
 constexpr auto EndingTime = std::chrono::seconds(5);
 
@@ -89,6 +96,11 @@
     return enumFromName(FaultNames, name);
 }
 
+bool plays(const std::vector<Fault> &only, Fault fault)
+{
+    return std::find(only.begin(), only.end(), fault) != only.end();
+}
+
 FaultPlayer::FaultPlayer(Fleet &fleet, std::uint64_t seed, FaultChoice choice, std::ostream &out)
     : m_fleet(fleet)
     , m_random(seed)
@@ -121,8 +133,10 @@
     const TimePoint end = steadyNow() + time;
     while (steadyNow() < end) {
         const bool planned = !storm || draw(0, 3) == 0;
-        if (m_choice.only) {
-            begin(*m_choice.only);
+        if (m_choice.only.size() == 1) {
+            begin(m_choice.only.front());
+        } else if (!m_choice.only.empty()) {
+            begin(m_choice.only.at(static_cast<std::size_t>(draw(0, static_cast<int>(m_choice.only.size()) - 1))));
         } else if (m_choice.onFleet && draw(0, 2) == 0) {
             begin(draw(0, 2) == 0 ? Fault::KillFleet : Fault::CutPeers);
         } else if (planned) {
@@ -134,7 +148,7 @@
             begin(static_cast<Fault>(
                 draw(static_cast<int>(Fault::PauseRouter), static_cast<int>(Fault::EndpointBreaksStreams))));
         }
-        if (storm && !m_choice.only && drawFrom(m_shapeRandom, 0, 2) == 0) {
+        if (storm && m_choice.only.empty() && drawFrom(m_shapeRandom, 0, 2) == 0) {
             begin(Fault::ShapeAnswers);
         }
         waitFor(m_fleet.io, milliseconds(storm ? draw(50, 1000) : draw(400, 2000)), yield);
@@ -156,6 +170,26 @@
     }
 }
 
+void FaultPlayer::starveRouters(const yield_context &yield)
+{
+    constexpr std::size_t each = 3;
+    ++m_played[Fault::StarveRouters];
+    const Time turn(drawFrom(m_deathRandom, LeastTurn.count(), MostTurn.count()));
+    say(Fault::StarveRouters, "to " + std::to_string(turn.count()) + " ms of each 100 ms", {});
+    while (!m_fleet.ending) {
+        for (std::size_t i = 0; i < m_fleet.routers.size(); i += each) {
+            m_fleet.routers[i].process->signal(SIGSTOP);
+        }
+        waitFor(m_fleet.io, ProcessorPeriod - turn, yield);
+        for (std::size_t i = 0; i < m_fleet.routers.size(); i += each) {
+            if (m_fleet.routers[i].pauses == 0) {
+                m_fleet.routers[i].process->signal(SIGCONT);
+            }
+        }
+        waitFor(m_fleet.io, turn, yield);
+    }
+}
+
 void FaultPlayer::watchRouters(const yield_context &yield)
 {
     while (!m_fleet.ending) {
@@ -239,6 +273,13 @@
     case Fault::RestartFleet:
         restartFleet();
         return;
+    case Fault::FreezeFleet:
+        freezeFleet();
+        return;
+    case Fault::KillAfterCrash:
+        killAfterCrashes();
+        return;
+    case Fault::StarveRouters:
     case Fault::CrashRequests:
         // They come beside all other faults.
         return;
@@ -345,7 +386,7 @@
     }
     spawn([this, index, time](const yield_context &yield) {
         waitFor(m_fleet.io, time, yield);
-        m_fleet.endpoints[index].replica->faults() = m_fleet.lastingFaults;
+        m_fleet.endpoints[index].replica->faults() = m_fleet.lastingFaults[index];
         m_fleet.endpoints[index].proxy->faults().repeatAnswers = false;
         m_fleet.endpoints[index].proxy->acceptAgain();
     });
@@ -383,9 +424,7 @@
     say(Fault::KillFleet, std::to_string(times) + " times", {});
     spawn([this, times](const yield_context &yield) {
         for (int i = 0; i < times; ++i) {
-            for (std::size_t router = 0; router < m_fleet.routers.size(); ++router) {
-                killRouter(router);
-            }
+            killAll();
             waitFor(m_fleet.io, milliseconds(draw(1600, 4000)), yield);
         }
     });
@@ -400,13 +439,49 @@
         while (!m_fleet.ending) {
             waitFor(m_fleet.io, milliseconds(draw(4500, 6000)), yield);
             say(Fault::RestartFleet, "all routers", {});
-            for (std::size_t router = 0; router < m_fleet.routers.size(); ++router) {
-                killRouter(router);
+            killAll();
+        }
+    });
+}
+
+void FaultPlayer::freezeFleet()
+{
+    const Time time(draw(600, 4000));
+    const auto first = static_cast<std::size_t>(draw(0, 1));
+    say(Fault::FreezeFleet, "every second router", time);
+    for (std::size_t i = first; i < m_fleet.routers.size(); i += 2) {
+        pauseRouter(i, Time(0), time);
+    }
+}
+
+void FaultPlayer::killAfterCrashes()
+{
+    if (std::exchange(m_killsAfterCrashes, true)) {
+        return;
+    }
+    spawn([this](const yield_context &yield) {
+        std::size_t seen = crashCount(m_fleet.promises);
+        while (!m_fleet.ending) {
+            waitFor(m_fleet.io, milliseconds(5), yield);
+            const std::size_t crashes = crashCount(m_fleet.promises);
+            if (std::exchange(seen, crashes) == crashes) {
+                continue;
             }
+            const Time wait(draw(0, 60));
+            waitFor(m_fleet.io, wait, yield);
+            say(Fault::KillAfterCrash, "all routers", {});
+            killAll();
         }
     });
 }
 
+void FaultPlayer::killAll()
+{
+    for (std::size_t router = 0; router < m_fleet.routers.size(); ++router) {
+        killRouter(router);
+    }
+}
+
 void FaultPlayer::cutPeers()
 {
     const bool all = draw(0, 1) == 0;
@@ -433,8 +508,10 @@
     disturbRouter(router, before + time, false);
     spawn([this, router, before, time](const yield_context &yield) {
         waitFor(m_fleet.io, before, yield);
+        ++m_fleet.routers[router].pauses;
         m_fleet.routers[router].process->signal(SIGSTOP);
         waitFor(m_fleet.io, time, yield);
+        --m_fleet.routers[router].pauses;
         m_fleet.routers[router].process->signal(SIGCONT);
     });
 }
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -18,6 +18,7 @@
 #include <ostream>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace Godwit::Soak
 {
@@ -49,8 +50,11 @@
     // On fleets with a low allowance of repeats alone:
     KillFleet, // SIGKILL of all routers, several times in a row.
     CutPeers, // What routers send to each other is held; of one router or of all.
-    RestartFleet, // SIGKILL of all routers each few seconds, so that each process lives to take its part. Only by
-                  // choice.
+    // Only by choice, as what follows:
+    RestartFleet, // SIGKILL of all routers each few seconds, so that each process lives to take its part.
+    FreezeFleet, // SIGSTOP of a half of the routers, which wake together.
+    StarveRouters, // Every third router runs only a small part of each tenth of a second.
+    KillAfterCrash, // SIGKILL of all routers as soon as an endpoint has died of a request.
     // Beside the others, with choices of its own:
     CrashRequests, // Requests that crash endpoints come again and again, and endpoints die of other causes.
     ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
@@ -62,9 +66,12 @@
 struct FaultChoice
 {
     bool onFleet = false; // Also what concerns all routers at once, and that most of the time.
-    std::optional<Fault> only; // Nothing but this.
+    std::vector<Fault> only; // Nothing but these; empty: all that are not by choice alone.
 };
 
+// Whether the fault comes, where these alone are played.
+bool plays(const std::vector<Fault> &only, Fault fault);
+
 class FaultPlayer
 {
 public:
@@ -76,6 +83,9 @@
     // Endpoints that die of no request. Runs beside run().
     void killEndpoints(const boost::asio::yield_context &yield);
 
+    // Every third router runs a few milliseconds of each tenth of a second. Runs beside run().
+    void starveRouters(const boost::asio::yield_context &yield);
+
     // Ends that nobody asked for, and starts that are due. Runs beside run().
     void watchRouters(const boost::asio::yield_context &yield);
 
@@ -104,6 +114,9 @@
     void holdUpConnecting(std::size_t endpoint);
     void killFleet();
     void restartFleet();
+    void freezeFleet();
+    void killAfterCrashes();
+    void killAll();
     void cutPeers();
     void disturbRouter(std::size_t router, Time time, bool planned);
     void disturbEndpoint(std::size_t endpoint, Time time);
@@ -117,6 +130,7 @@
     std::ostream &m_out;
     TimePoint m_start;
     bool m_restarting = false;
+    bool m_killsAfterCrashes = false;
     std::map<Fault, int> m_played;
 };
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -40,7 +40,13 @@
                 {"Resumable", name == "write"}};
 }
 
-json document(int version, std::int64_t prepaid)
+// The most endpoints for one request, by version.
+int attemptsOf(const Fleet &fleet, int version)
+{
+    return fleet.varyAttempts && version % 2 == 0 ? 3 : 2;
+}
+
+json document(int version, std::int64_t prepaid, int attempts)
 {
     json plain{{"Name", "plain"}, {"HealthPath", "/health"}, {"MaxConnections", 200}};
     json engine{{"Name", "engine"},
@@ -50,10 +56,10 @@
     return json{
         {"Version", version},
         {"Routes",
-         {route("read", "/read/", "idempotent", "plain", 2),
-          route("book", "/book/", "non_idempotent", "plain", 2),
-          route("write", "/write/", "streaming", "engine", 2),
-          route("chat", "/chat/", "streaming", "engine", 2),
+         {route("read", "/read/", "idempotent", "plain", attempts),
+          route("book", "/book/", "non_idempotent", "plain", attempts),
+          route("write", "/write/", "streaming", "engine", attempts),
+          route("chat", "/chat/", "streaming", "engine", attempts),
           route("document", documentPath(version), "idempotent", "plain", 2)}},
         {"Services", {std::move(plain), std::move(engine)}},
         {"Limits",
@@ -86,6 +92,16 @@
     });
 }
 
+// Of the request that came last.
+std::optional<Duration> timeLeftOf(const Testing::ReplicaService &replica)
+{
+    const auto field = replica.lastFields().find("x-time-remaining-ms");
+    if (field == replica.lastFields().end()) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::stoll(field->second));
+}
+
 void crashSoon(Fleet &fleet, std::size_t index, const std::string &target)
 {
     after(fleet.io, CrashAfter, [&fleet, index, target, start = fleet.endpoints[index].start] {
@@ -106,9 +122,10 @@
     endpoint.replica->pace() = Testing::ReplicaPace{AnswerAfter, EventPause, true};
     endpoint.proxy = std::make_unique<FaultProxy>(fleet.io, endpoint.replica->address());
     const std::size_t index = fleet.endpoints.size();
-    endpoint.replica->faults() = fleet.lastingFaults;
-    endpoint.replica->onArrival([&fleet, service](const std::string &attempt) {
+    endpoint.replica->faults() = fleet.lastingFaults[index];
+    endpoint.replica->onArrival([&fleet, service, index](const std::string &attempt) {
         noteArrival(fleet.promises, service, attempt, steadyNow());
+        noteTimeHanded(fleet.promises, attempt, timeLeftOf(*fleet.endpoints[index].replica), steadyNow());
     });
     endpoint.replica->onRequest([&fleet, index](const std::string &target, const std::string &attempt) {
         if (target.find(CrashTarget) != std::string::npos) {
@@ -134,8 +151,14 @@
     promises.prepaidTotal = size.prepaid;
     promises.repeatRatio = size.repeats.ratio;
     promises.repeatSlack = size.repeats.slack;
-    lastingFaults.failEach = size.failEach;
-    lastingFaults.shedEach = size.shedEach;
+    varyAttempts = size.varyAttempts;
+    lastingFaults.resize(size.plainEndpoints + size.engines);
+    for (Testing::ReplicaFaults &faults : lastingFaults) {
+        faults.failEach = size.failEach;
+        faults.shedEach = size.shedEach;
+    }
+    lastingFaults.front().failAfter = size.failAfter;
+    lastingFaults[size.plainEndpoints].failAfter = size.failAfter;
     store.rewrite = [this](const std::string &, std::string bytes) {
         return throughProxies(*this, std::move(bytes));
     };
@@ -204,7 +227,9 @@
     promises.prepaidTotal += more;
     ++promises.document;
     promises.documentAt = steadyNow();
-    fleet.store.put(std::string(SiteDocumentKey), document(promises.document, promises.prepaidTotal).dump());
+    const int attempts = attemptsOf(fleet, promises.document);
+    promises.attempts.push_back({promises.documentAt, static_cast<std::size_t>(attempts)});
+    fleet.store.put(std::string(SiteDocumentKey), document(promises.document, promises.prepaidTotal, attempts).dump());
 }
 
 std::string serviceOf(RequestKind kind)
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -37,6 +37,8 @@
     Testing::RepeatSettings repeats{2, 20};
     int failEach = 0; // As an endpoint's lasting fault.
     int shedEach = 0;
+    std::chrono::milliseconds failAfter{0}; // Of the first endpoint of each service.
+    bool varyAttempts = false; // Documents differ in how many endpoints may run a request.
 };
 
 struct Router
@@ -49,6 +51,7 @@
     bool stopping = false; // Has been told to stop, and has not been started again.
     TimePoint stopAskedAt; // When it was told to stop.
     bool killed = false; // Since its last start.
+    int pauses = 0; // That are open.
 };
 
 struct Endpoint
@@ -70,7 +73,8 @@
     Testing::StoreService store;
     std::vector<Endpoint> endpoints;
     std::vector<Router> routers;
-    Testing::ReplicaFaults lastingFaults; // Of all endpoints, beside those that come and go.
+    std::vector<Testing::ReplicaFaults> lastingFaults; // By endpoint, beside those that come and go.
+    bool varyAttempts = false;
     bool ending = false; // Nothing new begins.
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,6 +2,7 @@
 //
 //   soak --program build/godwit/daemon/godwitd --seed 1 --minutes 0.7 --seeds 50 --logs soak-logs
 //   soak --program build/godwit/daemon/godwitd --seed 700 --minutes 0.5 --routers many
+//   soak --program build/godwit/daemon/godwitd --seed 700 --minutes 1.2 --routers 87 --only "cut peers,crash requests"
 //   soak --program build/godwit/daemon/godwitd --file soak/seeds.txt --minutes 0.6
 //
 // Exit codes: 0 all promises kept, 1 one was broken, 2 wrong arguments.
@@ -15,6 +16,7 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -32,6 +34,33 @@
     std::string file; // Plays the seeds that it names instead.
 };
 
+std::size_t readRouters(const std::string &value)
+{
+    constexpr std::size_t least = 2;
+    constexpr std::size_t most = 200;
+    std::size_t end = 0;
+    const std::size_t routers = std::stoull(value, &end);
+    if (end != value.size() || routers < least || routers > most) {
+        throw std::invalid_argument("--routers takes many, few, or a number from 2 to 200");
+    }
+    return routers;
+}
+
+// Names of faults with commas between them.
+std::vector<Godwit::Soak::Fault> readFaults(const std::string &value)
+{
+    std::vector<Godwit::Soak::Fault> faults;
+    std::istringstream names(value);
+    for (std::string name; std::getline(names, name, ',');) {
+        const auto fault = Godwit::Soak::faultNamed(name);
+        if (!fault) {
+            throw std::invalid_argument("--only takes faults as the summary names them, such as 'kill fleet,pause'");
+        }
+        faults.push_back(*fault);
+    }
+    return faults;
+}
+
 // Throws std::invalid_argument or std::out_of_range with an argument that can't be read.
 Arguments readArguments(const std::vector<std::string> &words)
 {
@@ -51,15 +80,10 @@
             constexpr double millisecondsOfMinute = 60'000;
             arguments.play.time = std::chrono::milliseconds(std::llround(std::stod(value) * millisecondsOfMinute));
         } else if (words[i] == "--routers") {
-            if (value != "many" && value != "few") {
-                throw std::invalid_argument("--routers takes many or few");
-            }
-            arguments.play.fleet = value == "many";
+            arguments.play.routers = value == "many" || value == "few" ? 0 : readRouters(value);
+            arguments.play.fleet = value != "few";
         } else if (words[i] == "--only") {
-            arguments.play.only = Godwit::Soak::faultNamed(value);
-            if (!arguments.play.only) {
-                throw std::invalid_argument("--only takes a fault as the summary names it, such as 'kill fleet'");
-            }
+            arguments.play.only = readFaults(value);
         } else if (words[i] == "--file") {
             arguments.file = value;
         } else if (words[i] == "--logs") {
@@ -136,12 +160,27 @@
         // A play with few repeats says little of a share that is used twice.
         constexpr double leastPart = 1.0 / 3;
         std::cout << "  " << service << ": " << traffic.repeats.size() << " repeats, at most " << traffic.mostRepeats
-                  << " in a window that allows " << traffic.allowedThen << ", no window used more than "
-                  << std::lround(traffic.mostUsed * 100) << '%'
+                  << " in a window that allows " << traffic.allowedThen << " (" << std::lround(traffic.mostUsed * 100)
+                  << "%, the fullest), " << traffic.windowsBeyond << " windows beyond"
                   << (traffic.mostUsed < leastPart ? ": the allowance was hardly tried\n" : "\n");
     }
 }
 
+void printCrashes(const PlayResult &result)
+{
+    for (const auto &[target, history] : result.crashes) {
+        std::cout << "  " << target << ": " << history.deaths.size() << " endpoints died, sent "
+                  << history.sentAfterwards << " times more by routers in touch\n";
+    }
+}
+
+void printTimeHanded(const PlayResult &result)
+{
+    const auto &counts = result.timeHanded;
+    std::cout << "  time left: " << counts.sends << " sends, " << counts.lateRepeats << " late repeats, "
+              << counts.tooLong << " with too long a time\n";
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -167,6 +206,8 @@
                   << result.prepaidTotal << " tokens, " << result.breaches.size() << " times a promise was broken"
                   << std::endl;
         printRepeats(result);
+        printCrashes(result);
+        printTimeHanded(result);
     }
     printSummary(results);
     return kept ? 0 : 1;
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -19,7 +19,8 @@
 using boost::asio::yield_context;
 using std::chrono::milliseconds;
 
-constexpr int Crashers = 2;
+// Longer than a router needs to be back and in touch.
+constexpr CrasherPace SlowPace{milliseconds(4700), milliseconds(6500)};
 constexpr auto LagStep = milliseconds(20);
 constexpr auto ReportStep = milliseconds(200);
 // One cause can break a promise for many requests; the first ones tell it.
@@ -66,6 +67,54 @@
     return size;
 }
 
+// As many routers as asked for, and repeats pressed to what the routers allow themselves.
+FleetSize largeFleet(std::size_t routers)
+{
+    FleetSize size;
+    size.routers = routers;
+    size.plainEndpoints = 8;
+    size.engines = 8;
+    size.prepaid = 20'000'000;
+    size.repeats = {0.02, 214};
+    size.failEach = 2;
+    size.shedEach = 5;
+    size.failAfter = milliseconds(700);
+    size.varyAttempts = true;
+    return size;
+}
+
+FleetSize sizeFor(const PlayOptions &options, std::mt19937_64 &random)
+{
+    if (options.routers > 0) {
+        return largeFleet(options.routers);
+    }
+    return options.fleet ? drawFleet(random) : drawSize(random);
+}
+
+int callersFor(const PlayOptions &options, std::mt19937_64 &random)
+{
+    constexpr int forEachRouter = 3;
+    if (options.routers > 0) {
+        return forEachRouter * static_cast<int>(options.routers);
+    }
+    return static_cast<int>(options.fleet ? 80 + random() % 41 : 30 + random() % 40);
+}
+
+// Of each request that crashes endpoints, how often it comes.
+std::vector<CrasherPace> crashersFor(const PlayOptions &options)
+{
+    if (!options.only.empty() && !plays(options.only, Fault::CrashRequests)) {
+        return {};
+    }
+    if (plays(options.only, Fault::KillAfterCrash)) {
+        return {SlowPace};
+    }
+    if (options.routers > 0) {
+        return {{}, {}, {}, {}, SlowPace, SlowPace};
+    }
+    return {{}, {}};
+}
+
 void printLogLines(const Fleet &fleet, const std::string &attempt, std::ostream &out)
 {
     if (attempt.empty()) {
@@ -103,8 +152,8 @@
 PlayResult playSeed(const PlayOptions &options, std::ostream &out)
 {
     std::mt19937_64 random(options.seed);
-    const FleetSize size = options.fleet ? drawFleet(random) : drawSize(random);
-    const int callers = static_cast<int>(options.fleet ? 80 + random() % 41 : 30 + random() % 40);
+    const FleetSize size = sizeFor(options, random);
+    const int callers = callersFor(options, random);
     out << "seed " << options.seed << ": " << size.routers << " routers, " << size.plainEndpoints
         << " plain endpoints, " << size.engines << " engines, " << callers << " callers, " << size.prepaid
         << " tokens prepaid" << std::endl;
@@ -126,16 +175,22 @@
     spawn(io, [&](const yield_context &yield) {
         player.watchRouters(yield);
     });
-    if (options.only.value_or(Fault::CrashRequests) == Fault::CrashRequests) {
-        for (int i = 0; i < Crashers; ++i) {
-            spawn(io, [&fleet, &options, i](const yield_context &yield) {
-                runCrasher(fleet, options.seed, i, yield);
-            });
-        }
+    const std::vector<CrasherPace> crashers = crashersFor(options);
+    for (std::size_t i = 0; i < crashers.size(); ++i) {
+        spawn(io, [&fleet, &options, i, pace = crashers[i]](const yield_context &yield) {
+            runCrasher(fleet, options.seed, static_cast<int>(i), pace, yield);
+        });
+    }
+    if (!crashers.empty()) {
         spawn(io, [&](const yield_context &yield) {
             player.killEndpoints(yield);
         });
     }
+    if (plays(options.only, Fault::StarveRouters)) {
+        spawn(io, [&](const yield_context &yield) {
+            player.starveRouters(yield);
+        });
+    }
     spawn(io, [&](const yield_context &yield) {
         while (!fleet.ending) {
             const TimePoint before = steadyNow();
@@ -174,6 +229,8 @@
     result.faults = player.played();
     result.breaches = fleet.promises.breaches;
     result.traffic = fleet.promises.traffic;
+    result.crashes = fleet.promises.crashes;
+    result.timeHanded = fleet.promises.timeHanded;
     result.spent = fleet.promises.spent;
     result.prepaidTotal = fleet.promises.prepaidTotal;
     return result;
--- a/soak/play.h
+++ b/soak/play.h
@@ -11,7 +11,6 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -24,8 +23,9 @@
     std::string program; // godwitd.
     std::uint64_t seed = 1;
     std::chrono::milliseconds time{40'000};
-    std::optional<Fault> only; // Plays nothing but this fault.
+    std::vector<Fault> only; // Plays nothing but these faults.
     bool fleet = false; // Many routers with a low allowance of repeats, and faults that concern all of them at once.
+    std::size_t routers = 0; // A fleet of so many, whose endpoints fail every second request; 0: drawn.
     std::string logFolder; // Where the routers' logs of a play that broke a promise go; empty: nowhere.
 };
 
@@ -39,6 +39,8 @@
     std::int64_t spent = 0;
     std::int64_t prepaidTotal = 0;
     std::map<std::string, ServiceTraffic> traffic;
+    std::map<std::string, CrashHistory> crashes;
+    TimeHanded timeHanded;
     std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
 };
 
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -25,10 +25,9 @@
     {Promise::RepeatsBeyond, "repeats beyond the allowance"},
     {Promise::CrashesOn, "a request that crashes endpoints was sent on"},
     {Promise::Condemned, "a harmless request was condemned"},
+    {Promise::TimeHandedOn, "endpoints were handed more time than is left"},
 };
 
-// Of requests that may be repeated, as the documents of the soak have it.
-constexpr std::size_t EndpointsAllowed = 2;
 constexpr unsigned NotFound = 404;
 constexpr std::string_view AnswerBegins = "done by ";
 
@@ -169,6 +168,18 @@
                    + " ms, with no unplanned disturbance since 3 s before it was sent");
 }
 
+// By the documents that may have been in force since the request was sent.
+std::size_t endpointsAllowed(const Promises &promises, TimePoint sentAt)
+{
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < promises.attempts.size(); ++i) {
+        const bool replaced =
+            i + 1 < promises.attempts.size() && promises.attempts[i + 1].since + DocumentBound < sentAt;
+        most = replaced ? most : std::max(most, promises.attempts[i].mostEndpoints);
+    }
+    return most;
+}
+
 // Moments after `from`, and up to `to`.
 std::size_t countBetween(const std::vector<TimePoint> &moments, TimePoint from, TimePoint to)
 {
@@ -222,15 +233,23 @@
     traffic.repeats.push_back(now);
     const std::size_t repeats = countBetween(traffic.repeats, now - RepeatWindow, now);
     const double allowed = allowedRepeats(promises, traffic, now);
-    traffic.mostUsed = std::max(traffic.mostUsed, static_cast<double>(repeats) / allowed);
-    const bool worst =
-        static_cast<double>(repeats) - allowed > static_cast<double>(traffic.mostRepeats) - traffic.allowedThen;
-    if (!worst && traffic.mostRepeats > 0) {
+    const double used = static_cast<double>(repeats) / allowed;
+    if (used > traffic.mostUsed) {
+        traffic.mostUsed = used;
+        traffic.mostRepeats = repeats;
+        traffic.allowedThen = allowed;
+    }
+    const double beyond = static_cast<double>(repeats) - allowed;
+    if (beyond <= 0) {
         return;
     }
-    traffic.mostRepeats = repeats;
-    traffic.allowedThen = allowed;
-    if (static_cast<double>(repeats) > allowed) {
+    if (!traffic.lastBeyond || now - *traffic.lastBeyond >= RepeatWindow) {
+        ++traffic.windowsBeyond;
+        traffic.lastBeyond = now;
+    }
+    if (beyond > static_cast<double>(traffic.mostBeyond) - traffic.beyondAllowed) {
+        traffic.mostBeyond = repeats;
+        traffic.beyondAllowed = allowed;
         noteBreach(promises,
                    Promise::RepeatsBeyond,
                    attempt,
@@ -240,6 +259,43 @@
     }
 }
 
+void noteTimeHanded(Promises &promises, const std::string &attempt, std::optional<Duration> handed, TimePoint now)
+{
+    const auto found = promises.requests.find(attempt);
+    if (found == promises.requests.end()) {
+        return;
+    }
+    SentRequest &request = found->second;
+    const bool first = !request.firstArrival;
+    if (first) {
+        request.firstArrival = now;
+        request.firstEnds = now + handed.value_or(request.timeLeft);
+    }
+    if (!routerInTouch(promises, request.router, now)) {
+        return;
+    }
+    TimeHanded &counts = promises.timeHanded;
+    ++counts.sends;
+    const bool lateRepeat = !first && now > *request.firstArrival + TimeLeftSlack;
+    counts.lateRepeats += lateRepeat ? 1 : 0;
+    const TimePoint latestEnd = std::max(request.firstEnds, request.sentAt + request.timeLeft) + TimeLeftSlack;
+    const bool tooLong =
+        !handed || *handed > request.timeLeft + TimeLeftSlack || (lateRepeat && now + *handed > latestEnd);
+    counts.lateOrTooLong += lateRepeat || tooLong ? 1 : 0;
+    if (!tooLong) {
+        return;
+    }
+    ++counts.tooLong;
+    if (counts.tooLong > TooLongAllowed && counts.tooLong > TooLongPart * counts.lateOrTooLong) {
+        noteBreach(promises,
+                   Promise::TimeHandedOn,
+                   attempt,
+                   std::to_string(counts.tooLong) + " sends with too long a time of "
+                       + std::to_string(counts.lateRepeats) + " late ones; this one by router-"
+                       + std::to_string(request.router));
+    }
+}
+
 void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now)
 {
     const auto found = promises.requests.find(attempt);
@@ -258,7 +314,7 @@
                    attempt,
                    "ran at endpoint " + std::to_string(request.runs[0]) + " and at " + std::to_string(endpoint));
     }
-    if (request.runs.size() > EndpointsAllowed) {
+    if (request.runs.size() > endpointsAllowed(promises, request.sentAt)) {
         noteBreach(promises, Promise::TooManyRuns, attempt, std::to_string(request.runs.size()) + " runs");
     }
     if (saysNotRun(request.status) && runsAtMostOnce(request.kind)) {
@@ -293,6 +349,15 @@
     promises.crashes[target].deaths.push_back(now);
 }
 
+std::size_t crashCount(const Promises &promises)
+{
+    std::size_t count = 0;
+    for (const auto &[target, history] : promises.crashes) {
+        count += history.deaths.size();
+    }
+    return count;
+}
+
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt)
 {
     const auto found = promises.requests.find(attempt);
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -33,6 +33,11 @@
 constexpr std::size_t DeathsThatTell = 3;
 constexpr int SendsAfterwards = 3;
 constexpr Duration RepeatWindow = std::chrono::seconds(10);
+// An endpoint may be handed so much more time than is left; so many times, and in such a part of the sends that are
+// looked at, more than that.
+constexpr Duration TimeLeftSlack = std::chrono::milliseconds(500);
+constexpr int TooLongAllowed = 20;
+constexpr double TooLongPart = 0.2;
 
 enum class Promise {
     Overspend,
@@ -50,6 +55,7 @@
     RepeatsBeyond,
     CrashesOn,
     Condemned,
+    TimeHandedOn,
 };
 
 std::string_view promiseName(Promise promise);
@@ -67,7 +73,10 @@
     std::size_t router = 0;
     bool prepaid = false;
     std::int64_t promptTokens = 0;
+    Duration timeLeft{}; // That its caller gives it.
     TimePoint sentAt;
+    std::optional<TimePoint> firstArrival; // At an endpoint.
+    TimePoint firstEnds; // When the time is up that the first endpoint was handed.
     std::vector<std::size_t> runs; // Endpoints, in the order of their runs.
     int events = 0; // That its caller got.
     unsigned status = 0; // Of its answer; 0: none yet.
@@ -124,9 +133,28 @@
     std::vector<TimePoint> requests; // In the order of their sending.
     std::vector<TimePoint> repeats; // Arrivals beyond the first of a request, refused ones too.
     std::set<std::string> arrived; // Requests.
-    std::size_t mostRepeats = 0; // In a window.
+    std::size_t mostRepeats = 0; // In the window that used most of its allowance.
     double allowedThen = 0;
-    double mostUsed = 0; // The largest part of the allowance that a window used.
+    double mostUsed = 0; // The part that it used.
+    std::size_t mostBeyond = 0; // Repeats in the window that went furthest beyond its allowance.
+    double beyondAllowed = 0;
+    int windowsBeyond = 0; // That don't overlap.
+    std::optional<TimePoint> lastBeyond; // The end of the latest of them.
+};
+
+// How often endpoints were handed more time than was left.
+struct TimeHanded
+{
+    int sends = 0; // By routers in touch.
+    int lateRepeats = 0; // Of them, over TimeLeftSlack after the first.
+    int tooLong = 0;
+    int lateOrTooLong = 0;
+};
+
+struct DocumentAttempts
+{
+    TimePoint since;
+    std::size_t mostEndpoints = 0; // For one request that may be repeated.
 };
 
 // What became of a request under which endpoints die.
@@ -146,6 +174,8 @@
     double repeatRatio = 0; // Of a service's requests in a window, that the fleet may repeat.
     double repeatSlack = 0; // Repeats of a service in a window besides.
     std::map<std::string, ServiceTraffic> traffic; // By service.
+    TimeHanded timeHanded;
+    std::vector<DocumentAttempts> attempts; // By document.
     int document = 0; // The newest that was put into the store.
     TimePoint documentAt;
     std::vector<DocumentView> views; // By router.
@@ -162,10 +192,14 @@
 void noteRequest(Promises &promises, const std::string &service, TimePoint now);
 // An endpoint of the service got a request, whether it runs it or refuses it.
 void noteArrival(Promises &promises, const std::string &service, const std::string &attempt, TimePoint now);
+// The time left that the endpoint was handed with it; nullopt: none.
+void noteTimeHanded(Promises &promises, const std::string &attempt, std::optional<Duration> handed, TimePoint now);
 void noteRun(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
 // It runs, and its endpoint will die of it; the endpoint has died of it.
 void noteCrashRun(Promises &promises, const std::string &target, const std::string &attempt, TimePoint now);
 void noteCrash(Promises &promises, const std::string &target, TimePoint now);
+// Of all such requests so far.
+std::size_t crashCount(const Promises &promises);
 // An endpoint answers it without a length or chunks.
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
 // `events`: whole events that its caller has by now.
