Observability: what each send but the first touches of the bounds on repeats

The rule about repeats has four bounds, and no line told them apart: how old a draw was when its repeat went out, how many endpoints may have run the request against its route's most, how old the time left was that an endpoint was handed, and how many deaths were known of a request when it was sent. sent_again says all four as the first byte goes out; four counters say how often a bound was touched. No decision changes.

--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -55,6 +55,10 @@
         out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
             << "\",outcome=\"" << repeatOutcomeName(kind.outcome) << "\"} " << count << '\n';
     }
+    line(out, "godwit_repeats_sent_late_total", static_cast<double>(counters.sends.late));
+    line(out, "godwit_sends_with_stale_time_left_total", static_cast<double>(counters.sends.stale));
+    line(out, "godwit_sends_beyond_attempts_total", static_cast<double>(counters.sends.beyondAttempts));
+    line(out, "godwit_sends_under_suspicion_total", static_cast<double>(counters.sends.underSuspicion));
     line(out, "godwit_calls_open", relay.callsOpen);
     line(out, "godwit_platform_calls_total", static_cast<double>(store.calls));
     for (std::size_t kind = 0; kind < StoreCallKinds; ++kind) {
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -212,6 +212,9 @@
 void EndpointExchange::send()
 {
     m_phase = Phase::Sent;
+    if (m_handlers.onSending) {
+        m_handlers.onSending();
+    }
     asio::async_write(
         *m_socket, asio::buffer(m_bytes), [self = shared_from_this()](const beast::error_code &error, std::size_t) {
             // A failed write shows in the read as well, after what the endpoint still said.
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -54,6 +54,8 @@
 {
     // Asked before the first byte goes out on a new connection; unset: it may.
     std::function<bool()> maySend;
+    // Called before the first byte goes out on any connection; unset: nobody is told.
+    std::function<void()> onSending;
     std::function<void(const AnswerHead &, const AnswerFacts &)> onHead;
     std::function<void(std::string_view)> onBody;
     std::function<void()> onEnd;
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -23,6 +23,7 @@
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
+#include "godwit/relay/send_record.h"
 #include "godwit/suspects/recent_answers.h"
 #include "godwit/suspects/suspect_record.h"
 #include "godwit/suspects/suspects.h"
@@ -168,6 +169,7 @@
     std::map<ErrorKind, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> attemptsFailed; // By cause.
     std::map<RepeatKind, std::uint64_t> repeatDraws;
+    SendCounters sends;
     std::map<AnswerEnding, std::uint64_t> answersEnded; // Answers of endpoints, or what came of them.
     std::uint64_t convictions = 0; // Of requests, given here.
     std::uint64_t suspectsCleared = 0;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -392,6 +392,9 @@
     handlers.maySend = [self] {
         return self->maySend();
     };
+    handlers.onSending = [self, left = send.timeLeft] {
+        self->noteSending(left);
+    };
     handlers.onHead = [self](const AnswerHead &head, const AnswerFacts &facts) {
         self->onHead(head, facts);
     };
@@ -412,6 +415,32 @@
     m_relay.counters().connectionsOpened += m_newConnection ? 1 : 0;
 }
 
+void RelayCall::noteSending(Duration timeLeft)
+{
+    const TimePoint now = Relay::now();
+    const auto &deathCount = m_relay.state().suspects.deathCount;
+    SendRecord record;
+    record.attempt = m_facts.attemptId;
+    record.service = m_serviceName;
+    record.endpoint = m_endpoint.value;
+    record.sends = m_sends;
+    record.ran = m_ran;
+    record.maxEndpoints = m_route->maxEndpoints;
+    if (m_drawnAt) {
+        record.sinceDraw = now - *m_drawnAt;
+    }
+    record.timeLeft = timeLeft;
+    record.sinceReckoned = now - m_sentAt;
+    record.sinceArrival = now - m_arrived;
+    const auto found = deathCount.empty() ? deathCount.end() : deathCount.find(fingerprint());
+    if (found != deathCount.end()) {
+        record.fingerprint = found->first;
+        record.deaths = static_cast<std::size_t>(found->second);
+    }
+    record.trial = m_trial;
+    recordSend(m_relay, record);
+}
+
 void RelayCall::onHead(const AnswerHead &head, const AnswerFacts &facts)
 {
     m_answerHead = head;
@@ -562,6 +591,7 @@
     }
     if (failed && mayRepeat() && !m_headPassed && drawRepeat("failed_answer")) {
         ++m_relay.counters().repeats;
+        m_drawnAt = Relay::now();
         attempt();
         return;
     }
@@ -804,6 +834,7 @@
     const bool canGoOn = resumable && (!m_headPassed || m_streams || m_eventsPassed > 0);
     // An attempt that reached no endpoint adds nothing to its load, so it draws on no allowance.
     if (canGoOn && mayRepeat() && (!reachedEndpoint || drawRepeat(cause))) {
+        m_drawnAt = Relay::now();
         m_relay.counters().repeats += reachedEndpoint ? 1 : 0;
         m_relay.counters().resumedStreams += m_eventsPassed > 0 ? 1 : 0;
         if (!reachedEndpoint) {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -88,6 +88,7 @@
     void attempt();
     void begin(const Choice &choice);
     void sendTo(const Choice &choice);
+    void noteSending(Duration timeLeft);
     bool maySend();
     Duration endpointsBack() const;
     void onHead(const AnswerHead &head, const AnswerFacts &facts);
@@ -166,6 +167,7 @@
     EndpointId m_endpoint;
     EndpointStart m_endpointStart = 0;
     TimePoint m_sentAt;
+    std::optional<TimePoint> m_drawnAt; // When another send was granted.
     bool m_attemptOpen = false;
     bool m_newConnection = false; // Of the latest attempt.
     bool m_trial = false; // The latest attempt is the fleet's one run of a suspect.
