The soak leaves a large fleet time to be in touch between faults of all routers

One upon another they kept the routers out of touch nearly all the while, so that bounds which hold for routers in touch alone were hardly tried.

--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -237,6 +237,10 @@
 
 void FaultPlayer::begin(Fault fault)
 {
+    const bool ofFleet = fault == Fault::KillFleet || fault == Fault::FreezeFleet || fault == Fault::CutPeers;
+    if (ofFleet && fleetRests()) {
+        return;
+    }
     ++m_played[fault];
     switch (fault) {
     case Fault::StopRouter:
@@ -418,9 +422,22 @@
     });
 }
 
+bool FaultPlayer::fleetRests() const
+{
+    return m_choice.rests && steadyNow() < m_restUntil;
+}
+
+void FaultPlayer::restAfter(Time time)
+{
+    if (m_choice.rests) {
+        m_restUntil = steadyNow() + time + milliseconds(draw(5000, 9000));
+    }
+}
+
 void FaultPlayer::killFleet()
 {
     const int times = draw(1, 3);
+    restAfter(times * milliseconds(2800));
     say(Fault::KillFleet, std::to_string(times) + " times", {});
     spawn([this, times](const yield_context &yield) {
         for (int i = 0; i < times; ++i) {
@@ -447,6 +464,7 @@
 void FaultPlayer::freezeFleet()
 {
     const Time time(draw(600, 4000));
+    restAfter(time);
     const auto first = static_cast<std::size_t>(draw(0, 1));
     say(Fault::FreezeFleet, "every second router", time);
     for (std::size_t i = first; i < m_fleet.routers.size(); i += 2) {
@@ -487,6 +505,9 @@
     const bool all = draw(0, 1) == 0;
     const auto chosen = static_cast<std::size_t>(draw(0, static_cast<int>(m_fleet.routers.size()) - 1));
     const Time time(draw(1500, 8000));
+    if (all) {
+        restAfter(time);
+    }
     say(Fault::CutPeers, all ? "all routers" : "router-" + std::to_string(chosen), time);
     for (std::size_t i = 0; i < m_fleet.routers.size(); ++i) {
         if (!all && i != chosen) {
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -67,6 +67,7 @@
 {
     bool onFleet = false; // Also what concerns all routers at once, and that most of the time.
     std::vector<Fault> only; // Nothing but these; empty: all that are not by choice alone.
+    bool rests = false; // Between two faults of the whole fleet there is time for it to be in touch.
 };
 
 // Whether the fault comes, where these alone are played.
@@ -118,6 +119,8 @@
     void killAfterCrashes();
     void killAll();
     void cutPeers();
+    bool fleetRests() const;
+    void restAfter(Time time);
     void disturbRouter(std::size_t router, Time time, bool planned);
     void disturbEndpoint(std::size_t endpoint, Time time);
     void say(Fault fault, const std::string &where, Time time);
@@ -129,6 +132,7 @@
     FaultChoice m_choice;
     std::ostream &m_out;
     TimePoint m_start;
+    TimePoint m_restUntil; // No fault of the whole fleet begins before.
     bool m_restarting = false;
     bool m_killsAfterCrashes = false;
     std::map<Fault, int> m_played;
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -160,7 +160,7 @@
 
     boost::asio::io_context io;
     Fleet fleet(io, options.program, size);
-    FaultPlayer player(fleet, options.seed, {options.fleet, options.only}, out);
+    FaultPlayer player(fleet, options.seed, {options.fleet, options.only, options.routers > 0}, out);
     PlayResult result;
     result.seed = options.seed;
     const TimePoint start = steadyNow();
