The soak's cut between routers holds new connections in the accept queue

Traced: after a cut of all 87 routers for 7 s no link came back for the rest of a play. The proxy accepted each dial that came during the cut and held it, which took all descriptors of the soak; the first accept that failed was its last. So routers counted as in touch that could not hear each other. A cut now leaves new connections in the accept queue, as a host does that can't be reached, and a failed accept is tried again.

--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -515,8 +515,7 @@
         }
         disturbRouter(i, time, false);
         FaultProxy &proxy = *m_fleet.routers[i].peers;
-        proxy.faults().cutToServer = true;
-        proxy.faults().cutToCaller = true;
+        proxy.faults().cutOff = true;
         spawn([this, &proxy, time](const yield_context &yield) {
             waitFor(m_fleet.io, time, yield);
             proxy.faults() = {};
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -126,8 +126,17 @@
 
 void FaultProxy::accept()
 {
+    if (m_faults.cutOff) {
+        acceptLater();
+        return;
+    }
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || m_refuses) {
+            return;
+        }
         if (error) {
+            // For want of descriptors, as a rule: without another try the proxy would be cut off for good.
+            acceptLater();
             return;
         }
         const auto link = std::make_shared<Link>(std::move(socket));
@@ -144,6 +153,16 @@
     });
 }
 
+void FaultProxy::acceptLater()
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, HoldStep);
+    timer->async_wait([this, timer](const error_code &error) {
+        if (!error) {
+            accept();
+        }
+    });
+}
+
 void FaultProxy::serve(const std::shared_ptr<Link> &link, const yield_context &yield)
 {
     error_code error;
@@ -201,7 +220,7 @@
     if (m_faults.delay.count() > 0) {
         waitFor(m_io, m_faults.delay, yield);
     }
-    while (link->silent || (toServer ? m_faults.cutToServer : m_faults.cutToCaller)) {
+    while (link->silent || m_faults.cutOff || (toServer ? m_faults.cutToServer : m_faults.cutToCaller)) {
         waitFor(m_io, HoldStep, yield);
     }
 }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -26,6 +26,7 @@
     std::chrono::milliseconds delay{0}; // Of each piece that passes, in both directions.
     bool cutToServer = false; // What callers send is held until this ends.
     bool cutToCaller = false; // What the server sends is held until this ends.
+    bool cutOff = false; // Both, and new connections are left in the accept queue.
     bool repeatAnswers = false; // The bytes of an answer come once more, in the place of the next answer.
 };
 
@@ -55,6 +56,7 @@
     struct Link;
 
     void accept();
+    void acceptLater();
     void serve(const std::shared_ptr<Link> &link, const boost::asio::yield_context &yield);
     void pump(const std::shared_ptr<Link> &link, bool toServer, const boost::asio::yield_context &yield);
     void hold(const std::shared_ptr<Link> &link, bool toServer, const boost::asio::yield_context &yield) const;
