The first death under each request outlives all routers

Cause: a count that ends with the processes that keep it. A request has a record in the store from its second death on; of the first only the routers' memory knew, told over links once. Who starts later, or had no link then, never learns it. Ruled out: a record for each first death, hundreds of writes when a busy engine dies; a list for each router, one write for each that had a run there. Routers that don't hear each other each take themselves for the first, and merge what they find.

--- /dev/null
+++ b/godwit/daemon/first_death_keeper.cpp
@@ -0,0 +1,94 @@
+#include "godwit/daemon/first_death_keeper.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+namespace
+{
+
+// What only leaves the value waits so long for a death that takes it along.
+constexpr Duration RemovalsWait = std::chrono::seconds(10);
+
+} // namespace
+
+FirstDeathKeeper::FirstDeathKeeper(Relay &relay, StoreClient &store, std::string key)
+    : m_relay(relay)
+    , m_store(store)
+    , m_key(std::move(key))
+{
+}
+
+void FirstDeathKeeper::onBookChanged()
+{
+    if (m_writing || !m_relay.state().platformInReach || !writes || !writes()) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    const auto deaths = firstDeathsIn(m_relay.state().suspects, now);
+    if (isWorthWriting(knownOf(deaths), now)) {
+        write(deaths);
+    }
+}
+
+bool FirstDeathKeeper::isWorthWriting(const Known &wanted, TimePoint now) const
+{
+    const bool adds = !std::includes(m_stored.begin(), m_stored.end(), wanted.begin(), wanted.end());
+    return adds || (wanted != m_stored && now >= m_writtenAt + RemovalsWait);
+}
+
+void FirstDeathKeeper::write(const std::vector<FirstDeath> &deaths)
+{
+    m_writing = true;
+    m_writtenAt = Relay::now();
+    StoreTransaction transaction;
+    transaction.conditions.push_back({m_key, m_revision});
+    transaction.puts.push_back({m_key, encodeFirstDeaths(deaths), 0});
+    m_store.transact(transaction, [this, known = knownOf(deaths)](const StoreWriteReply &reply) {
+        m_writing = false;
+        if (reply.status == StoreStatus::Ok) {
+            m_revision = reply.revision;
+            m_stored = known;
+            m_relay.log().write("first_deaths_kept", {{"count", static_cast<std::int64_t>(known.size())}});
+            onBookChanged();
+        } else if (reply.status == StoreStatus::ConditionFailed && reply.standing) {
+            m_revision = 0;
+            for (const StoreItem &item : *reply.standing) {
+                onItem(item);
+            }
+        }
+    });
+}
+
+void FirstDeathKeeper::onItem(const StoreItem &item)
+{
+    if (item.key != m_key || item.revision <= m_revision) {
+        return;
+    }
+    const auto deaths = decodeFirstDeaths(item.value);
+    m_revision = item.revision;
+    if (!deaths) {
+        m_relay.log().write("first_deaths_unreadable", {{"key", std::string_view(m_key)}});
+        return;
+    }
+    RelayState &state = m_relay.state();
+    const TimePoint now = Relay::now();
+    const Known before = std::exchange(m_stored, knownOf(*deaths));
+    for (const FirstDeath &death : *deaths) {
+        const bool isNew = before.count({death.fingerprint, death.endpoint}) == 0;
+        if (isNew && !wasAnsweredSince(state.recentAnswers, death.fingerprint, now - death.ago)) {
+            noteFirstDeath(state.suspects, death, now);
+        }
+    }
+}
+
+FirstDeathKeeper::Known FirstDeathKeeper::knownOf(const std::vector<FirstDeath> &deaths)
+{
+    Known known;
+    for (const FirstDeath &death : deaths) {
+        known.emplace(death.fingerprint, death.endpoint);
+    }
+    return known;
+}
+
+} // namespace Godwit
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -251,6 +251,9 @@
         m_suspects.tell = [this](const std::vector<SuspectNotice> &notices) {
             m_links.tellSuspects(notices);
         };
+        m_suspects.firstDeaths().writes = [this] {
+            return m_links.readerRankOf(m_liveEntries.prefix()) == 0;
+        };
         m_links.onSuspects = [this](const std::vector<SuspectNotice> &notices) {
             m_suspects.onNotices(notices);
         };
--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -18,6 +18,8 @@
     {Verdict::Convicted, "convicted"},
 };
 
+constexpr const char *FirstDeathsName = "first"; // No fingerprint.
+
 // With so many deaths a request is worth a record: the next run of it is a trial.
 std::size_t deathsToRecord(const SuspectBook &book)
 {
@@ -34,6 +36,7 @@
     , m_relay(relay)
     , m_store(store)
     , m_options(std::move(options))
+    , m_firstDeaths(relay, store, m_options.prefix + FirstDeathsName)
 {
     m_relay.state().suspects.options = m_options.suspects;
     m_relay.onCut = [this](const RequestCut &cut, std::function<void()> known) {
@@ -173,6 +176,7 @@
     for (const std::uint64_t fingerprint : fingerprints) {
         keepRecord(fingerprint);
     }
+    m_firstDeaths.onBookChanged();
     noteTrialEndpoints();
     judgeLater(std::move(fingerprints));
 }
@@ -267,6 +271,7 @@
             }
         }
     }
+    m_firstDeaths.onBookChanged();
     if (!toJudge.empty()) {
         judgeLater(std::move(toJudge));
     }
@@ -577,6 +582,7 @@
 {
     std::map<std::uint64_t, std::uint64_t> revisions;
     for (const auto &[key, item] : items) {
+        m_firstDeaths.onItem(item);
         if (const auto fingerprint = fingerprintOf(key.substr(std::min(key.size(), m_options.prefix.size())))) {
             revisions[*fingerprint] = item.revision;
             take(*fingerprint, item);
@@ -621,6 +627,7 @@
     }
     tellCleared();
     onListed();
+    m_firstDeaths.onBookChanged();
     for (auto it = m_judged.begin(); it != m_judged.end();) {
         const bool over =
             m_records.count(it->first) == 0 && refusedFor(m_relay.state().suspects, it->first, now) == Duration::zero();
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -9,6 +9,7 @@
 //   suspects.tell = [&](const std::vector<SuspectNotice> &notices) { ...to all other routers... };
 
 #include "godwit/base/time.h"
+#include "godwit/daemon/first_death_keeper.h"
 #include "godwit/gateway/crash_watch.h"
 #include "godwit/gateway/store_item.h"
 #include "godwit/relay/relay.h"
@@ -70,6 +71,11 @@
     // old.
     void step();
 
+    FirstDeathKeeper &firstDeaths()
+    {
+        return m_firstDeaths;
+    }
+
     // All other routers that callers are told of are to be told.
     std::function<void(const std::vector<SuspectNotice> &)> tell;
 
@@ -116,6 +122,7 @@
     Relay &m_relay;
     StoreClient &m_store;
     SuspectKeeperOptions m_options;
+    FirstDeathKeeper m_firstDeaths;
     std::map<EndpointId, std::vector<std::function<void()>>> m_waiting; // For the answer of an endpoint's port.
     std::map<std::uint64_t, SuspectLabel> m_labels; // Of requests that were cut here.
     std::map<std::uint64_t, EndpointId> m_ownTrials;
