A customer that the ledger does not name yet has all of its total

Cause: what may remain of a customer was taken to be nothing while the ledger has no entry of it; the entry comes with the first grant. prepaid_share_test, red before: 0 of 1,000,000 remain.

--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -165,9 +165,13 @@
 {
     const LedgerAccount *account = ledgerAccount(share, customer);
     const ShareAccount *own = accountOf(share, customer);
-    if (account == nullptr || own == nullptr) {
+    if (own == nullptr) {
         return 0;
     }
+    if (account == nullptr) {
+        // Nobody has drawn on it yet.
+        return own->total;
+    }
     const auto &others = heldByOthers(share, customer);
     if (!own->holdsAhead && !others.empty()) {
         // This router's own copy of the ledger is as old as its last write; the home's word is not.
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -596,6 +596,14 @@
     CHECK(world.share(0).ledger.accounts.at(Desk).spent == 10'000);
 }
 
+// Guards against a final refusal of a full budget, at the first start of a fleet or for a customer that is new.
+TEST_CASE("all of a total remains of a customer that the ledger does not name yet")
+{
+    World world = openedWorld(1);
+    world.share(0).ledger.accounts.erase(Desk);
+    CHECK(mayRemain(world.share(0), Desk) == Total);
+}
+
 TEST_CASE("what may remain counts what a silent router holds, and what a heard one says")
 {
     World world = openedWorld(2);
