A request is condemned by a trial's death alone, and any router that has answered it speaks for it

Cause: what speaks for a request was known to one router alone. Each asked whether it had itself answered the request within 3 s; of 87 routers few have, of 4 nearly all. And three deaths that routers saw apart condemned, though another request met the busy one at each of them, so that none of the three was its own. Now a death condemns only together with one of a trial, in which the request is the only suspect at its endpoint; and a router that has answered a suspect lately says so to all, within 150 ms and before it is judged. Who wrote the record removes it.

--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -152,7 +152,7 @@
             continue;
         }
         fingerprints.insert(run.fingerprint);
-        if (!noteSuspect(book, noted, run.fingerprint, {run.sentAt, run.trial})) {
+        if (!noteSuspect(book, noted, run.fingerprint, {run.sentAt, run.trial, run.trial})) {
             continue;
         }
         SuspectNotice notice;
@@ -251,6 +251,7 @@
     SuspectBook &book = m_relay.state().suspects;
     const TimePoint now = Relay::now();
     std::set<std::uint64_t> toJudge;
+    std::set<std::uint64_t> spokenFor;
     for (const SuspectNotice &notice : notices) {
         const std::uint64_t fingerprint = notice.fingerprint;
         if (notice.status == SuspectStatus::Convicted) {
@@ -258,25 +259,54 @@
             noteJudged(fingerprint);
         } else if (notice.status == SuspectStatus::Cleared) {
             pardon(book, fingerprint);
+            const auto known = m_records.find(fingerprint);
+            if (known != m_records.end() && (known->second.writing || known->second.ownWrite)) {
+                remove(fingerprint);
+            }
         } else {
             const TimePoint at = now - notice.age;
             InFlight run;
-            run.certain = notice.trial;
+            run.trial = notice.trial;
             if (notice.ranFor) {
                 run.sentAt = at - *notice.ranFor;
             }
             noteSuspect(book, {notice.endpoint, notice.host, notice.dataCentre, at, {}}, fingerprint, run);
+            if (wasAnsweredSince(m_relay.state().recentAnswers, fingerprint, at - m_options.answerClears)) {
+                spokenFor.insert(fingerprint);
+            }
             if (soundDeaths(book, fingerprint).size() >= book.options.deathsToConvict) {
                 toJudge.insert(fingerprint);
             }
         }
     }
     m_firstDeaths.onBookChanged();
+    if (!spokenFor.empty()) {
+        speakLater(std::move(spokenFor));
+    }
     if (!toJudge.empty()) {
         judgeLater(std::move(toJudge));
     }
 }
 
+// Many routers may have answered them: one that speaks first spares the others.
+void SuspectKeeper::speakLater(std::set<std::uint64_t> fingerprints)
+{
+    const double lot = static_cast<double>(m_relay.random() % 1024) / 1024.0;
+    const auto wait = std::chrono::duration_cast<Duration>(m_options.speakWithin * lot);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, wait);
+    timer->async_wait([this, timer, fingerprints = std::move(fingerprints)](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        for (const std::uint64_t fingerprint : fingerprints) {
+            if (m_relay.state().suspects.deathCount.count(fingerprint) != 0) {
+                onWholeAnswer(fingerprint);
+            }
+        }
+        tellCleared();
+    });
+}
+
 void SuspectKeeper::onTrialWanted(const TrialWish &wish, std::function<void(bool)> done)
 {
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_options.grantWithin);
@@ -344,7 +374,7 @@
     }
     // Its router has told nothing, and the endpoint is no more.
     noteSuspect(
-        m_relay.state().suspects, {trial->endpoint, {}, {}, Relay::now(), {}}, fingerprint, {std::nullopt, true});
+        m_relay.state().suspects, {trial->endpoint, {}, {}, Relay::now(), {}}, fingerprint, {std::nullopt, true, true});
     keepRecord(fingerprint);
     judgeLater({fingerprint});
     return false;
@@ -456,7 +486,9 @@
     }
     record.deaths.clear();
     for (const EndpointDeath *death : soundDeaths(book, fingerprint)) {
-        record.deaths.push_back({death->endpoint, runTime(*death, fingerprint).value_or(Duration::zero())});
+        record.deaths.push_back({death->endpoint,
+                                 runTime(*death, fingerprint).value_or(Duration::zero()),
+                                 death->tried.count(fingerprint) != 0});
     }
     record.convicted = refusedFor(book, fingerprint, Relay::now()) > Duration::zero();
     const auto own = m_ownTrials.find(fingerprint);
@@ -490,6 +522,7 @@
             written.revision = reply.revision;
             written.seenAt = Relay::now();
             written.inCopy = false;
+            written.ownWrite = true;
         } else if (reply.status == StoreStatus::ConditionFailed) {
             takeStanding(fingerprint, reply);
         }
@@ -557,6 +590,7 @@
     taken.record = *record;
     taken.revision = item.revision;
     taken.seenAt = now;
+    taken.ownWrite = false;
     SuspectBook &book = m_relay.state().suspects;
     // Before all that comes from here on, and one after another.
     TimePoint at = now - book.options.settle;
@@ -564,6 +598,7 @@
         at -= std::chrono::seconds(1);
         InFlight run;
         run.certain = true;
+        run.trial = death->trial;
         if (death->ranFor > Duration::zero()) {
             run.sentAt = at - death->ranFor;
         }
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -42,6 +42,8 @@
     Duration knownWithin = std::chrono::milliseconds(60);
     // A request that was answered whole so shortly before an endpoint died is not to blame.
     Duration answerClears = std::chrono::seconds(3);
+    // A router that has answered a suspect says so within this time, before it is judged.
+    Duration speakWithin = std::chrono::milliseconds(150);
     // A trial that its router has not ended by then is over if its endpoint lives.
     Duration trialLimit = std::chrono::seconds(15);
     // A request does not wait longer for the store to grant its trial.
@@ -87,6 +89,7 @@
         TimePoint seenAt; // When this revision was first seen.
         bool inCopy = false; // The copy of the store has had this revision.
         bool writing = false;
+        bool ownWrite = false; // This router wrote this revision.
     };
 
     void onCut(const RequestCut &cut, std::function<void()> known);
@@ -95,6 +98,8 @@
     void onDeath(const EndpointCuts &death, std::string_view sign);
     void logDeath(const EndpointCuts &death, std::string_view sign) const;
     void judgeLater(std::set<std::uint64_t> fingerprints);
+    // This router has answered them lately.
+    void speakLater(std::set<std::uint64_t> fingerprints);
     void judgeNow(std::uint64_t fingerprint);
     void noteJudged(std::uint64_t fingerprint);
     void onTrialWanted(const TrialWish &wish, std::function<void(bool)> done);
--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -58,6 +58,22 @@
     CHECK(admissionOf(book, Crasher, Start + 30min) == Admission::Refused);
 }
 
+// Guards against condemning a busy request by deaths of another one that met it at each of them, which routers that
+// were cut off from one another saw apart.
+TEST_CASE("deaths alone convict nobody: one of them must be of a trial")
+{
+    SuspectBook book = makeBook();
+    book.options.trialConvicts = true;
+    die(book, "a", 0s, Harmless);
+    die(book, "b", 1s, Harmless);
+    die(book, "c", 2s, Harmless);
+    CHECK(judge(book, Harmless, Start + 3s) == Verdict::Suspected);
+    CHECK(admissionOf(book, Harmless, Start + 3s) == Admission::Trial);
+    noteSuspect(
+        book, {EndpointId{"d"}, {}, DataCentreId("dc"), Start + 4s, {}}, Harmless, {Start + 4s - 40ms, true, true});
+    CHECK(judge(book, Harmless, Start + 5s) == Verdict::Convicted);
+}
+
 // Guards against condemning a request that many send, since it is at each endpoint that fails.
 TEST_CASE("endpoints that die together under one request count once against it")
 {
--- a/godwit/suspects/suspect_record.cpp
+++ b/godwit/suspects/suspect_record.cpp
@@ -32,7 +32,7 @@
     json deaths = json::array();
     for (std::size_t i = 0; i < std::min(record.deaths.size(), MaxDeaths); ++i) {
         const auto ranFor = std::chrono::duration_cast<std::chrono::milliseconds>(record.deaths[i].ranFor);
-        deaths.push_back(json::array({record.deaths[i].endpoint.value, ranFor.count()}));
+        deaths.push_back(json::array({record.deaths[i].endpoint.value, ranFor.count(), record.deaths[i].trial}));
     }
     json value{{"host", shortened(record.label.host)},
                {"target", shortened(record.label.target)},
@@ -60,7 +60,10 @@
         record.convicted = value.at("convicted").get<bool>();
         for (const json &death : value.at("deaths")) {
             const auto ranFor = std::clamp<std::int64_t>(death.at(1).get<std::int64_t>(), 0, MostRanMilliseconds);
-            record.deaths.push_back({EndpointId{death.at(0).get<std::string>()}, std::chrono::milliseconds(ranFor)});
+            // Routers of an earlier version wrote nothing of trials.
+            const bool trial = death.size() > 2 && death.at(2).get<bool>();
+            record.deaths.push_back(
+                {EndpointId{death.at(0).get<std::string>()}, std::chrono::milliseconds(ranFor), trial});
         }
         if (const auto trial = value.find("trial"); trial != value.end()) {
             record.trial = SuspectTrial{Incarnation{trial->at("router").get<std::string>()},
--- a/godwit/suspects/suspect_record.h
+++ b/godwit/suspects/suspect_record.h
@@ -36,6 +36,7 @@
 {
     EndpointId endpoint;
     Duration ranFor{}; // How long the request had been there; zero where that is not known.
+    bool trial = false; // It was tried by itself there.
 };
 
 struct SuspectRecord
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -61,6 +61,7 @@
     fresh.fingerprints.clear();
     fresh.sentAt.clear();
     fresh.certain.clear();
+    fresh.tried.clear();
     return *book.deaths.insert(place, std::move(fresh));
 }
 
@@ -136,9 +137,12 @@
         auto &sentAt = known.sentAt.emplace(fingerprint, *run.sentAt).first->second;
         sentAt = std::min(sentAt, *run.sentAt);
     }
-    if (run.certain) {
+    if (run.certain || run.trial) {
         known.certain.insert(fingerprint);
     }
+    if (run.trial) {
+        known.tried.insert(fingerprint);
+    }
     auto &fingerprints = known.fingerprints;
     const auto place = std::lower_bound(fingerprints.begin(), fingerprints.end(), fingerprint);
     if (place != fingerprints.end() && *place == fingerprint) {
@@ -180,6 +184,7 @@
         list.erase(std::lower_bound(list.begin(), list.end(), fingerprint));
         death.sentAt.erase(fingerprint);
         death.certain.erase(fingerprint);
+        death.tried.erase(fingerprint);
         forgetCount(book, fingerprint);
     }
 }
@@ -207,7 +212,11 @@
 Verdict judge(SuspectBook &book, std::uint64_t fingerprint, TimePoint now)
 {
     const auto sound = soundDeaths(book, fingerprint);
-    if (sound.size() < book.options.deathsToConvict || isAmbiguous(sound, fingerprint)) {
+    const bool tried = std::any_of(sound.begin(), sound.end(), [fingerprint](const EndpointDeath *death) {
+        return death->tried.count(fingerprint) != 0;
+    });
+    if (sound.size() < book.options.deathsToConvict || isAmbiguous(sound, fingerprint)
+        || (book.options.trialConvicts && !tried)) {
         return verdictOn(book, fingerprint, now);
     }
     recordConviction(book, fingerprint, now + termFor(book.options, sound.size()));
--- a/godwit/suspects/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -35,6 +35,9 @@
     // its refusal and crashes a further endpoint is refused again at once.
     Duration memory = std::chrono::hours(2);
     std::size_t deathsToConvict = 2;
+    // Whether one of them must be of a trial. Deaths that routers saw apart may all be of another request, which met
+    // this one at each of them.
+    bool trialConvicts = false;
     // How long a fingerprint is refused that was convicted with just so many deaths, and with more.
     Duration firstRefuseFor = std::chrono::hours(1);
     Duration refuseFor = std::chrono::hours(1);
@@ -59,6 +62,8 @@
     std::unordered_map<std::uint64_t, TimePoint> sentAt;
     // Of these fingerprints it was a trial, or the death was counted before: no coincidence speaks for them.
     std::set<std::uint64_t> certain;
+    // Of these it was a trial.
+    std::set<std::uint64_t> tried;
 };
 
 // How a call came to be in flight at a death.
@@ -66,6 +71,7 @@
 {
     std::optional<TimePoint> sentAt;
     bool certain = false; // As EndpointDeath::certain.
+    bool trial = false; // As EndpointDeath::tried; such a death is certain.
 };
 
 enum class Verdict {
