A router that does not hear the fleet condemns nobody, and a long refusal takes two trials

Cause: a trial is by itself only if the others know of it. Cut off they send the same request freely, so that a trial's endpoint dies of another one; and no answer of theirs is heard. The term went by the number of deaths, of which a cut brings many. Now a router that hears less than half of the others it has links with convicts nobody and counts no death as a trial's. A request with three deaths waits there, 15 s at most after the last, which bounds what it can do: one more send in 15 s. An hour's refusal takes a second death in a trial. suspect_admission_test, two cases.

--- a/godwit/daemon/fleet_copies.cpp
+++ b/godwit/daemon/fleet_copies.cpp
@@ -242,6 +242,20 @@
     }
 }
 
+double FleetLinks::partHeard() const
+{
+    const TimePoint now = Relay::now();
+    int listed = 0;
+    int heard = 0;
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.listed && peer.dialled) {
+            ++listed;
+            heard += peer.linked && isFresh(peer, now) ? 1 : 0;
+        }
+    }
+    return listed == 0 ? 1.0 : static_cast<double>(heard) / listed;
+}
+
 double FleetLinks::partWithoutStore() const
 {
     const TimePoint now = Relay::now();
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -167,6 +167,10 @@
     // Another router has told of such requests.
     std::function<void(const std::vector<SuspectNotice> &)> onSuspects;
 
+    // Which part of the other routers that the platform lists, and that this one has links with, is heard; 1 when it
+    // lists none.
+    double partHeard() const;
+
     // Which part of the routers that are heard has lately said that the platform's store is out of its reach; 1 when
     // none is heard.
     double partWithoutStore() const;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -36,6 +36,8 @@
 constexpr const char *LivePrefix = "godwit/live/";
 // Below the routers' own entries, so that one reading brings both.
 constexpr const char *SuspectPrefix = "godwit/live/suspect/";
+// Of the other routers: with fewer, deaths are no evidence against a request.
+constexpr double LeastPartHeard = 0.5;
 constexpr const char *MarkPrefix = "godwit/mark/";
 
 // Most addresses in one answer; callers take no more.
@@ -252,6 +254,9 @@
         m_suspects.tell = [this](const std::vector<SuspectNotice> &notices) {
             m_links.tellSuspects(notices);
         };
+        m_suspects.hearsFleet = [this] {
+            return m_links.partHeard() >= LeastPartHeard;
+        };
         m_suspects.firstDeaths().writes = [this] {
             return m_links.readerRankOf(m_liveEntries.prefix()) == 0;
         };
--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -136,6 +136,7 @@
     SuspectBook &book = m_relay.state().suspects;
     const TimePoint now = Relay::now();
     forgetOldSuspects(book, now);
+    noteContact();
     const EndpointDeath noted{death.id, {}, death.dataCentre, death.askedFrom, {}};
     std::set<std::uint64_t> fingerprints;
     std::vector<SuspectNotice> notices;
@@ -152,7 +153,8 @@
             continue;
         }
         fingerprints.insert(run.fingerprint);
-        if (!noteSuspect(book, noted, run.fingerprint, {run.sentAt, run.trial, run.trial})) {
+        const bool byItself = run.trial && book.hearsFleet;
+        if (!noteSuspect(book, noted, run.fingerprint, {run.sentAt, byItself, byItself})) {
             continue;
         }
         SuspectNotice notice;
@@ -161,7 +163,7 @@
         notice.dataCentre = death.dataCentre;
         notice.age = now - noted.at;
         notice.ranFor = std::max(Duration::zero(), noted.at - run.sentAt);
-        notice.trial = run.trial;
+        notice.trial = byItself;
         notices.push_back(std::move(notice));
     }
     ++m_relay.counters().endpointDeaths[death.service];
@@ -204,6 +206,11 @@
                          {"requests", std::string_view(requests)}});
 }
 
+void SuspectKeeper::noteContact()
+{
+    m_relay.state().suspects.hearsFleet = !hearsFleet || hearsFleet();
+}
+
 void SuspectKeeper::judgeLater(std::set<std::uint64_t> fingerprints)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_options.suspects.settle);
@@ -221,6 +228,7 @@
 {
     SuspectBook &book = m_relay.state().suspects;
     const TimePoint now = Relay::now();
+    noteContact();
     const auto judged = m_judged.find(fingerprint);
     const bool nothingNew = judged != m_judged.end() && soundDeaths(book, fingerprint).size() <= judged->second;
     if (nothingNew || refusedFor(book, fingerprint, now) > Duration::zero()
@@ -373,8 +381,11 @@
         return Relay::now() >= known.seenAt + m_options.trialLimit;
     }
     // Its router has told nothing, and the endpoint is no more.
-    noteSuspect(
-        m_relay.state().suspects, {trial->endpoint, {}, {}, Relay::now(), {}}, fingerprint, {std::nullopt, true, true});
+    SuspectBook &book = m_relay.state().suspects;
+    noteSuspect(book,
+                {trial->endpoint, {}, {}, Relay::now(), {}},
+                fingerprint,
+                {std::nullopt, book.hearsFleet, book.hearsFleet});
     keepRecord(fingerprint);
     judgeLater({fingerprint});
     return false;
@@ -608,7 +619,7 @@
         at -= death->ranFor;
     }
     if (record->convicted && refusedFor(book, fingerprint, now) == Duration::zero()) {
-        recordConviction(book, fingerprint, now + termFor(book.options, record->deaths.size()));
+        recordConviction(book, fingerprint, now + termFor(book, fingerprint));
         noteJudged(fingerprint);
     }
 }
@@ -660,6 +671,7 @@
     if (m_labels.size() >= m_options.maxLabels) {
         m_labels.clear();
     }
+    noteContact();
     tellCleared();
     onListed();
     m_firstDeaths.onBookChanged();
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -78,6 +78,9 @@
         return m_firstDeaths;
     }
 
+    // Whether this router hears the others; unset: it does.
+    std::function<bool()> hearsFleet;
+
     // All other routers that callers are told of are to be told.
     std::function<void(const std::vector<SuspectNotice> &)> tell;
 
@@ -97,6 +100,7 @@
     void releaseWaiting(const EndpointId &endpoint);
     void onDeath(const EndpointCuts &death, std::string_view sign);
     void logDeath(const EndpointCuts &death, std::string_view sign) const;
+    void noteContact();
     void judgeLater(std::set<std::uint64_t> fingerprints);
     // This router has answered them lately.
     void speakLater(std::set<std::uint64_t> fingerprints);
--- a/godwit/suspects/suspect_admission.cpp
+++ b/godwit/suspects/suspect_admission.cpp
@@ -19,7 +19,9 @@
     if (sound.size() + 1 < book.options.deathsToConvict) {
         return Admission::Free;
     }
-    return now < sound.back()->at + book.options.settle ? Admission::NotYet : Admission::Trial;
+    const bool waitsForFleet = !book.hearsFleet && sound.size() >= book.options.deathsToConvict;
+    const Duration wait = waitsForFleet ? book.options.firstRefuseFor : book.options.settle;
+    return now < sound.back()->at + wait ? Admission::NotYet : Admission::Trial;
 }
 
 bool canSpareTrial(const SuspectBook &book,
--- a/godwit/suspects/suspect_admission.h
+++ b/godwit/suspects/suspect_admission.h
@@ -16,7 +16,7 @@
 enum class Admission {
     Free,
     Trial, // Only as the fleet's one run of it.
-    NotYet, // Its last death may still turn out to be part of a larger failure.
+    NotYet, // Its last death may still turn out to be part of a larger failure, or others may know better.
     Refused, // Convicted.
 };
 
--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -74,6 +74,47 @@
     CHECK(judge(book, Harmless, Start + 5s) == Verdict::Convicted);
 }
 
+// Guards against condemning a busy request while routers are cut off from one another: others send it too, and what
+// they are answered is not heard.
+TEST_CASE("a router that doesn't hear the fleet convicts nobody, and lets what looks guilty wait")
+{
+    SuspectBook book = makeBook();
+    book.options.trialConvicts = true;
+    book.hearsFleet = false;
+    die(book, "a", 0s, Harmless);
+    die(book, "b", 1s, Harmless);
+    CHECK(admissionOf(book, Harmless, Start + 2s) == Admission::Trial);
+    noteSuspect(
+        book, {EndpointId{"c"}, {}, DataCentreId("dc"), Start + 2s, {}}, Harmless, {Start + 2s - 40ms, true, true});
+    CHECK(judge(book, Harmless, Start + 3s) == Verdict::Suspected);
+    CHECK(admissionOf(book, Harmless, Start + 16s) == Admission::NotYet);
+    CHECK(admissionOf(book, Harmless, Start + 17s) == Admission::Trial);
+    book.hearsFleet = true;
+    CHECK(admissionOf(book, Harmless, Start + 3s) == Admission::Trial);
+}
+
+// Guards against an hour's refusal for many deaths that were seen apart, of which one alone was of a trial.
+TEST_CASE("where trials convict, a long refusal takes a second death of a trial")
+{
+    SuspectBook book = makeBook();
+    book.options.trialConvicts = true;
+    for (const char *endpoint : {"a", "b", "c", "d", "e"}) {
+        die(book, endpoint, 1s * (endpoint[0] - 'a'), Crasher);
+    }
+    const auto dieInTrial = [&book](const char *endpoint, Duration after) {
+        noteSuspect(book,
+                    {EndpointId{endpoint}, {}, DataCentreId("dc"), Start + after, {}},
+                    Crasher,
+                    {Start + after - 40ms, true, true});
+    };
+    dieInTrial("f", 6s);
+    REQUIRE(judge(book, Crasher, Start + 7s) == Verdict::Convicted);
+    CHECK(refusedFor(book, Crasher, Start + 7s) == Duration(15s));
+    dieInTrial("g", 23s);
+    REQUIRE(judge(book, Crasher, Start + 24s) == Verdict::Convicted);
+    CHECK(refusedFor(book, Crasher, Start + 24s) == Duration(1h));
+}
+
 // Guards against condemning a request that many send, since it is at each endpoint that fails.
 TEST_CASE("endpoints that die together under one request count once against it")
 {
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -125,6 +125,13 @@
     });
 }
 
+std::ptrdiff_t trialsOf(const std::vector<const EndpointDeath *> &deaths, std::uint64_t fingerprint)
+{
+    return std::count_if(deaths.begin(), deaths.end(), [fingerprint](const EndpointDeath *death) {
+        return death->tried.count(fingerprint) != 0;
+    });
+}
+
 } // namespace
 
 bool noteSuspect(SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint, const InFlight &run)
@@ -212,14 +219,12 @@
 Verdict judge(SuspectBook &book, std::uint64_t fingerprint, TimePoint now)
 {
     const auto sound = soundDeaths(book, fingerprint);
-    const bool tried = std::any_of(sound.begin(), sound.end(), [fingerprint](const EndpointDeath *death) {
-        return death->tried.count(fingerprint) != 0;
-    });
-    if (sound.size() < book.options.deathsToConvict || isAmbiguous(sound, fingerprint)
-        || (book.options.trialConvicts && !tried)) {
+    const bool shown = sound.size() >= book.options.deathsToConvict
+        && (!book.options.trialConvicts || trialsOf(sound, fingerprint) > 0);
+    if (!shown || !book.hearsFleet || isAmbiguous(sound, fingerprint)) {
         return verdictOn(book, fingerprint, now);
     }
-    recordConviction(book, fingerprint, now + termFor(book.options, sound.size()));
+    recordConviction(book, fingerprint, now + termFor(book, fingerprint));
     return Verdict::Convicted;
 }
 
@@ -229,9 +234,13 @@
     return sent == death.sentAt.end() ? std::nullopt : std::optional(death.at - sent->second);
 }
 
-Duration termFor(const SuspectOptions &options, std::size_t deaths)
+Duration termFor(const SuspectBook &book, std::uint64_t fingerprint)
 {
-    return deaths > options.deathsToConvict ? options.refuseFor : options.firstRefuseFor;
+    const SuspectOptions &options = book.options;
+    const auto sound = soundDeaths(book, fingerprint);
+    const bool again =
+        options.trialConvicts ? trialsOf(sound, fingerprint) > 1 : sound.size() > options.deathsToConvict;
+    return again ? options.refuseFor : options.firstRefuseFor;
 }
 
 std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint)
--- a/godwit/suspects/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -38,7 +38,8 @@
     // Whether one of them must be of a trial. Deaths that routers saw apart may all be of another request, which met
     // this one at each of them.
     bool trialConvicts = false;
-    // How long a fingerprint is refused that was convicted with just so many deaths, and with more.
+    // How long a fingerprint is refused that was convicted with just so many deaths, and with more; where trials
+    // convict, at the first one and at a further one.
     Duration firstRefuseFor = std::chrono::hours(1);
     Duration refuseFor = std::chrono::hours(1);
     // A death after a run that was so much longer than those at the deaths before does not count.
@@ -83,6 +84,9 @@
 struct SuspectBook
 {
     SuspectOptions options;
+    // Whether what other routers see reaches this one. Without their answers, and while they send it too, a death says
+    // little of a request: nobody is convicted, and what looks guilty waits.
+    bool hearsFleet = true;
     // By time; bounded.
     std::deque<EndpointDeath> deaths;
     std::unordered_map<std::uint64_t, TimePoint> refusedUntil;
@@ -136,8 +140,8 @@
 // How long the earliest call of a fingerprint had been there when the endpoint died, where that is known.
 std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint);
 
-// How long a fingerprint is refused that is convicted with so many deaths.
-Duration termFor(const SuspectOptions &options, std::size_t deaths);
+// How long a fingerprint is refused that is convicted by what is known now.
+Duration termFor(const SuspectBook &book, std::uint64_t fingerprint);
 
 // How long a conviction still holds; zero when there is none.
 Duration refusedFor(const SuspectBook &book, std::uint64_t fingerprint, TimePoint now);
