A trial's death condemns nobody while another suspect was at that endpoint

Traced by endpoint_died and sent_again: the stream had been at two deaths of crashers; its trial began at i-engine-3.start-3, and 61 ms later another router sent a crasher there that was at one death so far, and so free. Cause: a trial is by itself among requests with two deaths alone. Now a trial's death counts as one only if no other request was there that has part in another death; the other one has two by that, and is sent as a trial next. Should it be answered whole, the death speaks against the tried one again. Ruled out: to tell all routers of each trial before it begins, a message to each for each trial, and one that is late does not help; to keep suspects of one death from all endpoints of trials, which are known 2 s late. suspect_admission_test, red before.

--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -93,6 +93,27 @@
     CHECK(admissionOf(book, Harmless, Start + 3s) == Admission::Trial);
 }
 
+// Guards against condemning a busy request whose trial met a suspect of one death, which is free to go anywhere.
+TEST_CASE("a trial's death convicts nobody while another suspect was there")
+{
+    constexpr std::uint64_t otherCrasher = 9;
+    SuspectBook book = makeBook();
+    book.options.trialConvicts = true;
+    for (const std::uint64_t there : {Harmless, Crasher, otherCrasher}) {
+        die(book, "a", 0s, there);
+    }
+    die(book, "b", 1s, Harmless);
+    die(book, "b", 1s, otherCrasher);
+    const EndpointDeath third{EndpointId{"c"}, {}, DataCentreId("dc"), Start + 2s, {}};
+    noteSuspect(book, third, Harmless, {Start + 2s - 90ms, true, true});
+    noteSuspect(book, third, Crasher, {Start + 2s - 30ms});
+    CHECK(judge(book, Harmless, Start + 3s) == Verdict::Suspected);
+    CHECK(admissionOf(book, Harmless, Start + 3s) == Admission::Trial);
+    // The other one was answered, so that the death was this one's doing.
+    pardon(book, Crasher);
+    CHECK(judge(book, Harmless, Start + 3s) == Verdict::Convicted);
+}
+
 // Guards against an hour's refusal for many deaths that were seen apart, of which one alone was of a trial.
 TEST_CASE("where trials convict, a long refusal takes a second death of a trial")
 {
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -125,10 +125,22 @@
     });
 }
 
-std::ptrdiff_t trialsOf(const std::vector<const EndpointDeath *> &deaths, std::uint64_t fingerprint)
+// Whether no other request was at this death that has part in another one. A suspect of one death goes anywhere, also
+// to the endpoint of a trial.
+bool isAloneAt(const SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint)
 {
-    return std::count_if(deaths.begin(), deaths.end(), [fingerprint](const EndpointDeath *death) {
-        return death->tried.count(fingerprint) != 0;
+    return std::none_of(death.fingerprints.begin(), death.fingerprints.end(), [&](std::uint64_t other) {
+        return other != fingerprint && book.deathCount.at(other) > 1;
+    });
+}
+
+// Deaths of trials in which the fingerprint was the only suspect.
+std::ptrdiff_t trialsOf(const SuspectBook &book,
+                        const std::vector<const EndpointDeath *> &deaths,
+                        std::uint64_t fingerprint)
+{
+    return std::count_if(deaths.begin(), deaths.end(), [&](const EndpointDeath *death) {
+        return death->tried.count(fingerprint) != 0 && isAloneAt(book, *death, fingerprint);
     });
 }
 
@@ -220,7 +232,7 @@
 {
     const auto sound = soundDeaths(book, fingerprint);
     const bool shown = sound.size() >= book.options.deathsToConvict
-        && (!book.options.trialConvicts || trialsOf(sound, fingerprint) > 0);
+        && (!book.options.trialConvicts || trialsOf(book, sound, fingerprint) > 0);
     if (!shown || !book.hearsFleet || isAmbiguous(sound, fingerprint)) {
         return verdictOn(book, fingerprint, now);
     }
@@ -239,7 +251,7 @@
     const SuspectOptions &options = book.options;
     const auto sound = soundDeaths(book, fingerprint);
     const bool again =
-        options.trialConvicts ? trialsOf(sound, fingerprint) > 1 : sound.size() > options.deathsToConvict;
+        options.trialConvicts ? trialsOf(book, sound, fingerprint) > 1 : sound.size() > options.deathsToConvict;
     return again ? options.refuseFor : options.firstRefuseFor;
 }
 
--- a/godwit/suspects/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -35,8 +35,8 @@
     // its refusal and crashes a further endpoint is refused again at once.
     Duration memory = std::chrono::hours(2);
     std::size_t deathsToConvict = 2;
-    // Whether one of them must be of a trial. Deaths that routers saw apart may all be of another request, which met
-    // this one at each of them.
+    // Whether one of them must be of a trial, with no other suspect at that endpoint. Deaths that routers saw apart may
+    // all be of another request, which met this one at each of them.
     bool trialConvicts = false;
     // How long a fingerprint is refused that was convicted with just so many deaths, and with more; where trials
     // convict, at the first one and at a further one.
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Godwit::Soak
 {
@@ -106,7 +107,7 @@
     , m_random(seed)
     , m_deathRandom(seed)
     , m_shapeRandom(seed)
-    , m_choice(choice)
+    , m_choice(std::move(choice))
     , m_out(out)
     , m_start(steadyNow())
 {
