A stop whose last write is not answered gives back once

Cause: the last write of a stop adds what the router has used to what is spent, and removes its grant and its mark. When the write took effect and its answer was lost, nothing in the store told so, and it was added a second time. A router that is sent tokens by others and has not used them adds less than nothing: those tokens were given back twice, and spent twice. One that had used its own grant charged its customer twice. Now the same write leaves a mark that says by which process all was given back, instead of removing it: the process that finds it has returned, and its successor has nothing to take over.

--- a/godwit/daemon/budget_keeper.cpp
+++ b/godwit/daemon/budget_keeper.cpp
@@ -355,11 +355,7 @@
 {
     StoreTransaction transaction;
     transaction.conditions.push_back({m_options.markKey, write.markRevision});
-    if (write.removesMark) {
-        transaction.removals.push_back(m_options.markKey);
-    } else {
-        transaction.puts.push_back({m_options.markKey, write.mark, 0});
-    }
+    transaction.puts.push_back({m_options.markKey, write.mark, 0});
     m_writtenLedger = write.ledger;
     if (write.ledger) {
         transaction.conditions.push_back({m_options.ledgerKey, write.ledgerRevision});
--- a/godwit/prepaid/prepaid_fuzz_test.cpp
+++ b/godwit/prepaid/prepaid_fuzz_test.cpp
@@ -131,7 +131,7 @@
         world.serveAsks(step.router, step.choice == 0);
         break;
     case What::GiveBack:
-        if (world.giveBack(step.router)) {
+        if (world.giveBack(step.router, fateOf(step.choice))) {
             world.kill(step.router);
         }
         break;
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -106,13 +106,16 @@
     for (const auto &[customer, entry] : mark.marks) {
         marks[customer.value] = json::array({entry.limit, entry.used, entry.perSecond, entry.binds.count()});
     }
-    return json{{"writer", mark.writer.value},
-                {"uptime_ms", mark.writtenAt.uptime.count()},
-                {"wall_ms", mark.writtenAt.wall.count()},
-                {"steady_wall_ms", mark.steadyWall.count()},
-                {"boot", mark.writtenAt.boot},
-                {"marks", std::move(marks)}}
-        .dump();
+    json value{{"writer", mark.writer.value},
+               {"uptime_ms", mark.writtenAt.uptime.count()},
+               {"wall_ms", mark.writtenAt.wall.count()},
+               {"steady_wall_ms", mark.steadyWall.count()},
+               {"boot", mark.writtenAt.boot},
+               {"marks", std::move(marks)}};
+    if (mark.returned) {
+        value["returned"] = true;
+    }
+    return value.dump();
 }
 
 std::optional<MarkRecord> decodeMark(std::string_view bytes, LastReason &reason)
@@ -127,6 +130,7 @@
         const auto steady = value.find("steady_wall_ms");
         mark.steadyWall = steady == value.end() ? mark.writtenAt.wall : std::chrono::milliseconds(tokensOf(*steady));
         mark.writtenAt.boot = value.at("boot").get<std::string>();
+        mark.returned = value.value("returned", false);
         for (const auto &[customer, entry] : value.at("marks").items()) {
             mark.marks[CustomerId{customer}] = Mark{tokensOf(entry.at(0)),
                                                     tokensOf(entry.at(1)),
--- a/godwit/prepaid/prepaid_record.h
+++ b/godwit/prepaid/prepaid_record.h
@@ -68,6 +68,9 @@
     // The time of day that the writer started with, carried on by the uptime: it does not follow later steps.
     std::chrono::milliseconds steadyWall{};
     std::map<CustomerId, Mark> marks;
+    // Written by a stop, together with the ledger that has all given back. A process that finds its own knows that, and
+    // a successor has nothing to take over.
+    bool returned = false;
 };
 
 // A mark's limit grows no longer than this. A successor whose clocks can't place the mark charges no more than all of
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -170,7 +170,6 @@
     std::uint64_t ledgerRevision = 0; // 0: absent.
     std::string mark;
     std::uint64_t markRevision = 0;
-    bool removesMark = false; // The last write of a stop: the mark goes.
 };
 
 // What another router has lately said that it holds of one customer's budget.
--- a/godwit/prepaid/prepaid_share_test.cpp
+++ b/godwit/prepaid/prepaid_share_test.cpp
@@ -307,6 +307,43 @@
     CHECK(world.share(1).ledger.accounts.at(Desk).spent == world.spent(Desk));
 }
 
+// Guards against an overspend: tokens that another router sent would be given back a second time.
+TEST_CASE("a planned stop whose answer was lost gives back once")
+{
+    World world(2, {{Desk, Total}});
+    // One that holds nothing ahead has neither grant nor mark, and what it was sent and did not use is less than
+    // nothing.
+    world.share(1).accounts[Desk].holdsAhead = GENERATE(true, false);
+    world.sync(0, WriteFate::Done);
+    world.sync(1, WriteFate::Done);
+    for (int i = 0; i < 5; ++i) {
+        serve(world, 0, 10, 1000);
+        world.advance(Beat);
+        world.sync(0, WriteFate::Done);
+    }
+    world.trade(0, 1, Desk, 5000, false, 5000);
+    REQUIRE(world.share(1).accounts.at(Desk).net < 0);
+    serve(world, 1, 1, 1000);
+    const WriteFate fate = GENERATE(WriteFate::AnswerLost, WriteFate::Late);
+    world.share(1).ledgerKnown = false; // It reads what the other one has written.
+    world.giveBack(1, fate);
+    world.doLateWrites();
+    // The other router writes before this one has read what became of its write.
+    serve(world, 0, 10, 1000);
+    world.advance(Beat);
+    world.sync(0, WriteFate::Done);
+    const bool first = world.giveBack(1);
+    REQUIRE((first || world.giveBack(1)));
+    world.kill(1);
+    bool given = world.giveBack(0);
+    given = given || world.giveBack(0);
+    REQUIRE(given);
+    world.kill(0);
+    world.start(0);
+    world.sync(0, WriteFate::Done);
+    CHECK(world.share(0).ledger.accounts.at(Desk).spent == world.spent(Desk));
+}
+
 TEST_CASE("a router whose give-back failed is still bound by its mark")
 {
     // The overspend that this forbids: a stopping router's last write loses against another router's. Its mark is as
--- a/godwit/prepaid/share_records.cpp
+++ b/godwit/prepaid/share_records.cpp
@@ -105,8 +105,12 @@
                    const std::optional<MarkRecord> &mark,
                    std::uint64_t markRevision)
 {
-    share.takenOver = share.takenOver || (mark && mark->writer == share.options.incarnation);
-    if (!share.takenOver && !mark && !holdsAnyOf(ledger, share.options.self)) {
+    const bool ownMark = mark && mark->writer == share.options.incarnation;
+    // Giving back once more would return tokens that others sent a second time, to be spent twice.
+    share.returned = share.returned || (ownMark && mark->returned);
+    share.takenOver = share.takenOver || ownMark;
+    const bool nothingLeft = !mark || mark->returned;
+    if (!share.takenOver && nothingLeft && !holdsAnyOf(ledger, share.options.self)) {
         // Nothing to take over, so that nothing has to be written before this process counts as ready.
         share.takenOver = true;
     }
--- a/godwit/prepaid/share_writes.cpp
+++ b/godwit/prepaid/share_writes.cpp
@@ -217,7 +217,10 @@
     write.ledger = encodePrepaidLedger(ledger);
     write.ledgerRevision = share.ledgerRevision;
     write.markRevision = share.markRevision;
-    write.removesMark = true;
+    MarkRecord mark;
+    mark.writer = share.options.incarnation;
+    mark.returned = true;
+    write.mark = encodeMark(mark);
     share.pendingLedger = std::move(ledger);
     share.pendingWritesLedger = true;
     share.writing = true;
--- a/godwit/prepaid/testing_world.cpp
+++ b/godwit/prepaid/testing_world.cpp
@@ -81,26 +81,31 @@
         readRecords(index);
     }
     const auto write = planWrite(*router.share, m_now, hostTime(index));
-    if (!write) {
-        return;
+    if (write) {
+        carryOut(index, *write, fate);
     }
+}
+
+void World::carryOut(std::size_t index, const ShareWrite &write, WriteFate fate)
+{
+    PrepaidShare &share = *m_routers[index].share;
     if (fate == WriteFate::Refused) {
-        onWriteRefused(*router.share, false);
+        onWriteRefused(share, false);
         return;
     }
     if (fate == WriteFate::Late) {
-        m_late.push_back({index, *write});
-        onWriteUnknown(*router.share);
+        m_late.push_back({index, write});
+        onWriteUnknown(share);
         return;
     }
-    const auto revision = apply(index, *write);
+    const auto revision = apply(index, write);
     if (fate == WriteFate::AnswerLost) {
-        onWriteUnknown(*router.share);
+        onWriteUnknown(share);
     } else if (revision) {
-        onWriteDone(*router.share, *revision);
-        tellLedger(index, *write, *revision);
+        onWriteDone(share, *revision);
+        tellLedger(index, write, *revision);
     } else {
-        onWriteRefused(*router.share, true);
+        onWriteRefused(share, true);
     }
 }
 
@@ -122,7 +127,7 @@
     }
 }
 
-bool World::giveBack(std::size_t index)
+bool World::giveBack(std::size_t index, WriteFate fate)
 {
     Router &router = m_routers[index];
     while (router.share && !router.open.empty()) {
@@ -134,16 +139,10 @@
     if (!router.share->ledgerKnown) {
         readRecords(index);
     }
-    const auto write = planReturn(*router.share, m_now);
-    const auto revision = write ? apply(index, *write) : std::nullopt;
-    if (!revision) {
-        if (write) {
-            onWriteRefused(*router.share, true);
-        }
-        return false;
+    if (const auto write = planReturn(*router.share, m_now)) {
+        carryOut(index, *write, fate);
     }
-    onWriteDone(*router.share, *revision);
-    return true;
+    return router.share->returned;
 }
 
 bool World::request(std::size_t index, const CustomerId &customer, Tokens tokens)
@@ -290,7 +289,7 @@
         return std::nullopt;
     }
     ++m_revision;
-    m_marks[index] = write.removesMark ? StoredValue{} : StoredValue{write.mark, m_revision};
+    m_marks[index] = StoredValue{write.mark, m_revision};
     if (write.ledger) {
         m_ledger = StoredValue{*write.ledger, m_revision};
     }
--- a/godwit/prepaid/testing_world.h
+++ b/godwit/prepaid/testing_world.h
@@ -73,8 +73,8 @@
     // Reads, plans and writes once, if the router has something to write.
     void sync(std::size_t router, WriteFate fate);
     void doLateWrites();
-    // Gives all back, as at a planned stop. Open requests end first.
-    bool giveBack(std::size_t router);
+    // Gives all back, as at a planned stop. Open requests end first. Returns whether the router knows that it has.
+    bool giveBack(std::size_t router, WriteFate fate = WriteFate::Done);
 
     bool request(std::size_t router, const CustomerId &customer, Tokens tokens);
     // Ends the oldest open request; `used` is cut to what was reserved.
@@ -109,6 +109,7 @@
     void readRecords(std::size_t router);
     void deliver(const TokenGift &gift);
     void tellLedger(std::size_t writer, const ShareWrite &write, std::uint64_t revision);
+    void carryOut(std::size_t index, const ShareWrite &write, WriteFate fate);
     std::optional<std::uint64_t> apply(std::size_t router, const ShareWrite &write);
 
     std::map<CustomerId, Tokens> m_totals;
