A record tells of a trial only what judgement would, and one that is older than an answer is not taken

Traced: its trial had died together with a crasher and convicted nobody; 1.6 s later a second trial was answered whole and all routers were told; 0.15 s after that router-1 convicted it, 2.1 s after the death. Cause: router-1 took the record of the second trial from its copy of the store, which is up to 2 s old, after it had been told that the request was cleared. The record said of the death that it was a trial's, and nothing of the crasher.

--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -44,6 +44,8 @@
     Duration answerClears = std::chrono::seconds(3);
     // A router that has answered a suspect says so within this time, before it is judged.
     Duration speakWithin = std::chrono::milliseconds(150);
+    // The copy of what the store keeps is no older than this.
+    Duration copyLag = std::chrono::seconds(3);
     // A trial that its router has not ended by then is over if its endpoint lives.
     Duration trialLimit = std::chrono::seconds(15);
     // A request does not wait longer for the store to grant its trial.
@@ -122,6 +124,7 @@
     void remove(std::uint64_t fingerprint);
     void takeStanding(std::uint64_t fingerprint, const StoreWriteReply &reply);
     void take(std::uint64_t fingerprint, const StoreItem &item);
+    bool wasClearedLately(std::uint64_t fingerprint) const;
     void forgetRecord(std::uint64_t fingerprint, std::uint64_t revision);
     void noteTrialEndpoints();
     std::string keyOf(std::uint64_t fingerprint) const;
@@ -138,6 +141,7 @@
     std::map<std::uint64_t, KnownRecord> m_records;
     std::map<std::uint64_t, std::size_t> m_judged; // With how many deaths a request was last convicted.
     std::map<std::uint64_t, std::uint64_t> m_removedAt; // Revisions up to which a record no longer counts.
+    std::map<std::uint64_t, TimePoint> m_clearedAt; // By other routers, lately.
     std::set<std::uint64_t> m_cleared; // Not told yet: after a death there are many.
     std::set<std::uint64_t> m_unwritten;
     std::set<std::uint64_t> m_unremoved;
--- /dev/null
+++ b/godwit/daemon/suspect_records.cpp
@@ -0,0 +1,247 @@
+// Suspects: their records in the platform's store.
+
+#include "godwit/daemon/suspect_keeper.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+namespace
+{
+
+// With so many deaths a request is worth a record: the next run of it is a trial.
+std::size_t deathsToRecord(const SuspectBook &book)
+{
+    return book.options.deathsToConvict - 1;
+}
+
+} // namespace
+
+void SuspectKeeper::keepRecord(std::uint64_t fingerprint)
+{
+    const SuspectBook &book = m_relay.state().suspects;
+    const auto found = m_records.find(fingerprint);
+    const bool recorded = found != m_records.end() && found->second.revision != 0;
+    const bool worthIt = soundDeaths(book, fingerprint).size() >= deathsToRecord(book);
+    if (!recorded && !worthIt) {
+        return;
+    }
+    const SuspectRecord record = recordOf(fingerprint);
+    if (!recorded && !hasRoomFor(record.label)) {
+        ++m_relay.counters().suspectsUnrecorded;
+        return;
+    }
+    if (m_records[fingerprint].writing) {
+        m_unwritten.insert(fingerprint);
+        return;
+    }
+    write(fingerprint, record, [this, fingerprint](StoreStatus status) {
+        if (status != StoreStatus::Ok) {
+            m_unwritten.insert(fingerprint);
+        }
+    });
+}
+
+bool SuspectKeeper::hasRoomFor(const SuspectLabel &label) const
+{
+    const auto ofCustomer = std::count_if(m_records.begin(), m_records.end(), [&label](const auto &entry) {
+        return entry.second.record.label.customer == label.customer;
+    });
+    return m_records.size() < m_options.maxRecords
+        && static_cast<std::size_t>(ofCustomer) < m_options.maxRecordsPerCustomer;
+}
+
+SuspectRecord SuspectKeeper::recordOf(std::uint64_t fingerprint)
+{
+    const SuspectBook &book = m_relay.state().suspects;
+    SuspectRecord record;
+    const auto known = m_records.find(fingerprint);
+    if (known != m_records.end() && known->second.revision != 0) {
+        record = known->second.record;
+    } else if (const auto label = m_labels.find(fingerprint); label != m_labels.end()) {
+        record.label = label->second;
+    }
+    record.deaths.clear();
+    for (const EndpointDeath *death : soundDeaths(book, fingerprint)) {
+        record.deaths.push_back({death->endpoint,
+                                 runTime(*death, fingerprint).value_or(Duration::zero()),
+                                 isTrialOf(book, *death, fingerprint)});
+    }
+    record.convicted = refusedFor(book, fingerprint, Relay::now()) > Duration::zero();
+    const auto own = m_ownTrials.find(fingerprint);
+    if (own != m_ownTrials.end()) {
+        record.trial = SuspectTrial{m_options.self, own->second};
+    } else if (record.trial) {
+        const auto &counted = record.deaths;
+        const bool ended = record.trial->router == m_options.self
+            || std::any_of(counted.begin(), counted.end(), [&record](const SuspectDeath &death) {
+                               return death.endpoint == record.trial->endpoint;
+                           });
+        if (ended) {
+            record.trial.reset();
+        }
+    }
+    return record;
+}
+
+void SuspectKeeper::write(std::uint64_t fingerprint, const SuspectRecord &record, std::function<void(StoreStatus)> done)
+{
+    KnownRecord &known = m_records[fingerprint];
+    known.writing = true;
+    StoreTransaction transaction;
+    transaction.conditions.push_back({keyOf(fingerprint), known.revision});
+    transaction.puts.push_back({keyOf(fingerprint), encodeSuspectRecord(record), 0});
+    m_store.transact(transaction, [this, fingerprint, record, done = std::move(done)](const StoreWriteReply &reply) {
+        KnownRecord &written = m_records[fingerprint];
+        written.writing = false;
+        if (reply.status == StoreStatus::Ok) {
+            written.record = record;
+            written.revision = reply.revision;
+            written.seenAt = Relay::now();
+            written.inCopy = false;
+            written.ownWrite = true;
+        } else if (reply.status == StoreStatus::ConditionFailed) {
+            takeStanding(fingerprint, reply);
+        }
+        done(reply.status);
+    });
+}
+
+void SuspectKeeper::remove(std::uint64_t fingerprint)
+{
+    KnownRecord &known = m_records[fingerprint];
+    if (known.writing) {
+        m_unremoved.insert(fingerprint);
+        return;
+    }
+    known.writing = true;
+    StoreTransaction transaction;
+    transaction.conditions.push_back({keyOf(fingerprint), known.revision});
+    transaction.removals.push_back(keyOf(fingerprint));
+    m_store.transact(transaction, [this, fingerprint](const StoreWriteReply &reply) {
+        m_records[fingerprint].writing = false;
+        if (reply.status == StoreStatus::Ok) {
+            forgetRecord(fingerprint, reply.revision);
+            return;
+        }
+        if (reply.status == StoreStatus::ConditionFailed) {
+            takeStanding(fingerprint, reply);
+        }
+        if (m_records.count(fingerprint) != 0) {
+            m_unremoved.insert(fingerprint);
+        }
+    });
+}
+
+void SuspectKeeper::takeStanding(std::uint64_t fingerprint, const StoreWriteReply &reply)
+{
+    if (!reply.standing) {
+        return;
+    }
+    for (const StoreItem &item : *reply.standing) {
+        if (item.key == keyOf(fingerprint)) {
+            take(fingerprint, item);
+            return;
+        }
+    }
+    m_records[fingerprint].revision = 0;
+}
+
+void SuspectKeeper::take(std::uint64_t fingerprint, const StoreItem &item)
+{
+    const auto removed = m_removedAt.find(fingerprint);
+    if (removed != m_removedAt.end() && item.revision <= removed->second) {
+        return;
+    }
+    const auto known = m_records.find(fingerprint);
+    if (known != m_records.end() && item.revision <= known->second.revision) {
+        return;
+    }
+    const auto record = decodeSuspectRecord(item.value);
+    if (!record) {
+        m_relay.log().write("suspect_unreadable", {{"key", std::string_view(item.key)}});
+        return;
+    }
+    const TimePoint now = Relay::now();
+    KnownRecord &taken = m_records[fingerprint];
+    taken.record = *record;
+    taken.revision = item.revision;
+    taken.seenAt = now;
+    taken.ownWrite = false;
+    SuspectBook &book = m_relay.state().suspects;
+    // Before all that comes from here on, and one after another.
+    TimePoint at = now - book.options.settle;
+    for (auto death = record->deaths.rbegin(); death != record->deaths.rend(); ++death) {
+        at -= std::chrono::seconds(1);
+        InFlight run;
+        run.certain = true;
+        run.trial = death->trial;
+        if (death->ranFor > Duration::zero()) {
+            run.sentAt = at - death->ranFor;
+        }
+        if (!hadPartInDeathOf(book, fingerprint, death->endpoint, {})) {
+            noteSuspect(book, {death->endpoint, {}, {}, at, {}}, fingerprint, run);
+        }
+        at -= death->ranFor;
+    }
+    if (record->convicted && refusedFor(book, fingerprint, now) == Duration::zero()) {
+        recordConviction(book, fingerprint, now + termFor(book, fingerprint));
+        noteJudged(fingerprint);
+    }
+}
+
+void SuspectKeeper::onRecords(const std::map<std::string, StoreItem> &items)
+{
+    std::map<std::uint64_t, std::uint64_t> revisions;
+    for (const auto &[key, item] : items) {
+        m_firstDeaths.onItem(item);
+        if (const auto fingerprint = fingerprintOf(key.substr(std::min(key.size(), m_options.prefix.size())))) {
+            revisions[*fingerprint] = item.revision;
+            if (!wasClearedLately(*fingerprint)) {
+                take(*fingerprint, item);
+            }
+        }
+    }
+    std::vector<std::uint64_t> gone;
+    for (auto &[fingerprint, known] : m_records) {
+        const auto found = revisions.find(fingerprint);
+        if (found != revisions.end()) {
+            known.inCopy = found->second == known.revision;
+        } else if (known.inCopy && !known.writing) {
+            gone.push_back(fingerprint);
+        }
+    }
+    for (const std::uint64_t fingerprint : gone) {
+        // An operator or another router has lifted it.
+        logRequest("suspect_lifted", fingerprint);
+        pardon(m_relay.state().suspects, fingerprint);
+        forgetRecord(fingerprint, m_records.at(fingerprint).revision);
+    }
+    noteTrialEndpoints();
+}
+
+// The copy of the store may still have the record of what another router has just cleared.
+bool SuspectKeeper::wasClearedLately(std::uint64_t fingerprint) const
+{
+    const auto found = m_clearedAt.find(fingerprint);
+    return found != m_clearedAt.end() && Relay::now() < found->second + m_options.copyLag;
+}
+
+void SuspectKeeper::forgetRecord(std::uint64_t fingerprint, std::uint64_t revision)
+{
+    m_records.erase(fingerprint);
+    m_judged.erase(fingerprint);
+    m_unwritten.erase(fingerprint);
+    m_unremoved.erase(fingerprint);
+    if (m_removedAt.size() >= m_options.maxRecords) {
+        m_removedAt.erase(m_removedAt.begin());
+    }
+    m_removedAt[fingerprint] = revision;
+}
+
+std::string SuspectKeeper::keyOf(std::uint64_t fingerprint) const
+{
+    return m_options.prefix + fingerprintText(fingerprint);
+}
+
+} // namespace Godwit
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -134,13 +134,12 @@
     });
 }
 
-// Deaths of trials in which the fingerprint was the only suspect.
 std::ptrdiff_t trialsOf(const SuspectBook &book,
                         const std::vector<const EndpointDeath *> &deaths,
                         std::uint64_t fingerprint)
 {
     return std::count_if(deaths.begin(), deaths.end(), [&](const EndpointDeath *death) {
-        return death->tried.count(fingerprint) != 0 && isAloneAt(book, *death, fingerprint);
+        return isTrialOf(book, *death, fingerprint);
     });
 }
 
@@ -240,6 +239,11 @@
     return Verdict::Convicted;
 }
 
+bool isTrialOf(const SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint)
+{
+    return death.tried.count(fingerprint) != 0 && isAloneAt(book, death, fingerprint);
+}
+
 std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint)
 {
     const auto sent = death.sentAt.find(fingerprint);
--- a/godwit/suspects/suspects.h
+++ b/godwit/suspects/suspects.h
@@ -6,7 +6,8 @@
 // only one found at SuspectOptions::deathsToConvict sound deaths of different endpoints, each of which it reached after
 // the one before. A death is sound when it is no part of a failure of a host or of the network, which shows by deaths
 // at the same moment that the fingerprint had no part in. Judgement waits until such deaths must have shown
-// (SuspectOptions::settle).
+// (SuspectOptions::settle). Where several routers send the same request, one of the deaths must be of a trial besides
+// (SuspectOptions::trialConvicts).
 //
 // Example:
 //   noteSuspect(book, death, call.fingerprint, now);
@@ -137,6 +138,9 @@
 // The sound deaths of different endpoints that count against it, the earliest first.
 std::vector<const EndpointDeath *> soundDeaths(const SuspectBook &book, std::uint64_t fingerprint);
 
+// Whether the death was of a trial of the fingerprint, in which it was the only suspect.
+bool isTrialOf(const SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint);
+
 // How long the earliest call of a fingerprint had been there when the endpoint died, where that is known.
 std::optional<Duration> runTime(const EndpointDeath &death, std::uint64_t fingerprint);
 
