First deaths are looked at 50 ms apart at most; notices of suspects are handled in smaller steps

A death of a busy engine is told by each router that had a run there, and each notice made the writer go through all deaths. No other decision changes.

--- a/godwit/daemon/first_death_keeper.cpp
+++ b/godwit/daemon/first_death_keeper.cpp
@@ -1,6 +1,10 @@
 #include "godwit/daemon/first_death_keeper.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace Godwit
 {
@@ -9,6 +13,8 @@
 
 // What only leaves the value waits so long for a death that takes it along.
 constexpr Duration RemovalsWait = std::chrono::seconds(10);
+// When many endpoints die, each death is told by many routers.
+constexpr Duration LookPause = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -20,11 +26,32 @@
 }
 
 void FirstDeathKeeper::onBookChanged()
+{
+    if (m_lookDue) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    if (now >= m_lookedAt + LookPause) {
+        look();
+        return;
+    }
+    m_lookDue = true;
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_relay.io(), m_lookedAt + LookPause - now);
+    timer->async_wait([this, timer](const boost::system::error_code &error) {
+        m_lookDue = false;
+        if (!error) {
+            look();
+        }
+    });
+}
+
+void FirstDeathKeeper::look()
 {
     if (m_writing || !m_relay.state().platformInReach || !writes || !writes()) {
         return;
     }
     const TimePoint now = Relay::now();
+    m_lookedAt = now;
     const auto deaths = firstDeathsIn(m_relay.state().suspects, now);
     if (isWorthWriting(knownOf(deaths), now)) {
         write(deaths);
--- a/godwit/daemon/first_death_keeper.h
+++ b/godwit/daemon/first_death_keeper.h
@@ -27,7 +27,7 @@
 public:
     FirstDeathKeeper(Relay &relay, StoreClient &store, std::string key);
 
-    // A death has been noted, or was taken back.
+    // A death has been noted, or was taken back. To be called now and then besides, since a write can fail.
     void onBookChanged();
 
     // The copy of what the store keeps has this item.
@@ -39,6 +39,7 @@
 private:
     using Known = std::set<std::pair<std::uint64_t, EndpointId>>;
 
+    void look();
     bool isWorthWriting(const Known &wanted, TimePoint now) const;
     void write(const std::vector<FirstDeath> &deaths);
     static Known knownOf(const std::vector<FirstDeath> &deaths);
@@ -50,6 +51,8 @@
     Known m_stored;
     bool m_writing = false;
     TimePoint m_writtenAt;
+    TimePoint m_lookedAt;
+    bool m_lookDue = false;
 };
 
 } // namespace Godwit
--- a/godwit/daemon/suspect_keeper.cpp
+++ b/godwit/daemon/suspect_keeper.cpp
@@ -58,20 +58,10 @@
             recordConviction(book, fingerprint, now + std::min(notice.refuseFor, book.options.refuseFor));
             noteJudged(fingerprint);
         } else if (notice.status == SuspectStatus::Cleared) {
-            pardon(book, fingerprint);
-            m_clearedAt[fingerprint] = now;
-            const auto known = m_records.find(fingerprint);
-            if (known != m_records.end() && (known->second.writing || known->second.ownWrite)) {
-                remove(fingerprint);
-            }
+            onCleared(fingerprint);
         } else {
+            noteToldDeath(notice);
             const TimePoint at = now - notice.age;
-            InFlight run;
-            run.trial = notice.trial;
-            if (notice.ranFor) {
-                run.sentAt = at - *notice.ranFor;
-            }
-            noteSuspect(book, {notice.endpoint, notice.host, notice.dataCentre, at, {}}, fingerprint, run);
             if (wasAnsweredSince(m_relay.state().recentAnswers, fingerprint, at - m_options.answerClears)) {
                 spokenFor.insert(fingerprint);
             }
@@ -89,6 +79,29 @@
     }
 }
 
+// Another router has been given its answer.
+void SuspectKeeper::onCleared(std::uint64_t fingerprint)
+{
+    pardon(m_relay.state().suspects, fingerprint);
+    m_clearedAt[fingerprint] = Relay::now();
+    const auto known = m_records.find(fingerprint);
+    if (known != m_records.end() && (known->second.writing || known->second.ownWrite)) {
+        remove(fingerprint);
+    }
+}
+
+void SuspectKeeper::noteToldDeath(const SuspectNotice &notice)
+{
+    const TimePoint at = Relay::now() - notice.age;
+    InFlight run;
+    run.trial = notice.trial;
+    if (notice.ranFor) {
+        run.sentAt = at - *notice.ranFor;
+    }
+    noteSuspect(
+        m_relay.state().suspects, {notice.endpoint, notice.host, notice.dataCentre, at, {}}, notice.fingerprint, run);
+}
+
 // Many routers may have answered them: one that speaks first spares the others.
 void SuspectKeeper::speakLater(std::set<std::uint64_t> fingerprints)
 {
--- a/godwit/daemon/suspect_keeper.h
+++ b/godwit/daemon/suspect_keeper.h
@@ -103,6 +103,8 @@
     void onDeath(const EndpointCuts &death, std::string_view sign);
     void logDeath(const EndpointCuts &death, std::string_view sign) const;
     void noteContact();
+    void onCleared(std::uint64_t fingerprint);
+    void noteToldDeath(const SuspectNotice &notice);
     void judgeLater(std::set<std::uint64_t> fingerprints);
     // This router has answered them lately.
     void speakLater(std::set<std::uint64_t> fingerprints);
