Another suspect at the endpoint of a trial is seen whenever its death was noted

Traced: the trial's endpoint died 30 ms after it had begun, of a crasher that had just been sent there. The router that condemned it had the trial from the store's record, written before the others had told of the crasher; the record's death stands apart from the told one, since its time is not known, and in it the tried request was alone. An endpoint's id dies once, so that all that is known under it counts now. suspect_admission_test, red before.

--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -114,6 +114,21 @@
     CHECK(judge(book, Harmless, Start + 3s) == Verdict::Convicted);
 }
 
+// Guards against the same where the trial is known from a record, which tells of no other request and not when it was.
+TEST_CASE("another suspect at the endpoint of a trial is seen whenever its death was noted")
+{
+    SuspectBook book = makeBook();
+    book.options.trialConvicts = true;
+    for (const char *endpoint : {"a", "b"}) {
+        die(book, endpoint, 1s * (endpoint[0] - 'a'), Harmless);
+    }
+    die(book, "a", 0s, Crasher);
+    die(book, "c", 5s, Crasher);
+    const EndpointDeath onRecord{EndpointId{"c"}, {}, DataCentreId("dc"), Start + 3s, {}};
+    noteSuspect(book, onRecord, Harmless, {Start + 3s - 30ms, true, true});
+    CHECK(judge(book, Harmless, Start + 6s) == Verdict::Suspected);
+}
+
 // Guards against an hour's refusal for many deaths that were seen apart, of which one alone was of a trial.
 TEST_CASE("where trials convict, a long refusal takes a second death of a trial")
 {
--- a/godwit/suspects/suspects.cpp
+++ b/godwit/suspects/suspects.cpp
@@ -129,8 +129,13 @@
 // to the endpoint of a trial.
 bool isAloneAt(const SuspectBook &book, const EndpointDeath &death, std::uint64_t fingerprint)
 {
-    return std::none_of(death.fingerprints.begin(), death.fingerprints.end(), [&](std::uint64_t other) {
+    const auto isOtherSuspect = [&](std::uint64_t other) {
         return other != fingerprint && book.deathCount.at(other) > 1;
+    };
+    // What came from a record stands apart from what was told: its time is not known.
+    return std::none_of(book.deaths.begin(), book.deaths.end(), [&](const EndpointDeath &known) {
+        return known.endpoint == death.endpoint
+            && std::any_of(known.fingerprints.begin(), known.fingerprints.end(), isOtherSuspect);
     });
 }
 
