--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -58,6 +58,9 @@
         }
         faults.push_back(*fault);
     }
+    if (faults.empty()) {
+        throw std::invalid_argument("--only takes a fault at least");
+    }
     return faults;
 }
 
