Reach of endpoint groups: what this router's own connections to them say, as log lines and metrics

New, without any change of what is sent where:

- gateway/endpoint_reach: per service and data centre, when an endpoint last answered, and which new connections failed of what since.
Two endpoints that fail with no answer in between (one in a group of one) make a partition; only a connection opened after the failures ends it, so kept connections that live on don't hide it.
- relay/reach_monitor: log lines endpoints_partitioned and endpoints_reached_again, and a probe of one connection twice a second while a group is in trouble.
- godwit_endpoints_partitioned, godwit_seconds_since_endpoint_answered, godwit_endpoint_partitions_total, godwit_reach_probes_total.

--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -45,6 +45,15 @@
     for (const auto &[service, count] : counters.endpointDeaths) {
         out << "godwit_endpoint_deaths_total{service=\"" << escapeLabel(service) << "\"} " << count << '\n';
     }
+    appendMetric(out, "godwit_endpoint_partitions_total", static_cast<double>(counters.partitions));
+    appendMetric(out, "godwit_reach_probes_total", static_cast<double>(counters.reachProbes));
+    for (const auto &[group, reach] : state.reach.groups) {
+        const std::string labels = "{service=\"" + escapeLabel(group.service) + "\",data_centre=\""
+            + escapeLabel(group.dataCentre.value) + "\"} ";
+        out << "godwit_endpoints_partitioned" << labels << (reach.partitionedSince ? 1 : 0) << '\n';
+        out << "godwit_seconds_since_endpoint_answered" << labels << toSeconds(Relay::now() - reach.lastAnswerAt)
+            << '\n';
+    }
     appendMetric(out, "godwit_suspects_convicted_total", static_cast<double>(counters.convictions));
     appendMetric(out, "godwit_suspects_cleared_total", static_cast<double>(counters.suspectsCleared));
     appendMetric(out, "godwit_suspects_unrecorded_total", static_cast<double>(counters.suspectsUnrecorded));
--- a/godwit/relay/connection_pool.cpp
+++ b/godwit/relay/connection_pool.cpp
@@ -18,7 +18,7 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
 }
 
-std::optional<ConnectionPool::Socket> ConnectionPool::acquire(const EndpointId &endpoint, TimePoint now)
+std::optional<ConnectionPool::Connection> ConnectionPool::acquire(const EndpointId &endpoint, TimePoint now)
 {
     const auto found = m_idle.find(endpoint);
     if (found == m_idle.end()) {
@@ -28,16 +28,16 @@
         // The most recently used connection is the least likely to have been closed by the endpoint.
         Idle idle = std::move(found->second.back());
         found->second.pop_back();
-        if (idle.expiresAt > now && isQuiet(idle.socket)) {
-            return std::move(idle.socket);
+        if (idle.expiresAt > now && isQuiet(idle.connection.socket)) {
+            return std::move(idle.connection);
         }
     }
     return std::nullopt;
 }
 
-void ConnectionPool::release(const EndpointId &endpoint, Socket socket, TimePoint expiresAt)
+void ConnectionPool::release(const EndpointId &endpoint, Connection connection, TimePoint expiresAt)
 {
-    m_idle[endpoint].push_back(Idle{std::move(socket), expiresAt});
+    m_idle[endpoint].push_back(Idle{std::move(connection), expiresAt});
 }
 
 void ConnectionPool::closeIdle(const EndpointId &endpoint)
@@ -52,7 +52,7 @@
         idle.erase(std::remove_if(idle.begin(),
                                   idle.end(),
                                   [now](Idle &entry) {
-                                      return entry.expiresAt <= now || !isQuiet(entry.socket);
+                                      return entry.expiresAt <= now || !isQuiet(entry.connection.socket);
                                   }),
                    idle.end());
         it = idle.empty() ? m_idle.erase(it) : std::next(it);
--- a/godwit/relay/connection_pool.h
+++ b/godwit/relay/connection_pool.h
@@ -25,11 +25,16 @@
 {
 public:
     using Socket = boost::asio::ip::tcp::socket;
+    struct Connection
+    {
+        Socket socket;
+        TimePoint openedAt;
+    };
 
     // Returns a usable idle connection, the most recently used first, or nullopt.
-    std::optional<Socket> acquire(const EndpointId &endpoint, TimePoint now);
+    std::optional<Connection> acquire(const EndpointId &endpoint, TimePoint now);
     // Returns a connection to the pool; it is not handed out again from `expiresAt` on.
-    void release(const EndpointId &endpoint, Socket socket, TimePoint expiresAt);
+    void release(const EndpointId &endpoint, Connection connection, TimePoint expiresAt);
 
     // Closes all idle connections to an endpoint that has restarted: during a network partition they look usable but
     // are dead.
@@ -41,7 +46,7 @@
 private:
     struct Idle
     {
-        Socket socket;
+        Connection connection;
         TimePoint expiresAt;
     };
     std::map<EndpointId, std::vector<Idle>> m_idle;
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -82,8 +82,9 @@
     m_bytes = std::move(bytes);
     m_attemptId = std::move(attemptId);
     startParser();
-    m_socket = m_pool.acquire(endpoint, steadyNow());
-    if (m_socket) {
+    if (auto kept = m_pool.acquire(endpoint, steadyNow())) {
+        m_socket = std::move(kept->socket);
+        m_openedAt = kept->openedAt;
         send();
         return;
     }
@@ -167,10 +168,11 @@
         return;
     }
     m_socket.emplace(m_io);
+    m_openedAt = steadyNow();
     m_timer.expires_after(m_options.connectTimeout);
     m_timer.async_wait([self = shared_from_this()](const beast::error_code &error) {
         if (!error) {
-            self->failBeforeSend(ExchangeFailure::NotConnected);
+            self->onNotConnected();
         }
     });
     m_socket->async_connect(*target, [self = shared_from_this()](const beast::error_code &error) {
@@ -185,7 +187,7 @@
     }
     m_timer.cancel();
     if (error) {
-        failBeforeSend(ExchangeFailure::NotConnected);
+        onNotConnected();
         return;
     }
     if (m_handlers.maySend && !m_handlers.maySend()) {
@@ -198,6 +200,14 @@
     send();
 }
 
+void EndpointExchange::onNotConnected()
+{
+    if (m_phase == Phase::Connecting) {
+        reportDirect(DirectConnectionEvent::NotConnected);
+        failBeforeSend(ExchangeFailure::NotConnected);
+    }
+}
+
 // The only function that reports a failure without a byte sent. The connect timer's handler may already be queued when
 // the connection is established, and cancelling the timer does not remove it from the queue. It would then report that
 // no byte was sent while the endpoint runs the request, and a second endpoint would get the request too. So this does
@@ -220,9 +230,33 @@
             // A failed write also surfaces as a read error, after any response bytes that were already received.
             self->m_written = !error;
         });
+    watchForSilence();
     read();
 }
 
+void EndpointExchange::watchForSilence()
+{
+    m_timer.expires_after(m_options.silenceLimit);
+    m_timer.async_wait([self = shared_from_this()](const beast::error_code &error) {
+        if (!error && !self->isDone() && !self->m_received) {
+            self->reportDirect(DirectConnectionEvent::Silent);
+        }
+    });
+}
+
+void EndpointExchange::reportDirect(DirectConnectionEvent event)
+{
+    if (m_handlers.onDirectConnection) {
+        m_handlers.onDirectConnection(event, m_openedAt);
+    }
+}
+
+void EndpointExchange::reportConnectionLoss(const beast::error_code &error)
+{
+    const bool reset = m_newConnection && !m_received && error != asio::error::eof;
+    reportDirect(reset ? DirectConnectionEvent::Reset : DirectConnectionEvent::Broken);
+}
+
 void EndpointExchange::read()
 {
     m_reading = true;
@@ -238,6 +272,10 @@
 void EndpointExchange::onRead(const beast::error_code &error, std::size_t count)
 {
     m_buffer.commit(count);
+    if (count > 0) {
+        m_received = true;
+        reportDirect(DirectConnectionEvent::Answered);
+    }
     if (error) {
         m_connectionEnd = error == asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Broken;
     }
@@ -249,6 +287,9 @@
         completeAnswer();
         return;
     }
+    if (error) {
+        reportConnectionLoss(error);
+    }
     if (error && m_onWithdrawn) {
         completeWithdrawal(closedWithoutAnswer(error) ? WithdrawalOutcome::Unanswered : WithdrawalOutcome::Unknown);
         return;
@@ -349,7 +390,7 @@
             keep = std::min(keep, *facts.keepAlive - m_options.idleTimeoutMargin);
         }
         if (keep > Duration::zero()) {
-            m_pool.release(m_endpoint, std::move(*m_socket), steadyNow() + keep);
+            m_pool.release(m_endpoint, {std::move(*m_socket), m_openedAt}, steadyNow() + keep);
         }
     }
     finish();
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -50,6 +50,15 @@
 
 std::string_view withdrawalOutcomeName(WithdrawalOutcome outcome);
 
+// What happened to a direct connection to an endpoint.
+enum class DirectConnectionEvent {
+    Answered, // Bytes arrived.
+    NotConnected, // A new connection was refused, or not established in time.
+    Reset, // A new connection was reset before the first byte of a response.
+    Broken, // The connection ended otherwise before the response was complete.
+    Silent, // No byte arrived within ExchangeOptions::silenceLimit.
+};
+
 struct ExchangeHandlers
 {
     // Called once a new connection is established; the request is sent only if it returns true. Optional.
@@ -60,6 +69,8 @@
     std::function<void(std::string_view)> onBody;
     std::function<void()> onEnd;
     std::function<void(ExchangeFailure)> onFailed;
+    // Called with the time at which the connection was opened. Optional.
+    std::function<void(DirectConnectionEvent, TimePoint openedAt)> onDirectConnection;
 };
 
 struct ExchangeOptions
@@ -74,6 +85,8 @@
     Duration idleTimeoutMargin = std::chrono::milliseconds(600);
     // See setTcpUserTimeout().
     Duration tcpUserTimeout = std::chrono::seconds(3);
+    // A connection without a byte of the response for this long may be dead, see DirectConnectionEvent::Silent.
+    Duration silenceLimit = std::chrono::milliseconds(300);
     std::size_t readBytes = 16UL * 1024;
 };
 
@@ -125,6 +138,7 @@
 
     void connect(const std::string &address);
     void onConnected(const boost::system::error_code &error);
+    void onNotConnected();
     void failBeforeSend(ExchangeFailure failure);
     void send();
     void read();
@@ -141,6 +155,9 @@
     bool closedWithoutAnswer(const boost::system::error_code &error) const;
     void completeWithdrawal(WithdrawalOutcome outcome);
     void startParser();
+    void watchForSilence();
+    void reportDirect(DirectConnectionEvent event);
+    void reportConnectionLoss(const boost::system::error_code &error);
     bool isDone() const
     {
         return m_phase == Phase::Done;
@@ -159,7 +176,9 @@
     EndpointId m_endpoint;
     std::string m_bytes;
     std::string m_attemptId;
+    TimePoint m_openedAt; // When the connection was opened.
     bool m_newConnection = false;
+    bool m_received = false; // Bytes have arrived since the request was sent.
     bool m_written = false;
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
--- a/godwit/relay/endpoint_probe.cpp
+++ b/godwit/relay/endpoint_probe.cpp
@@ -6,8 +6,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 
 #include <memory>
+#include <utility>
 
 namespace Godwit
 {
@@ -22,6 +24,8 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     std::function<void(ProbeOutcome)> done;
+    std::string request; // Empty: a connection suffices.
+    char firstByte = 0;
 };
 
 void finishProbe(Probe &probe, ProbeOutcome outcome)
@@ -34,14 +38,28 @@
     }
 }
 
-} // namespace
+ProbeOutcome failureOutcome(const error_code &error)
+{
+    const bool refused = error == asio::error::connection_refused || error == asio::error::connection_reset;
+    return refused ? ProbeOutcome::Refuses : ProbeOutcome::Unreachable;
+}
 
-void probeEndpoint(asio::io_context &io,
-                   const std::string &address,
-                   Duration limit,
-                   std::function<void(ProbeOutcome)> done)
+void sendRequest(const std::shared_ptr<Probe> &probe)
 {
-    auto probe = std::make_shared<Probe>(Probe{asio::ip::tcp::socket(io), asio::steady_timer(io), std::move(done)});
+    asio::async_write(probe->socket, asio::buffer(probe->request), [](const error_code &, std::size_t) {});
+    probe->socket.async_read_some(asio::buffer(&probe->firstByte, 1), [probe](const error_code &error, std::size_t) {
+        finishProbe(*probe, error ? failureOutcome(error) : ProbeOutcome::Accepts);
+    });
+}
+
+void start(asio::io_context &io,
+           const std::string &address,
+           std::string request,
+           Duration limit,
+           std::function<void(ProbeOutcome)> done)
+{
+    auto probe = std::make_shared<Probe>(
+        Probe{asio::ip::tcp::socket(io), asio::steady_timer(io), std::move(done), std::move(request), 0});
     LastReason reason;
     const auto target = parseAddress(address, reason);
     if (!target) {
@@ -57,10 +75,37 @@
         }
     });
     probe->socket.async_connect(*target, [probe](const error_code &error) {
-        const bool refused = error == asio::error::connection_refused || error == asio::error::connection_reset;
-        const ProbeOutcome failure = refused ? ProbeOutcome::Refuses : ProbeOutcome::Unreachable;
-        finishProbe(*probe, error ? failure : ProbeOutcome::Accepts);
+        if (error) {
+            finishProbe(*probe, failureOutcome(error));
+        } else if (probe->request.empty()) {
+            finishProbe(*probe, ProbeOutcome::Accepts);
+        } else if (probe->done) {
+            sendRequest(probe);
+        }
     });
 }
 
+} // namespace
+
+void probeEndpoint(asio::io_context &io,
+                   const std::string &address,
+                   Duration limit,
+                   std::function<void(ProbeOutcome)> done)
+{
+    start(io, address, {}, limit, std::move(done));
+}
+
+void probeResponse(asio::io_context &io,
+                   const std::string &address,
+                   const std::string &path,
+                   Duration limit,
+                   std::function<void(ProbeOutcome)> done)
+{
+    start(io,
+          address,
+          "GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n",
+          limit,
+          std::move(done));
+}
+
 } // namespace Godwit
--- a/godwit/relay/endpoint_probe.h
+++ b/godwit/relay/endpoint_probe.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Checks whether anything listens at an endpoint's address, by opening a connection and closing it again.
+// Checks whether anything listens at an endpoint's address, by opening a connection and closing it again, or whether it
+// responds to a request.
 //
 // Example:
 //   probeEndpoint(io, "10.1.64.13:8482", std::chrono::seconds(1), [](ProbeOutcome outcome) { ... });
@@ -27,4 +28,12 @@
                    Duration limit,
                    std::function<void(ProbeOutcome)> done);
 
+// As probeEndpoint(), but sends `GET path`. Accepts means that a byte of a response arrived, whatever the status;
+// Refuses also covers a connection that was reset before.
+void probeResponse(boost::asio::io_context &io,
+                   const std::string &address,
+                   const std::string &path,
+                   Duration limit,
+                   std::function<void(ProbeOutcome)> done);
+
 } // namespace Godwit
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -29,6 +29,7 @@
     : m_io(io)
     , m_options(std::move(options))
     , m_log(log)
+    , m_reachMonitor(*this, {})
     , m_random(std::random_device{}())
 {
     m_state.prepaid = makePrepaidShare(m_options.prepaid);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -13,6 +13,7 @@
 #include "godwit/base/time.h"
 #include "godwit/gateway/copy_freshness.h"
 #include "godwit/gateway/crash_detector.h"
+#include "godwit/gateway/endpoint_reach.h"
 #include "godwit/gateway/endpoint_table.h"
 #include "godwit/gateway/limit_shares.h"
 #include "godwit/gateway/response_ending.h"
@@ -23,6 +24,7 @@
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
+#include "godwit/relay/reach_monitor.h"
 #include "godwit/relay/send_record.h"
 #include "godwit/suspects/recent_answers.h"
 #include "godwit/suspects/suspect_record.h"
@@ -99,6 +101,7 @@
 {
     std::shared_ptr<const RouteTable> routes; // Null until the first document has been read.
     EndpointTable endpoints;
+    EndpointReach reach; // Maintained by ReachMonitor.
     PrepaidShare prepaid;
     std::map<std::string, RetryBudget> retryBudgets; // Keyed by service.
     LimitShares limitShares;
@@ -173,6 +176,8 @@
     std::map<RetryKey, std::uint64_t> retryDecisions;
     SendCounters sends;
     std::map<ResponseEnding, std::uint64_t> answersEnded; // Responses of endpoints, complete or not.
+    std::uint64_t partitions = 0; // Times that a group of endpoints became partitioned from this router.
+    std::uint64_t reachProbes = 0;
     std::uint64_t convictions = 0; // Requests that this router convicted of crashing endpoints.
     std::uint64_t suspectsCleared = 0;
     std::uint64_t suspectsUnrecorded = 0; // Not recorded because the record was full.
@@ -218,6 +223,10 @@
     {
         return m_pool;
     }
+    ReachMonitor &reachMonitor()
+    {
+        return m_reachMonitor;
+    }
     DecisionLog &log()
     {
         return m_log;
@@ -301,6 +310,7 @@
     RelayState m_state;
     RelayCounters m_counters;
     ConnectionPool m_pool;
+    ReachMonitor m_reachMonitor;
     std::vector<std::shared_ptr<RelayCall>> m_waiting;
     std::mt19937_64 m_random;
 };
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -315,6 +315,10 @@
     handlers.onFailed = [self](ExchangeFailure failure) {
         self->onFailed(failure);
     };
+    handlers.onDirectConnection = [&monitor = m_relay.reachMonitor(),
+                                   listed = endpoint.listed](DirectConnectionEvent event, TimePoint openedAt) {
+        monitor.onConnectionEvent(listed, event, openedAt);
+    };
     m_exchange = std::make_shared<EndpointExchange>(
         m_relay.io(), m_relay.pool(), m_relay.options().exchange, std::move(handlers));
     m_exchange->start(m_endpoint,
