A router that is partitioned from all endpoints serves its callers over connections that other routers lend

Cause: such a router took 'I can't reach it' for 'it is gone', one endpoint and one request at a time: 1,938 attempts in ten seconds, each 400 ms, on endpoints that its peers reached all the while. Nothing told the two apart, nothing led around.

Requests for a partitioned group go over a connection that another router opens and passes on byte by byte, so that reservation, repeats, at most once, seals, suspects and withdrawal stay where they are. Where no router reaches a group, requests are refused at once. Partitioned routers leave the address answers if the others can carry the load. A reset whose error a failed write has consumed no longer looks like an orderly end.

--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -65,6 +65,7 @@
         settings.readyListen = address(reader, "ready", true);
         settings.addressesListen = address(reader, "addresses", false);
         settings.peerListen = address(reader, "peers", true);
+        settings.lendingListen = address(reader, "lending", false);
         settings.metricsListen = address(reader, "metrics", false);
         settings.store = address(reader, "store", true);
         settings.cores = reader.number("cores", settings.cores, {0.001, 1024});
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -29,6 +29,7 @@
     std::string readyListen;
     std::string addressesListen; // Empty: this router does not answer where to connect.
     std::string peerListen;
+    std::string lendingListen; // For connections lent to other routers; empty: a free port of the address `peerListen`.
     std::string metricsListen; // Empty: no metrics are served.
     std::string store;
     double cores = 1; // Share of a core that this host gives the router.
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <random>
 #include <set>
 
 namespace Godwit
@@ -19,6 +20,21 @@
 // An unlisted peer without a link is dropped this long after its last message.
 constexpr Duration PeerExpiry = std::chrono::seconds(20);
 
+// Bound of the groups that are accepted in one heartbeat.
+constexpr std::size_t MaxGroups = 256;
+
+std::vector<EndpointGroup> decodeGroups(const json &rows)
+{
+    std::vector<EndpointGroup> groups;
+    for (const json &row : rows) {
+        const bool wellFormed = row.is_array() && row.size() == 2 && row[0].is_string() && row[1].is_string();
+        if (wellFormed && groups.size() < MaxGroups) {
+            groups.push_back({row[0].get<std::string>(), DataCentreId{row[1].get<std::string>()}});
+        }
+    }
+    return groups;
+}
+
 } // namespace
 
 std::string encodeMember(const FleetMember &member)
@@ -128,7 +144,8 @@
 // reader.
 void FleetLinks::sendReadinessChange()
 {
-    if (m_sentReady != m_relay.isReady() || m_sentStoreReachable != m_relay.state().platformInReach) {
+    if (m_sentReady != m_relay.isReady() || m_sentStoreReachable != m_relay.state().platformInReach
+        || m_sentPartitioned != partitionedGroups(m_relay.state().reach)) {
         sendHeartbeat();
     }
 }
@@ -137,6 +154,7 @@
 {
     m_sentReady = m_relay.isReady();
     m_sentStoreReachable = m_relay.state().platformInReach;
+    m_sentPartitioned = partitionedGroups(m_relay.state().reach);
     m_mesh->broadcast({HeartbeatTopic, encodeHeartbeat()});
 }
 
@@ -243,13 +261,85 @@
     std::vector<EntryAddress> addresses;
     for (const auto &[incarnation, peer] : m_peers) {
         if (peer.ready && peer.heartbeatReceived && isResponsive(peer, now)) {
-            addresses.push_back(
-                {peer.member.callerAddress, regionOf(regions, peer.member.dataCentre), isAdvertised(peer)});
+            addresses.push_back({peer.member.callerAddress,
+                                 regionOf(regions, peer.member.dataCentre),
+                                 isAdvertised(peer),
+                                 peer.member.capacity,
+                                 dependsOnOthers(peer.partitioned)});
         }
     }
     return addresses;
 }
 
+std::vector<EntryAddress> FleetLinks::entryAddresses() const
+{
+    std::vector<EntryAddress> addresses = callerAddresses();
+    if (m_relay.isReady()) {
+        addresses.push_back({m_options.own.callerAddress,
+                             regionOf(m_relay.options().regions, m_options.own.dataCentre),
+                             isAdvertised(),
+                             m_options.ownCapacity,
+                             dependsOnOthers(partitionedGroups(m_relay.state().reach))});
+    }
+    avoidPartitioned(addresses, m_fleetLoad, m_options.advertisedHosts);
+    return addresses;
+}
+
+// A group that no router reaches tells nothing about one of them: its endpoints may have died.
+bool FleetLinks::dependsOnOthers(const std::vector<EndpointGroup> &partitioned) const
+{
+    const TimePoint now = Relay::now();
+    return std::any_of(partitioned.begin(), partitioned.end(), [this, now](const EndpointGroup &group) {
+        return !isPartitioned(m_relay.state().reach, group)
+            || std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+                   return lends(entry.second, group, now);
+               });
+    });
+}
+
+bool FleetLinks::lends(const Peer &peer, const EndpointGroup &group, TimePoint now) const
+{
+    return peer.linked && peer.ready && isResponsive(peer, now) && !peer.lender.address.empty()
+        && std::find(peer.partitioned.begin(), peer.partitioned.end(), group) == peer.partitioned.end();
+}
+
+void FleetLinks::offerLending(std::string address, std::string secret)
+{
+    m_ownLender = {m_options.own.incarnation, std::move(address), std::move(secret)};
+}
+
+std::vector<Lender> FleetLinks::lendersFor(const EndpointGroup &group) const
+{
+    const TimePoint now = Relay::now();
+    const auto &regions = m_relay.options().regions;
+    std::vector<Lender> near;
+    std::vector<Lender> far;
+    for (const auto &[incarnation, peer] : m_peers) {
+        const DataCentreId &dataCentre = peer.member.dataCentre;
+        const RegionId region = regionOf(regions, dataCentre);
+        // A request may be bound to a region; it is in this router's already, and goes to the endpoint's.
+        const bool allowedRegion =
+            region == regionOf(regions, m_options.own.dataCentre) || region == regionOf(regions, group.dataCentre);
+        if (allowedRegion && lends(peer, group, now)) {
+            const bool isNear = dataCentre == m_options.own.dataCentre || dataCentre == group.dataCentre;
+            (isNear ? near : far).push_back(peer.lender);
+        }
+    }
+    std::mt19937_64 random(m_relay.random());
+    std::shuffle(near.begin(), near.end(), random);
+    std::shuffle(far.begin(), far.end(), random);
+    near.insert(near.end(), far.begin(), far.end());
+    return near;
+}
+
+void FleetLinks::onLendingOffer(Peer &peer, const std::string &body)
+{
+    const json offer = decodeFleetMessage(body);
+    if (offer.is_array() && offer.size() == 2 && offer[0].is_string() && offer[1].is_string()) {
+        peer.lender = {peer.member.incarnation, offer[0].get<std::string>(), offer[1].get<std::string>()};
+    }
+}
+
 int FleetLinks::liveCount() const
 {
     const TimePoint now = Relay::now();
@@ -302,12 +392,16 @@
             held[customer.value] = encodeHolding(customer);
         }
     }
-    return encodeFleetMessage(json{{"ready", m_relay.isReady()},
-                                   {"store", m_relay.state().platformInReach},
-                                   {"copies", encodeCopyStates()},
-                                   {"load", m_load},
-                                   {"capacity", m_options.ownCapacity},
-                                   {"held", std::move(held)}});
+    json heartbeat{{"ready", m_relay.isReady()},
+                   {"store", m_relay.state().platformInReach},
+                   {"copies", encodeCopyStates()},
+                   {"load", m_load},
+                   {"capacity", m_options.ownCapacity},
+                   {"held", std::move(held)}};
+    for (const EndpointGroup &group : partitionedGroups(m_relay.state().reach)) {
+        heartbeat["partitioned"].push_back(json::array({group.service, group.dataCentre.value}));
+    }
+    return encodeFleetMessage(heartbeat);
 }
 
 void FleetLinks::onLinkUp(const Hello &hello)
@@ -322,6 +416,10 @@
     }
     m_relay.log().write("peer_linked", {{"peer", std::string_view(hello.incarnation.value)}});
     m_mesh->send(hello.incarnation, {HeartbeatTopic, encodeHeartbeat()});
+    if (!m_ownLender.address.empty()) {
+        m_mesh->send(hello.incarnation,
+                     {LendingTopic, encodeFleetMessage(json::array({m_ownLender.address, m_ownLender.secret}))});
+    }
 }
 
 void FleetLinks::onLinkDown(const Incarnation &incarnation)
@@ -343,6 +441,8 @@
     found->second.lastMessageAt = Relay::now();
     if (envelope.topic == HeartbeatTopic) {
         onHeartbeat(found->second, envelope.body);
+    } else if (envelope.topic == LendingTopic) {
+        onLendingOffer(found->second, envelope.body);
     } else if (envelope.topic == TokenReclaimTopic) {
         onTokenReclaim(found->second, envelope.body);
     } else if (envelope.topic == TokenRequestTopic) {
@@ -379,6 +479,7 @@
     peer.ready = ready != heartbeat.end() && ready->is_boolean() && ready->get<bool>();
     const auto store = heartbeat.find("store");
     peer.storeReachable = store != heartbeat.end() && store->is_boolean() && store->get<bool>();
+    peer.partitioned = decodeGroups(heartbeat.value("partitioned", json::array()));
     const auto load = heartbeat.find("load");
     peer.load = load != heartbeat.end() && load->is_number() ? load->get<double>() : 0;
     const auto capacity = heartbeat.find("capacity");
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -132,6 +132,17 @@
     // Returns the routers that take requests, without this one.
     std::vector<EntryAddress> callerAddresses() const;
 
+    // Returns the routers that take requests, including this one. Those that are partitioned from endpoints are not
+    // advertised if the others suffice.
+    std::vector<EntryAddress> entryAddresses() const;
+
+    // Offers connections to endpoints to the other routers, see connection_lender.h. To be called before start().
+    void offerLending(std::string address, std::string secret);
+
+    // Returns routers that reach endpoints of the group and lend connections to them, in random order, those in the
+    // data centre of the group or of this router first.
+    std::vector<Lender> lendersFor(const EndpointGroup &group) const;
+
     // Whether this router is advertised to callers.
     bool isAdvertised() const
     {
@@ -215,6 +226,8 @@
         TimePoint skippedUntil;
         TimePoint linkedAt;
         bool storeReachable = false;
+        Lender lender; // Its address is empty if the router lends no connections.
+        std::vector<EndpointGroup> partitioned; // Groups that the router can't reach itself.
     };
 
     void scheduleHeartbeat();
@@ -222,6 +235,8 @@
     void sendReadinessChange();
     void checkSettled(TimePoint now);
     void chooseHomes();
+    // Whether the peer lends connections to endpoints of the group.
+    bool lends(const Peer &peer, const EndpointGroup &group, TimePoint now) const;
     bool isServing(const Peer &peer, TimePoint now) const;
     // Minimum capacity of the hosts that belong to the largest class of those that are up.
     double minLargestClassCapacity(TimePoint now) const;
@@ -245,6 +260,9 @@
     void onLinkDown(const Incarnation &incarnation);
     void onMessage(const Incarnation &from, const Envelope &envelope);
     void onHeartbeat(Peer &peer, const std::string &body);
+    static void onLendingOffer(Peer &peer, const std::string &body);
+    // Whether a router with these partitioned groups depends on other routers.
+    bool dependsOnOthers(const std::vector<EndpointGroup> &partitioned) const;
     void applyHoldings(const nlohmann::json &heartbeat, const HolderId &holder);
     void onTokenRequest(const Peer &peer, const std::string &body);
     void onTokenReclaim(const Peer &peer, const std::string &body);
@@ -295,6 +313,8 @@
     std::deque<std::int64_t> m_lagProbes; // Timestamps of the probes without a response yet, the oldest first.
     bool m_sentReady = false;
     bool m_sentStoreReachable = false;
+    std::vector<EndpointGroup> m_sentPartitioned;
+    Lender m_ownLender;
     TimePoint m_nextHeartbeatAt;
     // Minimum capacity of the hosts that are advertised to callers.
     double m_minAdvertisedCapacity = 0;
--- a/godwit/daemon/fleet_messages.h
+++ b/godwit/daemon/fleet_messages.h
@@ -30,6 +30,7 @@
 inline constexpr const char *SnapshotTopic = "snapshot";
 inline constexpr const char *PromptTopic = "prompt";
 inline constexpr const char *SuspectsTopic = "suspects";
+inline constexpr const char *LendingTopic = "lending";
 
 // Capacity of Amounts::tokens.
 inline constexpr std::size_t MaxAmounts = 3;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -9,6 +9,7 @@
 #include "godwit/daemon/suspect_coordinator.h"
 #include "godwit/gateway/connection_pause.h"
 #include "godwit/relay/caller_connection.h"
+#include "godwit/relay/connection_lender.h"
 #include "godwit/relay/listener.h"
 #include "godwit/relay/simple_http_server.h"
 #include "platform/http_codec.h"
@@ -151,6 +152,22 @@
     return options;
 }
 
+LenderOptions lenderOptions()
+{
+    LenderOptions options;
+    options.secret = randomSuffix();
+    return options;
+}
+
+// Without an address in the settings, a free port of the address that other routers connect to.
+std::string lendingAddress(const GatewaySettings &settings)
+{
+    if (!settings.lendingListen.empty()) {
+        return settings.lendingListen;
+    }
+    return settings.peerListen.substr(0, settings.peerListen.rfind(':')) + ":0";
+}
+
 FleetMember selfMember(const GatewaySettings &settings)
 {
     return FleetMember{settings.host,
@@ -176,6 +193,7 @@
         , m_budgets(m_io, m_relay, m_store, budgetOptions(m_settings, m_self), hostClock())
         , m_limitShares(m_relay, m_store, {m_settings.callerListen})
         , m_links(m_io, m_relay, linkOptions(m_settings, m_self))
+        , m_lender(m_relay, lenderOptions())
         , m_endpoints(m_io, m_relay)
         , m_suspects(m_io, m_relay, m_store, suspectOptions(m_self.incarnation))
         , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, onDocuments(), reachabilityHandler())
@@ -194,6 +212,9 @@
             m_budgets.writeSoon();
             m_links.requestTokens(customer, needed);
         };
+        m_relay.lendersFor = [this](const EndpointGroup &group) {
+            return m_links.lendersFor(group);
+        };
         m_relay.onTokensAdded = [this] {
             m_links.serveTransferRequests();
         };
@@ -282,6 +303,10 @@
                      {"version", std::string_view(GODWIT_VERSION)},
                      {"callers", std::string_view(m_settings.callerListen)},
                      {"store", std::string_view(m_settings.store)}});
+        if (!m_lender.listen(lendingAddress(m_settings), reason)) {
+            return false;
+        }
+        m_links.offerLending(m_lender.address(), m_lender.secret());
         const bool listening = m_links.start(reason) && m_entryServer.listen(m_settings.readyListen, reason)
             && (m_settings.addressesListen.empty() || m_entryServer.listen(m_settings.addressesListen, reason))
             && (m_settings.metricsListen.empty() || m_metricsServer.listen(m_settings.metricsListen, reason))
@@ -529,11 +554,7 @@
 
     std::vector<std::string> findCallerAddresses(const PlatformQuery &query)
     {
-        std::vector<EntryAddress> hosts = m_links.callerAddresses();
-        if (m_relay.isReady()) {
-            const RegionId own = regionOf(m_settings.regions, m_settings.dataCentre);
-            hosts.push_back({m_settings.callerListen, own, m_links.isAdvertised()});
-        }
+        const std::vector<EntryAddress> hosts = m_links.entryAddresses();
         std::vector<std::string> addresses = addressesForRegions(hosts, entryRegions(query));
         std::shuffle(addresses.begin(), addresses.end(), m_random);
         addresses.resize(std::min(addresses.size(), MaxAddresses));
@@ -770,7 +791,8 @@
         }
         if (m_relay.state().stage == RelayStage::Stopping) {
             closeIdleConnections();
-            if (m_relay.callsOpen == 0 || passed >= FinishRequestsFraction) {
+            const bool finished = m_relay.callsOpen == 0 && m_lender.openConnections() == 0;
+            if (finished || passed >= FinishRequestsFraction) {
                 finishStop();
                 return;
             }
@@ -793,7 +815,9 @@
 
     void finishStop()
     {
-        m_log.write("stopping", {{"calls_cut", m_relay.callsOpen}});
+        m_log.write(
+            "stopping",
+            {{"calls_cut", m_relay.callsOpen}, {"lent_cut", static_cast<std::int64_t>(m_lender.openConnections())}});
         const Duration left = m_settings.stopWithin - (Relay::now() - m_stopStartedAt);
         m_stopTimer.expires_after(std::max<Duration>(left * 3 / 4, std::chrono::milliseconds(100)));
         m_stopTimer.async_wait([this](const error_code &) {
@@ -826,6 +850,7 @@
     BudgetManager m_budgets;
     LimitShareManager m_limitShares;
     FleetLinks m_links;
+    ConnectionLender m_lender;
     EndpointList m_endpoints;
     SuspectCoordinator m_suspects;
     SharedPrefix m_documents;
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -54,6 +54,10 @@
         out << "godwit_seconds_since_endpoint_answered" << labels << toSeconds(Relay::now() - reach.lastAnswerAt)
             << '\n';
     }
+    appendMetric(out, "godwit_borrowed_connections_total", static_cast<double>(counters.borrowedConnections));
+    for (const auto &[reply, count] : counters.lendingReplies) {
+        out << "godwit_lending_replies_total{reply=\"" << lendingReplyName(reply) << "\"} " << count << '\n';
+    }
     appendMetric(out, "godwit_suspects_convicted_total", static_cast<double>(counters.convictions));
     appendMetric(out, "godwit_suspects_cleared_total", static_cast<double>(counters.suspectsCleared));
     appendMetric(out, "godwit_suspects_unrecorded_total", static_cast<double>(counters.suspectsUnrecorded));
--- a/godwit/daemon/suspect_coordinator.h
+++ b/godwit/daemon/suspect_coordinator.h
@@ -12,6 +12,7 @@
 #include "godwit/daemon/first_death_store.h"
 #include "godwit/gateway/crash_detector.h"
 #include "godwit/gateway/store_item.h"
+#include "godwit/relay/endpoint_probe.h"
 #include "godwit/relay/relay.h"
 #include "godwit/suspects/suspect_notice.h"
 #include "godwit/suspects/suspect_record.h"
@@ -103,6 +104,11 @@
 
     void onInterrupted(const InterruptedRequest &interrupted, std::function<void()> resolved);
     void probePort(const EndpointInterruptions &interruptions);
+    // Asks other routers in turn whether the endpoint accepts connections. `otherwise` is the outcome if none can tell.
+    void probeThroughOthers(const EndpointInterruptions &interruptions,
+                            std::vector<Lender> lenders,
+                            ProbeOutcome otherwise);
+    void onProbed(const EndpointId &endpoint, ProbeOutcome outcome);
     void releaseWaiters(const EndpointId &endpoint);
     void onDeath(const EndpointInterruptions &death, std::string_view sign);
     void logDeath(const EndpointInterruptions &death, std::string_view sign) const;
--- a/godwit/daemon/suspect_deaths.cpp
+++ b/godwit/daemon/suspect_deaths.cpp
@@ -3,6 +3,7 @@
 #include "godwit/daemon/suspect_coordinator.h"
 
 #include "godwit/base/enum_names.h"
+#include "godwit/relay/connection_borrower.h"
 #include "godwit/relay/endpoint_probe.h"
 
 #include <algorithm>
@@ -51,20 +52,68 @@
     }
 }
 
+// A port that refuses connections is evidence of a death only if it refuses those of other routers as well: connections
+// of a partitioned router may be refused or reset on the way.
 void SuspectCoordinator::probePort(const EndpointInterruptions &interruptions)
 {
-    probeEndpoint(
-        m_io, interruptions.address, m_options.probeTimeout, [this, id = interruptions.id](ProbeOutcome outcome) {
-            CrashDetector &watch = m_relay.state().crashDetector;
-            if (outcome != ProbeOutcome::Refuses) {
-                for (const InterruptedAttempt &run : recordNoCrash(watch, id)) {
-                    onTrialEnded(run.fingerprint);
-                }
-            } else if (const auto death = takeCrash(watch, id)) {
-                onDeath(*death, "port_refuses");
-            }
-            releaseWaiters(id);
-        });
+    constexpr std::size_t maxWitnesses = 2;
+    const EndpointGroup group{interruptions.service, interruptions.dataCentre};
+    auto lenders = m_relay.lendersFor ? m_relay.lendersFor(group) : std::vector<Lender>();
+    lenders.resize(std::min(lenders.size(), maxWitnesses));
+    if (!lenders.empty() && isPartitioned(m_relay.state().reach, group)) {
+        probeThroughOthers(interruptions, std::move(lenders), ProbeOutcome::Unreachable);
+        return;
+    }
+    probeEndpoint(m_io,
+                  interruptions.address,
+                  m_options.probeTimeout,
+                  [this, interruptions, lenders = std::move(lenders)](ProbeOutcome outcome) {
+                      if (outcome == ProbeOutcome::Refuses) {
+                          probeThroughOthers(interruptions, lenders, outcome);
+                      } else {
+                          onProbed(interruptions.id, outcome);
+                      }
+                  });
+}
+
+void SuspectCoordinator::probeThroughOthers(const EndpointInterruptions &interruptions,
+                                            std::vector<Lender> lenders,
+                                            ProbeOutcome otherwise)
+{
+    if (lenders.empty()) {
+        onProbed(interruptions.id, otherwise);
+        return;
+    }
+    const Lender next = std::move(lenders.back());
+    lenders.pop_back();
+    const auto onReply = [this, interruptions, lenders = std::move(lenders), otherwise](LendingReply reply,
+                                                                                        const auto &) {
+        switch (reply) {
+        case LendingReply::Connected:
+            onProbed(interruptions.id, ProbeOutcome::Accepts);
+            return;
+        case LendingReply::Refused:
+            onProbed(interruptions.id, ProbeOutcome::Refuses);
+            return;
+        default:
+            probeThroughOthers(interruptions, lenders, otherwise);
+        }
+    };
+    const LendingRequest request{LendingPurpose::Probe, {}, interruptions.id, interruptions.address};
+    ConnectionBorrower::start(m_io, next, request, m_relay.options().exchange.borrowTimeout, onReply);
+}
+
+void SuspectCoordinator::onProbed(const EndpointId &endpoint, ProbeOutcome outcome)
+{
+    CrashDetector &watch = m_relay.state().crashDetector;
+    if (outcome != ProbeOutcome::Refuses) {
+        for (const InterruptedAttempt &run : recordNoCrash(watch, endpoint)) {
+            onTrialEnded(run.fingerprint);
+        }
+    } else if (const auto death = takeCrash(watch, endpoint)) {
+        onDeath(*death, "port_refuses");
+    }
+    releaseWaiters(endpoint);
 }
 
 void SuspectCoordinator::releaseWaiters(const EndpointId &endpoint)
--- a/godwit/gateway/endpoint_reach.cpp
+++ b/godwit/gateway/endpoint_reach.cpp
@@ -30,10 +30,10 @@
         return false;
     }
     if (group.partitionedSince) {
-        return now >= group.probedAt + options.probeInterval;
+        return !group.newMembers.empty() || now >= group.probedAt + options.probeInterval;
     }
     return (group.troubledAt && now >= *group.troubledAt + options.probeDelay)
-        || (!group.failures.empty() && now >= group.probedAt + options.probeInterval);
+        || (!group.failures.empty() && now >= group.probedAt + options.suspicionProbeInterval);
 }
 
 // Returns the endpoints of the group that may receive requests.
@@ -50,10 +50,22 @@
     return members;
 }
 
+// Removes the entries whose endpoint is not in `members`.
+template<typename Container, typename IdOf>
+void eraseUnlisted(Container &container, const std::set<EndpointId> &members, IdOf idOf)
+{
+    for (auto it = container.begin(); it != container.end();) {
+        it = members.count(idOf(*it)) != 0 ? std::next(it) : container.erase(it);
+    }
+}
+
 // While the group is partitioned, any of its endpoints may be the first that is reached again. Otherwise an endpoint
 // without a failure shows whether the failures concern the whole group.
 std::vector<EndpointId> probeCandidates(const GroupReach &group, std::vector<EndpointId> members)
 {
+    if (!group.newMembers.empty()) {
+        return {group.newMembers.begin(), group.newMembers.end()};
+    }
     if (group.partitionedSince) {
         return members;
     }
@@ -89,6 +101,8 @@
         return false;
     }
     known.failures.clear();
+    known.newMembers.clear();
+    known.probeFailed = false;
     return std::exchange(known.partitionedSince, std::nullopt).has_value();
 }
 
@@ -104,14 +118,19 @@
     }
     if (known.failures.empty() && !known.partitionedSince) {
         known.failingSince = now;
+        known.probeFailed = false;
     }
+    known.probeFailed = known.probeFailed || failed.isProbe;
     known.failures[failed.endpoint] = failed.failure;
-    const std::size_t needed = std::min(reach.options.failuresToPartition, std::max<std::size_t>(groupSize, 1));
-    if (known.partitionedSince || known.failures.size() < needed) {
+    // Failures of requests alone may be those of endpoints that died while no new connection to the others was needed.
+    const bool enough = known.failures.size() >= groupSize
+        || (known.probeFailed && known.failures.size() >= reach.options.failuresToPartition);
+    if (known.partitionedSince || !enough) {
         return false;
     }
     known.partitionedSince = now;
-    known.probedAt = now;
+    known.newMembers.clear();
+    known.probedAt = {};
     return true;
 }
 
@@ -151,9 +170,11 @@
         group.troubledAt.reset();
         const auto candidates = probeCandidates(group, membersOf(table, name));
         if (!candidates.empty()) {
+            const EndpointId &chosen = candidates[random % candidates.size()];
             group.probing = true;
             group.probedAt = now;
-            probes.push_back({name, candidates[random % candidates.size()]});
+            group.newMembers.erase(chosen);
+            probes.push_back({name, chosen});
         }
     }
     return probes;
@@ -182,14 +203,29 @@
 
 void onEndpointsListed(EndpointReach &reach, const EndpointTable &table)
 {
+    for (const auto &[service, ids] : table.byService) {
+        for (const EndpointId &id : ids) {
+            reach.groups[groupOf(table.endpoints.at(id).listed)];
+        }
+    }
     for (auto it = reach.groups.begin(); it != reach.groups.end();) {
-        const auto members = membersOf(table, it->first);
+        const auto listed = membersOf(table, it->first);
+        const std::set<EndpointId> members(listed.begin(), listed.end());
         GroupReach &group = it->second;
-        for (auto failure = group.failures.begin(); failure != group.failures.end();) {
-            const bool listed = std::find(members.begin(), members.end(), failure->first) != members.end();
-            failure = listed ? std::next(failure) : group.failures.erase(failure);
+        if (group.partitionedSince) {
+            std::set_difference(members.begin(),
+                                members.end(),
+                                group.members.begin(),
+                                group.members.end(),
+                                std::inserter(group.newMembers, group.newMembers.end()));
         }
-        group.probedAt = {};
+        eraseUnlisted(group.newMembers, members, [](const EndpointId &id) {
+            return id;
+        });
+        eraseUnlisted(group.failures, members, [](const auto &failure) {
+            return failure.first;
+        });
+        group.members = members;
         it = members.empty() && !group.probing ? reach.groups.erase(it) : std::next(it);
     }
 }
--- a/godwit/gateway/endpoint_reach.h
+++ b/godwit/gateway/endpoint_reach.h
@@ -4,8 +4,9 @@
 // have died.
 //
 // Endpoints are grouped by service and data centre, since a partition may affect only some of them. A group is
-// partitioned when new connections to several of its endpoints fail and none of them answers in between. Its requests
-// then go through another router, and one new connection at a time probes whether the partition has ended.
+// partitioned when new connections to several of its endpoints fail, a probe of another one among them, and none of
+// them answers in between. Its requests then go through another router, and one new connection at a time probes whether
+// the partition has ended.
 //
 // Pure functions: time and random numbers are passed in.
 //
@@ -21,6 +22,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -62,6 +64,8 @@
     std::size_t failuresToPartition = 2;
     // Trouble on a connection is followed by a probe unless the group answers within this time.
     Duration probeDelay = std::chrono::milliseconds(100);
+    // Interval of the probes after a failure, until the group answers or is partitioned.
+    Duration suspicionProbeInterval = std::chrono::milliseconds(100);
     // Interval of the probes that look for the end of a partition.
     Duration probeInterval = std::chrono::milliseconds(500);
 };
@@ -75,7 +79,10 @@
     std::optional<TimePoint> partitionedSince;
     std::optional<TimePoint> troubledAt; // First trouble on an established connection since the last probe or answer.
     bool probing = false;
+    bool probeFailed = false; // A probe is among `failures`.
     TimePoint probedAt;
+    std::set<EndpointId> members; // As listed last.
+    std::set<EndpointId> newMembers; // Listed since the partition began, and not probed yet.
 };
 
 struct EndpointReach
@@ -93,6 +100,7 @@
     EndpointId endpoint;
     ConnectionFailure failure = ConnectionFailure::NotConnected;
     TimePoint openedAt;
+    bool isProbe = false;
 };
 
 // Records that a new direct connection failed. `groupSize` is the number of endpoints listed in the group. Returns true
@@ -133,8 +141,8 @@
 // Returns the number of endpoints of the group that may receive requests.
 std::size_t groupSize(const EndpointTable &table, const EndpointGroup &group);
 
-// Adapts to a changed list of endpoints: forgets failures of endpoints that are no longer listed, and probes
-// partitioned groups at once, since a new endpoint may be reachable.
+// Adapts to a changed list of endpoints: forgets failures of endpoints that are no longer listed, and makes probes of
+// new endpoints due in partitioned groups, since all others may have died.
 void onEndpointsListed(EndpointReach &reach, const EndpointTable &table);
 
 // Ends the backoff of the group's endpoints: failures during a partition are not theirs.
--- a/godwit/gateway/endpoint_reach_test.cpp
+++ b/godwit/gateway/endpoint_reach_test.cpp
@@ -34,11 +34,17 @@
           const char *endpoint,
           TimePoint at,
           ConnectionFailure failure = ConnectionFailure::NotConnected,
-          std::size_t size = 3)
+          std::size_t size = 2)
 {
     return recordConnectionFailure(reach, North, {EndpointId{endpoint}, failure, at - milliseconds(50)}, size, at);
 }
 
+bool failProbe(EndpointReach &reach, const char *endpoint, TimePoint at, std::size_t size)
+{
+    const FailedConnection failed{EndpointId{endpoint}, ConnectionFailure::NotConnected, at - milliseconds(50), true};
+    return recordConnectionFailure(reach, North, failed, size, at);
+}
+
 } // namespace
 
 TEST_CASE("a group is partitioned when two of its endpoints fail and none answers in between")
@@ -52,6 +58,23 @@
     CHECK(partitionedGroups(reach) == std::vector<EndpointGroup>{North});
 }
 
+// Guards against taking the deaths of some endpoints for a partition from all of them.
+TEST_CASE("failures of requests make no partition of a larger group unless a probe of another endpoint fails too")
+{
+    EndpointReach reach;
+    const EndpointTable table = tableOf({"a", "b", "c"});
+    fail(reach, "a", Start, ConnectionFailure::Reset, 3);
+    CHECK_FALSE(fail(reach, "b", Start, ConnectionFailure::Reset, 3));
+    const auto probes = takeDueProbes(reach, table, 1, Start);
+    REQUIRE(probes.size() == 1);
+    CHECK(probes[0].endpoint == EndpointId{"c"});
+    EndpointReach reached = reach;
+    recordAnswer(reached, North, Start, Start + milliseconds(3));
+    CHECK_FALSE(needsProbes(reached));
+    CHECK(failProbe(reach, "c", Start + milliseconds(3), 4));
+    CHECK(isPartitioned(reach, North));
+}
+
 TEST_CASE("endpoints that die while others answer don't make a partition")
 {
     EndpointReach reach;
@@ -124,23 +147,31 @@
     const EndpointTable table = tableOf({"a", "b"});
     fail(reach, "a", Start);
     fail(reach, "b", Start);
-    CHECK(takeDueProbes(reach, table, 0, Start + milliseconds(400)).empty());
-    CHECK(takeDueProbes(reach, table, 0, Start + milliseconds(500)).size() == 1);
+    CHECK(takeDueProbes(reach, table, 0, Start).size() == 1);
     CHECK(takeDueProbes(reach, table, 0, Start + seconds(5)).empty());
     finishProbe(reach, North);
+    CHECK(takeDueProbes(reach, table, 0, Start + milliseconds(499)).empty());
+    CHECK(takeDueProbes(reach, table, 0, Start + milliseconds(500)).size() == 1);
+    finishProbe(reach, North);
     CHECK(takeDueProbes(reach, table, 0, Start + seconds(5)).size() == 1);
 }
 
-TEST_CASE("a partitioned group is probed at once when its endpoints change")
+TEST_CASE("new endpoints of a partitioned group are probed at once")
 {
     EndpointReach reach;
+    onEndpointsListed(reach, tableOf({"a", "b"}));
     fail(reach, "a", Start);
     fail(reach, "b", Start);
+    takeDueProbes(reach, tableOf({"a", "b"}), 0, Start);
+    finishProbe(reach, North);
     const EndpointTable table = tableOf({"a", "c"});
     onEndpointsListed(reach, table);
     CHECK(reach.groups.at(North).failures.count(EndpointId{"b"}) == 0);
-    CHECK(takeDueProbes(reach, table, 0, Start + milliseconds(1)).size() == 1);
+    const auto probes = takeDueProbes(reach, table, 0, Start + milliseconds(1));
+    REQUIRE(probes.size() == 1);
+    CHECK(probes[0].endpoint == EndpointId{"c"});
     finishProbe(reach, North);
+    CHECK(takeDueProbes(reach, table, 0, Start + milliseconds(2)).empty());
     onEndpointsListed(reach, tableOf({}));
     CHECK(reach.groups.empty());
 }
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -16,7 +16,9 @@
 
 bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint)
 {
-    return !isTried(query, endpoint.listed.id) && isAllowed(query.regions, endpoint.listed.region);
+    const auto &unreachable = query.unreachable;
+    return !isTried(query, endpoint.listed.id) && isAllowed(query.regions, endpoint.listed.region)
+        && std::find(unreachable.begin(), unreachable.end(), endpoint.listed.dataCentre) == unreachable.end();
 }
 
 // A cold endpoint receives requests from a few routers only, at a limited rate.
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -135,6 +135,7 @@
     std::vector<EndpointId> tried; // Endpoints to exclude.
     DataCentreId dataCentre; // Of this router.
     AllowedRegions regions; // Only endpoints in these regions.
+    std::vector<DataCentreId> unreachable; // No endpoints in these data centres.
 };
 
 // Applies a new list. Endpoints that are no longer listed receive no new requests; requests in flight continue there.
--- a/godwit/gateway/entry_hosts.cpp
+++ b/godwit/gateway/entry_hosts.cpp
@@ -32,6 +32,20 @@
     return 0;
 }
 
+void avoidPartitioned(std::vector<EntryAddress> &hosts, double load, const EntryHostOptions &options)
+{
+    double capacity = 0;
+    for (const EntryAddress &host : hosts) {
+        capacity += host.advertised && !host.partitioned ? host.capacity : 0;
+    }
+    if (capacity <= 0 || options.targetUtilization * capacity < load) {
+        return;
+    }
+    for (EntryAddress &host : hosts) {
+        host.advertised = host.advertised && !host.partitioned;
+    }
+}
+
 std::vector<std::string> addressesForRegions(const std::vector<EntryAddress> &hosts, const AllowedRegions &regions)
 {
     std::vector<std::string> addresses;
--- a/godwit/gateway/entry_hosts.h
+++ b/godwit/gateway/entry_hosts.h
@@ -50,8 +50,13 @@
     std::string address;
     RegionId region;
     bool advertised = false; // Preferred over hosts that are not advertised.
+    double capacity = 0; // Requests per second that the host can serve.
+    bool partitioned = false; // Reaches endpoints only through other routers, which other hosts do not need.
 };
 
+// Withdraws the advertisement of partitioned hosts if the other advertised hosts can carry `load` requests per second.
+void avoidPartitioned(std::vector<EntryAddress> &hosts, double load, const EntryHostOptions &options);
+
 // Returns the addresses to which a caller should connect: the advertised hosts in `regions`, or else the other hosts
 // there, or else hosts of any region by the same rule.
 std::vector<std::string> addressesForRegions(const std::vector<EntryAddress> &hosts, const AllowedRegions &regions);
--- a/godwit/gateway/entry_hosts_test.cpp
+++ b/godwit/gateway/entry_hosts_test.cpp
@@ -60,3 +60,18 @@
     CHECK(addressesForRegions(hosts, std::set<RegionId>{RegionId{"north"}}) == Addresses{"east-large"});
     CHECK(addressesForRegions({}, {}).empty());
 }
+
+TEST_CASE("partitioned hosts are not advertised while the others can carry the load")
+{
+    const auto advertised = [](double load) {
+        std::vector<EntryAddress> hosts = {
+            {"a", {}, true, 100, true}, {"b", {}, true, 100, false}, {"c", {}, false, 100, false}};
+        avoidPartitioned(hosts, load, {});
+        return hosts[0].advertised;
+    };
+    CHECK_FALSE(advertised(40));
+    CHECK(advertised(60));
+    std::vector<EntryAddress> all = {{"a", {}, true, 100, true}};
+    avoidPartitioned(all, 0, {});
+    CHECK(all[0].advertised);
+}
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -89,7 +89,9 @@
         return;
     }
     m_newConnection = true;
-    connect(address);
+    m_address = address;
+    m_routes = m_handlers.routes ? m_handlers.routes() : std::vector<ConnectionRoute>{ConnectionRoute{}};
+    connectNext();
 }
 
 void EndpointExchange::cancel()
@@ -157,16 +159,34 @@
     }
 }
 
-void EndpointExchange::connect(const std::string &address)
+void EndpointExchange::connectNext()
 {
-    LastReason reason;
-    const auto target = parseAddress(address, reason);
-    if (!target) {
+    m_timer.cancel();
+    m_socket.reset();
+    if (m_routes.empty()) {
+        // Deferred, since start() may not call handlers.
         asio::post(m_io, [self = shared_from_this()] {
             self->failBeforeSend(ExchangeFailure::NotConnected);
         });
         return;
     }
+    const ConnectionRoute route = std::move(m_routes.front());
+    m_routes.erase(m_routes.begin());
+    if (route.lender) {
+        borrowFrom(*route.lender);
+    } else {
+        connectDirectly();
+    }
+}
+
+void EndpointExchange::connectDirectly()
+{
+    LastReason reason;
+    const auto target = parseAddress(m_address, reason);
+    if (!target) {
+        connectNext();
+        return;
+    }
     m_socket.emplace(m_io);
     m_openedAt = steadyNow();
     m_timer.expires_after(m_options.connectTimeout);
@@ -176,20 +196,57 @@
         }
     });
     m_socket->async_connect(*target, [self = shared_from_this()](const beast::error_code &error) {
-        self->onConnected(error);
+        // Aborted: the timeout or cancel() came first.
+        if (error != asio::error::operation_aborted) {
+            self->onConnected(error);
+        }
     });
 }
 
+void EndpointExchange::borrowFrom(const Lender &lender)
+{
+    LendingRequest request;
+    request.endpoint = m_endpoint;
+    request.address = m_address;
+    m_borrower =
+        ConnectionBorrower::start(m_io,
+                                  lender,
+                                  std::move(request),
+                                  m_options.borrowTimeout,
+                                  [self = shared_from_this()](LendingReply reply, ConnectionPool::Socket socket) {
+                                      self->onBorrowed(reply, std::move(socket));
+                                  });
+}
+
+void EndpointExchange::onBorrowed(LendingReply reply, ConnectionPool::Socket socket)
+{
+    m_borrower.reset();
+    if (m_phase != Phase::Connecting) {
+        return;
+    }
+    if (reply == LendingReply::Connected) {
+        m_borrowed = true;
+        m_socket.emplace(std::move(socket));
+        onConnected({});
+        return;
+    }
+    m_refusedElsewhere = reply == LendingReply::Refused;
+    if (m_refusedElsewhere) {
+        m_routes.clear();
+    }
+    connectNext();
+}
+
 void EndpointExchange::onConnected(const beast::error_code &error)
 {
     if (m_phase != Phase::Connecting) {
         return;
     }
-    m_timer.cancel();
     if (error) {
         onNotConnected();
         return;
     }
+    m_timer.cancel();
     if (m_handlers.maySend && !m_handlers.maySend()) {
         failBeforeSend(ExchangeFailure::EndpointLeft);
         return;
@@ -204,7 +261,7 @@
 {
     if (m_phase == Phase::Connecting) {
         reportDirect(DirectConnectionEvent::NotConnected);
-        failBeforeSend(ExchangeFailure::NotConnected);
+        connectNext();
     }
 }
 
@@ -229,6 +286,7 @@
         *m_socket, asio::buffer(m_bytes), [self = shared_from_this()](const beast::error_code &error, std::size_t) {
             // A failed write also surfaces as a read error, after any response bytes that were already received.
             self->m_written = !error;
+            self->m_writeFailed = error.failed();
         });
     watchForSilence();
     read();
@@ -246,7 +304,7 @@
 
 void EndpointExchange::reportDirect(DirectConnectionEvent event)
 {
-    if (m_handlers.onDirectConnection) {
+    if (m_handlers.onDirectConnection && !m_borrowed) {
         m_handlers.onDirectConnection(event, m_openedAt);
     }
 }
@@ -269,8 +327,12 @@
                               });
 }
 
-void EndpointExchange::onRead(const beast::error_code &error, std::size_t count)
+void EndpointExchange::onRead(beast::error_code error, std::size_t count)
 {
+    if (error == asio::error::eof && m_writeFailed) {
+        // The kernel reports a reset only once: after the failed write, reading looks like an orderly close.
+        error = asio::error::connection_reset;
+    }
     m_buffer.commit(count);
     if (count > 0) {
         m_received = true;
@@ -383,7 +445,8 @@
 {
     const auto &facts = m_facts;
     // An unfinished request write, or extra bytes after the response, would corrupt the next exchange.
-    const bool reusable = m_written && m_buffer.size() == 0 && !facts.closesConnection && m_parser->keep_alive();
+    const bool reusable =
+        !m_borrowed && m_written && m_buffer.size() == 0 && !facts.closesConnection && m_parser->keep_alive();
     if (reusable) {
         Duration keep = m_options.idleTimeout;
         if (facts.keepAlive) {
@@ -423,6 +486,9 @@
 {
     m_phase = Phase::Done;
     m_timer.cancel();
+    if (const auto borrower = std::exchange(m_borrower, nullptr)) {
+        borrower->cancel();
+    }
     if (m_socket) {
         beast::error_code ignored;
         m_socket->close(ignored);
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -12,6 +12,7 @@
 
 #include "godwit/base/time.h"
 #include "godwit/gateway/request_metadata.h"
+#include "godwit/relay/connection_borrower.h"
 #include "godwit/relay/connection_pool.h"
 #include "platform/http_codec.h"
 
@@ -26,6 +27,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Godwit
 {
@@ -59,8 +61,17 @@
     Silent, // No byte arrived within ExchangeOptions::silenceLimit.
 };
 
+// A way to connect to an endpoint: directly, or over a connection borrowed from another router.
+struct ConnectionRoute
+{
+    std::optional<Lender> lender;
+};
+
 struct ExchangeHandlers
 {
+    // Called when a new connection is needed; the routes are tried in order until one connects. If unset, only a direct
+    // connection is tried.
+    std::function<std::vector<ConnectionRoute>()> routes;
     // Called once a new connection is established; the request is sent only if it returns true. Optional.
     std::function<bool()> maySend;
     // Called before the first byte is sent on a new or pooled connection. Optional.
@@ -78,6 +89,8 @@
     // Endpoints accept within a few milliseconds. A lost SYN is retransmitted after one second at the earliest, so
     // waiting longer than this gains nothing.
     Duration connectTimeout = std::chrono::milliseconds(400);
+    // Time for a lender to reply; includes its own connect timeout.
+    Duration borrowTimeout = std::chrono::milliseconds(500);
     // Keep-alive time of idle connections, unless the endpoint announces a shorter one.
     Duration idleTimeout = std::chrono::seconds(4);
     // Subtracted from the keep-alive time that an endpoint announces: it is given in whole seconds, and the endpoint
@@ -120,6 +133,18 @@
         return m_newConnection;
     }
 
+    // Whether the request is sent over another router's connection.
+    bool isBorrowed() const
+    {
+        return m_borrowed;
+    }
+
+    // Whether the endpoint refused the connection to another router as well.
+    bool refusedElsewhere() const
+    {
+        return m_refusedElsewhere;
+    }
+
     // State of the connection at the time of onEnd or onFailed.
     ConnectionEnd connectionEnd() const
     {
@@ -136,13 +161,16 @@
         Done,
     };
 
-    void connect(const std::string &address);
+    void connectNext();
+    void connectDirectly();
+    void borrowFrom(const Lender &lender);
+    void onBorrowed(LendingReply reply, ConnectionPool::Socket socket);
     void onConnected(const boost::system::error_code &error);
     void onNotConnected();
     void failBeforeSend(ExchangeFailure failure);
     void send();
     void read();
-    void onRead(const boost::system::error_code &error, std::size_t count);
+    void onRead(boost::system::error_code error, std::size_t count);
     bool parse();
     bool processHead();
     void deliverBody();
@@ -174,12 +202,18 @@
     std::optional<Parser> m_parser;
     ResponseMetadata m_facts;
     EndpointId m_endpoint;
+    std::string m_address;
+    std::vector<ConnectionRoute> m_routes; // Not tried yet.
+    std::shared_ptr<ConnectionBorrower> m_borrower; // Set while a lender is asked.
     std::string m_bytes;
     std::string m_attemptId;
     TimePoint m_openedAt; // When the connection was opened.
     bool m_newConnection = false;
+    bool m_borrowed = false; // The connection is another router's.
+    bool m_refusedElsewhere = false;
     bool m_received = false; // Bytes have arrived since the request was sent.
     bool m_written = false;
+    bool m_writeFailed = false;
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
     bool m_paused = false;
--- a/godwit/relay/reach_monitor.cpp
+++ b/godwit/relay/reach_monitor.cpp
@@ -27,13 +27,17 @@
         }
         return;
     case DirectConnectionEvent::NotConnected:
-        recordFailure(endpoint, ConnectionFailure::NotConnected, openedAt);
+        recordFailure(endpoint, {endpoint.id, ConnectionFailure::NotConnected, openedAt});
         return;
     case DirectConnectionEvent::Reset:
-        recordFailure(endpoint, ConnectionFailure::Reset, openedAt);
+        recordFailure(endpoint, {endpoint.id, ConnectionFailure::Reset, openedAt});
         return;
     case DirectConnectionEvent::Broken:
     case DirectConnectionEvent::Silent:
+        if (isPartitioned(reach, group)) {
+            // Other connections that were kept carry nothing either.
+            closeIdleConnections(group);
+        }
         recordTrouble(reach, group, Relay::now());
         scheduleCheck();
         return;
@@ -48,12 +52,11 @@
     }
 }
 
-void ReachMonitor::recordFailure(const ListedEndpoint &endpoint, ConnectionFailure failure, TimePoint openedAt)
+void ReachMonitor::recordFailure(const ListedEndpoint &endpoint, const FailedConnection &failed)
 {
     const EndpointGroup group = groupOf(endpoint);
     const std::size_t size = groupSize(m_relay.state().endpoints, group);
-    const bool partitioned =
-        recordConnectionFailure(m_relay.state().reach, group, {endpoint.id, failure, openedAt}, size, Relay::now());
+    const bool partitioned = recordConnectionFailure(m_relay.state().reach, group, failed, size, Relay::now());
     if (partitioned) {
         onPartitioned(group);
     }
@@ -74,10 +77,22 @@
                          {"data_centre", std::string_view(group.dataCentre.value)},
                          {"failures", std::string_view(causes)},
                          {"answered_before_ms", toMilliseconds(Relay::now() - reach.lastAnswerAt)}});
+    closeIdleConnections(group);
+    clearBackoff(m_relay.state().endpoints, group);
+}
+
+void ReachMonitor::closeIdleConnections(const EndpointGroup &group)
+{
+    for (const auto &[id, endpoint] : m_relay.state().endpoints.endpoints) {
+        if (groupOf(endpoint.listed) == group) {
+            m_relay.pool().closeIdle(id);
+        }
+    }
 }
 
 void ReachMonitor::onHealed(const EndpointGroup &group)
 {
+    clearBackoff(m_relay.state().endpoints, group);
     m_relay.log().write(
         "endpoints_reached_again",
         {{"service", std::string_view(group.service)}, {"data_centre", std::string_view(group.dataCentre.value)}});
@@ -118,10 +133,9 @@
                       if (outcome == ProbeOutcome::Accepts) {
                           onConnectionEvent(endpoint, DirectConnectionEvent::Answered, openedAt);
                       } else {
-                          recordFailure(endpoint,
-                                        outcome == ProbeOutcome::Refuses ? ConnectionFailure::NotConnected
-                                                                         : ConnectionFailure::Silent,
-                                        openedAt);
+                          const bool refused = outcome == ProbeOutcome::Refuses;
+                          const auto failure = refused ? ConnectionFailure::NotConnected : ConnectionFailure::Silent;
+                          recordFailure(endpoint, {endpoint.id, failure, openedAt, true});
                       }
                   });
 }
--- a/godwit/relay/reach_monitor.h
+++ b/godwit/relay/reach_monitor.h
@@ -37,13 +37,16 @@
     // The list of endpoints has changed.
     void onEndpointsChanged();
 
+    // The path that probes request from endpoints of a service.
+    std::string probePath(const std::string &service) const;
+
 private:
-    void recordFailure(const ListedEndpoint &endpoint, ConnectionFailure failure, TimePoint openedAt);
+    void recordFailure(const ListedEndpoint &endpoint, const FailedConnection &failed);
     void onPartitioned(const EndpointGroup &group);
     void onHealed(const EndpointGroup &group);
+    void closeIdleConnections(const EndpointGroup &group);
     void scheduleCheck();
     void probe(const ReachProbe &probe);
-    std::string probePath(const std::string &service) const;
 
     Relay &m_relay;
     ReachMonitorOptions m_options;
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -73,6 +73,35 @@
     return isConfirmedCurrent(m_state.documentFreshness, m_options.agreement, now);
 }
 
+std::vector<ConnectionRoute> Relay::routesTo(const EndpointGroup &group) const
+{
+    constexpr std::size_t maxLenders = 3;
+    const bool partitioned = isPartitioned(m_state.reach, group);
+    std::vector<ConnectionRoute> routes;
+    if (!partitioned) {
+        routes.emplace_back();
+    }
+    if (lendersFor) {
+        for (Lender &lender : lendersFor(group)) {
+            if (routes.size() < maxLenders) {
+                routes.push_back({std::move(lender)});
+            }
+        }
+    }
+    return routes;
+}
+
+std::vector<DataCentreId> Relay::unreachableDataCentres(const std::string &service) const
+{
+    std::vector<DataCentreId> dataCentres;
+    for (const EndpointGroup &group : partitionedGroups(m_state.reach)) {
+        if (group.service == service && routesTo(group).empty()) {
+            dataCentres.push_back(group.dataCentre);
+        }
+    }
+    return dataCentres;
+}
+
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
 {
     m_waiting.push_back(call);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -24,6 +24,7 @@
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
+#include "godwit/relay/lending_protocol.h"
 #include "godwit/relay/reach_monitor.h"
 #include "godwit/relay/send_record.h"
 #include "godwit/suspects/recent_answers.h"
@@ -41,6 +42,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <vector>
 
 namespace Godwit
 {
@@ -178,6 +180,8 @@
     std::map<ResponseEnding, std::uint64_t> answersEnded; // Responses of endpoints, complete or not.
     std::uint64_t partitions = 0; // Times that a group of endpoints became partitioned from this router.
     std::uint64_t reachProbes = 0;
+    std::uint64_t borrowedConnections = 0; // Requests sent over connections of other routers.
+    std::map<LendingReply, std::uint64_t> lendingReplies; // To other routers that asked for connections.
     std::uint64_t convictions = 0; // Requests that this router convicted of crashing endpoints.
     std::uint64_t suspectsCleared = 0;
     std::uint64_t suspectsUnrecorded = 0; // Not recorded because the record was full.
@@ -254,6 +258,9 @@
     // Called when a prompt is sent to an engine; `prefillTime` is the estimated time to process its uncached part.
     std::function<void(const PromptSent &, Duration prefillTime)> onPromptSent;
 
+    // Returns routers that lend connections to endpoints of the group, best first. Optional.
+    std::function<std::vector<Lender>(const EndpointGroup &)> lendersFor;
+
     // Called when an endpoint's connection ended before its response did. `known` is called once, possibly immediately:
     // when it is known whether the endpoint has crashed, or after a short timeout.
     std::function<void(const InterruptedRequest &, std::function<void()> known)> onInterrupted;
@@ -270,6 +277,13 @@
     // Likewise for a response that its endpoint delimited only by closing the connection.
     std::function<void(std::uint64_t fingerprint, const EndpointId &endpoint)> onAnswerWithoutDeclaredEnd;
 
+    // Returns the ways to open a new connection to an endpoint of the group, best first. Empty if there is none.
+    std::vector<ConnectionRoute> routesTo(const EndpointGroup &group) const;
+
+    // Returns the data centres whose endpoints of the service can be reached neither directly nor through another
+    // router.
+    std::vector<DataCentreId> unreachableDataCentres(const std::string &service) const;
+
     void waitForTokens(const std::shared_ptr<RelayCall> &call);
     // Removes a call added by waitForTokens().
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -174,6 +174,7 @@
     }
     query.dataCentre = m_relay.options().dataCentre;
     query.regions = m_regions;
+    query.unreachable = m_relay.unreachableDataCentres(m_serviceName);
     if (m_service != nullptr && m_service->engine) {
         query.promptTokens = m_facts.promptTokens;
         query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
@@ -315,6 +316,9 @@
     handlers.onFailed = [self](ExchangeFailure failure) {
         self->onFailed(failure);
     };
+    handlers.routes = [self, group = groupOf(endpoint.listed)] {
+        return self->m_relay.routesTo(group);
+    };
     handlers.onDirectConnection = [&monitor = m_relay.reachMonitor(),
                                    listed = endpoint.listed](DirectConnectionEvent event, TimePoint openedAt) {
         monitor.onConnectionEvent(listed, event, openedAt);
@@ -333,7 +337,12 @@
 {
     const bool nothingSent = failure == ExchangeFailure::NotConnected || failure == ExchangeFailure::EndpointLeft;
     if (nothingSent) {
-        endAttempt(failure == ExchangeFailure::EndpointLeft ? AttemptFeedback::Neutral : AttemptFeedback::Unreachable);
+        const EndpointState *endpoint = currentEndpoint();
+        // A partition of this router says nothing about the endpoint.
+        const bool partitioned = endpoint != nullptr && isPartitioned(m_relay.state().reach, groupOf(endpoint->listed))
+            && !m_exchange->refusedElsewhere();
+        endAttempt(failure == ExchangeFailure::EndpointLeft || partitioned ? AttemptFeedback::Neutral
+                                                                           : AttemptFeedback::Unreachable);
         retryOrFail(std::string(exchangeFailureName(failure)), false);
         return;
     }
--- a/godwit/relay/relay_call_retries.cpp
+++ b/godwit/relay/relay_call_retries.cpp
@@ -10,6 +10,7 @@
 void RelayCall::recordSending(Duration timeLeft)
 {
     const TimePoint now = Relay::now();
+    m_relay.counters().borrowedConnections += m_exchange && m_exchange->isBorrowed() ? 1 : 0;
     const auto &deathCount = m_relay.state().suspects.deathCount;
     SendRecord record;
     record.attempt = m_facts.attemptId;
