Log: attempt_failed names the shared parts of the prompt

Whether those in flight have a part of their prompts in common, or only customer and route, could not be told.

--- a/godwit/relay/relay_call_retries.cpp
+++ b/godwit/relay/relay_call_retries.cpp
@@ -6,6 +6,21 @@
 
 namespace Godwit
 {
+namespace
+{
+
+// The shared parts of the prompt, for the log.
+std::string sharedPartNames(const RequestMetadata &facts)
+{
+    constexpr std::size_t maxParts = 8;
+    std::string names;
+    for (std::size_t i = 0; i + 1 < facts.promptSegments.size() && i < maxParts; ++i) {
+        names.append(names.empty() ? "" : " ").append(facts.promptSegments[i].id);
+    }
+    return names;
+}
+
+} // namespace
 
 void RelayCall::recordSending(Duration timeLeft)
 {
@@ -81,6 +96,7 @@
 void RelayCall::retryOrFail(const std::string &cause, bool reachedEndpoint)
 {
     ++m_relay.counters().attemptsFailed[cause];
+    const std::string parts = sharedPartNames(m_facts);
     const std::string request = formatFingerprint(m_fingerprint.value_or(0));
     m_relay.log().write("attempt_failed",
                         {{"id", std::string_view(m_facts.attemptId)},
@@ -94,6 +110,7 @@
                          {"position", m_answerEnding ? positionName(*m_answerEnding) : "none"},
                          {"events_passed", static_cast<std::int64_t>(m_eventsForwarded)},
                          {"may_have_run", m_possibleExecutions > 0},
+                         {"prompt_parts", std::string_view(parts)},
                          {"request", m_fingerprint ? std::string_view(request) : std::string_view()}});
     // A stream can only be resumed after an event that has an id.
     const bool resumable = m_eventsForwarded == 0 || m_lastEvent > 0;
