Evidence against a request that crashes endpoints is kept for the shared parts of its prompt too

Cause: evidence was kept under a key that the cause doesn't share. The fingerprint covers method, host, target, customer and body; requests that have one part of their prompts in common and differ in their bodies never added up: 141 deaths in the routers' logs, each with other fingerprints.

Now a request has several suspect keys: itself, and each shared part of its prompt (all but the last, at most 16, with the service). A death counts against each, a whole answer clears each, records, first deaths, trials and notices hold for parts as for requests, and the key with most evidence decides on admission. The harmless part that is in flight at every death is cleared by the whole answers that it gets, at any router; then the other is the only suspect left, and a trial convicts it. Notices put what several requests have in common first, since their number is bounded.

--- a/godwit/daemon/suspect_deaths.cpp
+++ b/godwit/daemon/suspect_deaths.cpp
@@ -25,16 +25,22 @@
 void SuspectCoordinator::onInterrupted(const InterruptedRequest &interrupted, std::function<void()> resolved)
 {
     const EndpointState *endpoint = findIncarnation(m_relay.state().endpoints, interrupted.endpoint, interrupted.start);
+    std::vector<InterruptedSuspect> suspects{{interrupted.run, interrupted.label}};
+    suspects.insert(suspects.end(), interrupted.parts.begin(), interrupted.parts.end());
     if (endpoint == nullptr || !acceptsNewRequests(*endpoint)) {
         // The endpoint is draining or gone, so the interruption is expected.
-        if (interrupted.run.trial) {
-            onTrialEnded(interrupted.run.fingerprint);
+        for (const InterruptedSuspect &suspect : suspects) {
+            if (suspect.run.trial) {
+                onTrialEnded(suspect.run.fingerprint);
+            }
         }
         resolved();
         return;
     }
-    if (m_labels.size() < m_options.maxLabels) {
-        m_labels[interrupted.run.fingerprint] = interrupted.label;
+    for (const InterruptedSuspect &suspect : suspects) {
+        if (m_labels.size() < m_options.maxLabels) {
+            m_labels[suspect.run.fingerprint] = suspect.label;
+        }
     }
     auto &waiting = m_waiters[interrupted.endpoint];
     waiting.push_back(std::move(resolved));
@@ -47,7 +53,11 @@
         });
     }
     CrashDetector &watch = m_relay.state().crashDetector;
-    if (recordInterruption(watch, endpoint->listed, interrupted.run)) {
+    bool mustProbe = false;
+    for (const InterruptedSuspect &suspect : suspects) {
+        mustProbe = recordInterruption(watch, endpoint->listed, suspect.run) || mustProbe;
+    }
+    if (mustProbe) {
         probePort(watch.interruptions.at(interrupted.endpoint));
     }
 }
@@ -186,6 +196,10 @@
     // If many endpoints die at once, no single request is the cause, and notices about all
     // of them would flood the peers.
     if (!isWidespreadFailure(tracker, endpointDeath.at)) {
+        // Parts that requests have in common come first: their evidence adds up.
+        std::stable_sort(notices.begin(), notices.end(), [&tracker](const auto &a, const auto &b) {
+            return tracker.deathCount.at(a.fingerprint) > tracker.deathCount.at(b.fingerprint);
+        });
         notices.resize(std::min(notices.size(), m_options.maxNoticesPerDeath));
         if (broadcast && !notices.empty()) {
             broadcast(notices);
--- a/godwit/gateway/crash_detector.h
+++ b/godwit/gateway/crash_detector.h
@@ -29,7 +29,8 @@
     // A quickly restarted endpoint accepts connections again before its port is probed. Its new entry in the list is
     // expected within this time.
     Duration replacementTimeout = std::chrono::seconds(8);
-    std::size_t maxAttemptsPerEndpoint = 256;
+    // Each request counts once for itself and once for each shared part of its prompt.
+    std::size_t maxAttemptsPerEndpoint = 1024;
 };
 
 // An attempt whose connection broke.
--- a/godwit/gateway/request_identity.h
+++ b/godwit/gateway/request_identity.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Identifies equal requests across attempts, routers and connections.
+// Identifies equal requests, and equal parts of their prompts, across attempts, routers and connections.
 //
 // Example:
 //   const auto fingerprint = requestFingerprint({"GET", "desk.example", "/read/1", customer, body});
@@ -25,4 +25,7 @@
 // Returns a hash that is the same on every router and in every version.
 std::uint64_t requestFingerprint(const RequestIdentity &identity);
 
+// Returns the same for a part of a prompt, in all requests to the service that contain it.
+std::uint64_t promptPartFingerprint(std::string_view service, std::string_view part);
+
 } // namespace Godwit
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -37,6 +37,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -124,6 +125,20 @@
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
 };
 
+// What may make a request crash endpoints: the request itself, or a part of its prompt that other requests share.
+// Evidence is kept for each separately, and the request is admitted as the one with most evidence against it.
+struct SuspectKey
+{
+    std::uint64_t fingerprint = 0; // See request_identity.h.
+    SuspectLabel label;
+};
+
+struct InterruptedSuspect
+{
+    InterruptedAttempt run;
+    SuspectLabel label;
+};
+
 // A request that was in flight at an endpoint when its connection ended.
 struct InterruptedRequest
 {
@@ -131,6 +146,7 @@
     EndpointIncarnation start = 0;
     InterruptedAttempt run;
     SuspectLabel label;
+    std::vector<InterruptedSuspect> parts; // The shared parts of its prompt.
 };
 
 // A request for permission to run a suspect request as a trial: only one trial of it runs in the fleet at a time.
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -109,7 +109,8 @@
     void refuseSuspectForNow();
     void requestTrial(const Choice &choice);
     void endTrial();
-    SuspectLabel label() const;
+    // The request itself first, then the shared parts of its prompt.
+    const std::vector<SuspectKey> &suspectKeys();
     std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
     void endAttempt(AttemptFeedback verdict);
@@ -147,7 +148,8 @@
     CustomerId m_customer;
     std::string m_serviceName;
     AllowedRegions m_regions; // Allowed by both route and customer.
-    std::optional<std::uint64_t> m_fingerprint; // Computed on first use.
+    std::vector<SuspectKey> m_suspectKeys; // Computed on first use.
+    SuspectKey m_decidingKey; // The key that the latest admission was based on.
     int m_urgency = 5;
 
     TimePoint m_arrived;
@@ -172,7 +174,8 @@
     std::optional<TimePoint> m_retryGrantedAt; // When the latest retry was granted.
     bool m_attemptOpen = false;
     bool m_newConnection = false; // The latest attempt used a new connection.
-    bool m_trial = false; // The latest attempt is the fleet's only current run of a suspect request.
+    // Set while the latest attempt is the fleet's only current run of this suspect.
+    std::optional<std::uint64_t> m_trial;
     bool m_coldChoice = false; // The latest attempt is one of the rate-limited requests to a cold endpoint.
     PrefillId m_prefill = 0; // The endpoint's pending prefill of the prompt; 0: none.
 
--- a/godwit/relay/relay_call_retries.cpp
+++ b/godwit/relay/relay_call_retries.cpp
@@ -40,12 +40,17 @@
     record.timeLeft = timeLeft;
     record.timeLeftAge = now - m_sentAt;
     record.sinceArrival = now - m_arrived;
-    const auto found = deathCount.empty() ? deathCount.end() : deathCount.find(fingerprint());
-    if (found != deathCount.end()) {
-        record.fingerprint = found->first;
-        record.deaths = static_cast<std::size_t>(found->second);
+    if (!deathCount.empty()) {
+        for (const SuspectKey &key : suspectKeys()) {
+            const auto found = deathCount.find(key.fingerprint);
+            const auto deaths = found == deathCount.end() ? 0 : static_cast<std::size_t>(found->second);
+            if (deaths > record.deaths) {
+                record.fingerprint = key.fingerprint;
+                record.deaths = deaths;
+            }
+        }
     }
-    record.trial = m_trial;
+    record.trial = m_trial.has_value();
     recordSend(m_relay, record);
 }
 
@@ -97,7 +102,7 @@
 {
     ++m_relay.counters().attemptsFailed[cause];
     const std::string parts = sharedPartNames(m_facts);
-    const std::string request = formatFingerprint(m_fingerprint.value_or(0));
+    const std::string request = m_suspectKeys.empty() ? std::string() : formatFingerprint(fingerprint());
     m_relay.log().write("attempt_failed",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"endpoint", std::string_view(m_endpoint.value)},
@@ -111,7 +116,7 @@
                          {"events_passed", static_cast<std::int64_t>(m_eventsForwarded)},
                          {"may_have_run", m_possibleExecutions > 0},
                          {"prompt_parts", std::string_view(parts)},
-                         {"request", m_fingerprint ? std::string_view(request) : std::string_view()}});
+                         {"request", std::string_view(request)}});
     // A stream can only be resumed after an event that has an id.
     const bool resumable = m_eventsForwarded == 0 || m_lastEvent > 0;
     const bool canResume = resumable && (!m_headForwarded || m_forwardsEvents || m_eventsForwarded > 0);
--- a/godwit/relay/relay_call_suspects.cpp
+++ b/godwit/relay/relay_call_suspects.cpp
@@ -4,10 +4,19 @@
 
 #include "godwit/gateway/request_identity.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Godwit
 {
+namespace
+{
+
+// Bounds the evidence that one request can produce. Prompts share few parts.
+constexpr std::size_t MaxSuspectParts = 16;
+
+} // namespace
 
 // The connection of the latest attempt has ended, possibly because the endpoint crashed. The retry decision waits until
 // that is known, since a request suspected of crashing endpoints must not be retried freely.
@@ -17,8 +26,14 @@
         retryOrFail(cause, true);
         return;
     }
-    InterruptedRequest cut{m_endpoint, m_endpointStart, {fingerprint(), m_sentAt, Relay::now()}, label()};
-    cut.run.trial = std::exchange(m_trial, false);
+    const auto trial = std::exchange(m_trial, std::nullopt);
+    const auto interrupted = [&](const SuspectKey &key) {
+        return InterruptedSuspect{{key.fingerprint, m_sentAt, Relay::now(), trial == key.fingerprint}, key.label};
+    };
+    const auto &keys = suspectKeys();
+    const auto [run, label] = interrupted(keys.front());
+    InterruptedRequest cut{m_endpoint, m_endpointStart, run, label, {}};
+    std::transform(keys.begin() + 1, keys.end(), std::back_inserter(cut.parts), interrupted);
     m_relay.onInterrupted(cut, [self = shared_from_this(), cause] {
         if (!self->m_closed) {
             self->retryOrFail(cause, true);
@@ -36,16 +51,22 @@
     }
     const bool declared = completenessOf(*m_answerEnding) == ResponseCompleteness::Declared;
     if (declared) {
-        recordAnswer(state.recentAnswers, fingerprint(), Relay::now());
+        for (const SuspectKey &key : suspectKeys()) {
+            recordAnswer(state.recentAnswers, key.fingerprint, Relay::now());
+        }
     }
     if (state.suspects.deathCount.empty() && state.crashDetector.interruptions.empty()) {
         return;
     }
     if (declared) {
-        m_trial = false;
-        m_relay.onCompleteAnswer(fingerprint());
-    } else {
-        m_relay.onAnswerWithoutDeclaredEnd(fingerprint(), m_endpoint);
+        m_trial.reset();
+    }
+    for (const SuspectKey &key : suspectKeys()) {
+        if (declared) {
+            m_relay.onCompleteAnswer(key.fingerprint);
+        } else {
+            m_relay.onAnswerWithoutDeclaredEnd(key.fingerprint, m_endpoint);
+        }
     }
 }
 
@@ -55,7 +76,18 @@
     if (tracker.deathCount.empty() && tracker.refusedUntil.empty()) {
         return Admission::Unrestricted;
     }
-    return admissionFor(tracker, fingerprint(), Relay::now());
+    Admission strictest = Admission::Unrestricted;
+    m_decidingKey = suspectKeys().front();
+    for (const SuspectKey &key : suspectKeys()) {
+        const Admission admission = admissionFor(tracker, key.fingerprint, Relay::now());
+        const bool moreEvidence = attributableDeaths(tracker, key.fingerprint).size()
+            > attributableDeaths(tracker, m_decidingKey.fingerprint).size();
+        if (admission > strictest || (admission == strictest && moreEvidence)) {
+            strictest = admission;
+            m_decidingKey = key;
+        }
+    }
+    return strictest;
 }
 
 void RelayCall::refuseSuspect()
@@ -67,7 +99,7 @@
     } else {
         refuse(ErrorKind::SuspectRequest,
                "endpoints crashed each time that they ran this request",
-               remainingRefusal(m_relay.state().suspects, fingerprint(), Relay::now()));
+               remainingRefusal(m_relay.state().suspects, m_decidingKey.fingerprint, Relay::now()));
     }
 }
 
@@ -76,8 +108,11 @@
     const RelayState &state = m_relay.state();
     const auto listed = state.endpoints.byService.find(m_serviceName);
     return listed == state.endpoints.byService.end()
-        || hasSpareEndpointForTrial(
-               state.suspects, fingerprint(), listed->second, m_relay.options().trialWaitLimit, Relay::now());
+        || hasSpareEndpointForTrial(state.suspects,
+                                    m_decidingKey.fingerprint,
+                                    listed->second,
+                                    m_relay.options().trialWaitLimit,
+                                    Relay::now());
 }
 
 // The request may only be run as a trial, and no trial is possible now.
@@ -98,47 +133,56 @@
 {
     const EndpointId endpoint = choice.endpoint->listed.id;
     const EndpointIncarnation start = choice.endpoint->listed.startedAt;
-    const auto onDecision = [self = shared_from_this(), requestedChoice = choice, endpoint, start](bool granted) {
-        Choice chosen = requestedChoice;
-        chosen.endpoint = findIncarnation(self->m_relay.state().endpoints, endpoint, start);
-        const bool gone = chosen.endpoint == nullptr || !acceptsNewRequests(*chosen.endpoint);
-        if (granted && (gone || self->m_closed)) {
-            self->m_relay.onTrialEnded(self->fingerprint());
-        }
-        if (self->m_closed) {
-            return;
-        }
-        if (!granted || gone) {
-            self->refuseSuspectForNow();
-            return;
-        }
-        self->m_trial = true;
-        self->startAttempt(chosen);
-    };
-    m_relay.onTrialRequested({fingerprint(), endpoint, label()}, onDecision);
+    const auto onDecision =
+        [self = shared_from_this(), requestedChoice = choice, endpoint, start, suspect = m_decidingKey.fingerprint](
+            bool granted) {
+            Choice chosen = requestedChoice;
+            chosen.endpoint = findIncarnation(self->m_relay.state().endpoints, endpoint, start);
+            const bool gone = chosen.endpoint == nullptr || !acceptsNewRequests(*chosen.endpoint);
+            if (granted && (gone || self->m_closed)) {
+                self->m_relay.onTrialEnded(suspect);
+            }
+            if (self->m_closed) {
+                return;
+            }
+            if (!granted || gone) {
+                self->refuseSuspectForNow();
+                return;
+            }
+            self->m_trial = suspect;
+            self->startAttempt(chosen);
+        };
+    m_relay.onTrialRequested({m_decidingKey.fingerprint, endpoint, m_decidingKey.label}, onDecision);
 }
 
 // Ends a trial that saw neither a crash nor a complete response.
 void RelayCall::endTrial()
 {
-    if (std::exchange(m_trial, false)) {
-        m_relay.onTrialEnded(fingerprint());
+    if (const auto trial = std::exchange(m_trial, std::nullopt)) {
+        m_relay.onTrialEnded(*trial);
     }
 }
 
-SuspectLabel RelayCall::label() const
+const std::vector<SuspectKey> &RelayCall::suspectKeys()
 {
-    return {m_facts.host, m_facts.target, m_customer};
+    if (!m_suspectKeys.empty()) {
+        return m_suspectKeys;
+    }
+    const auto method = m_head.method_string();
+    const RequestIdentity identity{{method.data(), method.size()}, m_facts.host, m_facts.target, m_customer, m_body};
+    m_suspectKeys.push_back({requestFingerprint(identity), {m_facts.host, m_facts.target, m_customer}});
+    // The last part is the request's own.
+    const auto &parts = m_facts.promptSegments;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < MaxSuspectParts; ++i) {
+        m_suspectKeys.push_back({promptPartFingerprint(m_serviceName, parts[i].id),
+                                 {m_facts.host, "prompt part " + std::string(parts[i].id), m_customer}});
+    }
+    return m_suspectKeys;
 }
 
 std::uint64_t RelayCall::fingerprint()
 {
-    if (!m_fingerprint) {
-        const auto method = m_head.method_string();
-        m_fingerprint =
-            requestFingerprint({{method.data(), method.size()}, m_facts.host, m_facts.target, m_customer, m_body});
-    }
-    return *m_fingerprint;
+    return suspectKeys().front().fingerprint;
 }
 
 } // namespace Godwit
