Reach: deaths of a few endpoints are no partition while others answer

Now three failures, a probe among them, are needed, and four while older connections still bring answers; all endpoints of a smaller group. In its first second a partition is probed ten times a second.

--- a/godwit/gateway/endpoint_reach.cpp
+++ b/godwit/gateway/endpoint_reach.cpp
@@ -30,7 +30,9 @@
         return false;
     }
     if (group.partitionedSince) {
-        return !group.newMembers.empty() || now >= group.probedAt + options.probeInterval;
+        const bool confirmed = now >= *group.partitionedSince + options.confirmationTime;
+        return !group.newMembers.empty()
+            || now >= group.probedAt + (confirmed ? options.probeInterval : options.suspicionProbeInterval);
     }
     return (group.troubledAt && now >= *group.troubledAt + options.probeDelay)
         || (!group.failures.empty() && now >= group.probedAt + options.suspicionProbeInterval);
@@ -98,6 +100,7 @@
         return false;
     }
     if (connectionOpenedAt < known.failingSince) {
+        known.answersElsewhere = true;
         return false;
     }
     known.failures.clear();
@@ -119,12 +122,14 @@
     if (known.failures.empty() && !known.partitionedSince) {
         known.failingSince = now;
         known.probeFailed = false;
+        known.answersElsewhere = false;
     }
     known.probeFailed = known.probeFailed || failed.isProbe;
     known.failures[failed.endpoint] = failed.failure;
     // Failures of requests alone may be those of endpoints that died while no new connection to the others was needed.
-    const bool enough = known.failures.size() >= groupSize
-        || (known.probeFailed && known.failures.size() >= reach.options.failuresToPartition);
+    const std::size_t needed =
+        known.answersElsewhere ? reach.options.failuresDespiteAnswers : reach.options.failuresToPartition;
+    const bool enough = known.failures.size() >= groupSize || (known.probeFailed && known.failures.size() >= needed);
     if (known.partitionedSince || !enough) {
         return false;
     }
--- a/godwit/gateway/endpoint_reach.h
+++ b/godwit/gateway/endpoint_reach.h
@@ -59,15 +59,19 @@
 
 struct ReachOptions
 {
-    // Distinct endpoints whose connections have to fail before their group counts as partitioned; fewer if the group
-    // has fewer. A single one has most likely died.
-    std::size_t failuresToPartition = 2;
+    // Distinct endpoints whose new connections have to fail before their group counts as partitioned, unless it has
+    // fewer. A few may have died.
+    std::size_t failuresToPartition = 3;
+    // The same while endpoints of the group still answer over older connections.
+    std::size_t failuresDespiteAnswers = 4;
     // Trouble on a connection is followed by a probe unless the group answers within this time.
     Duration probeDelay = std::chrono::milliseconds(100);
     // Interval of the probes after a failure, until the group answers or is partitioned.
     Duration suspicionProbeInterval = std::chrono::milliseconds(100);
-    // Interval of the probes that look for the end of a partition.
+    // Interval of the probes that look for the end of a partition, and how long it takes to become that long:
+    // until then suspicionProbeInterval applies, in case that the endpoints that failed had died.
     Duration probeInterval = std::chrono::milliseconds(500);
+    Duration confirmationTime = std::chrono::seconds(1);
 };
 
 struct GroupReach
@@ -80,6 +84,7 @@
     std::optional<TimePoint> troubledAt; // First trouble on an established connection since the last probe or answer.
     bool probing = false;
     bool probeFailed = false; // A probe is among `failures`.
+    bool answersElsewhere = false; // Answers arrived over older connections since the first of `failures`.
     TimePoint probedAt;
     std::set<EndpointId> members; // As listed last.
     std::set<EndpointId> newMembers; // Listed since the partition began, and not probed yet.
