--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -194,8 +194,12 @@
         const auto onBody = [&](const std::string &body) {
             noteEvents(fleet.promises, attempt, stream ? countEvents(body) : 0);
         };
-        const Outcome outcome = caller.call(
-            fleet.routers[router].process->callerAddress(), makeRequest(sent, target, attempt), onBody, yield);
+        CallerRequest request = makeRequest(sent, target, attempt);
+        if (stream && fleet.sharesPromptParts) {
+            request.set(PromptPrefixField, std::string(FirstPart) + ',' + HarmlessPart + ",own-" + attempt + ":12");
+        }
+        const Outcome outcome =
+            caller.call(fleet.routers[router].process->callerAddress(), std::move(request), onBody, yield);
         noteOutcome(fleet.promises, attempt, outcome, steadyNow());
     }
 }
@@ -230,6 +234,36 @@
     }
 }
 
+void runPartCrasher(Fleet &fleet, std::uint64_t seed, const yield_context &yield)
+{
+    constexpr int leastPause = 150;
+    constexpr int spread = 300;
+    std::mt19937_64 random(seed);
+    waitFor(fleet.io, std::chrono::milliseconds(2000 + draw(random, LongestCalm)), yield);
+    for (int i = 0; !fleet.ending; ++i) {
+        waitFor(fleet.io, std::chrono::milliseconds(leastPause + draw(random, spread)), yield);
+        SentRequest sent;
+        sent.kind = draw(random, 2) == 0 ? RequestKind::Write : RequestKind::Chat;
+        sent.crashes = true;
+        sent.promptTokens = 20;
+        sent.router = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
+        sent.timeLeft = TimeLeft;
+        sent.sentAt = steadyNow();
+        const std::string attempt = "p-" + std::to_string(i);
+        noteSent(fleet.promises, attempt, sent);
+        noteRequest(fleet.promises, serviceOf(sent.kind), sent.sentAt);
+        CallerRequest request = makeRequest(sent, pathOf(sent.kind) + ('?' + attempt), attempt);
+        request.set(PromptPrefixField, std::string(FirstPart) + ',' + CrashPart + ",own-" + attempt + ":12");
+        Caller caller(fleet.io);
+        const auto onBody = [&](const std::string &body) {
+            noteEvents(fleet.promises, attempt, countEvents(body));
+        };
+        const Outcome outcome =
+            caller.call(fleet.routers[sent.router].process->callerAddress(), request, onBody, yield);
+        noteOutcome(fleet.promises, attempt, outcome, steadyNow());
+    }
+}
+
 void watchDocuments(Fleet &fleet, std::uint64_t seed, const yield_context &yield)
 {
     std::mt19937_64 random(seed);
--- a/soak/caller.h
+++ b/soak/caller.h
@@ -65,6 +65,9 @@
 };
 
 // Sends one request under which endpoints die, again and again at any router, until the fleet is ending.
+// Sends streams with the part of a prompt that crashes engines, no two alike.
+void runPartCrasher(Fleet &fleet, std::uint64_t seed, const boost::asio::yield_context &yield);
+
 void runCrasher(
     Fleet &fleet, std::uint64_t seed, int number, CrasherPace pace, const boost::asio::yield_context &yield);
 
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -49,6 +49,8 @@
     {Fault::StarveRouters, "starve routers"},
     {Fault::KillAfterCrash, "kill after crash"},
     {Fault::CrashRequests, "crash requests"},
+    {Fault::PartitionRouters, "partition routers"},
+    {Fault::CrashPromptParts, "crash prompt parts"},
     {Fault::ShapeAnswers, "shape answers"},
 };
 
@@ -284,8 +286,12 @@
     case Fault::KillAfterCrash:
         killAfterCrashes();
         return;
+    case Fault::PartitionRouters:
+        partitionRouters();
+        return;
     case Fault::StarveRouters:
     case Fault::CrashRequests:
+    case Fault::CrashPromptParts:
         // They come beside all other faults.
         return;
     case Fault::ShapeAnswers:
@@ -524,6 +530,52 @@
     }
 }
 
+void FaultPlayer::partitionRouters()
+{
+    // Each router more makes the search for the owner of a connection longer.
+    constexpr int mostRouters = 6;
+    constexpr std::array modes = {Testing::PartitionMode::Reset,
+                                  Testing::PartitionMode::Hang,
+                                  Testing::PartitionMode::HangAndReset,
+                                  Testing::PartitionMode::ResetNew};
+    Promises &promises = m_fleet.promises;
+    if (!promises.partitions.empty() && steadyNow() < promises.partitions.back().until + ContactTime) {
+        return;
+    }
+    const int all = static_cast<int>(m_fleet.routers.size());
+    const int count = draw(1, std::min(mostRouters, all - 1));
+    const auto first = static_cast<std::size_t>(draw(0, all - 1));
+    std::set<std::size_t> routers;
+    for (int i = 0; i < count; ++i) {
+        routers.insert((first + static_cast<std::size_t>(i)) % m_fleet.routers.size());
+    }
+    const auto mode = modes.at(static_cast<std::size_t>(draw(0, modes.size() - 1)));
+    const Time time(draw(6000, 10000));
+    say(Fault::PartitionRouters, std::to_string(count) + " routers from router-" + std::to_string(first), time);
+    const auto ownerOf = [this, routers](std::uint16_t port) -> std::optional<std::size_t> {
+        for (const std::size_t router : routers) {
+            if (Testing::holdsLocalPort(m_fleet.routers[router].process->pid(), port)) {
+                return router;
+            }
+        }
+        return std::nullopt;
+    };
+    promises.partitions.push_back({steadyNow(), steadyNow() + time, routers, {}, {}});
+    extend(promises.disturbed.unplanned, time);
+    for (TimePoint &endpoint : promises.disturbed.endpoints) {
+        extend(endpoint, time);
+    }
+    for (Endpoint &endpoint : m_fleet.endpoints) {
+        endpoint.proxy->partition(routers, mode, ownerOf);
+    }
+    spawn([this, time](const yield_context &yield) {
+        waitFor(m_fleet.io, time, yield);
+        for (Endpoint &endpoint : m_fleet.endpoints) {
+            endpoint.proxy->heal();
+        }
+    });
+}
+
 void FaultPlayer::pauseRouter(std::size_t router, Time before, Time time)
 {
     disturbRouter(router, before + time, false);
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -57,6 +57,8 @@
     KillAfterCrash, // SIGKILL of all routers as soon as an endpoint has died of a request.
     // Beside the others, with choices of its own:
     CrashRequests, // Requests that crash endpoints come again and again, and endpoints die of other causes.
+    PartitionRouters, // Some routers lose all endpoints, and keep callers, store and peers.
+    CrashPromptParts, // Requests with one part of a prompt in common crash engines, as CrashRequests.
     ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
 };
 
@@ -119,6 +121,7 @@
     void killAfterCrashes();
     void killAll();
     void cutPeers();
+    void partitionRouters();
     bool fleetRests() const;
     void restAfter(Time time);
     void disturbRouter(std::size_t router, Time time, bool planned);
--- a/soak/fault_proxy.cpp
+++ b/soak/fault_proxy.cpp
@@ -51,6 +51,7 @@
     tcp::socket caller;
     tcp::socket server;
     std::string lastAnswer; // What the server sent since the last request.
+    std::optional<std::size_t> owner; // The router, if it is partitioned.
     bool silent = false;
 };
 
@@ -70,14 +71,49 @@
 void FaultProxy::resetAll()
 {
     for (const auto &link : openLinks()) {
-        for (tcp::socket *socket : {&link->caller, &link->server}) {
-            error_code ignored;
-            socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
-            socket->close(ignored);
+        reset(*link);
+    }
+}
+
+void FaultProxy::reset(Link &link)
+{
+    for (tcp::socket *socket : {&link.caller, &link.server}) {
+        error_code ignored;
+        socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        socket->close(ignored);
+    }
+}
+
+void FaultProxy::partition(const std::set<std::size_t> &routers, Testing::PartitionMode mode, OwnerFinder ownerOf)
+{
+    m_partitioned = routers;
+    m_partitionMode = mode;
+    m_ownerOf = std::move(ownerOf);
+    for (const auto &link : openLinks()) {
+        error_code error;
+        const auto peer = link->caller.remote_endpoint(error);
+        link->owner = error ? std::nullopt : m_ownerOf(peer.port());
+        if (mode == Testing::PartitionMode::Reset && isPartitioned(*link)) {
+            reset(*link);
         }
     }
 }
 
+void FaultProxy::heal()
+{
+    for (const auto &link : openLinks()) {
+        if (isPartitioned(*link) && m_partitionMode != Testing::PartitionMode::ResetNew) {
+            reset(*link);
+        }
+    }
+    m_partitioned.clear();
+}
+
+bool FaultProxy::isPartitioned(const Link &link) const
+{
+    return link.owner && m_partitioned.count(*link.owner) > 0;
+}
+
 void FaultProxy::silenceAll()
 {
     for (const auto &link : openLinks()) {
@@ -166,6 +202,14 @@
 void FaultProxy::serve(const std::shared_ptr<Link> &link, const yield_context &yield)
 {
     error_code error;
+    if (!m_partitioned.empty()) {
+        const auto peer = link->caller.remote_endpoint(error);
+        link->owner = error ? std::nullopt : m_ownerOf(peer.port());
+        if (isPartitioned(*link) && m_partitionMode != Testing::PartitionMode::Hang) {
+            reset(*link);
+            return;
+        }
+    }
     link->server.async_connect(m_server, yield[error]);
     if (error) {
         link->caller.close(error);
@@ -220,7 +264,11 @@
     if (m_faults.delay.count() > 0) {
         waitFor(m_io, m_faults.delay, yield);
     }
-    while (link->silent || m_faults.cutOff || (toServer ? m_faults.cutToServer : m_faults.cutToCaller)) {
+    const auto carriesNothing = [&] {
+        return isPartitioned(*link) && m_partitionMode != Testing::PartitionMode::ResetNew;
+    };
+    while (carriesNothing() || link->silent || m_faults.cutOff
+           || (toServer ? m_faults.cutToServer : m_faults.cutToCaller)) {
         waitFor(m_io, HoldStep, yield);
     }
 }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -7,6 +7,7 @@
 //   proxy.faults().delay = std::chrono::milliseconds(200);
 //   proxy.acceptLate();
 
+#include "platform/testing/partition_proxy.h"
 #include "platform/testing/reserved_port.h"
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,12 @@
     void refuse();
     void listenAgain();
 
+    // Partitions these routers from the server, see PartitionMode; connections of others are not affected. `ownerOf` is
+    // asked only while routers are partitioned.
+    using OwnerFinder = Testing::PartitionProxy::OwnerFinder;
+    void partition(const std::set<std::size_t> &routers, Testing::PartitionMode mode, OwnerFinder ownerOf);
+    void heal();
+
 private:
     struct Link;
 
@@ -61,6 +69,8 @@
     void pump(const std::shared_ptr<Link> &link, bool toServer, const boost::asio::yield_context &yield);
     void hold(const std::shared_ptr<Link> &link, bool toServer, const boost::asio::yield_context &yield) const;
     std::vector<std::shared_ptr<Link>> openLinks();
+    bool isPartitioned(const Link &link) const;
+    static void reset(Link &link);
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::endpoint m_server;
@@ -71,6 +81,9 @@
     std::vector<boost::asio::ip::tcp::socket> m_fillers; // They fill the accept queue.
     bool m_late = false;
     bool m_refuses = false;
+    std::set<std::size_t> m_partitioned; // Routers.
+    Testing::PartitionMode m_partitionMode = Testing::PartitionMode::Reset;
+    OwnerFinder m_ownerOf;
 };
 
 } // namespace Godwit::Soak
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -128,9 +128,13 @@
         noteTimeHanded(fleet.promises, attempt, timeLeftOf(*fleet.endpoints[index].replica), steadyNow());
     });
     endpoint.replica->setRunFilter([&fleet, index](const std::string &target, const std::string &attempt) {
-        if (target.find(CrashTarget) != std::string::npos) {
-            noteCrashRun(fleet.promises, target, attempt, steadyNow());
-            crashSoon(fleet, index, target);
+        const auto &headers = fleet.endpoints[index].replica->lastHeaders();
+        const auto parts = headers.find("x-prompt-prefix");
+        const bool hasCrashPart = parts != headers.end() && parts->second.find(CrashPart) != std::string::npos;
+        if (hasCrashPart || target.find(CrashTarget) != std::string::npos) {
+            const std::string cause = hasCrashPart ? CrashPart : target;
+            noteCrashRun(fleet.promises, cause, attempt, steadyNow());
+            crashSoon(fleet, index, cause);
             return false;
         }
         return true;
@@ -162,6 +166,7 @@
     store.rewriteValue = [this](const std::string &, std::string bytes) {
         return throughProxies(*this, std::move(bytes));
     };
+    promises.crashes[CrashPart].deathsThatTell = DeathsThatTellOfPart;
     promises.leavingSince.resize(size.plainEndpoints + size.engines);
     promises.views.resize(size.routers);
     promises.disturbed.endpoints.resize(size.plainEndpoints + size.engines);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -75,6 +75,7 @@
     std::vector<Router> routers;
     std::vector<Testing::EndpointFaults> lastingFaults; // By endpoint, beside those that come and go.
     bool varyAttempts = false;
+    bool sharesPromptParts = false; // Streams name the parts of their prompts.
     bool ending = false; // Nothing new begins.
 };
 
@@ -87,6 +88,11 @@
 // Requests whose target goes on so after their route's prefix crash the endpoint that runs them.
 constexpr const char *CrashTarget = "crash-";
 
+// Parts of prompts: the first one of all, a harmless second one, and one that crashes the engine that runs it.
+constexpr const char *FirstPart = "5c1e:4";
+constexpr const char *HarmlessPart = "91bd:4";
+constexpr const char *CrashPart = "c0ffee:4";
+
 // Writes the next document: the same routes, but for one that only this document has, and a prepaid total that is
 // `more` higher.
 void putNextDocument(Fleet &fleet, std::int64_t more);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -177,6 +177,15 @@
     }
 }
 
+void printPartitions(const PlayResult &result)
+{
+    for (const auto &spell : result.partitions) {
+        std::cout << "  " << spell.routers.size() << " routers partitioned: served " << spell.partitioned.served
+                  << " of " << spell.partitioned.sent << ", the others " << spell.others.served << " of "
+                  << spell.others.sent << '\n';
+    }
+}
+
 void printTimeHanded(const PlayResult &result)
 {
     const auto &counts = result.timeHanded;
@@ -210,6 +219,7 @@
                   << std::endl;
         printRepeats(result);
         printCrashes(result);
+        printPartitions(result);
         printTimeHanded(result);
     }
     printSummary(results);
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -181,6 +181,12 @@
             runCrasher(fleet, options.seed, static_cast<int>(i), pace, yield);
         });
     }
+    if (plays(options.only, Fault::CrashPromptParts)) {
+        fleet.sharesPromptParts = true;
+        spawn(io, [&](const yield_context &yield) {
+            runPartCrasher(fleet, options.seed, yield);
+        });
+    }
     if (!crashers.empty()) {
         spawn(io, [&](const yield_context &yield) {
             player.killEndpoints(yield);
@@ -216,6 +222,7 @@
         io.stop();
     });
     io.run();
+    checkPartitions(fleet.promises);
     report();
     // Routers write their logs late, so the lines are looked for at the end.
     for (std::size_t i = 0; i < reported; ++i) {
@@ -230,6 +237,7 @@
     result.breaches = fleet.promises.breaches;
     result.traffic = fleet.promises.traffic;
     result.crashes = fleet.promises.crashes;
+    result.partitions = fleet.promises.partitions;
     result.timeHanded = fleet.promises.timeHanded;
     result.spent = fleet.promises.spent;
     result.prepaidTotal = fleet.promises.prepaidTotal;
--- a/soak/play.h
+++ b/soak/play.h
@@ -39,6 +39,7 @@
     std::int64_t spent = 0;
     std::int64_t prepaidTotal = 0;
     std::map<std::string, ServiceTraffic> traffic;
+    std::vector<PartitionSpell> partitions;
     std::map<std::string, CrashHistory> crashes;
     TimeHanded timeHanded;
     std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -23,6 +23,7 @@
     {Promise::DocumentBack, "document went back"},
     {Promise::Crash, "router ended by itself"},
     {Promise::RepeatsBeyond, "repeats beyond the allowance"},
+    {Promise::PartitionedRefuse, "partitioned routers served far less often than the others"},
     {Promise::CrashesOn, "a request that crashes endpoints was sent on"},
     {Promise::Condemned, "a harmless request was condemned"},
     {Promise::TimeHandedOn, "endpoints were handed more time than is left"},
@@ -197,6 +198,19 @@
     return promises.repeatRatio * static_cast<double>(most) + promises.repeatSlack;
 }
 
+void countPartitioned(Promises &promises, const SentRequest &request, const Outcome &outcome)
+{
+    for (PartitionSpell &spell : promises.partitions) {
+        const bool during = request.sentAt > spell.from + ContactTime && request.sentAt < spell.until;
+        if (!during || request.crashes || !routerInTouch(promises, request.router, request.sentAt)) {
+            continue;
+        }
+        AttemptCount &count = spell.routers.count(request.router) != 0 ? spell.partitioned : spell.others;
+        ++count.sent;
+        count.served += outcome.status / 100 == 2 ? 1 : 0;
+    }
+}
+
 } // namespace
 
 std::string_view promiseName(Promise promise)
@@ -327,8 +341,8 @@
 {
     CrashHistory &history = promises.crashes[target];
     const auto request = promises.requests.find(attempt);
-    if (request == promises.requests.end() || history.deaths.size() < DeathsThatTell
-        || now <= history.deaths[DeathsThatTell - 1] + ContactTime) {
+    if (request == promises.requests.end() || history.deaths.size() < history.deathsThatTell
+        || now <= history.deaths[history.deathsThatTell - 1] + ContactTime) {
         return;
     }
     const Disturbances &disturbed = promises.disturbed;
@@ -377,9 +391,28 @@
     }
 }
 
+void checkPartitions(Promises &promises)
+{
+    constexpr int allowedFailures = 10;
+    constexpr int attemptsPerFurtherFailure = 50;
+    for (const PartitionSpell &spell : promises.partitions) {
+        const AttemptCount &cut = spell.partitioned;
+        const AttemptCount &others = spell.others;
+        const int allowed = allowedFailures + (cut.sent + others.sent) / attemptsPerFurtherFailure;
+        if (cut.served * others.sent * 3 < others.served * cut.sent * 2 && cut.sent - cut.served > allowed) {
+            noteBreach(promises,
+                       Promise::PartitionedRefuse,
+                       "",
+                       std::to_string(cut.served) + " of " + std::to_string(cut.sent) + " served, the others "
+                           + std::to_string(others.served) + " of " + std::to_string(others.sent));
+        }
+    }
+}
+
 void noteOutcome(Promises &promises, const std::string &attempt, const Outcome &outcome, TimePoint now)
 {
     SentRequest &request = promises.requests[attempt];
+    countPartitioned(promises, request, outcome);
     switch (outcome.kind) {
     case OutcomeKind::NotConnected:
         ++promises.outcomes["not connected"];
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -32,6 +32,8 @@
 // A request under which so many endpoints died may be sent so often later than ContactTime after that.
 constexpr std::size_t DeathsThatTell = 3;
 constexpr int SendsAfterwards = 3;
+// The same for requests that share a part of their prompts.
+constexpr std::size_t DeathsThatTellOfPart = 5;
 constexpr Duration RepeatWindow = std::chrono::seconds(10);
 // An endpoint may be handed so much more time than is left; so many times, and in such a part of the sends that are
 // looked at, more than that.
@@ -56,6 +58,7 @@
     CrashesOn,
     Condemned,
     TimeHandedOn,
+    PartitionedRefuse,
 };
 
 std::string_view promiseName(Promise promise);
@@ -160,14 +163,33 @@
 // What became of a request under which endpoints die.
 struct CrashHistory
 {
+    std::size_t deathsThatTell = DeathsThatTell;
     std::vector<TimePoint> deaths;
     int sentAfterwards = 0; // By routers in touch.
 };
 
+// First attempts of callers at routers in touch, later than ContactTime after a partition began.
+struct AttemptCount
+{
+    int sent = 0;
+    int served = 0;
+};
+
+// A time in which some routers are partitioned from all endpoints.
+struct PartitionSpell
+{
+    TimePoint from;
+    TimePoint until;
+    std::set<std::size_t> routers;
+    AttemptCount partitioned;
+    AttemptCount others;
+};
+
 struct Promises
 {
     std::map<std::string, SentRequest> requests;
-    std::map<std::string, CrashHistory> crashes; // By target.
+    std::map<std::string, CrashHistory> crashes; // By target, or by part of the prompt.
+    std::vector<PartitionSpell> partitions;
     std::vector<std::optional<TimePoint>> leavingSince; // By endpoint.
     std::int64_t prepaidTotal = 0;
     std::int64_t spent = 0;
@@ -202,6 +224,8 @@
 std::size_t crashCount(const Promises &promises);
 // An endpoint answers it without a length or chunks.
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
+// Compares how often partitioned routers and the others served, for each partition that has ended.
+void checkPartitions(Promises &promises);
 // `events`: whole events that its caller has by now.
 void noteEvents(Promises &promises, const std::string &attempt, int events);
 void noteOutcome(Promises &promises, const std::string &attempt, const Outcome &outcome, TimePoint now);
