Lender: a probe that is refused says nothing about the endpoint, since this router may be partitioned itself

A router without traffic that is partitioned by resets told the borrower that the endpoint refuses, so that no other lender was asked. Found by reading.

--- a/godwit/relay/connection_lender.cpp
+++ b/godwit/relay/connection_lender.cpp
@@ -111,14 +111,10 @@
             connect();
             return;
         }
-        // An endpoint that refuses may have died; only a connection tells.
-        if (outcome == ProbeOutcome::Refuses && m_request.purpose == LendingPurpose::Probe) {
-            connect();
-            return;
-        }
+        // This router may be partitioned itself, so it can't tell whether the endpoint refuses.
         report(outcome == ProbeOutcome::Refuses ? DirectConnectionEvent::Reset : DirectConnectionEvent::Silent,
                openedAt);
-        answer(outcome == ProbeOutcome::Refuses ? LendingReply::Refused : LendingReply::Unreachable);
+        answer(LendingReply::Unreachable);
     }
 
     void report(DirectConnectionEvent event, TimePoint openedAt)
