--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -198,8 +198,7 @@
         if (stream && fleet.sharesPromptParts) {
             request.set(PromptPrefixField, std::string(FirstPart) + ',' + HarmlessPart + ",own-" + attempt + ":12");
         }
-        const Outcome outcome =
-            caller.call(fleet.routers[router].process->callerAddress(), request, onBody, yield);
+        const Outcome outcome = caller.call(fleet.routers[router].process->callerAddress(), request, onBody, yield);
         noteOutcome(fleet.promises, attempt, outcome, steadyNow());
     }
 }
