A part of a request's own prompt is no other explanation for the deaths of the request

Cause, from the routers' lines: no trial of the request convicted it (eight deaths, no suspect_convicted), since a trial counts only where no other suspect with more than one death is at the endpoint, and the request's own parts always are.

Fingerprints of parts are marked. A part that was in flight at all deaths of the suspect, or all of whose deaths the suspect explains, doesn't stand against a trial, and parts make no case ambiguous. A request still does against a part.

--- a/godwit/gateway/request_identity.cpp
+++ b/godwit/gateway/request_identity.cpp
@@ -1,6 +1,7 @@
 #include "godwit/gateway/request_identity.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/suspects/suspect_key.h"
 
 #include <initializer_list>
 #include <string>
@@ -30,7 +31,7 @@
 
 std::uint64_t promptPartFingerprint(std::string_view service, std::string_view part)
 {
-    return stableHash(joinFields({"prompt part", service, part}));
+    return tagAsPromptPart(stableHash(joinFields({"prompt part", service, part})));
 }
 
 } // namespace Godwit
--- a/godwit/suspects/suspect_admission_test.cpp
+++ b/godwit/suspects/suspect_admission_test.cpp
@@ -1,6 +1,7 @@
 #include "godwit/suspects/recent_answers.h"
 #include "godwit/suspects/suspect_admission.h"
 #include "godwit/suspects/suspect_codec.h"
+#include "godwit/suspects/suspect_key.h"
 #include "godwit/suspects/suspect_record.h"
 
 #include <catch2/catch.hpp>
@@ -40,6 +41,23 @@
 
 } // namespace
 
+// Guards against a request that is never convicted since a part of its prompt was in flight at the same deaths.
+TEST_CASE("a request is convicted although a part of its prompt is a suspect as well")
+{
+    constexpr std::uint64_t part = tagAsPromptPart(3);
+    SuspectTracker tracker = makeTracker();
+    tracker.options.convictionRequiresTrial = true;
+    for (const std::uint64_t suspect : {Crasher, part}) {
+        recordDeath(tracker, "a", 0s, suspect);
+        recordDeath(tracker, "b", 1s, suspect);
+    }
+    EndpointDeath third{EndpointId("c"), {}, DataCentreId("dc"), Start + 3s, {}};
+    recordSuspect(tracker, third, Crasher, {Start + 2s, true, true});
+    recordSuspect(tracker, third, part, {Start + 2s});
+    CHECK(evaluateSuspect(tracker, Crasher, Start + 4s) == Verdict::Convicted);
+    CHECK(evaluateSuspect(tracker, part, Start + 4s) == Verdict::Suspected);
+}
+
 TEST_CASE("a suspected request is first unrestricted, then tried, then refused briefly, then refused for longer")
 {
     SuspectTracker tracker = makeTracker();
--- a/godwit/suspects/suspect_tracker.cpp
+++ b/godwit/suspects/suspect_tracker.cpp
@@ -1,5 +1,7 @@
 #include "godwit/suspects/suspect_tracker.h"
 
+#include "godwit/suspects/suspect_key.h"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -114,7 +116,7 @@
 {
     const auto &first = deaths.front()->fingerprints;
     return std::any_of(first.begin(), first.end(), [&](std::uint64_t other) {
-        if (other == fingerprint) {
+        if (other == fingerprint || isPromptPart(other)) {
             return false;
         }
         for (std::size_t i = 1; i < deaths.size(); ++i) {
@@ -126,12 +128,29 @@
     });
 }
 
+// Whether `other` was in flight at all deaths of the fingerprint.
+bool wasInFlightAtAllDeathsOf(const SuspectTracker &tracker, std::uint64_t fingerprint, std::uint64_t other)
+{
+    return std::all_of(tracker.deaths.begin(), tracker.deaths.end(), [&](const EndpointDeath &death) {
+        return !wasInFlight(death, fingerprint) || wasInFlight(death, other);
+    });
+}
+
+// Whether a part of a prompt is no other explanation for the deaths of the fingerprint: it may belong to it, or the
+// fingerprint explains all deaths of the part as well.
+bool isExplained(const SuspectTracker &tracker, std::uint64_t fingerprint, std::uint64_t part)
+{
+    return isPromptPart(part)
+        && (wasInFlightAtAllDeathsOf(tracker, fingerprint, part)
+            || wasInFlightAtAllDeathsOf(tracker, part, fingerprint));
+}
+
 // Whether no other request that was in flight at further deaths was at this endpoint. A request with one death is
 // routed without restriction, also to an endpoint that runs a trial.
 bool isOnlySuspectAt(const SuspectTracker &tracker, const EndpointDeath &death, std::uint64_t fingerprint)
 {
     const auto isOtherSuspect = [&](std::uint64_t other) {
-        return other != fingerprint && tracker.deathCount.at(other) > 1;
+        return other != fingerprint && tracker.deathCount.at(other) > 1 && !isExplained(tracker, fingerprint, other);
     };
     // Covers all deaths of the endpoint: the times of deaths read from a stored record are unknown, so they are not
     // merged with the same deaths from notices.
