Exchange: lenders are looked up only when no direct connection is had

The exchange now asks for lenders when a direct connection has failed or is not tried, and the check of a death when a port has refused. ConnectionRoute, an optional lender, is gone. The number of attempts is as before. Found by reading the diff; no measurement.

--- a/godwit/daemon/suspect_coordinator.h
+++ b/godwit/daemon/suspect_coordinator.h
@@ -104,6 +104,8 @@
 
     void onInterrupted(const InterruptedRequest &interrupted, std::function<void()> resolved);
     void probePort(const EndpointInterruptions &interruptions);
+    // Routers that can tell whether an endpoint of the group accepts connections.
+    std::vector<Lender> witnessesFor(const EndpointGroup &group) const;
     // Asks other routers in turn whether the endpoint accepts connections. `otherwise` is the outcome if none can tell.
     void probeThroughOthers(const EndpointInterruptions &interruptions,
                             std::vector<Lender> lenders,
--- a/godwit/daemon/suspect_deaths.cpp
+++ b/godwit/daemon/suspect_deaths.cpp
@@ -62,28 +62,34 @@
     }
 }
 
+std::vector<Lender> SuspectCoordinator::witnessesFor(const EndpointGroup &group) const
+{
+    constexpr std::size_t maxWitnesses = 2;
+    auto lenders = m_relay.lendersFor ? m_relay.lendersFor(group) : std::vector<Lender>();
+    lenders.resize(std::min(lenders.size(), maxWitnesses));
+    return lenders;
+}
+
 // A port that refuses connections is evidence of a death only if it refuses those of other routers as well: connections
 // of a partitioned router may be refused or reset on the way.
 void SuspectCoordinator::probePort(const EndpointInterruptions &interruptions)
 {
-    constexpr std::size_t maxWitnesses = 2;
     const EndpointGroup group{interruptions.service, interruptions.dataCentre};
-    auto lenders = m_relay.lendersFor ? m_relay.lendersFor(group) : std::vector<Lender>();
-    lenders.resize(std::min(lenders.size(), maxWitnesses));
-    if (!lenders.empty() && isPartitioned(m_relay.state().reach, group)) {
-        probeThroughOthers(interruptions, std::move(lenders), ProbeOutcome::Unreachable);
-        return;
+    if (isPartitioned(m_relay.state().reach, group)) {
+        auto lenders = witnessesFor(group);
+        if (!lenders.empty()) {
+            probeThroughOthers(interruptions, std::move(lenders), ProbeOutcome::Unreachable);
+            return;
+        }
     }
-    probeEndpoint(m_io,
-                  interruptions.address,
-                  m_options.probeTimeout,
-                  [this, interruptions, lenders = std::move(lenders)](ProbeOutcome outcome) {
-                      if (outcome == ProbeOutcome::Refuses) {
-                          probeThroughOthers(interruptions, lenders, outcome);
-                      } else {
-                          onProbed(interruptions.id, outcome);
-                      }
-                  });
+    probeEndpoint(
+        m_io, interruptions.address, m_options.probeTimeout, [this, interruptions, group](ProbeOutcome outcome) {
+            if (outcome == ProbeOutcome::Refuses) {
+                probeThroughOthers(interruptions, witnessesFor(group), outcome);
+            } else {
+                onProbed(interruptions.id, outcome);
+            }
+        });
 }
 
 void SuspectCoordinator::probeThroughOthers(const EndpointInterruptions &interruptions,
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -90,8 +90,11 @@
     }
     m_newConnection = true;
     m_address = address;
-    m_routes = m_handlers.routes ? m_handlers.routes() : std::vector<ConnectionRoute>{ConnectionRoute{}};
-    connectNext();
+    if (!m_handlers.mayConnectDirectly || m_handlers.mayConnectDirectly()) {
+        connectDirectly();
+    } else {
+        borrowNext();
+    }
 }
 
 void EndpointExchange::cancel()
@@ -159,24 +162,23 @@
     }
 }
 
-void EndpointExchange::connectNext()
+void EndpointExchange::borrowNext()
 {
     m_timer.cancel();
     m_socket.reset();
-    if (m_routes.empty()) {
+    if (!m_lenders) {
+        m_lenders = m_handlers.lenders ? m_handlers.lenders() : std::vector<Lender>();
+    }
+    if (m_lenders->empty()) {
         // Deferred, since start() may not call handlers.
         asio::post(m_io, [self = shared_from_this()] {
             self->failBeforeSend(ExchangeFailure::NotConnected);
         });
         return;
     }
-    const ConnectionRoute route = std::move(m_routes.front());
-    m_routes.erase(m_routes.begin());
-    if (route.lender) {
-        borrowFrom(*route.lender);
-    } else {
-        connectDirectly();
-    }
+    const Lender lender = std::move(m_lenders->front());
+    m_lenders->erase(m_lenders->begin());
+    borrowFrom(lender);
 }
 
 void EndpointExchange::connectDirectly()
@@ -184,7 +186,7 @@
     LastReason reason;
     const auto target = parseAddress(m_address, reason);
     if (!target) {
-        connectNext();
+        borrowNext();
         return;
     }
     m_socket.emplace(m_io);
@@ -232,9 +234,9 @@
     }
     m_refusedElsewhere = reply == LendingReply::Refused;
     if (m_refusedElsewhere) {
-        m_routes.clear();
+        m_lenders->clear();
     }
-    connectNext();
+    borrowNext();
 }
 
 void EndpointExchange::onConnected(const beast::error_code &error)
@@ -261,7 +263,7 @@
 {
     if (m_phase == Phase::Connecting) {
         reportDirect(DirectConnectionEvent::NotConnected);
-        connectNext();
+        borrowNext();
     }
 }
 
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -61,17 +61,12 @@
     Silent, // No byte arrived within ExchangeOptions::silenceLimit.
 };
 
-// A way to connect to an endpoint: directly, or over a connection borrowed from another router.
-struct ConnectionRoute
-{
-    std::optional<Lender> lender;
-};
-
 struct ExchangeHandlers
 {
-    // Called when a new connection is needed; the routes are tried in order until one connects. If unset, only a direct
-    // connection is tried.
-    std::function<std::vector<ConnectionRoute>()> routes;
+    // Called when a new connection is needed. Optional: without it a direct connection is tried.
+    std::function<bool()> mayConnectDirectly;
+    // Called when no direct connection is tried, or when it failed; the lenders are asked in order. Optional.
+    std::function<std::vector<Lender>()> lenders;
     // Called once a new connection is established; the request is sent only if it returns true. Optional.
     std::function<bool()> maySend;
     // Called before the first byte is sent on a new or pooled connection. Optional.
@@ -161,8 +156,8 @@
         Done,
     };
 
-    void connectNext();
     void connectDirectly();
+    void borrowNext();
     void borrowFrom(const Lender &lender);
     void onBorrowed(LendingReply reply, ConnectionPool::Socket socket);
     void onConnected(const boost::system::error_code &error);
@@ -203,7 +198,7 @@
     ResponseMetadata m_facts;
     EndpointId m_endpoint;
     std::string m_address;
-    std::vector<ConnectionRoute> m_routes; // Not tried yet.
+    std::optional<std::vector<Lender>> m_lenders; // Not asked yet; unset before the first is needed.
     std::shared_ptr<ConnectionBorrower> m_borrower; // Set while a lender is asked.
     std::string m_bytes;
     std::string m_attemptId;
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -73,29 +73,20 @@
     return isConfirmedCurrent(m_state.documentFreshness, m_options.agreement, now);
 }
 
-std::vector<ConnectionRoute> Relay::routesTo(const EndpointGroup &group) const
+std::vector<Lender> Relay::lendersToAsk(const EndpointGroup &group) const
 {
-    constexpr std::size_t maxLenders = 3;
-    const bool partitioned = isPartitioned(m_state.reach, group);
-    std::vector<ConnectionRoute> routes;
-    if (!partitioned) {
-        routes.emplace_back();
-    }
-    if (lendersFor) {
-        for (Lender &lender : lendersFor(group)) {
-            if (routes.size() < maxLenders) {
-                routes.push_back({std::move(lender)});
-            }
-        }
-    }
-    return routes;
+    constexpr std::size_t maxConnectionAttempts = 3; // For one attempt of a request, a direct one included.
+    const std::size_t most = maxConnectionAttempts - (isPartitioned(m_state.reach, group) ? 0 : 1);
+    std::vector<Lender> lenders = lendersFor ? lendersFor(group) : std::vector<Lender>();
+    lenders.resize(std::min(lenders.size(), most));
+    return lenders;
 }
 
 std::vector<DataCentreId> Relay::unreachableDataCentres(const std::string &service) const
 {
     std::vector<DataCentreId> dataCentres;
     for (const EndpointGroup &group : partitionedGroups(m_state.reach)) {
-        if (group.service == service && routesTo(group).empty()) {
+        if (group.service == service && lendersToAsk(group).empty()) {
             dataCentres.push_back(group.dataCentre);
         }
     }
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -293,8 +293,8 @@
     // Likewise for a response that its endpoint delimited only by closing the connection.
     std::function<void(std::uint64_t fingerprint, const EndpointId &endpoint)> onAnswerWithoutDeclaredEnd;
 
-    // Returns the ways to open a new connection to an endpoint of the group, best first. Empty if there is none.
-    std::vector<ConnectionRoute> routesTo(const EndpointGroup &group) const;
+    // Returns the routers to ask for a connection to an endpoint of the group, best first.
+    std::vector<Lender> lendersToAsk(const EndpointGroup &group) const;
 
     // Returns the data centres whose endpoints of the service can be reached neither directly nor through another
     // router.
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -316,8 +316,12 @@
     handlers.onFailed = [self](ExchangeFailure failure) {
         self->onFailed(failure);
     };
-    handlers.routes = [self, group = groupOf(endpoint.listed)] {
-        return self->m_relay.routesTo(group);
+    const EndpointGroup group = groupOf(endpoint.listed);
+    handlers.mayConnectDirectly = [self, group] {
+        return !isPartitioned(self->m_relay.state().reach, group);
+    };
+    handlers.lenders = [self, group] {
+        return self->m_relay.lendersToAsk(group);
     };
     handlers.onDirectConnection = [&monitor = m_relay.reachMonitor(),
                                    listed = endpoint.listed](DirectConnectionEvent event, TimePoint openedAt) {
