--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -125,14 +125,6 @@
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
 };
 
-// What may make a request crash endpoints: the request itself, or a part of its prompt that other requests share.
-// Evidence is kept for each separately, and the request is admitted as the one with most evidence against it.
-struct SuspectKey
-{
-    std::uint64_t fingerprint = 0; // See request_identity.h.
-    SuspectLabel label;
-};
-
 struct InterruptedSuspect
 {
     InterruptedAttempt run;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -109,8 +109,13 @@
     void refuseSuspectForNow();
     void requestTrial(const Choice &choice);
     void endTrial();
-    // The request itself first, then the shared parts of its prompt.
-    const std::vector<SuspectKey> &suspectKeys();
+    // Fingerprints of what may make the request crash endpoints: the request itself first, then the shared parts of its
+    // prompt. Evidence is kept for each separately, and the request is admitted as the one with most evidence against
+    // it.
+    const std::vector<std::uint64_t> &suspectKeys();
+    // Describes the suspect at this index of suspectKeys().
+    SuspectLabel labelOf(std::size_t key) const;
+    std::uint64_t decidingFingerprint();
     std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
     void endAttempt(AttemptFeedback verdict);
@@ -148,8 +153,8 @@
     CustomerId m_customer;
     std::string m_serviceName;
     AllowedRegions m_regions; // Allowed by both route and customer.
-    std::vector<SuspectKey> m_suspectKeys; // Computed on first use.
-    SuspectKey m_decidingKey; // The key that the latest admission was based on.
+    std::vector<std::uint64_t> m_suspectKeys; // Computed on first use.
+    std::size_t m_decidingKey = 0; // Index of the key that the latest admission was based on.
     int m_urgency = 5;
 
     TimePoint m_arrived;
--- a/godwit/relay/relay_call_retries.cpp
+++ b/godwit/relay/relay_call_retries.cpp
@@ -41,11 +41,11 @@
     record.timeLeftAge = now - m_sentAt;
     record.sinceArrival = now - m_arrived;
     if (!deathCount.empty()) {
-        for (const SuspectKey &key : suspectKeys()) {
-            const auto found = deathCount.find(key.fingerprint);
+        for (const std::uint64_t fingerprint : suspectKeys()) {
+            const auto found = deathCount.find(fingerprint);
             const auto deaths = found == deathCount.end() ? 0 : static_cast<std::size_t>(found->second);
             if (deaths > record.deaths) {
-                record.fingerprint = key.fingerprint;
+                record.fingerprint = fingerprint;
                 record.deaths = deaths;
             }
         }
--- a/godwit/relay/relay_call_suspects.cpp
+++ b/godwit/relay/relay_call_suspects.cpp
@@ -4,8 +4,6 @@
 
 #include "godwit/gateway/request_identity.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace Godwit
@@ -27,13 +25,15 @@
         return;
     }
     const auto trial = std::exchange(m_trial, std::nullopt);
-    const auto interrupted = [&](const SuspectKey &key) {
-        return InterruptedSuspect{{key.fingerprint, m_sentAt, Relay::now(), trial == key.fingerprint}, key.label};
-    };
     const auto &keys = suspectKeys();
-    const auto [run, label] = interrupted(keys.front());
+    const auto interrupted = [&](std::size_t key) {
+        return InterruptedSuspect{{keys[key], m_sentAt, Relay::now(), trial == keys[key]}, labelOf(key)};
+    };
+    const auto [run, label] = interrupted(0);
     InterruptedRequest cut{m_endpoint, m_endpointStart, run, label, {}};
-    std::transform(keys.begin() + 1, keys.end(), std::back_inserter(cut.parts), interrupted);
+    for (std::size_t key = 1; key < keys.size(); ++key) {
+        cut.parts.push_back(interrupted(key));
+    }
     m_relay.onInterrupted(cut, [self = shared_from_this(), cause] {
         if (!self->m_closed) {
             self->retryOrFail(cause, true);
@@ -51,8 +51,8 @@
     }
     const bool declared = completenessOf(*m_answerEnding) == ResponseCompleteness::Declared;
     if (declared) {
-        for (const SuspectKey &key : suspectKeys()) {
-            recordAnswer(state.recentAnswers, key.fingerprint, Relay::now());
+        for (const std::uint64_t fingerprint : suspectKeys()) {
+            recordAnswer(state.recentAnswers, fingerprint, Relay::now());
         }
     }
     if (state.suspects.deathCount.empty() && state.crashDetector.interruptions.empty()) {
@@ -61,11 +61,11 @@
     if (declared) {
         m_trial.reset();
     }
-    for (const SuspectKey &key : suspectKeys()) {
+    for (const std::uint64_t fingerprint : suspectKeys()) {
         if (declared) {
-            m_relay.onCompleteAnswer(key.fingerprint);
+            m_relay.onCompleteAnswer(fingerprint);
         } else {
-            m_relay.onAnswerWithoutDeclaredEnd(key.fingerprint, m_endpoint);
+            m_relay.onAnswerWithoutDeclaredEnd(fingerprint, m_endpoint);
         }
     }
 }
@@ -76,18 +76,18 @@
     if (tracker.deathCount.empty() && tracker.refusedUntil.empty()) {
         return Admission::Unrestricted;
     }
-    Admission strictest = Admission::Unrestricted;
-    m_decidingKey = suspectKeys().front();
-    for (const SuspectKey &key : suspectKeys()) {
-        const Admission admission = admissionFor(tracker, key.fingerprint, Relay::now());
-        const bool moreEvidence = attributableDeaths(tracker, key.fingerprint).size()
-            > attributableDeaths(tracker, m_decidingKey.fingerprint).size();
-        if (admission > strictest || (admission == strictest && moreEvidence)) {
-            strictest = admission;
+    const auto &keys = suspectKeys();
+    std::pair<Admission, std::size_t> strictest{Admission::Unrestricted, 0}; // With the number of deaths.
+    m_decidingKey = 0;
+    for (std::size_t key = 0; key < keys.size(); ++key) {
+        const std::pair candidate(admissionFor(tracker, keys[key], Relay::now()),
+                                  attributableDeaths(tracker, keys[key]).size());
+        if (candidate > strictest) {
+            strictest = candidate;
             m_decidingKey = key;
         }
     }
-    return strictest;
+    return strictest.first;
 }
 
 void RelayCall::refuseSuspect()
@@ -99,7 +99,7 @@
     } else {
         refuse(ErrorKind::SuspectRequest,
                "endpoints crashed each time that they ran this request",
-               remainingRefusal(m_relay.state().suspects, m_decidingKey.fingerprint, Relay::now()));
+               remainingRefusal(m_relay.state().suspects, decidingFingerprint(), Relay::now()));
     }
 }
 
@@ -108,11 +108,8 @@
     const RelayState &state = m_relay.state();
     const auto listed = state.endpoints.byService.find(m_serviceName);
     return listed == state.endpoints.byService.end()
-        || hasSpareEndpointForTrial(state.suspects,
-                                    m_decidingKey.fingerprint,
-                                    listed->second,
-                                    m_relay.options().trialWaitLimit,
-                                    Relay::now());
+        || hasSpareEndpointForTrial(
+               state.suspects, decidingFingerprint(), listed->second, m_relay.options().trialWaitLimit, Relay::now());
 }
 
 // The request may only be run as a trial, and no trial is possible now.
@@ -134,7 +131,7 @@
     const EndpointId endpoint = choice.endpoint->listed.id;
     const EndpointIncarnation start = choice.endpoint->listed.startedAt;
     const auto onDecision =
-        [self = shared_from_this(), requestedChoice = choice, endpoint, start, suspect = m_decidingKey.fingerprint](
+        [self = shared_from_this(), requestedChoice = choice, endpoint, start, suspect = decidingFingerprint()](
             bool granted) {
             Choice chosen = requestedChoice;
             chosen.endpoint = findIncarnation(self->m_relay.state().endpoints, endpoint, start);
@@ -152,7 +149,7 @@
             self->m_trial = suspect;
             self->startAttempt(chosen);
         };
-    m_relay.onTrialRequested({m_decidingKey.fingerprint, endpoint, m_decidingKey.label}, onDecision);
+    m_relay.onTrialRequested({decidingFingerprint(), endpoint, labelOf(m_decidingKey)}, onDecision);
 }
 
 // Ends a trial that saw neither a crash nor a complete response.
@@ -163,26 +160,36 @@
     }
 }
 
-const std::vector<SuspectKey> &RelayCall::suspectKeys()
+const std::vector<std::uint64_t> &RelayCall::suspectKeys()
 {
     if (!m_suspectKeys.empty()) {
         return m_suspectKeys;
     }
     const auto method = m_head.method_string();
-    const RequestIdentity identity{{method.data(), method.size()}, m_facts.host, m_facts.target, m_customer, m_body};
-    m_suspectKeys.push_back({requestFingerprint(identity), {m_facts.host, m_facts.target, m_customer}});
+    m_suspectKeys.push_back(
+        requestFingerprint({{method.data(), method.size()}, m_facts.host, m_facts.target, m_customer, m_body}));
     // The last part is the request's own.
     const auto &parts = m_facts.promptSegments;
     for (std::size_t i = 0; i + 1 < parts.size() && i < MaxSuspectParts; ++i) {
-        m_suspectKeys.push_back({promptPartFingerprint(m_serviceName, parts[i].id),
-                                 {m_facts.host, "prompt part " + std::string(parts[i].id), m_customer}});
+        m_suspectKeys.push_back(promptPartFingerprint(m_serviceName, parts[i].id));
     }
     return m_suspectKeys;
 }
 
+SuspectLabel RelayCall::labelOf(std::size_t key) const
+{
+    const std::string target = key == 0 ? m_facts.target : "prompt part " + m_facts.promptSegments[key - 1].id;
+    return {m_facts.host, target, m_customer};
+}
+
+std::uint64_t RelayCall::decidingFingerprint()
+{
+    return suspectKeys()[m_decidingKey];
+}
+
 std::uint64_t RelayCall::fingerprint()
 {
-    return suspectKeys().front().fingerprint;
+    return suspectKeys().front();
 }
 
 } // namespace Godwit
