Test proxies: one proxy for faults and partitions, in platform/testing

PartitionProxy and the soak's FaultProxy passed bytes, held them and reset connections by the same code twice, since the soak's proxy had learnt partitions too. Checks and bounds of the tests are unchanged.

--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -329,7 +329,7 @@
     const bool toStore = draw(0, 1) == 0;
     const auto count = toStore ? m_fleet.routers.size() : m_fleet.endpoints.size();
     const auto index = static_cast<std::size_t>(draw(0, static_cast<int>(count) - 1));
-    FaultProxy &proxy = toStore ? *m_fleet.routers[index].store : *m_fleet.endpoints[index].proxy;
+    Testing::FaultProxy &proxy = toStore ? *m_fleet.routers[index].store : *m_fleet.endpoints[index].proxy;
     const Time time(draw(200, 3000));
     const Time delay(draw(10, 250));
     say(fault, toStore ? "store of router-" + std::to_string(index) : m_fleet.endpoints[index].id, time);
@@ -415,7 +415,7 @@
         m_fleet.endpoints[endpoint].id + " and " + (all ? "all routers" : "router-" + std::to_string(router)),
         connecting + paused);
     disturbEndpoint(endpoint, connecting + paused);
-    FaultProxy &proxy = *m_fleet.endpoints[endpoint].proxy;
+    Testing::FaultProxy &proxy = *m_fleet.endpoints[endpoint].proxy;
     proxy.acceptLate();
     proxy.resetAll();
     for (std::size_t i = 0; i < m_fleet.routers.size(); ++i) {
@@ -521,7 +521,7 @@
             continue;
         }
         disturbRouter(i, time, false);
-        FaultProxy &proxy = *m_fleet.routers[i].peers;
+        Testing::FaultProxy &proxy = *m_fleet.routers[i].peers;
         proxy.faults().cutOff = true;
         spawn([this, &proxy, time](const yield_context &yield) {
             waitFor(m_fleet.io, time, yield);
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -120,7 +120,7 @@
     endpoint.service = service;
     endpoint.replica = std::make_unique<Testing::FakeEndpoint>(fleet.io, endpoint.id, EventsOfStream);
     endpoint.replica->behaviour() = Testing::EndpointBehaviour{AnswerAfter, EventPause, true};
-    endpoint.proxy = std::make_unique<FaultProxy>(fleet.io, endpoint.replica->address());
+    endpoint.proxy = std::make_unique<Testing::FaultProxy>(fleet.io, endpoint.replica->address());
     const std::size_t index = fleet.endpoints.size();
     endpoint.replica->faults() = fleet.lastingFaults[index];
     endpoint.replica->onArrival([&fleet, service, index](const std::string &attempt) {
@@ -182,10 +182,10 @@
     putNextDocument(*this, 0);
     for (std::size_t i = 0; i < size.routers; ++i) {
         Router router;
-        router.store = std::make_unique<FaultProxy>(io, store.address());
+        router.store = std::make_unique<Testing::FaultProxy>(io, store.address());
         router.process = std::make_unique<Testing::RouterProcess>(
             program, "router-" + std::to_string(i), router.store->address(), size.repeats);
-        router.peers = std::make_unique<FaultProxy>(io, router.process->peerAddress());
+        router.peers = std::make_unique<Testing::FaultProxy>(io, router.process->peerAddress());
         routers.push_back(std::move(router));
     }
 }
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -9,8 +9,8 @@
 
 #include "platform/testing/fake_endpoint.h"
 #include "platform/testing/fake_store_server.h"
+#include "platform/testing/fault_proxy.h"
 #include "platform/testing/router_process.h"
-#include "soak/fault_proxy.h"
 #include "soak/promises.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,8 +43,8 @@
 
 struct Router
 {
-    std::unique_ptr<FaultProxy> store; // Between it and the store.
-    std::unique_ptr<FaultProxy> peers; // Before its port for the other routers.
+    std::unique_ptr<Testing::FaultProxy> store; // Between it and the store.
+    std::unique_ptr<Testing::FaultProxy> peers; // Before its port for the other routers.
     std::unique_ptr<Testing::RouterProcess> process;
     int boot = 1;
     bool running = true;
@@ -61,7 +61,7 @@
     int start = 1;
     bool dead = false;
     std::unique_ptr<Testing::FakeEndpoint> replica;
-    std::unique_ptr<FaultProxy> proxy;
+    std::unique_ptr<Testing::FaultProxy> proxy;
 };
 
 struct Fleet
