Homes settle on the routers that could be homes, not on all of them

After a restart of all routers, large routers waited for heartbeats from nine in ten of all listed routers. Small routers send theirs four times as seldom and are no candidates for homes, so 81 routers were without homes for over a second and refused 2,411 requests for want of tokens.

New log line: homes_settled.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -365,6 +365,10 @@
         }
         sendReadinessChange();
         prefetchTokens();
+        if (checkSettled(Relay::now())) {
+            chooseHomes();
+            m_relay.requestNeededTokens();
+        }
         if (Relay::now() < m_nextHeartbeatAt) {
             scheduleCheck();
             return;
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -10,6 +10,7 @@
 #include "godwit/gateway/byte_rate_limiter.h"
 #include "godwit/gateway/entry_hosts.h"
 #include "godwit/gateway/read_schedule.h"
+#include "godwit/prepaid/home_settling.h"
 #include "godwit/prepaid/token_prefetch.h"
 #include "godwit/relay/relay.h"
 #include "godwit/router/router_mesh.h"
@@ -60,12 +61,8 @@
     // A ledger up to this size is sent to the other routers once it is written; sending a larger one costs more than
     // the conflicting writes that it avoids.
     std::size_t maxSharedLedgerBytes = 12UL * 1024;
-    // A router that has become ready waits for `settleTime` before it acts as a home, and up to `settleTimePerRouter`
-    // longer for each listed router that has not reported yet; without peers it checks every `soloCheckInterval`. When
-    // a whole fleet starts at once it would otherwise be one of many homes whose writes conflict. Small hosts need time
-    // to open each link.
-    Duration settleTime = std::chrono::milliseconds(350);
-    Duration settleTimePerRouter = std::chrono::milliseconds(10);
+    // When a router that has become ready acts as a home; without peers it checks every `soloCheckInterval`.
+    HomeSettlingOptions settling;
     Duration soloCheckInterval = std::chrono::milliseconds(100);
     // An update whose copies for all routers exceed this size together is sent to some routers, which forward it to the
     // rest: a document for each of hundreds of routers would saturate one host's link for seconds. Smaller updates are
@@ -233,7 +230,8 @@
     void scheduleHeartbeat();
     void scheduleCheck();
     void sendReadinessChange();
-    void checkSettled(TimePoint now);
+    // Returns whether this router may act as a home from now on, and could not before.
+    bool checkSettled(TimePoint now);
     void chooseHomes();
     // Whether the peer lends connections to endpoints of the group.
     bool lends(const Peer &peer, const EndpointGroup &group, TimePoint now) const;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -317,3 +317,32 @@
     CHECK(latest()->remaining == 6000);
     CHECK(latest()->demandBySize.size() == 1);
 }
+
+TEST_CASE("large routers act as homes soon after a restart of all, before small ones have reported")
+{
+    // Guards against refusals for lack of tokens for over a second after a loss of power of all routers.
+    const CustomerId desk{"desk"};
+    Router first("first");
+    Router second("second");
+    std::vector<FleetMember> members{first.self, second.self};
+    for (int i = 0; i < 20; ++i) {
+        const std::string name = "small-" + std::to_string(i);
+        members.push_back({HostId{name}, Incarnation{name}, DataCentreId{"north"}, name, freeAddress(), 10});
+    }
+    for (Router *router : {&first, &second}) {
+        applyTotals(router->relay.state().prepaid, 1, {{desk, 100'000}});
+        router->relay.state().prepaid.predecessorSettled = true;
+        router->links.setListed(members);
+    }
+    const auto homes = [&] {
+        int count = 0;
+        for (Router *router : {&first, &second}) {
+            router->run(std::chrono::milliseconds(4));
+            count += router->relay.state().prepaid.accounts.at(desk).isHome ? 1 : 0;
+        }
+        return count;
+    };
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(450);
+    while (homes() == 0 && std::chrono::steady_clock::now() < end) { }
+    CHECK(homes() == 1);
+}
--- a/godwit/daemon/fleet_token_transfers.cpp
+++ b/godwit/daemon/fleet_token_transfers.cpp
@@ -2,6 +2,7 @@
 // tokens, transfers, and the exchange of what each router holds.
 
 #include "godwit/base/hash.h"
+#include "godwit/base/milliseconds.h"
 #include "godwit/daemon/fleet_links.h"
 #include "godwit/daemon/fleet_messages.h"
 
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <map>
 #include <optional>
-#include <set>
 
 namespace Godwit
 {
@@ -240,37 +240,34 @@
     return best == hosts.end() ? nullptr : *best;
 }
 
-// When a whole fleet starts at once, each router would act as the home of all customers and as a reader until it has
-// received heartbeats from the others. So it waits until most listed routers have reported, or the settle time has
-// passed.
-void FleetLinks::checkSettled(TimePoint now)
+bool FleetLinks::checkSettled(TimePoint now)
 {
-    if (m_settled || !m_readyAt || now < *m_readyAt + m_options.settleTime) {
-        return;
+    if (!m_readyAt && m_relay.isReady()) {
+        m_readyAt = now;
     }
-    std::set<std::string> listed;
-    std::set<std::string> responsive;
-    for (const auto &[incarnation, peer] : m_peers) {
-        if (peer.listed && peer.dialled) {
-            listed.insert(peer.member.callerAddress);
-        }
-        if (peer.heartbeatReceived) {
-            responsive.insert(peer.member.callerAddress);
-        }
+    if (m_settled || !m_readyAt) {
+        return false;
     }
-    const Duration maxSettleTime =
-        m_options.settleTime + m_options.settleTimePerRouter * static_cast<Duration::rep>(listed.size());
-    constexpr double minResponsiveFraction = 0.9;
-    m_settled = static_cast<double>(responsive.size()) >= minResponsiveFraction * static_cast<double>(listed.size())
-        || now >= *m_readyAt + maxSettleTime;
+    std::vector<SettlingPeer> peers;
+    peers.reserve(m_peers.size());
+    for (const auto &[incarnation, peer] : m_peers) {
+        peers.push_back(
+            {peer.member.callerAddress, peer.member.capacity, peer.listed, peer.dialled, peer.heartbeatReceived});
+    }
+    const SettlingView view = settlingView(m_options.ownCapacity, peers, m_options.advertisedHosts.sameClassRatio);
+    const Duration sinceReady = now - *m_readyAt;
+    m_settled = isSettled(view, sinceReady, m_options.settling);
+    if (m_settled) {
+        m_relay.log().write(
+            "homes_settled",
+            {{"heard", view.heard}, {"listed", view.candidates}, {"after_ms", toMilliseconds(sinceReady)}});
+    }
+    return m_settled;
 }
 
 void FleetLinks::chooseHomes()
 {
     const TimePoint now = Relay::now();
-    if (!m_readyAt && m_relay.isReady()) {
-        m_readyAt = now;
-    }
     checkSettled(now);
     PrepaidShare &share = m_relay.state().prepaid;
     int bounded = 0;
