Homes behind a slow link are not skipped as silent

A small router whose 10 Mbit/s link was full skipped all six homes one by one, since their answers took over 40 ms, and refused 532 requests for want of tokens while the homes had 7.7 M. The time after which a home is skipped is now four times the smoothed time of recent answers, at least 40 ms and at most tokenRequestTimeout. It is measured on answers including confirmations, with the timestamp that they echo: the time that a home needs to draw from the store would raise it on fast links too. Answers that arrive after their home was skipped count, or a link that turns slow would never be noticed; for the same reason they count for the exchange time of the prefetch.

When all homes that would be chosen have been skipped within a second, and there are at least two, none is skipped and no other home is chosen for the next second (log line homes_kept). With a single home, or at a router that is a home itself, nothing shows that the link is at fault, and the next router takes over as before. The timer expires at the earliest deadline instead of every 40 ms. home_silent has the field waited_ms.

--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -10,6 +10,7 @@
 #include "godwit/gateway/byte_rate_limiter.h"
 #include "godwit/gateway/entry_hosts.h"
 #include "godwit/gateway/read_schedule.h"
+#include "godwit/prepaid/home_response.h"
 #include "godwit/prepaid/home_settling.h"
 #include "godwit/prepaid/token_prefetch.h"
 #include "godwit/relay/relay.h"
@@ -49,11 +50,7 @@
     int responsiveHeartbeats = 4;
     // Minimum interval between reclaims of one customer's tokens from other routers.
     Duration reclaimInterval = std::chrono::milliseconds(30);
-    // A home answers a token request within a few milliseconds, if only to confirm that it is waiting. One that has not
-    // answered within `homeResponseTimeout` is skipped for `unresponsiveHomePeriod`: a host that vanished closes no
-    // connection, and missing heartbeats show it only after 1.6 s.
-    Duration homeResponseTimeout = std::chrono::milliseconds(40);
-    Duration unresponsiveHomePeriod = std::chrono::seconds(1);
+    HomeResponseOptions homeResponse;
     TokenPrefetchOptions prefetch;
     std::size_t homeCount = 6;
     // How long a token request waits at a home, and counts as pending at the sender: no caller's request waits longer.
@@ -236,20 +233,28 @@
     // Whether the peer lends connections to endpoints of the group.
     bool lends(const Peer &peer, const EndpointGroup &group, TimePoint now) const;
     bool isServing(const Peer &peer, TimePoint now) const;
+    // Whether the peer can be a home; `withSkipped` includes one that is skipped.
+    bool canBeHome(const Peer &peer, TimePoint now, bool withSkipped) const;
     // Minimum capacity of the hosts that belong to the largest class of those that are up.
-    double minLargestClassCapacity(TimePoint now) const;
-    // Current homes; null stands for this router.
-    std::vector<Peer *> homeRouters(TimePoint now);
+    double minLargestClassCapacity(TimePoint now, bool withSkipped = false) const;
+    // Current homes, or those that would be homes if none were skipped; null stands for this router.
+    std::vector<Peer *> homeRouters(TimePoint now, bool withSkipped = false);
     // Null if this router is the home, or if there is none.
     Peer *homeOf(const CustomerId &customer, const std::vector<Peer *> &hosts) const;
     void requestFromHome(const CustomerId &customer, Tokens needed);
     void prefetchTokens();
     void reclaimFromHolders(const CustomerId &customer, Tokens needed);
+    // Until when a home has time to answer; nullopt if no request to it is unanswered.
+    std::optional<TimePoint> responseDeadlineOf(const Peer &peer) const;
     void armResponseTimer();
     void skipUnresponsiveHomes();
+    // If all homes have been skipped, skips none for a while.
+    bool keepSilentHomes(TimePoint now);
     // `timestamp` is that of the token request answered at once, or 0.
     void sendTransfer(const TokenTransfer &transfer, Tokens timestamp = 0);
     void recordLag(Tokens timestamp);
+    // Records how long a home took to answer the request of that time, with `amount` tokens or a confirmation.
+    void recordExchange(const CustomerId &customer, Tokens amount, Tokens timestamp);
     void returnUnusedTokens();
     nlohmann::json encodeHolding(const CustomerId &customer) const;
     void applyHolding(const CustomerId &customer, const HolderId &holder, const nlohmann::json &row);
@@ -321,6 +326,8 @@
     std::uint64_t m_measuredRequests = 0;
     TimePoint m_measuredAt;
     ExchangeTime m_exchangeTime; // Of token requests to homes.
+    ExchangeTime m_responseTime; // Likewise, but until the first answer, which may be a confirmation.
+    TimePoint m_homesKeptUntil; // Until then no home is skipped.
     // Prompts are announced from this reading time on; adjusted to keep to `maxPromptsReceivedPerSecond`.
     double m_minAnnouncedSeconds = 0;
     TimePoint m_promptAnnouncedAt;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -43,6 +43,9 @@
             }
             return std::optional(snapshot);
         };
+        relay.onTokensNeeded = [this](const CustomerId &, Tokens) {
+            ++tokenRequests;
+        };
         links.onUpdate = [this](const Incarnation &, const PrefixUpdate &update) {
             updates += update.changes.empty() ? 0 : 1;
         };
@@ -88,6 +91,7 @@
     int updates = 0;
     int requestsReceived = 0;
     int itemRequests = 0;
+    int tokenRequests = 0; // Of other routers.
 };
 
 struct Routers
@@ -135,6 +139,40 @@
     std::vector<std::unique_ptr<Router>> all;
 };
 
+// A small router that asks for tokens, and two large ones of which one is the customer's home.
+struct Asker
+{
+    Asker()
+        : routers({"small", "north", "south"}, {10, 100, 100})
+    {
+        PrepaidShare &share = routers[0].relay.state().prepaid;
+        applyTotals(share, 1, {{customer, 100'000}});
+        share.accounts.at(customer).isHome = false;
+        share.predecessorSettled = true;
+        ask(std::chrono::milliseconds(0), {});
+        REQUIRE(routers[1].tokenRequests + routers[2].tokenRequests == 1);
+        home = &routers[routers[1].tokenRequests == 1 ? 1 : 2];
+        other = &routers[routers[1].tokenRequests == 1 ? 2 : 1];
+    }
+
+    // The paused routers answer after `pause`.
+    void ask(std::chrono::milliseconds pause, const std::vector<const Router *> &paused)
+    {
+        needed += 10;
+        routers[0].links.requestTokens(customer, needed);
+        routers.run(pause, paused);
+        if (paused.empty()) {
+            routers.run(std::chrono::milliseconds(30));
+        }
+    }
+
+    const CustomerId customer{"desk"};
+    Routers routers;
+    Router *home = nullptr;
+    Router *other = nullptr;
+    Tokens needed = 0;
+};
+
 } // namespace
 
 TEST_CASE("late responses mark a router's copies as possibly stale")
@@ -346,3 +384,36 @@
     while (homes() == 0 && std::chrono::steady_clock::now() < end) { }
     CHECK(homes() == 1);
 }
+
+TEST_CASE("a home behind a slow link that answers after 100 ms is not skipped")
+{
+    Asker asker;
+    for (int ms : {20, 60, 100, 100}) {
+        asker.ask(std::chrono::milliseconds(ms), {asker.home});
+        asker.routers.run(std::chrono::milliseconds(30));
+    }
+    asker.ask({}, {});
+    CHECK(asker.home->tokenRequests == 6);
+    CHECK(asker.other->tokenRequests == 0);
+}
+
+TEST_CASE("a home that vanished is skipped")
+{
+    Asker asker;
+    asker.ask(std::chrono::milliseconds(150), {asker.home});
+    asker.ask(std::chrono::milliseconds(50), {asker.home});
+    CHECK(asker.other->tokenRequests == 1);
+}
+
+TEST_CASE("when all homes are silent none is skipped, and no small router becomes a home")
+{
+    // Guards against a router with a full link that skips all homes one by one and is then left without any.
+    Asker asker;
+    const std::vector<const Router *> homes{asker.home, asker.other};
+    asker.ask(std::chrono::milliseconds(150), homes);
+    asker.ask(std::chrono::milliseconds(150), homes);
+    CHECK_FALSE(asker.routers[0].relay.state().prepaid.accounts.at(asker.customer).isHome);
+    asker.ask({}, {});
+    CHECK(asker.home->tokenRequests == 3);
+    CHECK(asker.other->tokenRequests == 1);
+}
--- a/godwit/daemon/fleet_token_transfers.cpp
+++ b/godwit/daemon/fleet_token_transfers.cpp
@@ -142,12 +142,27 @@
     }
 }
 
+std::optional<TimePoint> FleetLinks::responseDeadlineOf(const Peer &peer) const
+{
+    if (!peer.unansweredSince) {
+        return std::nullopt;
+    }
+    return responseDeadline(*peer.unansweredSince,
+                            m_homesKeptUntil,
+                            homeResponseTimeout(m_responseTime, m_options.tokenRequestTimeout, m_options.homeResponse));
+}
+
 void FleetLinks::armResponseTimer()
 {
-    if (std::exchange(m_responseTimerArmed, true)) {
+    std::optional<TimePoint> earliest;
+    for (const auto &[incarnation, peer] : m_peers) {
+        const auto deadline = responseDeadlineOf(peer);
+        earliest = deadline && earliest ? std::min(*deadline, *earliest) : (deadline ? deadline : earliest);
+    }
+    if (!earliest || std::exchange(m_responseTimerArmed, true)) {
         return;
     }
-    m_responseTimer.expires_after(m_options.homeResponseTimeout);
+    m_responseTimer.expires_at(*earliest);
     m_responseTimer.async_wait([this](const boost::system::error_code &error) {
         m_responseTimerArmed = false;
         if (!error) {
@@ -160,42 +175,63 @@
 void FleetLinks::skipUnresponsiveHomes()
 {
     const TimePoint now = Relay::now();
-    bool anyPending = false;
     bool anyUnresponsive = false;
     for (auto &[incarnation, peer] : m_peers) {
-        if (!peer.unansweredSince) {
-            continue;
-        }
-        if (now < *peer.unansweredSince + m_options.homeResponseTimeout) {
-            anyPending = true;
+        const auto deadline = responseDeadlineOf(peer);
+        if (!deadline || now < *deadline) {
             continue;
         }
         anyUnresponsive = true;
-        peer.unansweredSince.reset();
-        peer.skippedUntil = now + m_options.unresponsiveHomePeriod;
-        m_relay.log().write("home_silent", {{"peer", std::string_view(incarnation.value)}});
+        const auto waited = toMilliseconds(now - *std::exchange(peer.unansweredSince, std::nullopt));
+        peer.skippedUntil = now + m_options.homeResponse.skipPeriod;
+        m_relay.log().write("home_silent", {{"peer", std::string_view(incarnation.value)}, {"waited_ms", waited}});
     }
     if (anyUnresponsive) {
-        m_pendingTokens.clear();
+        // Answers of homes that are kept are still expected.
+        if (!keepSilentHomes(now)) {
+            m_pendingTokens.clear();
+        }
         chooseHomes();
         m_relay.requestNeededTokens();
     }
-    if (anyPending) {
-        armResponseTimer();
+    armResponseTimer();
+}
+
+bool FleetLinks::keepSilentHomes(TimePoint now)
+{
+    std::vector<ChosenHome> homes;
+    for (const Peer *peer : homeRouters(now, true)) {
+        homes.push_back(peer == nullptr ? ChosenHome{true, {}} : ChosenHome{false, peer->skippedUntil});
     }
+    if (!areAllHomesSkipped(homes, now)) {
+        return false;
+    }
+    for (auto &[incarnation, peer] : m_peers) {
+        peer.skippedUntil = {};
+    }
+    m_homesKeptUntil = now + m_options.homeResponse.keepPeriod;
+    m_relay.log().write("homes_kept",
+                        {{"homes", static_cast<std::int64_t>(homes.size())},
+                         {"for_ms", toMilliseconds(m_options.homeResponse.keepPeriod)}});
+    return true;
 }
 
 bool FleetLinks::isServing(const Peer &peer, TimePoint now) const
+{
+    return canBeHome(peer, now, false);
+}
+
+bool FleetLinks::canBeHome(const Peer &peer, TimePoint now, bool withSkipped) const
 {
     return peer.linked && peer.heartbeatReceived && peer.ready && isAdvertised(peer) && isResponsive(peer, now)
-        && now >= peer.skippedUntil;
+        && (withSkipped || now >= peer.skippedUntil);
 }
 
-double FleetLinks::minLargestClassCapacity(TimePoint now) const
+double FleetLinks::minLargestClassCapacity(TimePoint now, bool withSkipped) const
 {
     double largest = m_options.ownCapacity;
     for (const auto &[incarnation, peer] : m_peers) {
-        if (isServing(peer, now)) {
+        if (canBeHome(peer, now, withSkipped)) {
             largest = std::max(largest, peer.member.capacity);
         }
     }
@@ -204,15 +240,15 @@
 
 // Few routers are homes: each writes one mark for all customers whose home it is, however many these are. Homes are on
 // large hosts, since the tokens of all requests pass through them.
-std::vector<FleetLinks::Peer *> FleetLinks::homeRouters(TimePoint now)
+std::vector<FleetLinks::Peer *> FleetLinks::homeRouters(TimePoint now, bool withSkipped)
 {
-    const double minCapacity = minLargestClassCapacity(now);
+    const double minCapacity = minLargestClassCapacity(now, withSkipped);
     std::vector<std::pair<std::uint64_t, Peer *>> candidates;
     if (m_relay.isReady() && isAdvertised() && m_options.ownCapacity >= minCapacity) {
         candidates.emplace_back(rendezvousWeight(HomeHostsKey, m_options.own.callerAddress), nullptr);
     }
     for (auto &[incarnation, peer] : m_peers) {
-        if (isServing(peer, now) && peer.member.capacity >= minCapacity) {
+        if (canBeHome(peer, now, withSkipped) && peer.member.capacity >= minCapacity) {
             candidates.emplace_back(rendezvousWeight(HomeHostsKey, peer.member.callerAddress), &peer);
         }
     }
@@ -394,6 +430,26 @@
     }
 }
 
+// Answers that come after the request expired, or after its home was skipped, count too: on a slow link they may be the
+// only ones.
+void FleetLinks::recordExchange(const CustomerId &customer, Tokens amount, Tokens timestamp)
+{
+    const TimePoint now = Relay::now();
+    Duration took{};
+    if (timestamp != 0) {
+        took = now.time_since_epoch() - Duration(timestamp);
+        // A home that was frozen for seconds must not raise the time for long.
+        noteExchange(m_responseTime, std::min(took, m_options.tokenRequestTimeout));
+    }
+    const auto pending = m_pendingTokens.find(customer);
+    if (pending != m_pendingTokens.end() && pending->second.tokens > 0) {
+        took = std::max(took, now - pending->second.requestedAt);
+    }
+    if (amount > 0 && took > Duration::zero()) {
+        noteExchange(m_exchangeTime, took);
+    }
+}
+
 void FleetLinks::serveTransferRequests()
 {
     for (const TokenTransfer &transfer : Godwit::serveTransferRequests(m_relay.state().prepaid, Relay::now())) {
@@ -441,13 +497,11 @@
     }
     peer.unansweredSince.reset();
     applyHolding(amounts->customer, HolderId{peer.member.callerAddress}, message[2]);
+    recordExchange(amounts->customer, amounts->tokens[0], message[3].get<Tokens>());
     if (amounts->tokens[0] == 0) {
         return;
     }
     PendingTokens &pending = m_pendingTokens[amounts->customer];
-    if (pending.tokens > 0) {
-        noteExchange(m_exchangeTime, Relay::now() - pending.requestedAt);
-    }
     pending.tokens = std::max<Tokens>(0, pending.tokens - amounts->tokens[0]);
     receiveTokens(m_relay.state().prepaid, amounts->customer, amounts->tokens[0]);
     m_relay.log().write("tokens_received",
