Requests wait longer for tokens while exchanges with homes are slow

A request waited for tokens for 120 ms or an eighth of its latency target, whichever is shorter. Through a full link the tokens arrive later than that, so the request was refused and its repeat added to the load. While recent exchanges take longer than this wait, a request now waits for twice their duration, at most a third of its latency target and never beyond its deadline (prepaid/token_wait). The smoothed exchange time moves from FleetLinks to RelayState::tokenExchange. Requests at their customer's home wait as before, since they need no exchange. Exchanges are recorded as 500 ms at most: a home that was frozen for seconds would otherwise prolong waits for dozens of exchanges.

New metric: godwit_token_exchange_seconds.

--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -53,7 +53,8 @@
     HomeResponseOptions homeResponse;
     TokenPrefetchOptions prefetch;
     std::size_t homeCount = 6;
-    // How long a token request waits at a home, and counts as pending at the sender: no caller's request waits longer.
+    // How long a token request waits at a home, and counts as pending at the sender: callers' requests wait longer only
+    // while exchanges are slow.
     Duration tokenRequestTimeout = std::chrono::milliseconds(200);
     // A ledger up to this size is sent to the other routers once it is written; sending a larger one costs more than
     // the conflicting writes that it avoids.
@@ -325,8 +326,7 @@
     double m_fleetLoad = 0;
     std::uint64_t m_measuredRequests = 0;
     TimePoint m_measuredAt;
-    ExchangeTime m_exchangeTime; // Of token requests to homes.
-    ExchangeTime m_responseTime; // Likewise, but until the first answer, which may be a confirmation.
+    ExchangeTime m_responseTime; // Of token requests to homes until the first answer, which may be a confirmation.
     TimePoint m_homesKeptUntil; // Until then no home is skipped.
     // Prompts are announced from this reading time on; adjusted to keep to `maxPromptsReceivedPerSecond`.
     double m_minAnnouncedSeconds = 0;
--- a/godwit/daemon/fleet_token_transfers.cpp
+++ b/godwit/daemon/fleet_token_transfers.cpp
@@ -26,6 +26,10 @@
 // Upper bound on decoded size classes; no request size reaches it.
 constexpr std::size_t MaxSizeClasses = 128;
 
+// Longer exchanges are recorded as this. The exchange with a home that was frozen for seconds would otherwise prolong
+// waits and prefetches for dozens of exchanges.
+constexpr Duration MaxExchangeTime = std::chrono::milliseconds(500);
+
 // Encoded as [class, tokens per second, class, ...].
 json encodeSizes(const std::map<SizeClass, double> &rates)
 {
@@ -109,7 +113,7 @@
 // with a slow link would be refused while its home has plenty of tokens.
 void FleetLinks::prefetchTokens()
 {
-    const Duration horizon = prefetchTime(m_exchangeTime, m_options.prefetch);
+    const Duration horizon = prefetchTime(m_relay.state().tokenExchange, m_options.prefetch);
     for (const auto &[customer, tokens] :
          tokensToPrefetch(m_relay.state().prepaid, horizon, m_options.prefetch, Relay::now())) {
         requestFromHome(customer, tokens);
@@ -446,7 +450,7 @@
         took = std::max(took, now - pending->second.requestedAt);
     }
     if (amount > 0 && took > Duration::zero()) {
-        noteExchange(m_exchangeTime, took);
+        noteExchange(m_relay.state().tokenExchange, std::min(took, MaxExchangeTime));
     }
 }
 
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -85,6 +85,7 @@
     appendMetric(out, "godwit_platform_in_reach", relay.state().platformInReach ? 1 : 0);
     appendMetric(out, "godwit_live_routers", relay.state().liveRouters);
     appendMetric(out, "godwit_log_lines_dropped_total", static_cast<double>(relay.log().dropped()));
+    appendMetric(out, "godwit_token_exchange_seconds", toSeconds(state.tokenExchange.recent));
     for (const auto &[customer, account] : relay.state().prepaid.accounts) {
         out << "godwit_budget_granted{customer=\"" << escapeLabel(customer.value) << "\"} " << account.granted << '\n';
         out << "godwit_budget_used{customer=\"" << escapeLabel(customer.value) << "\"} " << account.netUsed << '\n';
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -20,6 +20,8 @@
 #include "godwit/gateway/retry_budget.h"
 #include "godwit/gateway/route_table.h"
 #include "godwit/prepaid/prepaid_share.h"
+#include "godwit/prepaid/token_prefetch.h"
+#include "godwit/prepaid/token_wait.h"
 #include "godwit/relay/call_metrics.h"
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/decision_log.h"
@@ -71,9 +73,7 @@
     ExchangeOptions exchange;
     RetryBudgetOptions retryRules;
     LimitShareOptions limitShares;
-    // Longest wait of a request for tokens; an eighth of its latency target if that is shorter. Drawing tokens from the
-    // store takes about 15 ms, getting them from another router less.
-    Duration budgetWaitLimit = std::chrono::milliseconds(120);
+    TokenWaitOptions tokenWait;
     // Retry-After of a refusal when no better estimate is available.
     Duration defaultRetryAfter = std::chrono::milliseconds(700);
     // After link congestion all requests are refused for this long, by which time the link's queue has drained. After
@@ -106,6 +106,7 @@
     EndpointTable endpoints;
     EndpointReach reach; // Maintained by ReachMonitor.
     PrepaidShare prepaid;
+    ExchangeTime tokenExchange; // Of token requests to homes; maintained by FleetLinks.
     std::map<std::string, RetryBudget> retryBudgets; // Keyed by service.
     LimitShares limitShares;
     AdvertisedRouters senders;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -86,6 +86,7 @@
     void logReservation() const;
     void refuseForBudget(const std::string &message);
     Duration tokenRetryAfter() const;
+    Duration tokenWaitLimit() const;
     Duration randomizedRetryAfter() const;
     void attempt();
     void startAttempt(const Choice &choice);
--- a/godwit/relay/relay_call_tokens.cpp
+++ b/godwit/relay/relay_call_tokens.cpp
@@ -23,7 +23,7 @@
         return;
     }
     m_waitingForTokens = true;
-    m_budgetTimer.expires_after(std::min({m_relay.options().budgetWaitLimit, m_route->latencyTarget / 8, timeLeft()}));
+    m_budgetTimer.expires_after(tokenWaitLimit());
     m_budgetTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (error || self->m_closed || !self->m_waitingForTokens) {
             return;
@@ -33,6 +33,16 @@
     m_relay.waitForTokens(shared_from_this());
 }
 
+// A customer's home needs no exchange with another router.
+Duration RelayCall::tokenWaitLimit() const
+{
+    const auto &accounts = m_relay.state().prepaid.accounts;
+    const auto account = accounts.find(m_customer);
+    const bool isHome = account != accounts.end() && account->second.isHome;
+    const Duration exchange = isHome ? Duration::zero() : m_relay.state().tokenExchange.recent;
+    return tokenWait({m_route->latencyTarget, timeLeft(), exchange}, m_relay.options().tokenWait);
+}
+
 // The refusal is final if no router can have enough tokens left; otherwise the caller may retry.
 void RelayCall::refuseForBudget(const std::string &message)
 {
