Fleet links: the first heartbeat of a router that is not listed yet counts

A heartbeat set heartbeatReceived only if the peer was known as ready before, so a router that linked before the list named it was heard one heartbeat interval late: 400 ms, or 1.6 s for small routers. After a restart of all routers that delays both settling and the choice of the router as a home.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -479,7 +479,8 @@
         return;
     }
     const auto ready = heartbeat.find("ready");
-    const bool wasReady = peer.ready && std::exchange(peer.heartbeatReceived, true);
+    const bool wasHeard = std::exchange(peer.heartbeatReceived, true);
+    const bool wasReady = wasHeard && peer.ready;
     peer.ready = ready != heartbeat.end() && ready->is_boolean() && ready->get<bool>();
     const auto store = heartbeat.find("store");
     peer.storeReachable = store != heartbeat.end() && store->is_boolean() && store->get<bool>();
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -417,3 +417,24 @@
     CHECK(asker.home->tokenRequests == 3);
     CHECK(asker.other->tokenRequests == 1);
 }
+
+TEST_CASE("a router that links before it is listed and ready is heard with its first heartbeats")
+{
+    // Guards against settling a heartbeat interval later after a restart of all routers, when links are often open
+    // before the platform's list names their routers.
+    Router listener("listener");
+    Router early("early");
+    early.relay.state().stage = RelayStage::Starting;
+    early.links.setListed({listener.self, early.self});
+    const auto run = [&](int steps) {
+        for (int i = 0; i < steps; ++i) {
+            listener.run(std::chrono::milliseconds(4));
+            early.run(std::chrono::milliseconds(4));
+        }
+    };
+    // Heartbeats are due 100 ms after the start and 400 ms later.
+    run(25);
+    early.relay.state().stage = RelayStage::Serving;
+    run(15);
+    CHECK(listener.links.callerAddresses().size() == 1);
+}
