--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -43,6 +43,9 @@
             }
             return std::optional(snapshot);
         };
+        relay.onTokensNeeded = [this](const CustomerId &, Tokens) {
+            ++tokenRequests;
+        };
         links.onUpdate = [this](const Incarnation &, const PrefixUpdate &update) {
             updates += update.changes.empty() ? 0 : 1;
         };
@@ -88,6 +91,7 @@
     int updates = 0;
     int requestsReceived = 0;
     int itemRequests = 0;
+    int tokenRequests = 0; // Of other routers.
 };
 
 struct Routers
@@ -135,6 +139,40 @@
     std::vector<std::unique_ptr<Router>> all;
 };
 
+// A small router that asks for tokens, and two large ones of which one is the customer's home.
+struct Asker
+{
+    Asker()
+        : routers({"small", "north", "south"}, {10, 100, 100})
+    {
+        PrepaidShare &share = routers[0].relay.state().prepaid;
+        applyTotals(share, 1, {{customer, 100'000}});
+        share.accounts.at(customer).isHome = false;
+        share.predecessorSettled = true;
+        ask(std::chrono::milliseconds(0), {});
+        REQUIRE(routers[1].tokenRequests + routers[2].tokenRequests == 1);
+        home = &routers[routers[1].tokenRequests == 1 ? 1 : 2];
+        other = &routers[routers[1].tokenRequests == 1 ? 2 : 1];
+    }
+
+    // The paused routers answer after `pause`.
+    void ask(std::chrono::milliseconds pause, const std::vector<const Router *> &paused)
+    {
+        needed += 10;
+        routers[0].links.requestTokens(customer, needed);
+        routers.run(pause, paused);
+        if (paused.empty()) {
+            routers.run(std::chrono::milliseconds(30));
+        }
+    }
+
+    const CustomerId customer{"desk"};
+    Routers routers;
+    Router *home = nullptr;
+    Router *other = nullptr;
+    Tokens needed = 0;
+};
+
 } // namespace
 
 TEST_CASE("late responses mark a router's copies as possibly stale")
@@ -317,3 +355,86 @@
     CHECK(latest()->remaining == 6000);
     CHECK(latest()->demandBySize.size() == 1);
 }
+
+TEST_CASE("large routers act as homes soon after a restart of all, before small ones have reported")
+{
+    // Guards against refusals for lack of tokens for over a second after a loss of power of all routers.
+    const CustomerId desk{"desk"};
+    Router first("first");
+    Router second("second");
+    std::vector<FleetMember> members{first.self, second.self};
+    for (int i = 0; i < 20; ++i) {
+        const std::string name = "small-" + std::to_string(i);
+        members.push_back({HostId{name}, Incarnation{name}, DataCentreId{"north"}, name, freeAddress(), 10});
+    }
+    for (Router *router : {&first, &second}) {
+        applyTotals(router->relay.state().prepaid, 1, {{desk, 100'000}});
+        router->relay.state().prepaid.predecessorSettled = true;
+        router->links.setListed(members);
+    }
+    const auto homes = [&] {
+        int count = 0;
+        for (Router *router : {&first, &second}) {
+            router->run(std::chrono::milliseconds(4));
+            count += router->relay.state().prepaid.accounts.at(desk).isHome ? 1 : 0;
+        }
+        return count;
+    };
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(450);
+    while (homes() == 0 && std::chrono::steady_clock::now() < end) { }
+    CHECK(homes() == 1);
+}
+
+TEST_CASE("a home behind a slow link that answers after 100 ms is not skipped")
+{
+    Asker asker;
+    for (int ms : {8, 40, 100, 100}) {
+        asker.ask(std::chrono::milliseconds(ms), {asker.home});
+        asker.routers.run(std::chrono::milliseconds(30));
+    }
+    asker.ask({}, {});
+    CHECK(asker.home->tokenRequests == 6);
+    CHECK(asker.other->tokenRequests == 0);
+}
+
+TEST_CASE("a home that vanished is skipped")
+{
+    Asker asker;
+    asker.ask(std::chrono::milliseconds(150), {asker.home});
+    asker.ask(std::chrono::milliseconds(50), {asker.home});
+    CHECK(asker.other->tokenRequests == 1);
+}
+
+TEST_CASE("when all homes are silent none is skipped, and no small router becomes a home")
+{
+    // Guards against a router with a full link that skips all homes one by one and is then left without any.
+    Asker asker;
+    const std::vector<const Router *> homes{asker.home, asker.other};
+    asker.ask(std::chrono::milliseconds(150), homes);
+    asker.ask(std::chrono::milliseconds(150), homes);
+    CHECK_FALSE(asker.routers[0].relay.state().prepaid.accounts.at(asker.customer).isHome);
+    asker.ask({}, {});
+    CHECK(asker.home->tokenRequests == 3);
+    CHECK(asker.other->tokenRequests == 1);
+}
+
+TEST_CASE("a router that links before it is listed and ready is heard with its first heartbeats")
+{
+    // Guards against settling a heartbeat interval later after a restart of all routers, when links are often open
+    // before the platform's list names their routers.
+    Router listener("listener");
+    Router early("early");
+    early.relay.state().stage = RelayStage::Starting;
+    early.links.setListed({listener.self, early.self});
+    const auto run = [&](int steps) {
+        for (int i = 0; i < steps; ++i) {
+            listener.run(std::chrono::milliseconds(4));
+            early.run(std::chrono::milliseconds(4));
+        }
+    };
+    // Heartbeats are due 100 ms after the start and 400 ms later.
+    run(25);
+    early.relay.state().stage = RelayStage::Serving;
+    run(15);
+    CHECK(listener.links.callerAddresses().size() == 1);
+}
