Settling: candidates for homes count once they are ready

The first large host that became ready after a restart of all would have been home of all customers, and drawn half of each total, while the others started. Test: candidates that are heard but starting are waited for.

--- a/godwit/daemon/fleet_token_transfers.cpp
+++ b/godwit/daemon/fleet_token_transfers.cpp
@@ -291,8 +291,12 @@
     std::vector<SettlingPeer> peers;
     peers.reserve(m_peers.size());
     for (const auto &[incarnation, peer] : m_peers) {
-        peers.push_back(
-            {peer.member.callerAddress, peer.member.capacity, peer.listed, peer.dialled, peer.heartbeatReceived});
+        peers.push_back({peer.member.callerAddress,
+                         peer.member.capacity,
+                         peer.listed,
+                         peer.dialled,
+                         peer.heartbeatReceived,
+                         peer.ready});
     }
     const SettlingView view = settlingView(m_options.ownCapacity, peers, m_options.advertisedHosts.sameClassRatio);
     const Duration sinceReady = now - *m_readyAt;
--- a/godwit/prepaid/home_settling.cpp
+++ b/godwit/prepaid/home_settling.cpp
@@ -20,6 +20,7 @@
     std::set<std::string> listed;
     std::set<std::string> candidates;
     std::set<std::string> heard;
+    std::set<std::string> readyCandidates;
     for (const SettlingPeer &peer : peers) {
         if (peer.listed && peer.dialled) {
             listed.insert(peer.address);
@@ -30,17 +31,15 @@
         if (peer.heard) {
             heard.insert(peer.address);
         }
+        if (peer.heard && peer.ready && peer.capacity >= minCapacity) {
+            readyCandidates.insert(peer.address);
+        }
     }
     SettlingView view;
     view.allCouldBeHomes = smallest >= minCapacity;
     view.listed = static_cast<int>(listed.size());
     view.candidates = static_cast<int>(candidates.size());
-    view.heard = static_cast<int>(
-        view.allCouldBeHomes
-            ? heard.size()
-            : std::count_if(candidates.begin(), candidates.end(), [&heard](const std::string &address) {
-                  return heard.count(address) > 0;
-              }));
+    view.heard = static_cast<int>(view.allCouldBeHomes ? heard.size() : readyCandidates.size());
     return view;
 }
 
--- a/godwit/prepaid/home_settling.h
+++ b/godwit/prepaid/home_settling.h
@@ -37,6 +37,7 @@
     bool listed = false;
     bool dialled = false; // Whether this router opens a link to it.
     bool heard = false; // Whether a heartbeat has arrived.
+    bool ready = false; // Whether its last heartbeat reported that it takes requests.
 };
 
 // What a router knows of the others. Counts are of routers that it opens links to.
@@ -45,7 +46,9 @@
     bool allCouldBeHomes = false; // All listed routers, including this one.
     int listed = 0;
     int candidates = 0; // Of `listed`: those that could be homes.
-    int heard = 0; // Heard routers among the candidates; all heard ones if `allCouldBeHomes`.
+    // All heard routers if `allCouldBeHomes`, else the candidates that are ready: the first one that settles would be
+    // home of all customers while the others start, and draw tokens for all.
+    int heard = 0;
 };
 
 // A router could be a home if its capacity is at least `sameClassRatio` of the largest one listed.
--- a/godwit/prepaid/home_settling_test.cpp
+++ b/godwit/prepaid/home_settling_test.cpp
@@ -13,7 +13,7 @@
 std::vector<SettlingPeer> peers(int count, double capacity, int heard, std::vector<SettlingPeer> result = {})
 {
     for (int i = 0; i < count; ++i) {
-        result.push_back({"host-" + std::to_string(result.size()), capacity, true, true, i < heard});
+        result.push_back({"host-" + std::to_string(result.size()), capacity, true, true, i < heard, i < heard});
     }
     return result;
 }
@@ -39,6 +39,16 @@
     CHECK(settledAfter(peers(20, 60, 20)) == Options.settleTime);
 }
 
+TEST_CASE("candidates that are still starting are waited for")
+{
+    // Guards against the first large host that is ready drawing tokens as the only home of all customers.
+    auto starting = peers(13, 60, 13, peers(7, 500, 7));
+    for (SettlingPeer &peer : starting) {
+        peer.ready = false;
+    }
+    CHECK(settledAfter(starting) == MaxTimeOf20);
+}
+
 TEST_CASE("a fleet of equal hosts settles as before")
 {
     CHECK(settledAfter(peers(20, 500, 18)) == Options.settleTime);
