Routes: which are deferrable; connection pause: a threshold for hosts that defer requests

A route is deferrable if it is two or more ranks of priority less urgent than the most urgent route that shares a service with it; computed once per document.

--- a/godwit/gateway/connection_pause.cpp
+++ b/godwit/gateway/connection_pause.cpp
@@ -54,7 +54,7 @@
                                      TimePoint now)
 {
     const Duration lag = currentLag(pauses, now);
-    const bool late = lag >= options.lagThreshold;
+    const bool late = lag >= (options.defersRequests ? options.deferringLagThreshold : options.lagThreshold);
     if (!(late || stale) || !isOverloaded(pauses, options) || now < pauses.pausedUntil + options.minInterval) {
         return std::nullopt;
     }
--- a/godwit/gateway/connection_pause.h
+++ b/godwit/gateway/connection_pause.h
@@ -28,6 +28,10 @@
     double overloadUtilization = 0.5;
     // Messages from other routers with this much lag indicate a queue in front of this host.
     Duration lagThreshold = std::chrono::milliseconds(150);
+    // The same while the host defers requests that can wait (caller_admission.h). Deferring starts at a lower lag and
+    // gets this far before all callers are refused.
+    Duration deferringLagThreshold = std::chrono::milliseconds(300);
+    bool defersRequests = false;
     // From this lag on, connections are closed after each response, so that a pause also affects their callers.
     Duration closeConnectionsLag = std::chrono::milliseconds(60);
     // Ratio of pause to lag; more than 1 because requests sent meanwhile are still in the queue.
--- a/godwit/gateway/connection_pause_test.cpp
+++ b/godwit/gateway/connection_pause_test.cpp
@@ -134,6 +134,24 @@
     CHECK_FALSE(pauseOf(100, Duration::zero(), false));
 }
 
+TEST_CASE("a host that defers requests pauses from a higher lag on, and as before if its copies are stale")
+{
+    // Guards against refusing all callers before deferring has had an effect, and against pauses that are never made.
+    const auto pauses = [](int lagMs, bool defers, bool stale) {
+        const TimePoint now{std::chrono::seconds(2)};
+        ConnectionPauseState state;
+        recordRequestCount(state, 200, now);
+        recordMessageLag(state, std::chrono::milliseconds(lagMs), now);
+        ConnectionPauseOptions options = smallHost();
+        options.defersRequests = defers;
+        return computePause(state, stale, options, now).has_value();
+    };
+    CHECK(pauses(150, false, false));
+    CHECK_FALSE(pauses(299, true, false));
+    CHECK(pauses(300, true, false));
+    CHECK(pauses(0, true, true));
+}
+
 TEST_CASE("connections are accepted between two pauses")
 {
     // Guards against a host that reports itself ready but accepts no connection for seconds.
--- a/godwit/gateway/gateway_test.cpp
+++ b/godwit/gateway/gateway_test.cpp
@@ -70,6 +70,35 @@
     CHECK(routeName(*table, "a.example", "") == "none");
 }
 
+TEST_CASE("requests are deferrable from two ranks below the most urgent route of their service")
+{
+    // Guards against deferring the only kind of request that a service gets, or requests that are nearly as urgent.
+    SiteDocument document;
+    document.routes = {makeRoute("question", "a", "/q/"),
+                       makeRoute("summary", "a", "/s/"),
+                       makeRoute("batch", "a", "/b/"),
+                       makeRoute("order", "a", "/o/")};
+    document.routes[1].priority = 1;
+    document.routes[2].priority = 2;
+    document.routes[3].priority = 2;
+    document.routes[3].services = {{"plain", 1}};
+    const auto table = makeRouteTable(document);
+    const auto deferrable = [&table](std::size_t route, std::optional<int> customerPriority) {
+        return isDeferrable(*table, table->document.routes[route], customerPriority);
+    };
+    CHECK(table->hasDeferrableRoutes);
+    CHECK_FALSE(deferrable(0, {}));
+    CHECK_FALSE(deferrable(1, {}));
+    CHECK(deferrable(2, {}));
+    CHECK_FALSE(deferrable(3, {}));
+    CHECK(deferrable(0, 2));
+    CHECK_FALSE(deferrable(2, 1));
+    document.routes.erase(document.routes.begin() + 2);
+    const auto without = makeRouteTable(document);
+    CHECK_FALSE(without->hasDeferrableRoutes);
+    CHECK_FALSE(isDeferrable(*without, without->document.routes[0], 5));
+}
+
 TEST_CASE("random delays and lost messages never extend the gap between reads beyond the bound")
 {
     // Guards against refusing a key that the operators added 3.5 s ago. It happened when all watches missed the change
--- a/godwit/gateway/route_table.cpp
+++ b/godwit/gateway/route_table.cpp
@@ -29,6 +29,35 @@
     return key;
 }
 
+// Number of ranks of priority from which on a request can wait for more urgent ones. A route that is one rank less
+// urgent serves people as well.
+constexpr int DeferrableRanks = 2;
+
+bool isLessUrgent(int priority, int mostUrgent)
+{
+    return priority >= mostUrgent + DeferrableRanks;
+}
+
+void findDeferrableRoutes(RouteTable &table)
+{
+    const auto &routes = table.document.routes;
+    std::unordered_map<std::string_view, int> mostUrgent;
+    for (const GatewayRoute &route : routes) {
+        for (const WeightedService &entry : route.services) {
+            const auto [found, isNew] = mostUrgent.emplace(entry.service, route.priority);
+            found->second = std::min(found->second, route.priority);
+        }
+    }
+    for (const GatewayRoute &route : routes) {
+        int priority = route.priority;
+        for (const WeightedService &entry : route.services) {
+            priority = std::min(priority, mostUrgent[entry.service]);
+        }
+        table.mostUrgentPriorities.push_back(priority);
+        table.hasDeferrableRoutes |= isLessUrgent(route.priority, priority);
+    }
+}
+
 } // namespace
 
 std::shared_ptr<const RouteTable> makeRouteTable(SiteDocument document)
@@ -51,6 +80,7 @@
     for (std::size_t i = 0; i < site.services.size(); ++i) {
         table->services.emplace(site.services[i].name, i);
     }
+    findDeferrableRoutes(*table);
     return table;
 }
 
@@ -89,6 +119,13 @@
     return found == table.services.end() ? nullptr : &table.document.services[found->second];
 }
 
+bool isDeferrable(const RouteTable &table, const GatewayRoute &route, std::optional<int> customerPriority)
+{
+    const auto index = static_cast<std::size_t>(&route - table.document.routes.data());
+    return table.hasDeferrableRoutes
+        && isLessUrgent(customerPriority.value_or(route.priority), table.mostUrgentPriorities[index]);
+}
+
 const std::string &pickService(const GatewayRoute &route, std::uint64_t seed)
 {
     std::uint64_t total = 0;
--- a/godwit/gateway/route_table.h
+++ b/godwit/gateway/route_table.h
@@ -12,9 +12,11 @@
 #include "godwit/gateway/site_document.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace Godwit
 {
@@ -28,6 +30,10 @@
     std::unordered_map<std::string, std::size_t> services;
     // Regions that all region-restricted routes of a host allow, by host. Hosts without such routes are missing.
     std::unordered_map<std::string, AllowedRegions> regionsByHost;
+    // By the index in document.routes: the priority of the most urgent route that shares a service with the route.
+    std::vector<int> mostUrgentPriorities;
+    // Whether there are routes whose requests are deferrable unless the customer has a priority of its own.
+    bool hasDeferrableRoutes = false;
 };
 
 std::shared_ptr<const RouteTable> makeRouteTable(SiteDocument document);
@@ -45,6 +51,11 @@
 
 const GatewayService *findService(const RouteTable &table, const std::string &name);
 
+// Whether requests of the route, which must be one of the table's, may be deferred while the router's link is busy:
+// there are more urgent requests to the same service, by two ranks of priority or more. `customerPriority` replaces
+// that of the route. No request is deferrable if no route is.
+bool isDeferrable(const RouteTable &table, const GatewayRoute &route, std::optional<int> customerPriority);
+
 // Selects one of the route's services by weight. The result is the same for the same `seed`, so that repeated attempts
 // go to the same service.
 const std::string &pickService(const GatewayRoute &route, std::uint64_t seed);
