Settings: gateway.admission and gateway.admission_window_bytes; listener: a receive buffer for accepted connections

Deferring a request saves the link only what is not under way yet, so the receive buffer of callers' connections can be limited. It is set on the listening socket, since the window is announced in the handshake.

--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -14,6 +14,9 @@
 using internal::TableReader;
 using internal::UnknownKeys;
 
+// A larger receive buffer would hold any body, so that deferring saves the link nothing.
+constexpr double MaxAdmissionWindowBytes = 1024.0 * 1024;
+
 Duration seconds(double value)
 {
     return Duration(std::llround(value * 1e6));
@@ -77,6 +80,9 @@
         settings.repeatWindow = seconds(reader.number("repeat_window_s", 10, {0.1, 3600}));
         settings.coldOverrun = reader.number("cold_overrun", settings.coldOverrun, {0, 100});
         settings.coldSlack = reader.number("cold_slack", settings.coldSlack, {0, 1e6});
+        settings.admission = reader.boolean("admission", settings.admission);
+        settings.admissionWindowBytes =
+            static_cast<int>(reader.integer("admission_window_bytes", 0, {0, MaxAdmissionWindowBytes}));
         if (const toml::table *regions = reader.table("regions")) {
             settings.regions = readRegions(*regions, faults);
         }
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -42,6 +42,11 @@
     // requests besides.
     double coldOverrun = 1;
     double coldSlack = 0;
+    // Whether large bodies of requests that can wait are deferred while the link is busy.
+    bool admission = false;
+    // Receive buffer of callers' connections if `admission` is set, so that less of a body is under way before its
+    // request is admitted. 0: the system's default.
+    int admissionWindowBytes = 0;
     // Of all data centres; needed where routes or customers are bound to regions.
     std::map<DataCentreId, RegionId> regions;
     Duration addressesFor = std::chrono::seconds(2); // How long callers keep an address answer.
--- a/godwit/config/settings_test.cpp
+++ b/godwit/config/settings_test.cpp
@@ -87,6 +87,25 @@
           != std::string::npos);
 }
 
+TEST_CASE("caller admission is off unless the settings enable it")
+{
+    // Guards against a change at deployments that did not ask for it.
+    const std::string good = "host = \"a\"\ndata_centre = \"salt-lake\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
+                             "ready = \"10.0.0.1:2\"\npeers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:4\"\n";
+    LastReason reason;
+    const auto plain = parseGatewaySettings(good, "router.toml", reason);
+    REQUIRE(plain);
+    CHECK_FALSE(plain->admission);
+    CHECK(plain->admissionWindowBytes == 0);
+    const auto set =
+        parseGatewaySettings(good + "admission = true\nadmission_window_bytes = 1048576\n", "router.toml", reason);
+    REQUIRE(set);
+    CHECK(set->admission);
+    CHECK(set->admissionWindowBytes == 1'048'576);
+    CHECK_FALSE(parseGatewaySettings(good + "admission_window_bytes = 1048577\n", "router.toml", reason));
+    CHECK(reason->message.find("gateway.admission_window_bytes") != std::string::npos);
+}
+
 TEST_CASE("a router on the platform knows the regions, and how far cold endpoints may be loaded")
 {
     const std::string good = "host = \"a\"\ndata_centre = \"salt-lake\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
--- a/godwit/relay/listener.cpp
+++ b/godwit/relay/listener.cpp
@@ -26,6 +26,11 @@
 {
 }
 
+void Listener::setReceiveBuffer(int bytes)
+{
+    m_receiveBufferBytes = bytes;
+}
+
 bool Listener::open(const std::string &address, std::function<void(Socket)> onConnection, LastReason &reason)
 {
     const auto endpoint = parseAddress(address, reason);
@@ -45,6 +50,10 @@
 {
     error_code error;
     m_acceptor.open(m_endpoint.protocol(), error);
+    if (!error && m_receiveBufferBytes > 0) {
+        // Accepted connections inherit it. Set on them, it would come after the handshake, which announces the window.
+        m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(m_receiveBufferBytes), error);
+    }
     if (!error) {
         m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
         m_acceptor.bind(m_endpoint, error);
--- a/godwit/relay/listener.h
+++ b/godwit/relay/listener.h
@@ -27,6 +27,10 @@
 
     explicit Listener(boost::asio::io_context &io);
 
+    // Size of the kernel's receive buffer of accepted connections; 0: the system's default. In effect from the next
+    // opening of the port: a later change would not limit the window that a connection starts with.
+    void setReceiveBuffer(int bytes);
+
     bool open(const std::string &address, std::function<void(Socket)> onConnection, LastReason &reason);
     // Closes the port for this long, so that new connections are refused at once. Connections already in the accept
     // queue are accepted first.
@@ -51,6 +55,7 @@
     boost::asio::steady_timer m_pauseTimer;
     std::function<void(Socket)> m_onConnection;
     LastReason m_failure;
+    int m_receiveBufferBytes = 0;
     bool m_closed = false; // Closed for good, unlike during a pause.
 };
 
--- a/godwit/relay/listener_test.cpp
+++ b/godwit/relay/listener_test.cpp
@@ -69,6 +69,27 @@
     CHECK_FALSE(fixture.listener.takeFailure());
 }
 
+TEST_CASE("accepted connections have the receive buffer that was asked for, also after a pause")
+{
+    // Guards against bodies that are under way in full before their request has been admitted.
+    ListenerFixture fixture;
+    const auto receiveBuffer = [&fixture] {
+        fixture.accepted.clear();
+        CHECK(fixture.connect());
+        fixture.run(std::chrono::milliseconds(20));
+        boost::asio::socket_base::receive_buffer_size size;
+        fixture.accepted.at(0).get_option(size);
+        return size.value();
+    };
+    const int systemDefault = receiveBuffer();
+    fixture.listener.setReceiveBuffer(0);
+    CHECK(receiveBuffer() == systemDefault);
+    fixture.listener.setReceiveBuffer(8192);
+    fixture.listener.pause(std::chrono::milliseconds(20));
+    fixture.run(std::chrono::milliseconds(100));
+    CHECK(receiveBuffer() == 8192);
+}
+
 TEST_CASE("connections in the accept queue are accepted when a pause begins")
 {
     // Guards against resetting connections of callers that have already sent their requests.
