Relay: large bodies of requests that can wait are deferred on their head while the link is busy

CallerConnection::decideOnHead() asks caller admission before the body is read. A deferred request has been sent nowhere: it is answered with 429, Retry-After and Connection: close, the sending direction is shut down, and at most 4 KB every 50 ms are read for at most one second, so that the answer also reaches a caller that writes its whole body first. Bodies are read in steps and connections count their bytes, since the decision needs the load of the link.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -1,12 +1,14 @@
 #include "godwit/relay/caller_connection.h"
 
 #include "godwit/http/quiet_socket.h"
+#include "godwit/relay/head_refusal.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -22,6 +24,10 @@
 
 // How long a graceful close waits for the caller to read its response and close.
 constexpr auto CloseTimeout = std::chrono::seconds(1);
+constexpr std::size_t DrainBytes = 4096;
+// After a deferral, at most `DrainBytes` are read per interval: bodies that are not wanted should not use the link at
+// full speed, but a caller may read the response only after it has written the body.
+constexpr auto SlowDrainInterval = std::chrono::milliseconds(50);
 // Bounds how long a vanished caller host goes undetected.
 constexpr Duration TcpUserTimeout = std::chrono::seconds(5);
 // Poll interval for disconnects while pipelined bytes keep the socket readable.
@@ -51,6 +57,7 @@
     , m_connections(connections)
     , m_socket(std::move(socket))
     , m_timer(relay.io())
+    , m_drainTimer(relay.io())
 {
     m_connections.open.insert(this);
 }
@@ -123,10 +130,11 @@
     m_timer.expires_after(currentLimits(m_relay).headerTimeout);
     armReadTimeout();
     http::async_read_header(
-        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
             if (self->m_closed) {
                 return;
             }
+            self->countRead(bytes);
             if (error) {
                 self->onMalformedRequest(error);
                 return;
@@ -135,10 +143,29 @@
                 self->startCall();
                 return;
             }
-            self->readBody();
+            if (self->decideOnHead()) {
+                self->readBody();
+            }
         });
 }
 
+bool CallerConnection::decideOnHead()
+{
+    const auto length = m_parser->content_length();
+    const auto bodyBytes = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    const auto refusal = refuseOnHead(m_relay, m_parser->get().base(), bodyBytes);
+    if (!refusal) {
+        return true;
+    }
+    m_awaitingRequest = false;
+    m_timer.cancel();
+    m_closeAfterAnswer = true; // The body is not read, so the start of the next request can't be determined.
+    m_drainSlowly = true;
+    send(formatErrorResponse(refusal->error, refusal->attemptId, true));
+    finish();
+    return false;
+}
+
 void CallerConnection::readBody()
 {
     // There is no separate body timeout; the idle timeout bounds a caller that stops sending.
@@ -148,16 +175,32 @@
         m_queued += "HTTP/1.1 100 Continue\r\n\r\n";
         write();
     }
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
-        if (self->m_closed) {
-            return;
-        }
-        if (error) {
-            self->onMalformedRequest(error);
-            return;
-        }
-        self->startCall();
-    });
+    m_parser->eager(true);
+    readMoreBody();
+}
+
+// Reads in steps, so that a large body is counted as it arrives.
+void CallerConnection::readMoreBody()
+{
+    http::async_read_some(
+        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+            if (self->m_closed) {
+                return;
+            }
+            self->countRead(bytes);
+            if (error) {
+                self->onMalformedRequest(error);
+            } else if (self->m_parser->is_done()) {
+                self->startCall();
+            } else {
+                self->readMoreBody();
+            }
+        });
+}
+
+void CallerConnection::countRead(std::size_t bytes)
+{
+    m_relay.state().callerAdmission.bytes.in += bytes;
 }
 
 void CallerConnection::onMalformedRequest(const error_code &error)
@@ -276,7 +319,8 @@
     m_writePending = true;
     m_writing = std::exchange(m_queued, {});
     asio::async_write(
-        m_socket, asio::buffer(m_writing), [self = shared_from_this()](const error_code &error, std::size_t) {
+        m_socket, asio::buffer(m_writing), [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+            self->m_relay.state().callerAdmission.bytes.out += bytes;
             self->m_writePending = false;
             self->m_writing.clear();
             if (!self->m_closed) {
@@ -329,21 +373,45 @@
             self->close();
         }
     });
+    countRead(m_buffer.size());
+    m_drainAllowance = DrainBytes;
     drainUntilClosed();
 }
 
 void CallerConnection::drainUntilClosed()
 {
     m_buffer.clear();
-    m_socket.async_read_some(m_buffer.prepare(4096), [self = shared_from_this()](const error_code &error, std::size_t) {
-        if (self->m_closed) {
-            return;
-        }
-        if (error) {
-            self->close();
-            return;
+    m_socket.async_read_some(m_buffer.prepare(m_drainAllowance),
+                             [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                                 if (self->m_closed) {
+                                     return;
+                                 }
+                                 self->countRead(bytes);
+                                 if (error) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->continueDraining(bytes);
+                             });
+}
+
+void CallerConnection::continueDraining(std::size_t bytesRead)
+{
+    if (!m_drainSlowly) {
+        drainUntilClosed();
+        return;
+    }
+    m_drainAllowance -= std::min(bytesRead, m_drainAllowance);
+    if (m_drainAllowance > 0) {
+        drainUntilClosed();
+        return;
+    }
+    m_drainAllowance = DrainBytes;
+    m_drainTimer.expires_after(SlowDrainInterval);
+    m_drainTimer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && !self->m_closed) {
+            self->drainUntilClosed();
         }
-        self->drainUntilClosed();
     });
 }
 
@@ -355,6 +423,7 @@
     m_closed = true;
     m_awaitingRequest = false;
     m_timer.cancel();
+    m_drainTimer.cancel();
     error_code ignored;
     m_socket.close(ignored);
     if (const auto call = std::exchange(m_call, nullptr)) {
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -54,7 +54,11 @@
     void armReadTimeout();
     bool timerHasExpired() const;
     void readHead();
+    // Decides before the body of a request is read. Returns false if the request has been answered instead.
+    bool decideOnHead();
     void readBody();
+    void readMoreBody();
+    void countRead(std::size_t bytes);
     void onMalformedRequest(const boost::system::error_code &error);
     void startCall();
     void watchForDisconnect();
@@ -63,12 +67,14 @@
     void setResetOnClose(bool wanted);
     void closeGracefully();
     void drainUntilClosed();
+    void continueDraining(std::size_t bytesRead);
     void close();
 
     Relay &m_relay;
     CallerConnections &m_connections;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_drainTimer; // Between reads while closing slowly.
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::shared_ptr<RelayCall> m_call;
@@ -81,6 +87,8 @@
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
+    bool m_drainSlowly = false; // The caller may still be sending a body that is not wanted.
+    std::size_t m_drainAllowance = 0; // Bytes that may be read before the next wait of a slow close.
     bool m_closed = false;
 };
 
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -19,12 +19,15 @@
 // A router without a configuration document, and a caller connected to it.
 struct RouterWithCaller
 {
-    RouterWithCaller()
+    explicit RouterWithCaller(int receiveBufferBytes = 0)
         : log(io, {})
         , relay(io, {}, log)
         , caller(io)
     {
         tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+        if (receiveBufferBytes > 0) {
+            acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        }
         caller.connect(acceptor.local_endpoint());
         caller.non_blocking(true);
         connection = std::make_shared<CallerConnection>(relay, connections, acceptor.accept());
@@ -276,6 +279,108 @@
 namespace
 {
 
+// A router that defers requests of the route "/batch/" because a lag was measured, without endpoints.
+struct DeferringRouter : RouterWithCaller
+{
+    explicit DeferringRouter(bool enabled = true, int urgentPriority = 0, bool busy = true)
+        : RouterWithCaller(SmallBufferBytes)
+    {
+        caller.set_option(boost::asio::socket_base::send_buffer_size(SmallBufferBytes));
+        SiteDocument document = documentWithRoute();
+        document.routes.push_back(document.routes.front());
+        document.routes.front().priority = urgentPriority;
+        document.routes.back().pathPrefix = "/batch/";
+        document.routes.back().priority = 2;
+        document.routes.back().timeout = std::chrono::seconds(5);
+        relay.state().routes = makeRouteTable(document);
+        relay.state().stage = RelayStage::Serving;
+        relay.setCallerAdmission(enabled);
+        if (busy) {
+            recordLag(relay.state().callerAdmission, std::chrono::milliseconds(100), Relay::now());
+        }
+    }
+
+    // Too small for a body of 55 KB, so that a caller has to wait while it writes one.
+    static constexpr int SmallBufferBytes = 4096;
+
+    static std::string head(const std::string &path, std::size_t bodyBytes)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n" + std::string(AttemptIdField)
+            + ": 1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    }
+
+    // Writes while the router runs; returns whether all bytes could be written.
+    bool write(const std::string &bytes)
+    {
+        std::size_t written = 0;
+        boost::system::error_code error;
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
+        while (written < bytes.size() && std::chrono::steady_clock::now() < end) {
+            written += caller.write_some(boost::asio::buffer(bytes.data() + written, bytes.size() - written), error);
+            run(std::chrono::milliseconds(2));
+            if (error && error != boost::asio::error::would_block) {
+                return false;
+            }
+        }
+        return written == bytes.size();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a deferred request's 429 reaches a caller that writes its whole body before it reads")
+{
+    // Guards against a reset that destroys the answer: the router closed the socket while the body was still arriving.
+    DeferringRouter router;
+    const std::string body(55'000, 'x');
+    REQUIRE(router.write(router.head("/batch/", body.size()) + body));
+    router.run(std::chrono::milliseconds(20));
+    const std::string answer = router.received();
+    CHECK(answer.find("HTTP/1.1 429") == 0);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(answer.find("Retry-After: 0.") != std::string::npos);
+    CHECK(answer.find("overloaded") != std::string::npos);
+    CHECK(router.relay.counters().deferred[""] == 1);
+    CHECK(router.relay.counters().attempts == 0);
+    CHECK(router.relay.callsOpen == 0);
+    // The bytes that are read after the answer use the link as well.
+    CHECK(router.relay.state().callerAdmission.bytes.in > body.size() / 2);
+}
+
+TEST_CASE("a connection is closed one second after a deferral at the latest")
+{
+    // Guards against callers that keep sending and so occupy the router's connections and link.
+    DeferringRouter router;
+    CHECK_FALSE(router.write(router.head("/batch/", 1'000'000) + std::string(1'000'000, 'x')));
+    CHECK(router.connection.use_count() == 1);
+}
+
+TEST_CASE("without admission, deferrable routes or load, requests are answered as without this feature")
+{
+    // Guards against a change at deployments that have not enabled admission.
+    const std::string body(5000, 'x');
+    const auto answerOf = [&body](DeferringRouter &&router, const std::string &path) {
+        REQUIRE(router.write(router.head(path, body.size())));
+        router.run(std::chrono::milliseconds(5));
+        std::string answer = router.received();
+        REQUIRE(router.write(body));
+        router.run(std::chrono::milliseconds(5));
+        answer += router.received();
+        CHECK(router.relay.counters().deferred.empty());
+        CHECK_FALSE(router.isClosed());
+        return answer;
+    };
+    const std::string expected = answerOf(DeferringRouter(false, 0, false), "/batch/");
+    CHECK(expected.find("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503") == 0);
+    CHECK(answerOf(DeferringRouter(false), "/batch/") == expected);
+    CHECK(answerOf(DeferringRouter(true, 1), "/batch/") == expected);
+    CHECK(answerOf(DeferringRouter(true, 0, false), "/batch/") == expected);
+    CHECK(answerOf(DeferringRouter(), "/urgent/") == expected);
+}
+
+namespace
+{
+
 // A router with one customer and one engine, a streaming request in flight, and the engine's end of it.
 struct RouterWithStream : RouterWithCaller
 {
@@ -404,6 +509,22 @@
     CHECK(draws(RetryOutcome::Denied) == (canResume && !allowed ? 1 : 0));
 }
 
+TEST_CASE("bytes of callers and of endpoints count towards the load of the link")
+{
+    // Guards against a router that does not notice its busy link when no lag is measured.
+    RouterWithStream router;
+    const LinkBytes &bytes = router.relay.state().callerAdmission.bytes;
+    const LinkBytes sent = bytes;
+    CHECK(sent.in > 100);
+    CHECK(sent.out > 150);
+    router.sendEvent();
+    router.runUntil([&router] {
+        return router.caller.available() > 0;
+    });
+    CHECK(bytes.in > sent.in + 90);
+    CHECK(bytes.out >= sent.out + router.caller.available());
+}
+
 TEST_CASE("a call whose caller disconnects before the engine produced an event is not charged")
 {
     // Guards against budgets consumed by calls that were abandoned while queued at busy engines.
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -284,12 +284,15 @@
     if (m_handlers.onSending) {
         m_handlers.onSending();
     }
-    asio::async_write(
-        *m_socket, asio::buffer(m_bytes), [self = shared_from_this()](const beast::error_code &error, std::size_t) {
-            // A failed write also surfaces as a read error, after any response bytes that were already received.
-            self->m_written = !error;
-            self->m_writeFailed = error.failed();
-        });
+    asio::async_write(*m_socket,
+                      asio::buffer(m_bytes),
+                      [self = shared_from_this()](const beast::error_code &error, std::size_t count) {
+                          self->reportBytes(0, count);
+                          // A failed write also surfaces as a read error, after any response bytes that were already
+                          // received.
+                          self->m_written = !error;
+                          self->m_writeFailed = error.failed();
+                      });
     watchForSilence();
     read();
 }
@@ -317,6 +320,13 @@
     reportDirect(reset ? DirectConnectionEvent::Reset : DirectConnectionEvent::Broken);
 }
 
+void EndpointExchange::reportBytes(std::size_t received, std::size_t written)
+{
+    if (m_handlers.onBytes) {
+        m_handlers.onBytes(received, written);
+    }
+}
+
 void EndpointExchange::read()
 {
     m_reading = true;
@@ -338,6 +348,7 @@
     m_buffer.commit(count);
     if (count > 0) {
         m_received = true;
+        reportBytes(count, 0);
         reportDirect(DirectConnectionEvent::Answered);
     }
     if (error) {
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -75,6 +75,8 @@
     std::function<void(std::string_view)> onBody;
     std::function<void()> onEnd;
     std::function<void(ExchangeFailure)> onFailed;
+    // Called with numbers of bytes that have been received or written. Optional.
+    std::function<void(std::size_t received, std::size_t written)> onBytes;
     // Called with the time at which the connection was opened. Optional.
     std::function<void(DirectConnectionEvent, TimePoint openedAt)> onDirectConnection;
 };
@@ -164,6 +166,7 @@
     void onNotConnected();
     void failBeforeSend(ExchangeFailure failure);
     void send();
+    void reportBytes(std::size_t received, std::size_t written);
     void read();
     void onRead(boost::system::error_code error, std::size_t count);
     bool parse();
--- /dev/null
+++ b/godwit/relay/head_refusal.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// Requests that are refused on their head, before their body is read: caller admission at a router with a busy link.
+//
+// A refused request has been sent nowhere. Not thread-safe.
+//
+// Example:
+//   if (const auto refusal = refuseOnHead(relay, parser.get().base(), bodyBytes)) {
+//       send(formatErrorResponse(refusal->error, refusal->attemptId, true));
+//   }
+
+#include "godwit/base/error.h"
+#include "godwit/relay/relay.h"
+#include "platform/http_codec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Godwit
+{
+
+struct HeadRefusal
+{
+    Error error;
+    std::string attemptId;
+};
+
+// Returns the refusal of a request, which is counted and logged, or nullopt to read the body. `bodyBytes` is unset if
+// the length is unknown. Requests that RelayCall refuses for their head, such as those without a route, are left to it.
+std::optional<HeadRefusal> refuseOnHead(Relay &relay, const RequestHead &head, std::optional<std::uint64_t> bodyBytes);
+
+} // namespace Godwit
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -62,6 +62,11 @@
         || hasOutdatedCopy(now);
 }
 
+bool Relay::defersRequests() const
+{
+    return m_options.callerAdmission.enabled && m_state.routes && m_state.routes->hasDeferrableRoutes;
+}
+
 bool Relay::hasOutdatedCopy(TimePoint now) const
 {
     return isStale(m_state.endpointsFreshness, m_options.agreement, now)
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -11,6 +11,7 @@
 //   relay.retryReservations();
 
 #include "godwit/base/time.h"
+#include "godwit/gateway/caller_admission.h"
 #include "godwit/gateway/copy_freshness.h"
 #include "godwit/gateway/crash_detector.h"
 #include "godwit/gateway/endpoint_reach.h"
@@ -82,6 +83,7 @@
     Duration congestionHoldOff = std::chrono::milliseconds(1200);
     Duration copyRefreshTimeout = std::chrono::seconds(10);
     FreshnessOptions agreement;
+    CallerAdmissionOptions callerAdmission;
     // How long the trial of a suspect request is put off while its service has no endpoint to spare. Crashed endpoints
     // are back within seconds.
     Duration trialWaitLimit = std::chrono::seconds(10);
@@ -119,6 +121,7 @@
     bool closeAfterAnswer = false; // Connections are closed after their responses, so that callers reconnect.
     CopyFreshness endpointsFreshness; // Whether the endpoint list is as new as those of other routers.
     CopyFreshness documentFreshness; // Likewise for the document.
+    CallerAdmissionState callerAdmission;
     CrashDetector crashDetector;
     RecentAnswers recentAnswers;
     SuspectTracker suspects; // Requests during which endpoints crashed.
@@ -182,6 +185,7 @@
     std::uint64_t truncatedAnswers = 0;
     std::uint64_t connectionsOpened = 0;
     std::map<ErrorKind, std::uint64_t> refusals;
+    std::map<std::string, std::uint64_t> deferred; // Requests deferred by caller admission, keyed by route.
     std::map<std::string, std::uint64_t> attemptsFailed; // Keyed by cause.
     std::map<RetryKey, std::uint64_t> retryDecisions;
     SendCounters sends;
@@ -223,6 +227,10 @@
     {
         m_options.coldStart = bounds;
     }
+    void setCallerAdmission(bool enabled)
+    {
+        m_options.callerAdmission.enabled = enabled;
+    }
     RelayState &state()
     {
         return m_state;
@@ -251,6 +259,9 @@
     // recently congested and they have not been read anew since, or another router has a newer copy of one of them.
     bool mayBeStale(TimePoint now) const;
 
+    // Whether caller admission may defer requests: it is enabled, and the document has deferrable routes.
+    bool defersRequests() const;
+
     // Whether another router is known to have a newer document or endpoint list.
     bool hasOutdatedCopy(TimePoint now) const;
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -323,6 +323,10 @@
     handlers.lenders = [self, group] {
         return self->m_relay.lendersToAsk(group);
     };
+    handlers.onBytes = [&bytes = m_relay.state().callerAdmission.bytes](std::size_t received, std::size_t written) {
+        bytes.in += received;
+        bytes.out += written;
+    };
     handlers.onDirectConnection = [&monitor = m_relay.reachMonitor(),
                                    listed = endpoint.listed](DirectConnectionEvent event, TimePoint openedAt) {
         monitor.onConnectionEvent(listed, event, openedAt);
