--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -113,6 +113,8 @@
     options.retryRules.ratio = settings.repeatRatio;
     options.retryRules.slack = settings.repeatSlack;
     options.retryRules.window = settings.repeatWindow;
+    options.callerAdmission.enabled = settings.admission;
+    options.callerAdmission.linkBytesPerSecond = bytesPerSecond(settings.linkMbps);
     return options;
 }
 
@@ -288,6 +290,7 @@
         };
         m_links.onLag = [this](Duration lag) {
             recordMessageLag(m_pauseState, lag, Relay::now());
+            recordLag(m_relay.state().callerAdmission, lag, Relay::now());
             pauseIfOverloaded();
         };
         m_links.onStoreReachable = [this] {
@@ -307,6 +310,9 @@
             return false;
         }
         m_links.offerLending(m_lender.address(), m_lender.secret());
+        if (m_settings.admission) {
+            m_callerListener.setReceiveBuffer(m_settings.admissionWindowBytes);
+        }
         const bool listening = m_links.start(reason) && m_entryServer.listen(m_settings.readyListen, reason)
             && (m_settings.addressesListen.empty() || m_entryServer.listen(m_settings.addressesListen, reason))
             && (m_settings.metricsListen.empty() || m_metricsServer.listen(m_settings.metricsListen, reason))
@@ -622,6 +628,7 @@
         m_settings.addressesFor = settings->addressesFor;
         m_relay.setRetryRules(settings->repeatRatio, settings->repeatSlack, settings->repeatWindow);
         m_relay.setColdStartBounds({settings->coldOverrun, settings->coldSlack});
+        m_relay.setCallerAdmission(settings->admission);
         if (m_relay.state().routes) {
             planColdStarts();
         }
@@ -640,6 +647,7 @@
                 prefix->checkRole();
             }
             refreshCopiesIfBehind();
+            updateLinkRates(m_relay.state().callerAdmission, m_relay.options().callerAdmission, Relay::now());
             pauseIfOverloaded();
             if (const LastReason failure = m_callerListener.takeFailure()) {
                 m_log.write("listen_failed", {{"message", std::string_view(failure->message)}});
@@ -735,6 +743,7 @@
         const TimePoint now = Relay::now();
         recordRequestCount(m_pauseState, m_relay.counters().requests, now);
         const Duration lag = m_pauseState.lag;
+        m_pauseOptions.defersRequests = m_relay.defersRequests();
         const auto pause = computePause(m_pauseState, m_relay.mayBeStale(now), m_pauseOptions, now);
         m_relay.state().closeAfterAnswer = shouldCloseConnections(m_pauseState, m_pauseOptions, now);
         if (!pause) {
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -34,6 +34,14 @@
     for (const auto &[kind, count] : counters.refusals) {
         out << "godwit_refusals_total{cause=\"" << errorName(kind) << "\"} " << count << '\n';
     }
+    for (const auto &[route, count] : counters.deferred) {
+        out << "godwit_deferred_total{route=\"" << escapeLabel(route) << "\"} " << count << '\n';
+    }
+    if (relay.options().callerAdmission.enabled) {
+        const LinkShare share = linkShare(state.callerAdmission, relay.options().callerAdmission);
+        appendMetric(out, "godwit_link_share{direction=\"in\"}", share.in);
+        appendMetric(out, "godwit_link_share{direction=\"out\"}", share.out);
+    }
     for (const auto &[cause, count] : counters.attemptsFailed) {
         out << "godwit_attempts_failed_total{cause=\"" << cause << "\"} " << count << '\n';
     }
