--- a/godwit/gateway/caller_admission_test.cpp
+++ b/godwit/gateway/caller_admission_test.cpp
@@ -8,6 +8,7 @@
 {
 
 constexpr std::uint64_t BodyBytes = 9200;
+const RouteId Batch{"batch"};
 const TimePoint Start{std::chrono::seconds(50)};
 
 // A router with a link of 10 Mbit/s.
@@ -29,24 +30,16 @@
         }
     }
 
-    CallerAdmissionDecision decide(Duration timeLeft = std::chrono::seconds(5),
-                                   std::optional<std::uint64_t> bodyBytes = BodyBytes,
-                                   double random = 0)
+    CallerAdmissionDecision decide(const CallerAdmissionQuery &query, double random = 0)
     {
-        return decide(++lastIdentity, timeLeft, bodyBytes, random);
+        return decideAdmission(state, query, options, random, now);
     }
 
-    CallerAdmissionDecision decide(std::uint64_t identity,
-                                   Duration timeLeft,
-                                   std::optional<std::uint64_t> bodyBytes,
-                                   double random = 0)
+    // About a request that has not been seen before.
+    CallerAdmissionOutcome outcome(Duration timeLeft = std::chrono::seconds(5),
+                                   std::optional<std::uint64_t> bodyBytes = BodyBytes)
     {
-        return decideAdmission(state, {RouteId{"batch"}, bodyBytes, timeLeft, identity}, options, random, now);
-    }
-
-    CallerAdmissionOutcome outcome()
-    {
-        return decide().outcome;
+        return decide({Batch, bodyBytes, timeLeft, ++lastIdentity}).outcome;
     }
 
     CallerAdmissionOptions options;
@@ -66,17 +59,11 @@
     CHECK(router.outcome() == CallerAdmissionOutcome::Admitted);
     router.load(0.75);
     CHECK(router.outcome() == CallerAdmissionOutcome::Deferred);
-    CHECK(router.decide(std::chrono::seconds(5), 2048).outcome == CallerAdmissionOutcome::Admitted);
-    CHECK(router.decide(std::chrono::seconds(5), std::nullopt).outcome == CallerAdmissionOutcome::Deferred);
+    CHECK(router.outcome(std::chrono::seconds(5), 2048) == CallerAdmissionOutcome::Admitted);
+    CHECK(router.outcome(std::chrono::seconds(5), std::nullopt) == CallerAdmissionOutcome::Deferred);
     router.load(0.2);
     CHECK(router.outcome() == CallerAdmissionOutcome::Admitted);
-}
-
-TEST_CASE("the busier direction of the link decides")
-{
-    // Guards against averaging a link that is full in one direction only.
-    SmallRouter router;
-    router.state.bytes.out = 10'000'000;
+    router.state.bytes.out += 10'000'000;
     router.now += std::chrono::seconds(2);
     CHECK(router.outcome() == CallerAdmissionOutcome::Deferred);
 }
@@ -99,7 +86,8 @@
     SmallRouter router;
     const auto retryAfter = [&router](int lagMs, int leftMs, double random) {
         recordLag(router.state, std::chrono::milliseconds(lagMs), router.now);
-        const auto decision = router.decide(std::chrono::milliseconds(leftMs), BodyBytes, random);
+        const Duration timeLeft = std::chrono::milliseconds(leftMs);
+        const auto decision = router.decide({Batch, BodyBytes, timeLeft, ++router.lastIdentity}, random);
         CHECK(decision.outcome == CallerAdmissionOutcome::Deferred);
         return std::chrono::duration_cast<std::chrono::milliseconds>(decision.retryAfter).count();
     };
@@ -115,9 +103,9 @@
     // Guards against a deferral that a caller can't make use of.
     SmallRouter router;
     recordLag(router.state, std::chrono::milliseconds(800), router.now);
-    CHECK(router.decide(std::chrono::milliseconds(1599)).outcome == CallerAdmissionOutcome::Admitted);
-    CHECK(router.decide(std::chrono::milliseconds(800)).outcome == CallerAdmissionOutcome::Admitted);
-    CHECK(router.decide(std::chrono::milliseconds(799)).outcome == CallerAdmissionOutcome::Refused);
+    CHECK(router.outcome(std::chrono::milliseconds(1599)) == CallerAdmissionOutcome::Admitted);
+    CHECK(router.outcome(std::chrono::milliseconds(800)) == CallerAdmissionOutcome::Admitted);
+    CHECK(router.outcome(std::chrono::milliseconds(799)) == CallerAdmissionOutcome::Refused);
 }
 
 TEST_CASE("a request that returns is admitted before new ones, within an allowance")
@@ -126,40 +114,34 @@
     // fill the link.
     SmallRouter router;
     router.load(0.8);
-    for (std::uint64_t identity = 1000; identity < 1100; ++identity) {
-        CHECK(router.decide(identity, std::chrono::seconds(5), BodyBytes).outcome == CallerAdmissionOutcome::Deferred);
-    }
-    router.load(0.8);
-    recordLag(router.state, std::chrono::milliseconds(100), router.now);
-    int admitted = 0;
-    for (std::uint64_t identity = 1000; identity < 1100; ++identity) {
-        const auto decision = router.decide(identity, std::chrono::seconds(4), BodyBytes);
-        admitted += decision.outcome == CallerAdmissionOutcome::Admitted ? 1 : 0;
-        if (identity == 1020) {
-            CHECK(router.outcome() == CallerAdmissionOutcome::Deferred);
+    const auto admittedOfHundred = [&router](Duration timeLeft) {
+        int admitted = 0;
+        for (std::uint64_t identity = 1000; identity < 1100; ++identity) {
+            const auto decision = router.decide({Batch, BodyBytes, timeLeft, identity});
+            admitted += decision.outcome == CallerAdmissionOutcome::Admitted ? 1 : 0;
         }
-    }
+        return admitted;
+    };
+    CHECK(admittedOfHundred(std::chrono::seconds(5)) == 0);
+    router.load(0.8);
+    const int admitted = admittedOfHundred(std::chrono::seconds(3));
+    CHECK(router.outcome() == CallerAdmissionOutcome::Deferred);
     // The allowance is a tenth of the link's bytes in a second.
     CHECK(admitted >= 13);
     CHECK(admitted <= 14);
 }
 
-TEST_CASE("the memory for deferred requests is bounded")
+TEST_CASE("memory and log lines for deferred requests are bounded")
 {
+    // Guards against a small host that runs out of memory, or whose log is filled by one line per deferred request.
     SmallRouter router;
     router.options.maxExpected = 10;
     router.load(0.8);
     for (int i = 0; i < 100; ++i) {
-        router.decide();
+        router.outcome();
     }
     CHECK(router.state.expected.size() <= 10);
     CHECK(router.state.expectedOrder.size() <= 10);
-}
-
-TEST_CASE("log lines beyond the limit are counted in the next line")
-{
-    // Guards against a log that is filled by one line per deferred request.
-    SmallRouter router;
     for (int i = 0; i < 20; ++i) {
         CHECK(takeLogLine(router.state, router.options, router.now) == 0U);
     }
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -24,7 +24,6 @@
 
 // How long a graceful close waits for the caller to read its response and close.
 constexpr auto CloseTimeout = std::chrono::seconds(1);
-constexpr std::size_t DrainBytes = 4096;
 // After a deferral, at most `DrainBytes` are read per interval: bodies that are not wanted should not use the link at
 // full speed, but a caller may read the response only after it has written the body.
 constexpr auto SlowDrainInterval = std::chrono::milliseconds(50);
@@ -374,8 +373,11 @@
         }
     });
     countRead(m_buffer.size());
-    m_drainAllowance = DrainBytes;
-    drainUntilClosed();
+    if (m_drainSlowly) {
+        drainAfterInterval(); // Callers that read while they write have the response by then.
+    } else {
+        drainUntilClosed();
+    }
 }
 
 void CallerConnection::drainUntilClosed()
@@ -404,8 +406,13 @@
     m_drainAllowance -= std::min(bytesRead, m_drainAllowance);
     if (m_drainAllowance > 0) {
         drainUntilClosed();
-        return;
+    } else {
+        drainAfterInterval();
     }
+}
+
+void CallerConnection::drainAfterInterval()
+{
     m_drainAllowance = DrainBytes;
     m_drainTimer.expires_after(SlowDrainInterval);
     m_drainTimer.async_wait([self = shared_from_this()](const error_code &error) {
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -50,6 +50,8 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    static constexpr std::size_t DrainBytes = 4096; // Largest read while waiting for the caller to close.
+
     void readRequest();
     void armReadTimeout();
     bool timerHasExpired() const;
@@ -68,6 +70,7 @@
     void closeGracefully();
     void drainUntilClosed();
     void continueDraining(std::size_t bytesRead);
+    void drainAfterInterval();
     void close();
 
     Relay &m_relay;
@@ -88,7 +91,7 @@
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
     bool m_drainSlowly = false; // The caller may still be sending a body that is not wanted.
-    std::size_t m_drainAllowance = 0; // Bytes that may be read before the next wait of a slow close.
+    std::size_t m_drainAllowance = DrainBytes; // Bytes that may be read before the next wait of a slow close.
     bool m_closed = false;
 };
 
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -1,6 +1,7 @@
 #include "godwit/relay/caller_connection.h"
 
 #include "godwit/http/address.h"
+#include "godwit/relay/head_refusal.h"
 #include "platform/header_names.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -279,6 +280,18 @@
 namespace
 {
 
+// A route "/batch/" and a more urgent one to the same service.
+SiteDocument documentWithBatches(int urgentPriority = 0)
+{
+    SiteDocument document = documentWithRoute();
+    document.routes.push_back(document.routes.front());
+    document.routes.front().priority = urgentPriority;
+    document.routes.back().pathPrefix = "/batch/";
+    document.routes.back().priority = 2;
+    document.routes.back().timeout = std::chrono::seconds(5);
+    return document;
+}
+
 // A router that defers requests of the route "/batch/" because a lag was measured, without endpoints.
 struct DeferringRouter : RouterWithCaller
 {
@@ -286,13 +299,7 @@
         : RouterWithCaller(SmallBufferBytes)
     {
         caller.set_option(boost::asio::socket_base::send_buffer_size(SmallBufferBytes));
-        SiteDocument document = documentWithRoute();
-        document.routes.push_back(document.routes.front());
-        document.routes.front().priority = urgentPriority;
-        document.routes.back().pathPrefix = "/batch/";
-        document.routes.back().priority = 2;
-        document.routes.back().timeout = std::chrono::seconds(5);
-        relay.state().routes = makeRouteTable(document);
+        relay.state().routes = makeRouteTable(documentWithBatches(urgentPriority));
         relay.state().stage = RelayStage::Serving;
         relay.setCallerAdmission(enabled);
         if (busy) {
@@ -355,6 +362,33 @@
     CHECK(router.connection.use_count() == 1);
 }
 
+TEST_CASE("a deferred request is recognized when it returns as another attempt")
+{
+    // Guards against deferring a request twice, after which its caller gives up.
+    boost::asio::io_context io;
+    DecisionLog log(io, {});
+    RelayOptions options;
+    options.callerAdmission.enabled = true;
+    options.callerAdmission.linkBytesPerSecond = 1'250'000;
+    Relay relay(io, options, log);
+    relay.state().routes = makeRouteTable(documentWithBatches());
+    recordLag(relay.state().callerAdmission, std::chrono::milliseconds(100), Relay::now());
+    const auto isRefused = [&relay](const char *attempt, const char *timeLeft, const char *tokens) {
+        RequestHead head;
+        head.method(boost::beast::http::verb::post);
+        head.target("/batch/1");
+        head.set(boost::beast::http::field::host, "a");
+        head.set(AttemptIdField, attempt);
+        head.set(TimeRemainingField, timeLeft);
+        head.set(TokenCountsField, tokens);
+        return refuseOnHead(relay, head, 9200).has_value();
+    };
+    CHECK(isRefused("1", "5000", "700,20"));
+    CHECK_FALSE(isRefused("2", "4600", "700,20"));
+    CHECK(isRefused("3", "4600", "700,20"));
+    CHECK(isRefused("4", "4600", "701,20"));
+}
+
 TEST_CASE("without admission, deferrable routes or load, requests are answered as without this feature")
 {
     // Guards against a change at deployments that have not enabled admission.
