Endpoint speeds: an estimator of the ratio of observed to expected time of each engine

The present slowdown factor only learns slowness, each router on its own, and takes the fixed time of a first event for slowness of short prompts. The estimator fits a fixed time and a time per uncached token for each service to the faster samples, and averages each engine's ratio over this router's samples and the reports of others. Nothing uses it yet.

--- /dev/null
+++ b/godwit/gateway/endpoint_speed_test.cpp
@@ -0,0 +1,124 @@
+#include "godwit/gateway/endpoint_speed.h"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <random>
+
+using namespace Godwit;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint Start{seconds(50)};
+const Incarnation Peer{"b.1"};
+
+// 83 ms and 93.6 tokens per millisecond, times `factor`.
+Duration timeOf(Tokens tokens, double factor)
+{
+    return Duration(static_cast<Duration::rep>((83 + static_cast<double>(tokens) / 93.6) * factor * 1000));
+}
+
+double ratioOf(const EngineSpeed &speed, TimePoint now)
+{
+    return combineSpeeds(speed, {}, now).ratio;
+}
+
+} // namespace
+
+TEST_CASE("fixed time and time per token are learned although a third of the prompts waits in unknown queues")
+{
+    // Guards against engines that look fast only because the expected time includes the queues of other engines.
+    ServiceTimes times;
+    std::mt19937_64 random(7);
+    constexpr Tokens sizes[] = {826, 9190, 9190, 39600};
+    for (int i = 0; i < 600; ++i) {
+        const Tokens tokens = sizes[random() % 4];
+        const Duration queue = random() % 3 == 0 ? milliseconds(random() % 400) : Duration::zero();
+        recordServiceTime(times, tokens, timeOf(tokens, 1) + queue);
+    }
+    CHECK(times.fixedMilliseconds == Approx(83).epsilon(0.1));
+    CHECK(times.millisecondsPerToken == Approx(1 / 93.6).epsilon(0.1));
+}
+
+TEST_CASE("prompts of one size give an expected time for that size")
+{
+    // Guards against a division by zero where the fixed time can't be told apart from the time per token.
+    ServiceTimes times;
+    for (int i = 0; i < 100; ++i) {
+        recordServiceTime(times, 826, milliseconds(92));
+    }
+    REQUIRE(expectedTime(times, 826));
+    CHECK(toSeconds(*expectedTime(times, 826)) == Approx(0.092).epsilon(0.01));
+}
+
+TEST_CASE("a slow moment does not make a good engine look slow")
+{
+    // Guards against an engine that is 2.5 times as slow for 0.6 s being avoided for seconds afterwards.
+    EngineSpeed speed;
+    TimePoint now = Start;
+    for (int i = 0; i < 40; ++i, now += milliseconds(180)) {
+        recordSpeedSample(speed, 1, now);
+    }
+    for (int i = 0; i < 3; ++i, now += milliseconds(180)) {
+        recordSpeedSample(speed, 2.5, now);
+        CHECK_FALSE(isOutsideBand(combineSpeeds(speed, {}, now), {}));
+    }
+}
+
+TEST_CASE("one late sample after a pause does not make a good engine look slow")
+{
+    EngineSpeed speed;
+    for (int i = 0; i < 5; ++i) {
+        recordSpeedSample(speed, 1, Start);
+    }
+    recordSpeedSample(speed, 2.5, Start + seconds(10));
+    CHECK(ratioOf(speed, Start + seconds(10)) < 1.25);
+}
+
+TEST_CASE("an engine that stays slow, or becomes fast again, is noticed within seconds")
+{
+    EngineSpeed speed;
+    TimePoint now = Start;
+    const auto observe = [&](double ratio, Duration length) {
+        for (const TimePoint end = now + length; now < end; now += milliseconds(180)) {
+            recordSpeedSample(speed, ratio, now);
+        }
+    };
+    observe(1, seconds(4));
+    observe(1.7, seconds(4));
+    CHECK(ratioOf(speed, now) > 1.5);
+    observe(1, seconds(2));
+    CHECK(ratioOf(speed, now) < 1.25);
+}
+
+TEST_CASE("a ratio is used with four samples and outside of the band only")
+{
+    EngineSpeed speed;
+    for (int i = 0; i < 3; ++i) {
+        recordSpeedSample(speed, 1.7, Start);
+    }
+    CHECK_FALSE(isOutsideBand(combineSpeeds(speed, {}, Start), {}));
+    recordPeerSpeed(speed, Peer, 1.7, 1, Start);
+    CHECK(isOutsideBand(combineSpeeds(speed, {}, Start), {}));
+    CHECK_FALSE(isOutsideBand({1.25, 9, {}}, {}));
+    CHECK_FALSE(isOutsideBand({0.8, 9, {}}, {}));
+    CHECK(isOutsideBand({0.79, 9, {}}, {}));
+}
+
+TEST_CASE("reports of other routers count by samples, half after 5 s and not at all after 15 s")
+{
+    EngineSpeed speed;
+    recordPeerSpeed(speed, Peer, 2, 6, Start);
+    recordPeerSpeed(speed, Incarnation{"c.1"}, 1, 3, Start + seconds(4));
+    CHECK(ratioOf(speed, Start + seconds(4)) == Approx(std::exp2(6.0 / 9)));
+    CHECK(ratioOf(speed, Start + seconds(6)) == Approx(std::exp2(3.0 / 6)));
+    const CombinedSpeed later = combineSpeeds(speed, {}, Start + seconds(16));
+    CHECK(later.ratio == Approx(1));
+    CHECK(later.samples == 3);
+    CHECK(later.age == seconds(12));
+    CHECK(combineSpeeds(speed, {}, Start + seconds(20)).samples == 0);
+}
