Endpoint speeds: used in the cost of a choice while engines of a service differ

A prompt went to an engine at 1.7 times the usual service time while others at 0.7 were free: the present estimate has no fixed time, so short prompts make every engine look slow. While a ratio is outside 0.8 to 1.25, the engines of its service get a rate: the learned times, multiplied by the ratio. Without the setting, and while engines are alike, estimates and choices are as before.

--- a/godwit/gateway/endpoint_speed.cpp
+++ b/godwit/gateway/endpoint_speed.cpp
@@ -18,8 +18,8 @@
 // are based on an inaccurate fit.
 constexpr int InitialMemory = 8;
 constexpr int FitMemory = 400;
-// No ratio is computed before the fit has this many samples.
-constexpr int MinFitSamples = 30;
+// Samples from which on the fit is used.
+constexpr int MinFitSamples = 20;
 // Spread of prompt sizes, as squared coefficient of variation, below which the fixed time can't be told apart.
 constexpr double MinSizeVariation = 0.01;
 // Shorter expected times are within the noise of the network.
@@ -29,16 +29,20 @@
 constexpr double AveragingSeconds = 2;
 // Bound of one ratio; larger ones are queueing or an interrupted host.
 constexpr double MaxRatio = 8;
-// Weight of a sample above the average, compared with one below it.
-constexpr double SlowerSampleWeight = 0.5;
-// Age does not reduce the weight of earlier samples below this, so that the next one counts at most a quarter, or a
-// seventh if it is slower.
-constexpr double MinPriorWeight = 3;
+// Logarithm of the ratio of a sample to the average from which on it is clearly slower or faster.
+constexpr double ClearDifference = 0.2;
+// Weight of clearly slower samples until there have been `LastingSamples` within at least `SlowMoment` and nothing
+// else. Engines are slow for some tenths of a second at times, and prompts behind unknown ones look the same.
+constexpr double SlowMomentWeight = 0.02;
+constexpr Duration SlowMoment = std::chrono::seconds(4);
+constexpr int LastingSamples = 4;
+// Weight of clearly faster samples: neither queues nor slow moments make an engine look fast.
+constexpr double FasterSampleWeight = 2;
+// Age does not reduce the weight of earlier samples below this, so that the next one counts at most a third.
+constexpr double MinPriorWeight = 2;
 // A gap of this length starts a new average.
 constexpr Duration NewAverageAfter = SpeedOptions{}.maxAge;
 constexpr int MaxSamples = 1000;
-// Bound of the routers whose samples are kept for one engine.
-constexpr std::size_t MaxPeers = 64;
 
 double milliseconds(Duration duration)
 {
@@ -67,21 +71,32 @@
     }
 }
 
-void addSamples(SpeedAverage &average, double logRatio, int samples, TimePoint now)
+void addSamples(EngineSpeed &speed, double logRatio, int samples, TimePoint now)
 {
-    if (average.samples == 0 || now - average.updatedAt > NewAverageAfter) {
-        average = SpeedAverage{};
+    if (speed.samples == 0 || now - speed.updatedAt > NewAverageAfter) {
+        speed.weight = 0;
+        speed.samples = 0;
+        speed.slowerSamples = 0;
     } else {
-        const double elapsed = std::max(0.0, toSeconds(now - average.updatedAt));
-        const double aged = average.weight * std::exp(-elapsed / AveragingSeconds);
-        average.weight = std::max(aged, std::min<double>(average.samples, MinPriorWeight));
+        const double elapsed = std::max(0.0, toSeconds(now - speed.updatedAt));
+        const double aged = speed.weight * std::exp(-elapsed / AveragingSeconds);
+        speed.weight = std::max(aged, std::min(speed.weight, MinPriorWeight));
     }
-    const bool slower = average.samples > 0 && logRatio > average.logRatio;
-    const double weight = samples * (slower ? SlowerSampleWeight : 1.0);
-    average.weight += weight;
-    average.logRatio += weight / average.weight * (logRatio - average.logRatio);
-    average.samples = std::min(MaxSamples, average.samples + samples);
-    average.updatedAt = now;
+    double weight = samples;
+    if (speed.samples == 0 || logRatio <= speed.logRatio + ClearDifference) {
+        speed.slowerSamples = 0;
+        weight *= logRatio < speed.logRatio - ClearDifference ? FasterSampleWeight : 1;
+    } else {
+        speed.slowerSince = speed.slowerSamples == 0 ? now : speed.slowerSince;
+        speed.slowerSamples = std::min(MaxSamples, speed.slowerSamples + samples);
+        const bool lasting = now - speed.slowerSince >= SlowMoment && speed.slowerSamples >= LastingSamples;
+        weight *= lasting ? 1 : SlowMomentWeight;
+    }
+    speed.weight += weight;
+    speed.logRatio =
+        speed.samples == 0 ? logRatio : speed.logRatio + weight / speed.weight * (logRatio - speed.logRatio);
+    speed.samples = std::min(MaxSamples, speed.samples + samples);
+    speed.updatedAt = now;
 }
 
 double boundedLog(double ratio)
@@ -89,14 +104,6 @@
     return std::log(std::clamp(ratio, 1 / MaxRatio, MaxRatio));
 }
 
-double ageWeight(Duration age, const SpeedOptions &options)
-{
-    if (age > options.maxAge) {
-        return 0;
-    }
-    return age > options.halfWeightAge ? 0.5 : 1;
-}
-
 } // namespace
 
 void recordServiceTime(ServiceTimes &times, Tokens uncachedTokens, Duration took)
@@ -120,10 +127,15 @@
     fitLine(times);
 }
 
+bool isFitted(const ServiceTimes &times)
+{
+    return times.samples >= MinFitSamples;
+}
+
 std::optional<Duration> expectedTime(const ServiceTimes &times, Tokens uncachedTokens)
 {
     const double expected = predict(times, static_cast<double>(uncachedTokens));
-    if (times.samples < MinFitSamples || expected < MinExpectedMilliseconds) {
+    if (!isFitted(times) || expected < MinExpectedMilliseconds) {
         return std::nullopt;
     }
     return Duration(static_cast<Duration::rep>(expected * 1000));
@@ -132,54 +144,34 @@
 void recordSpeedSample(EngineSpeed &speed, double ratio, TimePoint now)
 {
     const double logRatio = boundedLog(ratio);
-    addSamples(speed.own, logRatio, 1, now);
+    addSamples(speed, logRatio, 1, now);
     if (speed.unreported.samples < MaxSamples) {
         speed.unreported.logRatioSum += logRatio;
         ++speed.unreported.samples;
     }
 }
 
-void recordPeerSpeed(EngineSpeed &speed, const Incarnation &peer, double ratio, int samples, TimePoint now)
+void recordPeerSpeed(EngineSpeed &speed, double ratio, int samples, TimePoint now)
 {
-    for (auto it = speed.peers.begin(); it != speed.peers.end();) {
-        it = now - it->second.updatedAt > NewAverageAfter ? speed.peers.erase(it) : std::next(it);
-    }
-    if (samples <= 0 || (speed.peers.size() >= MaxPeers && speed.peers.count(peer) == 0)) {
-        return;
-    }
-    addSamples(speed.peers[peer], boundedLog(ratio), std::min(samples, MaxSamples), now);
+    addSamples(speed, boundedLog(ratio), std::clamp(samples, 1, MaxSamples), now);
 }
 
-CombinedSpeed combineSpeeds(const EngineSpeed &speed, const SpeedOptions &options, TimePoint now)
+CurrentSpeed currentSpeed(const EngineSpeed &speed, const SpeedOptions &options, TimePoint now)
 {
-    CombinedSpeed combined;
-    double weight = 0;
-    double sum = 0;
-    const auto add = [&](const SpeedAverage &average) {
-        const Duration age = now - average.updatedAt;
-        const double part = average.samples == 0 ? 0 : ageWeight(age, options) * average.weight;
-        if (part <= 0) {
-            return;
-        }
-        combined.age = combined.samples == 0 ? age : std::min(combined.age, age);
-        combined.samples += average.samples;
-        weight += part;
-        sum += part * average.logRatio;
-    };
-    add(speed.own);
-    for (const auto &[peer, average] : speed.peers) {
-        add(average);
-    }
-    if (weight > 0) {
-        combined.ratio = std::exp(sum / weight);
+    CurrentSpeed current;
+    const Duration age = std::max(Duration::zero(), now - speed.updatedAt);
+    if (speed.samples > 0 && age <= options.maxAge) {
+        current.observed = std::exp(speed.logRatio);
+        current.ratio = std::exp(speed.logRatio * std::exp2(-toSeconds(age) / toSeconds(options.halfWeightAge)));
+        current.samples = speed.samples;
+        current.age = age;
     }
-    return combined;
+    return current;
 }
 
-bool isOutsideBand(const CombinedSpeed &speed, const SpeedOptions &options)
+bool isOutsideBand(double ratio, int samples, const SpeedOptions &options)
 {
-    return speed.samples >= options.minSamples
-        && (speed.ratio < options.minUncorrected || speed.ratio > options.maxUncorrected);
+    return samples >= options.minSamples && (ratio < options.minUncorrected || ratio > options.maxUncorrected);
 }
 
 } // namespace Godwit
--- a/godwit/gateway/endpoint_speed.h
+++ b/godwit/gateway/endpoint_speed.h
@@ -13,13 +13,12 @@
 //       recordSpeedSample(speed, toSeconds(took) / toSeconds(*expected), now);
 //   }
 //   recordServiceTime(times, tokens, took);
-//   const CombinedSpeed combined = combineSpeeds(speed, options, now);
-//   if (isOutsideBand(combined, options)) { ... multiply the expected time by combined.ratio ... }
+//   const CurrentSpeed current = currentSpeed(speed, options, now);
+//   if (isOutsideBand(current.ratio, current.samples, options)) { ... multiply the expected time by it ... }
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
 
-#include <map>
 #include <optional>
 
 namespace Godwit
@@ -31,7 +30,7 @@
     double minUncorrected = 0.8;
     double maxUncorrected = 1.25;
     int minSamples = 4;
-    // Ratios older than this have half the weight, and ratios older than `maxAge` none.
+    // A ratio of this age counts half, and one older than `maxAge` not at all.
     Duration halfWeightAge = std::chrono::seconds(5);
     Duration maxAge = std::chrono::seconds(15);
     // Interval at which the ratios used in choices are updated.
@@ -57,17 +56,11 @@
 // that this router does not know of and slow engines only lengthen the time.
 void recordServiceTime(ServiceTimes &times, Tokens uncachedTokens, Duration took);
 
-// Unset if there are too few samples, or if the time is so short that the network dominates it.
-std::optional<Duration> expectedTime(const ServiceTimes &times, Tokens uncachedTokens);
+// Whether the fit is based on enough samples.
+bool isFitted(const ServiceTimes &times);
 
-// Moving average of the logarithm of ratios from one router.
-struct SpeedAverage
-{
-    double logRatio = 0;
-    double weight = 0; // Of the samples, decreasing with their age as of `updatedAt`.
-    int samples = 0; // Since the last time without a sample for `SpeedOptions::maxAge`.
-    TimePoint updatedAt;
-};
+// Unset if there is no fit yet, or if the time is so short that the network dominates it.
+std::optional<Duration> expectedTime(const ServiceTimes &times, Tokens uncachedTokens);
 
 // Samples of this router that have not been reported to the others.
 struct UnreportedSpeed
@@ -76,33 +69,45 @@
     int samples = 0;
 };
 
-// Speed of one run of an engine process.
+// Speed of one run of an engine process: a moving average of the logarithm of the ratios that all routers observe.
 struct EngineSpeed
 {
-    SpeedAverage own;
-    std::map<Incarnation, SpeedAverage> peers;
+    double logRatio = 0;
+    double weight = 0; // Of the samples, decreasing with their age as of `updatedAt`.
+    int samples = 0; // Since the last time without a sample for `SpeedOptions::maxAge`.
+    TimePoint updatedAt;
+    // Samples that were clearly slower than the average, without one in between that was not.
+    int slowerSamples = 0;
+    TimePoint slowerSince;
     UnreportedSpeed unreported;
     bool outsideBand = false; // As logged last.
 };
 
-// Records one ratio of observed to expected time. A slower sample has half the weight of a faster one, and one sample
-// never replaces the average, so that a slow moment or an unknown queue of an otherwise fast engine has little effect.
+// Records one ratio of observed to expected time that this router has observed.
+//
+// Samples that are clearly slower than the average have hardly any weight until there have been several of them and
+// nothing else for a second, and samples that are clearly faster have twice the usual weight. A slow moment or an
+// unknown queue of an otherwise fast engine therefore has little effect.
 void recordSpeedSample(EngineSpeed &speed, double ratio, TimePoint now);
 
-// Records the mean ratio of `samples` observations that another router reports.
-void recordPeerSpeed(EngineSpeed &speed, const Incarnation &peer, double ratio, int samples, TimePoint now);
+// Records the mean ratio of `samples` observations that another router reports. It has as much weight as if this router
+// had observed them.
+void recordPeerSpeed(EngineSpeed &speed, double ratio, int samples, TimePoint now);
 
-struct CombinedSpeed
+// Ratio of an engine at one time.
+struct CurrentSpeed
 {
+    double observed = 1; // As of the last sample.
+    // To be used for new prompts: the deviation of `observed` from 1 halves every `SpeedOptions::halfWeightAge`, so
+    // that an engine without prompts is tried again.
     double ratio = 1;
-    int samples = 0;
-    Duration age{}; // Of the newest sample; meaningless without samples.
+    int samples = 0; // 0 once the last one is older than `SpeedOptions::maxAge`.
+    Duration age{}; // Of the last sample; meaningless without samples.
 };
 
-// Returns the mean over all routers, weighted by samples.
-CombinedSpeed combineSpeeds(const EngineSpeed &speed, const SpeedOptions &options, TimePoint now);
+CurrentSpeed currentSpeed(const EngineSpeed &speed, const SpeedOptions &options, TimePoint now);
 
-// Whether the ratio differs enough from 1, and is based on enough samples, to be used in choices.
-bool isOutsideBand(const CombinedSpeed &speed, const SpeedOptions &options);
+// Whether a ratio differs enough from 1, and is based on enough samples, to be used in choices.
+bool isOutsideBand(double ratio, int samples, const SpeedOptions &options);
 
 } // namespace Godwit
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -1,6 +1,7 @@
 #include "godwit/gateway/endpoint_table.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/gateway/speed_exchange.h"
 
 #include <algorithm>
 
@@ -123,7 +124,7 @@
                    bool cached,
                    TimePoint now)
 {
-    const Duration reading = prefillTime(endpoint.load, speed, countUncachedTokens(query, cached));
+    const Duration reading = timeOfNewPrompt(endpoint.load, speed, countUncachedTokens(query, cached));
     const Duration firstEvent = queueDelay(endpoint.load, now) + reading;
     const auto tolerated = options.toleratedFraction * milliseconds(query.latencyTarget);
     const double beyond = std::max(0.0, milliseconds(firstEvent) - tolerated);
@@ -144,6 +145,7 @@
                            std::uint64_t random,
                            TimePoint now)
 {
+    refreshRates(table, query.service, now);
     const PrefillSpeed &speed = table.prefillSpeeds[query.service];
     const EndpointState *preferred = query.affinity.empty() ? nullptr : preferredEndpoint(from, query.affinity);
     const EndpointId *recent = query.affinity.empty() ? nullptr : recentEndpoint(table, query.affinity, now);
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -21,6 +21,7 @@
 #include "godwit/base/time.h"
 #include "godwit/gateway/allowed_regions.h"
 #include "godwit/gateway/cold_start.h"
+#include "godwit/gateway/endpoint_speed.h"
 #include "godwit/gateway/engine_load.h"
 
 #include <cstdint>
@@ -70,6 +71,7 @@
     int consecutiveFailures = 0;
     TimePoint backoffUntil; // Used before then only if no other endpoint is available.
     EngineLoad load; // For model engines.
+    EngineSpeed speed; // Likewise; see speed_exchange.h.
     ColdState cold;
     bool delisted = false; // No longer in the list: no new requests.
 };
@@ -88,11 +90,20 @@
     TimePoint until;
 };
 
+struct ServiceSpeeds
+{
+    ServiceTimes times;
+    TimePoint refreshAt; // When the rates of the engines are updated next.
+};
+
 struct EndpointTable
 {
     std::map<EndpointId, EndpointState> endpoints;
     std::map<std::string, std::vector<EndpointId>> byService; // Endpoints that may receive requests.
     std::map<std::string, PrefillSpeed> prefillSpeeds; // By service.
+    bool shareSpeeds = false; // Whether speeds of engines are sampled, exchanged and used; see speed_exchange.h.
+    SpeedOptions speedOptions;
+    std::map<std::string, ServiceSpeeds> speeds; // By service.
     std::map<std::string, ColdStartPlan> coldPlans; // By service; only services that limit cold endpoints.
     ShareSet usableShares; // Shares of the fleet's limits; kept up to date only if `coldPlans` is not empty.
     // By shared prefix: the engine other than the preferred one to which it was last sent, and which keeps it cached
--- a/godwit/gateway/engine_load.cpp
+++ b/godwit/gateway/engine_load.cpp
@@ -20,6 +20,10 @@
 constexpr Duration MinExpectedTime = std::chrono::milliseconds(10);
 // Delay of a first event that does not yet indicate that the engine is behind.
 constexpr Duration LatenessTolerance = std::chrono::milliseconds(30);
+// Prompts ahead of another are assumed to take this multiple of their expected time at the engine's rate: it may be
+// slow at the moment, and short prompts of other routers are not announced. With 1, prompts gather at engines that are
+// slow for some tenths of a second.
+constexpr double QueueMargin = 2;
 
 double milliseconds(Duration duration)
 {
@@ -31,6 +35,29 @@
     return Duration(static_cast<Duration::rep>(milliseconds * 1000));
 }
 
+bool hasRate(const EngineLoad &load)
+{
+    return load.rate.millisecondsPerToken > 0;
+}
+
+Duration timeWithoutRate(const EngineLoad &load, const PrefillSpeed &speed, Tokens tokens)
+{
+    return fromMilliseconds(static_cast<double>(tokens) * speed.millisecondsPerToken * load.slowdown);
+}
+
+// Time that a prompt is assumed to occupy the engine.
+Duration queuedTimeAtRate(const EngineLoad &load, Tokens tokens)
+{
+    return fromMilliseconds(static_cast<double>(tokens) * load.rate.millisecondsPerToken * QueueMargin);
+}
+
+bool hasOwnPending(const EngineLoad &load)
+{
+    return std::any_of(load.pending.begin(), load.pending.end(), [](const PendingPrefill &prefill) {
+        return prefill.id != 0;
+    });
+}
+
 // Prompts announced by other routers are assumed to be finished at their expected time.
 void dropFinishedRemotePrefills(EngineLoad &load, TimePoint now)
 {
@@ -53,8 +80,12 @@
     prefill.tokens = tokens;
     prefill.sentAt = now;
     prefill.queuedBehindOthers = load.busyUntil > now || !load.pending.empty();
-    load.busyUntil = std::max(load.busyUntil, now) + prefillTime(load, speed, tokens);
+    // As long as the rate is unknown, only this router's own prompts show that the engine is busy.
+    prefill.queuedAtRate = hasRate(load) ? load.busyUntilAtRate > now : hasOwnPending(load);
+    load.busyUntil = std::max(load.busyUntil, now) + timeWithoutRate(load, speed, tokens);
     prefill.expectedAt = load.busyUntil;
+    load.busyUntilAtRate = std::max(load.busyUntilAtRate, now) + queuedTimeAtRate(load, tokens);
+    prefill.expectedAtRate = load.busyUntilAtRate + fromMilliseconds(load.rate.fixedMilliseconds);
     load.pending.push_back(prefill);
 }
 
@@ -97,19 +128,30 @@
 
 Duration queueDelay(const EngineLoad &load, TimePoint now)
 {
-    Duration wait = std::max<Duration>(load.busyUntil - now, Duration::zero());
+    Duration wait = std::max<Duration>((load.usesRate ? load.busyUntilAtRate : load.busyUntil) - now, Duration::zero());
     for (const PendingPrefill &prefill : load.pending) {
         if (prefill.id != 0) {
             // An overdue event shows that the engine is behind by at least this much.
-            return wait + std::max<Duration>(now - prefill.expectedAt - LatenessTolerance, Duration::zero());
+            const TimePoint expectedAt = load.usesRate ? prefill.expectedAtRate : prefill.expectedAt;
+            return wait + std::max<Duration>(now - expectedAt - LatenessTolerance, Duration::zero());
         }
     }
     return wait;
 }
 
+Duration timeOfNewPrompt(const EngineLoad &load, const PrefillSpeed &speed, Tokens tokens)
+{
+    if (!load.usesRate) {
+        return timeWithoutRate(load, speed, tokens);
+    }
+    const double expected = load.rate.fixedMilliseconds + static_cast<double>(tokens) * load.rate.millisecondsPerToken;
+    return fromMilliseconds(expected * load.rate.discount);
+}
+
 Duration prefillTime(const EngineLoad &load, const PrefillSpeed &speed, Tokens tokens)
 {
-    return fromMilliseconds(static_cast<double>(tokens) * speed.millisecondsPerToken * load.slowdown);
+    return load.usesRate ? fromMilliseconds(static_cast<double>(tokens) * load.rate.millisecondsPerToken)
+                         : timeWithoutRate(load, speed, tokens);
 }
 
 void beginPrefill(EngineLoad &load, const PrefillSpeed &speed, PrefillId id, Tokens tokens, TimePoint now)
@@ -122,11 +164,11 @@
     append(load, speed, 0, tokens, now);
 }
 
-void finishPrefill(EngineLoad &load, PrefillSpeed &speed, PrefillId id, TimePoint now)
+std::optional<FinishedPrefill> finishPrefill(EngineLoad &load, PrefillSpeed &speed, PrefillId id, TimePoint now)
 {
     const auto found = find(load, id);
     if (found == load.pending.end()) {
-        return;
+        return std::nullopt;
     }
     const PendingPrefill prefill = *found;
     const Duration took = now - prefill.sentAt;
@@ -134,9 +176,12 @@
     learnSlowdown(load, prefill, took);
     load.pending.erase(load.pending.begin(), std::next(found));
     load.busyUntil = now;
+    load.busyUntilAtRate = now - fromMilliseconds(load.rate.fixedMilliseconds);
     for (const PendingPrefill &later : load.pending) {
-        load.busyUntil += prefillTime(load, speed, later.tokens);
+        load.busyUntil += timeWithoutRate(load, speed, later.tokens);
+        load.busyUntilAtRate = std::max(load.busyUntilAtRate, later.sentAt) + queuedTimeAtRate(load, later.tokens);
     }
+    return FinishedPrefill{prefill.tokens, took, prefill.queuedAtRate};
 }
 
 void cancelPrefill(EngineLoad &load, const PrefillSpeed &speed, PrefillId id, TimePoint now)
@@ -145,7 +190,8 @@
     if (found == load.pending.end()) {
         return;
     }
-    load.busyUntil = std::max(now, load.busyUntil - prefillTime(load, speed, found->tokens));
+    load.busyUntil = std::max(now, load.busyUntil - timeWithoutRate(load, speed, found->tokens));
+    load.busyUntilAtRate = std::max(now, load.busyUntilAtRate - queuedTimeAtRate(load, found->tokens));
     load.pending.erase(found);
 }
 
--- a/godwit/gateway/engine_load.h
+++ b/godwit/gateway/engine_load.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace Godwit
 {
@@ -32,6 +33,15 @@
     double millisecondsPerToken = 0; // 0: unknown.
 };
 
+// Expected times at one engine, from endpoint_speed.h.
+struct EngineRate
+{
+    double fixedMilliseconds = 0; // From the end of the prefill to the first event.
+    double millisecondsPerToken = 0; // 0: unknown.
+    // Ratio of the times to count for a new prompt to the above.
+    double discount = 1;
+};
+
 struct PendingPrefill
 {
     PrefillId id = 0;
@@ -39,6 +49,9 @@
     TimePoint sentAt;
     TimePoint expectedAt; // Expected time of the first event.
     bool queuedBehindOthers = false; // Was queued behind other prompts, so that its duration does not reveal the speed.
+    // Likewise, estimated with EngineLoad::rate.
+    TimePoint expectedAtRate;
+    bool queuedAtRate = false;
 };
 
 struct EngineLoad
@@ -46,11 +59,25 @@
     std::deque<PendingPrefill> pending; // Ordered by send time.
     TimePoint busyUntil; // When all pending prefills are expected to be finished.
     double slowdown = 1; // Ratio of actual to expected time of this engine, as a moving average; at least 1.
+    EngineRate rate;
+    TimePoint busyUntilAtRate; // Like `busyUntil`, estimated with `rate`.
+    bool usesRate = false; // Whether `rate` replaces the estimates from PrefillSpeed and `slowdown`.
+};
+
+// A prompt whose first event has arrived.
+struct FinishedPrefill
+{
+    Tokens tokens = 0;
+    Duration took{};
+    bool queuedBehindOthers = false; // According to the rate of the engine.
 };
 
 // Returns how long a prompt sent now would wait until the engine starts its prefill.
 Duration queueDelay(const EngineLoad &load, TimePoint now);
 
+// Returns the time from the start of a prefill to its first event, as far as it is known.
+Duration timeOfNewPrompt(const EngineLoad &load, const PrefillSpeed &speed, Tokens tokens);
+
 // Returns how long the engine takes to prefill `tokens`.
 Duration prefillTime(const EngineLoad &load, const PrefillSpeed &speed, Tokens tokens);
 
@@ -60,8 +87,8 @@
 void recordRemotePrefill(EngineLoad &load, const PrefillSpeed &speed, Tokens tokens, TimePoint now);
 
 // Call when the first event of a prompt arrives: the engine has finished it and all prompts before it. Updates the
-// learned speeds.
-void finishPrefill(EngineLoad &load, PrefillSpeed &speed, PrefillId id, TimePoint now);
+// learned speeds. Unset if the prompt is not pending.
+std::optional<FinishedPrefill> finishPrefill(EngineLoad &load, PrefillSpeed &speed, PrefillId id, TimePoint now);
 
 // Call when an attempt has ended without an event.
 void cancelPrefill(EngineLoad &load, const PrefillSpeed &speed, PrefillId id, TimePoint now);
--- a/godwit/gateway/testing_engines.cpp
+++ b/godwit/gateway/testing_engines.cpp
@@ -1,6 +1,7 @@
 #include "godwit/gateway/testing_engines.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/gateway/speed_exchange.h"
 
 #include <algorithm>
 #include <map>
@@ -20,6 +21,9 @@
 constexpr Duration AnnounceThreshold = std::chrono::milliseconds(12);
 // Time from the first event to the end of a request.
 constexpr Duration DecodeTime = std::chrono::milliseconds(900);
+constexpr Duration HeartbeatInterval = std::chrono::milliseconds(400);
+constexpr Duration SlowPeriod = std::chrono::milliseconds(600);
+constexpr double BriefSlowFactor = 2.5;
 constexpr std::size_t LongPrefixes = 140;
 constexpr std::size_t ShortPrefixes = 180;
 
@@ -34,7 +38,7 @@
 struct Engine
 {
     TimePoint busyUntil;
-    double millisecondsPerToken = 0;
+    double factor = 1; // Of the usual service time.
     std::set<std::string> cachedPrefixes;
 };
 
@@ -44,6 +48,7 @@
         FirstEvent,
         End,
         PromptAnnounced,
+        Heartbeat, // Of all routers.
     };
     TimePoint at;
     Kind kind = Kind::FirstEvent;
@@ -71,11 +76,12 @@
         std::vector<ListedEndpoint> listed;
         for (std::size_t i = 0; i < load.engines; ++i) {
             const bool isSlow = static_cast<double>(i) < load.slowFraction * static_cast<double>(load.engines);
-            m_engines[i].millisecondsPerToken = (isSlow ? 4 : 1) / load.tokensPerMillisecond;
+            m_engines[i].factor = isSlow ? load.slowFactor : load.usualFactor;
             listed.push_back({EndpointId{std::to_string(i)}, Service, "", DataCentreId{"north"}, 64, false, 0});
         }
         for (EndpointTable &table : m_tables) {
             replaceEndpoints(table, listed);
+            table.shareSpeeds = load.speeds != SpeedSharing::Off;
         }
     }
 
@@ -85,6 +91,7 @@
         std::exponential_distribution<double> pause(perSecond);
         TimePoint now{std::chrono::seconds(100)};
         const TimePoint end = now + m_load.length;
+        m_events.push({now, Event::Kind::Heartbeat, 0, EndpointId{"0"}, 0, {}});
         while (now < end) {
             now += Duration(static_cast<Duration::rep>(pause(m_random) * 1e6));
             handleUntil(now);
@@ -98,6 +105,13 @@
     {
         Request request;
         request.isLong = std::uniform_real_distribution<double>(0, 1)(m_random) < longFraction;
+        if (m_load.fixedSizes) {
+            request.prompt = request.isLong ? 9190 : 826;
+            if (request.isLong && m_random() % 20 == 0) {
+                request.prompt += static_cast<Tokens>(m_random() % 30'411);
+            }
+            return request;
+        }
         std::lognormal_distribution<double> size(0, request.isLong ? 1.0 : 0.8);
         const double factor = std::min(size(m_random), 9.0);
         const std::size_t prefix = m_random() % (request.isLong ? LongPrefixes : ShortPrefixes);
@@ -117,10 +131,13 @@
         const bool cachedElsewhere = !cached && !m_cachedPrefixes.insert(request.prefix).second;
         m_result.recomputedTokens += cachedElsewhere ? request.shared : 0;
         const Tokens uncachedTokens = request.prompt - (cached ? request.shared : 0);
-        const double reading = static_cast<double>(uncachedTokens) * engine.millisecondsPerToken * 1000;
+        const double factor = factorOf(endpoint.listed.id, now);
+        const double reading = static_cast<double>(uncachedTokens) / m_load.tokensPerMillisecond * factor * 1000;
         engine.busyUntil = std::max(engine.busyUntil, now) + Duration(static_cast<Duration::rep>(reading));
-        const TimePoint firstEvent = engine.busyUntil + RoundTripTime;
+        const auto fixed = static_cast<Duration::rep>(static_cast<double>(m_load.fixedTime.count()) * factor);
+        const TimePoint firstEvent = engine.busyUntil + Duration(fixed) + RoundTripTime;
         count(request, firstEvent - now);
+        m_result.chosen.push_back(endpoint.listed.id);
         beginAttempt(endpoint);
         const PrefillId prefill = ++m_prefills;
         PrefillSpeed &speed = m_tables[router].prefillSpeeds[Service];
@@ -134,9 +151,18 @@
         }
     }
 
+    double factorOf(const EndpointId &id, TimePoint now) const
+    {
+        const auto period = static_cast<std::uint64_t>(now.time_since_epoch() / SlowPeriod);
+        const std::uint64_t drawn = rendezvousWeight(id.value, std::to_string(period)) % 1000;
+        const bool slow = static_cast<double>(drawn) < 1000 * m_load.brieflySlowFraction;
+        return m_engines[std::stoul(id.value)].factor * (slow ? BriefSlowFactor : 1);
+    }
+
     void count(const Request &request, Duration took)
     {
         ++m_result.requests;
+        m_result.late += took > m_load.target ? 1 : 0;
         m_result.shorts += request.isLong ? 0 : 1;
         m_result.shortLate += !request.isLong && took > m_load.target ? 1 : 0;
         m_result.longLate += request.isLong && took > 2 * m_load.target ? 1 : 0;
@@ -150,7 +176,7 @@
         query.affinity = request.prefix;
         query.promptTokens = request.prompt;
         query.sharedTokens = request.shared;
-        query.latencyTarget = request.isLong ? 2 * m_load.target : m_load.target;
+        query.latencyTarget = request.isLong && !m_load.fixedSizes ? 2 * m_load.target : m_load.target;
         if (m_placement == Placement::ByPrefillTime) {
             return chooseEndpoint(table, query, {}, m_random(), now);
         }
@@ -213,7 +239,7 @@
         EndpointState &endpoint = own.endpoints.at(event.endpoint);
         switch (event.kind) {
         case Event::Kind::FirstEvent:
-            finishPrefill(endpoint.load, own.prefillSpeeds[Service], event.prefill, event.at);
+            recordFirstEvent(own, endpoint, event.prefill, event.at);
             break;
         case Event::Kind::End:
             endAttempt(endpoint, AttemptFeedback::Good, {}, event.at);
@@ -225,6 +251,22 @@
                 }
             }
             break;
+        case Event::Kind::Heartbeat:
+            exchangeSpeeds(event.at);
+            m_events.push({event.at + HeartbeatInterval, Event::Kind::Heartbeat, 0, event.endpoint, 0, {}});
+            break;
+        }
+    }
+
+    void exchangeSpeeds(TimePoint now)
+    {
+        for (std::size_t from = 0; from < m_tables.size(); ++from) {
+            const auto reports = takeSpeedReports(m_tables[from], MaxSpeedReports);
+            for (std::size_t to = 0; to < m_tables.size(); ++to) {
+                if (to != from && m_load.speeds == SpeedSharing::Shared) {
+                    applySpeedReports(m_tables[to], reports, now);
+                }
+            }
         }
     }
 
--- a/godwit/gateway/testing_engines.h
+++ b/godwit/gateway/testing_engines.h
@@ -26,6 +26,12 @@
     RoundRobin,
 };
 
+enum class SpeedSharing {
+    Off,
+    Own, // Each router uses its own samples only, as when it reaches no peer.
+    Shared,
+};
+
 struct PlacementLoad
 {
     std::size_t routers = 7;
@@ -35,7 +41,15 @@
     double shortPerSecond = 77; // Short prompts; 1,000 tokens on average.
     Duration target = std::chrono::milliseconds(400);
     Duration length = std::chrono::seconds(30);
-    double slowFraction = 0; // Fraction of the engines that are four times as slow.
+    double slowFraction = 0; // Fraction of the engines that are slow.
+    double slowFactor = 4; // Service time of these engines as a multiple of the usual one.
+    double usualFactor = 1; // Likewise of the other engines.
+    double brieflySlowFraction = 0; // Fraction of the engines that is 2.5 times as slow, others every 0.6 s.
+    Duration fixedTime{}; // From the end of a prefill to the first event, at an engine of the usual speed.
+    // Long prompts of 9,190 tokens and short ones of 826, instead of the distributions above; one long prompt in twenty
+    // has up to 39,600 tokens.
+    bool fixedSizes = false;
+    SpeedSharing speeds = SpeedSharing::Off;
     std::uint64_t seed = 1;
 };
 
@@ -45,6 +59,8 @@
     int shortLate = 0; // Short requests whose first event missed the target.
     int longLate = 0; // Long requests whose first event missed twice the target.
     int shorts = 0; // Total of short requests.
+    int late = 0; // Requests of any length whose first event missed the target.
+    std::vector<EndpointId> chosen; // The endpoint of each request, in order of arrival.
     Tokens recomputedTokens = 0; // Tokens of shared prefixes prefilled although another engine had them cached.
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/base/hash.h"
 #include "godwit/base/milliseconds.h"
+#include "godwit/gateway/speed_exchange.h"
 
 #include <algorithm>
 #include <utility>
@@ -245,7 +246,7 @@
 {
     EndpointState *endpoint = currentEndpoint();
     if (m_prefill != 0 && endpoint != nullptr) {
-        finishPrefill(endpoint->load, m_relay.state().endpoints.prefillSpeeds[m_serviceName], m_prefill, Relay::now());
+        recordFirstEvent(m_relay.state().endpoints, *endpoint, m_prefill, Relay::now());
     }
     m_prefill = 0;
 }
