--- a/godwit/gateway/engine_load.cpp
+++ b/godwit/gateway/engine_load.cpp
@@ -81,6 +81,7 @@
     prefill.sentAt = now;
     prefill.queuedBehindOthers = load.busyUntil > now || !load.pending.empty();
     // As long as the rate is unknown, only this router's own prompts show that the engine is busy.
+    prefill.rateKnown = hasRate(load);
     prefill.queuedAtRate = hasRate(load) ? load.busyUntilAtRate > now : hasOwnPending(load);
     load.busyUntil = std::max(load.busyUntil, now) + timeWithoutRate(load, speed, tokens);
     prefill.expectedAt = load.busyUntil;
@@ -181,7 +182,7 @@
         load.busyUntil += timeWithoutRate(load, speed, later.tokens);
         load.busyUntilAtRate = std::max(load.busyUntilAtRate, later.sentAt) + queuedTimeAtRate(load, later.tokens);
     }
-    return FinishedPrefill{prefill.tokens, took, prefill.queuedAtRate};
+    return FinishedPrefill{prefill.tokens, took, prefill.queuedAtRate, prefill.rateKnown};
 }
 
 void cancelPrefill(EngineLoad &load, const PrefillSpeed &speed, PrefillId id, TimePoint now)
--- a/godwit/gateway/engine_load.h
+++ b/godwit/gateway/engine_load.h
@@ -52,6 +52,7 @@
     // Likewise, estimated with EngineLoad::rate.
     TimePoint expectedAtRate;
     bool queuedAtRate = false;
+    bool rateKnown = false; // Whether the engine's rate was known when it was sent.
 };
 
 struct EngineLoad
@@ -70,6 +71,7 @@
     Tokens tokens = 0;
     Duration took{};
     bool queuedBehindOthers = false; // According to the rate of the engine.
+    bool rateKnown = false; // Otherwise `queuedBehindOthers` disregards prompts of other routers.
 };
 
 // Returns how long a prompt sent now would wait until the engine starts its prefill.
--- a/godwit/gateway/speed_exchange.cpp
+++ b/godwit/gateway/speed_exchange.cpp
@@ -70,7 +70,8 @@
         return;
     }
     ServiceTimes &times = table.speeds[service].times;
-    if (const auto expected = expectedTime(times, finished->tokens)) {
+    const auto expected = expectedTime(times, finished->tokens);
+    if (expected && finished->rateKnown) {
         recordSpeedSample(endpoint.speed, milliseconds(finished->took) / milliseconds(*expected), now);
     }
     recordServiceTime(times, finished->tokens, finished->took);
