Endpoint speeds: shared in heartbeats, with a setting, a log line and a metric

gateway.share_speeds (default false) enables the part; heartbeats to advertised routers then carry up to 32 rows [endpoint id, start, ratio x 1000, samples]. Malformed rows are dropped one by one, and heartbeats of older versions, which have no such field, are read as before. endpoint_speed is logged when a ratio leaves or re-enters the band; godwit_endpoint_speed_ratio shows those outside.

--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -77,6 +77,7 @@
         settings.repeatWindow = seconds(reader.number("repeat_window_s", 10, {0.1, 3600}));
         settings.coldOverrun = reader.number("cold_overrun", settings.coldOverrun, {0, 100});
         settings.coldSlack = reader.number("cold_slack", settings.coldSlack, {0, 1e6});
+        settings.shareSpeeds = reader.boolean("share_speeds", settings.shareSpeeds);
         if (const toml::table *regions = reader.table("regions")) {
             settings.regions = readRegions(*regions, faults);
         }
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -42,6 +42,7 @@
     // requests besides.
     double coldOverrun = 1;
     double coldSlack = 0;
+    bool shareSpeeds = false; // Whether the speeds of engines are observed, shared with other routers and used.
     // Of all data centres; needed where routes or customers are bound to regions.
     std::map<DataCentreId, RegionId> regions;
     Duration addressesFor = std::chrono::seconds(2); // How long callers keep an address answer.
--- a/godwit/config/settings_test.cpp
+++ b/godwit/config/settings_test.cpp
@@ -96,11 +96,14 @@
     REQUIRE(plain);
     CHECK(plain->regions.empty());
     CHECK(plain->coldOverrun == 1);
-    const std::string places = "cold_overrun = 1.5\ncold_slack = 5\n[gateway.regions]\n\"salt-lake\" = \"kolkata\"\n";
+    CHECK_FALSE(plain->shareSpeeds);
+    const std::string places =
+        "cold_overrun = 1.5\ncold_slack = 5\nshare_speeds = true\n[gateway.regions]\n\"salt-lake\" = \"kolkata\"\n";
     const auto settings = parseGatewaySettings(good + places, "router.toml", reason);
     REQUIRE(settings);
     CHECK(settings->coldOverrun == 1.5);
     CHECK(settings->coldSlack == 5);
+    CHECK(settings->shareSpeeds);
     CHECK(settings->regions.at(DataCentreId{"salt-lake"}) == RegionId{"kolkata"});
     CHECK_FALSE(parseGatewaySettings(good + "[gateway.regions]\nhowrah = 5\n", "router.toml", reason));
     CHECK(reason->message.find("gateway.regions.howrah: must be a string") != std::string::npos);
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -1,5 +1,6 @@
 #include "godwit/daemon/fleet_links.h"
 
+#include "godwit/base/milliseconds.h"
 #include "godwit/daemon/fleet_messages.h"
 #include "godwit/suspects/suspect_codec.h"
 
@@ -155,7 +156,32 @@
     m_sentReady = m_relay.isReady();
     m_sentStoreReachable = m_relay.state().platformInReach;
     m_sentPartitioned = partitionedGroups(m_relay.state().reach);
-    m_mesh->broadcast({HeartbeatTopic, encodeHeartbeat()});
+    // Requests hardly ever go through the other routers.
+    const auto speeds =
+        isAdvertised() ? takeSpeedReports(m_relay.state().endpoints, MaxSpeedReports) : std::vector<SpeedReport>();
+    const std::string heartbeat = encodeHeartbeat({});
+    if (speeds.empty()) {
+        m_mesh->broadcast({HeartbeatTopic, heartbeat});
+        return;
+    }
+    const std::string withSpeeds = encodeHeartbeat(speeds);
+    for (const auto &[incarnation, peer] : m_peers) {
+        if (peer.linked) {
+            m_mesh->send(incarnation, {HeartbeatTopic, isAdvertised(peer) ? withSpeeds : heartbeat});
+        }
+    }
+}
+
+void FleetLinks::logSpeedChanges()
+{
+    for (const SpeedChange &change : takeSpeedChanges(m_relay.state().endpoints, Relay::now())) {
+        m_relay.log().write("endpoint_speed",
+                            {{"endpoint", std::string_view(change.endpoint.value)},
+                             {"outside_band", change.outsideBand},
+                             {"ratio", change.speed.ratio},
+                             {"samples", static_cast<std::int64_t>(change.speed.samples)},
+                             {"age_ms", toMilliseconds(change.speed.age)}});
+    }
 }
 
 void FleetLinks::broadcastStoreReachable()
@@ -376,12 +402,13 @@
         dialPeers();
         chooseHomes();
         returnUnusedTokens();
+        logSpeedChanges();
         sendHeartbeat();
         scheduleHeartbeat();
     });
 }
 
-std::string FleetLinks::encodeHeartbeat() const
+std::string FleetLinks::encodeHeartbeat(const std::vector<SpeedReport> &speeds) const
 {
     const auto &share = m_relay.state().prepaid;
     json held = json::object();
@@ -401,6 +428,9 @@
     for (const EndpointGroup &group : partitionedGroups(m_relay.state().reach)) {
         heartbeat["partitioned"].push_back(json::array({group.service, group.dataCentre.value}));
     }
+    if (!speeds.empty()) {
+        heartbeat["speeds"] = encodeSpeedReports(speeds);
+    }
     return encodeFleetMessage(heartbeat);
 }
 
@@ -415,7 +445,7 @@
             FleetMember{hello.host, hello.incarnation, hello.dataCentre, hello.callerAddress, hello.peerAddress};
     }
     m_relay.log().write("peer_linked", {{"peer", std::string_view(hello.incarnation.value)}});
-    m_mesh->send(hello.incarnation, {HeartbeatTopic, encodeHeartbeat()});
+    m_mesh->send(hello.incarnation, {HeartbeatTopic, encodeHeartbeat({})});
     if (!m_ownLender.address.empty()) {
         m_mesh->send(hello.incarnation,
                      {LendingTopic, encodeFleetMessage(json::array({m_ownLender.address, m_ownLender.secret}))});
@@ -492,6 +522,10 @@
     }
     applyHoldings(heartbeat, HolderId{peer.member.callerAddress});
     onCopyStates(peer.member.incarnation, heartbeat);
+    const auto speeds = heartbeat.find("speeds");
+    if (speeds != heartbeat.end() && isAdvertised(peer)) {
+        applySpeedReports(m_relay.state().endpoints, decodeSpeedReports(*speeds), Relay::now());
+    }
 }
 
 void FleetLinks::broadcastLedger(std::uint64_t revision, const std::string &ledger)
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -10,6 +10,7 @@
 #include "godwit/gateway/byte_rate_limiter.h"
 #include "godwit/gateway/entry_hosts.h"
 #include "godwit/gateway/read_schedule.h"
+#include "godwit/gateway/speed_exchange.h"
 #include "godwit/prepaid/token_prefetch.h"
 #include "godwit/relay/relay.h"
 #include "godwit/router/router_mesh.h"
@@ -255,7 +256,8 @@
     void returnUnusedTokens();
     nlohmann::json encodeHolding(const CustomerId &customer) const;
     void applyHolding(const CustomerId &customer, const HolderId &holder, const nlohmann::json &row);
-    std::string encodeHeartbeat() const;
+    std::string encodeHeartbeat(const std::vector<SpeedReport> &speeds) const;
+    void logSpeedChanges();
     void onLinkUp(const Hello &hello);
     void onLinkDown(const Incarnation &incarnation);
     void onMessage(const Incarnation &from, const Envelope &envelope);
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -3,6 +3,7 @@
 
 #include "godwit/daemon/fleet_links.h"
 
+#include "godwit/daemon/fleet_messages.h"
 #include "godwit/http/address.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -317,3 +318,50 @@
     CHECK(latest()->remaining == 6000);
     CHECK(latest()->demandBySize.size() == 1);
 }
+
+TEST_CASE("routers share the speeds of engines in heartbeats, unless the receiver does not use them")
+{
+    Routers routers({"a", "b", "c"});
+    const EndpointId id{"engine"};
+    for (const auto &router : routers.all) {
+        EndpointTable &table = router->relay.state().endpoints;
+        table.shareSpeeds = router != routers.all[2];
+        replaceEndpoints(table, {{id, "model", "", DataCentreId{"north"}, 8, false, 7}});
+    }
+    for (int i = 0; i < 4; ++i) {
+        recordSpeedSample(routers[0].relay.state().endpoints.endpoints.at(id).speed, 1.75, Relay::now());
+    }
+    routers[0].links.sendHeartbeat();
+    routers.run(std::chrono::milliseconds(50));
+    const auto speedAt = [&](std::size_t router) {
+        return currentSpeed(routers[router].relay.state().endpoints.endpoints.at(id).speed, {}, Relay::now());
+    };
+    CHECK(speedAt(1).samples == 4);
+    CHECK(speedAt(1).observed == Approx(1.75));
+    CHECK(speedAt(2).samples == 0);
+}
+
+TEST_CASE("malformed speeds are dropped one by one, and heartbeats without them are accepted")
+{
+    // Guards against a faulty or newer router whose heartbeats make the others misjudge their engines.
+    using nlohmann::json;
+    const json rows = json::array({json::array({"a", 7, 1700, 4}),
+                                   json::array({"b", 7, 1700}),
+                                   json::array({"c", "7", 1700, 4}),
+                                   json::array({"d", 7, 0, 4}),
+                                   json::array({"e", 7, -1700, 4}),
+                                   json::array({"f", 7, 1.7, 4}),
+                                   json::array({"g", 7, 1700, 0}),
+                                   json::array({"h", 7, 1700, 1'000'000'000'000}),
+                                   json::array({5, 7, 1700, 4}),
+                                   "i",
+                                   json::array({"j", 7, 700, 2})});
+    const auto reports = internal::decodeSpeedReports(rows);
+    REQUIRE(reports.size() == 2);
+    CHECK(reports[0].ratio == Approx(1.7));
+    CHECK(reports[1].endpoint == EndpointId{"j"});
+    CHECK(internal::decodeSpeedReports(json()).empty());
+    CHECK(internal::decodeSpeedReports(json("speeds")).empty());
+    const std::vector<SpeedReport> many(MaxSpeedReports + 5, reports[0]);
+    CHECK(internal::decodeSpeedReports(internal::encodeSpeedReports(many)).size() == MaxSpeedReports);
+}
--- a/godwit/daemon/fleet_messages.cpp
+++ b/godwit/daemon/fleet_messages.cpp
@@ -2,6 +2,9 @@
 
 #include "godwit/base/cbor_shape.h"
 
+#include <cmath>
+#include <cstdint>
+
 namespace Godwit::internal
 {
 namespace
@@ -12,6 +15,16 @@
 // Heartbeats nest two levels deep.
 constexpr std::size_t MaxDepth = 4;
 
+// Unit of ratios in speed reports, and the bounds of what is accepted.
+constexpr double RatioUnit = 1000;
+constexpr std::int64_t MaxScaledRatio = 100'000;
+constexpr std::int64_t MaxReportedSamples = 10'000;
+
+bool isIntegerUpTo(const json &value, std::int64_t most)
+{
+    return value.is_number_integer() && value.get<std::int64_t>() > 0 && value.get<std::int64_t>() <= most;
+}
+
 } // namespace
 
 std::string encodeFleetMessage(const json &value)
@@ -46,4 +59,33 @@
     return amounts;
 }
 
+json encodeSpeedReports(const std::vector<SpeedReport> &reports)
+{
+    json rows = json::array();
+    for (const SpeedReport &report : reports) {
+        const auto scaled = std::llround(report.ratio * RatioUnit);
+        rows.push_back(json::array({report.endpoint.value, report.startedAt, scaled, report.samples}));
+    }
+    return rows;
+}
+
+std::vector<SpeedReport> decodeSpeedReports(const json &rows)
+{
+    std::vector<SpeedReport> reports;
+    if (!rows.is_array()) {
+        return reports;
+    }
+    for (const json &row : rows) {
+        const bool wellFormed = row.is_array() && row.size() == 4 && row[0].is_string() && row[1].is_number_integer()
+            && isIntegerUpTo(row[2], MaxScaledRatio) && isIntegerUpTo(row[3], MaxReportedSamples);
+        if (wellFormed && reports.size() < MaxSpeedReports) {
+            reports.push_back({EndpointId{row[0].get<std::string>()},
+                               row[1].get<EndpointIncarnation>(),
+                               static_cast<double>(row[2].get<std::int64_t>()) / RatioUnit,
+                               row[3].get<int>()});
+        }
+    }
+    return reports;
+}
+
 } // namespace Godwit::internal
--- a/godwit/daemon/fleet_messages.h
+++ b/godwit/daemon/fleet_messages.h
@@ -7,6 +7,7 @@
 //   mesh.send(peer, {internal::TokenTransferTopic, internal::encodeFleetMessage(json::array({customer, amount}))});
 
 #include "godwit/base/ids.h"
+#include "godwit/gateway/speed_exchange.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Godwit::internal
 {
@@ -49,4 +51,10 @@
 // Decodes a customer and `count` token amounts, at most MaxAmounts; nullopt if the message has another form.
 std::optional<Amounts> decodeAmounts(const nlohmann::json &message, std::size_t count);
 
+// Rows of [endpoint id, start, ratio x 1000, samples].
+nlohmann::json encodeSpeedReports(const std::vector<SpeedReport> &reports);
+
+// Malformed rows, and rows beyond MaxSpeedReports, are dropped.
+std::vector<SpeedReport> decodeSpeedReports(const nlohmann::json &rows);
+
 } // namespace Godwit::internal
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -107,6 +107,7 @@
     options.dataCentre = settings.dataCentre;
     options.regions = settings.regions;
     options.coldStart = ColdStartBounds{settings.coldOverrun, settings.coldSlack};
+    options.shareSpeeds = settings.shareSpeeds;
     options.prepaid.self = HolderId{settings.callerListen};
     options.prepaid.incarnation = incarnation;
     options.prepaid.startedAt = hostTimeNow(bootId());
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -54,6 +54,13 @@
         out << "godwit_seconds_since_endpoint_answered" << labels << toSeconds(Relay::now() - reach.lastAnswerAt)
             << '\n';
     }
+    for (const auto &[id, endpoint] : state.endpoints.endpoints) {
+        const SpeedOptions &options = state.endpoints.speedOptions;
+        const CurrentSpeed speed = currentSpeed(endpoint.speed, options, Relay::now());
+        if (isOutsideBand(speed.ratio, speed.samples, options)) {
+            out << "godwit_endpoint_speed_ratio{endpoint=\"" << escapeLabel(id.value) << "\"} " << speed.ratio << '\n';
+        }
+    }
     appendMetric(out, "godwit_borrowed_connections_total", static_cast<double>(counters.borrowedConnections));
     for (const auto &[reply, count] : counters.lendingReplies) {
         out << "godwit_lending_replies_total{reply=\"" << lendingReplyName(reply) << "\"} " << count << '\n';
--- a/godwit/gateway/speed_exchange_test.cpp
+++ b/godwit/gateway/speed_exchange_test.cpp
@@ -37,6 +37,7 @@
 void answer(EndpointTable &table, const char *id, double factor, TimePoint now)
 {
     EndpointState &endpoint = table.endpoints.at(EndpointId{id});
+    refreshRates(table, Service, now);
     beginPrefill(endpoint.load, table.prefillSpeeds[Service], 1, 5000, now);
     recordFirstEvent(table, endpoint, 1, now + Duration(static_cast<Duration::rep>(factor * 100'000)));
 }
@@ -127,8 +128,10 @@
     for (int i = 0; i < 60; ++i) {
         answer(table, "0", 1, Start + seconds(i));
     }
+    TimePoint now = Start + seconds(70);
     for (const char *id : {"0", "1", "1", "2"}) {
-        answer(table, id, 2, Start + seconds(70));
+        answer(table, id, 2, now);
+        now += seconds(1);
     }
     const auto first = takeSpeedReports(table, 2);
     REQUIRE(first.size() == 2);
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -33,6 +33,7 @@
     , m_random(std::random_device{}())
 {
     m_state.prepaid = makePrepaidShare(m_options.prepaid);
+    m_state.endpoints.shareSpeeds = m_options.shareSpeeds;
 }
 
 Duration Relay::uptime()
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -68,6 +68,7 @@
     Duration coldChoiceMaxAge = std::chrono::milliseconds(250);
     PrepaidOptions prepaid;
     ChoiceOptions choice;
+    bool shareSpeeds = false; // Copied to EndpointTable::shareSpeeds.
     ExchangeOptions exchange;
     RetryBudgetOptions retryRules;
     LimitShareOptions limitShares;
