--- a/godwit/gateway/placement_bench.cpp
+++ b/godwit/gateway/placement_bench.cpp
@@ -39,10 +39,25 @@
     }
 }
 
-// Returns the microseconds per selection among `engines`, of which every third is cold if `cold` is set.
-double choiceCost(int engines, bool cold)
+// A third of the engines is 2.4 times as slow as the others.
+void learnSpeeds(EndpointTable &table, TimePoint now)
 {
-    const TimePoint now{std::chrono::seconds(100)};
+    table.shareSpeeds = true;
+    for (int i = 0; i < 60; ++i) {
+        recordServiceTime(
+            table.speeds["engine"].times, 800 + 8000 * (i % 2), std::chrono::milliseconds(75 + 60 * (i % 2)));
+    }
+    int number = 0;
+    for (auto &[id, endpoint] : table.endpoints) {
+        recordPeerSpeed(endpoint.speed, ++number % 3 == 0 ? 2.4 : 1, 9, now);
+    }
+}
+
+// Returns the microseconds per selection among `engines`, of which every third is cold if `cold` is set. There are 500
+// selections a second, so that the rates of engines are updated with every 50th.
+double choiceCost(int engines, bool cold, bool shareSpeeds = false)
+{
+    TimePoint now{std::chrono::seconds(100)};
     std::vector<ListedEndpoint> listed;
     for (int i = 0; i < engines; ++i) {
         ListedEndpoint endpoint;
@@ -56,6 +71,9 @@
     replaceEndpoints(table, listed);
     table.coldPlans["engine"] = planColdStart({17, std::chrono::seconds(3)}, {1.5, 5});
     table.usableShares.set(0).set(1);
+    if (shareSpeeds) {
+        learnSpeeds(table, now);
+    }
     ChoiceQuery query;
     query.service = "engine";
     query.affinity = "5c1e07a2";
@@ -66,6 +84,7 @@
     const auto began = std::chrono::steady_clock::now();
     for (int i = 0; i < choices; ++i) {
         chooseEndpoint(table, query, {}, static_cast<std::uint64_t>(i), now);
+        now += shareSpeeds ? std::chrono::milliseconds(2) : std::chrono::milliseconds(0);
     }
     const std::chrono::duration<double, std::micro> took = std::chrono::steady_clock::now() - began;
     return took.count() / choices;
@@ -89,5 +108,8 @@
                     choiceCost(engines, false),
                     choiceCost(engines, true));
     }
+    std::printf(" 140 engines: %6.1f us a choice, %6.1f us with shared speeds\n",
+                choiceCost(140, false),
+                choiceCost(140, false, true));
     return 0;
 }
