Endpoint speeds: overdue prompts show at their expected time, lasting slowness after 2 s

A prompt counted as overdue only after twice its expected prefill, since queues count twice; an engine in a slow moment went on receiving prompts.

Routers that aren't advertised drop their samples for others, so that a later heartbeat carries no old ones.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -156,9 +156,11 @@
     m_sentReady = m_relay.isReady();
     m_sentStoreReachable = m_relay.state().platformInReach;
     m_sentPartitioned = partitionedGroups(m_relay.state().reach);
-    // Requests hardly ever go through the other routers.
-    const auto speeds =
-        isAdvertised() ? takeSpeedReports(m_relay.state().endpoints, MaxSpeedReports) : std::vector<SpeedReport>();
+    auto speeds = takeSpeedReports(m_relay.state().endpoints, MaxSpeedReports);
+    if (!isAdvertised()) {
+        // Such a router has too few samples to be worth the messages.
+        speeds.clear();
+    }
     const std::string heartbeat = encodeHeartbeat({});
     if (speeds.empty()) {
         m_mesh->broadcast({HeartbeatTopic, heartbeat});
--- a/godwit/gateway/endpoint_speed.cpp
+++ b/godwit/gateway/endpoint_speed.cpp
@@ -34,7 +34,7 @@
 // Weight of clearly slower samples until there have been `LastingSamples` within at least `SlowMoment` and nothing
 // else. Engines are slow for some tenths of a second at times, and prompts behind unknown ones look the same.
 constexpr double SlowMomentWeight = 0.02;
-constexpr Duration SlowMoment = std::chrono::seconds(4);
+constexpr Duration SlowMoment = std::chrono::seconds(2);
 constexpr int LastingSamples = 4;
 // Weight of clearly faster samples: neither queues nor slow moments make an engine look fast.
 constexpr double FasterSampleWeight = 2;
--- a/godwit/gateway/endpoint_speed.h
+++ b/godwit/gateway/endpoint_speed.h
@@ -86,7 +86,7 @@
 // Records one ratio of observed to expected time that this router has observed.
 //
 // Samples that are clearly slower than the average have hardly any weight until there have been several of them and
-// nothing else for a second, and samples that are clearly faster have twice the usual weight. A slow moment or an
+// nothing else for two seconds, and samples that are clearly faster have twice the usual weight. A slow moment or an
 // unknown queue of an otherwise fast engine therefore has little effect.
 void recordSpeedSample(EngineSpeed &speed, double ratio, TimePoint now);
 
--- a/godwit/gateway/endpoint_speed_test.cpp
+++ b/godwit/gateway/endpoint_speed_test.cpp
@@ -94,8 +94,10 @@
         }
     };
     observe(1, seconds(4));
-    observe(1.7, seconds(7));
-    CHECK(ratioOf(speed, now) > 1.4);
+    observe(1.7, seconds(3));
+    CHECK(isUsed(speed, now));
+    observe(1.7, seconds(3));
+    CHECK(ratioOf(speed, now) > 1.5);
     observe(1, seconds(2));
     CHECK(ratioOf(speed, now) < 1.25);
 }
--- a/godwit/gateway/engine_load.cpp
+++ b/godwit/gateway/engine_load.cpp
@@ -45,7 +45,12 @@
     return fromMilliseconds(static_cast<double>(tokens) * speed.millisecondsPerToken * load.slowdown);
 }
 
-// Time that a prompt is assumed to occupy the engine.
+Duration timeAtRate(const EngineLoad &load, Tokens tokens)
+{
+    return fromMilliseconds(static_cast<double>(tokens) * load.rate.millisecondsPerToken);
+}
+
+// Time that a prompt is assumed to delay the next ones.
 Duration queuedTimeAtRate(const EngineLoad &load, Tokens tokens)
 {
     return fromMilliseconds(static_cast<double>(tokens) * load.rate.millisecondsPerToken * QueueMargin);
@@ -85,8 +90,9 @@
     prefill.queuedAtRate = hasRate(load) ? load.busyUntilAtRate > now : hasOwnPending(load);
     load.busyUntil = std::max(load.busyUntil, now) + timeWithoutRate(load, speed, tokens);
     prefill.expectedAt = load.busyUntil;
-    load.busyUntilAtRate = std::max(load.busyUntilAtRate, now) + queuedTimeAtRate(load, tokens);
-    prefill.expectedAtRate = load.busyUntilAtRate + fromMilliseconds(load.rate.fixedMilliseconds);
+    const TimePoint startsAt = std::max(load.busyUntilAtRate, now);
+    prefill.expectedAtRate = startsAt + timeAtRate(load, tokens) + fromMilliseconds(load.rate.fixedMilliseconds);
+    load.busyUntilAtRate = startsAt + queuedTimeAtRate(load, tokens);
     load.pending.push_back(prefill);
 }
 
@@ -151,8 +157,7 @@
 
 Duration prefillTime(const EngineLoad &load, const PrefillSpeed &speed, Tokens tokens)
 {
-    return load.usesRate ? fromMilliseconds(static_cast<double>(tokens) * load.rate.millisecondsPerToken)
-                         : timeWithoutRate(load, speed, tokens);
+    return load.usesRate ? timeAtRate(load, tokens) : timeWithoutRate(load, speed, tokens);
 }
 
 void beginPrefill(EngineLoad &load, const PrefillSpeed &speed, PrefillId id, Tokens tokens, TimePoint now)
