--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -352,7 +352,7 @@
                                    json::array({"e", 7, -1700, 4}),
                                    json::array({"f", 7, 1.7, 4}),
                                    json::array({"g", 7, 1700, 0}),
-                                   json::array({"h", 7, 1700, 1'000'000'000'000}),
+                                   json::array({"h", 7, 1700, MaxReportedSamples + 1}),
                                    json::array({5, 7, 1700, 4}),
                                    "i",
                                    json::array({"j", 7, 700, 2})});
--- a/godwit/daemon/fleet_messages.cpp
+++ b/godwit/daemon/fleet_messages.cpp
@@ -15,10 +15,9 @@
 // Heartbeats nest two levels deep.
 constexpr std::size_t MaxDepth = 4;
 
-// Unit of ratios in speed reports, and the bounds of what is accepted.
+// Unit of ratios in speed reports, and the largest that is accepted.
 constexpr double RatioUnit = 1000;
 constexpr std::int64_t MaxScaledRatio = 100'000;
-constexpr std::int64_t MaxReportedSamples = 10'000;
 
 bool isIntegerUpTo(const json &value, std::int64_t most)
 {
--- a/godwit/gateway/speed_exchange.cpp
+++ b/godwit/gateway/speed_exchange.cpp
@@ -95,7 +95,7 @@
         reports.push_back({endpoint->listed.id,
                            endpoint->listed.startedAt,
                            std::exp(taken.logRatioSum / taken.samples),
-                           taken.samples});
+                           std::min(taken.samples, MaxReportedSamples)});
     }
     return reports;
 }
--- a/godwit/gateway/speed_exchange.h
+++ b/godwit/gateway/speed_exchange.h
@@ -26,6 +26,8 @@
 
 // Bound of the reports in one message.
 constexpr std::size_t MaxSpeedReports = 32;
+// Bound of the samples in one report, so that a single one can't replace what many routers have observed.
+constexpr int MaxReportedSamples = 100;
 
 // Mean ratio that a router has observed at one engine since its last report.
 struct SpeedReport
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 using namespace Godwit;
 using boost::asio::ip::tcp;
@@ -279,7 +280,9 @@
 // A router with one customer and one engine, a streaming request in flight, and the engine's end of it.
 struct RouterWithStream : RouterWithCaller
 {
-    explicit RouterWithStream(const std::string &millisecondsLeft = "9000", bool resumable = false)
+    explicit RouterWithStream(const std::string &millisecondsLeft = "9000",
+                              bool resumable = false,
+                              const std::vector<GatewayService> &services = {})
         : acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
         , engine(io)
     {
@@ -293,6 +296,7 @@
         document.routes.back().kind = GatewayRouteKind::Streaming;
         document.routes.back().services = {{"s", 1}};
         document.routes.back().resumable = resumable;
+        document.services = services;
         document.routes.back().maxEndpoints = 2;
         state.routes = makeRouteTable(document);
         state.stage = RelayStage::Serving;
@@ -464,3 +468,21 @@
     router.runUntilSettled();
     CHECK(router.account().netUsed == 700);
 }
+
+TEST_CASE("the first event of a stream is a sample of its engine's speed, only if speeds are shared")
+{
+    // Guards against samples that no call takes, and against samples without the setting.
+    const bool shareSpeeds = GENERATE(false, true);
+    GatewayService service;
+    service.name = "s";
+    service.engine = EngineTraits{};
+    RouterWithStream router("9000", false, {service});
+    EndpointTable &table = router.relay.state().endpoints;
+    table.shareSpeeds = shareSpeeds;
+    REQUIRE(table.endpoints.at(EndpointId{"e"}).load.pending.size() == 1);
+    router.sendEvent();
+    router.runUntil([&] {
+        return table.endpoints.at(EndpointId{"e"}).load.pending.empty();
+    });
+    CHECK(table.speeds["s"].times.samples == (shareSpeeds ? 1 : 0));
+}
