--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -83,6 +83,7 @@
         settings.admission = reader.boolean("admission", settings.admission);
         settings.admissionWindowBytes =
             static_cast<int>(reader.integer("admission_window_bytes", 0, {0, MaxAdmissionWindowBytes}));
+        settings.shareSpeeds = reader.boolean("share_speeds", settings.shareSpeeds);
         if (const toml::table *regions = reader.table("regions")) {
             settings.regions = readRegions(*regions, faults);
         }
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -47,6 +47,7 @@
     // Receive buffer of callers' connections if `admission` is set, so that less of a body is under way before its
     // request is admitted. 0: the system's default.
     int admissionWindowBytes = 0;
+    bool shareSpeeds = false; // Whether the speeds of engines are observed, shared with other routers and used.
     // Of all data centres; needed where routes or customers are bound to regions.
     std::map<DataCentreId, RegionId> regions;
     Duration addressesFor = std::chrono::seconds(2); // How long callers keep an address answer.
