--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -14,13 +14,6 @@
     return std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end();
 }
 
-bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint)
-{
-    const auto &unreachable = query.unreachable;
-    return !isTried(query, endpoint.listed.id) && isAllowed(query.regions, endpoint.listed.region)
-        && std::find(unreachable.begin(), unreachable.end(), endpoint.listed.dataCentre) == unreachable.end();
-}
-
 // A cold endpoint receives requests from a few routers only, at a limited rate.
 bool isThrottledWhileCold(const EndpointTable &table,
                           const ColdStartPlan *plan,
@@ -219,6 +212,13 @@
     return restarted;
 }
 
+bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint)
+{
+    const auto &unreachable = query.unreachable;
+    return !isTried(query, endpoint.listed.id) && isAllowed(query.regions, endpoint.listed.region)
+        && std::find(unreachable.begin(), unreachable.end(), endpoint.listed.dataCentre) == unreachable.end();
+}
+
 EndpointState *findIncarnation(EndpointTable &table, const EndpointId &id, EndpointIncarnation startedAt)
 {
     const auto found = table.endpoints.find(id);
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -146,6 +146,9 @@
 // Returns the state of the given incarnation of an endpoint, or null if it was removed or has restarted since.
 EndpointState *findIncarnation(EndpointTable &table, const EndpointId &id, EndpointIncarnation startedAt);
 
+// Whether the query permits the endpoint, which is one of its service.
+bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint);
+
 struct Choice
 {
     EndpointState *endpoint = nullptr; // Null if no endpoint of the service may receive the request now.
--- a/godwit/gateway/retry_budget.cpp
+++ b/godwit/gateway/retry_budget.cpp
@@ -42,7 +42,10 @@
     ++currentSlice(budget, sliceNumber(options, now)).requests;
 }
 
-RetryDecision tryTakeRetry(RetryBudget &budget, const RetryBudgetOptions &options, double slackFraction, TimePoint now)
+RetryDecision checkRetry(const RetryBudget &budget,
+                         const RetryBudgetOptions &options,
+                         double slackFraction,
+                         TimePoint now)
 {
     const std::int64_t number = sliceNumber(options, now);
     RetryDecision decision;
@@ -58,8 +61,14 @@
     decision.allowedByRequests = options.usedRatioFraction * options.ratio * decision.requests;
     decision.allowedBySlack = options.usedSlackFraction * options.slack * slackFraction;
     decision.granted = decision.retries + 1 <= decision.allowedByRequests + decision.allowedBySlack;
+    return decision;
+}
+
+RetryDecision tryTakeRetry(RetryBudget &budget, const RetryBudgetOptions &options, double slackFraction, TimePoint now)
+{
+    const RetryDecision decision = checkRetry(budget, options, slackFraction, now);
     if (decision.granted) {
-        ++currentSlice(budget, number).retries;
+        ++currentSlice(budget, sliceNumber(options, now)).retries;
     }
     return decision;
 }
--- a/godwit/gateway/retry_budget.h
+++ b/godwit/gateway/retry_budget.h
@@ -59,6 +59,12 @@
     double allowedBySlack = 0;
 };
 
+// As tryTakeRetry(), without taking the retry.
+RetryDecision checkRetry(const RetryBudget &budget,
+                         const RetryBudgetOptions &options,
+                         double slackFraction,
+                         TimePoint now);
+
 // Takes one retry from the budget, unless this router's part is exhausted.
 // `slackFraction`: the fraction of the slack that this router holds, from 0 to 1.
 RetryDecision tryTakeRetry(RetryBudget &budget, const RetryBudgetOptions &options, double slackFraction, TimePoint now);
