Hedged attempts: a second attempt beside a slow first one

Cause: a request waits for an endpoint that is slow for it while others are idle. Change: HedgedAttempt holds a second exchange until it has a useful answer or the first attempt has failed; RelayCall then continues with it and cancels the other run, so that bytes of two runs never mix. Both runs are reserved; the loser is charged by chargeOf() after its withdrawal. Settings gateway.hedge_ratio (default 0: off) and gateway.hedge_quantile, log line hedge, metric godwit_hedges_total. The message about a number out of range names the value.

--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -75,6 +75,8 @@
         settings.repeatRatio = reader.number("repeat_ratio", settings.repeatRatio, {0, 10});
         settings.repeatSlack = reader.number("repeat_slack", settings.repeatSlack, {0, 1e6});
         settings.repeatWindow = seconds(reader.number("repeat_window_s", 10, {0.1, 3600}));
+        settings.hedgeRatio = reader.number("hedge_ratio", settings.hedgeRatio, {0, 0.5});
+        settings.hedgeQuantile = reader.number("hedge_quantile", settings.hedgeQuantile, {0.5, 0.999});
         settings.coldOverrun = reader.number("cold_overrun", settings.coldOverrun, {0, 100});
         settings.coldSlack = reader.number("cold_slack", settings.coldSlack, {0, 1e6});
         if (const toml::table *regions = reader.table("regions")) {
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -38,6 +38,8 @@
     double repeatRatio = 0.2;
     double repeatSlack = 0;
     Duration repeatWindow = std::chrono::seconds(10);
+    double hedgeRatio = 0; // Hedges per request of a service, in repeatWindow; 0: none are sent.
+    double hedgeQuantile = 0.95; // Of the times to the first useful answer; a slower request is hedged.
     // What the fleet may send to a cold endpoint within a second: this multiple of the service's limit, and so many
     // requests besides.
     double coldOverrun = 1;
--- a/godwit/config/settings_test.cpp
+++ b/godwit/config/settings_test.cpp
@@ -105,3 +105,23 @@
     CHECK_FALSE(parseGatewaySettings(good + "[gateway.regions]\nhowrah = 5\n", "router.toml", reason));
     CHECK(reason->message.find("gateway.regions.howrah: must be a string") != std::string::npos);
 }
+
+TEST_CASE("a router sends no hedges by default, and refuses settings of hedges out of range")
+{
+    // Guards against a ratio that is mistaken for a percentage, and against hedges that nobody enabled.
+    const std::string good = "host = \"a\"\ndata_centre = \"salt-lake\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
+                             "ready = \"10.0.0.1:2\"\npeers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:4\"\n";
+    LastReason reason;
+    const auto plain = parseGatewaySettings(good, "router.toml", reason);
+    REQUIRE(plain);
+    CHECK(plain->hedgeRatio == 0);
+    CHECK(plain->hedgeQuantile == 0.95);
+    const auto enabled = parseGatewaySettings(good + "hedge_ratio = 0.05\nhedge_quantile = 0.9\n", "r.toml", reason);
+    REQUIRE(enabled);
+    CHECK(enabled->hedgeRatio == 0.05);
+    CHECK(enabled->hedgeQuantile == 0.9);
+    CHECK_FALSE(parseGatewaySettings(good + "hedge_ratio = 5\nhedge_quantile = 1\n", "r.toml", reason));
+    CHECK(reason->message.find("gateway.hedge_ratio: must be a number from 0 to 0.5, not 5") != std::string::npos);
+    CHECK(reason->message.find("gateway.hedge_quantile: must be a number from 0.5 to 0.999, not 1")
+          != std::string::npos);
+}
--- a/godwit/config/toml_reader.cpp
+++ b/godwit/config/toml_reader.cpp
@@ -203,7 +203,8 @@
     }
     const std::optional<double> value = node->value<double>();
     if (!node->is_number() || !value || !std::isfinite(*value) || *value < range.low || *value > range.high) {
-        fault(key, "must be a number from " + numberText(range.low) + " to " + numberText(range.high));
+        const std::string found = node->is_number() && value ? ", not " + numberText(*value) : "";
+        fault(key, "must be a number from " + numberText(range.low) + " to " + numberText(range.high) + found);
         return fallback;
     }
     return *value;
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -113,6 +113,9 @@
     options.retryRules.ratio = settings.repeatRatio;
     options.retryRules.slack = settings.repeatSlack;
     options.retryRules.window = settings.repeatWindow;
+    options.hedging.ratio = settings.hedgeRatio;
+    options.hedging.quantile = settings.hedgeQuantile;
+    options.hedging.window = settings.repeatWindow;
     return options;
 }
 
@@ -621,6 +624,7 @@
         m_settings.stopWithin = settings->stopWithin;
         m_settings.addressesFor = settings->addressesFor;
         m_relay.setRetryRules(settings->repeatRatio, settings->repeatSlack, settings->repeatWindow);
+        m_relay.setHedging(settings->hedgeRatio, settings->hedgeQuantile, settings->repeatWindow);
         m_relay.setColdStartBounds({settings->coldOverrun, settings->coldSlack});
         if (m_relay.state().routes) {
             planColdStarts();
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -70,6 +70,10 @@
         out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
             << "\",outcome=\"" << retryOutcomeName(kind.outcome) << "\"} " << count << '\n';
     }
+    for (const auto &[key, count] : counters.hedges) {
+        out << "godwit_hedges_total{service=\"" << escapeLabel(key.first) << "\",outcome=\""
+            << hedgeOutcomeName(key.second) << "\"} " << count << '\n';
+    }
     appendMetric(out, "godwit_repeats_sent_late_total", static_cast<double>(counters.sends.lateRetries));
     appendMetric(out, "godwit_sends_with_stale_time_left_total", static_cast<double>(counters.sends.staleTimeLeft));
     appendMetric(out, "godwit_sends_beyond_attempts_total", static_cast<double>(counters.sends.beyondMaxEndpoints));
--- a/godwit/prepaid/prepaid_share.cpp
+++ b/godwit/prepaid/prepaid_share.cpp
@@ -109,16 +109,21 @@
     }
 }
 
+bool canReserve(const PrepaidShare &share, const CustomerId &customer, Tokens tokens)
+{
+    const ShareAccount *account = accountOf(share, customer);
+    return account == nullptr || !account->bounded
+        || (!share.returned && committed(*account) + tokens <= limitOf(share, customer, *account));
+}
+
 bool reserve(PrepaidShare &share, const CustomerId &customer, Tokens tokens)
 {
-    ShareAccount *account = boundedAccount(share, customer);
-    if (account == nullptr) {
-        return true;
-    }
-    if (share.returned || committed(*account) + tokens > limitOf(share, customer, *account)) {
+    if (!canReserve(share, customer, tokens)) {
         return false;
     }
-    account->reserved += tokens;
+    if (ShareAccount *account = boundedAccount(share, customer)) {
+        account->reserved += tokens;
+    }
     return true;
 }
 
--- a/godwit/prepaid/prepaid_share.h
+++ b/godwit/prepaid/prepaid_share.h
@@ -257,6 +257,9 @@
 // Drops the customer's demand by size, to free memory once its requests have ceased.
 void clearDemandBySize(PrepaidShare &share, const CustomerId &customer);
 
+// Whether reserve() would succeed.
+bool canReserve(const PrepaidShare &share, const CustomerId &customer, Tokens tokens);
+
 // Reserves `tokens`; false if the limits don't allow it. Always succeeds for customers without a total.
 bool reserve(PrepaidShare &share, const CustomerId &customer, Tokens tokens);
 
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -122,6 +122,12 @@
     void pause();
     void resume();
 
+    // Whether no byte of the request has been sent. Only valid until the exchange has ended.
+    bool nothingSent() const
+    {
+        return m_phase == Phase::Connecting;
+    }
+
     // Whether the request was sent on a new connection rather than a pooled one.
     bool connectionIsNew() const
     {
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -15,6 +15,7 @@
 #include "godwit/gateway/crash_detector.h"
 #include "godwit/gateway/endpoint_reach.h"
 #include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/hedge_policy.h"
 #include "godwit/gateway/limit_shares.h"
 #include "godwit/gateway/response_ending.h"
 #include "godwit/gateway/retry_budget.h"
@@ -43,6 +44,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Godwit
@@ -71,6 +73,7 @@
     ExchangeOptions exchange;
     RetryBudgetOptions retryRules;
     LimitShareOptions limitShares;
+    HedgeOptions hedging;
     // Longest wait of a request for tokens; an eighth of its latency target if that is shorter. Drawing tokens from the
     // store takes about 15 ms, getting them from another router less.
     Duration budgetWaitLimit = std::chrono::milliseconds(120);
@@ -123,6 +126,7 @@
     RecentAnswers recentAnswers;
     SuspectTracker suspects; // Requests during which endpoints crashed.
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
+    HedgeState hedges;
 };
 
 struct InterruptedSuspect
@@ -197,6 +201,7 @@
     std::uint64_t trialsDenied = 0;
     std::map<std::string, std::uint64_t> endpointDeaths; // Crashes with requests in flight, keyed by service.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Responses delimited by closing the caller's connection.
+    std::map<std::pair<std::string, HedgeOutcome>, std::uint64_t> hedges; // Keyed by service and outcome.
     CallMetrics calls;
 };
 
@@ -219,6 +224,12 @@
         m_options.retryRules.slack = slack;
         m_options.retryRules.window = window;
     }
+    void setHedging(double ratio, double quantile, Duration window)
+    {
+        m_options.hedging.ratio = ratio;
+        m_options.hedging.quantile = quantile;
+        m_options.hedging.window = window;
+    }
     void setColdStartBounds(const ColdStartBounds &bounds)
     {
         m_options.coldStart = bounds;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -47,6 +47,7 @@
     , m_arrived(Relay::now())
     , m_deadlineTimer(relay.io())
     , m_budgetTimer(relay.io())
+    , m_hedgeTimer(relay.io())
 {
     ++m_relay.callsOpen;
     ++m_relay.counters().requests;
@@ -106,6 +107,9 @@
     m_service = findService(*m_table, m_serviceName);
     restrictTo(m_regions, m_route->allowedRegions);
     countRequest(m_relay.state().retryBudgets[m_serviceName], m_relay.options().retryRules, m_arrived);
+    if (m_relay.options().hedging.ratio > 0) {
+        countHedgeableRequest(m_relay.state().hedges, m_relay.options().hedging, m_serviceName, m_arrived);
+    }
     return true;
 }
 
@@ -165,24 +169,11 @@
         refuseSuspectForNow();
         return;
     }
-    ChoiceQuery query;
-    query.service = m_serviceName;
-    query.tried = m_triedEndpoints;
+    ChoiceQuery query = choiceQuery();
     if (trial) {
         const auto &others = m_relay.state().trialEndpoints;
         query.tried.insert(query.tried.end(), others.begin(), others.end());
     }
-    query.dataCentre = m_relay.options().dataCentre;
-    query.regions = m_regions;
-    query.unreachable = m_relay.unreachableDataCentres(m_serviceName);
-    if (m_service != nullptr && m_service->engine) {
-        query.promptTokens = m_facts.promptTokens;
-        query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
-    }
-    if (m_route->cachesPrompts) {
-        query.affinity = sharedPromptPrefix(m_facts);
-        query.sharedTokens = sharedTokens(m_facts);
-    }
     RelayState &state = m_relay.state();
     if (!state.endpoints.coldPlans.empty()) {
         state.endpoints.usableShares = usableShares(state.limitShares, Relay::now(), Relay::uptime());
@@ -209,12 +200,32 @@
     }
 }
 
+ChoiceQuery RelayCall::choiceQuery() const
+{
+    ChoiceQuery query;
+    query.service = m_serviceName;
+    query.tried = m_triedEndpoints;
+    query.dataCentre = m_relay.options().dataCentre;
+    query.regions = m_regions;
+    query.unreachable = m_relay.unreachableDataCentres(m_serviceName);
+    if (m_service != nullptr && m_service->engine) {
+        query.promptTokens = m_facts.promptTokens;
+        query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
+    }
+    if (m_route->cachesPrompts) {
+        query.affinity = sharedPromptPrefix(m_facts);
+        query.sharedTokens = sharedTokens(m_facts);
+    }
+    return query;
+}
+
 void RelayCall::startAttempt(const Choice &choice)
 {
     sendTo(choice);
     if (m_service != nullptr && m_service->engine && m_facts.promptTokens > 0) {
-        recordPrefillStart(*choice.endpoint, choice.uncachedTokens);
+        m_prefill = recordPrefillStart(*choice.endpoint, choice.uncachedTokens, m_sentAt);
     }
+    armHedge(choice.uncachedTokens);
 }
 
 // Retry-After when no endpoint is available. If all endpoints are cold, this is when the first one is warm again.
@@ -225,20 +236,22 @@
     return warm ? *warm - now + randomizedRetryAfter() : m_relay.options().defaultRetryAfter;
 }
 
-void RelayCall::recordPrefillStart(EndpointState &endpoint, Tokens unread)
+PrefillId RelayCall::recordPrefillStart(EndpointState &endpoint, Tokens unread, TimePoint sentAt)
 {
     const PrefillSpeed &speed = m_relay.state().endpoints.prefillSpeeds[m_serviceName];
+    PrefillId prefill = 0;
     do {
-        m_prefill = m_relay.random();
-    } while (m_prefill == 0);
-    beginPrefill(endpoint.load, speed, m_prefill, unread, m_sentAt);
+        prefill = m_relay.random();
+    } while (prefill == 0);
+    beginPrefill(endpoint.load, speed, prefill, unread, sentAt);
     if (m_relay.onPromptSent) {
-        PromptSent prompt{m_endpoint, unread, {}};
+        PromptSent prompt{endpoint.listed.id, unread, {}};
         if (m_route->cachesPrompts) {
             prompt.prefix = sharedPromptPrefix(m_facts);
         }
         m_relay.onPromptSent(prompt, prefillTime(endpoint.load, speed, unread));
     }
+    return prefill;
 }
 
 void RelayCall::onFirstEvent()
@@ -260,49 +273,74 @@
 }
 
 // Called once a new connection is established: the endpoint may have started to leave or reached its limit meanwhile.
-bool RelayCall::maySend()
+bool RelayCall::maySend(const Sending &sending)
 {
-    const EndpointState *chosen = currentEndpoint();
+    const EndpointState *chosen = findIncarnation(m_relay.state().endpoints, sending.endpoint, sending.start);
     if (chosen == nullptr || !acceptsNewRequests(*chosen)) {
         return false;
     }
     const TimePoint now = Relay::now();
     const bool limited = isColdStartLimited(m_relay.state().endpoints, *chosen, now);
-    return !limited || (m_coldChoice && now < m_sentAt + m_relay.options().coldChoiceMaxAge);
+    return !limited || (sending.cold && now < sending.chosenAt + m_relay.options().coldChoiceMaxAge);
 }
 
 void RelayCall::sendTo(const Choice &choice)
 {
     EndpointState &endpoint = *choice.endpoint;
-    ForwardMetadata send;
-    send.endpoint = endpoint.listed.id.value;
-    send.customer = m_customer.value;
-    send.timeLeft = timeLeft();
-    send.priority = std::clamp(m_urgency, 0, LeastUrgent);
-    if (m_eventsForwarded > 0) {
-        send.resumeAfter = m_lastEvent;
-    }
+    const Duration left = timeLeft();
     m_endpoint = endpoint.listed.id;
     m_endpointStart = endpoint.listed.startedAt;
     m_triedEndpoints.push_back(m_endpoint);
     m_sentAt = Relay::now();
     m_attemptOpen = true;
     m_coldChoice = choice.cold;
+    resetAnswer();
+    ++m_sends;
+    ++m_relay.counters().attempts;
+    beginAttempt(endpoint);
+
+    const Sending sending{m_endpoint, m_endpointStart, m_sentAt, m_coldChoice, left};
+    m_exchange = std::make_shared<EndpointExchange>(
+        m_relay.io(), m_relay.pool(), m_relay.options().exchange, exchangeHandlers(endpoint.listed, sending));
+    m_exchange->start(m_endpoint,
+                      endpoint.listed.address,
+                      formatRequestHead(m_head, forwardMetadata(sending), m_body.size()) + m_body,
+                      m_facts.attemptId);
+    m_newConnection = m_exchange->connectionIsNew();
+    m_relay.counters().connectionsOpened += m_newConnection ? 1 : 0;
+}
+
+ForwardMetadata RelayCall::forwardMetadata(const Sending &sending) const
+{
+    ForwardMetadata send;
+    send.endpoint = sending.endpoint.value;
+    send.customer = m_customer.value;
+    send.timeLeft = sending.timeLeft;
+    send.priority = std::clamp(m_urgency, 0, LeastUrgent);
+    if (m_eventsForwarded > 0) {
+        send.resumeAfter = m_lastEvent;
+    }
+    return send;
+}
+
+// Drops what was received from the previous endpoint and not forwarded.
+void RelayCall::resetAnswer()
+{
     m_answerHead.reset();
     m_answerEnding.reset();
     m_bufferedBody.clear();
     m_events = {};
-    ++m_sends;
-    ++m_relay.counters().attempts;
-    beginAttempt(endpoint);
+}
 
+ExchangeHandlers RelayCall::exchangeHandlers(const ListedEndpoint &listed, const Sending &sending)
+{
     ExchangeHandlers handlers;
     const auto self = shared_from_this();
-    handlers.maySend = [self] {
-        return self->maySend();
+    handlers.maySend = [self, sending] {
+        return self->maySend(sending);
     };
-    handlers.onSending = [self, left = send.timeLeft] {
-        self->recordSending(left);
+    handlers.onSending = [self, sending] {
+        self->recordSending(sending);
     };
     handlers.onHead = [self](const ResponseHead &head, const ResponseMetadata &facts) {
         self->onHead(head, facts);
@@ -316,25 +354,18 @@
     handlers.onFailed = [self](ExchangeFailure failure) {
         self->onFailed(failure);
     };
-    const EndpointGroup group = groupOf(endpoint.listed);
+    const EndpointGroup group = groupOf(listed);
     handlers.mayConnectDirectly = [self, group] {
         return !isPartitioned(self->m_relay.state().reach, group);
     };
     handlers.lenders = [self, group] {
         return self->m_relay.lendersToAsk(group);
     };
-    handlers.onDirectConnection = [&monitor = m_relay.reachMonitor(),
-                                   listed = endpoint.listed](DirectConnectionEvent event, TimePoint openedAt) {
+    handlers.onDirectConnection = [&monitor = m_relay.reachMonitor(), listed](DirectConnectionEvent event,
+                                                                              TimePoint openedAt) {
         monitor.onConnectionEvent(listed, event, openedAt);
     };
-    m_exchange = std::make_shared<EndpointExchange>(
-        m_relay.io(), m_relay.pool(), m_relay.options().exchange, std::move(handlers));
-    m_exchange->start(m_endpoint,
-                      endpoint.listed.address,
-                      formatRequestHead(m_head, send, m_body.size()) + m_body,
-                      m_facts.attemptId);
-    m_newConnection = m_exchange->connectionIsNew();
-    m_relay.counters().connectionsOpened += m_newConnection ? 1 : 0;
+    return handlers;
 }
 
 void RelayCall::onFailed(ExchangeFailure failure)
@@ -508,6 +539,7 @@
     m_closed = true;
     m_end = end;
     endTrial();
+    dropHedge(callEndName(end));
     m_deadlineTimer.cancel();
     m_budgetTimer.cancel();
     if (m_waitingForTokens) {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -13,6 +13,7 @@
 #include "godwit/gateway/route_table.h"
 #include "godwit/http/event_stream.h"
 #include "godwit/relay/endpoint_exchange.h"
+#include "godwit/relay/hedged_attempt.h"
 #include "godwit/relay/relay.h"
 #include "godwit/suspects/suspect_admission.h"
 #include "platform/http_codec.h"
@@ -79,6 +80,16 @@
         Sent, // It may be running or have run.
     };
 
+    // The sending of a request to an endpoint.
+    struct Sending
+    {
+        EndpointId endpoint;
+        EndpointIncarnation start = 0;
+        TimePoint chosenAt;
+        bool cold = false; // One of the rate-limited requests to a cold endpoint.
+        Duration timeLeft{}; // Remaining time that the endpoint is given.
+    };
+
     bool findRoute();
     void refuseUnknown(ErrorKind kind, const std::string &message);
     bool findCustomer();
@@ -89,9 +100,31 @@
     Duration randomizedRetryAfter() const;
     void attempt();
     void startAttempt(const Choice &choice);
+    ChoiceQuery choiceQuery() const;
     void sendTo(const Choice &choice);
-    void recordSending(Duration timeLeft);
-    bool maySend();
+    ForwardMetadata forwardMetadata(const Sending &sending) const;
+    ExchangeHandlers exchangeHandlers(const ListedEndpoint &listed, const Sending &sending);
+    void resetAnswer();
+    void recordSending(const Sending &sending);
+    bool maySend(const Sending &sending);
+    void armHedge(Tokens uncachedTokens);
+    void waitForHedge(TimePoint due);
+    HedgeFacts hedgeFacts(const ChoiceQuery &query);
+    bool canReserveAgain() const;
+    HedgeEndpointFacts hedgeEndpointFacts(const Choice &choice);
+    void tryHedge();
+    void sendHedge(const Choice &choice);
+    EndpointRun currentRun() const;
+    void continueWithHedge(std::string_view cause);
+    void dropHedge(std::string_view cause);
+    void cancelLost(const EndpointRun &run);
+    void onHedgeFailed(const HedgeFailure &failure);
+    AttemptFeedback hedgeVerdict(const EndpointRun &run, const HedgeFailure &failure);
+    void releaseHead();
+    void noteFirstAnswer();
+    void recordFirstAnswerTime();
+    void noteShed();
+    void recordHedgeOutcome(HedgeOutcome outcome, std::string_view cause, const EndpointId &endpoint);
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
     void onBody(std::string_view bytes);
@@ -101,6 +134,7 @@
     void forwardHead(ResponseFraming framing, std::string_view body = {});
     void forwardPiece(std::string_view bytes);
     void recordAnswerEnding();
+    InterruptedRequest interruptedRequest(const EndpointRun &run, std::optional<std::uint64_t> trial);
     void retryAfterCrashCheck(const std::string &cause);
     void reportCompleteAnswer();
     Admission admissionNow();
@@ -138,7 +172,7 @@
     Tokens usedTokens() const;
     Duration timeLeft() const;
     EndpointState *currentEndpoint();
-    void recordPrefillStart(EndpointState &endpoint, Tokens unread);
+    PrefillId recordPrefillStart(EndpointState &endpoint, Tokens unread, TimePoint sentAt);
     void onFirstEvent();
     void dropPrefill();
 
@@ -184,6 +218,13 @@
     bool m_coldChoice = false; // The latest attempt is one of the rate-limited requests to a cold endpoint.
     PrefillId m_prefill = 0; // The endpoint's pending prefill of the prompt; 0: none.
 
+    std::shared_ptr<HedgedAttempt> m_hedge; // Open beside the first attempt; unset otherwise.
+    boost::asio::steady_timer m_hedgeTimer;
+    TimePoint m_hedgeBase; // When the first attempt was sent; valid with m_hedgeKey or m_answerTimeKey.
+    HedgeKey m_hedgeKey;
+    std::optional<HedgeKey> m_answerTimeKey; // Set while the first attempt's time is still to be recorded.
+    bool m_holdsHead = false; // The head of a stream is not forwarded before its first event.
+
     std::optional<ResponseHead> m_answerHead;
     ResponseMetadata m_answer;
     std::optional<ResponseEnding> m_answerEnding; // How the latest attempt's response ended; unset before.
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -34,13 +34,14 @@
     m_answer = facts;
     const bool success = facts.status / 100 == 2;
     m_forwardsEvents = success && facts.sealed && facts.isEventStream && m_route->kind == GatewayRouteKind::Streaming;
-    if (m_forwardsEvents && !m_headForwarded) {
+    if (m_forwardsEvents && !m_headForwarded && !m_holdsHead) {
         forwardHead(ResponseFraming::Chunked);
     }
 }
 
 void RelayCall::forwardHead(ResponseFraming framing, std::string_view body)
 {
+    dropHedge("first_answered");
     m_headForwarded = true;
     m_forwardedFraming = framingToForward(m_answer.framing, framing);
     m_relay.counters().answersWithoutDeclaredEnd += m_forwardedFraming == ResponseFraming::Connection ? 1 : 0;
@@ -87,13 +88,25 @@
     }
     onFirstEvent();
     m_lastEventAt = Relay::now();
-    m_firstAnswerAt = m_firstAnswerAt.value_or(*m_lastEventAt);
+    noteFirstAnswer();
+    if (!m_headForwarded) {
+        forwardHead(ResponseFraming::Chunked);
+    }
     forwardPiece(whole);
     if (m_exchange && m_sink->queuedBytes() > m_relay.options().maxCallerQueueBytes) {
         m_exchange->pause();
     }
 }
 
+// The first event, or the whole of another response, has arrived.
+void RelayCall::noteFirstAnswer()
+{
+    m_firstAnswerAt = m_firstAnswerAt.value_or(Relay::now());
+    if (m_answer.status / 100 == 2) {
+        recordFirstAnswerTime();
+    }
+}
+
 void RelayCall::sinkDrained()
 {
     if (m_exchange) {
@@ -143,6 +156,7 @@
     if (m_answer.notExecuted) {
         // Applies to resume attempts as well: a rejection does not affect the part that was already forwarded.
         endAttempt(AttemptFeedback::Shed);
+        noteShed();
         retryOrFail(m_answer.wrongEndpoint ? "address_reused" : "shed", true);
         return;
     }
@@ -177,14 +191,21 @@
         retryOrFail("end_not_declared", true);
         return;
     }
+    if (failed && m_hedge) {
+        retryOrFail("failed_answer", true);
+        return;
+    }
     if (failed && mayRetry() && !m_headForwarded && takeRetry("failed_answer")) {
         ++m_relay.counters().retries;
         m_retryGrantedAt = Relay::now();
         attempt();
         return;
     }
+    if (m_forwardsEvents && !m_headForwarded) {
+        forwardHead(ResponseFraming::Chunked);
+    }
     if (!m_headForwarded) {
-        m_firstAnswerAt = Relay::now();
+        noteFirstAnswer();
         forwardHead(ResponseFraming::Length, m_bufferedBody);
     } else if (const std::string rest = m_forwardsEvents ? takePending(m_events) : m_bufferedBody; !rest.empty()) {
         forwardPiece(rest);
--- a/godwit/relay/relay_call_retries.cpp
+++ b/godwit/relay/relay_call_retries.cpp
@@ -22,23 +22,25 @@
 
 } // namespace
 
-void RelayCall::recordSending(Duration timeLeft)
+void RelayCall::recordSending(const Sending &sending)
 {
     const TimePoint now = Relay::now();
-    m_relay.counters().borrowedConnections += m_exchange && m_exchange->isBorrowed() ? 1 : 0;
+    const bool isHedge = m_hedge && m_hedge->run().endpoint == sending.endpoint;
+    const auto &exchange = isHedge ? m_hedge->run().exchange : m_exchange;
+    m_relay.counters().borrowedConnections += exchange && exchange->isBorrowed() ? 1 : 0;
     const auto &deathCount = m_relay.state().suspects.deathCount;
     SendRecord record;
     record.attempt = m_facts.attemptId;
     record.service = m_serviceName;
-    record.endpoint = m_endpoint.value;
+    record.endpoint = sending.endpoint.value;
     record.sends = m_sends;
-    record.possibleExecutions = m_possibleExecutions;
+    record.possibleExecutions = m_possibleExecutions + (m_hedge ? 1 : 0); // The other run is open.
     record.maxEndpoints = m_route->maxEndpoints;
-    if (m_retryGrantedAt) {
+    if (m_retryGrantedAt && (isHedge || !m_hedge)) {
         record.sinceRetryGranted = now - *m_retryGrantedAt;
     }
-    record.timeLeft = timeLeft;
-    record.timeLeftAge = now - m_sentAt;
+    record.timeLeft = sending.timeLeft;
+    record.timeLeftAge = now - sending.chosenAt;
     record.sinceArrival = now - m_arrived;
     if (!deathCount.empty()) {
         for (const std::uint64_t fingerprint : suspectKeys()) {
@@ -117,6 +119,11 @@
                          {"may_have_run", m_possibleExecutions > 0},
                          {"prompt_parts", std::string_view(parts)},
                          {"request", std::string_view(request)}});
+    m_answerTimeKey.reset();
+    if (m_hedge) {
+        continueWithHedge("first_failed");
+        return;
+    }
     // A stream can only be resumed after an event that has an id.
     const bool resumable = m_eventsForwarded == 0 || m_lastEvent > 0;
     const bool canResume = resumable && (!m_headForwarded || m_forwardsEvents || m_eventsForwarded > 0);
--- a/godwit/relay/relay_call_suspects.cpp
+++ b/godwit/relay/relay_call_suspects.cpp
@@ -25,14 +25,12 @@
         return;
     }
     const auto trial = std::exchange(m_trial, std::nullopt);
-    const auto &keys = suspectKeys();
-    const auto interrupted = [&](std::size_t key) {
-        return InterruptedSuspect{{keys[key], m_sentAt, Relay::now(), trial == keys[key]}, labelOf(key)};
-    };
-    const auto [run, label] = interrupted(0);
-    InterruptedRequest cut{m_endpoint, m_endpointStart, run, label, {}};
-    for (std::size_t key = 1; key < keys.size(); ++key) {
-        cut.parts.push_back(interrupted(key));
+    const InterruptedRequest cut = interruptedRequest(currentRun(), trial);
+    if (m_hedge) {
+        // The hedge is sent already, so there is no retry to decide about.
+        m_relay.onInterrupted(cut, [] {});
+        retryOrFail(cause, true);
+        return;
     }
     m_relay.onInterrupted(cut, [self = shared_from_this(), cause] {
         if (!self->m_closed) {
@@ -41,6 +39,20 @@
     });
 }
 
+InterruptedRequest RelayCall::interruptedRequest(const EndpointRun &run, std::optional<std::uint64_t> trial)
+{
+    const auto &keys = suspectKeys();
+    const auto interrupted = [&](std::size_t key) {
+        return InterruptedSuspect{{keys[key], run.sentAt, Relay::now(), trial == keys[key]}, labelOf(key)};
+    };
+    const auto [attempt, label] = interrupted(0);
+    InterruptedRequest cut{run.endpoint, run.start, attempt, label, {}};
+    for (std::size_t key = 1; key < keys.size(); ++key) {
+        cut.parts.push_back(interrupted(key));
+    }
+    return cut;
+}
+
 // A complete response shows that the endpoint survived the request.
 void RelayCall::reportCompleteAnswer()
 {
