--- a/godwit/relay/hedged_attempt.cpp
+++ b/godwit/relay/hedged_attempt.cpp
@@ -136,6 +136,7 @@
     if (m_facts.notExecuted) {
         failure.cause = m_facts.wrongEndpoint ? "address_reused" : "shed";
         failure.feedback = AttemptFeedback::Shed;
+        failure.lackedRoom = !m_facts.wrongEndpoint;
     } else if (isSuccess()) {
         failure.cause = "ended_inside_stream";
         failure.feedback = AttemptFeedback::Unreachable;
--- a/godwit/relay/hedged_attempt.h
+++ b/godwit/relay/hedged_attempt.h
@@ -53,6 +53,7 @@
     std::string cause;
     AttemptFeedback feedback = AttemptFeedback::Neutral;
     bool mayHaveRun = false;
+    bool lackedRoom = false;
     bool connectionLost = false; // The endpoint may have crashed.
 };
 
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -123,7 +123,7 @@
     void releaseHead();
     void noteFirstAnswer();
     void recordFirstAnswerTime();
-    void noteShed();
+    void noteLackOfRoom();
     void recordHedgeOutcome(HedgeOutcome outcome, std::string_view cause, const EndpointId &endpoint);
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -156,7 +156,9 @@
     if (m_answer.notExecuted) {
         // Applies to resume attempts as well: a rejection does not affect the part that was already forwarded.
         endAttempt(AttemptFeedback::Shed);
-        noteShed();
+        if (!m_answer.wrongEndpoint) {
+            noteLackOfRoom();
+        }
         retryOrFail(m_answer.wrongEndpoint ? "address_reused" : "shed", true);
         return;
     }
--- a/godwit/relay/relay_call_hedge.cpp
+++ b/godwit/relay/relay_call_hedge.cpp
@@ -241,8 +241,8 @@
     const EndpointRun &run = hedge->run();
     ++m_relay.counters().attemptsFailed[failure.cause];
     recordHedgeOutcome(HedgeOutcome::Lost, failure.cause, run.endpoint);
-    if (failure.feedback == AttemptFeedback::Shed) {
-        noteShed();
+    if (failure.lackedRoom) {
+        noteLackOfRoom();
     }
     if (failure.mayHaveRun) {
         m_progress = Progress::Sent;
@@ -290,7 +290,7 @@
 }
 
 // An endpoint of the service has rejected the request for lack of room.
-void RelayCall::noteShed()
+void RelayCall::noteLackOfRoom()
 {
     if (m_relay.options().hedging.ratio > 0) {
         m_relay.state().hedges.roomShortAt[m_serviceName] = Relay::now();
