Hedge tests: no byte of the other run, and a hedge ends with the first event

Two deliberate faults passed the tests before: bytes of the first run kept when the hedge takes over, and a hedge left open after the first event.

--- a/godwit/relay/hedged_attempt_test.cpp
+++ b/godwit/relay/hedged_attempt_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/testing/fake_endpoint.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -223,6 +224,11 @@
         return sink.text.find(text) != std::string::npos;
     }
 
+    bool receivedOnce(const std::string &text) const
+    {
+        return receivedText(text) && sink.text.find(text) == sink.text.rfind(text);
+    }
+
     boost::asio::io_context io;
     DecisionLog log;
     Relay relay;
@@ -233,8 +239,8 @@
     std::shared_ptr<RelayCall> call;
 };
 
-// Makes the endpoint send the head of a stream and a part of the first event, and then nothing.
-void stopInsideFirstEvent(FakeEndpoint &endpoint)
+// Makes the endpoint send the head of a response and a part of its body or first event, and then nothing.
+void stopInsideAnswer(FakeEndpoint &endpoint)
 {
     endpoint.behaviour().eventInterval = std::chrono::seconds(2);
     endpoint.setResponseScript([](const std::string &) {
@@ -249,11 +255,12 @@
 TEST_CASE("a hedge that answers first wins whole, and the slow endpoint sees its connection close")
 {
     HedgingRouter router;
-    router.first.faults().hang = true;
+    stopInsideAnswer(router.first);
     router.start("/read/1", false);
     router.finish();
     CHECK(router.receivedText("200 OK"));
     CHECK(router.receivedText("done by second"));
+    CHECK(router.receivedOnce("done b"));
     CHECK(router.first.clientDisconnects() == 1);
     CHECK(router.second.lastHeaders().at("x-attempt-id") == "r1");
     CHECK(router.inFlight() == 0);
@@ -263,16 +270,22 @@
     CHECK(router.relay.counters().sends.beyondMaxEndpoints == 0);
 }
 
-TEST_CASE("a first attempt that answers first wins, and the hedge's endpoint sees its connection close")
+TEST_CASE("a first attempt whose event comes first wins, and the hedge's endpoint sees its connection close at once")
 {
+    // Guards against a hedge that stays open and takes over a stream of which events were forwarded.
     HedgingRouter router;
-    router.first.behaviour().responseDelay = milliseconds(120);
+    router.queueFirst();
     router.second.faults().hang = true;
-    router.start("/read/1", false);
-    router.finish();
-    CHECK(router.receivedText("done by first"));
+    router.start("/write/1", true);
+    router.runUntilHedged();
+    tcp::socket engine = router.queue.accept();
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: r1\r\n";
+    boost::asio::write(engine, boost::asio::buffer(head + "X-Response-Seal: s\r\n\r\n7\r\nid: 1\n\n\r\n"));
+    router.run(milliseconds(20));
+    CHECK(router.receivedOnce("id: 1\n"));
+    CHECK_FALSE(router.sink.ended);
     CHECK(router.second.clientDisconnects() == 1);
-    CHECK(router.inFlight() == 0);
+    CHECK(router.inFlight() == 1);
     CHECK(router.hedges(HedgeOutcome::Lost) == 1);
 }
 
@@ -280,13 +293,14 @@
 {
     // Guards against a response with parts of two runs: the streams of the two endpoints differ in length.
     HedgingRouter router;
-    stopInsideFirstEvent(router.first);
+    stopInsideAnswer(router.first);
     router.start("/write/1", true);
     router.finish();
     CHECK(router.sink.ended);
     CHECK(router.receivedText("part 3"));
     CHECK_FALSE(router.receivedText("part 4"));
-    CHECK(router.sink.text.find("HTTP/1.1") == router.sink.text.rfind("HTTP/1.1"));
+    CHECK(router.receivedOnce("HTTP/1.1"));
+    CHECK(router.receivedOnce("id: 1\n"));
     CHECK(router.first.clientDisconnects() == 1);
 }
 
@@ -386,7 +400,7 @@
 TEST_CASE("a denied hedge is counted, and the held head of the stream is forwarded")
 {
     HedgingRouter router;
-    stopInsideFirstEvent(router.first);
+    stopInsideAnswer(router.first);
     router.relay.state().hedges.roomShortAt[Service] = Relay::now() + milliseconds(100);
     router.start("/write/1", true);
     router.run(LongerThanHedge);
@@ -406,7 +420,7 @@
     }
     SECTION("the loser has begun")
     {
-        stopInsideFirstEvent(router.first);
+        stopInsideAnswer(router.first);
         loser = Prompt;
     }
     router.start("/write/1", true);
