--- a/godwit/relay/relay_call_hedge.cpp
+++ b/godwit/relay/relay_call_hedge.cpp
@@ -127,7 +127,7 @@
         releaseHead();
         return;
     }
-    takeRetry("hedge");
+    takeRetry("hedge"); // Granted, as denyHedge() has found.
     recordHedge(state.hedges, options, m_serviceName, Relay::now());
     sendHedge(choice);
 }
