--- a/godwit/relay/hedged_attempt_test.cpp
+++ b/godwit/relay/hedged_attempt_test.cpp
@@ -137,7 +137,7 @@
         run(milliseconds(1));
     }
 
-    void start(const std::string &target, bool streams)
+    void start(const std::string &target, bool streams, const std::string &millisecondsLeft = "3000")
     {
         RequestHead head;
         head.method(http::verb::post);
@@ -146,6 +146,7 @@
         head.set(http::field::host, "desk.example");
         head.set(AttemptIdField, "r1");
         head.set(ApiKeyField, "key");
+        head.set(TimeRemainingField, millisecondsLeft);
         if (streams) {
             head.set(TokenCountsField, std::to_string(Prompt) + ',' + std::to_string(MaxOutput));
         }
@@ -434,15 +435,24 @@
     CHECK(router.account().netUsed == Prompt + 3 + loser);
 }
 
-TEST_CASE("when the caller leaves, both runs are cancelled at once and both reservations are settled")
+TEST_CASE(
+    "when the caller leaves or the deadline passes, both runs are cancelled at once and both reservations are settled")
 {
     HedgingRouter router;
     router.queueFirst();
     router.second.faults().hang = true;
-    router.start("/write/1", true);
+    router.start("/write/1", true, "200");
     router.runUntilHedged();
     CHECK(router.account().reserved == 2 * (Prompt + MaxOutput));
-    router.call->onCallerDisconnected();
+    SECTION("the caller leaves")
+    {
+        router.call->onCallerDisconnected();
+    }
+    SECTION("the deadline passes")
+    {
+        router.finish();
+        CHECK(router.receivedText("504 "));
+    }
     router.closeQueued();
     CHECK(router.second.clientDisconnects() == 1);
     CHECK(router.inFlight() == 0);
