--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -116,6 +116,9 @@
     options.retryRules.window = settings.repeatWindow;
     options.callerAdmission.enabled = settings.admission;
     options.callerAdmission.linkBytesPerSecond = bytesPerSecond(settings.linkMbps);
+    options.hedging.ratio = settings.hedgeRatio;
+    options.hedging.quantile = settings.hedgeQuantile;
+    options.hedging.window = settings.repeatWindow;
     return options;
 }
 
@@ -628,6 +631,7 @@
         m_settings.stopWithin = settings->stopWithin;
         m_settings.addressesFor = settings->addressesFor;
         m_relay.setRetryRules(settings->repeatRatio, settings->repeatSlack, settings->repeatWindow);
+        m_relay.setHedging(settings->hedgeRatio, settings->hedgeQuantile, settings->repeatWindow);
         m_relay.setColdStartBounds({settings->coldOverrun, settings->coldSlack});
         m_relay.setCallerAdmission(settings->admission);
         if (m_relay.state().routes) {
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -16,6 +16,7 @@
 #include "godwit/gateway/crash_detector.h"
 #include "godwit/gateway/endpoint_reach.h"
 #include "godwit/gateway/endpoint_table.h"
+#include "godwit/gateway/hedge_policy.h"
 #include "godwit/gateway/limit_shares.h"
 #include "godwit/gateway/response_ending.h"
 #include "godwit/gateway/retry_budget.h"
@@ -46,6 +47,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Godwit
@@ -76,6 +78,7 @@
     RetryBudgetOptions retryRules;
     LimitShareOptions limitShares;
     TokenWaitOptions tokenWait;
+    HedgeOptions hedging;
     // Retry-After of a refusal when no better estimate is available.
     Duration defaultRetryAfter = std::chrono::milliseconds(700);
     // After link congestion all requests are refused for this long, by which time the link's queue has drained. After
@@ -128,6 +131,7 @@
     RecentAnswers recentAnswers;
     SuspectTracker suspects; // Requests during which endpoints crashed.
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
+    HedgeState hedges;
 };
 
 struct InterruptedSuspect
@@ -203,6 +207,7 @@
     std::uint64_t trialsDenied = 0;
     std::map<std::string, std::uint64_t> endpointDeaths; // Crashes with requests in flight, keyed by service.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Responses delimited by closing the caller's connection.
+    std::map<std::pair<std::string, HedgeOutcome>, std::uint64_t> hedges; // Keyed by service and outcome.
     CallMetrics calls;
 };
 
@@ -225,6 +230,12 @@
         m_options.retryRules.slack = slack;
         m_options.retryRules.window = window;
     }
+    void setHedging(double ratio, double quantile, Duration window)
+    {
+        m_options.hedging.ratio = ratio;
+        m_options.hedging.quantile = quantile;
+        m_options.hedging.window = window;
+    }
     void setColdStartBounds(const ColdStartBounds &bounds)
     {
         m_options.coldStart = bounds;
--- a/godwit/relay/relay_call_tokens.cpp
+++ b/godwit/relay/relay_call_tokens.cpp
@@ -120,7 +120,11 @@
 
 void RelayCall::settleTokens()
 {
-    const Tokens charge = usedTokens();
+    const Tokens used = usedTokens();
+    const Tokens charge = m_promptCharged && *m_promptCharged ? 0 : used;
+    if (m_promptCharged && charge > 0) {
+        *m_promptCharged = true;
+    }
     settle(m_relay.state().prepaid, m_customer, m_worstCase, charge);
     recordCharge(m_relay.counters().calls, {m_customer, m_route->kind, m_end, m_eventsForwarded > 0, charge});
     if (m_end == CallEnd::Answered || charge == 0) {
