Held bytes: the counts and decisions for slow readers

Cause: what a router buffers for callers and endpoints that read slowly has no common limit; 640 callers with the present 256 KB each fill a host of 160 MB. Change: pure functions count held bytes by side and decide when reading pauses, whether a body may be held, which caller is disconnected at the limit and when a reader counts as stalled. Callers are disconnected for memory only while at least half of the limit is queued for callers: otherwise it would free little and harm callers that read.

--- /dev/null
+++ b/godwit/gateway/held_bytes.cpp
@@ -0,0 +1,121 @@
+#include "godwit/gateway/held_bytes.h"
+
+#include "godwit/base/enum_names.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace Godwit
+{
+namespace
+{
+
+// The rest is for connections, the configuration, buffered answers and the process itself.
+constexpr double HeldFractionOfMemory = 0.25;
+constexpr double BytesPerMegabyte = 1024.0 * 1024.0;
+// Callers are disconnected at the limit if at least this fraction of it is queued for callers.
+constexpr double MinCallerFraction = 0.5;
+// Checks per timeout, and the longest interval between two of them: the kernel's own timeout of 3 s for endpoints has
+// to be extended before it expires.
+constexpr int ChecksPerTimeout = 4;
+constexpr Duration MaxCheckInterval = std::chrono::seconds(1);
+
+constexpr EnumName<HeldSide> HeldSideNames[] = {
+    {HeldSide::Caller, "caller"},
+    {HeldSide::Body, "body"},
+    {HeldSide::Endpoint, "endpoint"},
+};
+
+constexpr EnumName<ReaderCutCause> ReaderCutCauseNames[] = {
+    {ReaderCutCause::Stalled, "stalled"},
+    {ReaderCutCause::Memory, "memory"},
+};
+
+} // namespace
+
+std::string_view heldSideName(HeldSide side)
+{
+    return enumName(HeldSideNames, side);
+}
+
+std::string_view readerCutCauseName(ReaderCutCause cause)
+{
+    return enumName(ReaderCutCauseNames, cause);
+}
+
+std::uint64_t heldBytesLimit(double memoryMb)
+{
+    return static_cast<std::uint64_t>(memoryMb * BytesPerMegabyte * HeldFractionOfMemory);
+}
+
+std::uint64_t heldBytes(const HeldBytes &held, HeldSide side)
+{
+    return held.bySide[static_cast<std::size_t>(side)];
+}
+
+std::uint64_t totalHeldBytes(const HeldBytes &held)
+{
+    return std::accumulate(held.bySide.begin(), held.bySide.end(), std::uint64_t{0});
+}
+
+void setHeld(HeldBytes &held, HeldSide side, std::uint64_t before, std::uint64_t after)
+{
+    std::uint64_t &count = held.bySide[static_cast<std::size_t>(side)];
+    count = count - before + after;
+}
+
+bool shouldPauseReading(const HeldBytes &held, const HeldBytesOptions &options, std::size_t queuedBytes)
+{
+    const double pressureFrom = options.pressureFraction * static_cast<double>(options.limitBytes);
+    const bool pressure = options.limitBytes > 0 && static_cast<double>(totalHeldBytes(held)) > pressureFrom;
+    return queuedBytes > (pressure ? options.maxCallerQueueUnderPressureBytes : options.maxCallerQueueBytes);
+}
+
+bool mayHoldBody(const HeldBytes &held, const HeldBytesOptions &options, std::optional<std::uint64_t> bodyBytes)
+{
+    if (options.limitBytes == 0 || bodyBytes == 0) {
+        return true;
+    }
+    return totalHeldBytes(held) + bodyBytes.value_or(1) <= options.limitBytes;
+}
+
+bool mustDisconnectCaller(const HeldBytes &held, const HeldBytesOptions &options)
+{
+    const double minQueued = MinCallerFraction * static_cast<double>(options.limitBytes);
+    return options.limitBytes > 0 && totalHeldBytes(held) >= options.limitBytes
+        && static_cast<double>(heldBytes(held, HeldSide::Caller)) >= minQueued;
+}
+
+void recordProgress(ReaderProgress &reader, std::uint64_t taken, std::uint64_t unacknowledged, TimePoint now)
+{
+    const std::uint64_t acknowledged = taken - std::min(taken, unacknowledged);
+    if (taken > reader.taken || acknowledged > reader.acknowledged) {
+        reader.lastProgressAt = now;
+    }
+    reader.taken = taken;
+    reader.acknowledged = acknowledged;
+}
+
+bool isStalled(const ReaderProgress &reader, Duration timeout, TimePoint now)
+{
+    return reader.queuedBytes > 0 && now - reader.lastProgressAt >= timeout;
+}
+
+std::optional<std::size_t> callerToDisconnect(const std::vector<ReaderProgress> &callers)
+{
+    std::optional<std::size_t> longest;
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        const bool first = !longest || callers[i].lastProgressAt < callers[*longest].lastProgressAt;
+        if (callers[i].queuedBytes > 0 && first) {
+            longest = i;
+        }
+    }
+    return longest;
+}
+
+Duration progressCheckInterval(Duration timeout)
+{
+    return std::min(timeout / ChecksPerTimeout, MaxCheckInterval);
+}
+
+} // namespace Godwit
--- /dev/null
+++ b/godwit/gateway/held_bytes.h
@@ -0,0 +1,116 @@
+#pragma once
+
+// Counts the bytes that a router holds for slow readers, and decides whom to slow or disconnect because of them.
+//
+// Held are the bytes queued for callers, the bodies of requests in flight and the request bytes queued for endpoints. A
+// quarter of the process's memory may be held. Above half of that, reading from endpoints pauses for callers with more
+// than a small queue. At the limit, new bodies are refused, and the caller that has read nothing for the longest time
+// is disconnected. A reader that takes no byte for the stall timeout is disconnected regardless of the limit.
+//
+// Pure functions: time is passed in. Example:
+//   setHeld(held, HeldSide::Caller, before, after);
+//   if (shouldPauseReading(held, options, queued)) { exchange.pause(); }
+//   if (mustDisconnectCaller(held, options)) { disconnect(*callerToDisconnect(callers)); }
+
+#include "godwit/base/time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <tuple>
+#include <vector>
+
+namespace Godwit
+{
+
+// For what bytes are held.
+enum class HeldSide {
+    Caller, // Queued for callers.
+    Body, // Bodies of requests in flight.
+    Endpoint, // Queued for endpoints.
+};
+
+constexpr std::array<HeldSide, 3> HeldSides = {HeldSide::Caller, HeldSide::Body, HeldSide::Endpoint};
+
+std::string_view heldSideName(HeldSide side);
+
+// Why a reader was disconnected.
+enum class ReaderCutCause {
+    Stalled, // It took no byte for the stall timeout.
+    Memory, // The limit was reached.
+};
+
+std::string_view readerCutCauseName(ReaderCutCause cause);
+
+struct ReaderCut
+{
+    HeldSide side = HeldSide::Caller;
+    ReaderCutCause cause = ReaderCutCause::Stalled;
+
+    bool operator<(const ReaderCut &other) const
+    {
+        return std::tie(side, cause) < std::tie(other.side, other.cause);
+    }
+};
+
+struct HeldBytesOptions
+{
+    std::uint64_t limitBytes = 0; // 0: no limit.
+    // Above this fraction of the limit, the small queue applies.
+    double pressureFraction = 0.5;
+    // Reading from the endpoint pauses while more than this is queued for a caller.
+    std::size_t maxCallerQueueBytes = 256UL * 1024;
+    std::size_t maxCallerQueueUnderPressureBytes = 16UL * 1024;
+    Duration stalledReaderTimeout = std::chrono::seconds(4);
+};
+
+// Returns the limit for a process with so much memory, in bytes; 0: no limit.
+std::uint64_t heldBytesLimit(double memoryMb);
+
+struct HeldBytes
+{
+    std::array<std::uint64_t, HeldSides.size()> bySide{};
+};
+
+std::uint64_t heldBytes(const HeldBytes &held, HeldSide side);
+std::uint64_t totalHeldBytes(const HeldBytes &held);
+
+// Replaces a count of `before` bytes by one of `after` bytes.
+void setHeld(HeldBytes &held, HeldSide side, std::uint64_t before, std::uint64_t after);
+
+// Whether reading from the endpoint should pause for a caller with so many bytes queued.
+bool shouldPauseReading(const HeldBytes &held, const HeldBytesOptions &options, std::size_t queuedBytes);
+
+// Whether the body of a new request may be held, by its declared length; nullopt: the length is unknown.
+bool mayHoldBody(const HeldBytes &held, const HeldBytesOptions &options, std::optional<std::uint64_t> bodyBytes);
+
+// Whether the limit is reached because of callers. While most of the bytes are held for other purposes, disconnecting
+// callers would harm those that read and free little.
+bool mustDisconnectCaller(const HeldBytes &held, const HeldBytesOptions &options);
+
+// Progress of a reader, as seen by the sender.
+struct ReaderProgress
+{
+    TimePoint lastProgressAt; // The latest progress, or when bytes were first queued after none had been.
+    std::uint64_t taken = 0; // Bytes that the kernel has accepted for the reader.
+    std::uint64_t acknowledged = 0; // Bytes of these that the reader's host has acknowledged.
+    std::size_t queuedBytes = 0; // Bytes that wait for the kernel to accept them.
+};
+
+// Notes how many bytes were accepted so far, and how many of them are not yet acknowledged. Acknowledgements count
+// because the kernel accepts further bytes only once its queue is half empty: a slow reader takes seconds for that.
+void recordProgress(ReaderProgress &reader, std::uint64_t taken, std::uint64_t unacknowledged, TimePoint now);
+
+// Whether the reader has taken no byte for the timeout while bytes are queued.
+bool isStalled(const ReaderProgress &reader, Duration timeout, TimePoint now);
+
+// Returns the index of the caller with queued bytes that has read nothing for the longest time, if there is one.
+std::optional<std::size_t> callerToDisconnect(const std::vector<ReaderProgress> &callers);
+
+// Returns the time until the reader's progress should be checked again. Acknowledgements are not notified, so they are
+// polled; a stalled reader is disconnected at most one interval after the timeout.
+Duration progressCheckInterval(Duration timeout);
+
+} // namespace Godwit
