Settings memory_mb and stalled_reader_s, and metrics of held bytes

Cause: the limit for slow readers depends on the memory that the host gives the router, which the router didn't know. Result: the settings' test cases of config_test pass; godwitd builds.

--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -70,6 +70,8 @@
         settings.store = address(reader, "store", true);
         settings.cores = reader.number("cores", settings.cores, {0.001, 1024});
         settings.linkMbps = reader.number("link_mbps", settings.linkMbps, {0.001, 1e6});
+        settings.memoryMb = reader.number("memory_mb", settings.memoryMb, {0, 1'048'576});
+        settings.stalledReaderTimeout = seconds(reader.number("stalled_reader_s", 4, {0.5, 60}));
         settings.stopWithin = seconds(reader.number("stop_within_s", 8, {1, 3600}));
         settings.addressesFor = seconds(reader.number("addresses_for_s", 2, {0.1, 60}));
         settings.repeatRatio = reader.number("repeat_ratio", settings.repeatRatio, {0, 10});
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -34,6 +34,9 @@
     std::string store;
     double cores = 1; // Share of a core that this host gives the router.
     double linkMbps = 1000; // Of this host's link.
+    double memoryMb = 0; // That this host gives the router; 0: what is held for slow readers has no limit.
+    // Callers and endpoints that read nothing for this long are disconnected.
+    Duration stalledReaderTimeout = std::chrono::seconds(4);
     Duration stopWithin = std::chrono::seconds(8); // From the signal to the end of the process.
     double repeatRatio = 0.2;
     double repeatSlack = 0;
--- a/godwit/config/settings_test.cpp
+++ b/godwit/config/settings_test.cpp
@@ -105,3 +105,22 @@
     CHECK_FALSE(parseGatewaySettings(good + "[gateway.regions]\nhowrah = 5\n", "router.toml", reason));
     CHECK(reason->message.find("gateway.regions.howrah: must be a string") != std::string::npos);
 }
+
+TEST_CASE("a router on the platform limits what it holds for slow readers only if its memory is set")
+{
+    // Guards against a limit that deployments without the setting have not asked for.
+    const std::string good = "host = \"a\"\ndata_centre = \"b\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
+                             "ready = \"10.0.0.1:2\"\npeers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:4\"\n";
+    LastReason reason;
+    const auto plain = parseGatewaySettings(good, "router.toml", reason);
+    REQUIRE(plain);
+    CHECK(plain->memoryMb == 0);
+    CHECK(plain->stalledReaderTimeout == std::chrono::seconds(4));
+    const auto set = parseGatewaySettings(good + "memory_mb = 160\nstalled_reader_s = 0.5\n", "router.toml", reason);
+    REQUIRE(set);
+    CHECK(set->memoryMb == 160);
+    CHECK(set->stalledReaderTimeout == std::chrono::milliseconds(500));
+    CHECK_FALSE(parseGatewaySettings(good + "memory_mb = 1048577\nstalled_reader_s = 0.4\n", "router.toml", reason));
+    CHECK(reason->message.find("gateway.memory_mb") != std::string::npos);
+    CHECK(reason->message.find("gateway.stalled_reader_s") != std::string::npos);
+}
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -208,6 +208,10 @@
         , m_sweepTimer(m_io)
         , m_stopTimer(m_io)
     {
+        m_relay.setHeldBytes(heldBytesLimit(m_settings.memoryMb), m_settings.stalledReaderTimeout);
+        m_relay.onHeldLimit = [this] {
+            disconnectCallersAtLimit(m_relay, m_connections);
+        };
         m_relay.onTokensNeeded = [this](const CustomerId &customer, Tokens needed) {
             m_budgets.writeSoon();
             m_links.requestTokens(customer, needed);
@@ -622,6 +626,7 @@
         m_settings.addressesFor = settings->addressesFor;
         m_relay.setRetryRules(settings->repeatRatio, settings->repeatSlack, settings->repeatWindow);
         m_relay.setColdStartBounds({settings->coldOverrun, settings->coldSlack});
+        m_relay.setHeldBytes(heldBytesLimit(settings->memoryMb), settings->stalledReaderTimeout);
         if (m_relay.state().routes) {
             planColdStarts();
         }
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -66,6 +66,13 @@
     appendMetric(out, "godwit_suspect_requests", static_cast<double>(state.suspects.deathCount.size()));
     appendMetric(
         out, "godwit_answers_without_declared_end_total", static_cast<double>(counters.answersWithoutDeclaredEnd));
+    for (const HeldSide side : HeldSides) {
+        out << "godwit_held_bytes{side=\"" << heldSideName(side) << "\"} " << heldBytes(*state.held, side) << '\n';
+    }
+    for (const auto &[cut, count] : counters.readersCut) {
+        out << "godwit_readers_cut_total{side=\"" << heldSideName(cut.side) << "\",cause=\""
+            << readerCutCauseName(cut.cause) << "\"} " << count << '\n';
+    }
     for (const auto &[kind, count] : counters.retryDecisions) {
         out << "godwit_repeat_draws_total{service=\"" << escapeLabel(kind.service) << "\",cause=\"" << kind.cause
             << "\",outcome=\"" << retryOutcomeName(kind.outcome) << "\"} " << count << '\n';
