Exchange: test of an endpoint that reads nothing, and of one that reads slowly

Cause: the kernel's timeout of 3 s applies to a full receive buffer too, and would end such a connection as broken before the stall timeout of 4 s.

--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -19,10 +19,9 @@
 // An exchange with an endpoint that accepts connections but only responds when the test does, and what it reported.
 struct ExchangeFixture
 {
-    explicit ExchangeFixture(Duration connectTimeout)
+    explicit ExchangeFixture(Duration connectTimeout, ExchangeOptions options = {})
         : acceptor(io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     {
-        ExchangeOptions options;
         options.connectTimeout = connectTimeout;
         ExchangeHandlers handlers;
         handlers.onEnd = [this] {
@@ -31,7 +30,7 @@
         handlers.onFailed = [this](ExchangeFailure reported) {
             failure = reported;
         };
-        exchange = std::make_shared<EndpointExchange>(io, pool, options, std::move(handlers));
+        exchange = std::make_shared<EndpointExchange>(io, pool, options, std::move(handlers), held);
     }
 
     void start()
@@ -84,6 +83,7 @@
     boost::asio::io_context io;
     ConnectionPool pool;
     tcp::acceptor acceptor;
+    std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>();
     std::shared_ptr<EndpointExchange> exchange;
     std::optional<ExchangeFailure> failure;
     std::optional<WithdrawalOutcome> outcome;
@@ -250,3 +250,56 @@
     fixture.io.run_for(std::chrono::milliseconds(20));
     CHECK_FALSE(fixture.failure);
 }
+
+TEST_CASE("an endpoint is disconnected only if it takes no byte of a request for the stall timeout")
+{
+    // Guards against a request held for an endpoint that reads nothing, and against a slow endpoint taken for one. The
+    // kernel's timeout would end a connection with a full receive buffer sooner, as if its host had vanished.
+    ExchangeOptions options;
+    options.stalledReaderTimeout = std::chrono::milliseconds(800);
+    options.tcpUserTimeout = std::chrono::milliseconds(250);
+    ExchangeFixture fixture(std::chrono::milliseconds(200), options);
+    constexpr std::size_t requestBytes = 55UL * 1024;
+    fixture.acceptor.set_option(tcp::acceptor::receive_buffer_size(4096));
+    const auto start = std::chrono::steady_clock::now();
+    fixture.exchange->start(
+        EndpointId{"e"}, formatAddress(fixture.acceptor.local_endpoint()), std::string(requestBytes, 'b'), "a");
+    tcp::socket endpoint = fixture.acceptor.accept();
+    endpoint.non_blocking(true);
+    const auto heldForEndpoint = [&fixture] {
+        return heldBytes(*fixture.held, HeldSide::Endpoint);
+    };
+    SECTION("it reads nothing")
+    {
+        fixture.runUntil([&] {
+            return fixture.failure.has_value();
+        });
+        REQUIRE(fixture.failure);
+        CHECK(exchangeFailureName(*fixture.failure) == exchangeFailureName(ExchangeFailure::Stalled));
+        CHECK(std::chrono::steady_clock::now() - start >= options.stalledReaderTimeout);
+        CHECK(std::chrono::steady_clock::now() - start < 2 * options.stalledReaderTimeout);
+        fixture.exchange.reset();
+    }
+    SECTION("it reads a little at a time")
+    {
+        std::size_t arrived = 0;
+        std::array<char, 2048> bytes{};
+        fixture.runUntil([&] {
+            std::this_thread::sleep_for(std::chrono::milliseconds(30));
+            boost::system::error_code ignored;
+            arrived += endpoint.read_some(boost::asio::buffer(bytes), ignored);
+            return arrived == requestBytes || fixture.failure;
+        });
+        CHECK(arrived == requestBytes);
+        CHECK(std::chrono::steady_clock::now() - start > options.stalledReaderTimeout);
+        CHECK_FALSE(fixture.failure);
+    }
+    fixture.runUntil([&] {
+        return heldForEndpoint() == 0;
+    });
+    CHECK(heldForEndpoint() == 0);
+    if (fixture.exchange) {
+        fixture.exchange->cancel();
+    }
+    fixture.io.poll();
+}
