Tests of slow readers don't block when a reader stays connected

Change: the stalled caller's socket doesn't block, and the answer is read only once bytes have arrived.

--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -620,6 +620,7 @@
           != std::string::npos);
     boost::system::error_code error;
     std::string rest;
+    stalled.non_blocking(true); // A connection that is still open must not block the test.
     boost::asio::read(stalled, boost::asio::dynamic_buffer(rest), error);
     CHECK(error == boost::asio::error::connection_reset);
 }
@@ -659,6 +660,7 @@
     });
     CHECK(Relay::now() - start < 2 * RouterWithReaders::StallTimeout);
     CHECK(router.cuts(HeldSide::Endpoint, ReaderCutCause::Stalled) == 1);
+    REQUIRE(caller.available() > 0);
     std::string answer;
     boost::asio::read_until(caller, boost::asio::dynamic_buffer(answer), "\r\n\r\n");
     CHECK(answer.find("HTTP/1.1 502") == 0);
