Caller connection: no line names an earlier request's id

Cause: a reader cut while the answer to an unreadable request was queued would have been logged with the id of the request before it. Change: the id is cleared when the next request is awaited. Result: relay_test passes.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -115,6 +115,7 @@
     m_awaitingRequest = true;
     m_receivingRequest = false;
     m_answerDone = false;
+    m_requestId.clear();
     if (m_buffer.size() > 0) {
         readHead();
         return;
