--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -325,6 +325,9 @@
     if (m_progress.queuedBytes == 0) {
         m_written = true;
         m_progressTimer.cancel();
+        if (std::exchange(m_timeoutExtended, false)) {
+            setTcpUserTimeout(*m_socket, m_options.tcpUserTimeout); // Also for later requests on this connection.
+        }
         std::string().swap(m_bytes);
         return;
     }
@@ -356,7 +359,8 @@
         fail(ExchangeFailure::Stalled);
         return;
     }
-    if (isReceiverFull(*m_socket)) {
+    if (!m_timeoutExtended && isReceiverFull(*m_socket)) {
+        m_timeoutExtended = true;
         // The host is alive, but the kernel's timeout applies to a full receive buffer as well.
         setTcpUserTimeout(*m_socket,
                           std::max(m_options.tcpUserTimeout, m_options.stalledReaderTimeout + StalledReaderMargin));
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -230,6 +230,7 @@
     bool m_received = false; // Bytes have arrived since the request was sent.
     bool m_written = false;
     bool m_watchingProgress = false;
+    bool m_timeoutExtended = false; // The connection's TCP user timeout was extended.
     bool m_writeFailed = false;
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
