--- a/godwit/relay/hedged_attempt.cpp
+++ b/godwit/relay/hedged_attempt.cpp
@@ -75,8 +75,8 @@
     own.onFailed = [self](ExchangeFailure failure) {
         self->onFailed(failure);
     };
-    m_run.exchange =
-        std::make_shared<EndpointExchange>(m_relay.io(), m_relay.pool(), m_relay.options().exchange, std::move(own));
+    m_run.exchange = std::make_shared<EndpointExchange>(
+        m_relay.io(), m_relay.pool(), m_relay.options().exchange, std::move(own), m_relay.state().held);
     m_run.exchange->start(m_run.endpoint, address, std::move(bytes), std::move(attemptId));
 }
 
@@ -163,9 +163,11 @@
     HedgeFailure report;
     report.cause = exchangeFailureName(failure);
     report.mayHaveRun = failure != ExchangeFailure::NotConnected && failure != ExchangeFailure::EndpointLeft;
-    report.connectionLost = report.mayHaveRun && failure != ExchangeFailure::Malformed;
-    report.feedback =
-        failure == ExchangeFailure::EndpointLeft ? AttemptFeedback::Neutral : AttemptFeedback::Unreachable;
+    const bool stalled = failure == ExchangeFailure::Stalled;
+    report.connectionLost = report.mayHaveRun && failure != ExchangeFailure::Malformed && !stalled;
+    report.feedback = stalled                      ? AttemptFeedback::Slow
+        : failure == ExchangeFailure::EndpointLeft ? AttemptFeedback::Neutral
+                                                   : AttemptFeedback::Unreachable;
     fail(std::move(report));
 }
 
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -17,6 +17,7 @@
 #include "godwit/gateway/endpoint_reach.h"
 #include "godwit/gateway/endpoint_table.h"
 #include "godwit/gateway/hedge_policy.h"
+#include "godwit/gateway/held_bytes.h"
 #include "godwit/gateway/limit_shares.h"
 #include "godwit/gateway/response_ending.h"
 #include "godwit/gateway/retry_budget.h"
@@ -102,8 +103,7 @@
     // Responses up to this size are buffered before any part is forwarded, so that a truncated response can be
     // replaced by a retry.
     std::size_t maxBufferedAnswerBytes = 256UL * 1024;
-    // Backpressure: reading from the endpoint pauses while more than this is queued for a slow caller.
-    std::size_t maxCallerQueueBytes = 256UL * 1024;
+    HeldBytesOptions held; // For slow readers; see setHeldBytes().
 };
 
 struct RelayState
@@ -132,6 +132,7 @@
     SuspectTracker suspects; // Requests during which endpoints crashed.
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
     HedgeState hedges;
+    std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>(); // Shared with connections, which outlive this.
 };
 
 struct InterruptedSuspect
@@ -208,6 +209,7 @@
     std::map<std::string, std::uint64_t> endpointDeaths; // Crashes with requests in flight, keyed by service.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Responses delimited by closing the caller's connection.
     std::map<std::pair<std::string, HedgeOutcome>, std::uint64_t> hedges; // Keyed by service and outcome.
+    std::map<ReaderCut, std::uint64_t> readersCut; // Callers and endpoints disconnected because they don't read.
     CallMetrics calls;
 };
 
@@ -244,6 +246,12 @@
     {
         m_options.callerAdmission.enabled = enabled;
     }
+    void setHeldBytes(std::uint64_t limitBytes, Duration stalledReaderTimeout)
+    {
+        m_options.held.limitBytes = limitBytes;
+        m_options.held.stalledReaderTimeout = stalledReaderTimeout;
+        m_options.exchange.stalledReaderTimeout = stalledReaderTimeout;
+    }
     RelayState &state()
     {
         return m_state;
@@ -309,6 +317,16 @@
     // Likewise for a response that its endpoint delimited only by closing the connection.
     std::function<void(std::uint64_t fingerprint, const EndpointId &endpoint)> onAnswerWithoutDeclaredEnd;
 
+    // Disconnects callers for which bytes are queued, as disconnectCallersAtLimit() does.
+    std::function<void()> onHeldLimit;
+
+    // Calls onHeldLimit if the limit of held bytes is reached. Not to be called while a request is being handled, since
+    // it may end any request.
+    void enforceHeldLimit();
+
+    // Logs and counts a caller or an endpoint that is disconnected because it doesn't read.
+    void recordReaderCut(const ReaderCut &cut, std::string_view requestId, const ReaderProgress &reader);
+
     // Returns the routers to ask for a connection to an endpoint of the group, best first.
     std::vector<Lender> lendersToAsk(const EndpointGroup &group) const;
 
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -69,7 +69,13 @@
         }
         forwardPiece(std::exchange(m_bufferedBody, {}));
     }
-    if (m_exchange && m_sink->queuedBytes() > m_relay.options().maxCallerQueueBytes) {
+    pauseIfQueueIsLong();
+}
+
+// Backpressure: a slow caller slows down its endpoint instead of filling this router's memory.
+void RelayCall::pauseIfQueueIsLong()
+{
+    if (m_exchange && shouldPauseReading(*m_relay.state().held, m_relay.options().held, m_sink->queuedBytes())) {
         m_exchange->pause();
     }
 }
@@ -93,9 +99,7 @@
         forwardHead(ResponseFraming::Chunked);
     }
     forwardPiece(whole);
-    if (m_exchange && m_sink->queuedBytes() > m_relay.options().maxCallerQueueBytes) {
-        m_exchange->pause();
-    }
+    pauseIfQueueIsLong();
 }
 
 // The first event, or the whole of another response, has arrived.
