--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -1,5 +1,6 @@
 #include "godwit/relay/caller_connection.h"
 
+#include "godwit/gateway/held_bytes_claim.h"
 #include "godwit/http/address.h"
 #include "godwit/relay/head_refusal.h"
 #include "platform/header_names.h"
@@ -367,6 +368,29 @@
     CHECK(router.connection.use_count() == 1);
 }
 
+TEST_CASE("a request whose body the router has no room for is refused before the body is read")
+{
+    // Guards against a process that is killed because requests keep arriving while slow readers hold its memory.
+    boost::asio::io_context io;
+    DecisionLog log(io, {});
+    Relay relay(io, {}, log);
+    relay.state().routes = makeRouteTable(documentWithBatches());
+    relay.setHeldBytes(100'000, std::chrono::seconds(4));
+    RequestHead head;
+    head.method(boost::beast::http::verb::post);
+    head.target("/batch/1");
+    head.set(boost::beast::http::field::host, "a");
+    head.set(AttemptIdField, "1");
+    CHECK_FALSE(refuseOnHead(relay, head, 9200));
+    HeldBytesClaim others(relay.state().held, HeldSide::Caller);
+    others.set(95'000);
+    const auto refusal = refuseOnHead(relay, head, 9200);
+    REQUIRE(refusal);
+    CHECK(refusal->error.kind == ErrorKind::Overloaded);
+    CHECK(refusal->error.retryAfter);
+    CHECK(relay.counters().refusals[ErrorKind::Overloaded] == 1);
+}
+
 TEST_CASE("a deferred request is recognized when it returns as another attempt")
 {
     // Guards against deferring a request twice, after which its caller gives up.
--- a/godwit/relay/head_refusal.cpp
+++ b/godwit/relay/head_refusal.cpp
@@ -111,21 +111,44 @@
     recordCall(relay.counters().calls, record);
 }
 
+HeadRefusal refuseForMemory(Relay &relay, const KnownRequest &request)
+{
+    HeadRefusal refusal;
+    refusal.attemptId = request.facts.attemptId;
+    refusal.error.kind = ErrorKind::Overloaded;
+    refusal.error.message = "this router holds as many bytes for its callers and endpoints as it may";
+    refusal.error.retryAfter = relay.options().defaultRetryAfter;
+    logRefused(relay, request, refusal.error);
+    countRefusal(relay, request, refusal.error.kind);
+    return refusal;
+}
+
 } // namespace
 
 std::optional<HeadRefusal> refuseOnHead(Relay &relay, const RequestHead &head, std::optional<std::uint64_t> bodyBytes)
 {
+    const RelayState &state = relay.state();
+    if (!state.routes || state.stage == RelayStage::Stopping) {
+        return std::nullopt;
+    }
     const CallerAdmissionOptions &options = relay.options().callerAdmission;
-    const bool exempt = bodyBytes && *bodyBytes <= options.exemptBodyBytes;
-    if (exempt || !relay.defersRequests() || relay.state().stage == RelayStage::Stopping) {
+    const bool mayDefer = relay.defersRequests() && !(bodyBytes && *bodyBytes <= options.exemptBodyBytes);
+    const bool hasRoom = mayHoldBody(*state.held, relay.options().held, bodyBytes);
+    if (hasRoom && !mayDefer) {
         return std::nullopt;
     }
-    const RouteTable &table = *relay.state().routes;
+    const RouteTable &table = *state.routes;
     auto request = identifyRequest(table, head);
-    if (!request || !isDeferrable(table, *request->route, request->customerPriority)) {
+    if (!request) {
         return std::nullopt;
     }
     request->bodyBytes = bodyBytes;
+    if (!hasRoom) {
+        return refuseForMemory(relay, *request);
+    }
+    if (!isDeferrable(table, *request->route, request->customerPriority)) {
+        return std::nullopt;
+    }
     const auto method = head.method_string();
     const CallerAdmissionQuery query{request->route->name,
                                      bodyBytes,
--- a/godwit/relay/head_refusal.h
+++ b/godwit/relay/head_refusal.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Requests that are refused on their head, before their body is read: caller admission at a router with a busy link.
+// Requests that are refused on their head, before their body is read: caller admission at a router with a busy link,
+// and bodies for which the router has no room.
 //
 // A refused request has been sent nowhere. Not thread-safe.
 //
