--- a/godwit/gateway/speed_exchange_test.cpp
+++ b/godwit/gateway/speed_exchange_test.cpp
@@ -24,6 +24,7 @@
 EndpointTable engines(int count, bool shareSpeeds)
 {
     std::vector<ListedEndpoint> listed;
+    listed.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         listed.push_back({EndpointId{std::to_string(i)}, Service, "", DataCentreId{"north"}, 32, false, 7});
     }
