--- a/godwit/relay/hedged_attempt.cpp
+++ b/godwit/relay/hedged_attempt.cpp
@@ -151,7 +151,7 @@
         failure.cause = "failed_answer";
         failure.feedback = m_facts.status >= firstFailureStatus ? AttemptFeedback::Failed : AttemptFeedback::Good;
     }
-    fail(std::move(failure));
+    fail(failure);
 }
 
 void HedgedAttempt::onFailed(ExchangeFailure failure)
@@ -168,7 +168,7 @@
     report.feedback = stalled                      ? AttemptFeedback::Slow
         : failure == ExchangeFailure::EndpointLeft ? AttemptFeedback::Neutral
                                                    : AttemptFeedback::Unreachable;
-    fail(std::move(report));
+    fail(report);
 }
 
 bool HedgedAttempt::isSuccess() const
@@ -193,7 +193,7 @@
     handlers.onUseful();
 }
 
-void HedgedAttempt::fail(HedgeFailure failure)
+void HedgedAttempt::fail(const HedgeFailure &failure)
 {
     const HedgeHandlers handlers = std::exchange(m_handlers, {});
     m_attempt = {};
--- a/godwit/relay/hedged_attempt.h
+++ b/godwit/relay/hedged_attempt.h
@@ -90,7 +90,7 @@
     bool isSuccess() const;
     bool isCompleteAnswer() const;
     void becomeUseful();
-    void fail(HedgeFailure failure);
+    void fail(const HedgeFailure &failure);
 
     Relay &m_relay;
     EndpointRun m_run;
