--- a/godwit/relay/hedged_attempt_test.cpp
+++ b/godwit/relay/hedged_attempt_test.cpp
@@ -280,8 +280,10 @@
     router.start("/write/1", true);
     router.runUntilHedged();
     tcp::socket engine = router.queue.accept();
-    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: r1\r\n";
-    boost::asio::write(engine, boost::asio::buffer(head + "X-Response-Seal: s\r\n\r\n7\r\nid: 1\n\n\r\n"));
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + std::string(AttemptIdField) + ": r1\r\n";
+    boost::asio::write(engine,
+                       boost::asio::buffer(head + std::string(ResponseSealField) + ": s\r\n\r\n7\r\nid: 1\n\n\r\n"));
     router.run(milliseconds(20));
     CHECK(router.receivedOnce("id: 1\n"));
     CHECK_FALSE(router.sink.ended);
--- a/godwit/relay/socket_progress.h
+++ b/godwit/relay/socket_progress.h
@@ -9,7 +9,7 @@
 namespace Godwit
 {
 
-// Limits how much the kernel accepts beyond what it can send at once, so that a reader that stands still shows after a
+// Limits how much the kernel accepts beyond what it can send at once, so that a stalled reader shows after a
 // few kilobytes instead of megabytes. The amount in transit, and with it the throughput, is not limited.
 void limitUnsentBytes(boost::asio::ip::tcp::socket &socket);
 
