Log and count rejections of endpoints, and read whether an endpoint is brittle

Brittle endpoints crash when they reject too many requests; no log line or metric showed a rejection's endpoint, how many requests this router had in flight there, which send of the request it was, or that the endpoint is brittle. Each rejection is now one line `endpoint_rejected` and counts in `godwit_endpoint_rejections_total`.

--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -53,6 +53,9 @@
     for (const auto &[service, count] : counters.endpointDeaths) {
         out << "godwit_endpoint_deaths_total{service=\"" << escapeLabel(service) << "\"} " << count << '\n';
     }
+    for (const auto &[service, count] : counters.rejections) {
+        out << "godwit_endpoint_rejections_total{service=\"" << escapeLabel(service) << "\"} " << count << '\n';
+    }
     appendMetric(out, "godwit_endpoint_partitions_total", static_cast<double>(counters.partitions));
     appendMetric(out, "godwit_reach_probes_total", static_cast<double>(counters.reachProbes));
     for (const auto &[group, reach] : state.reach.groups) {
--- a/godwit/gateway/request_metadata.h
+++ b/godwit/gateway/request_metadata.h
@@ -46,6 +46,9 @@
     bool closesConnection = false; // The endpoint closes the connection after the response.
     std::optional<Duration> keepAlive; // Idle timeout of the connection at the endpoint.
     std::optional<Duration> retryAfter;
+    // Set if the endpoint is brittle: it crashes when it rejects more requests per second for lack of room.
+    std::optional<int> maxRejections;
+    bool malformedMaxRejections = false; // The endpoint sent no usable number; `maxRejections` is then 0.
     ResponseFraming framing = ResponseFraming::Length; // Set by the reader of the body.
     bool isEventStream = false; // The content type is an event stream or missing.
 };
--- a/godwit/relay/hedged_attempt.cpp
+++ b/godwit/relay/hedged_attempt.cpp
@@ -140,6 +140,7 @@
         failure.cause = m_facts.wrongEndpoint ? "address_reused" : "shed";
         failure.feedback = AttemptFeedback::Shed;
         failure.lackedRoom = !m_facts.wrongEndpoint;
+        failure.response = m_facts;
     } else if (isSuccess()) {
         failure.cause = "ended_inside_stream";
         failure.feedback = AttemptFeedback::Unreachable;
--- a/godwit/relay/hedged_attempt.h
+++ b/godwit/relay/hedged_attempt.h
@@ -55,6 +55,7 @@
     bool mayHaveRun = false;
     bool lackedRoom = false;
     bool connectionLost = false; // The endpoint may have crashed.
+    ResponseMetadata response; // Valid if `lackedRoom` is set.
 };
 
 struct HedgeHandlers
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -207,6 +207,7 @@
     std::uint64_t trials = 0;
     std::uint64_t trialsDenied = 0;
     std::map<std::string, std::uint64_t> endpointDeaths; // Crashes with requests in flight, keyed by service.
+    std::map<std::string, std::uint64_t> rejections; // By endpoints for lack of room, keyed by service.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Responses delimited by closing the caller's connection.
     std::map<std::pair<std::string, HedgeOutcome>, std::uint64_t> hedges; // Keyed by service and outcome.
     std::map<ReaderCut, std::uint64_t> readersCut; // Callers and endpoints disconnected because they don't read.
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -129,7 +129,7 @@
     void releaseHead();
     void noteFirstAnswer();
     void recordFirstAnswerTime();
-    void noteLackOfRoom();
+    void noteLackOfRoom(const EndpointId &endpoint, const ResponseMetadata &response);
     void recordHedgeOutcome(HedgeOutcome outcome, std::string_view cause, const EndpointId &endpoint);
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -161,7 +161,7 @@
         // Applies to resume attempts as well: a rejection does not affect the part that was already forwarded.
         endAttempt(AttemptFeedback::Shed);
         if (!m_answer.wrongEndpoint) {
-            noteLackOfRoom();
+            noteLackOfRoom(m_endpoint, m_answer);
         }
         retryOrFail(m_answer.wrongEndpoint ? "address_reused" : "shed", true);
         return;
--- a/godwit/relay/relay_call_hedge.cpp
+++ b/godwit/relay/relay_call_hedge.cpp
@@ -246,7 +246,7 @@
     ++m_relay.counters().attemptsFailed[failure.cause];
     recordHedgeOutcome(HedgeOutcome::Lost, failure.cause, run.endpoint);
     if (failure.lackedRoom) {
-        noteLackOfRoom();
+        noteLackOfRoom(run.endpoint, failure.response);
     }
     if (failure.mayHaveRun) {
         m_progress = Progress::Sent;
@@ -294,8 +294,21 @@
 }
 
 // An endpoint of the service has rejected the request for lack of room.
-void RelayCall::noteLackOfRoom()
+void RelayCall::noteLackOfRoom(const EndpointId &endpoint, const ResponseMetadata &response)
 {
+    const auto &endpoints = m_relay.state().endpoints.endpoints;
+    const auto found = endpoints.find(endpoint);
+    ++m_relay.counters().rejections[m_serviceName];
+    m_relay.log().write(
+        "endpoint_rejected",
+        {{"id", std::string_view(m_facts.attemptId)},
+         {"service", std::string_view(m_serviceName)},
+         {"endpoint", std::string_view(endpoint.value)},
+         {"in_flight", static_cast<std::int64_t>(found == endpoints.end() ? 0 : found->second.inFlight)},
+         {"slots", static_cast<std::int64_t>(found == endpoints.end() ? 0 : found->second.listed.slots)},
+         {"sends", static_cast<std::int64_t>(m_sends)},
+         {"brittle", response.maxRejections.has_value()},
+         {"max_rejections", static_cast<std::int64_t>(response.maxRejections.value_or(0))}});
     if (m_relay.options().hedging.ratio > 0) {
         m_relay.state().hedges.roomShortAt[m_serviceName] = Relay::now();
     }
