Limit the requests in flight at endpoints of brittle services

Callers of a brittle service were not served at all: no router bounded what it sent to an endpoint, so that all that exceeded the slots of a service was rejected by its endpoints; a rejected request went on to the next endpoint, and an endpoint that had restarted got the requests of all routers. Each endpoint crashed again as soon as it was back. Class of the fault: a limit of the whole fleet that each router leaves to the endpoint.

While a service is brittle, each router keeps to its places at an endpoint: the places (one per slot) are divided evenly among the routers that the platform lists. Requests without a place wait, the more urgent first, if their turn comes within half of their latency target; others are refused at once, with a Retry-After at which the service can take them. A rejection reduces the room of its endpoint at all routers. What endpoints report is passed on in heartbeats.

limit_shares is not used for this: a share may be used only 12 s after a claim, which would leave restarted routers without places for that time, and a fleet of more routers than shares leaves some without any.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -146,7 +146,7 @@
 void FleetLinks::sendReadinessChange()
 {
     if (m_sentReady != m_relay.isReady() || m_sentStoreReachable != m_relay.state().platformInReach
-        || m_sentPartitioned != partitionedGroups(m_relay.state().reach)) {
+        || m_sentPartitioned != partitionedGroups(m_relay.state().reach) || m_sentBrittle != brittleServices()) {
         sendHeartbeat();
     }
 }
@@ -156,6 +156,7 @@
     m_sentReady = m_relay.isReady();
     m_sentStoreReachable = m_relay.state().platformInReach;
     m_sentPartitioned = partitionedGroups(m_relay.state().reach);
+    m_sentBrittle = brittleServices();
     auto speeds = takeSpeedReports(m_relay.state().endpoints, MaxSpeedReports);
     if (!isAdvertised()) {
         // Such a router has too few samples to be worth the messages.
@@ -196,6 +197,41 @@
     sendToAdvertised({SuspectsTopic, encodeSuspectNotices(notices)});
 }
 
+void FleetLinks::announceRejection(const EndpointRejection &rejection)
+{
+    m_mesh->broadcast(
+        {EndpointRejectionTopic,
+         encodeFleetMessage(json::array({rejection.service, rejection.endpoint.value, rejection.maxRejections}))});
+}
+
+void FleetLinks::onEndpointRejection(const std::string &body)
+{
+    const json message = decodeFleetMessage(body);
+    const bool wellFormed =
+        message.is_array() && message.size() == 3 && message[0].is_string() && message[1].is_string();
+    const auto reports = wellFormed ? decodeBrittleReports(json::array({json::array({message[0], message[2], 0})}))
+                                    : std::vector<BrittleReport>();
+    if (reports.empty()) {
+        return;
+    }
+    EndpointTable &table = m_relay.state().endpoints;
+    const EndpointId endpoint{message[1].get<std::string>()};
+    if (table.endpoints.count(endpoint) > 0) {
+        m_relay.applyBrittleReport(reports.front());
+        recordRejection(table.brittle, table.brittleOptions, endpoint, Relay::now());
+    }
+}
+
+std::vector<std::string> FleetLinks::brittleServices() const
+{
+    const EndpointTable &table = m_relay.state().endpoints;
+    std::vector<std::string> names;
+    for (const BrittleReport &report : brittleReports(table.brittle, table.brittleOptions, Relay::now())) {
+        names.push_back(report.service);
+    }
+    return names;
+}
+
 bool FleetLinks::isAdvertised(const Peer &peer) const
 {
     return peer.member.capacity >= m_minAdvertisedCapacity;
@@ -239,6 +275,35 @@
             {{"least_capacity", minCapacity}, {"load", m_fleetLoad}, {"own_capacity", m_options.ownCapacity}});
     }
     m_relay.state().senders = advertisedRouters(now);
+    m_relay.state().endpoints.position = routerPosition(now);
+}
+
+RouterPosition FleetLinks::routerPosition(TimePoint now) const
+{
+    std::set<std::string> advertised;
+    std::set<std::string> all{m_options.own.callerAddress};
+    if (isAdvertised()) {
+        advertised.insert(m_options.own.callerAddress);
+    }
+    for (const auto &[incarnation, peer] : m_peers) {
+        // Two entries with the same address are successive processes of one host.
+        const bool leaving = peer.heartbeatReceived && !peer.ready && isResponsive(peer, now);
+        if (leaving || (!peer.listed && !isResponsive(peer, now))) {
+            continue;
+        }
+        all.insert(peer.member.callerAddress);
+        if (isAdvertised(peer)) {
+            advertised.insert(peer.member.callerAddress);
+        }
+    }
+    RouterPosition position;
+    position.routers = std::max<std::size_t>(1, advertised.size());
+    position.allRouters = all.size();
+    position.rank.reset();
+    if (const auto own = advertised.find(m_options.own.callerAddress); own != advertised.end()) {
+        position.rank = static_cast<std::size_t>(std::distance(advertised.begin(), own));
+    }
+    return position;
 }
 
 // Advertised routers get nearly all requests, so they hold the shares of the fleet's limits.
@@ -434,6 +499,10 @@
     for (const EndpointGroup &group : partitionedGroups(m_relay.state().reach)) {
         heartbeat["partitioned"].push_back(json::array({group.service, group.dataCentre.value}));
     }
+    const EndpointTable &table = m_relay.state().endpoints;
+    if (auto reports = brittleReports(table.brittle, table.brittleOptions, Relay::now()); !reports.empty()) {
+        heartbeat["brittle"] = encodeBrittleReports(reports);
+    }
     if (!speeds.empty()) {
         heartbeat["speeds"] = encodeSpeedReports(speeds);
     }
@@ -491,6 +560,8 @@
         onStoreReachable();
     } else if (envelope.topic == SuspectsTopic && onSuspects) {
         onSuspects(decodeSuspectNotices(envelope.body));
+    } else if (envelope.topic == EndpointRejectionTopic) {
+        onEndpointRejection(envelope.body);
     } else if (envelope.topic == PromptTopic) {
         onPromptAnnounced(envelope.body);
     } else if (envelope.topic == UpdateTopic) {
@@ -527,6 +598,9 @@
         chooseHomes();
         m_relay.requestNeededTokens();
     }
+    for (const BrittleReport &report : decodeBrittleReports(heartbeat.value("brittle", json::array()))) {
+        m_relay.applyBrittleReport(report);
+    }
     applyHoldings(heartbeat, HolderId{peer.member.callerAddress});
     onCopyStates(peer.member.incarnation, heartbeat);
     const auto speeds = heartbeat.find("speeds");
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -174,6 +174,9 @@
     // Announces requests under which endpoints died to the advertised routers.
     void announceSuspects(const std::vector<SuspectNotice> &notices);
 
+    // Announces to the other routers that an endpoint of a brittle service has rejected a request.
+    void announceRejection(const EndpointRejection &rejection);
+
     // Called when another router announces such requests.
     std::function<void(const std::vector<SuspectNotice> &)> onSuspects;
 
@@ -293,6 +296,11 @@
     void measureLoad(TimePoint now);
     void chooseAdvertised(TimePoint now);
     AdvertisedRouters advertisedRouters(TimePoint now) const;
+    // This router's position among those that divide the room of brittle endpoints. Routers that are listed count even
+    // while they can't be reached, since they may use their part.
+    RouterPosition routerPosition(TimePoint now) const;
+    std::vector<std::string> brittleServices() const;
+    void onEndpointRejection(const std::string &body);
     void dialPeers();
     void sendToAdvertised(const Envelope &envelope);
     void dropUnresponsive(TimePoint now);
@@ -320,6 +328,7 @@
     bool m_sentReady = false;
     bool m_sentStoreReachable = false;
     std::vector<EndpointGroup> m_sentPartitioned;
+    std::vector<std::string> m_sentBrittle;
     Lender m_ownLender;
     TimePoint m_nextHeartbeatAt;
     // Minimum capacity of the hosts that are advertised to callers.
--- a/godwit/daemon/fleet_messages.cpp
+++ b/godwit/daemon/fleet_messages.cpp
@@ -17,6 +17,8 @@
 
 // Unit of ratios in speed reports, and the largest that is accepted.
 constexpr double RatioUnit = 1000;
+constexpr std::int64_t MaxReportedRejections = 1'000'000;
+constexpr std::int64_t MaxReportAge = 60'000; // Milliseconds.
 constexpr std::int64_t MaxScaledRatio = 100'000;
 
 bool isIntegerUpTo(const json &value, std::int64_t most)
@@ -24,6 +26,12 @@
     return value.is_number_integer() && value.get<std::int64_t>() > 0 && value.get<std::int64_t>() <= most;
 }
 
+// As isIntegerUpTo(), but zero is valid too.
+bool isNaturalUpTo(const json &value, std::int64_t most)
+{
+    return isIntegerUpTo(value, most) || (value.is_number_integer() && value.get<std::int64_t>() == 0);
+}
+
 } // namespace
 
 std::string encodeFleetMessage(const json &value)
@@ -58,6 +66,33 @@
     return amounts;
 }
 
+json encodeBrittleReports(const std::vector<BrittleReport> &reports)
+{
+    json rows = json::array();
+    for (const BrittleReport &report : reports) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count();
+        rows.push_back(json::array({report.service, report.maxRejections, age}));
+    }
+    return rows;
+}
+
+std::vector<BrittleReport> decodeBrittleReports(const json &rows)
+{
+    std::vector<BrittleReport> reports;
+    if (!rows.is_array()) {
+        return reports;
+    }
+    for (const json &row : rows) {
+        const bool wellFormed = row.is_array() && row.size() == 3 && row[0].is_string()
+            && isNaturalUpTo(row[1], MaxReportedRejections) && isNaturalUpTo(row[2], MaxReportAge);
+        if (wellFormed && reports.size() < MaxBrittleReports) {
+            reports.push_back(
+                {row[0].get<std::string>(), row[1].get<int>(), std::chrono::milliseconds(row[2].get<std::int64_t>())});
+        }
+    }
+    return reports;
+}
+
 json encodeSpeedReports(const std::vector<SpeedReport> &reports)
 {
     json rows = json::array();
--- a/godwit/daemon/fleet_messages.h
+++ b/godwit/daemon/fleet_messages.h
@@ -7,6 +7,7 @@
 //   mesh.send(peer, {internal::TokenTransferTopic, internal::encodeFleetMessage(json::array({customer, amount}))});
 
 #include "godwit/base/ids.h"
+#include "godwit/gateway/brittle_services.h"
 #include "godwit/gateway/speed_exchange.h"
 
 #include <nlohmann/json.hpp>
@@ -33,6 +34,10 @@
 inline constexpr const char *PromptTopic = "prompt";
 inline constexpr const char *SuspectsTopic = "suspects";
 inline constexpr const char *LendingTopic = "lending";
+inline constexpr const char *EndpointRejectionTopic = "endpoint-rejection";
+
+// Brittle services in one heartbeat.
+inline constexpr std::size_t MaxBrittleReports = 64;
 
 // Capacity of Amounts::tokens.
 inline constexpr std::size_t MaxAmounts = 3;
@@ -51,6 +56,12 @@
 // Decodes a customer and `count` token amounts, at most MaxAmounts; nullopt if the message has another form.
 std::optional<Amounts> decodeAmounts(const nlohmann::json &message, std::size_t count);
 
+// Rows of [service, tolerated rejections, age in milliseconds].
+nlohmann::json encodeBrittleReports(const std::vector<BrittleReport> &reports);
+
+// Malformed rows, and rows beyond MaxBrittleReports, are dropped.
+std::vector<BrittleReport> decodeBrittleReports(const nlohmann::json &rows);
+
 // Rows of [endpoint id, start, ratio x 1000, samples].
 nlohmann::json encodeSpeedReports(const std::vector<SpeedReport> &reports);
 
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -116,6 +116,7 @@
     options.retryRules.window = settings.repeatWindow;
     options.callerAdmission.enabled = settings.admission;
     options.callerAdmission.linkBytesPerSecond = bytesPerSecond(settings.linkMbps);
+    options.brittle.limitUnknown = true;
     options.hedging.ratio = settings.hedgeRatio;
     options.hedging.quantile = settings.hedgeQuantile;
     options.hedging.window = settings.repeatWindow;
@@ -228,6 +229,9 @@
         m_relay.onTokensAdded = [this] {
             m_links.serveTransferRequests();
         };
+        m_relay.onEndpointRejected = [this](const EndpointRejection &rejection) {
+            m_links.announceRejection(rejection);
+        };
         m_relay.onPromptSent = [this](const PromptSent &prompt, Duration reading) {
             m_links.announcePrompt(prompt, reading);
         };
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -56,6 +56,14 @@
     for (const auto &[service, count] : counters.rejections) {
         out << "godwit_endpoint_rejections_total{service=\"" << escapeLabel(service) << "\"} " << count << '\n';
     }
+    for (const auto &[key, count] : counters.placeWaits) {
+        out << "godwit_place_waits_total{service=\"" << escapeLabel(key.first) << "\",outcome=\""
+            << placeWaitOutcomeName(key.second) << "\"} " << count << '\n';
+    }
+    for (const auto &[service, state] : state.endpoints.brittle.services) {
+        out << "godwit_service_brittle{service=\"" << escapeLabel(service) << "\"} "
+            << (isBrittle(relay.state().endpoints, service, Relay::now()) ? 1 : 0) << '\n';
+    }
     appendMetric(out, "godwit_endpoint_partitions_total", static_cast<double>(counters.partitions));
     appendMetric(out, "godwit_reach_probes_total", static_cast<double>(counters.reachProbes));
     for (const auto &[group, reach] : state.reach.groups) {
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -31,11 +31,63 @@
     return found == table.coldPlans.end() ? nullptr : &found->second;
 }
 
-// Returns the endpoints that are not in backoff, or all if every one is.
-std::vector<EndpointState *> candidates(EndpointTable &table, const ChoiceQuery &query, TimePoint now)
+int placesAt(const EndpointTable &table, const EndpointState &endpoint, TimePoint now)
+{
+    const EndpointLoad load{endpoint.listed.id, endpoint.listed.slots, endpoint.inFlight};
+    return placesAt(table.brittle, table.brittleOptions, load, table.position, now);
+}
+
+// Whether this router holds a place at any endpoint of the service.
+bool holdsPlaces(const EndpointTable &table, const std::vector<EndpointId> &endpoints, TimePoint now)
+{
+    return std::any_of(endpoints.begin(), endpoints.end(), [&table, now](const EndpointId &id) {
+        return placesAt(table, table.endpoints.at(id), now) > 0;
+    });
+}
+
+// How a request to a brittle service may be sent.
+enum class BrittleSend {
+    Unlimited,
+    ToFreePlaces,
+    Paced, // This router holds no place, and its next request is due.
+    None,
+};
+
+BrittleSend brittleSend(const EndpointTable &table, const std::string &service, TimePoint now)
+{
+    const auto endpoints = table.byService.find(service);
+    if (endpoints == table.byService.end() || !limitsInFlight(table, service, now)) {
+        return BrittleSend::Unlimited;
+    }
+    if (holdsPlaces(table, endpoints->second, now)) {
+        return BrittleSend::ToFreePlaces;
+    }
+    if (!isBrittle(table.brittle, table.brittleOptions, service, now)) {
+        return BrittleSend::Unlimited;
+    }
+    return now >= table.brittle.services.at(service).nextPacedSendAt ? BrittleSend::Paced : BrittleSend::None;
+}
+
+// Whether the endpoint may receive a request that is sent this way.
+bool hasFreePlace(const EndpointTable &table, const EndpointState &endpoint, BrittleSend send, TimePoint now)
+{
+    if (send == BrittleSend::Unlimited) {
+        return true;
+    }
+    if (send == BrittleSend::None
+        || isRejecting(table.brittle, table.brittleOptions, endpoint.listed.service, endpoint.listed.id, now)) {
+        return false;
+    }
+    return endpoint.inFlight < (send == BrittleSend::Paced ? 1 : placesAt(table, endpoint, now));
+}
+
+// Returns the endpoints that are not in backoff, or all if every one is. Endpoints in backoff do not replace healthy
+// ones that have no free place.
+std::vector<EndpointState *> candidates(EndpointTable &table, const ChoiceQuery &query, BrittleSend send, TimePoint now)
 {
     std::vector<EndpointState *> healthy;
     std::vector<EndpointState *> avoided;
+    bool isFull = false;
     const auto service = table.byService.find(query.service);
     if (service == table.byService.end()) {
         return healthy;
@@ -46,9 +98,14 @@
         if (!isCandidate(query, endpoint) || isThrottledWhileCold(table, plan, endpoint, now)) {
             continue;
         }
-        (endpoint.backoffUntil > now ? avoided : healthy).push_back(&endpoint);
+        const bool inBackoff = endpoint.backoffUntil > now;
+        if (!hasFreePlace(table, endpoint, send, now)) {
+            isFull = isFull || !inBackoff;
+            continue;
+        }
+        (inBackoff ? avoided : healthy).push_back(&endpoint);
     }
-    return healthy.empty() ? avoided : healthy;
+    return healthy.empty() && !isFull ? avoided : healthy;
 }
 
 // Cost factor for endpoints whose recent attempts failed.
@@ -221,6 +278,15 @@
         && std::find(unreachable.begin(), unreachable.end(), endpoint.listed.dataCentre) == unreachable.end();
 }
 
+bool hasCandidates(const EndpointTable &table, const ChoiceQuery &query)
+{
+    const auto found = table.byService.find(query.service);
+    return found != table.byService.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](const EndpointId &id) {
+               return isCandidate(query, table.endpoints.at(id));
+           });
+}
+
 EndpointState *findIncarnation(EndpointTable &table, const EndpointId &id, EndpointIncarnation startedAt)
 {
     const auto found = table.endpoints.find(id);
@@ -231,10 +297,16 @@
 Choice chooseEndpoint(
     EndpointTable &table, const ChoiceQuery &query, const ChoiceOptions &options, std::uint64_t random, TimePoint now)
 {
-    const auto from = candidates(table, query, now);
+    const BrittleSend send = brittleSend(table, query.service, now);
+    const auto from = candidates(table, query, send, now);
     if (from.empty()) {
         return {};
     }
+    if (send == BrittleSend::Paced) {
+        BrittleService &service = table.brittle.services.at(query.service);
+        const std::size_t endpoints = table.byService.at(query.service).size();
+        service.nextPacedSendAt = now + pacedSendInterval(service, table.brittleOptions, table.position, endpoints);
+    }
     Choice choice = query.promptTokens > 0 ? chooseByPrefillCost(table, from, query, options, random, now)
                                            : Choice{chooseByLoad(from, query, random), 0};
     const ColdStartPlan *plan = coldPlan(table, query.service);
@@ -259,6 +331,29 @@
     }
 }
 
+bool isBrittle(const EndpointTable &table, const std::string &service, TimePoint now)
+{
+    return isBrittle(table.brittle, table.brittleOptions, service, now);
+}
+
+bool limitsInFlight(const EndpointTable &table, const std::string &service, TimePoint now)
+{
+    return limitsInFlight(table.brittle, table.brittleOptions, service, now);
+}
+
+int countPlaces(const EndpointTable &table, const std::string &service, TimePoint now)
+{
+    int places = 0;
+    const auto found = table.byService.find(service);
+    if (found != table.byService.end()) {
+        for (const EndpointId &id : found->second) {
+            const EndpointState &endpoint = table.endpoints.at(id);
+            places += endpoint.backoffUntil > now ? 0 : placesAt(table, endpoint, now);
+        }
+    }
+    return places;
+}
+
 bool acceptsNewRequests(const EndpointState &endpoint)
 {
     return !endpoint.delisted && !endpoint.listed.draining && !endpoint.listed.evacuated;
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -20,6 +20,7 @@
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
 #include "godwit/gateway/allowed_regions.h"
+#include "godwit/gateway/brittle_services.h"
 #include "godwit/gateway/cold_start.h"
 #include "godwit/gateway/endpoint_speed.h"
 #include "godwit/gateway/engine_load.h"
@@ -106,6 +107,9 @@
     std::map<std::string, ServiceSpeeds> speeds; // By service.
     std::map<std::string, ColdStartPlan> coldPlans; // By service; only services that limit cold endpoints.
     ShareSet usableShares; // Shares of the fleet's limits; kept up to date only if `coldPlans` is not empty.
+    BrittleServices brittle; // Brittle services, whose requests in flight are limited.
+    BrittleOptions brittleOptions;
+    RouterPosition position; // Of this router among those that divide the room of brittle endpoints.
     // By shared prefix: the engine other than the preferred one to which it was last sent, and which keeps it cached
     // for a while.
     std::map<std::string, RecentPlacement, std::less<>> recentPlacements;
@@ -160,6 +164,9 @@
 // Whether the query permits the endpoint, which is one of its service.
 bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint);
 
+// Whether the query permits any endpoint of its service, busy or not.
+bool hasCandidates(const EndpointTable &table, const ChoiceQuery &query);
+
 struct Choice
 {
     EndpointState *endpoint = nullptr; // Null if no endpoint of the service may receive the request now.
@@ -174,6 +181,11 @@
 // Records that another router has sent a prompt to an engine.
 void recordRemotePrompt(EndpointTable &table, const PromptSent &prompt, const ChoiceOptions &options, TimePoint now);
 
+bool isBrittle(const EndpointTable &table, const std::string &service, TimePoint now);
+
+// Whether requests in flight at the service's endpoints are limited, see brittle_services.h.
+bool limitsInFlight(const EndpointTable &table, const std::string &service, TimePoint now);
+
 // Whether the endpoint may still receive a request for which it was selected.
 bool acceptsNewRequests(const EndpointState &endpoint);
 
@@ -183,6 +195,9 @@
 // Returns when the first endpoint of the service will be warm; unset if one is warm now or the service has no endpoint.
 std::optional<TimePoint> nextWarmAt(const EndpointTable &table, const std::string &service, TimePoint now);
 
+// Returns how many requests this router may have in flight at endpoints of a brittle service that are not in backoff.
+int countPlaces(const EndpointTable &table, const std::string &service, TimePoint now);
+
 void beginAttempt(EndpointState &endpoint);
 
 void endAttempt(EndpointState &endpoint, AttemptFeedback feedback, const ChoiceOptions &options, TimePoint now);
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -19,8 +19,22 @@
     {RetryOutcome::Free, "free"},
 };
 
+constexpr EnumName<PlaceWaitOutcome> PlaceWaitOutcomeNames[] = {
+    {PlaceWaitOutcome::Served, "served"},
+    {PlaceWaitOutcome::Refused, "refused"},
+    {PlaceWaitOutcome::Expired, "expired"},
+};
+
+// Interval at which waiting requests are looked at besides when a place becomes free.
+constexpr Duration PlaceQueueInterval = std::chrono::milliseconds(10);
+
 } // namespace
 
+std::string_view placeWaitOutcomeName(PlaceWaitOutcome outcome)
+{
+    return enumName(PlaceWaitOutcomeNames, outcome);
+}
+
 std::string_view retryOutcomeName(RetryOutcome outcome)
 {
     return enumName(RetryOutcomeNames, outcome);
@@ -31,10 +45,12 @@
     , m_options(std::move(options))
     , m_log(log)
     , m_reachMonitor(*this, {})
+    , m_placeTimer(io)
     , m_random(std::random_device{}())
 {
     m_state.prepaid = makePrepaidShare(m_options.prepaid);
     m_state.endpoints.shareSpeeds = m_options.shareSpeeds;
+    m_state.endpoints.brittleOptions = m_options.brittle;
 }
 
 Duration Relay::uptime()
@@ -118,6 +134,113 @@
     return dataCentres;
 }
 
+void Relay::recordResponse(const std::string &service, const ResponseMetadata &response)
+{
+    EndpointTable &table = m_state.endpoints;
+    if (Godwit::recordResponse(table.brittle, table.brittleOptions, service, response.maxRejections, now())) {
+        logBrittle(service, "endpoint", response.malformedMaxRejections);
+    }
+}
+
+void Relay::applyBrittleReport(const BrittleReport &report)
+{
+    EndpointTable &table = m_state.endpoints;
+    if (Godwit::applyBrittleReport(table.brittle, table.brittleOptions, report, now())) {
+        logBrittle(report.service, "router", false);
+    }
+}
+
+void Relay::logBrittle(const std::string &service, std::string_view source, bool malformed)
+{
+    const EndpointTable &table = m_state.endpoints;
+    m_log.write("service_brittle",
+                {{"service", std::string_view(service)},
+                 {"source", source},
+                 {"max_rejections", static_cast<std::int64_t>(table.brittle.services.at(service).maxRejections)},
+                 {"malformed", malformed},
+                 {"places", static_cast<std::int64_t>(countPlaces(table, service, now()))},
+                 {"routers", static_cast<std::int64_t>(table.position.routers)}});
+}
+
+bool Relay::waitForPlace(const std::shared_ptr<RelayCall> &call, const std::string &service, const PlaceWaiter &waiter)
+{
+    PlaceQueue &queue = m_state.placeQueues[service];
+    if (!join(queue, waiter, countPlaces(m_state.endpoints, service, now()), now())) {
+        return false;
+    }
+    m_waitingForPlace[waiter.id] = call;
+    if (m_waitingForPlace.size() == 1) {
+        servePlaceQueuesIn(PlaceQueueInterval);
+    }
+    return true;
+}
+
+void Relay::stopWaitingForPlace(const std::string &service, std::uint64_t waiter)
+{
+    m_waitingForPlace.erase(waiter);
+    leave(m_state.placeQueues[service], waiter);
+}
+
+// Not served at once, since the caller is handling another request.
+void Relay::onPlaceFreed()
+{
+    if (!m_waitingForPlace.empty() && !std::exchange(m_servesPlacesSoon, true)) {
+        servePlaceQueuesIn(Duration::zero());
+    }
+}
+
+void Relay::servePlaceQueuesIn(Duration delay)
+{
+    m_placeTimer.expires_after(delay);
+    m_placeTimer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_servesPlacesSoon = false;
+        servePlaceQueues();
+        if (!m_waitingForPlace.empty()) {
+            servePlaceQueuesIn(PlaceQueueInterval);
+        }
+    });
+}
+
+void Relay::servePlaceQueues()
+{
+    for (auto &[service, queue] : m_state.placeQueues) {
+        if (!queue.waiting.empty()) {
+            servePlaceQueue(service, queue);
+        }
+    }
+}
+
+void Relay::servePlaceQueue(const std::string &service, PlaceQueue &queue)
+{
+    // The first request that gets no place is followed by others of the service, except that it may be restricted to
+    // some of the endpoints.
+    constexpr int maxFailures = 3;
+    int failures = 0;
+    const auto waiting = queue.waiting;
+    for (const PlaceWaiter &waiter : waiting) {
+        const auto found = m_waitingForPlace.find(waiter.id);
+        if (found == m_waitingForPlace.end()) {
+            continue;
+        }
+        const auto call = found->second;
+        failures += call->tryPlace() ? 0 : 1;
+        if (failures >= maxFailures) {
+            break;
+        }
+    }
+    for (const PlaceWaiter &waiter : takeHopeless(queue, countPlaces(m_state.endpoints, service, now()), now())) {
+        const auto found = m_waitingForPlace.find(waiter.id);
+        if (found != m_waitingForPlace.end()) {
+            const auto call = found->second;
+            m_waitingForPlace.erase(found);
+            call->onNoPlace(now() >= waiter.giveUpAt ? PlaceWaitOutcome::Expired : PlaceWaitOutcome::Refused);
+        }
+    }
+}
+
 void Relay::waitForTokens(const std::shared_ptr<RelayCall> &call)
 {
     m_waiting.push_back(call);
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -19,6 +19,7 @@
 #include "godwit/gateway/hedge_policy.h"
 #include "godwit/gateway/held_bytes.h"
 #include "godwit/gateway/limit_shares.h"
+#include "godwit/gateway/place_queue.h"
 #include "godwit/gateway/response_ending.h"
 #include "godwit/gateway/retry_budget.h"
 #include "godwit/gateway/route_table.h"
@@ -37,6 +38,7 @@
 #include "godwit/suspects/suspect_tracker.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -80,6 +82,7 @@
     LimitShareOptions limitShares;
     TokenWaitOptions tokenWait;
     HedgeOptions hedging;
+    BrittleOptions brittle; // Copied to EndpointTable::brittleOptions.
     // Retry-After of a refusal when no better estimate is available.
     Duration defaultRetryAfter = std::chrono::milliseconds(700);
     // After link congestion all requests are refused for this long, by which time the link's queue has drained. After
@@ -132,6 +135,7 @@
     SuspectTracker suspects; // Requests during which endpoints crashed.
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
     HedgeState hedges;
+    std::map<std::string, PlaceQueue> placeQueues; // By service.
     std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>(); // Shared with connections, which outlive this.
 };
 
@@ -159,6 +163,23 @@
     SuspectLabel label;
 };
 
+// A rejection by an endpoint of a brittle service, as announced to the other routers.
+struct EndpointRejection
+{
+    std::string service;
+    EndpointId endpoint;
+    int maxRejections = 0;
+};
+
+// What became of a request for which a brittle service had no free place.
+enum class PlaceWaitOutcome {
+    Served, // It got a place.
+    Refused, // At once, or when more urgent requests took its turn.
+    Expired,
+};
+
+std::string_view placeWaitOutcomeName(PlaceWaitOutcome outcome);
+
 // Outcome of a retry decision.
 enum class RetryOutcome {
     Taken, // Counted against the retry allowance.
@@ -208,6 +229,7 @@
     std::uint64_t trialsDenied = 0;
     std::map<std::string, std::uint64_t> endpointDeaths; // Crashes with requests in flight, keyed by service.
     std::map<std::string, std::uint64_t> rejections; // By endpoints for lack of room, keyed by service.
+    std::map<std::pair<std::string, PlaceWaitOutcome>, std::uint64_t> placeWaits; // Keyed by service and outcome.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Responses delimited by closing the caller's connection.
     std::map<std::pair<std::string, HedgeOutcome>, std::uint64_t> hedges; // Keyed by service and outcome.
     std::map<ReaderCut, std::uint64_t> readersCut; // Callers and endpoints disconnected because they don't read.
@@ -302,6 +324,9 @@
     // Returns routers that lend connections to endpoints of the group, best first. Optional.
     std::function<std::vector<Lender>(const EndpointGroup &)> lendersFor;
 
+    // Called when an endpoint of a brittle service has rejected a request.
+    std::function<void(const EndpointRejection &)> onEndpointRejected;
+
     // Called when an endpoint's connection ended before its response did. `known` is called once, possibly immediately:
     // when it is known whether the endpoint has crashed, or after a short timeout.
     std::function<void(const InterruptedRequest &, std::function<void()> known)> onInterrupted;
@@ -335,6 +360,24 @@
     // router.
     std::vector<DataCentreId> unreachableDataCentres(const std::string &service) const;
 
+    // Records a response of an endpoint of the service.
+    void recordResponse(const std::string &service, const ResponseMetadata &response);
+
+    // Applies another router's report that a service is brittle.
+    void applyBrittleReport(const BrittleReport &report);
+
+    // Adds a request that waits for a free place at an endpoint of a brittle service. Returns false if its turn would
+    // come too late.
+    bool waitForPlace(const std::shared_ptr<RelayCall> &call, const std::string &service, const PlaceWaiter &waiter);
+    // Removes a request added by waitForPlace().
+    void stopWaitingForPlace(const std::string &service, std::uint64_t waiter);
+    // Serves waiting requests soon: a place has become free.
+    void onPlaceFreed();
+    std::uint64_t nextWaiterId()
+    {
+        return ++m_lastWaiterId;
+    }
+
     void waitForTokens(const std::shared_ptr<RelayCall> &call);
     // Removes a call added by waitForTokens().
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
@@ -366,6 +409,11 @@
     }
 
 private:
+    void servePlaceQueuesIn(Duration delay);
+    void servePlaceQueues();
+    void servePlaceQueue(const std::string &service, PlaceQueue &queue);
+    void logBrittle(const std::string &service, std::string_view source, bool malformed);
+
     // Tokens needed by the requests that wait on this router.
     std::map<CustomerId, Tokens> localTokenDemand() const;
 
@@ -377,6 +425,10 @@
     ConnectionPool m_pool;
     ReachMonitor m_reachMonitor;
     std::vector<std::shared_ptr<RelayCall>> m_waiting;
+    std::map<std::uint64_t, std::shared_ptr<RelayCall>> m_waitingForPlace; // By PlaceWaiter::id.
+    std::uint64_t m_lastWaiterId = 0;
+    boost::asio::steady_timer m_placeTimer;
+    bool m_servesPlacesSoon = false;
     std::mt19937_64 m_random;
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -184,18 +184,16 @@
     const Choice choice =
         chooseEndpoint(m_relay.state().endpoints, query, m_relay.options().choice, m_relay.random(), Relay::now());
     if (choice.endpoint == nullptr) {
-        if (m_headForwarded) {
-            // A refusal can't be sent once part of a stream has been forwarded.
-            abortAnswer("no_endpoint");
-        } else if (trial && !m_relay.state().trialEndpoints.empty()) {
+        if (!m_headForwarded && trial && !m_relay.state().trialEndpoints.empty()) {
             refuseSuspectForNow();
-        } else if (m_progress == Progress::Sent) {
-            refuse(ErrorKind::EndpointFailed, "the endpoint failed and no other endpoint is available", std::nullopt);
-        } else {
-            refuse(ErrorKind::NoEndpoint, "no endpoint of the service accepts requests", endpointRetryAfter());
+        } else if (trial || !waitForPlace()) {
+            refuseForLackOfEndpoint();
         }
         return;
     }
+    if (m_placeWaiter != 0) {
+        recordPlaceWait(PlaceWaitOutcome::Served);
+    }
     if (trial) {
         requestTrial(choice);
     } else {
@@ -501,6 +499,10 @@
     if (EndpointState *endpoint = currentEndpoint()) {
         Godwit::endAttempt(*endpoint, verdict, m_relay.options().choice, Relay::now());
     }
+    if (verdict == AttemptFeedback::Good) {
+        recordServiceTime(m_relay.state().placeQueues[m_serviceName], Relay::now() - m_sentAt);
+    }
+    m_relay.onPlaceFreed();
 }
 
 void RelayCall::refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter)
@@ -559,6 +561,9 @@
     dropHedge(callEndName(end));
     m_deadlineTimer.cancel();
     m_budgetTimer.cancel();
+    if (m_placeWaiter != 0) {
+        m_relay.stopWaitingForPlace(m_serviceName, std::exchange(m_placeWaiter, 0));
+    }
     if (m_waitingForTokens) {
         m_waitingForTokens = false;
         m_relay.stopWaiting(shared_from_this());
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -64,6 +64,12 @@
     // Retries the reservation. Returns false while the request still has to wait for tokens.
     bool tryReserve();
 
+    // Chooses an endpoint for a request that waits for a place. Returns false while it still has to wait.
+    bool tryPlace();
+
+    // The request has been removed from the queue for places.
+    void onNoPlace(PlaceWaitOutcome outcome);
+
     const std::string &id() const
     {
         return m_facts.attemptId;
@@ -131,6 +137,11 @@
     void recordFirstAnswerTime();
     void noteLackOfRoom(const EndpointId &endpoint, const ResponseMetadata &response);
     void recordHedgeOutcome(HedgeOutcome outcome, std::string_view cause, const EndpointId &endpoint);
+    bool waitForPlace();
+    void refuseForLackOfEndpoint();
+    void recordPlaceWait(PlaceWaitOutcome outcome);
+    bool lacksRoom() const;
+    Duration placeRetryAfter();
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
     void onBody(std::string_view bytes);
@@ -207,6 +218,8 @@
     Tokens m_worstCase = 0;
     bool m_hasReservation = false;
     bool m_waitingForTokens = false;
+    std::uint64_t m_placeWaiter = 0; // Id in the queue for places; 0: it doesn't wait there.
+    TimePoint m_waitsForPlaceSince;
 
     Progress m_progress = Progress::NotRun;
     std::vector<EndpointId> m_triedEndpoints;
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -32,6 +32,9 @@
 {
     m_answerHead = head;
     m_answer = facts;
+    if (!facts.wrongEndpoint) {
+        m_relay.recordResponse(m_serviceName, facts);
+    }
     const bool success = facts.status / 100 == 2;
     m_forwardsEvents = success && facts.sealed && facts.isEventStream && m_route->kind == GatewayRouteKind::Streaming;
     if (m_forwardsEvents && !m_headForwarded && !m_holdsHead) {
--- a/godwit/relay/relay_call_hedge.cpp
+++ b/godwit/relay/relay_call_hedge.cpp
@@ -309,6 +309,15 @@
          {"sends", static_cast<std::int64_t>(m_sends)},
          {"brittle", response.maxRejections.has_value()},
          {"max_rejections", static_cast<std::int64_t>(response.maxRejections.value_or(0))}});
+    EndpointTable &table = m_relay.state().endpoints;
+    const TimePoint now = Relay::now();
+    if (isBrittle(table, m_serviceName, now)) {
+        recordRejection(table.brittle, table.brittleOptions, endpoint, now);
+        if (m_relay.onEndpointRejected) {
+            const int maxRejections = table.brittle.services.at(m_serviceName).maxRejections;
+            m_relay.onEndpointRejected({m_serviceName, endpoint, maxRejections});
+        }
+    }
     if (m_relay.options().hedging.ratio > 0) {
         m_relay.state().hedges.roomShortAt[m_serviceName] = Relay::now();
     }
