Log the version of the endpoint's software at which a stream goes on

No log line named a version, so that a stream that a router or its caller continues at another version could not be told from one that stays.

--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -51,6 +51,7 @@
     RegionId region; // Region of the data centre; empty if the settings do not define it.
     Duration coldFor{}; // Remaining cold period as reported by the endpoint.
     TimePoint coldUntil; // End of the cold period by this router's clock.
+    std::string version; // Of its software; empty if it states none.
     bool evacuated = false; // The operators have evacuated its data centre: no new requests.
 };
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -291,6 +291,10 @@
     const Duration left = timeLeft();
     m_endpoint = endpoint.listed.id;
     m_endpointStart = endpoint.listed.startedAt;
+    if (m_eventsForwarded > 0 || m_facts.resumes) {
+        logContinuation(endpoint.listed.version);
+    }
+    m_endpointVersion = endpoint.listed.version;
     m_triedEndpoints.push_back(m_endpoint);
     m_sentAt = Relay::now();
     m_attemptOpen = true;
@@ -314,6 +318,19 @@
     m_relay.counters().connectionsOpened += m_newConnection ? 1 : 0;
 }
 
+// Logs the version at which a stream goes on.
+void RelayCall::logContinuation(const std::string &version) const
+{
+    const bool byRouter = m_eventsForwarded > 0;
+    m_relay.log().write("stream_continued",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"by", byRouter ? "router" : "caller"},
+                         {"began_as", std::string_view(byRouter ? m_facts.attemptId : m_facts.resumedAttempt)},
+                         {"after_event", static_cast<std::int64_t>(byRouter ? m_lastEvent : m_facts.resumeAfter)},
+                         {"version_before", std::string_view(byRouter ? m_endpointVersion : std::string())},
+                         {"version", std::string_view(version)}});
+}
+
 ForwardMetadata RelayCall::forwardMetadata(const Sending &sending) const
 {
     ForwardMetadata send;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -114,6 +114,7 @@
     void startAttempt(const Choice &choice);
     ChoiceQuery choiceQuery() const;
     void sendTo(const Choice &choice);
+    void logContinuation(const std::string &version) const;
     ForwardMetadata forwardMetadata(const Sending &sending) const;
     ExchangeHandlers exchangeHandlers(const ListedEndpoint &listed, const Sending &sending);
     void resetAnswer();
@@ -231,6 +232,7 @@
     std::shared_ptr<EndpointExchange> m_exchange;
     EndpointId m_endpoint;
     EndpointIncarnation m_endpointStart = 0;
+    std::string m_endpointVersion; // Of the endpoint's software when the request was sent.
     TimePoint m_sentAt;
     std::optional<TimePoint> m_retryGrantedAt; // When the latest retry was granted.
     bool m_attemptOpen = false;
