Continue a stream only at the version of the endpoint's software that began it

Callers got streams whose events come from two versions of an endpoint's software. A router that continued a stream within its answer, and one that got the caller's next try, chose among all endpoints; the version of an entry and `Resumes` were not read. Class of the fault: a property of what a caller has received that is lost with the attempt that brought it.

Within one answer, candidates are the endpoints of the version that sent the first event; without one the answer is broken off at once. Over a caller's tries, the router records the version under the attempt id before it forwards the first event, and sends the record to two routers by rendezvous hashing while the service has had several versions in the last minute. A router that gets a later try asks up to eight routers, for 300 ms at most. A record that is lost costs a refusal, never a wrong version. Choices of new streams are as before, and nothing is sent or asked while there is one version.

Ruled out: the version by a hash of the attempt id. The map changes with the set of versions and their capacity, and a router with an older list guesses wrongly. The store: a write for each stream exceeds its allowance of writes.

--- a/godwit/base/error.cpp
+++ b/godwit/base/error.cpp
@@ -50,6 +50,7 @@
      "suspect_request",
      422,
      "Endpoints failed on this request; change it, or come back after Retry-After."},
+    {ErrorKind::StreamNotResumable, "stream_not_resumable", 409, "Start the stream again, without Last-Event-Id."},
     {ErrorKind::InProgress, "in_progress", 409, "The first call with this id still runs; come back after Retry-After."},
     {ErrorKind::OutcomeUnknown,
      "outcome_unknown",
--- a/godwit/base/error.h
+++ b/godwit/base/error.h
@@ -39,6 +39,7 @@
     AnswerIncomplete,
     AnswerLate,
     SuspectRequest,
+    StreamNotResumable,
     InProgress,
     OutcomeUnknown,
     IdTooOld,
--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -157,6 +157,11 @@
         m_relay.log().write("endpoint_started_anew",
                             {{"endpoint", std::string_view(id.value)}, {"started_at", m_inUse.at(id).startedAt}});
     }
+    std::map<std::string, std::set<std::string>> versions;
+    for (const ListedEndpoint &endpoint : list) {
+        versions[endpoint.service].insert(endpoint.version);
+    }
+    m_relay.setListedVersions(std::move(versions));
     m_relay.reachMonitor().onEndpointsChanged();
     for (auto it = m_newestStart.begin(); it != m_newestStart.end();) {
         const bool forget = m_newestStart.size() > MaxRememberedStarts && m_inUse.count(it->first) == 0;
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -105,6 +105,7 @@
     if (!m_mesh->start(reason)) {
         return false;
     }
+    m_startedAt = Relay::now();
     scheduleHeartbeat();
     return true;
 }
@@ -457,6 +458,7 @@
             return;
         }
         sendReadinessChange();
+        checkEarlierVersions(Relay::now());
         prefetchTokens();
         if (checkSettled(Relay::now())) {
             chooseHomes();
@@ -503,6 +505,11 @@
     if (auto reports = brittleReports(table.brittle, table.brittleOptions, Relay::now()); !reports.empty()) {
         heartbeat["brittle"] = encodeBrittleReports(reports);
     }
+    const auto earlier =
+        earlierVersions(m_relay.state().streamVersions, m_relay.options().streamVersions, Relay::now());
+    if (!earlier.empty()) {
+        heartbeat["earlier_versions"] = encodeEarlierVersions(earlier);
+    }
     if (!speeds.empty()) {
         heartbeat["speeds"] = encodeSpeedReports(speeds);
     }
@@ -521,6 +528,7 @@
     }
     m_relay.log().write("peer_linked", {{"peer", std::string_view(hello.incarnation.value)}});
     m_mesh->send(hello.incarnation, {HeartbeatTopic, encodeHeartbeat({})});
+    askForSoughtStreams(hello.incarnation);
     if (!m_ownLender.address.empty()) {
         m_mesh->send(hello.incarnation,
                      {LendingTopic, encodeFleetMessage(json::array({m_ownLender.address, m_ownLender.secret}))});
@@ -562,6 +570,12 @@
         onSuspects(decodeSuspectNotices(envelope.body));
     } else if (envelope.topic == EndpointRejectionTopic) {
         onEndpointRejection(envelope.body);
+    } else if (envelope.topic == StreamRecordsTopic) {
+        onStreamRecords(envelope.body);
+    } else if (envelope.topic == StreamQueryTopic) {
+        onStreamQuery(from, envelope.body);
+    } else if (envelope.topic == StreamReplyTopic) {
+        onStreamReply(from, envelope.body);
     } else if (envelope.topic == PromptTopic) {
         onPromptAnnounced(envelope.body);
     } else if (envelope.topic == UpdateTopic) {
@@ -601,6 +615,10 @@
     for (const BrittleReport &report : decodeBrittleReports(heartbeat.value("brittle", json::array()))) {
         m_relay.applyBrittleReport(report);
     }
+    for (const EarlierVersion &earlier : decodeEarlierVersions(heartbeat.value("earlier_versions", json::array()))) {
+        applyEarlierVersion(m_relay.state().streamVersions, earlier, Relay::now());
+    }
+    checkEarlierVersions(Relay::now());
     applyHoldings(heartbeat, HolderId{peer.member.callerAddress});
     onCopyStates(peer.member.incarnation, heartbeat);
     const auto speeds = heartbeat.find("speeds");
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -26,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,14 @@
     Duration staleLag = std::chrono::milliseconds(500);
     // Maximum number of open lag probes; the oldest one beyond it counts as lost.
     std::size_t maxOpenLagProbes = 32;
+    // Routers that keep a copy of a stream's record, besides the one that wrote it, and routers that are asked for it:
+    // more, since the routers' views of the fleet may differ.
+    std::size_t streamRecordCopies = 2;
+    std::size_t streamSearchWidth = 8;
+    // Includes the time to replace links that were reset together with the caller's connection.
+    Duration streamSearchTimeout = std::chrono::milliseconds(300);
+    // A router that has started does not wait longer than this for what others know of earlier versions.
+    Duration maxVersionWait = std::chrono::seconds(2);
     // Maximum number of customers in one heartbeat.
     std::size_t maxCustomersPerHeartbeat = 64;
 };
@@ -177,6 +186,13 @@
     // Announces to the other routers that an endpoint of a brittle service has rejected a request.
     void announceRejection(const EndpointRejection &rejection);
 
+    // Sends copies of the records to the routers that other routers ask for them.
+    void sendStreamRecords(const std::vector<RecordedStream> &streams);
+
+    // Asks other routers for the record of a stream. `done` is called once: when one has sent it, when all have replied
+    // that they have none, or after `streamSearchTimeout`.
+    void seekStream(const std::string &attempt, std::function<void()> done);
+
     // Called when another router announces such requests.
     std::function<void(const std::vector<SuspectNotice> &)> onSuspects;
 
@@ -301,6 +317,14 @@
     RouterPosition routerPosition(TimePoint now) const;
     std::vector<std::string> brittleServices() const;
     void onEndpointRejection(const std::string &body);
+    // Advertised routers in the order in which they keep records of the stream.
+    std::vector<Incarnation> streamKeepers(const std::string &attempt, bool linkedOnly) const;
+    void onStreamRecords(const std::string &body);
+    void onStreamQuery(const Incarnation &from, const std::string &body);
+    void onStreamReply(const Incarnation &from, const std::string &body);
+    void askForSoughtStreams(const Incarnation &peer);
+    void endSearch(const std::string &attempt);
+    void checkEarlierVersions(TimePoint now);
     void dialPeers();
     void sendToAdvertised(const Envelope &envelope);
     void dropUnresponsive(TimePoint now);
@@ -319,6 +343,15 @@
         TimePoint expiresAt;
     };
     std::map<CustomerId, PendingTokens> m_pendingTokens;
+    // A stream whose record is sought at other routers.
+    struct StreamSearch
+    {
+        std::vector<std::function<void()>> done;
+        std::set<Incarnation> awaited; // Routers that have not replied yet.
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+    std::map<std::string, StreamSearch> m_streamSearches; // By attempt.
+    TimePoint m_startedAt;
     boost::asio::steady_timer m_responseTimer;
     bool m_responseTimerArmed = false;
     std::optional<TimePoint> m_readyAt;
--- a/godwit/daemon/fleet_messages.cpp
+++ b/godwit/daemon/fleet_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/base/cbor_shape.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 
@@ -26,6 +27,11 @@
     return value.is_number_integer() && value.get<std::int64_t>() > 0 && value.get<std::int64_t>() <= most;
 }
 
+bool isBoundedString(const json &value)
+{
+    return value.is_string() && value.get_ref<const std::string &>().size() <= MaxStreamNameBytes;
+}
+
 // As isIntegerUpTo(), but zero is valid too.
 bool isNaturalUpTo(const json &value, std::int64_t most)
 {
@@ -66,6 +72,62 @@
     return amounts;
 }
 
+json encodeStreamRecords(const std::vector<RecordedStream> &streams)
+{
+    json rows = json::array();
+    for (const RecordedStream &stream : streams) {
+        const StreamOrigin &origin = stream.origin;
+        rows.push_back(json::array({stream.attempt, origin.customer.value, origin.service, origin.version}));
+    }
+    return rows;
+}
+
+std::vector<RecordedStream> decodeStreamRecords(const json &rows)
+{
+    std::vector<RecordedStream> streams;
+    if (!rows.is_array()) {
+        return streams;
+    }
+    for (const json &row : rows) {
+        const bool wellFormed =
+            row.is_array() && row.size() == 4 && std::all_of(row.begin(), row.end(), isBoundedString);
+        if (wellFormed && streams.size() < MaxStreamRecords) {
+            streams.push_back(
+                {row[0].get<std::string>(),
+                 {CustomerId{row[1].get<std::string>()}, row[2].get<std::string>(), row[3].get<std::string>()}});
+        }
+    }
+    return streams;
+}
+
+json encodeEarlierVersions(const std::vector<EarlierVersion> &versions)
+{
+    json rows = json::array();
+    for (const EarlierVersion &earlier : versions) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(earlier.age).count();
+        rows.push_back(json::array({earlier.service, earlier.version, age}));
+    }
+    return rows;
+}
+
+std::vector<EarlierVersion> decodeEarlierVersions(const json &rows)
+{
+    std::vector<EarlierVersion> versions;
+    if (!rows.is_array()) {
+        return versions;
+    }
+    for (const json &row : rows) {
+        const bool wellFormed = row.is_array() && row.size() == 3 && isBoundedString(row[0]) && isBoundedString(row[1])
+            && isNaturalUpTo(row[2], MaxReportAge);
+        if (wellFormed && versions.size() < MaxStreamRecords) {
+            versions.push_back({row[0].get<std::string>(),
+                                row[1].get<std::string>(),
+                                std::chrono::milliseconds(row[2].get<std::int64_t>())});
+        }
+    }
+    return versions;
+}
+
 json encodeBrittleReports(const std::vector<BrittleReport> &reports)
 {
     json rows = json::array();
--- a/godwit/daemon/fleet_messages.h
+++ b/godwit/daemon/fleet_messages.h
@@ -9,6 +9,7 @@
 #include "godwit/base/ids.h"
 #include "godwit/gateway/brittle_services.h"
 #include "godwit/gateway/speed_exchange.h"
+#include "godwit/gateway/stream_versions.h"
 
 #include <nlohmann/json.hpp>
 
@@ -35,6 +36,9 @@
 inline constexpr const char *SuspectsTopic = "suspects";
 inline constexpr const char *LendingTopic = "lending";
 inline constexpr const char *EndpointRejectionTopic = "endpoint-rejection";
+inline constexpr const char *StreamRecordsTopic = "stream-records";
+inline constexpr const char *StreamQueryTopic = "stream-query";
+inline constexpr const char *StreamReplyTopic = "stream-reply";
 
 // Brittle services in one heartbeat.
 inline constexpr std::size_t MaxBrittleReports = 64;
@@ -56,6 +60,22 @@
 // Decodes a customer and `count` token amounts, at most MaxAmounts; nullopt if the message has another form.
 std::optional<Amounts> decodeAmounts(const nlohmann::json &message, std::size_t count);
 
+// Streams in one message, and bytes of one of their names.
+inline constexpr std::size_t MaxStreamRecords = 512;
+inline constexpr std::size_t MaxStreamNameBytes = 512;
+
+// Rows of [attempt, customer, service, version].
+nlohmann::json encodeStreamRecords(const std::vector<RecordedStream> &streams);
+
+// Malformed rows, and rows beyond MaxStreamRecords, are dropped.
+std::vector<RecordedStream> decodeStreamRecords(const nlohmann::json &rows);
+
+// Rows of [service, version, age in milliseconds].
+nlohmann::json encodeEarlierVersions(const std::vector<EarlierVersion> &versions);
+
+// Malformed rows, and rows beyond MaxStreamRecords, are dropped.
+std::vector<EarlierVersion> decodeEarlierVersions(const nlohmann::json &rows);
+
 // Rows of [service, tolerated rejections, age in milliseconds].
 nlohmann::json encodeBrittleReports(const std::vector<BrittleReport> &reports);
 
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -229,6 +229,12 @@
         m_relay.onTokensAdded = [this] {
             m_links.serveTransferRequests();
         };
+        m_relay.onStreamsRecorded = [this](const std::vector<RecordedStream> &streams) {
+            m_links.sendStreamRecords(streams);
+        };
+        m_relay.onStreamSought = [this](const std::string &attempt, std::function<void()> done) {
+            m_links.seekStream(attempt, std::move(done));
+        };
         m_relay.onEndpointRejected = [this](const EndpointRejection &rejection) {
             m_links.announceRejection(rejection);
         };
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -29,6 +29,11 @@
     appendMetric(
         out, "godwit_limit_part_usable", fractionOf(usableShares(state.limitShares, Relay::now(), Relay::uptime())));
     appendMetric(out, "godwit_resumed_streams_total", static_cast<double>(counters.resumedStreams));
+    for (const auto &[outcome, count] : counters.resumptions) {
+        out << "godwit_stream_resumptions_total{outcome=\"" << resumptionOutcomeName(outcome) << "\"} " << count
+            << '\n';
+    }
+    appendMetric(out, "godwit_recorded_streams", static_cast<double>(state.streamVersions.records.size()));
     appendMetric(out, "godwit_broken_off_total", static_cast<double>(counters.truncatedAnswers));
     appendMetric(out, "godwit_connections_opened_total", static_cast<double>(counters.connectionsOpened));
     for (const auto &[kind, count] : counters.refusals) {
--- a/godwit/gateway/request_metadata.h
+++ b/godwit/gateway/request_metadata.h
@@ -34,6 +34,7 @@
     std::vector<PromptSegment> promptSegments; // In order; the last one is specific to this request or its session.
     bool resumes = false; // The caller requests the rest of a stream.
     std::uint64_t resumeAfter = 0; // Id of the last event that the caller has received.
+    bool resumesAfterEvent = false; // The caller has received an event.
     std::string resumedAttempt; // The attempt that brought the stream's first event; empty if the caller names none.
 };
 
--- a/godwit/relay/hedged_attempt.h
+++ b/godwit/relay/hedged_attempt.h
@@ -39,6 +39,7 @@
     bool cold = false; // One of the rate-limited requests to a cold endpoint.
     PrefillId prefill = 0; // The endpoint's pending prefill of the prompt; 0: none.
     std::shared_ptr<EndpointExchange> exchange;
+    std::string version; // Of the endpoint's software.
 };
 
 // What counts as a useful answer.
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -142,6 +142,29 @@
     }
 }
 
+void Relay::setListedVersions(std::map<std::string, std::set<std::string>> listed)
+{
+    const TimePoint now = Relay::now();
+    auto &versions = m_state.streamVersions;
+    for (const std::string &service :
+         Godwit::setListedVersions(versions, m_options.streamVersions, std::move(listed), now)) {
+        const auto streams = recordedStreams(versions, service, now);
+        m_log.write("several_versions",
+                    {{"service", std::string_view(service)},
+                     {"versions", static_cast<std::int64_t>(versions.listed[service].size())},
+                     {"recorded_streams", static_cast<std::int64_t>(streams.size())}});
+        if (onStreamsRecorded) {
+            onStreamsRecorded(streams);
+        }
+    }
+}
+
+bool Relay::mayHaveOtherVersions(const std::string &service, TimePoint now) const
+{
+    return hasSeveralVersions(m_state.streamVersions, m_options.streamVersions, service, now)
+        || !isConfirmedCurrent(m_state.endpointsFreshness, m_options.agreement, now) || !m_state.knowsEarlierVersions;
+}
+
 void Relay::applyBrittleReport(const BrittleReport &report)
 {
     EndpointTable &table = m_state.endpoints;
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -23,6 +23,7 @@
 #include "godwit/gateway/response_ending.h"
 #include "godwit/gateway/retry_budget.h"
 #include "godwit/gateway/route_table.h"
+#include "godwit/gateway/stream_versions.h"
 #include "godwit/prepaid/prepaid_share.h"
 #include "godwit/prepaid/token_prefetch.h"
 #include "godwit/prepaid/token_wait.h"
@@ -83,6 +84,7 @@
     TokenWaitOptions tokenWait;
     HedgeOptions hedging;
     BrittleOptions brittle; // Copied to EndpointTable::brittleOptions.
+    StreamVersionOptions streamVersions;
     // Retry-After of a refusal when no better estimate is available.
     Duration defaultRetryAfter = std::chrono::milliseconds(700);
     // After link congestion all requests are refused for this long, by which time the link's queue has drained. After
@@ -136,6 +138,10 @@
     std::set<EndpointId> trialEndpoints; // Endpoints where any router has a trial of a suspect request in flight.
     HedgeState hedges;
     std::map<std::string, PlaceQueue> placeQueues; // By service.
+    StreamVersions streamVersions;
+    // Whether this router knows the versions that were listed before it started: another router has reported them, or
+    // there is none.
+    bool knowsEarlierVersions = false;
     std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>(); // Shared with connections, which outlive this.
 };
 
@@ -211,6 +217,7 @@
     std::uint64_t retries = 0;
     std::uint64_t resumedStreams = 0;
     std::uint64_t truncatedAnswers = 0;
+    std::map<ResumptionOutcome, std::uint64_t> resumptions; // Of streams that callers take up again.
     std::uint64_t connectionsOpened = 0;
     std::map<ErrorKind, std::uint64_t> refusals;
     std::map<std::string, std::uint64_t> deferred; // Requests deferred by caller admission, keyed by route.
@@ -324,6 +331,13 @@
     // Returns routers that lend connections to endpoints of the group, best first. Optional.
     std::function<std::vector<Lender>(const EndpointGroup &)> lendersFor;
 
+    // Called with recorded streams of services that have several versions.
+    std::function<void(const std::vector<RecordedStream> &)> onStreamsRecorded;
+
+    // Called to look for the record of a stream at other routers. `done` is called once, possibly immediately: when the
+    // record has been added to this router's, or after a short timeout.
+    std::function<void(const std::string &attempt, std::function<void()> done)> onStreamSought;
+
     // Called when an endpoint of a brittle service has rejected a request.
     std::function<void(const EndpointRejection &)> onEndpointRejected;
 
@@ -363,6 +377,13 @@
     // Records a response of an endpoint of the service.
     void recordResponse(const std::string &service, const ResponseMetadata &response);
 
+    // Sets the versions of the listed endpoints, by service.
+    void setListedVersions(std::map<std::string, std::set<std::string>> listed);
+
+    // Whether a stream of the service that is not recorded may have begun at another version than that of the listed
+    // endpoints.
+    bool mayHaveOtherVersions(const std::string &service, TimePoint now) const;
+
     // Applies another router's report that a service is brittle.
     void applyBrittleReport(const BrittleReport &report);
 
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -85,7 +85,11 @@
             self->onDeadline();
         }
     });
-    reserveTokens();
+    if (continuesStream()) {
+        findStreamOrigin();
+    } else {
+        reserveTokens();
+    }
 }
 
 bool RelayCall::findRoute()
@@ -209,6 +213,7 @@
     query.dataCentre = m_relay.options().dataCentre;
     query.regions = m_regions;
     query.unreachable = m_relay.unreachableDataCentres(m_serviceName);
+    query.version = m_requiredVersion;
     if (m_service != nullptr && m_service->engine) {
         query.promptTokens = m_facts.promptTokens;
         query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -104,6 +104,14 @@
     bool findRoute();
     void refuseUnknown(ErrorKind kind, const std::string &message);
     bool findCustomer();
+    bool continuesStream() const;
+    void findStreamOrigin();
+    void onStreamSearched();
+    void continueFrom(const StreamOrigin &origin);
+    bool useServiceOf(const StreamOrigin &origin);
+    void refuseResumption(ResumptionOutcome outcome);
+    void recordResumption(ResumptionOutcome outcome);
+    void recordStreamBegan();
     void reserveTokens();
     void logReservation() const;
     void refuseForBudget(const std::string &message);
@@ -232,6 +240,9 @@
     std::shared_ptr<EndpointExchange> m_exchange;
     EndpointId m_endpoint;
     EndpointIncarnation m_endpointStart = 0;
+    // The only version at which the stream may go on; set once its first event has been forwarded, by this request or
+    // by an earlier one of its caller.
+    std::optional<std::string> m_requiredVersion;
     std::string m_endpointVersion; // Of the endpoint's software when the request was sent.
     TimePoint m_sentAt;
     std::optional<TimePoint> m_retryGrantedAt; // When the latest retry was granted.
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -87,6 +87,7 @@
 {
     appendBytes(m_events, bytes);
     std::string whole;
+    const bool isFirst = m_eventsForwarded == 0;
     while (auto event = takeEvent(m_events)) {
         m_lastEvent = parseEventId(*event).value_or(m_lastEvent);
         ++m_eventsForwarded;
@@ -95,6 +96,9 @@
     if (whole.empty()) {
         return;
     }
+    if (isFirst) {
+        recordStreamBegan();
+    }
     onFirstEvent();
     m_lastEventAt = Relay::now();
     noteFirstAnswer();
--- a/godwit/relay/relay_call_hedge.cpp
+++ b/godwit/relay/relay_call_hedge.cpp
@@ -144,7 +144,7 @@
     ++m_relay.counters().retries;
     beginAttempt(endpoint);
 
-    EndpointRun run{listed.id, listed.startedAt, sending.chosenAt, choice.cold, 0, nullptr};
+    EndpointRun run{listed.id, listed.startedAt, sending.chosenAt, choice.cold, 0, nullptr, listed.version};
     if (m_service != nullptr && m_service->engine && m_facts.promptTokens > 0) {
         run.prefill = recordPrefillStart(endpoint, choice.uncachedTokens, run.sentAt);
     }
@@ -169,7 +169,7 @@
 
 EndpointRun RelayCall::currentRun() const
 {
-    return {m_endpoint, m_endpointStart, m_sentAt, m_coldChoice, m_prefill, m_exchange};
+    return {m_endpoint, m_endpointStart, m_sentAt, m_coldChoice, m_prefill, m_exchange, m_endpointVersion};
 }
 
 // Makes the hedge the attempt of this request. The first attempt, if still open, is cancelled.
@@ -195,6 +195,7 @@
     m_coldChoice = run.cold;
     m_prefill = run.prefill;
     m_exchange = run.exchange;
+    m_endpointVersion = run.version;
     m_newConnection = run.exchange->connectionIsNew();
     m_attemptOpen = true;
     m_holdsHead = false;
--- /dev/null
+++ b/godwit/relay/relay_call_resumption.cpp
@@ -0,0 +1,117 @@
+// RelayCall: streams that go on only at the version of the endpoint's software that began them.
+
+#include "godwit/relay/relay_call.h"
+
+#include "godwit/base/milliseconds.h"
+
+#include <algorithm>
+
+namespace Godwit
+{
+
+// Whether the caller takes up a stream of which it has received events.
+bool RelayCall::continuesStream() const
+{
+    return m_route->kind == GatewayRouteKind::Streaming && m_route->resumable && m_facts.resumesAfterEvent;
+}
+
+void RelayCall::findStreamOrigin()
+{
+    const std::string &attempt = m_facts.resumedAttempt;
+    const bool isRecorded = findStream(m_relay.state().streamVersions, attempt, Relay::now()) != nullptr;
+    const bool needsSearch = !isRecorded && m_relay.mayHaveOtherVersions(m_serviceName, Relay::now());
+    if (needsSearch && !attempt.empty() && m_relay.onStreamSought) {
+        m_relay.onStreamSought(attempt, [self = shared_from_this()] {
+            self->onStreamSearched();
+        });
+    } else {
+        onStreamSearched();
+    }
+}
+
+void RelayCall::onStreamSearched()
+{
+    if (m_closed) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    if (const StreamOrigin *origin = findStream(m_relay.state().streamVersions, m_facts.resumedAttempt, now)) {
+        continueFrom(*origin);
+    } else if (m_relay.mayHaveOtherVersions(m_serviceName, now)) {
+        refuseResumption(ResumptionOutcome::Unknown);
+    } else {
+        recordResumption(ResumptionOutcome::OneVersion);
+        reserveTokens();
+    }
+}
+
+void RelayCall::continueFrom(const StreamOrigin &origin)
+{
+    if (origin.customer != m_customer || !useServiceOf(origin)) {
+        refuseResumption(ResumptionOutcome::OtherOwner);
+        return;
+    }
+    m_requiredVersion = origin.version;
+    if (!hasCandidates(m_relay.state().endpoints, choiceQuery())) {
+        refuseResumption(ResumptionOutcome::NoEndpoint);
+        return;
+    }
+    recordResumption(ResumptionOutcome::Recorded);
+    reserveTokens();
+}
+
+// A route may divide its requests among services by their attempt ids, which differ between the tries of a caller.
+bool RelayCall::useServiceOf(const StreamOrigin &origin)
+{
+    const auto &services = m_route->services;
+    const bool allowed = std::any_of(services.begin(), services.end(), [&origin](const WeightedService &entry) {
+        return entry.service == origin.service;
+    });
+    if (allowed) {
+        m_serviceName = origin.service;
+        m_service = findService(*m_table, m_serviceName);
+    }
+    return allowed;
+}
+
+void RelayCall::refuseResumption(ResumptionOutcome outcome)
+{
+    recordResumption(outcome);
+    refuse(ErrorKind::StreamNotResumable,
+           outcome == ResumptionOutcome::NoEndpoint
+               ? "no endpoint of the version that began the stream accepts requests"
+               : "this router does not know at which version of the endpoint's software the stream began",
+           std::nullopt);
+}
+
+void RelayCall::recordResumption(ResumptionOutcome outcome)
+{
+    ++m_relay.counters().resumptions[outcome];
+    m_relay.log().write("stream_resumed",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"began_as", std::string_view(m_facts.resumedAttempt)},
+                         {"outcome", resumptionOutcomeName(outcome)},
+                         {"service", std::string_view(m_serviceName)},
+                         {"version", std::string_view(m_requiredVersion.value_or(std::string()))},
+                         {"after_event", static_cast<std::int64_t>(m_facts.resumeAfter)},
+                         {"after_ms", toMilliseconds(Relay::now() - m_arrived)}});
+}
+
+// To be called before the first event is forwarded: its caller may come back to another router at once.
+void RelayCall::recordStreamBegan()
+{
+    m_requiredVersion = m_endpointVersion;
+    if (!m_route->resumable || m_facts.attemptId.empty()) {
+        return;
+    }
+    const StreamOrigin origin{m_customer, m_serviceName, m_endpointVersion};
+    RelayState &state = m_relay.state();
+    const StreamVersionOptions &options = m_relay.options().streamVersions;
+    const TimePoint now = Relay::now();
+    const bool isNew = recordStream(state.streamVersions, options, m_facts.attemptId, origin, now);
+    if (isNew && m_relay.onStreamsRecorded && hasSeveralVersions(state.streamVersions, options, m_serviceName, now)) {
+        m_relay.onStreamsRecorded({{m_facts.attemptId, origin}});
+    }
+}
+
+} // namespace Godwit
