--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -51,6 +51,7 @@
     {Fault::CrashRequests, "crash requests"},
     {Fault::PartitionRouters, "partition routers"},
     {Fault::CrashPromptParts, "crash prompt parts"},
+    {Fault::BrittleEndpoints, "brittle endpoints"},
     {Fault::ShapeAnswers, "shape answers"},
 };
 
@@ -173,6 +174,25 @@
     }
 }
 
+void FaultPlayer::makeBrittle(const yield_context &yield)
+{
+    while (!m_fleet.ending) {
+        waitFor(m_fleet.io, milliseconds(drawFrom(m_deathRandom, 1500, 3000)), yield);
+        const int maxRejections = drawFrom(m_deathRandom, 2, 6);
+        const Time time(drawFrom(m_deathRandom, 5000, 10000));
+        ++m_played[Fault::BrittleEndpoints];
+        say(Fault::BrittleEndpoints, "tolerate " + std::to_string(maxRejections) + " rejections", time);
+        m_fleet.promises.brittleSpells.push_back({m_fleet.rooms.size(), 0, 0});
+        for (Testing::EndpointRoom *room : m_fleet.rooms) {
+            room->setBrittle(maxRejections);
+        }
+        waitFor(m_fleet.io, time, yield);
+        for (Testing::EndpointRoom *room : m_fleet.rooms) {
+            room->setBrittle(std::nullopt);
+        }
+    }
+}
+
 void FaultPlayer::starveRouters(const yield_context &yield)
 {
     constexpr std::size_t each = 3;
@@ -289,6 +309,7 @@
     case Fault::PartitionRouters:
         partitionRouters();
         return;
+    case Fault::BrittleEndpoints:
     case Fault::StarveRouters:
     case Fault::CrashRequests:
     case Fault::CrashPromptParts:
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -59,6 +59,7 @@
     CrashRequests, // Requests that crash endpoints come again and again, and endpoints die of other causes.
     PartitionRouters, // Some routers lose all endpoints, and keep callers, store and peers.
     CrashPromptParts, // Requests with one part of a prompt in common crash engines, as CrashRequests.
+    BrittleEndpoints, // Plain endpoints have little room, are brittle at times and crash when they reject too many.
     ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
 };
 
@@ -86,6 +87,9 @@
     // Endpoints that die of no request. Runs beside run().
     void killEndpoints(const boost::asio::yield_context &yield);
 
+    // Makes the plain endpoints brittle at times. Runs beside run().
+    void makeBrittle(const boost::asio::yield_context &yield);
+
     // Every third router runs a few milliseconds of each tenth of a second. Runs beside run().
     void starveRouters(const boost::asio::yield_context &yield);
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -23,6 +23,10 @@
 // An answer takes long enough that signals and faults meet requests on their way.
 constexpr auto AnswerAfter = std::chrono::milliseconds(15);
 constexpr auto EventPause = std::chrono::milliseconds(25);
+// With limited room, what callers send at most times exceeds what the endpoints can run.
+constexpr Testing::EndpointRoomOptions LimitedRoom{4, 6, 1, std::chrono::milliseconds(3000)};
+constexpr auto AnswerAfterInLimitedRoom = std::chrono::milliseconds(80);
+constexpr auto DownAfterRejections = std::chrono::milliseconds(2500);
 
 json route(const std::string &name, const std::string &prefix, const char *kind, const char *service, int attempts)
 {
@@ -113,6 +117,21 @@
     });
 }
 
+void limitRoom(Fleet &fleet, std::size_t index)
+{
+    Testing::FakeEndpoint &replica = *fleet.endpoints[index].replica;
+    replica.behaviour().responseDelay = AnswerAfterInLimitedRoom;
+    Testing::EndpointRoom &room = replica.limitRoom(LimitedRoom);
+    room.onRejection([&fleet, index](const std::string &attempt) {
+        noteRejection(fleet.promises, index, attempt, steadyNow());
+    });
+    room.onCrash([&fleet, index] {
+        noteBrittleCrash(fleet.promises, index, steadyNow());
+        killEndpoint(fleet, index, DownAfterRejections);
+    });
+    fleet.rooms.push_back(&room);
+}
+
 void addEndpoint(Fleet &fleet, const std::string &service, std::size_t number)
 {
     Endpoint endpoint;
@@ -175,6 +194,10 @@
     promises.disturbed.unplanned = steadyNow();
     for (std::size_t i = 0; i < size.plainEndpoints; ++i) {
         addEndpoint(*this, "plain", i);
+        if (size.brittleEndpoints) {
+            limitRoom(*this, endpoints.size() - 1);
+            listEndpoint(*this, endpoints.size() - 1, "ready");
+        }
     }
     for (std::size_t i = 0; i < size.engines; ++i) {
         addEndpoint(*this, "engine", i);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -39,6 +39,7 @@
     int shedEach = 0;
     std::chrono::milliseconds failAfter{0}; // Of the first endpoint of each service.
     bool varyAttempts = false; // Documents differ in how many endpoints may run a request.
+    bool brittleEndpoints = false; // Plain endpoints have limited room, and can be made brittle.
 };
 
 struct Router
@@ -75,6 +76,7 @@
     std::vector<Router> routers;
     std::vector<Testing::EndpointFaults> lastingFaults; // By endpoint, beside those that come and go.
     bool varyAttempts = false;
+    std::vector<Testing::EndpointRoom *> rooms; // Of the endpoints that have limited room.
     bool sharesPromptParts = false; // Streams name the parts of their prompts.
     bool ending = false; // Nothing new begins.
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -186,6 +186,14 @@
     }
 }
 
+void printBrittleSpells(const PlayResult &result)
+{
+    for (const auto &spell : result.brittleSpells) {
+        std::cout << "  brittle: " << spell.crashes << " crashes of " << spell.endpoints << " endpoints, "
+                  << spell.otherCrashes << " more by routers out of touch\n";
+    }
+}
+
 void printTimeHanded(const PlayResult &result)
 {
     const auto &counts = result.timeHanded;
@@ -220,6 +228,7 @@
         printRepeats(result);
         printCrashes(result);
         printPartitions(result);
+        printBrittleSpells(result);
         printTimeHanded(result);
     }
     printSummary(results);
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -152,7 +152,8 @@
 PlayResult playSeed(const PlayOptions &options, std::ostream &out)
 {
     std::mt19937_64 random(options.seed);
-    const FleetSize size = sizeFor(options, random);
+    FleetSize size = sizeFor(options, random);
+    size.brittleEndpoints = plays(options.only, Fault::BrittleEndpoints);
     const int callers = callersFor(options, random);
     out << "seed " << options.seed << ": " << size.routers << " routers, " << size.plainEndpoints
         << " plain endpoints, " << size.engines << " engines, " << callers << " callers, " << size.prepaid
@@ -192,6 +193,11 @@
             player.killEndpoints(yield);
         });
     }
+    if (size.brittleEndpoints) {
+        spawn(io, [&](const yield_context &yield) {
+            player.makeBrittle(yield);
+        });
+    }
     if (plays(options.only, Fault::StarveRouters)) {
         spawn(io, [&](const yield_context &yield) {
             player.starveRouters(yield);
@@ -238,6 +244,7 @@
     result.traffic = fleet.promises.traffic;
     result.crashes = fleet.promises.crashes;
     result.partitions = fleet.promises.partitions;
+    result.brittleSpells = fleet.promises.brittleSpells;
     result.timeHanded = fleet.promises.timeHanded;
     result.spent = fleet.promises.spent;
     result.prepaidTotal = fleet.promises.prepaidTotal;
--- a/soak/play.h
+++ b/soak/play.h
@@ -40,6 +40,7 @@
     std::int64_t prepaidTotal = 0;
     std::map<std::string, ServiceTraffic> traffic;
     std::vector<PartitionSpell> partitions;
+    std::vector<BrittleSpell> brittleSpells;
     std::map<std::string, CrashHistory> crashes;
     TimeHanded timeHanded;
     std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -24,6 +24,7 @@
     {Promise::Crash, "router ended by itself"},
     {Promise::RepeatsBeyond, "repeats beyond the allowance"},
     {Promise::PartitionedRefuse, "partitioned routers served far less often than the others"},
+    {Promise::BrittleCrashes, "brittle endpoints crashed under rejected requests"},
     {Promise::CrashesOn, "a request that crashes endpoints was sent on"},
     {Promise::Condemned, "a harmless request was condemned"},
     {Promise::TimeHandedOn, "endpoints were handed more time than is left"},
@@ -337,6 +338,42 @@
     checkLeaving(promises, endpoint, attempt, now);
 }
 
+void noteRejection(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now)
+{
+    const auto found = promises.requests.find(attempt);
+    const bool inTouch = found != promises.requests.end() && routerInTouch(promises, found->second.router, now);
+    promises.rejections[endpoint].push_back({now, inTouch});
+}
+
+void noteBrittleCrash(Promises &promises, std::size_t endpoint, TimePoint now)
+{
+    constexpr std::size_t allowed = 2;
+    constexpr std::size_t endpointsPerFurtherCrash = 10;
+    if (promises.brittleSpells.empty()) {
+        return;
+    }
+    std::size_t recent = 0;
+    std::size_t inTouch = 0;
+    for (const Rejection &rejection : promises.rejections[endpoint]) {
+        if (rejection.at > now - std::chrono::seconds(1)) {
+            ++recent;
+            inTouch += rejection.fromRouterInTouch ? 1 : 0;
+        }
+    }
+    BrittleSpell &spell = promises.brittleSpells.back();
+    if (inTouch * 2 <= recent) {
+        ++spell.otherCrashes;
+        return;
+    }
+    ++spell.crashes;
+    if (spell.crashes > allowed + spell.endpoints / endpointsPerFurtherCrash) {
+        noteBreach(promises,
+                   Promise::BrittleCrashes,
+                   {},
+                   std::to_string(spell.crashes) + " times, " + std::to_string(spell.endpoints) + " endpoints");
+    }
+}
+
 void noteCrashRun(Promises &promises, const std::string &target, const std::string &attempt, TimePoint now)
 {
     CrashHistory &history = promises.crashes[target];
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -59,6 +59,7 @@
     Condemned,
     TimeHandedOn,
     PartitionedRefuse,
+    BrittleCrashes,
 };
 
 std::string_view promiseName(Promise promise);
@@ -185,9 +186,25 @@
     AttemptCount others;
 };
 
+// A time in which the endpoints of the plain service are brittle.
+struct BrittleSpell
+{
+    std::size_t endpoints = 0;
+    std::size_t crashes = 0; // Those after rejections that came mostly from routers in touch.
+    std::size_t otherCrashes = 0;
+};
+
+struct Rejection
+{
+    TimePoint at;
+    bool fromRouterInTouch = false;
+};
+
 struct Promises
 {
     std::map<std::string, SentRequest> requests;
+    std::vector<BrittleSpell> brittleSpells;
+    std::map<std::size_t, std::vector<Rejection>> rejections; // By endpoint.
     std::map<std::string, CrashHistory> crashes; // By target, or by part of the prompt.
     std::vector<PartitionSpell> partitions;
     std::vector<std::optional<TimePoint>> leavingSince; // By endpoint.
@@ -222,6 +239,9 @@
 void noteCrash(Promises &promises, const std::string &target, TimePoint now);
 // Of all such requests so far.
 std::size_t crashCount(const Promises &promises);
+// A brittle endpoint has rejected the request, or crashed since it has rejected too many.
+void noteRejection(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
+void noteBrittleCrash(Promises &promises, std::size_t endpoint, TimePoint now);
 // An endpoint answers it without a length or chunks.
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
 // Compares how often partitioned routers and the others served, for each partition that has ended.
