--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -100,6 +100,50 @@
     return error.category() == ended.category() && !isEnd ? OutcomeKind::Damaged : OutcomeKind::Cut;
 }
 
+// The caller of a stream that broke off after some events comes back at any router, up to twice.
+void takeUpStream(Fleet &fleet,
+                  std::mt19937_64 &random,
+                  const std::string &firstTry,
+                  const std::string &target,
+                  const yield_context &yield)
+{
+    constexpr int mostTries = 2;
+    constexpr int longestPause = 400; // Milliseconds.
+    Promises &promises = fleet.promises;
+    int lastEvent = promises.requests[firstTry].events;
+    for (int i = 0; i < mostTries && lastEvent < EventsOfStream && !fleet.ending; ++i) {
+        waitFor(fleet.io, std::chrono::milliseconds(draw(random, longestPause)), yield);
+        SentRequest sent = promises.requests[firstTry];
+        sent.runs.clear();
+        sent.firstArrival.reset();
+        sent.events = 0;
+        sent.status = 0;
+        sent.endsUndeclared = false;
+        sent.version.clear();
+        sent.resumes = firstTry;
+        sent.resumedAfter = lastEvent;
+        sent.router = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
+        sent.sentAt = steadyNow();
+        const std::string attempt = firstTry + 'r' + std::to_string(i);
+        noteSent(promises, attempt, sent);
+        noteRequest(promises, serviceOf(sent.kind), sent.sentAt);
+        CallerRequest request = makeRequest(sent, target, attempt);
+        request.set(LastEventIdField, std::to_string(lastEvent));
+        request.set(ResumesField, firstTry);
+        Caller caller(fleet.io);
+        const auto onBody = [&](const std::string &body) {
+            noteEvents(promises, attempt, countEvents(body));
+        };
+        const Outcome outcome =
+            caller.call(fleet.routers[sent.router].process->callerAddress(), request, onBody, yield);
+        noteOutcome(promises, attempt, outcome, steadyNow());
+        const int events = promises.requests[attempt].events;
+        ++promises.resumptions.sent;
+        promises.resumptions.wentOn += events > 0 ? 1 : 0;
+        lastEvent += events;
+    }
+}
+
 } // namespace
 
 Caller::Caller(boost::asio::io_context &io)
@@ -200,6 +244,10 @@
         }
         const Outcome outcome = caller.call(fleet.routers[router].process->callerAddress(), request, onBody, yield);
         noteOutcome(fleet.promises, attempt, outcome, steadyNow());
+        const int events = fleet.promises.requests[attempt].events;
+        if (fleet.engineVersions && sent.kind == RequestKind::Write && outcome.kind == OutcomeKind::Cut && events > 0) {
+            takeUpStream(fleet, random, attempt, target, yield);
+        }
     }
 }
 
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -52,6 +52,7 @@
     {Fault::PartitionRouters, "partition routers"},
     {Fault::CrashPromptParts, "crash prompt parts"},
     {Fault::BrittleEndpoints, "brittle endpoints"},
+    {Fault::EngineVersions, "engine versions"},
     {Fault::ShapeAnswers, "shape answers"},
 };
 
@@ -309,6 +310,17 @@
     case Fault::PartitionRouters:
         partitionRouters();
         return;
+    case Fault::EngineVersions: {
+        const auto first = std::find_if(m_fleet.endpoints.begin(), m_fleet.endpoints.end(), [](const Endpoint &each) {
+            return each.service == "engine";
+        });
+        const auto from = static_cast<int>(first - m_fleet.endpoints.begin());
+        const int engine = draw(from, static_cast<int>(m_fleet.endpoints.size()) - 1);
+        const Time down(draw(200, 1500));
+        say(fault, m_fleet.endpoints[static_cast<std::size_t>(engine)].id + " dies", down);
+        killEndpoint(m_fleet, static_cast<std::size_t>(engine), down);
+        return;
+    }
     case Fault::BrittleEndpoints:
     case Fault::StarveRouters:
     case Fault::CrashRequests:
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -60,6 +60,7 @@
     PartitionRouters, // Some routers lose all endpoints, and keep callers, store and peers.
     CrashPromptParts, // Requests with one part of a prompt in common crash engines, as CrashRequests.
     BrittleEndpoints, // Plain endpoints have little room, are brittle at times and crash when they reject too many.
+    EngineVersions, // Engines of several versions die while callers take up their streams again.
     ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
 };
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -117,6 +117,17 @@
     });
 }
 
+// Alternates between two versions, and every third start of an engine runs another one.
+std::string versionOf(const Fleet &fleet, std::size_t index, int start)
+{
+    constexpr int startsPerChange = 3;
+    if (!fleet.engineVersions) {
+        return "v1";
+    }
+    const bool changed = start % startsPerChange == 0;
+    return changed ? "v3" : "v" + std::to_string(1 + index % 2);
+}
+
 void limitRoom(Fleet &fleet, std::size_t index)
 {
     Testing::FakeEndpoint &replica = *fleet.endpoints[index].replica;
@@ -132,6 +143,13 @@
     fleet.rooms.push_back(&room);
 }
 
+// Whether the request that came last asks for what follows an event.
+bool continuesStream(const Testing::FakeEndpoint &replica)
+{
+    const auto field = replica.lastHeaders().find("last-event-id");
+    return field != replica.lastHeaders().end() && field->second != "0";
+}
+
 void addEndpoint(Fleet &fleet, const std::string &service, std::size_t number)
 {
     Endpoint endpoint;
@@ -160,7 +178,12 @@
     });
     endpoint.replica->onRun([&fleet, index](const std::string &attempt) {
         noteRun(fleet.promises, index, attempt, steadyNow());
+        if (fleet.engineVersions && fleet.endpoints[index].service == "engine") {
+            Testing::FakeEndpoint &replica = *fleet.endpoints[index].replica;
+            noteVersion(fleet.promises, attempt, replica.behaviour().version, continuesStream(replica));
+        }
     });
+    endpoint.replica->behaviour().version = versionOf(fleet, index, endpoint.start);
     fleet.endpoints.push_back(std::move(endpoint));
     listEndpoint(fleet, index, "ready");
 }
@@ -175,6 +198,7 @@
     promises.repeatRatio = size.repeats.ratio;
     promises.repeatSlack = size.repeats.slack;
     varyAttempts = size.varyAttempts;
+    engineVersions = size.engineVersions;
     lastingFaults.resize(size.plainEndpoints + size.engines);
     for (Testing::EndpointFaults &faults : lastingFaults) {
         faults.failEvery = size.failEach;
@@ -243,6 +267,7 @@
         fleet.store.remove("servers/" + back.id);
         back.id = "i-" + back.service + '-' + std::to_string(index) + ".start-" + std::to_string(++back.start);
         back.dead = false;
+        back.replica->behaviour().version = versionOf(fleet, index, back.start);
         back.replica->restart(back.id);
         back.proxy->listenAgain();
         listEndpoint(fleet, index, "ready");
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -40,6 +40,7 @@
     std::chrono::milliseconds failAfter{0}; // Of the first endpoint of each service.
     bool varyAttempts = false; // Documents differ in how many endpoints may run a request.
     bool brittleEndpoints = false; // Plain endpoints have limited room, and can be made brittle.
+    bool engineVersions = false; // Engines run several versions of their software.
 };
 
 struct Router
@@ -76,6 +77,7 @@
     std::vector<Router> routers;
     std::vector<Testing::EndpointFaults> lastingFaults; // By endpoint, beside those that come and go.
     bool varyAttempts = false;
+    bool engineVersions = false;
     std::vector<Testing::EndpointRoom *> rooms; // Of the endpoints that have limited room.
     bool sharesPromptParts = false; // Streams name the parts of their prompts.
     bool ending = false; // Nothing new begins.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -192,6 +192,10 @@
         std::cout << "  brittle: " << spell.crashes << " crashes of " << spell.endpoints << " endpoints, "
                   << spell.otherCrashes << " more by routers out of touch\n";
     }
+    if (result.resumptions.sent > 0) {
+        std::cout << "  streams taken up: " << result.resumptions.wentOn << " of " << result.resumptions.sent
+                  << " went on, " << result.resumptions.mixed << " at another version\n";
+    }
 }
 
 void printTimeHanded(const PlayResult &result)
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -154,6 +154,12 @@
     std::mt19937_64 random(options.seed);
     FleetSize size = sizeFor(options, random);
     size.brittleEndpoints = plays(options.only, Fault::BrittleEndpoints);
+    size.engineVersions = plays(options.only, Fault::EngineVersions);
+    if (size.engineVersions) {
+        // Two for each of the versions.
+        constexpr std::size_t engines = 4;
+        size.engines = std::max(size.engines, engines);
+    }
     const int callers = callersFor(options, random);
     out << "seed " << options.seed << ": " << size.routers << " routers, " << size.plainEndpoints
         << " plain endpoints, " << size.engines << " engines, " << callers << " callers, " << size.prepaid
@@ -245,6 +251,7 @@
     result.crashes = fleet.promises.crashes;
     result.partitions = fleet.promises.partitions;
     result.brittleSpells = fleet.promises.brittleSpells;
+    result.resumptions = fleet.promises.resumptions;
     result.timeHanded = fleet.promises.timeHanded;
     result.spent = fleet.promises.spent;
     result.prepaidTotal = fleet.promises.prepaidTotal;
--- a/soak/play.h
+++ b/soak/play.h
@@ -41,6 +41,7 @@
     std::map<std::string, ServiceTraffic> traffic;
     std::vector<PartitionSpell> partitions;
     std::vector<BrittleSpell> brittleSpells;
+    ResumptionCounts resumptions;
     std::map<std::string, CrashHistory> crashes;
     TimeHanded timeHanded;
     std::chrono::milliseconds longestLag{0}; // Of the soak's own loop.
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -25,6 +25,7 @@
     {Promise::RepeatsBeyond, "repeats beyond the allowance"},
     {Promise::PartitionedRefuse, "partitioned routers served far less often than the others"},
     {Promise::BrittleCrashes, "brittle endpoints crashed under rejected requests"},
+    {Promise::MixedStreams, "streams hold events of two versions"},
     {Promise::CrashesOn, "a request that crashes endpoints was sent on"},
     {Promise::Condemned, "a harmless request was condemned"},
     {Promise::TimeHandedOn, "endpoints were handed more time than is left"},
@@ -48,10 +49,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-std::string wholeStream(const std::string &attempt)
+// All events of the request's stream, or those that are left of the stream that it takes up.
+std::string wholeStream(const std::string &attempt, const SentRequest &request)
 {
     std::string text;
-    for (int i = 1; i <= EventsOfStream; ++i) {
+    for (int i = request.resumedAfter + 1; i <= EventsOfStream; ++i) {
         const std::string number = std::to_string(i);
         text.append("id: ").append(number).append("\ndata: part ").append(number).append(" for ");
         text.append(attempt).append("\n\n");
@@ -104,7 +106,7 @@
 
 bool isWhole(const std::string &attempt, const SentRequest &request, const Outcome &outcome)
 {
-    return isStream(request.kind) ? outcome.body == wholeStream(attempt)
+    return isStream(request.kind) ? outcome.body == wholeStream(attempt, request)
                                   : beginsWith(outcome.body, AnswerBegins) && endsWith(outcome.body, " for " + attempt);
 }
 
@@ -112,7 +114,7 @@
 bool isBeginning(const std::string &attempt, const SentRequest &request, const Outcome &outcome)
 {
     if (isStream(request.kind)) {
-        return endsWith(outcome.body, "\n\n") && beginsWith(wholeStream(attempt), outcome.body);
+        return endsWith(outcome.body, "\n\n") && beginsWith(wholeStream(attempt, request), outcome.body);
     }
     return beginsWith(outcome.body, AnswerBegins.substr(0, outcome.body.size()));
 }
@@ -149,7 +151,7 @@
 // Events that came before a stream broke off are its own and in order.
 void checkCut(Promises &promises, const std::string &attempt, const SentRequest &request, const Outcome &outcome)
 {
-    const std::string whole = isStream(request.kind) ? wholeStream(attempt) : std::string();
+    const std::string whole = isStream(request.kind) ? wholeStream(attempt, request) : std::string();
     const auto lastWhole = outcome.body.rfind("\n\n");
     if (isStream(request.kind) && lastWhole != std::string::npos
         && !beginsWith(whole, outcome.body.substr(0, lastWhole + 2))) {
@@ -374,6 +376,21 @@
     }
 }
 
+void noteVersion(Promises &promises, const std::string &attempt, const std::string &version, bool continues)
+{
+    constexpr int allowedMixed = 2;
+    const auto found = promises.requests.find(attempt);
+    if (found == promises.requests.end()) {
+        return;
+    }
+    SentRequest &request = found->second;
+    const std::string &began = request.version.empty() ? promises.requests[request.resumes].version : request.version;
+    if (continues && began != version && ++promises.resumptions.mixed > allowedMixed) {
+        noteBreach(promises, Promise::MixedStreams, attempt, "began at " + began + " and goes on at " + version);
+    }
+    request.version = version;
+}
+
 void noteCrashRun(Promises &promises, const std::string &target, const std::string &attempt, TimePoint now)
 {
     CrashHistory &history = promises.crashes[target];
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -60,6 +60,7 @@
     TimeHandedOn,
     PartitionedRefuse,
     BrittleCrashes,
+    MixedStreams,
 };
 
 std::string_view promiseName(Promise promise);
@@ -86,6 +87,9 @@
     unsigned status = 0; // Of its answer; 0: none yet.
     bool crashes = false; // Its endpoint dies of it.
     bool endsUndeclared = false; // An endpoint's answer to it ended with its connection.
+    std::string resumes; // The first try of the stream that it takes up; empty: a new request.
+    int resumedAfter = 0; // The last event of that stream that its caller has.
+    std::string version; // Of the endpoint of its latest run.
 };
 
 enum class OutcomeKind {
@@ -200,11 +204,20 @@
     bool fromRouterInTouch = false;
 };
 
+// Streams that callers take up again.
+struct ResumptionCounts
+{
+    int sent = 0;
+    int wentOn = 0;
+    int mixed = 0; // Runs that continued a stream at another version.
+};
+
 struct Promises
 {
     std::map<std::string, SentRequest> requests;
     std::vector<BrittleSpell> brittleSpells;
     std::map<std::size_t, std::vector<Rejection>> rejections; // By endpoint.
+    ResumptionCounts resumptions;
     std::map<std::string, CrashHistory> crashes; // By target, or by part of the prompt.
     std::vector<PartitionSpell> partitions;
     std::vector<std::optional<TimePoint>> leavingSince; // By endpoint.
@@ -242,6 +255,8 @@
 // A brittle endpoint has rejected the request, or crashed since it has rejected too many.
 void noteRejection(Promises &promises, std::size_t endpoint, const std::string &attempt, TimePoint now);
 void noteBrittleCrash(Promises &promises, std::size_t endpoint, TimePoint now);
+// It runs at an endpoint of this version. `continues`: from after an event that its caller already has.
+void noteVersion(Promises &promises, const std::string &attempt, const std::string &version, bool continues);
 // An endpoint answers it without a length or chunks.
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
 // Compares how often partitioned routers and the others served, for each partition that has ended.
