--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -486,3 +486,44 @@
     const std::vector<SpeedReport> many(MaxSpeedReports + 5, reports[0]);
     CHECK(internal::decodeSpeedReports(internal::encodeSpeedReports(many)).size() == MaxSpeedReports);
 }
+
+// Guards against routers that divide the room of brittle endpoints anew when they can't reach each other.
+TEST_CASE("routers share reports of brittle services, and keep to their places while others are silent")
+{
+    Routers routers({"a", "b", "c"});
+    const EndpointId id{"i-1"};
+    for (const auto &router : routers.all) {
+        replaceEndpoints(router->relay.state().endpoints, {{id, "plain", "", DataCentreId{"north"}, 8, false, 7}});
+    }
+    ResponseMetadata response;
+    response.maxRejections = 2;
+    routers[0].relay.recordResponse("plain", response);
+    routers.run(std::chrono::milliseconds(200));
+    int places = 0;
+    for (const auto &router : routers.all) {
+        const EndpointTable &table = router->relay.state().endpoints;
+        CHECK(isBrittle(table, "plain", Relay::now()));
+        CHECK(table.position.routers == 3);
+        places += countPlaces(table, "plain", Relay::now());
+    }
+    CHECK(places == 8);
+    routers[0].links.announceRejection({"plain", id, 2});
+    routers.run(std::chrono::milliseconds(50));
+    const EndpointTable &table = routers[1].relay.state().endpoints;
+    CHECK(isRejecting(table.brittle, table.brittleOptions, "plain", id, Relay::now()));
+    routers[1].run(std::chrono::milliseconds(2500));
+    CHECK(table.position.routers == 3);
+}
+
+// Guards against a faulty or newer router whose reports limit the others.
+TEST_CASE("malformed reports of brittle services are dropped one by one")
+{
+    using nlohmann::json;
+    const json reports = json::array({json::array({"plain", 0, 0}),
+                                      json::array({"plain", -1, 0}),
+                                      json::array({"plain", 4, 99'000}),
+                                      json::array({"plain", 4.5, 10}),
+                                      json::array({4, 4, 10}),
+                                      json::array({"other", 4, 10})});
+    CHECK(internal::decodeBrittleReports(reports).size() == 2);
+}
