--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -527,3 +527,54 @@
                                       json::array({"other", 4, 10})});
     CHECK(internal::decodeBrittleReports(reports).size() == 2);
 }
+
+// Guards against records that only the router has that began the stream.
+TEST_CASE("a router finds the version of a stream that another router began")
+{
+    Routers routers({"a", "b", "c"});
+    const StreamOrigin origin{CustomerId{"anna"}, "engine", "v1"};
+    const std::vector<RecordedStream> streams{{"stream-1", origin}};
+    routers[0].links.sendStreamRecords(streams);
+    routers.run(std::chrono::milliseconds(50));
+    int searched = 0;
+    for (const char *attempt : {"stream-1", "unknown"}) {
+        routers[1].relay.state().streamVersions = {};
+        routers[1].links.seekStream(attempt, [&searched] {
+            ++searched;
+        });
+        routers.run(std::chrono::milliseconds(100));
+    }
+    CHECK(searched == 2);
+    routers[1].links.seekStream("stream-1", [&searched] {
+        ++searched;
+    });
+    routers.run(std::chrono::milliseconds(100));
+    CHECK(searched == 3);
+    const StreamOrigin *found = findStream(routers[1].relay.state().streamVersions, "stream-1", Relay::now());
+    REQUIRE(found != nullptr);
+    CHECK(*found == origin);
+    // The others are silent.
+    routers[1].links.seekStream("stream-2", [&searched] {
+        ++searched;
+    });
+    routers[1].run(std::chrono::milliseconds(200));
+    CHECK(searched == 3);
+    routers[1].run(std::chrono::milliseconds(200));
+    CHECK(searched == 4);
+}
+
+// Guards against a faulty or newer router whose messages damage the others' records.
+TEST_CASE("malformed stream records are dropped one by one")
+{
+    using nlohmann::json;
+    const std::string longName(internal::MaxStreamNameBytes + 1, 'x');
+    const json streams = json::array({json::array({"a", "anna", "engine", "v1"}),
+                                      json::array({"b", "anna", "engine"}),
+                                      json::array({"c", "anna", "engine", 1}),
+                                      json::array({longName, "anna", "engine", "v1"}),
+                                      "d"});
+    CHECK(internal::decodeStreamRecords(streams).size() == 1);
+    CHECK(internal::decodeStreamRecords(json(7)).empty());
+    const json versions = json::array({json::array({"engine", "v1", 10}), json::array({"engine", 1, 10}), 5});
+    CHECK(internal::decodeEarlierVersions(versions).size() == 1);
+}
