--- a/godwit/gateway/brittle_services.cpp
+++ b/godwit/gateway/brittle_services.cpp
@@ -127,18 +127,19 @@
 
 int placesAt(const BrittleServices &services,
              const BrittleOptions &options,
-             const EndpointLoad &endpoint,
+             const EndpointId &endpoint,
+             int slots,
              const RouterPosition &position,
              TimePoint now)
 {
     if (!position.rank) {
         return 0;
     }
-    const auto room = services.rooms.find(endpoint.id);
+    const auto room = services.rooms.find(endpoint);
     const double fraction = room == services.rooms.end() ? 1.0 : fractionNow(room->second, options, now);
-    const auto places = static_cast<std::size_t>(std::max(1.0, std::floor(endpoint.slots * fraction)));
+    const auto places = static_cast<std::size_t>(std::max(1.0, std::floor(slots * fraction)));
     // Place `i` belongs to the router of rank (first + i) % routers.
-    const std::size_t first = stableHash(endpoint.id.value) % position.routers;
+    const std::size_t first = stableHash(endpoint.value) % position.routers;
     const std::size_t offset = (*position.rank + position.routers - first) % position.routers;
     const std::size_t rest = places % position.routers;
     return static_cast<int>(places / position.routers + (offset < rest ? 1 : 0));
--- a/godwit/gateway/brittle_services.h
+++ b/godwit/gateway/brittle_services.h
@@ -15,7 +15,8 @@
 //
 // Example:
 //   recordResponse(services, "booking", response.maxRejections, now);
-//   if (!isBrittle(services, options, "booking", now) || hasFreePlace(services, options, endpoint, position, now)) {
+//   if (!isBrittle(services, options, "booking", now)
+//       || inFlight < placesAt(services, options, endpoint, slots, position, now)) {
 //       ... a candidate ...
 //   }
 
@@ -83,14 +84,6 @@
     std::size_t allRouters = 1; // Including those that are not advertised.
 };
 
-// What decides whether an endpoint may receive a request.
-struct EndpointLoad
-{
-    EndpointId id;
-    int slots = 0;
-    int inFlight = 0; // Requests of this router.
-};
-
 // A brittle service as reported to other routers.
 struct BrittleReport
 {
@@ -138,7 +131,8 @@
 // Returns how many requests this router may have in flight at the endpoint.
 int placesAt(const BrittleServices &services,
              const BrittleOptions &options,
-             const EndpointLoad &endpoint,
+             const EndpointId &endpoint,
+             int slots,
              const RouterPosition &position,
              TimePoint now);
 
--- a/godwit/gateway/brittle_services_test.cpp
+++ b/godwit/gateway/brittle_services_test.cpp
@@ -29,7 +29,7 @@
 {
     int sum = 0;
     for (std::size_t rank = 0; rank < routers; ++rank) {
-        sum += placesAt(services, Options, {EndpointId{"i-1"}, slots, 0}, {routers, rank, routers}, now);
+        sum += placesAt(services, Options, EndpointId{"i-1"}, slots, {routers, rank, routers}, now);
     }
     return sum;
 }
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -33,8 +33,8 @@
 
 int placesAt(const EndpointTable &table, const EndpointState &endpoint, TimePoint now)
 {
-    const EndpointLoad load{endpoint.listed.id, endpoint.listed.slots, endpoint.inFlight};
-    return placesAt(table.brittle, table.brittleOptions, load, table.position, now);
+    const ListedEndpoint &listed = endpoint.listed;
+    return placesAt(table.brittle, table.brittleOptions, listed.id, listed.slots, table.position, now);
 }
 
 // Whether this router holds a place at any endpoint of the service.
