Keep the versions of the last minute in the store, for routers that all restart

Callers could get streams of two versions after a death of all routers just after the endpoints of a version had gone: no router knew that version any more, so that the list seemed to show the only one. One router now writes the versions of services that had several in the last minute to the store when they change, and a router that starts reads them with the live entries, before it serves.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -7,6 +7,7 @@
 #include "godwit/daemon/limit_share_manager.h"
 #include "godwit/daemon/shared_prefix.h"
 #include "godwit/daemon/suspect_coordinator.h"
+#include "godwit/daemon/version_history_store.h"
 #include "godwit/gateway/connection_pause.h"
 #include "godwit/relay/caller_connection.h"
 #include "godwit/relay/connection_lender.h"
@@ -37,6 +38,8 @@
 constexpr const char *LivePrefix = "godwit/live/";
 // Below the routers' live entries, so that one range read returns both.
 constexpr const char *SuspectPrefix = "godwit/live/suspect/";
+// Likewise.
+constexpr const char *VersionHistoryKey = "godwit/live/versions";
 // While fewer of the peers are connected, endpoint deaths are no evidence against a request.
 constexpr double MinConnectedFraction = 0.5;
 constexpr const char *MarkPrefix = "godwit/mark/";
@@ -203,6 +206,7 @@
         , m_lender(m_relay, lenderOptions())
         , m_endpoints(m_io, m_relay)
         , m_suspects(m_io, m_relay, m_store, suspectOptions(m_self.incarnation))
+        , m_versionHistory(m_relay, m_store, VersionHistoryKey)
         , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, onDocuments(), reachabilityHandler())
         , m_endpointEntries(m_io, m_store, std::string(EndpointPrefix), {}, onEndpoints(), reachabilityHandler())
         , m_liveEntries(m_io, m_store, LivePrefix, liveOptions(), onLive(), reachabilityHandler())
@@ -303,6 +307,9 @@
         m_suspects.firstDeaths().isWriter = [this] {
             return m_links.readerRankOf(m_liveEntries.prefix()) == 0;
         };
+        m_versionHistory.isWriter = [this] {
+            return m_links.readerRankOf(m_liveEntries.prefix()) == 0;
+        };
         m_links.onSuspects = [this](const std::vector<SuspectNotice> &notices) {
             m_suspects.onNotices(notices);
         };
@@ -530,6 +537,8 @@
             for (const auto &[key, item] : items) {
                 if (key.rfind(SuspectPrefix, 0) == 0) {
                     records[key] = item;
+                } else if (key == m_versionHistory.key()) {
+                    m_versionHistory.onItem(item);
                 } else if (auto member = decodeMember(item.value)) {
                     members.push_back(std::move(*member));
                 } else {
@@ -675,6 +684,7 @@
             compareCopies();
             m_limitShares.step();
             m_suspects.step();
+            m_versionHistory.step();
             updateStage();
             logLoad();
             if (m_settingsText.empty()) {
@@ -882,6 +892,7 @@
     ConnectionLender m_lender;
     EndpointList m_endpoints;
     SuspectCoordinator m_suspects;
+    VersionHistoryStore m_versionHistory;
     SharedPrefix m_documents;
     SharedPrefix m_endpointEntries;
     SharedPrefix m_liveEntries;
