--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -238,8 +238,7 @@
 
 void Relay::servePlaceQueue(const std::string &service, PlaceQueue &queue)
 {
-    // The first request that gets no place is followed by others of the service, except that it may be restricted to
-    // some of the endpoints.
+    // A request without a place may be restricted to some of the endpoints, so a few of those behind it are tried too.
     constexpr int maxFailures = 3;
     int failures = 0;
     const auto waiting = queue.waiting;
--- a/godwit/relay/relay_call_places.cpp
+++ b/godwit/relay/relay_call_places.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-// Returns false if the service is not brittle, or if no place is expected in time.
+// Returns false if requests to the service are not limited, or if no place is expected in time.
 bool RelayCall::waitForPlace()
 {
     if (m_placeWaiter != 0) {
