--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -548,6 +548,13 @@
     });
 }
 
+void Store::setDown(bool down)
+{
+    run([&] {
+        m_server.faults().refuse = down;
+    });
+}
+
 std::string Store::get(const std::string &key)
 {
     std::string value;
--- a/review/standins/stage.h
+++ b/review/standins/stage.h
@@ -218,6 +218,8 @@
         return m_address;
     }
     void put(const std::string &key, const std::string &value);
+    // While set, the store responds 503 to all calls and executes none.
+    void setDown(bool down);
     // The decoded value of a key; empty if it does not exist.
     std::string get(const std::string &key);
 
