--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -502,6 +502,18 @@
     return m_pid < 0;
 }
 
+int Router::memoryMb() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    const std::string field = "VmRSS:";
+    for (std::string line; std::getline(status, line);) {
+        if (line.compare(0, field.size(), field) == 0) {
+            return std::atoi(line.c_str() + field.size()) / 1024;
+        }
+    }
+    return 0;
+}
+
 bool Router::waitForExit(milliseconds limit)
 {
     const auto end = Clock::now() + limit;
--- a/review/standins/stage.h
+++ b/review/standins/stage.h
@@ -179,6 +179,8 @@
     bool waitForExit(milliseconds limit);
     bool isReady() const;
     bool hasExited();
+    // The process's resident memory.
+    int memoryMb() const;
     const std::string &name() const
     {
         return m_name;
