Stop: wait until callers have acknowledged their answers

Cause: the stop counted as finished when no call was open. A call ends when its last bytes are handed to the caller's connection, where they may still be queued behind a slow reader; the event loop was then stopped and the queue dropped. A connection in graceful close was also closed after one second, whatever its caller had still to read.

Now a connection says whether it owes its caller anything: a request being received or answered, queued bytes, or bytes that the other host has not acknowledged. The stop waits for all of them, at most 0.97 of its time, and returns the budgets as soon as no call is open, so that a caller that never reads doesn't hold the tokens. A graceful close goes on while the caller makes progress.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -62,9 +62,11 @@
 // Interval of the log line with the router's counters.
 constexpr Duration LoadLogInterval = std::chrono::seconds(5);
 // Fractions of the time that a shutdown may take. After the first, no new requests are accepted, so that those in
-// flight can complete; after the second, remaining requests are cut, which leaves time to return the budgets.
+// flight can complete; after the second, the budgets are returned even if requests are still open; after the third, the
+// process ends whatever is still open.
 constexpr double AcceptRequestsFraction = 0.36;
 constexpr double FinishRequestsFraction = 0.88;
+constexpr double EndFraction = 0.97;
 
 std::string randomSuffix()
 {
@@ -830,9 +832,13 @@
         }
         if (m_relay.state().stage == RelayStage::Stopping) {
             closeIdleConnections();
-            const bool finished = m_relay.callsOpen == 0 && m_lender.openConnections() == 0;
-            if (finished || passed >= FinishRequestsFraction) {
-                finishStop();
+            const bool callsEnded = m_relay.callsOpen == 0 && m_lender.openConnections() == 0;
+            if (callsEnded || passed >= FinishRequestsFraction) {
+                returnBudgets();
+            }
+            const bool finished = callsEnded && m_budgetsReturned && countOwedAnswers() == 0;
+            if (finished || passed >= EndFraction) {
+                end();
                 return;
             }
         }
@@ -852,24 +858,35 @@
         }
     }
 
-    void finishStop()
+    std::int64_t countOwedAnswers() const
     {
-        m_log.write(
-            "stopping",
-            {{"calls_cut", m_relay.callsOpen}, {"lent_cut", static_cast<std::int64_t>(m_lender.openConnections())}});
-        const Duration left = m_settings.stopWithin - (Relay::now() - m_stopStartedAt);
-        m_stopTimer.expires_after(std::max<Duration>(left * 3 / 4, std::chrono::milliseconds(100)));
-        m_stopTimer.async_wait([this](const error_code &) {
-            end();
+        return std::count_if(m_connections.open.begin(), m_connections.open.end(), [](CallerConnection *connection) {
+            return connection->owesAnswer();
         });
+    }
+
+    // The budgets are not needed once no request is open, while slow readers may still be receiving their answers.
+    void returnBudgets()
+    {
+        if (std::exchange(m_returningBudgets, true)) {
+            return;
+        }
+        m_log.write("stopping",
+                    {{"calls_open", m_relay.callsOpen},
+                     {"lent_open", static_cast<std::int64_t>(m_lender.openConnections())},
+                     {"answers_owed", countOwedAnswers()}});
         m_budgets.returnAll([this] {
-            end();
+            m_budgetsReturned = true;
         });
     }
 
     void end()
     {
-        m_log.write("end", {{"returned", m_relay.state().prepaid.returned}});
+        m_log.write("end",
+                    {{"returned", m_relay.state().prepaid.returned},
+                     {"calls_cut", m_relay.callsOpen},
+                     {"lent_cut", static_cast<std::int64_t>(m_lender.openConnections())},
+                     {"answers_cut", countOwedAnswers()}});
         m_log.flush();
         m_io.stop();
     }
@@ -915,6 +932,8 @@
     bool m_readAfterEntryWritten =
         false; // Whether the live entries were read since this router's own was first written.
     bool m_stopping = false;
+    bool m_returningBudgets = false;
+    bool m_budgetsReturned = false;
     TimePoint m_stopStartedAt;
 };
 
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -22,7 +22,7 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-// How long a graceful close waits for the caller to read its response and close.
+// How long a graceful close waits for the caller to close after it has received its response.
 constexpr auto CloseTimeout = std::chrono::seconds(1);
 // After a deferral, at most `DrainBytes` are read per interval: bodies that are not wanted should not use the link at
 // full speed, but a caller may read the response only after it has written the body.
@@ -111,6 +111,13 @@
     }
 }
 
+bool CallerConnection::owesAnswer()
+{
+    // The end of the process resets a connection with unread bytes, which discards what is not acknowledged yet.
+    return !m_closed
+        && (m_call || m_receivingRequest || m_progress.queuedBytes > 0 || unacknowledgedBytes(m_socket) > 0);
+}
+
 void CallerConnection::readRequest()
 {
     const CallerLimits limits = currentLimits(m_relay);
@@ -185,6 +192,7 @@
         return true;
     }
     m_awaitingRequest = false;
+    m_receivingRequest = false;
     m_timer.cancel();
     m_closeAfterAnswer = true; // The body is not read, so the start of the next request can't be determined.
     m_drainSlowly = true;
@@ -234,6 +242,7 @@
 void CallerConnection::onMalformedRequest(const error_code &error)
 {
     m_awaitingRequest = false;
+    m_receivingRequest = false;
     m_timer.cancel();
     // Only parser errors get a response; on a closed or broken connection there is nobody to receive it.
     if (error.category() != beast::error_code(http::error::bad_method).category() || error == http::error::end_of_stream
@@ -446,12 +455,7 @@
     m_awaitingRequest = false;
     setResetOnClose(false);
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_timer.expires_after(CloseTimeout);
-    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
-        if (!error) {
-            self->close();
-        }
-    });
+    closeAfterTimeout();
     countRead(m_buffer.size());
     if (m_drainSlowly) {
         drainAfterInterval(); // Callers that read while they write have the response by then.
@@ -460,6 +464,26 @@
     }
 }
 
+// A slow reader gets its response for as long as it makes progress.
+void CallerConnection::closeAfterTimeout()
+{
+    m_timer.expires_after(CloseTimeout);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (error || self->m_closed) {
+            return;
+        }
+        const TimePoint now = Relay::now();
+        const std::uint64_t unacknowledged = unacknowledgedBytes(self->m_socket);
+        recordAcknowledged(self->m_progress, unacknowledged, now);
+        const Duration silence = now - self->m_progress.lastProgressAt;
+        if (unacknowledged > 0 && silence < self->m_relay.options().held.stalledReaderTimeout) {
+            self->closeAfterTimeout();
+        } else {
+            self->close();
+        }
+    });
+}
+
 void CallerConnection::drainUntilClosed()
 {
     m_buffer.clear();
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -48,6 +48,10 @@
     // Starts a graceful close if no request is in flight or has arrived on the connection.
     void closeIfIdle();
 
+    // Whether something is still due to the caller: the response to a request that it is sending or has sent, or bytes
+    // of one that its host has not acknowledged.
+    bool owesAnswer();
+
     // Disconnects the caller because it doesn't read.
     void disconnectReader(ReaderCutCause cause);
 
@@ -86,6 +90,7 @@
     void onWritten(const boost::system::error_code &error);
     void setResetOnClose(bool wanted);
     void closeGracefully();
+    void closeAfterTimeout();
     void drainUntilClosed();
     void continueDraining(std::size_t bytesRead);
     void drainAfterInterval();
