--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -95,7 +95,7 @@
     }
     m_bufferedBody.append(bytes);
     m_heldAnswer.set(m_bufferedBody.size());
-    if (m_bufferedBody.size() > answerBufferLimit(held, options)) {
+    if (m_headForwarded || m_bufferedBody.size() > answerBufferLimit(held, options)) {
         if (m_hedge && m_answer.status >= 500) {
             rejectAnswer();
             return;
