Charge: only a statement that nothing ran makes a request free

Cause: a request that was given up was withdrawn, and an engine that then closed in order without a byte was taken for one that had not begun. An engine that had run the request and lost the response closes in the same way. The withdrawal's outcome also replaced what an earlier attempt of the same request had set. A hedged attempt that lost was charged by the same rule.

Now the prompt is charged unless each engine that got the request stated that it did not run it. The two tests that asked for no charge after an orderly close asked for the fault; the one that replaces them checks both ends, by the caller and by the deadline, with and without such a statement.

--- a/godwit/prepaid/call_charge.h
+++ b/godwit/prepaid/call_charge.h
@@ -2,10 +2,9 @@
 
 // Charge of one call to its customer.
 //
-// The prompt is charged once for each request that an engine started to answer, plus the output that was passed on to
-// the caller. An engine sends its first event with the first token it generates, or loses the token and closes the
-// connection at once; a request whose engine still holds the connection open without having sent a byte has therefore
-// not started. If it cannot be determined whether a request started, the prompt is charged.
+// The prompt is charged once for each request that an engine may have started, plus the output that was passed on to
+// the caller. A request is free of charge only if it was sent to no engine, or if each engine that it was sent to
+// stated that it did not run it. A connection without a byte of a response states nothing, however it ends.
 //
 // Pure. Example:
 //   CallUsage usage;
@@ -27,7 +26,7 @@
     Tokens maxOutputTokens = 0;
     Tokens tokensPerEvent = 1; // Upper bound.
     std::uint64_t eventsPassed = 0;
-    // False only if every endpoint that received the request is known to have generated nothing.
+    // False only if every endpoint that received the request stated that it did not run it.
     bool mayHaveBegun = false;
 };
 
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -591,27 +591,43 @@
     CHECK(bytes.out >= sent.out + router.caller.available());
 }
 
-TEST_CASE("a call whose caller disconnects before the engine produced an event is not charged")
+TEST_CASE("an abandoned call is charged for its prompt unless the engine states that it did not run it")
 {
-    // Guards against budgets consumed by calls that were abandoned while queued at busy engines.
-    RouterWithStream router;
+    // Guards against overspending: an engine that closes without a byte of a response may have run the request.
+    bool deadline = false;
+    bool notRun = false;
+    SECTION("the caller disconnects")
+    {
+    }
+    SECTION("the deadline passes")
+    {
+        deadline = true;
+    }
+    SECTION("the caller disconnects, and the engine rejects the call")
+    {
+        notRun = true;
+    }
+    SECTION("the deadline passes, and the engine rejects the call")
+    {
+        deadline = true;
+        notRun = true;
+    }
+    RouterWithStream router(deadline ? "400" : "9000");
     REQUIRE(router.account().reserved == 720);
-    router.disconnectCaller();
-    router.engine.close();
-    router.runUntilSettled();
-    CHECK(router.account().netUsed == 0);
-}
-
-TEST_CASE("a call whose deadline passes before the engine produced an event is not charged")
-{
-    // Guards against budgets consumed by calls that got nothing.
-    RouterWithStream router("400");
-    router.runUntil([&] {
-        return router.relay.counters().refusals[ErrorKind::AnswerLate] > 0;
-    });
+    if (deadline) {
+        router.runUntil([&] {
+            return router.relay.counters().refusals[ErrorKind::AnswerLate] > 0;
+        });
+    } else {
+        router.disconnectCaller();
+    }
+    if (notRun) {
+        const std::string rejection = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        boost::asio::write(router.engine, boost::asio::buffer(rejection));
+    }
     router.engine.close();
     router.runUntilSettled();
-    CHECK(router.account().netUsed == 0);
+    CHECK(router.account().netUsed == (notRun ? 0 : 700));
 }
 
 TEST_CASE("a call whose engine closes the connection without an event is charged for its prompt")
--- a/godwit/relay/hedged_attempt.cpp
+++ b/godwit/relay/hedged_attempt.cpp
@@ -36,7 +36,7 @@
 
 void onLostRunWithdrawn(Relay &relay, LostRun &lost, WithdrawalOutcome outcome)
 {
-    lost.usage.mayHaveBegun = outcome == WithdrawalOutcome::Answered || outcome == WithdrawalOutcome::Unknown;
+    lost.usage.mayHaveBegun = outcome != WithdrawalOutcome::NotRun;
     relay.log().write("withdrawn",
                       {{"id", std::string_view(lost.attemptId)},
                        {"endpoint", std::string_view(lost.run.endpoint.value)},
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -462,10 +462,9 @@
 {
     m_progress = Progress::Sent;
     ++m_possibleExecutions;
-    // Only a stream shows by its events whether output was produced: other responses may be computed before the first
-    // byte is sent.
-    const bool eventsShowProgress = m_route->kind == GatewayRouteKind::Streaming && m_eventsForwarded == 0;
-    if (m_hasReservation && !m_mayHaveProducedOutput && eventsShowProgress) {
+    // An engine that had the stream in its queue may still report that it did not run it.
+    const bool mayBeQueued = m_route->kind == GatewayRouteKind::Streaming && m_eventsForwarded == 0;
+    if (m_hasReservation && !m_mayHaveProducedOutput && mayBeQueued) {
         m_withdrawing = true;
         m_exchange->withdraw(m_relay.options().withdrawalTimeout,
                              [self = shared_from_this()](WithdrawalOutcome outcome) {
@@ -481,7 +480,7 @@
 void RelayCall::onWithdrawn(WithdrawalOutcome outcome)
 {
     m_withdrawing = false;
-    m_mayHaveProducedOutput = outcome == WithdrawalOutcome::Answered || outcome == WithdrawalOutcome::Unknown;
+    m_mayHaveProducedOutput = m_mayHaveProducedOutput || outcome != WithdrawalOutcome::NotRun;
     m_relay.log().write("withdrawn",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"endpoint", std::string_view(m_endpoint.value)},
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -235,7 +235,7 @@
     Progress m_progress = Progress::NotRun;
     std::vector<EndpointId> m_triedEndpoints;
     int m_possibleExecutions = 0; // Endpoints that may have run the request.
-    bool m_mayHaveProducedOutput = false; // An endpoint may have produced part of a response, so the prompt is charged.
+    bool m_mayHaveProducedOutput = false; // An endpoint may have run the request, so the prompt is charged.
     std::shared_ptr<bool> m_promptCharged; // Set if the request ended with two open runs, see LostRun.
     bool m_withdrawing = false; // A withdrawal is pending; until it completes, m_mayHaveProducedOutput is not final.
     int m_sends = 0;
