--- a/godwit/relay/answer_body.h
+++ b/godwit/relay/answer_body.h
@@ -20,11 +20,11 @@
     using value_type = std::string;
 
     // Appends to the body; the interface is that of Boost.Beast's BodyReader.
-    class reader
+    class Reader
     {
     public:
         template<bool isRequest, class Fields>
-        reader(boost::beast::http::header<isRequest, Fields> &, value_type &body)
+        Reader(boost::beast::http::header<isRequest, Fields> &, value_type &body)
             : m_body(body)
         {
         }
@@ -54,6 +54,7 @@
     private:
         value_type &m_body;
     };
+    using reader = Reader;
 };
 
 } // namespace Godwit
