Responses: one way to give up a response, one way to classify failures

A hedged attempt and a call each cancelled their exchange and then chose between the response's end and a failure; the exchange does it for both now. What was not sent, and what may be a crash, were spelled out in both as well. A call derives what it can't forward from what it has just found out about the head, and checks an event's length in one place. Behaviour stays.

--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -68,6 +68,16 @@
     return enumName(ExchangeFailureNames, failure);
 }
 
+bool nothingWasSent(ExchangeFailure failure)
+{
+    return failure == ExchangeFailure::NotConnected || failure == ExchangeFailure::EndpointLeft;
+}
+
+bool connectionWasLost(ExchangeFailure failure)
+{
+    return failure == ExchangeFailure::Unanswered || failure == ExchangeFailure::Broken;
+}
+
 std::string_view withdrawalOutcomeName(WithdrawalOutcome outcome)
 {
     return enumName(WithdrawalOutcomeNames, outcome);
@@ -121,6 +131,20 @@
     clearHandlers();
 }
 
+void EndpointExchange::rejectAnswer()
+{
+    if (isDone()) {
+        return;
+    }
+    const auto handlers = m_handlers; // One of them may be the caller of this function, so that they can't be moved.
+    cancel();
+    if (m_facts.notExecuted) {
+        handlers.onEnd();
+    } else {
+        handlers.onFailed(ExchangeFailure::TooLong);
+    }
+}
+
 void EndpointExchange::withdraw(Duration limit, std::function<void(WithdrawalOutcome)> done)
 {
     if (m_phase != Phase::Sent || answerHasStarted()) {
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -46,6 +46,12 @@
 
 std::string_view exchangeFailureName(ExchangeFailure failure);
 
+// Whether no byte of the request was sent.
+bool nothingWasSent(ExchangeFailure failure);
+
+// Whether the endpoint ended the connection before its response was complete, as it does when it crashes.
+bool connectionWasLost(ExchangeFailure failure);
+
 // What is known of the execution of a request that was withdrawn.
 enum class WithdrawalOutcome {
     NotRun, // No byte of it was sent, or the endpoint reported that it did not run it.
@@ -124,6 +130,10 @@
     // Closes the connection, which tells the endpoint that the response is no longer wanted.
     void cancel();
 
+    // Gives up the response that is being received: it is longer than what is read of one that can't be forwarded.
+    // Cancels the request and reports TooLong, or the response's end if its head states that the request was not run.
+    void rejectAnswer();
+
     // Cancels the request like cancel(), but finds out whether it was run: shuts down only the sending direction and
     // reads what the endpoint still sends. `done` is called once, within `limit` and possibly before this returns. The
     // other handlers are not called any more.
--- a/godwit/relay/hedged_attempt.cpp
+++ b/godwit/relay/hedged_attempt.cpp
@@ -125,12 +125,7 @@
     if (hasEvent || (isSuccess() && !m_isEventStream && tooLong)) {
         becomeUseful();
     } else if (tooLong) {
-        m_run.exchange->cancel();
-        if (m_facts.notExecuted) {
-            onEnd(); // The head states that the request was not run.
-        } else {
-            onFailed(ExchangeFailure::TooLong);
-        }
+        m_run.exchange->rejectAnswer();
     }
 }
 
@@ -175,10 +170,9 @@
     }
     HedgeFailure report;
     report.cause = exchangeFailureName(failure);
-    report.mayHaveRun = failure != ExchangeFailure::NotConnected && failure != ExchangeFailure::EndpointLeft;
+    report.mayHaveRun = !nothingWasSent(failure);
     const bool stalled = failure == ExchangeFailure::Stalled;
-    report.connectionLost =
-        report.mayHaveRun && failure != ExchangeFailure::Malformed && failure != ExchangeFailure::TooLong && !stalled;
+    report.connectionLost = connectionWasLost(failure);
     report.feedback = stalled                      ? AttemptFeedback::Slow
         : failure == ExchangeFailure::EndpointLeft ? AttemptFeedback::Neutral
                                                    : AttemptFeedback::Unreachable;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -407,8 +407,7 @@
 
 void RelayCall::onFailed(ExchangeFailure failure)
 {
-    const bool nothingSent = failure == ExchangeFailure::NotConnected || failure == ExchangeFailure::EndpointLeft;
-    if (nothingSent) {
+    if (nothingWasSent(failure)) {
         const EndpointState *endpoint = currentEndpoint();
         // A partition of this router says nothing about the endpoint.
         const bool partitioned = endpoint != nullptr && isPartitioned(m_relay.state().reach, groupOf(endpoint->listed))
@@ -430,11 +429,10 @@
     }
     endAttempt(failure == ExchangeFailure::Stalled ? AttemptFeedback::Slow : AttemptFeedback::Unreachable);
     const std::string cause(exchangeFailureName(failure));
-    if (failure == ExchangeFailure::Malformed || failure == ExchangeFailure::TooLong
-        || failure == ExchangeFailure::Stalled) {
-        retryOrFail(cause, true);
-    } else {
+    if (connectionWasLost(failure)) {
         retryAfterCrashCheck(cause);
+    } else {
+        retryOrFail(cause, true);
     }
 }
 
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -154,11 +154,10 @@
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
     void onBody(std::string_view bytes);
-    void rejectAnswer();
-    bool isUnusable(const ResponseMetadata &answer) const;
     void onEnd();
     void onFailed(ExchangeFailure failure);
     void forwardEvents(std::string_view bytes);
+    void forwardWholeEvents(std::string_view events, bool isFirst);
     void forwardHead(ResponseFraming framing, std::string_view body = {});
     void forwardPiece(std::string_view bytes);
     void pauseIfQueueIsLong();
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -36,33 +36,15 @@
         m_relay.recordResponse(m_serviceName, facts);
     }
     const bool success = facts.status / 100 == 2;
-    m_discardsBody = isUnusable(facts);
-    m_forwardsEvents = success && facts.sealed && facts.isEventStream && m_route->kind == GatewayRouteKind::Streaming;
+    const bool streams = m_route->kind == GatewayRouteKind::Streaming;
+    m_forwardsEvents = success && facts.sealed && facts.isEventStream && streams;
+    const bool cannotContinue = m_headForwarded && streams && !m_forwardsEvents;
+    m_discardsBody = facts.notExecuted || (success && !facts.sealed) || cannotContinue;
     if (m_forwardsEvents && !m_headForwarded && !m_holdsHead) {
         forwardHead(ResponseFraming::Chunked);
     }
 }
 
-// Whether no part of the response can be forwarded, whatever follows its head.
-bool RelayCall::isUnusable(const ResponseMetadata &answer) const
-{
-    const bool success = answer.status / 100 == 2;
-    const bool streams = m_route->kind == GatewayRouteKind::Streaming;
-    const bool continuesAnother = m_headForwarded && streams && !(success && answer.sealed && answer.isEventStream);
-    return answer.notExecuted || (success && !answer.sealed) || continuesAnother;
-}
-
-// Ends the attempt because its response is longer than what is read of one that can't be forwarded.
-void RelayCall::rejectAnswer()
-{
-    m_exchange->cancel();
-    if (m_answer.notExecuted) {
-        onEnd(); // The head states that the request was not run.
-    } else {
-        onFailed(ExchangeFailure::TooLong);
-    }
-}
-
 void RelayCall::forwardHead(ResponseFraming framing, std::string_view body)
 {
     dropHedge("first_answered");
@@ -89,7 +71,7 @@
     if (m_discardsBody) {
         m_discardedBytes += bytes.size();
         if (m_discardedBytes > options.maxBufferedAnswerBytes) {
-            rejectAnswer();
+            m_exchange->rejectAnswer();
         }
         return;
     }
@@ -97,7 +79,7 @@
     m_heldAnswer.set(m_bufferedBody.size());
     if (m_headForwarded || m_bufferedBody.size() > answerBufferLimit(held, options)) {
         if (m_hedge && m_answer.status >= 500) {
-            rejectAnswer();
+            m_exchange->rejectAnswer();
             return;
         }
         // Too long to buffer: forward it as it arrives, chunked so that a truncation is detectable.
@@ -129,13 +111,16 @@
         whole += *event;
     }
     m_heldAnswer.set(pendingBytes(m_events));
-    const bool eventTooLong = pendingBytes(m_events) > openEventLimit(*m_relay.state().held, m_relay.options().held);
-    if (whole.empty()) {
-        if (eventTooLong) {
-            rejectAnswer();
-        }
-        return;
+    if (!whole.empty()) {
+        forwardWholeEvents(whole, isFirst);
     }
+    if (pendingBytes(m_events) > openEventLimit(*m_relay.state().held, m_relay.options().held)) {
+        m_exchange->rejectAnswer();
+    }
+}
+
+void RelayCall::forwardWholeEvents(std::string_view events, bool isFirst)
+{
     if (isFirst) {
         recordStreamBegan();
     }
@@ -145,11 +130,7 @@
     if (!m_headForwarded) {
         forwardHead(ResponseFraming::Chunked);
     }
-    forwardPiece(whole);
-    if (eventTooLong) {
-        rejectAnswer();
-        return;
-    }
+    forwardPiece(events);
     pauseIfQueueIsLong();
 }
 
