--- a/godwit/gateway/held_bytes.cpp
+++ b/godwit/gateway/held_bytes.cpp
@@ -27,16 +27,21 @@
     {HeldSide::Answer, "answer"},
 };
 
+constexpr EnumName<ReaderCutCause> ReaderCutCauseNames[] = {
+    {ReaderCutCause::Stalled, "stalled"},
+    {ReaderCutCause::Memory, "memory"},
+};
+
 bool isUnderPressure(const HeldBytes &held, const HeldBytesOptions &options)
 {
     const double pressureFrom = options.pressureFraction * static_cast<double>(options.limitBytes);
     return options.limitBytes > 0 && static_cast<double>(totalHeldBytes(held)) > pressureFrom;
 }
 
-constexpr EnumName<ReaderCutCause> ReaderCutCauseNames[] = {
-    {ReaderCutCause::Stalled, "stalled"},
-    {ReaderCutCause::Memory, "memory"},
-};
+bool isAtLimit(const HeldBytes &held, const HeldBytesOptions &options)
+{
+    return options.limitBytes > 0 && totalHeldBytes(held) >= options.limitBytes;
+}
 
 } // namespace
 
@@ -85,8 +90,7 @@
 
 std::size_t openEventLimit(const HeldBytes &held, const HeldBytesOptions &options)
 {
-    const bool atLimit = options.limitBytes > 0 && totalHeldBytes(held) >= options.limitBytes;
-    return atLimit ? options.maxBufferedAnswerUnderPressureBytes : options.maxBufferedAnswerBytes;
+    return isAtLimit(held, options) ? options.maxBufferedAnswerUnderPressureBytes : options.maxBufferedAnswerBytes;
 }
 
 bool mayHoldBody(const HeldBytes &held, const HeldBytesOptions &options, std::optional<std::uint64_t> bodyBytes)
@@ -100,8 +104,7 @@
 bool mustDisconnectCaller(const HeldBytes &held, const HeldBytesOptions &options)
 {
     const double minQueued = MinCallerFraction * static_cast<double>(options.limitBytes);
-    return options.limitBytes > 0 && totalHeldBytes(held) >= options.limitBytes
-        && static_cast<double>(heldBytes(held, HeldSide::Caller)) >= minQueued;
+    return isAtLimit(held, options) && static_cast<double>(heldBytes(held, HeldSide::Caller)) >= minQueued;
 }
 
 void recordQueued(ReaderProgress &reader, std::size_t bytes, TimePoint now)
--- a/godwit/http/event_stream.cpp
+++ b/godwit/http/event_stream.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view DataPrefix = "data:";
 constexpr std::string_view NumberPrefix = "id:";
+constexpr std::size_t MaxBlankLineBytes = 4; // With the end of the line before it.
 constexpr std::string_view LineEnds = "\r\n";
 // Consumed bytes are dropped from the buffer only now and then: dropping them at each event would copy too often.
 constexpr std::size_t CompactAfterBytes = 16UL * 1024;
@@ -52,9 +53,8 @@
         end = carriage;
         length = 4;
     }
-    constexpr std::size_t maxBlankLine = 4;
     if (end == std::string_view::npos) {
-        splitter.searched = rest.size() - std::min(rest.size(), maxBlankLine - 1);
+        splitter.searched = rest.size() - std::min(rest.size(), MaxBlankLineBytes - 1);
         return std::nullopt;
     }
     std::string event(rest.substr(0, end + length));
