--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -594,24 +594,8 @@
 TEST_CASE("an abandoned call is charged for its prompt unless the engine states that it did not run it")
 {
     // Guards against overspending: an engine that closes without a byte of a response may have run the request.
-    bool deadline = false;
-    bool notRun = false;
-    SECTION("the caller disconnects")
-    {
-    }
-    SECTION("the deadline passes")
-    {
-        deadline = true;
-    }
-    SECTION("the caller disconnects, and the engine rejects the call")
-    {
-        notRun = true;
-    }
-    SECTION("the deadline passes, and the engine rejects the call")
-    {
-        deadline = true;
-        notRun = true;
-    }
+    const bool deadline = GENERATE(false, true); // Otherwise the caller disconnects.
+    const bool notRun = GENERATE(false, true);
     RouterWithStream router(deadline ? "400" : "9000");
     REQUIRE(router.account().reserved == 720);
     if (deadline) {
