Log what a router knows when a caller takes up a stream

`stream_resumed` named the outcome alone: an operator could not tell which process had continued a stream, on which knowledge, or how old that was. It now has the version, the versions that the router knows, the age of its list of endpoints, whether it reaches the store, the live routers and its running time. `stream_began` names version and endpoint while several versions are known.

No change of logic.

--- a/godwit/gateway/copy_freshness.h
+++ b/godwit/gateway/copy_freshness.h
@@ -59,11 +59,17 @@
     freshness.peerConfirmedAt = now;
 }
 
+// Returns the latest time at which the copy was shown to be current.
+inline TimePoint confirmedCurrentAt(const CopyFreshness &freshness)
+{
+    return std::max(freshness.currentAsOf, freshness.peerConfirmedAt);
+}
+
 // Whether the copy was recently shown to be current. Otherwise, an entry that is missing from the copy may exist: the
 // router may be partitioned, or updates may be queued on its link.
 inline bool isConfirmedCurrent(const CopyFreshness &freshness, const FreshnessOptions &options, TimePoint now)
 {
-    return now < std::max(freshness.currentAsOf, freshness.peerConfirmedAt) + options.confirmationValidity;
+    return now < confirmedCurrentAt(freshness) + options.confirmationValidity;
 }
 
 // Whether the copy was too old at the last response of a peer. Between responses its age is unknown.
--- a/godwit/gateway/stream_versions.cpp
+++ b/godwit/gateway/stream_versions.cpp
@@ -121,10 +121,10 @@
     at = std::max(at, now - earlier.age);
 }
 
-bool hasSeveralVersions(const StreamVersions &versions,
-                        const StreamVersionOptions &options,
-                        const std::string &service,
-                        TimePoint now)
+std::set<std::string> knownVersions(const StreamVersions &versions,
+                                    const StreamVersionOptions &options,
+                                    const std::string &service,
+                                    TimePoint now)
 {
     std::set<std::string> names;
     if (const auto current = versions.listed.find(service); current != versions.listed.end()) {
@@ -137,7 +137,15 @@
             }
         }
     }
-    return names.size() > 1;
+    return names;
+}
+
+bool hasSeveralVersions(const StreamVersions &versions,
+                        const StreamVersionOptions &options,
+                        const std::string &service,
+                        TimePoint now)
+{
+    return knownVersions(versions, options, service, now).size() > 1;
 }
 
 } // namespace Godwit
--- a/godwit/gateway/stream_versions.h
+++ b/godwit/gateway/stream_versions.h
@@ -114,6 +114,12 @@
 
 void applyEarlierVersion(StreamVersions &versions, const EarlierVersion &earlier, TimePoint now);
 
+// Returns the versions at which streams of the service that are still open may have begun.
+std::set<std::string> knownVersions(const StreamVersions &versions,
+                                    const StreamVersionOptions &options,
+                                    const std::string &service,
+                                    TimePoint now);
+
 // Whether streams of the service that are still open may have begun at different versions.
 bool hasSeveralVersions(const StreamVersions &versions,
                         const StreamVersionOptions &options,
--- a/godwit/relay/relay_call_resumption.cpp
+++ b/godwit/relay/relay_call_resumption.cpp
@@ -5,9 +5,30 @@
 #include "godwit/base/milliseconds.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Godwit
 {
+namespace
+{
+
+// Bound of the versions in one log line, in bytes.
+constexpr std::size_t MaxLoggedVersionBytes = 160;
+
+std::string joinVersions(const std::set<std::string> &versions)
+{
+    std::string text;
+    for (const std::string &version : versions) {
+        text += (text.empty() ? "" : ",") + version;
+        if (text.size() > MaxLoggedVersionBytes) {
+            text.resize(MaxLoggedVersionBytes);
+            break;
+        }
+    }
+    return text;
+}
+
+} // namespace
 
 // Whether the caller takes up a stream of which it has received events.
 bool RelayCall::continuesStream() const
@@ -87,14 +108,25 @@
 void RelayCall::recordResumption(ResumptionOutcome outcome)
 {
     ++m_relay.counters().resumptions[outcome];
+    const RelayState &state = m_relay.state();
+    const RelayOptions &options = m_relay.options();
+    const TimePoint now = Relay::now();
+    const auto known = knownVersions(state.streamVersions, options.streamVersions, m_serviceName, now);
+    const std::string knownText = joinVersions(known);
+    const std::string sole = known.size() == 1 ? *known.begin() : std::string();
     m_relay.log().write("stream_resumed",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"began_as", std::string_view(m_facts.resumedAttempt)},
                          {"outcome", resumptionOutcomeName(outcome)},
                          {"service", std::string_view(m_serviceName)},
-                         {"version", std::string_view(m_requiredVersion.value_or(std::string()))},
+                         {"version", std::string_view(m_requiredVersion.value_or(sole))},
+                         {"known_versions", std::string_view(knownText)},
+                         {"list_age_ms", toMilliseconds(now - confirmedCurrentAt(state.endpointsFreshness))},
+                         {"store", state.platformInReach},
+                         {"live_routers", static_cast<std::int64_t>(state.liveRouters)},
+                         {"running_ms", toMilliseconds(Relay::uptime() - options.prepaid.startedAt.uptime)},
                          {"after_event", static_cast<std::int64_t>(m_facts.resumeAfter)},
-                         {"after_ms", toMilliseconds(Relay::now() - m_arrived)}});
+                         {"after_ms", toMilliseconds(now - m_arrived)}});
 }
 
 // To be called before the first event is forwarded: its caller may come back to another router at once.
@@ -109,7 +141,15 @@
     const StreamVersionOptions &options = m_relay.options().streamVersions;
     const TimePoint now = Relay::now();
     const bool isNew = recordStream(state.streamVersions, options, m_facts.attemptId, origin, now);
-    if (isNew && m_relay.onStreamsRecorded && hasSeveralVersions(state.streamVersions, options, m_serviceName, now)) {
+    if (!isNew || !hasSeveralVersions(state.streamVersions, options, m_serviceName, now)) {
+        return;
+    }
+    m_relay.log().write("stream_began",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"service", std::string_view(m_serviceName)},
+                         {"version", std::string_view(m_endpointVersion)}});
+    if (m_relay.onStreamsRecorded) {
         m_relay.onStreamsRecorded({{m_facts.attemptId, origin}});
     }
 }
