Streams: continue an unrecorded one only at a version known to be the only one

Callers got events of two versions in one stream, with nothing in the answer to show it. A router that had no record of a stream took "I know of one version" as proof that the stream began at it. That belief was up to 2 s old at a router that had been cut off, and empty after a start, where the first heartbeat of any peer, also of one that knew nothing, counted as knowledge. Evidence: stream_resumed of the reproduction has outcome one_version with known_versions v1, list_age_ms up to 1990 and store false, for streams that began at v2. The class of fault: the absence of news taken for a statement.

Now the versions of every service, also single ones, are announced in the store before resumable streams begin at them, and a version that is not the first of its service is used 0.6 s after its announcement. An unrecorded stream goes on only if a read of the store, at most 0.5 s old on a clock that includes suspension, shows one version; the stream then must have begun at it, and the request is bound to it even if it waits and the list changes. Anything else is sought at other routers and in the store, then refused.

On a route that is divided among services, an unrecorded stream goes on at the service that its first try was sent to. While the store is away records are copied to other routers also for single versions.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -458,7 +458,6 @@
             return;
         }
         sendReadinessChange();
-        checkEarlierVersions(Relay::now());
         prefetchTokens();
         if (checkSettled(Relay::now())) {
             chooseHomes();
@@ -576,6 +575,8 @@
         onStreamQuery(from, envelope.body);
     } else if (envelope.topic == StreamReplyTopic) {
         onStreamReply(from, envelope.body);
+    } else if (envelope.topic == AnnouncedVersionsTopic) {
+        onAnnouncedVersions(envelope.body);
     } else if (envelope.topic == PromptTopic) {
         onPromptAnnounced(envelope.body);
     } else if (envelope.topic == UpdateTopic) {
@@ -618,7 +619,6 @@
     for (const EarlierVersion &earlier : decodeEarlierVersions(heartbeat.value("earlier_versions", json::array()))) {
         applyEarlierVersion(m_relay.state().streamVersions, earlier, Relay::now());
     }
-    checkEarlierVersions(Relay::now());
     applyHoldings(heartbeat, HolderId{peer.member.callerAddress});
     onCopyStates(peer.member.incarnation, heartbeat);
     const auto speeds = heartbeat.find("speeds");
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -91,8 +91,6 @@
     std::size_t streamSearchWidth = 8;
     // Includes the time to replace links that were reset together with the caller's connection.
     Duration streamSearchTimeout = std::chrono::milliseconds(300);
-    // A router that has started does not wait longer than this for what others know of earlier versions.
-    Duration maxVersionWait = std::chrono::seconds(2);
     // Maximum number of customers in one heartbeat.
     std::size_t maxCustomersPerHeartbeat = 64;
 };
@@ -193,6 +191,12 @@
     // that they have none, or after `streamSearchTimeout`.
     void seekStream(const std::string &attempt, std::function<void()> done);
 
+    // Sends the announced versions, as written to the store, to the other routers.
+    void broadcastAnnouncedVersions(const StoreItem &item);
+
+    // Called with announced versions that another router has written.
+    std::function<void(const StoreItem &)> onVersionsAnnounced;
+
     // Called when another router announces such requests.
     std::function<void(const std::vector<SuspectNotice> &)> onSuspects;
 
@@ -324,7 +328,7 @@
     void onStreamReply(const Incarnation &from, const std::string &body);
     void askForSoughtStreams(const Incarnation &peer);
     void endSearch(const std::string &attempt);
-    void checkEarlierVersions(TimePoint now);
+    void onAnnouncedVersions(const std::string &body);
     void dialPeers();
     void sendToAdvertised(const Envelope &envelope);
     void dropUnresponsive(TimePoint now);
--- a/godwit/daemon/fleet_messages.h
+++ b/godwit/daemon/fleet_messages.h
@@ -39,6 +39,7 @@
 inline constexpr const char *StreamRecordsTopic = "stream-records";
 inline constexpr const char *StreamQueryTopic = "stream-query";
 inline constexpr const char *StreamReplyTopic = "stream-reply";
+inline constexpr const char *AnnouncedVersionsTopic = "announced-versions";
 
 // Brittle services in one heartbeat.
 inline constexpr std::size_t MaxBrittleReports = 64;
--- a/godwit/daemon/fleet_stream_versions.cpp
+++ b/godwit/daemon/fleet_stream_versions.cpp
@@ -162,13 +162,20 @@
     }
 }
 
-void FleetLinks::checkEarlierVersions(TimePoint now)
+void FleetLinks::broadcastAnnouncedVersions(const StoreItem &item)
 {
-    bool &known = m_relay.state().knowsEarlierVersions;
-    const bool hasReport = std::any_of(m_peers.begin(), m_peers.end(), [](const auto &entry) {
-        return entry.second.heartbeatReceived;
-    });
-    known = known || hasReport || now >= m_startedAt + m_options.maxVersionWait;
+    m_mesh->broadcast({AnnouncedVersionsTopic, encodeFleetMessage(json::array({item.key, item.revision, item.value}))});
+}
+
+void FleetLinks::onAnnouncedVersions(const std::string &body)
+{
+    const json message = decodeFleetMessage(body);
+    const bool wellFormed = message.is_array() && message.size() == 3 && message[0].is_string()
+        && message[1].is_number_unsigned() && message[2].is_string();
+    if (wellFormed && onVersionsAnnounced) {
+        onVersionsAnnounced(
+            {message[0].get<std::string>(), message[2].get<std::string>(), message[1].get<std::uint64_t>()});
+    }
 }
 
 } // namespace Godwit
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -6,8 +6,9 @@
 #include "godwit/daemon/gateway_metrics.h"
 #include "godwit/daemon/limit_share_manager.h"
 #include "godwit/daemon/shared_prefix.h"
+#include "godwit/daemon/stream_origin_search.h"
 #include "godwit/daemon/suspect_coordinator.h"
-#include "godwit/daemon/version_history_store.h"
+#include "godwit/daemon/version_announcer.h"
 #include "godwit/gateway/connection_pause.h"
 #include "godwit/relay/caller_connection.h"
 #include "godwit/relay/connection_lender.h"
@@ -39,7 +40,9 @@
 // Below the routers' live entries, so that one range read returns both.
 constexpr const char *SuspectPrefix = "godwit/live/suspect/";
 // Likewise.
-constexpr const char *VersionHistoryKey = "godwit/live/versions";
+constexpr const char *AnnouncedVersionsKey = "godwit/live/announced-versions";
+// Written by releases that did not announce versions.
+constexpr const char *FormerVersionsKey = "godwit/live/versions";
 // While fewer of the peers are connected, endpoint deaths are no evidence against a request.
 constexpr double MinConnectedFraction = 0.5;
 constexpr const char *MarkPrefix = "godwit/mark/";
@@ -122,6 +125,7 @@
     options.callerAdmission.enabled = settings.admission;
     options.callerAdmission.linkBytesPerSecond = bytesPerSecond(settings.linkMbps);
     options.brittle.limitUnknown = true;
+    options.announcedVersions.required = true;
     options.hedging.ratio = settings.hedgeRatio;
     options.hedging.quantile = settings.hedgeQuantile;
     options.hedging.window = settings.repeatWindow;
@@ -208,7 +212,8 @@
         , m_lender(m_relay, lenderOptions())
         , m_endpoints(m_io, m_relay)
         , m_suspects(m_io, m_relay, m_store, suspectOptions(m_self.incarnation))
-        , m_versionHistory(m_relay, m_store, VersionHistoryKey)
+        , m_versions(m_relay, m_store, AnnouncedVersionsKey)
+        , m_originSearch(m_relay, m_links, m_versions)
         , m_documents(m_io, m_store, std::string(SiteDocumentPrefix), {}, onDocuments(), reachabilityHandler())
         , m_endpointEntries(m_io, m_store, std::string(EndpointPrefix), {}, onEndpoints(), reachabilityHandler())
         , m_liveEntries(m_io, m_store, LivePrefix, liveOptions(), onLive(), reachabilityHandler())
@@ -238,9 +243,10 @@
         m_relay.onStreamsRecorded = [this](const std::vector<RecordedStream> &streams) {
             m_links.sendStreamRecords(streams);
         };
-        m_relay.onStreamSought = [this](const std::string &attempt, std::function<void()> done) {
-            m_links.seekStream(attempt, std::move(done));
-        };
+        m_relay.onStreamSought =
+            [this](const std::string &attempt, const std::string &service, std::function<void()> done) {
+                m_originSearch.start(attempt, service, std::move(done));
+            };
         m_relay.onEndpointRejected = [this](const EndpointRejection &rejection) {
             m_links.announceRejection(rejection);
         };
@@ -309,9 +315,15 @@
         m_suspects.firstDeaths().isWriter = [this] {
             return m_links.readerRankOf(m_liveEntries.prefix()) == 0;
         };
-        m_versionHistory.isWriter = [this] {
+        m_versions.isWriter = [this] {
             return m_links.readerRankOf(m_liveEntries.prefix()) == 0;
         };
+        m_versions.onWritten = [this](const StoreItem &item) {
+            m_links.broadcastAnnouncedVersions(item);
+        };
+        m_links.onVersionsAnnounced = [this](const StoreItem &item) {
+            m_versions.onItem(item);
+        };
         m_links.onSuspects = [this](const std::vector<SuspectNotice> &notices) {
             m_suspects.onNotices(notices);
         };
@@ -526,6 +538,7 @@
         return [this](const SharedPrefix::Items &items) {
             m_relay.state().endpointsAsOf = m_endpointEntries.asOf();
             m_endpoints.onEntriesChanged(items);
+            m_versions.step();
             m_suspects.onEndpointsChanged();
             updateStage();
         };
@@ -539,8 +552,10 @@
             for (const auto &[key, item] : items) {
                 if (key.rfind(SuspectPrefix, 0) == 0) {
                     records[key] = item;
-                } else if (key == m_versionHistory.key()) {
-                    m_versionHistory.onItem(item);
+                } else if (key == m_versions.key()) {
+                    m_versions.onItem(item);
+                } else if (key == FormerVersionsKey) {
+                    continue;
                 } else if (auto member = decodeMember(item.value)) {
                     members.push_back(std::move(*member));
                 } else {
@@ -686,7 +701,8 @@
             compareCopies();
             m_limitShares.step();
             m_suspects.step();
-            m_versionHistory.step();
+            m_versions.step();
+            shareStreamRecordsIfStoreLost();
             updateStage();
             logLoad();
             if (m_settingsText.empty()) {
@@ -697,6 +713,14 @@
         });
     }
 
+    void shareStreamRecordsIfStoreLost()
+    {
+        const bool inReach = m_relay.state().platformInReach;
+        if (std::exchange(m_storeWasInReach, inReach) && !inReach) {
+            m_relay.shareStreamRecords();
+        }
+    }
+
     // Periodically logs the load, which is the first thing to check when a host answers late.
     void logLoad()
     {
@@ -909,7 +933,8 @@
     ConnectionLender m_lender;
     EndpointList m_endpoints;
     SuspectCoordinator m_suspects;
-    VersionHistoryStore m_versionHistory;
+    VersionAnnouncer m_versions;
+    StreamOriginSearch m_originSearch;
     SharedPrefix m_documents;
     SharedPrefix m_endpointEntries;
     SharedPrefix m_liveEntries;
@@ -931,6 +956,7 @@
     TimePoint m_startedAt;
     bool m_readAfterEntryWritten =
         false; // Whether the live entries were read since this router's own was first written.
+    bool m_storeWasInReach = false;
     bool m_stopping = false;
     bool m_returningBudgets = false;
     bool m_budgetsReturned = false;
--- /dev/null
+++ b/godwit/daemon/version_announcer.cpp
@@ -0,0 +1,207 @@
+#include "godwit/daemon/version_announcer.h"
+
+#include "godwit/base/json_number.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Godwit
+{
+namespace
+{
+
+using nlohmann::json;
+
+// By service, rows of a version's name and number.
+std::string encodeAnnouncements(const VersionAnnouncements &announcements)
+{
+    json services = json::object();
+    for (const auto &[service, versions] : announcements) {
+        json rows = json::array();
+        for (const AnnouncedVersion &version : versions) {
+            rows.push_back(json::array({version.name, version.number}));
+        }
+        services[service] = std::move(rows);
+    }
+    return services.dump();
+}
+
+std::optional<VersionAnnouncements> decodeAnnouncements(const std::string &text)
+{
+    try {
+        VersionAnnouncements announcements;
+        const json value = json::parse(text);
+        for (const auto &[service, rows] : value.get_ref<const json::object_t &>()) {
+            for (const json &row : rows.get_ref<const json::array_t &>()) {
+                announcements[service].push_back({row.at(0).get<std::string>(), naturalNumber(row.at(1))});
+            }
+        }
+        return announcements;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+VersionAnnouncer::VersionAnnouncer(Relay &relay, StoreClient &store, std::string key, VersionAnnouncerOptions options)
+    : m_relay(relay)
+    , m_store(store)
+    , m_key(std::move(key))
+    , m_options(options)
+{
+}
+
+void VersionAnnouncer::step()
+{
+    const RelayState &state = m_relay.state();
+    if (m_writeInFlight || !state.platformInReach) {
+        return;
+    }
+    const TimePoint now = Relay::now();
+    const VersionAnnouncements stored = announcementsOf(state.announcedVersions);
+    const bool removes = isWriter && isWriter();
+    const VersionAnnouncements wanted = updatedAnnouncements(
+        stored, state.streamVersions, m_relay.options().streamVersions, m_writeRevision, removes, now);
+    if (wanted == stored && !m_needsRewrite) {
+        m_takeOverAt.reset();
+    } else if (removes || mayTakeOver(now)) {
+        write(wanted);
+    }
+}
+
+bool VersionAnnouncer::mayTakeOver(TimePoint now)
+{
+    if (!m_takeOverAt) {
+        constexpr std::uint64_t steps = 1024;
+        const double random = static_cast<double>(m_relay.random() % steps) / steps;
+        m_takeOverAt = now + std::chrono::duration_cast<Duration>(m_options.takeOverDelay * (1 + random));
+    }
+    return now >= *m_takeOverAt;
+}
+
+void VersionAnnouncer::write(const VersionAnnouncements &announcements)
+{
+    m_writeInFlight = true;
+    StoreTransaction transaction;
+    transaction.conditions.push_back({m_key, m_writeRevision});
+    transaction.puts.push_back({m_key, encodeAnnouncements(announcements), 0});
+    m_store.transact(transaction, [this, announcements](const StoreWriteReply &reply) {
+        m_writeInFlight = false;
+        if (reply.status == StoreStatus::Ok) {
+            m_needsRewrite = false;
+            apply(announcements, reply.revision);
+            m_relay.log().write("versions_announced",
+                                {{"services", static_cast<std::int64_t>(announcements.size())},
+                                 {"revision", static_cast<std::int64_t>(reply.revision)}});
+            if (onWritten) {
+                onWritten({m_key, encodeAnnouncements(announcements), reply.revision});
+            }
+        } else if (reply.status == StoreStatus::ConditionFailed && reply.currentItems) {
+            const std::uint64_t expected = m_writeRevision;
+            if (reply.currentItems->empty()) {
+                onRemoved();
+            }
+            for (const StoreItem &item : *reply.currentItems) {
+                onItem(item);
+            }
+            if (m_writeRevision != expected) {
+                step();
+            }
+        }
+    });
+}
+
+void VersionAnnouncer::onItem(const StoreItem &item)
+{
+    if (item.key != m_key || item.revision <= m_relay.state().announcedVersions.revision) {
+        return;
+    }
+    if (auto announcements = decodeAnnouncements(item.value)) {
+        m_needsRewrite = false;
+        apply(*announcements, item.revision);
+    } else if (std::exchange(m_lastUnreadable, item.revision) != item.revision) {
+        m_writeRevision = item.revision;
+        m_needsRewrite = true;
+        m_relay.log().write("versions_unreadable",
+                            {{"key", std::string_view(m_key)}, {"revision", static_cast<std::int64_t>(item.revision)}});
+    }
+}
+
+void VersionAnnouncer::onRemoved()
+{
+    m_writeRevision = 0;
+    m_needsRewrite = m_relay.state().announcedVersions.revision != 0;
+}
+
+void VersionAnnouncer::apply(const VersionAnnouncements &announcements, std::uint64_t revision)
+{
+    RelayState &state = m_relay.state();
+    if (!applyAnnouncements(state.announcedVersions,
+                            m_relay.options().announcedVersions,
+                            announcements,
+                            revision,
+                            Relay::bootTimeNow())) {
+        return;
+    }
+    m_writeRevision = revision;
+    // Versions that are not listed here may have been in use until now.
+    const TimePoint now = Relay::now();
+    const auto seen = std::exchange(m_seen, {});
+    for (const auto &[service, versions] : announcements) {
+        for (const AnnouncedVersion &version : versions) {
+            const SeenVersion key{service, version.name, version.number};
+            if (seen.count(key) == 0) {
+                applyEarlierVersion(state.streamVersions, {service, version.name, Duration::zero()}, now);
+            }
+            m_seen.insert(key);
+        }
+    }
+}
+
+void VersionAnnouncer::confirm(std::function<void()> done)
+{
+    if (m_readers) {
+        m_readers->push_back(std::move(done));
+        return;
+    }
+    const auto readers = std::make_shared<Waiters>();
+    readers->push_back(std::move(done));
+    m_readers = readers;
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_relay.io(), m_options.confirmationTimeout);
+    const auto finish = [this, readers, timer] {
+        timer->cancel();
+        if (m_readers == readers) {
+            m_readers = nullptr;
+        }
+        for (const auto &waiting : std::exchange(*readers, {})) {
+            waiting();
+        }
+    };
+    timer->async_wait([finish](const boost::system::error_code &error) {
+        if (!error) {
+            finish();
+        }
+    });
+    m_store.get(m_key, [this, finish, startedAt = Relay::bootTimeNow()](const StoreItemReply &reply) {
+        onRead(reply, startedAt);
+        finish();
+    });
+}
+
+void VersionAnnouncer::onRead(const StoreItemReply &reply, TimePoint startedAt)
+{
+    AnnouncedVersions &known = m_relay.state().announcedVersions;
+    if (reply.status == StoreStatus::Ok) {
+        onItem(reply.item);
+        // An unreadable value confirms nothing.
+        if (reply.item.revision <= known.revision) {
+            confirmAnnouncements(known, startedAt);
+        }
+    } else if (reply.status == StoreStatus::NotFound) {
+        onRemoved();
+    }
+}
+
+} // namespace Godwit
--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -274,7 +274,8 @@
 bool isCandidate(const ChoiceQuery &query, const EndpointState &endpoint)
 {
     const auto &unreachable = query.unreachable;
-    return !isTried(query, endpoint.listed.id) && (!query.version || *query.version == endpoint.listed.version)
+    return !isTried(query, endpoint.listed.id)
+        && (!query.versions || query.versions->count(endpoint.listed.version) > 0)
         && isAllowed(query.regions, endpoint.listed.region)
         && std::find(unreachable.begin(), unreachable.end(), endpoint.listed.dataCentre) == unreachable.end();
 }
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -28,6 +28,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -152,7 +153,7 @@
     DataCentreId dataCentre; // Of this router.
     AllowedRegions regions; // Only endpoints in these regions.
     std::vector<DataCentreId> unreachable; // No endpoints in these data centres.
-    std::optional<std::string> version; // Only endpoints of this version of their software.
+    std::optional<std::set<std::string>> versions; // Only endpoints of these versions of their software.
 };
 
 // Applies a new list. Endpoints that are no longer listed receive no new requests; requests in flight continue there.
--- a/godwit/gateway/stream_versions_test.cpp
+++ b/godwit/gateway/stream_versions_test.cpp
@@ -109,13 +109,13 @@
     replaceEndpoints(table, list);
     ChoiceQuery query;
     query.service = Service;
-    query.version = "v2";
+    query.versions = {"v2"};
     for (std::uint64_t random = 0; random < 4; ++random) {
         const Choice choice = chooseEndpoint(table, query, {}, random, Start);
         REQUIRE(choice.endpoint != nullptr);
         CHECK(choice.endpoint->listed.version == "v2");
     }
-    query.version = "v3";
+    query.versions = {"v3"};
     CHECK_FALSE(hasCandidates(table, query));
     CHECK(chooseEndpoint(table, query, {}, 0, Start).endpoint == nullptr);
 }
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -159,10 +159,37 @@
     }
 }
 
-bool Relay::mayHaveOtherVersions(const std::string &service, TimePoint now) const
+std::optional<std::string> Relay::soleVersion(const std::string &service) const
 {
-    return hasSeveralVersions(m_state.streamVersions, m_options.streamVersions, service, now)
-        || !isConfirmedCurrent(m_state.endpointsFreshness, m_options.agreement, now) || !m_state.knowsEarlierVersions;
+    if (m_options.announcedVersions.required) {
+        return Godwit::soleVersion(m_state.announcedVersions, m_options.announcedVersions, service, bootTimeNow());
+    }
+    const auto known = knownVersions(m_state.streamVersions, m_options.streamVersions, service, now());
+    return known.size() == 1 ? std::optional(*known.begin()) : std::nullopt;
+}
+
+std::optional<std::set<std::string>> Relay::usableVersions(const std::string &service) const
+{
+    if (!m_options.announcedVersions.required) {
+        return std::nullopt;
+    }
+    return Godwit::usableVersions(m_state.announcedVersions, service, bootTimeNow());
+}
+
+// While there is one version, a router that has no record reads from the store that it is the only one.
+bool Relay::sharesStreamRecords(const std::string &service) const
+{
+    return !m_state.platformInReach
+        || hasSeveralVersions(m_state.streamVersions, m_options.streamVersions, service, now());
+}
+
+void Relay::shareStreamRecords()
+{
+    if (onStreamsRecorded) {
+        for (const auto &[service, names] : m_state.streamVersions.listed) {
+            onStreamsRecorded(recordedStreams(m_state.streamVersions, service, now()));
+        }
+    }
 }
 
 void Relay::applyBrittleReport(const BrittleReport &report)
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -11,6 +11,7 @@
 //   relay.retryReservations();
 
 #include "godwit/base/time.h"
+#include "godwit/gateway/announced_versions.h"
 #include "godwit/gateway/caller_admission.h"
 #include "godwit/gateway/copy_freshness.h"
 #include "godwit/gateway/crash_detector.h"
@@ -85,6 +86,7 @@
     HedgeOptions hedging;
     BrittleOptions brittle; // Copied to EndpointTable::brittleOptions.
     StreamVersionOptions streamVersions;
+    AnnouncedVersionOptions announcedVersions;
     // Retry-After of a refusal when no better estimate is available.
     Duration defaultRetryAfter = std::chrono::milliseconds(700);
     // After link congestion all requests are refused for this long, by which time the link's queue has drained. After
@@ -136,9 +138,7 @@
     HedgeState hedges;
     std::map<std::string, PlaceQueue> placeQueues; // By service.
     StreamVersions streamVersions;
-    // Whether this router knows the versions that were listed before it started: another router has reported them, or
-    // there is none.
-    bool knowsEarlierVersions = false;
+    AnnouncedVersions announcedVersions; // Times from bootTimeNow().
     std::shared_ptr<HeldBytes> held = std::make_shared<HeldBytes>(); // Shared with connections, which outlive this.
 };
 
@@ -328,12 +328,14 @@
     // Returns routers that lend connections to endpoints of the group, best first. Optional.
     std::function<std::vector<Lender>(const EndpointGroup &)> lendersFor;
 
-    // Called with recorded streams of services that have several versions.
+    // Called with recorded streams that other routers may be asked for.
     std::function<void(const std::vector<RecordedStream> &)> onStreamsRecorded;
 
-    // Called to look for the record of a stream at other routers. `done` is called once, possibly immediately: when the
-    // record has been added to this router's, or after a short timeout.
-    std::function<void(const std::string &attempt, std::function<void()> done)> onStreamSought;
+    // Called to find out at which version a stream of the service began. `done` is called once, possibly immediately:
+    // when the record has been added to this router's, when the announced versions have been read, or after a short
+    // timeout.
+    std::function<void(const std::string &attempt, const std::string &service, std::function<void()> done)>
+        onStreamSought;
 
     // Called when an endpoint of a brittle service has rejected a request.
     std::function<void(const EndpointRejection &)> onEndpointRejected;
@@ -377,9 +379,17 @@
     // Sets the versions of the listed endpoints, by service.
     void setListedVersions(std::map<std::string, std::set<std::string>> listed);
 
-    // Whether a stream of the service that is not recorded may have begun at another version than that of the listed
-    // endpoints.
-    bool mayHaveOtherVersions(const std::string &service, TimePoint now) const;
+    // Returns the version at which each stream of the service must have begun; nullopt if that is not known.
+    std::optional<std::string> soleVersion(const std::string &service) const;
+
+    // Returns the versions at which streams that callers may take up may begin; nullopt stands for all.
+    std::optional<std::set<std::string>> usableVersions(const std::string &service) const;
+
+    // Whether other routers may depend on copies of this router's records of streams of the service.
+    bool sharesStreamRecords(const std::string &service) const;
+
+    // Passes all recorded streams to onStreamsRecorded, for when the store can't be reached any more.
+    void shareStreamRecords();
 
     // Applies another router's report that a service is brittle.
     void applyBrittleReport(const BrittleReport &report);
@@ -421,6 +431,12 @@
     // Uptime of the host, including time that it was suspended.
     static Duration uptime();
 
+    // As a time point. Unlike now(), advances while the host is suspended.
+    static TimePoint bootTimeNow()
+    {
+        return TimePoint(uptime());
+    }
+
     static TimePoint now()
     {
         return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -214,7 +214,7 @@
     query.dataCentre = m_relay.options().dataCentre;
     query.regions = m_regions;
     query.unreachable = m_relay.unreachableDataCentres(m_serviceName);
-    query.version = m_requiredVersion;
+    query.versions = allowedVersions();
     if (m_service != nullptr && m_service->engine) {
         query.promptTokens = m_facts.promptTokens;
         query.latencyTarget = std::max(Duration::zero(), m_arrived + m_route->latencyTarget - Relay::now());
@@ -226,6 +226,26 @@
     return query;
 }
 
+// Nullopt stands for all.
+std::optional<std::set<std::string>> RelayCall::allowedVersions() const
+{
+    if (m_requiredVersion) {
+        return std::set<std::string>{*m_requiredVersion};
+    }
+    const bool mayBeTakenUp = m_route->kind == GatewayRouteKind::Streaming && m_route->resumable;
+    return mayBeTakenUp ? m_relay.usableVersions(m_serviceName) : std::nullopt;
+}
+
+bool RelayCall::awaitsVersion() const
+{
+    ChoiceQuery query = choiceQuery();
+    if (m_requiredVersion || !query.versions || hasCandidates(m_relay.state().endpoints, query)) {
+        return false;
+    }
+    query.versions.reset();
+    return hasCandidates(m_relay.state().endpoints, query);
+}
+
 void RelayCall::startAttempt(const Choice &choice)
 {
     sendTo(choice);
@@ -235,9 +255,14 @@
     armHedge(choice.uncachedTokens);
 }
 
-// Retry-After when no endpoint is available. If all endpoints are cold, this is when the first one is warm again.
+// Retry-After when no endpoint is available: when the first version becomes usable, or the first cold endpoint is warm.
 Duration RelayCall::endpointRetryAfter() const
 {
+    if (awaitsVersion()) {
+        const TimePoint now = Relay::bootTimeNow();
+        const auto usable = nextUsableAt(m_relay.state().announcedVersions, m_serviceName, now);
+        return usable ? *usable - now : m_relay.options().defaultRetryAfter;
+    }
     const TimePoint now = Relay::now();
     const auto warm = nextWarmAt(m_relay.state().endpoints, m_serviceName, now);
     return warm ? *warm - now + randomizedRetryAfter() : m_relay.options().defaultRetryAfter;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -107,7 +107,9 @@
     bool continuesStream() const;
     void findStreamOrigin();
     void onStreamSearched();
+    std::optional<std::string> versionOfUnrecordedStream() const;
     void continueFrom(const StreamOrigin &origin);
+    void continueAt(const std::string &version, ResumptionOutcome outcome);
     bool useServiceOf(const StreamOrigin &origin);
     void refuseResumption(ResumptionOutcome outcome);
     void recordResumption(ResumptionOutcome outcome);
@@ -151,6 +153,9 @@
     void recordPlaceWait(PlaceWaitOutcome outcome);
     bool lacksRoom() const;
     Duration placeRetryAfter();
+    std::optional<std::set<std::string>> allowedVersions() const;
+    // Whether endpoints are excluded only because their version is not usable yet.
+    bool awaitsVersion() const;
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
     void onBody(std::string_view bytes);
--- a/godwit/relay/relay_call_places.cpp
+++ b/godwit/relay/relay_call_places.cpp
@@ -90,6 +90,8 @@
         refuse(ErrorKind::EndpointFailed, "the endpoint failed and no other endpoint is available", std::nullopt);
     } else if (lacksRoom()) {
         refuse(ErrorKind::Overloaded, "the endpoints of the service have no room", placeRetryAfter());
+    } else if (awaitsVersion()) {
+        refuse(ErrorKind::NoEndpoint, "streams may not begin at the endpoints' version yet", endpointRetryAfter());
     } else {
         refuse(ErrorKind::NoEndpoint, "no endpoint of the service accepts requests", endpointRetryAfter());
     }
--- a/godwit/relay/relay_call_resumption.cpp
+++ b/godwit/relay/relay_call_resumption.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/relay/relay_call.h"
 
+#include "godwit/base/hash.h"
 #include "godwit/base/milliseconds.h"
 
 #include <algorithm>
@@ -39,10 +40,14 @@
 void RelayCall::findStreamOrigin()
 {
     const std::string &attempt = m_facts.resumedAttempt;
+    if (!attempt.empty()) {
+        // The service that the first try was sent to, unless the route has changed since.
+        m_serviceName = pickService(*m_route, stableHash(attempt));
+        m_service = findService(*m_table, m_serviceName);
+    }
     const bool isRecorded = findStream(m_relay.state().streamVersions, attempt, Relay::now()) != nullptr;
-    const bool needsSearch = !isRecorded && m_relay.mayHaveOtherVersions(m_serviceName, Relay::now());
-    if (needsSearch && !attempt.empty() && m_relay.onStreamSought) {
-        m_relay.onStreamSought(attempt, [self = shared_from_this()] {
+    if (!isRecorded && !versionOfUnrecordedStream() && m_relay.onStreamSought) {
+        m_relay.onStreamSought(attempt, m_serviceName, [self = shared_from_this()] {
             self->onStreamSearched();
         });
     } else {
@@ -58,26 +63,37 @@
     const TimePoint now = Relay::now();
     if (const StreamOrigin *origin = findStream(m_relay.state().streamVersions, m_facts.resumedAttempt, now)) {
         continueFrom(*origin);
-    } else if (m_relay.mayHaveOtherVersions(m_serviceName, now)) {
-        refuseResumption(ResumptionOutcome::Unknown);
+    } else if (const auto version = versionOfUnrecordedStream()) {
+        continueAt(*version, ResumptionOutcome::OneVersion);
     } else {
-        recordResumption(ResumptionOutcome::OneVersion);
-        reserveTokens();
+        refuseResumption(ResumptionOutcome::Unknown);
     }
 }
 
+// Nullopt if the stream may have begun at several versions or services.
+std::optional<std::string> RelayCall::versionOfUnrecordedStream() const
+{
+    const bool serviceIsKnown = m_route->services.size() == 1 || !m_facts.resumedAttempt.empty();
+    return serviceIsKnown ? m_relay.soleVersion(m_serviceName) : std::nullopt;
+}
+
 void RelayCall::continueFrom(const StreamOrigin &origin)
 {
     if (origin.customer != m_customer || !useServiceOf(origin)) {
         refuseResumption(ResumptionOutcome::OtherOwner);
         return;
     }
-    m_requiredVersion = origin.version;
+    continueAt(origin.version, ResumptionOutcome::Recorded);
+}
+
+void RelayCall::continueAt(const std::string &version, ResumptionOutcome outcome)
+{
+    m_requiredVersion = version;
     if (!hasCandidates(m_relay.state().endpoints, choiceQuery())) {
         refuseResumption(ResumptionOutcome::NoEndpoint);
         return;
     }
-    recordResumption(ResumptionOutcome::Recorded);
+    recordResumption(outcome);
     reserveTokens();
 }
 
@@ -113,14 +129,16 @@
     const TimePoint now = Relay::now();
     const auto known = knownVersions(state.streamVersions, options.streamVersions, m_serviceName, now);
     const std::string knownText = joinVersions(known);
-    const std::string sole = known.size() == 1 ? *known.begin() : std::string();
+    const auto &confirmedAt = state.announcedVersions.confirmedAt;
+    const double versionsAge = confirmedAt ? toMilliseconds(Relay::bootTimeNow() - *confirmedAt) : -1;
     m_relay.log().write("stream_resumed",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"began_as", std::string_view(m_facts.resumedAttempt)},
                          {"outcome", resumptionOutcomeName(outcome)},
                          {"service", std::string_view(m_serviceName)},
-                         {"version", std::string_view(m_requiredVersion.value_or(sole))},
+                         {"version", std::string_view(m_requiredVersion.value_or(std::string()))},
                          {"known_versions", std::string_view(knownText)},
+                         {"versions_age_ms", versionsAge},
                          {"list_age_ms", toMilliseconds(now - confirmedCurrentAt(state.endpointsFreshness))},
                          {"store", state.platformInReach},
                          {"live_routers", static_cast<std::int64_t>(state.liveRouters)},
@@ -141,7 +159,7 @@
     const StreamVersionOptions &options = m_relay.options().streamVersions;
     const TimePoint now = Relay::now();
     const bool isNew = recordStream(state.streamVersions, options, m_facts.attemptId, origin, now);
-    if (!isNew || !hasSeveralVersions(state.streamVersions, options, m_serviceName, now)) {
+    if (!isNew || !m_relay.sharesStreamRecords(m_serviceName)) {
         return;
     }
     m_relay.log().write("stream_began",
