--- a/godwit/base/base_test.cpp
+++ b/godwit/base/base_test.cpp
@@ -3,6 +3,7 @@
 #include "godwit/base/error.h"
 #include "godwit/base/hash.h"
 #include "godwit/base/ids.h"
+#include "godwit/base/json_text.h"
 
 #include <catch2/catch.hpp>
 
@@ -71,3 +72,19 @@
     CHECK_FALSE(shape("\x82\x01"));
     CHECK_FALSE(shape(""));
 }
+
+// Guards against a value whose nesting exhausts the stack of whoever prints or copies it.
+TEST_CASE("JSON text that is nested too deeply is rejected before it is parsed")
+{
+    const auto nested = [](std::size_t levels) {
+        return std::string(levels, '[') + std::string(levels, ']');
+    };
+    CHECK(parseJson(nested(MaxJsonDepth)).is_array());
+    CHECK_THROWS_AS(parseJson(nested(MaxJsonDepth + 1)), nlohmann::json::exception);
+    CHECK_THROWS_AS(parseJson(std::string(1'000'000, '{')), nlohmann::json::exception);
+    CHECK(tryParseJson(nested(1'000'000)).is_discarded());
+    CHECK(tryParseJson("[1").is_discarded());
+    // Brackets in strings don't nest, nor do those of siblings.
+    CHECK(tryParseJson(R"(["[[\"[[","]]\\",[1],[2]])", 2).size() == 4);
+    CHECK(tryParseJson(R"(["\\",[[1]]])", 2).is_discarded());
+}
--- a/godwit/caller/call_request.cpp
+++ b/godwit/caller/call_request.cpp
@@ -1,6 +1,7 @@
 #include "godwit/caller/call_request.h"
 
 #include "godwit/base/hash.h"
+#include "godwit/base/json_text.h"
 #include "godwit/http/key_digest.h"
 #include "godwit/http/target.h"
 
@@ -139,7 +140,7 @@
 
 std::optional<ParsedCall> parseChat(const CallHttpRequest &request, ParsedCall parsed, LastReason &reason)
 {
-    const auto body = nlohmann::json::parse(request.body, nullptr, false);
+    const auto body = tryParseJson(request.body);
     if (!body.is_object()) {
         reason = malformed("the body is not a JSON object");
         return std::nullopt;
@@ -252,7 +253,7 @@
 
 std::string withOutputLimit(const std::string &body, Tokens limit, bool streamed)
 {
-    auto document = nlohmann::json::parse(body, nullptr, false);
+    auto document = tryParseJson(body);
     document.erase("max_completion_tokens");
     document["max_tokens"] = limit;
     if (streamed) {
--- a/godwit/config/config_document.cpp
+++ b/godwit/config/config_document.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/base/hash.h"
 #include "godwit/base/json_number.h"
+#include "godwit/base/json_text.h"
 #include "godwit/config/file_editor.h"
 #include "godwit/config/site_resolver.h"
 #include "godwit/config/toml_reader.h"
@@ -529,7 +530,7 @@
 std::optional<ConfigDocument> decodeDocument(std::string_view text, LastReason &reason)
 {
     try {
-        return documentFromJson(nlohmann::json::parse(text));
+        return documentFromJson(parseJson(text));
     } catch (const nlohmann::json::exception &error) {
         reason = makeError(ErrorKind::Internal, std::string("stored configuration can't be read: ") + error.what());
         return std::nullopt;
--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -125,9 +125,7 @@
 
 void EndpointList::logRejectedEntry(const std::string &key, const Entry &entry, std::string_view cause)
 {
-    m_relay.log().write(
-        "endpoint_refused",
-        {{"key", std::string_view(key)}, {"revision", static_cast<std::int64_t>(entry.revision)}, {"cause", cause}});
+    m_relay.recordRefusedEntry("endpoint", key, entry.revision, cause);
 }
 
 void EndpointList::apply()
--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -1,5 +1,6 @@
 #include "godwit/daemon/fleet_links.h"
 
+#include "godwit/base/json_text.h"
 #include "godwit/base/milliseconds.h"
 #include "godwit/daemon/fleet_messages.h"
 #include "godwit/suspects/suspect_codec.h"
@@ -51,7 +52,7 @@
 
 std::optional<FleetMember> decodeMember(std::string_view text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = tryParseJson(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -508,9 +508,7 @@
         LastReason reason;
         auto document = decodeSiteDocument(text, reason);
         if (!document) {
-            m_log.write("document_refused",
-                        {{"revision", static_cast<std::int64_t>(m_documentRevision)},
-                         {"cause", std::string_view(reason->message)}});
+            m_relay.recordRefusedEntry("document", std::string(SiteDocumentKey), m_documentRevision, reason->message);
             return;
         }
         auto &state = m_relay.state();
@@ -559,7 +557,7 @@
                 } else if (auto member = decodeMember(item.value)) {
                     members.push_back(std::move(*member));
                 } else {
-                    m_log.write("member_unreadable", {{"key", std::string_view(key)}});
+                    m_relay.recordRefusedEntry("member", key, item.revision, "not the entry of a router");
                 }
             }
             m_links.setListed(members);
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -29,6 +29,9 @@
     appendMetric(
         out, "godwit_limit_part_usable", fractionOf(usableShares(state.limitShares, Relay::now(), Relay::uptime())));
     appendMetric(out, "godwit_resumed_streams_total", static_cast<double>(counters.resumedStreams));
+    for (const auto &[kind, count] : counters.entriesRefused) {
+        out << "godwit_store_entries_refused_total{kind=\"" << escapeLabel(kind) << "\"} " << count << '\n';
+    }
     for (const auto &[outcome, count] : counters.resumptions) {
         out << "godwit_stream_resumptions_total{outcome=\"" << resumptionOutcomeName(outcome) << "\"} " << count
             << '\n';
--- a/godwit/daemon/load_poller.cpp
+++ b/godwit/daemon/load_poller.cpp
@@ -1,5 +1,6 @@
 #include "godwit/daemon/load_poller.h"
 
+#include "godwit/base/json_text.h"
 #include "godwit/http/address.h"
 
 #include <boost/asio/detached.hpp>
@@ -22,7 +23,7 @@
 
 std::optional<LoadReport> reportFromJson(const std::string &text)
 {
-    const auto body = nlohmann::json::parse(text, nullptr, false);
+    const auto body = tryParseJson(text);
     if (!body.is_object()) {
         return std::nullopt;
     }
--- a/godwit/daemon/version_announcer.cpp
+++ b/godwit/daemon/version_announcer.cpp
@@ -1,6 +1,7 @@
 #include "godwit/daemon/version_announcer.h"
 
 #include "godwit/base/json_number.h"
+#include "godwit/base/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,7 +32,7 @@
 {
     try {
         VersionAnnouncements announcements;
-        const json value = json::parse(text);
+        const json value = parseJson(text);
         for (const auto &[service, rows] : value.get_ref<const json::object_t &>()) {
             for (const json &row : rows.get_ref<const json::array_t &>()) {
                 announcements[service].push_back({row.at(0).get<std::string>(), naturalNumber(row.at(1))});
@@ -121,11 +122,10 @@
     if (auto announcements = decodeAnnouncements(item.value)) {
         m_needsRewrite = false;
         apply(*announcements, item.revision);
-    } else if (std::exchange(m_lastUnreadable, item.revision) != item.revision) {
+    } else {
         m_writeRevision = item.revision;
         m_needsRewrite = true;
-        m_relay.log().write("versions_unreadable",
-                            {{"key", std::string_view(m_key)}, {"revision", static_cast<std::int64_t>(item.revision)}});
+        m_relay.recordRefusedEntry("versions", m_key, item.revision, "not the announced versions; written again");
     }
 }
 
--- a/godwit/daemon/version_announcer.h
+++ b/godwit/daemon/version_announcer.h
@@ -82,7 +82,6 @@
     bool m_writeInFlight = false;
     std::optional<TimePoint> m_takeOverAt; // Set while a listed version is not announced.
     std::shared_ptr<Waiters> m_readers; // Of the open read; null if none is open.
-    std::uint64_t m_lastUnreadable = 0; // Revision.
     bool m_needsRewrite = false; // The store's value is unreadable or was removed.
     std::set<SeenVersion> m_seen; // The announced ones.
 };
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -1,5 +1,6 @@
 #include "godwit/endpoint/endpoint_attempt.h"
 
+#include "godwit/base/json_text.h"
 #include "godwit/http/address.h"
 
 #include <boost/beast/http.hpp>
@@ -50,7 +51,7 @@
 // Of an object or array no proper prefix is a document, unlike of a number.
 bool isJsonDocument(std::string_view body)
 {
-    const auto document = nlohmann::json::parse(body, nullptr, false);
+    const auto document = tryParseJson(body);
     return document.is_object() || document.is_array();
 }
 
--- a/godwit/http/error_body.cpp
+++ b/godwit/http/error_body.cpp
@@ -1,5 +1,7 @@
 #include "godwit/http/error_body.h"
 
+#include "godwit/base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Godwit
@@ -22,7 +24,7 @@
 
 std::optional<Error> errorFromJson(std::string_view json)
 {
-    const auto document = nlohmann::json::parse(json, nullptr, false);
+    const auto document = tryParseJson(json);
     if (!document.is_object() || !document.contains("error") || !document["error"].is_object()) {
         return std::nullopt;
     }
--- a/godwit/http/event_stream.cpp
+++ b/godwit/http/event_stream.cpp
@@ -1,5 +1,7 @@
 #include "godwit/http/event_stream.h"
 
+#include "godwit/base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -103,7 +105,7 @@
 
 std::optional<Usage> usageOfBody(std::string_view json)
 {
-    const auto document = nlohmann::json::parse(json, nullptr, false);
+    const auto document = tryParseJson(json);
     if (!document.is_object()) {
         return std::nullopt;
     }
--- a/godwit/orders/weight_rate.cpp
+++ b/godwit/orders/weight_rate.cpp
@@ -1,5 +1,7 @@
 #include "godwit/orders/weight_rate.h"
 
+#include "godwit/base/json_text.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -33,7 +35,7 @@
 {
     Record record;
     try {
-        const auto json = nlohmann::json::parse(text);
+        const auto json = parseJson(text);
         record.freeAt = wallFrom(json.at("free_at"));
         for (const auto &row : json.at("reservations")) {
             record.reservations.push_back({row.at(0).get<std::string>(), wallFrom(row.at(1))});
--- a/godwit/platform/http_platform.cpp
+++ b/godwit/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 #include "godwit/platform/http_platform.h"
 
+#include "godwit/base/json_text.h"
 #include "godwit/http/call_client.h"
 #include "godwit/http/target.h"
 
@@ -94,14 +95,14 @@
         return reply;
     }
     if (command.verb == KvVerb::List) {
-        const auto listing = nlohmann::json::parse(response.body(), nullptr, false);
+        const auto listing = tryParseJson(response.body());
         if (!listing.is_object() || !listing.contains("keys")) {
             reply.status = KvStatus::Unknown;
             return reply;
         }
         reply.value = listing["keys"].dump();
     } else if (command.verb == KvVerb::GrantLease) {
-        const auto granted = nlohmann::json::parse(response.body(), nullptr, false);
+        const auto granted = tryParseJson(response.body());
         reply.value = granted.is_object() ? stringMember(granted, "lease") : std::string();
     } else if (command.verb == KvVerb::Get || reply.status == KvStatus::Conflict) {
         reply.value = std::move(response.body());
@@ -129,7 +130,7 @@
 
 std::optional<std::vector<HostListEntry>> hostsFromJson(const std::string &text)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
+    const auto document = tryParseJson(text);
     if (!document.is_object() || !document.contains("hosts") || !document["hosts"].is_array()) {
         return std::nullopt;
     }
@@ -247,7 +248,7 @@
                             std::uint64_t &revision,
                             const std::function<void(const std::vector<KeyChange> &)> &onChange)
     {
-        const auto document = nlohmann::json::parse(response.body(), nullptr, false);
+        const auto document = tryParseJson(response.body());
         if (response.result_int() != 200 || !document.is_object()) {
             return false;
         }
--- a/godwit/prepaid/prepaid_record.cpp
+++ b/godwit/prepaid/prepaid_record.cpp
@@ -1,6 +1,7 @@
 #include "godwit/prepaid/prepaid_record.h"
 
 #include "godwit/base/json_number.h"
+#include "godwit/base/json_text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -88,7 +89,7 @@
 std::optional<PrepaidLedger> decodePrepaidLedger(std::string_view bytes, LastReason &reason)
 {
     try {
-        const json value = json::parse(bytes);
+        const json value = parseJson(bytes);
         PrepaidLedger ledger;
         ledger.documentVersion = naturalNumber(value.at("version"));
         for (const auto &[customer, account] : value.at("accounts").items()) {
@@ -123,7 +124,7 @@
 std::optional<MarkRecord> decodeMark(std::string_view bytes, LastReason &reason)
 {
     try {
-        const json value = json::parse(bytes);
+        const json value = parseJson(bytes);
         MarkRecord mark;
         mark.writer = Incarnation{value.at("writer").get<std::string>()};
         mark.writtenAt.uptime = std::chrono::milliseconds(integerFromJson(value.at("uptime_ms")));
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -25,6 +25,10 @@
     {PlaceWaitOutcome::Expired, "expired"},
 };
 
+// Bounds of what is remembered and logged of items of the store that can't be used.
+constexpr std::size_t MaxRefusedEntries = 4096;
+constexpr std::size_t MaxLoggedEntryBytes = 300;
+
 // Interval at which waiting requests are looked at besides when a place becomes free.
 constexpr Duration PlaceQueueInterval = std::chrono::milliseconds(10);
 
@@ -192,6 +196,25 @@
     }
 }
 
+void Relay::recordRefusedEntry(std::string_view kind,
+                               const std::string &key,
+                               std::uint64_t revision,
+                               std::string_view cause)
+{
+    if (m_refusedEntries.size() >= MaxRefusedEntries) {
+        m_refusedEntries.clear();
+    }
+    if (std::exchange(m_refusedEntries[key], revision) == revision) {
+        return;
+    }
+    ++m_counters.entriesRefused[std::string(kind)];
+    const std::string event = std::string(kind) + "_refused";
+    m_log.write(event,
+                {{"key", std::string_view(key).substr(0, MaxLoggedEntryBytes)},
+                 {"revision", static_cast<std::int64_t>(revision)},
+                 {"cause", cause.substr(0, MaxLoggedEntryBytes)}});
+}
+
 void Relay::applyBrittleReport(const BrittleReport &report)
 {
     EndpointTable &table = m_state.endpoints;
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -236,6 +236,7 @@
     std::map<std::pair<std::string, PlaceWaitOutcome>, std::uint64_t> placeWaits; // Keyed by service and outcome.
     std::uint64_t answersWithoutDeclaredEnd = 0; // Responses delimited by closing the caller's connection.
     std::map<std::pair<std::string, HedgeOutcome>, std::uint64_t> hedges; // Keyed by service and outcome.
+    std::map<std::string, std::uint64_t> entriesRefused; // Items of the store, keyed by kind.
     std::map<ReaderCut, std::uint64_t> readersCut; // Callers and endpoints disconnected because they don't read.
     CallMetrics calls;
 };
@@ -391,6 +392,13 @@
     // Passes all recorded streams to onStreamsRecorded, for when the store can't be reached any more.
     void shareStreamRecords();
 
+    // Logs and counts an item of the store that can't be used, once for each of its revisions. `kind` is a word such as
+    // "endpoint".
+    void recordRefusedEntry(std::string_view kind,
+                            const std::string &key,
+                            std::uint64_t revision,
+                            std::string_view cause);
+
     // Applies another router's report that a service is brittle.
     void applyBrittleReport(const BrittleReport &report);
 
@@ -464,6 +472,7 @@
     boost::asio::steady_timer m_placeTimer;
     bool m_servesPlacesSoon = false;
     std::mt19937_64 m_random;
+    std::map<std::string, std::uint64_t> m_refusedEntries; // Latest refused revision by key.
 };
 
 } // namespace Godwit
--- a/godwit/suspects/first_deaths.cpp
+++ b/godwit/suspects/first_deaths.cpp
@@ -1,5 +1,6 @@
 #include "godwit/suspects/first_deaths.h"
 
+#include "godwit/base/json_text.h"
 #include "godwit/base/milliseconds.h"
 #include "godwit/suspects/suspect_record.h"
 
@@ -73,7 +74,7 @@
 
 std::optional<std::vector<FirstDeath>> decodeFirstDeaths(const std::string &text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = tryParseJson(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
--- a/godwit/suspects/suspect_record.cpp
+++ b/godwit/suspects/suspect_record.cpp
@@ -1,5 +1,7 @@
 #include "godwit/suspects/suspect_record.h"
 
+#include "godwit/base/json_text.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -48,7 +50,7 @@
 
 std::optional<SuspectRecord> decodeSuspectRecord(const std::string &text)
 {
-    const json value = json::parse(text, nullptr, false);
+    const json value = tryParseJson(text);
     if (!value.is_object()) {
         return std::nullopt;
     }
