Callers: no final 413 or 431 by limits of an unknown configuration

A router that had started without the store answered 413 to bodies over 1 MiB and 431 to heads over 16 KiB: it took the defaults for the operators' limits. Callers take both as final, so that the requests were lost.

Without a configuration bodies up to 64 MiB and heads up to 256 KiB are read, as far as there is memory, and answered 503. A limit of a configuration that is not confirmed as current gives 503 with Retry-After as well. Limits apply from the first byte of a request, no longer from the end of the one before.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -45,10 +45,19 @@
     return ErrorKind::MalformedRequest;
 }
 
+// Limits while there is no configuration, which may allow more than the defaults.
+constexpr std::size_t MaxHeaderBytesUnconfigured = 256UL * 1024;
+constexpr std::size_t MaxBodyBytesUnconfigured = 64UL * 1024 * 1024;
+
 CallerLimits currentLimits(Relay &relay)
 {
-    const auto &routes = relay.state().routes;
-    return routes ? routes->document.limits : CallerLimits{};
+    if (const auto &routes = relay.state().routes) {
+        return routes->document.limits;
+    }
+    CallerLimits limits;
+    limits.maxHeaderBytes = MaxHeaderBytesUnconfigured;
+    limits.maxBodyBytes = MaxBodyBytesUnconfigured;
+    return limits;
 }
 
 } // namespace
@@ -120,10 +129,7 @@
 
 void CallerConnection::readRequest()
 {
-    const CallerLimits limits = currentLimits(m_relay);
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-    m_parser->body_limit(limits.maxBodyBytes);
     m_awaitingRequest = true;
     m_receivingRequest = false;
     m_answerDone = false;
@@ -132,7 +138,7 @@
         readHead();
         return;
     }
-    m_timer.expires_after(limits.idleTimeout);
+    m_timer.expires_after(currentLimits(m_relay).idleTimeout);
     armReadTimeout();
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
         if (!error && !self->m_closed) {
@@ -161,7 +167,10 @@
 void CallerConnection::readHead()
 {
     m_receivingRequest = true;
-    m_timer.expires_after(currentLimits(m_relay).headerTimeout);
+    const CallerLimits limits = currentLimits(m_relay);
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    m_parser->body_limit(limits.maxBodyBytes);
+    m_timer.expires_after(limits.headerTimeout);
     armReadTimeout();
     http::async_read_header(
         m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
@@ -253,6 +262,13 @@
     Error refusal;
     refusal.kind = kindOf(error);
     refusal.message = "malformed request: " + error.message();
+    const bool exceedsLimit = refusal.kind == ErrorKind::HeaderTooLarge || refusal.kind == ErrorKind::BodyTooLarge;
+    // Callers take these as final, but a newer configuration may allow more.
+    if (exceedsLimit && !m_relay.hasConfirmedDocument(Relay::now())) {
+        refusal.kind = ErrorKind::NotConfigured;
+        refusal.message = "configuration not confirmed as current: " + error.message();
+        refusal.retryAfter = m_relay.options().defaultRetryAfter;
+    }
     m_closeAfterAnswer = true; // The start of the next request can't be determined.
     m_relay.log().write("unreadable_request", {{"cause", std::string_view(refusal.message)}});
     ++m_relay.counters().refusals[refusal.kind];
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -230,6 +230,63 @@
     CHECK(router.received().find(expected) == 0);
 }
 
+// Guards against a final 413 or 431 by limits that the router only assumes.
+TEST_CASE("a router without a current configuration sends no final 413 or 431")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    const bool bodyIsLarge = GENERATE(false, true);
+    const std::size_t bodyBytes = bodyIsLarge ? 1'500'000 : 0;
+    const std::string padding = bodyIsLarge ? std::string() : "X-Padding: " + std::string(20'000, 'x') + "\r\n";
+    const std::string denied = bodyIsLarge ? "HTTP/1.1 413" : "HTTP/1.1 431";
+    std::string expected = "HTTP/1.1 503";
+    SECTION("no configuration is known")
+    {
+    }
+    SECTION("the configuration is not confirmed as current")
+    {
+        state.stage = RelayStage::Serving;
+        state.routes = makeRouteTable(documentWithRoute());
+    }
+    SECTION("the configuration is current")
+    {
+        state.stage = RelayStage::Serving;
+        state.routes = makeRouteTable(documentWithRoute());
+        recordFullRead(state.documentFreshness, Relay::now());
+        expected = denied;
+    }
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
+        + ": 1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n" + padding + "\r\n"
+        + std::string(bodyBytes, 'b');
+    std::size_t sent = 0;
+    for (int i = 0; i < 200 && sent < request.size(); ++i) {
+        boost::system::error_code error;
+        sent += router.caller.write_some(boost::asio::buffer(request.data() + sent, request.size() - sent), error);
+        router.run(std::chrono::milliseconds(2));
+    }
+    router.run(std::chrono::milliseconds(20));
+    const std::string answer = router.received();
+    CHECK(answer.find(expected) == 0);
+    CHECK((answer.find("Retry-After") != std::string::npos) == (expected == "HTTP/1.1 503"));
+}
+
+// Guards against limits of an earlier configuration for the next request on an open connection.
+TEST_CASE("a connection that was open before the configuration came has its limits")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    state.stage = RelayStage::Serving;
+    SiteDocument document = documentWithRoute();
+    document.limits.maxBodyBytes = 10;
+    state.routes = makeRouteTable(document);
+    recordFullRead(state.documentFreshness, Relay::now());
+    boost::asio::write(router.caller,
+                       boost::asio::buffer("POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
+                                           + ": 1\r\nContent-Length: 11\r\n\r\n12345678901"));
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().find("HTTP/1.1 413") == 0);
+}
+
 TEST_CASE("a connection with an unread request is not closed as idle")
 {
     // The event loop was busy when the request arrived, so it had not been read yet. The connection was closed as idle
--- a/godwit/relay/head_refusal.cpp
+++ b/godwit/relay/head_refusal.cpp
@@ -123,12 +123,30 @@
     return refusal;
 }
 
+// The body of a request is read although it will be refused: its caller may read the response only afterwards.
+std::optional<HeadRefusal> refuseUnconfigured(Relay &relay, std::optional<std::uint64_t> bodyBytes)
+{
+    if (mayHoldBody(*relay.state().held, relay.options().held, bodyBytes)) {
+        return std::nullopt;
+    }
+    HeadRefusal refusal;
+    refusal.error.kind = ErrorKind::NotConfigured;
+    refusal.error.message = "this router has not loaded a configuration yet, and has no room for the body";
+    refusal.error.retryAfter = relay.options().defaultRetryAfter;
+    ++relay.counters().requests;
+    ++relay.counters().refusals[refusal.error.kind];
+    return refusal;
+}
+
 } // namespace
 
 std::optional<HeadRefusal> refuseOnHead(Relay &relay, const RequestHead &head, std::optional<std::uint64_t> bodyBytes)
 {
     const RelayState &state = relay.state();
-    if (!state.routes || state.stage == RelayStage::Stopping) {
+    if (!state.routes) {
+        return refuseUnconfigured(relay, bodyBytes);
+    }
+    if (state.stage == RelayStage::Stopping) {
         return std::nullopt;
     }
     const CallerAdmissionOptions &options = relay.options().callerAdmission;
