--- a/godwit/daemon/version_announcer.cpp
+++ b/godwit/daemon/version_announcer.cpp
@@ -88,7 +88,7 @@
     StoreTransaction transaction;
     transaction.conditions.push_back({m_key, m_writeRevision});
     transaction.puts.push_back({m_key, encodeAnnouncements(announcements), 0});
-    m_store.transact(transaction, [this, announcements](const StoreWriteReply &reply) {
+    m_store.transact(transaction, [this, announcements, expected = m_writeRevision](const StoreWriteReply &reply) {
         m_writeInFlight = false;
         if (reply.status == StoreStatus::Ok) {
             m_needsRewrite = false;
@@ -100,7 +100,6 @@
                 onWritten({m_key, encodeAnnouncements(announcements), reply.revision});
             }
         } else if (reply.status == StoreStatus::ConditionFailed && reply.currentItems) {
-            const std::uint64_t expected = m_writeRevision;
             if (reply.currentItems->empty()) {
                 onRemoved();
             }
