Streams: any router announces a version that the writer has not announced in time

The take-over is now due after 100 ms and a random time that grows with the fleet, on a timer of its own.

--- a/godwit/daemon/version_announcer.cpp
+++ b/godwit/daemon/version_announcer.cpp
@@ -51,6 +51,7 @@
     , m_store(store)
     , m_key(std::move(key))
     , m_options(options)
+    , m_takeOverTimer(relay.io())
 {
 }
 
@@ -67,6 +68,7 @@
         stored, state.streamVersions, m_relay.options().streamVersions, m_writeRevision, removes, now);
     if (wanted == stored && !m_needsRewrite) {
         m_takeOverAt.reset();
+        m_takeOverTimer.cancel();
     } else if (removes || mayTakeOver(now)) {
         write(wanted);
     }
@@ -77,7 +79,14 @@
     if (!m_takeOverAt) {
         constexpr std::uint64_t steps = 1024;
         const double random = static_cast<double>(m_relay.random() % steps) / steps;
-        m_takeOverAt = now + std::chrono::duration_cast<Duration>(m_options.takeOverDelay * (1 + random));
+        const Duration spread = m_options.takeOverSpread * m_relay.state().liveRouters;
+        m_takeOverAt = now + m_options.takeOverDelay + std::chrono::duration_cast<Duration>(spread * random);
+        m_takeOverTimer.expires_at(*m_takeOverAt);
+        m_takeOverTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                step();
+            }
+        });
     }
     return now >= *m_takeOverAt;
 }
--- a/godwit/daemon/version_announcer.h
+++ b/godwit/daemon/version_announcer.h
@@ -29,9 +29,11 @@
 
 struct VersionAnnouncerOptions
 {
-    // A router that is not the writer announces a version that is still not announced after a random time between this
-    // and twice this.
-    Duration takeOverDelay = std::chrono::milliseconds(500);
+    // A router that is not the writer announces a version that is still not announced after `takeOverDelay` and a
+    // random part of `takeOverSpread` for each router. There is no writer in the first second after all routers have
+    // started.
+    Duration takeOverDelay = std::chrono::milliseconds(100);
+    Duration takeOverSpread = std::chrono::milliseconds(10);
     // Limit of the wait in confirm(); the caller of a stream waits meanwhile.
     Duration confirmationTimeout = std::chrono::milliseconds(300);
 };
@@ -81,6 +83,7 @@
     std::uint64_t m_writeRevision = 0; // Expected revision of the key; 0 if the store has none.
     bool m_writeInFlight = false;
     std::optional<TimePoint> m_takeOverAt; // Set while a listed version is not announced.
+    boost::asio::steady_timer m_takeOverTimer;
     std::shared_ptr<Waiters> m_readers; // Of the open read; null if none is open.
     bool m_needsRewrite = false; // The store's value is unreadable or was removed.
     std::set<SeenVersion> m_seen; // The announced ones.
