--- a/godwit/base/json_text.cpp
+++ b/godwit/base/json_text.cpp
@@ -10,7 +10,7 @@
 
 using nlohmann::json;
 
-// Levels of arrays and objects. Exact for valid JSON; for other text it doesn't matter.
+// Levels of arrays and objects. Exact up to the first error of the text, where the parser stops.
 std::size_t nestingDepth(std::string_view text)
 {
     std::size_t depth = 0;
