Callers: don't begin a request whose caller has left by the time it is read

On an overloaded host requests wait in the socket for seconds. The close lies behind the request in the socket; it is now looked for before the request is begun.

relay_test, new case: 2 of 4 assertions failed before, all 385 pass.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -281,6 +281,16 @@
     m_awaitingRequest = false;
     m_receivingRequest = false;
     m_timer.cancel();
+    // On an overloaded host a request waits in the socket, and its caller may have left meanwhile.
+    if (hasDisconnected()) {
+        LastReason ignored;
+        const auto facts = parseRequestHead(m_parser->get().base(), ignored);
+        const std::string id = facts ? facts->attemptId : std::string();
+        ++m_relay.counters().callerDisconnects;
+        m_relay.log().write("caller_left", {{"id", std::string_view(id)}, {"may_have_run", false}});
+        close();
+        return;
+    }
     auto request = m_parser->release();
     m_keepAlive = request.keep_alive();
     std::string body = std::move(request.body());
@@ -294,16 +304,21 @@
     }
 }
 
-// A disconnect shows as end of stream or as a socket error.
+// A disconnect shows as end of stream or as a socket error, unless unread bytes precede it.
+bool CallerConnection::hasDisconnected()
+{
+    std::array<char, 1> byte{};
+    const ssize_t got = ::recv(m_socket.native_handle(), byte.data(), 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void CallerConnection::watchForDisconnect()
 {
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
         if (self->m_closed || !self->m_call || error == asio::error::operation_aborted) {
             return;
         }
-        std::array<char, 1> byte{};
-        const ssize_t got = ::recv(self->m_socket.native_handle(), byte.data(), 1, MSG_PEEK | MSG_DONTWAIT);
-        if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+        if (self->hasDisconnected()) {
             self->close();
             return;
         }
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -83,6 +83,7 @@
     void countRead(std::size_t bytes);
     void onMalformedRequest(const boost::system::error_code &error);
     void startCall();
+    bool hasDisconnected();
     void watchForDisconnect();
     void write();
     void writePart();
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -270,6 +270,23 @@
     CHECK((answer.find("Retry-After") != std::string::npos) == (expected == "HTTP/1.1 503"));
 }
 
+// Guards against work for callers that left while their request was unread.
+TEST_CASE("a request whose caller has left by the time it is read is not begun")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    state.stage = RelayStage::Serving;
+    state.routes = makeRouteTable(documentWithRoute());
+    const bool leaves = GENERATE(false, true);
+    router.sendGet("keep-alive");
+    if (leaves) {
+        router.caller.close();
+    }
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.relay.counters().requests == (leaves ? 0 : 1));
+    CHECK(router.relay.counters().callerDisconnects == (leaves ? 1 : 0));
+}
+
 // Guards against limits of an earlier configuration for the next request on an open connection.
 TEST_CASE("a connection that was open before the configuration came has its limits")
 {
