--- a/godwit/relay/relay_call_resumption.cpp
+++ b/godwit/relay/relay_call_resumption.cpp
@@ -6,6 +6,7 @@
 #include "godwit/base/milliseconds.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <set>
 
 namespace Godwit
@@ -130,7 +131,7 @@
     const auto known = knownVersions(state.streamVersions, options.streamVersions, m_serviceName, now);
     const std::string knownText = joinVersions(known);
     const auto &confirmedAt = state.announcedVersions.confirmedAt;
-    const double versionsAge = confirmedAt ? toMilliseconds(Relay::bootTimeNow() - *confirmedAt) : -1;
+    const std::int64_t versionsAge = confirmedAt ? toMilliseconds(Relay::bootTimeNow() - *confirmedAt) : -1;
     m_relay.log().write("stream_resumed",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"began_as", std::string_view(m_facts.resumedAttempt)},
