Log why an unknown route or key is refused, for good or for now

A refusal didn't say why the router took its document for confirmed. The line unknown_refused names the document's version and revision, the source and the peer of the latest confirmation, its age, and the ages of the router's own last read and of the last peer's answer. No change of logic.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -587,7 +587,7 @@
     } else if (envelope.topic == SnapshotRequestTopic) {
         onSnapshotRequest(from, envelope.body);
     } else if (envelope.topic == SnapshotTopic) {
-        onSnapshotReceived(envelope.body);
+        onSnapshotReceived(from, envelope.body);
     }
 }
 
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -302,7 +302,7 @@
     bool holdsState(const PrefixState &state) const;
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
     bool maySendSnapshot(const Incarnation &to, std::size_t bytes);
-    void onSnapshotReceived(const std::string &body);
+    void onSnapshotReceived(const Incarnation &from, const std::string &body);
     std::vector<Incarnation> shuffledPeers();
     void onCopyStates(const Incarnation &from, const nlohmann::json &heartbeat);
     nlohmann::json encodeCopyStates() const;
--- a/godwit/daemon/fleet_replication.cpp
+++ b/godwit/daemon/fleet_replication.cpp
@@ -133,8 +133,9 @@
 
 void FleetLinks::onUpdateReceived(const Incarnation &from, const std::string &body)
 {
-    const auto update = decodeUpdate(body);
+    auto update = decodeUpdate(body);
     if (update && onUpdate) {
+        update->sender = from.value;
         onUpdate(from, *update);
     }
 }
@@ -189,12 +190,13 @@
     }
 }
 
-void FleetLinks::onSnapshotReceived(const std::string &body)
+void FleetLinks::onSnapshotReceived(const Incarnation &from, const std::string &body)
 {
-    const auto snapshot = decodeSnapshot(body);
+    auto snapshot = decodeSnapshot(body);
     if (!snapshot) {
         return;
     }
+    snapshot->sender = from.value;
     const auto probe = std::find(m_lagProbes.begin(), m_lagProbes.end(), snapshot->timestamp);
     if (probe != m_lagProbes.end()) {
         // Responses to earlier probes that arrive after this one were delayed by their sender, not by this host's link.
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -473,8 +473,8 @@
             m_relay.state().documentAsOf = m_documents.asOf();
             applyEvacuations(items);
             const auto found = items.find(std::string(SiteDocumentKey));
-            if (found != items.end() && found->second.revision != m_documentRevision) {
-                m_documentRevision = found->second.revision;
+            if (found != items.end() && found->second.revision != m_relay.state().documentRevision) {
+                m_relay.state().documentRevision = found->second.revision;
                 applyDocument(found->second.value);
             }
         };
@@ -508,7 +508,8 @@
         LastReason reason;
         auto document = decodeSiteDocument(text, reason);
         if (!document) {
-            m_relay.recordRefusedEntry("document", std::string(SiteDocumentKey), m_documentRevision, reason->message);
+            m_relay.recordRefusedEntry(
+                "document", std::string(SiteDocumentKey), m_relay.state().documentRevision, reason->message);
             return;
         }
         auto &state = m_relay.state();
@@ -946,7 +947,6 @@
     boost::asio::steady_timer m_sweepTimer;
     boost::asio::steady_timer m_stopTimer;
     std::mt19937_64 m_random{std::random_device{}()};
-    std::uint64_t m_documentRevision = 0;
     TimePoint m_nextLoadLog;
     std::uint64_t m_requestsAtSweep = 0;
     bool m_copiesOutdated = false;
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -49,6 +49,7 @@
 
 struct PrefixUpdate
 {
+    std::string sender; // Incarnation of the sender. Set by the receiver and not transmitted.
     PrefixState state; // State of the sender's copy after these changes.
     bool fromFullRead = false; // The sender has just completed a full read of the prefix.
     bool truncated = false; // Some changes were too large to include.
@@ -59,6 +60,7 @@
 
 struct PrefixSnapshot
 {
+    std::string sender; // As in PrefixUpdate.
     PrefixState state;
     Duration age{}; // Time since the last full read known to the sender.
     // For how long the sender has had changes that the requester's copy lacks.
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -279,7 +279,7 @@
     if (m_copy.complete && digestOf(m_copy) == update.state.digest) {
         markComplete(m_copy, update.state.completeTo);
         if (update.fromFullRead) {
-            recordMatchingPeerRead(m_freshness, Relay::now());
+            recordMatchingPeerRead(m_freshness, Relay::now(), update.sender);
         }
         return;
     }
@@ -430,9 +430,9 @@
     const std::uint64_t stored = newestRevision(m_copy);
     if (stored < snapshot.state.newestRevision && snapshot.aheadFor > Duration::zero()) {
         m_missingRevision = std::max(m_missingRevision, snapshot.state.newestRevision);
-        recordPeerState(m_freshness, requestedAt, snapshot.aheadFor, Relay::now());
+        recordPeerState(m_freshness, requestedAt, snapshot.aheadFor, Relay::now(), snapshot.sender);
     } else if (m_copy.complete && stored >= m_missingRevision) {
-        recordPeerState(m_freshness, requestedAt, Duration::zero(), Relay::now());
+        recordPeerState(m_freshness, requestedAt, Duration::zero(), Relay::now(), snapshot.sender);
     }
 }
 
--- a/godwit/gateway/copy_freshness.h
+++ b/godwit/gateway/copy_freshness.h
@@ -10,18 +10,37 @@
 //   recordPeerState(freshness, askedAt, peerAheadFor, now);
 //   if (isStale(freshness, options, now)) { ... refuse requests that depend on the copy ... }
 
+#include "godwit/base/enum_names.h"
 #include "godwit/base/time.h"
 
 #include <algorithm>
+#include <string>
 
 namespace Godwit
 {
 
+enum class ConfirmationSource {
+    None,
+    OwnRead, // This router read the store.
+    PeerRead, // A peer reported a read of the store.
+    PeerCopy, // A peer compared its copy.
+};
+
+inline constexpr EnumName<ConfirmationSource> ConfirmationSourceNames[] = {
+    {ConfirmationSource::None, "none"},
+    {ConfirmationSource::OwnRead, "own_read"},
+    {ConfirmationSource::PeerRead, "peer_read"},
+    {ConfirmationSource::PeerCopy, "peer_copy"},
+};
+
 struct CopyFreshness
 {
     TimePoint lastResponseAt; // Arrival of the last response from a peer.
     TimePoint currentAsOf; // Latest time at which the copy held everything that another router held.
     TimePoint peerConfirmedAt; // When a peer last reported a read of the store that matched the copy.
+    TimePoint ownReadAt; // Start of this router's latest full read of the store.
+    ConfirmationSource confirmedBy = ConfirmationSource::None; // Source of the latest confirmation.
+    std::string confirmedByPeer; // The peer; empty unless a peer is the source.
 };
 
 struct FreshnessOptions
@@ -37,12 +56,31 @@
     Duration confirmationValidity = std::chrono::seconds(2);
 };
 
+// Returns the latest time at which the copy was shown to be current.
+inline TimePoint confirmedCurrentAt(const CopyFreshness &freshness)
+{
+    return std::max(freshness.currentAsOf, freshness.peerConfirmedAt);
+}
+
+// Notes who confirmed the copy at `at`, unless a later confirmation is known.
+inline void noteConfirmation(CopyFreshness &freshness, TimePoint at, ConfirmationSource source, const std::string &peer)
+{
+    if (at >= confirmedCurrentAt(freshness)) {
+        freshness.confirmedBy = source;
+        freshness.confirmedByPeer = peer;
+    }
+}
+
 // Records the response of a peer that was polled at `askedAt` and had held changes missing from this copy for
 // `peerAheadFor`. Zero only means that the peer holds nothing newer: its copy may be stale as well.
-inline void recordPeerState(CopyFreshness &freshness, TimePoint askedAt, Duration peerAheadFor, TimePoint now)
+inline void recordPeerState(
+    CopyFreshness &freshness, TimePoint askedAt, Duration peerAheadFor, TimePoint now, const std::string &peer = {})
 {
     freshness.lastResponseAt = now;
     const TimePoint currentUntil = std::min(askedAt, now) - peerAheadFor;
+    if (peerAheadFor == Duration::zero()) {
+        noteConfirmation(freshness, currentUntil, ConfirmationSource::PeerCopy, peer);
+    }
     freshness.currentAsOf =
         peerAheadFor > Duration::zero() ? currentUntil : std::max(freshness.currentAsOf, currentUntil);
 }
@@ -50,21 +88,18 @@
 // Records that this router has read everything from the store, starting at `startedAt`.
 inline void recordFullRead(CopyFreshness &freshness, TimePoint startedAt)
 {
+    noteConfirmation(freshness, startedAt, ConfirmationSource::OwnRead, {});
+    freshness.ownReadAt = std::max(freshness.ownReadAt, startedAt);
     freshness.currentAsOf = std::max(freshness.currentAsOf, startedAt);
 }
 
 // Records that a peer has read the store and found the same state as this copy.
-inline void recordMatchingPeerRead(CopyFreshness &freshness, TimePoint now)
+inline void recordMatchingPeerRead(CopyFreshness &freshness, TimePoint now, const std::string &peer = {})
 {
+    noteConfirmation(freshness, now, ConfirmationSource::PeerRead, peer);
     freshness.peerConfirmedAt = now;
 }
 
-// Returns the latest time at which the copy was shown to be current.
-inline TimePoint confirmedCurrentAt(const CopyFreshness &freshness)
-{
-    return std::max(freshness.currentAsOf, freshness.peerConfirmedAt);
-}
-
 // Whether the copy was recently shown to be current. Otherwise, an entry that is missing from the copy may exist: the
 // router may be partitioned, or updates may be queued on its link.
 inline bool isConfirmedCurrent(const CopyFreshness &freshness, const FreshnessOptions &options, TimePoint now)
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -127,6 +127,7 @@
     TimePoint congestedAt;
     TimePoint endpointsAsOf; // The endpoint list is at least as new as this.
     TimePoint documentAsOf; // The document is at least as new as this.
+    std::uint64_t documentRevision = 0; // Store revision of the latest document received.
     bool closeAfterAnswer = false; // Connections are closed after their responses, so that callers reconnect.
     CopyFreshness endpointsFreshness; // Whether the endpoint list is as new as those of other routers.
     CopyFreshness documentFreshness; // Likewise for the document.
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -125,7 +125,23 @@
 // instead: another router may have a newer document.
 void RelayCall::refuseUnknown(ErrorKind kind, const std::string &message)
 {
-    if (m_relay.hasConfirmedDocument(m_arrived)) {
+    const bool confirmed = m_relay.hasConfirmedDocument(m_arrived);
+    const CopyFreshness &freshness = m_relay.state().documentFreshness;
+    const auto ageMs = [this](TimePoint at) {
+        return at == TimePoint{} ? std::int64_t{-1} : toMilliseconds(m_arrived - at);
+    };
+    m_relay.log().write("unknown_refused",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"cause", errorName(kind)},
+                         {"final", confirmed},
+                         {"document", static_cast<std::int64_t>(m_table->document.version)},
+                         {"revision", static_cast<std::int64_t>(m_relay.state().documentRevision)},
+                         {"confirmed_by", enumName(ConfirmationSourceNames, freshness.confirmedBy)},
+                         {"peer", std::string_view(freshness.confirmedByPeer)},
+                         {"confirmed_ms", ageMs(confirmedCurrentAt(freshness))},
+                         {"own_read_ms", ageMs(freshness.ownReadAt)},
+                         {"peer_answer_ms", ageMs(freshness.lastResponseAt)}});
+    if (confirmed) {
         refuse(kind, message, std::nullopt);
     } else {
         refuse(ErrorKind::NotConfigured, "configuration not confirmed as current: " + message, randomizedRetryAfter());
