Confirm a copy only by reads of the store, as of their start

Cause: the document counted as confirmed by statements that say nothing about the store. A peer that had "nothing newer" confirmed it as of the question, although the peer's copy may be as old; "nothing newer" compared the newest revisions, so that a copy that lacked a change was confirmed if it had a later one of another key; and a peer's report of a read counted as of its arrival, however long it had been on its way.

Now a copy is confirmed by a read of the store, and as of the start of that read. A router passes on the read that confirms its own copy, with its report or in its answer, and the receiver takes it over only if its copy is complete up to the peer's revision. The times travel in the sender's boot time; an answer to a question bounds by how much that clock may be ahead, so that a converted time is never too late. A router that gets a report of a peer whose clock it doesn't know asks it once. Messages of earlier versions have no such time and confirm nothing.

While no router reads the store, unknown routes and keys are refused with 503 and Retry-After instead of 404 and 401: a document may be stored that no router has read. Known routes are served as before.

caller_connection_test asserted a 404 because a peer had nothing newer, which is the fault; it now expects 503 there, and 404 after each kind of confirmation by a read.

--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -8,6 +8,7 @@
 #include "godwit/base/time.h"
 #include "godwit/daemon/prefix_messages.h"
 #include "godwit/gateway/byte_rate_limiter.h"
+#include "godwit/gateway/clock_offsets.h"
 #include "godwit/gateway/entry_hosts.h"
 #include "godwit/gateway/read_schedule.h"
 #include "godwit/gateway/speed_exchange.h"
@@ -85,6 +86,7 @@
     Duration staleLag = std::chrono::milliseconds(500);
     // Maximum number of open lag probes; the oldest one beyond it counts as lost.
     std::size_t maxOpenLagProbes = 32;
+    ClockOffsetOptions clockOffsets;
     // Routers that keep a copy of a stream's record, besides the one that wrote it, and routers that are asked for it:
     // more, since the routers' views of the fleet may differ.
     std::size_t streamRecordCopies = 2;
@@ -303,6 +305,8 @@
     void onSnapshotRequest(const Incarnation &from, const std::string &body);
     bool maySendSnapshot(const Incarnation &to, std::size_t bytes);
     void onSnapshotReceived(const Incarnation &from, const std::string &body);
+    // Asks a peer whose clock offset is unknown for the state of its copy, so that its reports of reads can be dated.
+    void measureClockOffset(const Incarnation &peer, const std::string &prefix);
     std::vector<Incarnation> shuffledPeers();
     void onCopyStates(const Incarnation &from, const nlohmann::json &heartbeat);
     nlohmann::json encodeCopyStates() const;
@@ -362,6 +366,7 @@
     bool m_settled = false;
     ByteRateLimiter m_snapshotBytes;
     std::deque<std::int64_t> m_lagProbes; // Timestamps of the probes without a response yet, the oldest first.
+    ClockOffsets m_clockOffsets;
     bool m_sentReady = false;
     bool m_sentStoreReachable = false;
     std::vector<EndpointGroup> m_sentPartitioned;
--- a/godwit/daemon/fleet_links_test.cpp
+++ b/godwit/daemon/fleet_links_test.cpp
@@ -49,6 +49,9 @@
         };
         links.onUpdate = [this](const Incarnation &, const PrefixUpdate &update) {
             updates += update.changes.empty() ? 0 : 1;
+            if (update.fromFullRead) {
+                reportedReads.push_back(update.readStartedAt);
+            }
         };
         links.onSnapshot = [this](const PrefixSnapshot &snapshot) {
             ++snapshots;
@@ -89,6 +92,7 @@
     std::size_t itemBytes = 0; // Size of the entry in this router's snapshots; 0 for none.
     int snapshots = 0;
     int snapshotsWithItems = 0; // Of `snapshots`.
+    std::vector<std::optional<TimePoint>> reportedReads;
     int updates = 0;
     int requestsReceived = 0;
     int itemRequests = 0;
@@ -263,6 +267,40 @@
     }
 }
 
+// Guards against a report of a read that was on its way for seconds and counts as of its arrival.
+TEST_CASE("a report of a read is dated by the start of the read")
+{
+    Routers routers({"a", "b"});
+    for (const auto &router : routers.all) {
+        router->links.copyStates = [] {
+            return std::vector<PrefixState>{{"servers/", 7, 1, 7}};
+        };
+    }
+    const auto report = [&routers] {
+        PrefixUpdate update;
+        update.state = {"servers/", 7, 1, 7};
+        update.fromFullRead = true;
+        update.readStartedAt = Relay::bootTimeNow();
+        routers[0].links.sendUpdate(update);
+        return *update.readStartedAt;
+    };
+    const auto &received = routers[1].reportedReads;
+    report();
+    routers.run(std::chrono::milliseconds(100));
+    REQUIRE(received.size() == 1);
+    // The sender's clock is not known yet; the receiver asks for it.
+    CHECK_FALSE(received.back().has_value());
+    CHECK(routers[0].requestsReceived > 0);
+    CHECK(routers[0].itemRequests == 0);
+    const TimePoint startedAt = report();
+    routers.run(std::chrono::milliseconds(800), {&routers[1]});
+    routers.run(std::chrono::milliseconds(100));
+    REQUIRE(received.size() == 2);
+    REQUIRE(received.back().has_value());
+    CHECK(*received.back() <= startedAt);
+    CHECK(*received.back() > startedAt - std::chrono::milliseconds(50));
+}
+
 TEST_CASE("an update too large to send to every peer is forwarded and reaches all of them")
 {
     Routers routers({"a", "b", "c", "d", "e", "f"});
--- a/godwit/daemon/fleet_replication.cpp
+++ b/godwit/daemon/fleet_replication.cpp
@@ -136,13 +136,32 @@
     auto update = decodeUpdate(body);
     if (update && onUpdate) {
         update->sender = from.value;
+        if (update->readStartedAt) {
+            measureClockOffset(from, update->state.prefix);
+            update->readStartedAt = toLocalTime(
+                m_clockOffsets, m_options.clockOffsets, from.value, *update->readStartedAt, Relay::bootTimeNow());
+        }
         onUpdate(from, *update);
     }
 }
 
+void FleetLinks::measureClockOffset(const Incarnation &peer, const std::string &prefix)
+{
+    const auto own = copyStates ? copyStates() : std::vector<PrefixState>{};
+    const auto state = std::find_if(own.begin(), own.end(), [&prefix](const PrefixState &copy) {
+        return copy.prefix == prefix;
+    });
+    if (state == own.end()
+        || !startClockExchange(m_clockOffsets, m_options.clockOffsets, peer.value, Relay::bootTimeNow())) {
+        return;
+    }
+    requestSnapshot(peer, {prefix, 0, state->digest, true, state->newestRevision});
+}
+
 bool FleetLinks::requestSnapshot(const Incarnation &peer, SnapshotRequest request)
 {
     request.timestamp = Relay::now().time_since_epoch().count();
+    request.askedAt = Relay::bootTimeNow();
     return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
 }
 
@@ -183,6 +202,7 @@
     for (const Incarnation &peer : peers) {
         for (SnapshotRequest request : requests) {
             request.timestamp = timestamp;
+            request.askedAt = Relay::bootTimeNow();
             // While copies change, each response would otherwise carry all entries.
             request.stateOnly = true;
             m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
@@ -197,6 +217,15 @@
         return;
     }
     snapshot->sender = from.value;
+    const TimePoint now = Relay::bootTimeNow();
+    if (snapshot->askedAt && snapshot->answeredAt && *snapshot->askedAt <= now) {
+        recordClockExchange(
+            m_clockOffsets, m_options.clockOffsets, from.value, *snapshot->askedAt, *snapshot->answeredAt, now);
+    }
+    if (snapshot->confirmedAt) {
+        snapshot->confirmedAt =
+            toLocalTime(m_clockOffsets, m_options.clockOffsets, from.value, *snapshot->confirmedAt, now);
+    }
     const auto probe = std::find(m_lagProbes.begin(), m_lagProbes.end(), snapshot->timestamp);
     if (probe != m_lagProbes.end()) {
         // Responses to earlier probes that arrive after this one were delayed by their sender, not by this host's link.
@@ -229,6 +258,8 @@
         return;
     }
     snapshot->timestamp = request->timestamp;
+    snapshot->askedAt = request->askedAt;
+    snapshot->answeredAt = Relay::bootTimeNow();
     std::string answer = encodeSnapshot(*snapshot);
     const auto bytes = static_cast<std::int64_t>(answer.size());
     const bool hasItems = snapshot->items.has_value();
--- a/godwit/daemon/prefix_messages.cpp
+++ b/godwit/daemon/prefix_messages.cpp
@@ -93,6 +93,19 @@
     return storeRecovery;
 }
 
+// Times are encoded in microseconds; 0 if not set.
+std::int64_t encodeTime(const std::optional<TimePoint> &time)
+{
+    return time ? time->time_since_epoch().count() : 0;
+}
+
+// Decodes the time at `index`, which messages of earlier versions lack.
+std::optional<TimePoint> decodeTime(const json &message, std::size_t index)
+{
+    const std::int64_t value = index < message.size() ? message.at(index).get<std::int64_t>() : 0;
+    return value == 0 ? std::nullopt : std::optional(TimePoint(Duration(value)));
+}
+
 // Calls `read` with the parsed message; an exception from it means that the message is malformed.
 template<typename Message, typename Read>
 std::optional<Message> decode(const std::string &bytes, Read read)
@@ -134,7 +147,8 @@
                                            update.truncated,
                                            encodeRecovery(update.storeRecovery),
                                            encodeItems(update.changes),
-                                           std::move(deltas)}));
+                                           std::move(deltas),
+                                           encodeTime(update.readStartedAt)}));
 }
 
 std::optional<PrefixUpdate> decodeUpdate(const std::string &bytes)
@@ -149,6 +163,7 @@
         for (const json &row : message.at(5)) {
             update.deltas.push_back(decodeDelta(row));
         }
+        update.readStartedAt = decodeTime(message, 6);
         return update;
     });
 }
@@ -160,7 +175,10 @@
                                            snapshot.timestamp,
                                            snapshot.items ? encodeItems(*snapshot.items) : json(),
                                            toMilliseconds(snapshot.aheadFor),
-                                           snapshot.deferred}));
+                                           snapshot.deferred,
+                                           encodeTime(snapshot.askedAt),
+                                           encodeTime(snapshot.answeredAt),
+                                           encodeTime(snapshot.confirmedAt)}));
 }
 
 std::optional<PrefixSnapshot> decodeSnapshot(const std::string &bytes)
@@ -176,14 +194,21 @@
         snapshot.aheadFor = std::chrono::milliseconds(message.at(4).get<std::int64_t>());
         // Absent in messages of earlier versions.
         snapshot.deferred = message.size() > 5 && message.at(5).get<bool>();
+        snapshot.askedAt = decodeTime(message, 6);
+        snapshot.answeredAt = decodeTime(message, 7);
+        snapshot.confirmedAt = decodeTime(message, 8);
         return snapshot;
     });
 }
 
 std::string encodeSnapshotRequest(const SnapshotRequest &request)
 {
-    return encodeFleetMessage(
-        json::array({request.prefix, request.timestamp, request.digest, request.stateOnly, request.newestRevision}));
+    return encodeFleetMessage(json::array({request.prefix,
+                                           request.timestamp,
+                                           request.digest,
+                                           request.stateOnly,
+                                           request.newestRevision,
+                                           encodeTime(request.askedAt)}));
 }
 
 std::optional<SnapshotRequest> decodeSnapshotRequest(const std::string &bytes)
@@ -193,7 +218,8 @@
                                message.at(1).get<std::int64_t>(),
                                message.at(2).get<std::uint64_t>(),
                                message.at(3).get<bool>(),
-                               message.at(4).get<std::uint64_t>()};
+                               message.at(4).get<std::uint64_t>(),
+                               decodeTime(message, 5)};
     });
 }
 
--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -52,6 +52,9 @@
     std::string sender; // Incarnation of the sender. Set by the receiver and not transmitted.
     PrefixState state; // State of the sender's copy after these changes.
     bool fromFullRead = false; // The sender has just completed a full read of the prefix.
+    // Boot time at which that read started: the sender's on the wire, converted by the receiver. Not set if there was
+    // none, or if its time can't be converted.
+    std::optional<TimePoint> readStartedAt;
     bool truncated = false; // Some changes were too large to include.
     StoreRecovery storeRecovery;
     std::vector<StoreItem> changes;
@@ -69,6 +72,10 @@
     std::optional<std::vector<StoreItem>>
         items; // Unset if the requester has the same entries or asked for the state only.
     bool deferred = false; // Items were requested, but the sender's bandwidth limit was exhausted.
+    std::optional<TimePoint> askedAt; // Copied from the request.
+    std::optional<TimePoint> answeredAt; // Boot time of the sender.
+    // Boot time at which the read of the store started that confirms the sender's copy; as in PrefixUpdate.
+    std::optional<TimePoint> confirmedAt;
 };
 
 struct SnapshotRequest
@@ -78,6 +85,7 @@
     std::uint64_t digest = 0; // Of the requester's copy.
     bool stateOnly = false; // Respond without items even if the copies differ.
     std::uint64_t newestRevision = 0; // Of the requester's copy.
+    std::optional<TimePoint> askedAt; // Boot time of the requester; returned in the response.
 };
 
 std::string encodeUpdate(const PrefixUpdate &update);
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -115,6 +115,11 @@
     }
 }
 
+SharedPrefix::ReadStart SharedPrefix::startRead()
+{
+    return {Relay::now(), Relay::bootTimeNow()};
+}
+
 // Concurrent reads of a large copy would compete for this host's link and delay each other.
 void SharedPrefix::read(bool scheduled)
 {
@@ -123,12 +128,12 @@
         return;
     }
     ++m_openReads;
-    m_store.range(m_prefix, [this, scheduled, began = Relay::now()](const StoreItemsReply &reply) {
+    m_store.range(m_prefix, [this, scheduled, start = startRead()](const StoreItemsReply &reply) {
         --m_openReads;
-        reportFetch(reply, began);
+        reportFetch(reply, start);
         m_onStoreResult(reply.status == StoreStatus::Ok);
         if (reply.status == StoreStatus::Ok) {
-            onRead(reply, began, scheduled);
+            onRead(reply, start, scheduled);
         }
         const bool reread = m_openReads == 0 && std::exchange(m_rereadPending, false);
         if (reread && isStoreReachable() && isBehind(m_catchUpTarget)) {
@@ -137,20 +142,20 @@
     });
 }
 
-void SharedPrefix::reportFetch(const StoreItemsReply &reply, TimePoint began) const
+void SharedPrefix::reportFetch(const StoreItemsReply &reply, const ReadStart &start) const
 {
     if (onFetched) {
-        onFetched({FetchSource::Store, reply.status == StoreStatus::Ok, bytesOf(reply.items), Relay::now() - began});
+        onFetched({FetchSource::Store, reply.status == StoreStatus::Ok, bytesOf(reply.items), Relay::now() - start.at});
     }
 }
 
-void SharedPrefix::onRead(const StoreItemsReply &reply, TimePoint began, bool scheduled)
+void SharedPrefix::onRead(const StoreItemsReply &reply, const ReadStart &start, bool scheduled)
 {
     // Calls use several connections, so responses can arrive out of order.
     if (reply.revision < m_copy.completeTo) {
         return;
     }
-    recordOwnRead(began);
+    recordOwnRead(start);
     const auto replaced = replacedValues(reply.items);
     const auto changes = applySnapshot(m_copy, reply.items, reply.revision);
     if (!changes.empty()) {
@@ -160,7 +165,7 @@
         onWatchMissedChange();
     }
     if (scheduled) {
-        broadcastChanges(changes, replaced, true);
+        broadcastChanges(changes, replaced, start.bootTime);
     }
 }
 
@@ -172,10 +177,10 @@
     m_onCopyChanged(m_copy.items);
 }
 
-void SharedPrefix::recordOwnRead(TimePoint began)
+void SharedPrefix::recordOwnRead(const ReadStart &start)
 {
-    m_asOf = std::max(m_asOf, began);
-    Godwit::recordFullRead(m_freshness, began);
+    m_asOf = std::max(m_asOf, start.at);
+    recordFullRead(m_freshness, start.at, start.bootTime);
     if (!m_lastReadAt) {
         m_firstReadAt = Relay::now();
     }
@@ -232,14 +237,15 @@
 
 void SharedPrefix::broadcastChanges(const std::vector<StoreItem> &changes,
                                     const std::map<std::string, std::string> &replaced,
-                                    bool fromFullRead)
+                                    const std::optional<TimePoint> &readStartedAt)
 {
     if (!broadcastUpdate) {
         return;
     }
     PrefixUpdate update;
     update.state = state();
-    update.fromFullRead = fromFullRead;
+    update.fromFullRead = readStartedAt.has_value();
+    update.readStartedAt = readStartedAt;
     update.storeRecovery = storeRecovery();
     const bool isReader = rank().has_value();
     for (const StoreItem &change : changes) {
@@ -278,9 +284,7 @@
     }
     if (m_copy.complete && digestOf(m_copy) == update.state.digest) {
         markComplete(m_copy, update.state.completeTo);
-        if (update.fromFullRead) {
-            recordMatchingPeerRead(m_freshness, Relay::now(), update.sender);
-        }
+        recordPeerConfirmation(ConfirmationSource::PeerRead, update.state, update.readStartedAt, update.sender);
         return;
     }
     if (update.truncated && isStoreReachable()) {
@@ -294,6 +298,18 @@
     }
 }
 
+// A copy that is complete up to a revision contains everything that a read of this revision returned. Copies that
+// merely hold the same newest revision may lack an earlier change.
+void SharedPrefix::recordPeerConfirmation(ConfirmationSource source,
+                                          const PrefixState &remote,
+                                          const std::optional<TimePoint> &at,
+                                          const std::string &peer)
+{
+    if (at && m_copy.complete && m_copy.completeTo >= remote.completeTo) {
+        recordConfirmation(m_freshness, source, std::min(*at, Relay::bootTimeNow()), peer);
+    }
+}
+
 bool SharedPrefix::applyDeltas(const std::vector<ItemDelta> &deltas, std::vector<StoreItem> &changes) const
 {
     bool applied = true;
@@ -418,6 +434,7 @@
         markComplete(m_copy, snapshot.state.completeTo);
     }
     recordPeerFreshness(snapshot);
+    recordPeerConfirmation(ConfirmationSource::PeerCopy, snapshot.state, snapshot.confirmedAt, snapshot.sender);
     if (snapshot.items || matches) {
         m_asOf = std::max(m_asOf, TimePoint(Duration(snapshot.timestamp)) - snapshot.age);
     }
@@ -430,9 +447,9 @@
     const std::uint64_t stored = newestRevision(m_copy);
     if (stored < snapshot.state.newestRevision && snapshot.aheadFor > Duration::zero()) {
         m_missingRevision = std::max(m_missingRevision, snapshot.state.newestRevision);
-        recordPeerState(m_freshness, requestedAt, snapshot.aheadFor, Relay::now(), snapshot.sender);
+        recordPeerState(m_freshness, requestedAt, snapshot.aheadFor, Relay::now());
     } else if (m_copy.complete && stored >= m_missingRevision) {
-        recordPeerState(m_freshness, requestedAt, Duration::zero(), Relay::now(), snapshot.sender);
+        recordPeerState(m_freshness, requestedAt, Duration::zero(), Relay::now());
     }
 }
 
@@ -446,6 +463,9 @@
     // If the store is unreachable from here as well, nothing newer can be read, so the copy counts as current.
     snapshot.age = isStoreReachable() && m_lastReadAt ? Relay::now() - *m_lastReadAt : Duration::zero();
     snapshot.aheadFor = timeAheadOf(m_changeTimes, request.newestRevision, Relay::now());
+    if (m_freshness.confirmedBy != ConfirmationSource::None) {
+        snapshot.confirmedAt = m_freshness.confirmedAt;
+    }
     if (!request.stateOnly && request.digest != snapshot.state.digest) {
         snapshot.items = itemsOf(m_copy);
     }
@@ -497,11 +517,11 @@
 void SharedPrefix::readAll()
 {
     m_initialReadOpen = true;
-    m_store.range(m_prefix, [this, generation = ++m_generation, began = Relay::now()](const StoreItemsReply &reply) {
+    m_store.range(m_prefix, [this, generation = ++m_generation, start = startRead()](const StoreItemsReply &reply) {
         if (generation != m_generation) {
             return;
         }
-        reportFetch(reply, began);
+        reportFetch(reply, start);
         m_onStoreResult(reply.status == StoreStatus::Ok);
         m_initialReadOpen = false;
         if (reply.status != StoreStatus::Ok) {
@@ -510,7 +530,7 @@
             });
             return;
         }
-        recordOwnRead(began);
+        recordOwnRead(start);
         onChanged(applySnapshot(m_copy, reply.items, reply.revision));
     });
 }
@@ -559,7 +579,7 @@
     const auto delta = applyDelta(m_copy, reply.items);
     if (!delta.empty()) {
         onChanged(delta);
-        broadcastChanges(delta, replaced, false);
+        broadcastChanges(delta, replaced, std::nullopt);
     }
     const int routers = routerCount ? routerCount() : 1;
     runAfter(std::max(m_options.coalesceDelay, m_options.coalesceDelayPerRouter * routers), [this] {
--- a/godwit/daemon/shared_prefix.h
+++ b/godwit/daemon/shared_prefix.h
@@ -200,6 +200,14 @@
     std::function<int()> routerCount;
 
 private:
+    // When a read of the store started.
+    struct ReadStart
+    {
+        TimePoint at;
+        TimePoint bootTime;
+    };
+
+    static ReadStart startRead();
     void readAll();
     void openWatch();
     void onWatchReply(const StoreItemsReply &reply);
@@ -209,18 +217,24 @@
     void read(bool scheduled);
     // Calls `requester` unless a large snapshot is already in transit; false if no request could be sent.
     bool requestSnapshot(const SnapshotRequester &requester);
-    void onRead(const StoreItemsReply &reply, TimePoint began, bool scheduled);
-    void reportFetch(const StoreItemsReply &reply, TimePoint began) const;
-    void recordOwnRead(TimePoint began);
+    void onRead(const StoreItemsReply &reply, const ReadStart &start, bool scheduled);
+    void reportFetch(const StoreItemsReply &reply, const ReadStart &start) const;
+    void recordOwnRead(const ReadStart &start);
     void recordPeerFreshness(const PrefixSnapshot &snapshot);
+    // Records the read that confirms a peer's copy of state `remote`, if this copy contains that one.
+    void recordPeerConfirmation(ConfirmationSource source,
+                                const PrefixState &remote,
+                                const std::optional<TimePoint> &at,
+                                const std::string &peer);
     void onChanged(const std::vector<StoreItem> &changes);
     void recordRead(const StoreRecovery &reported);
     StoreRecovery storeRecovery() const;
     // By key, the stored values that `items` replace and that are large enough for a delta.
     std::map<std::string, std::string> replacedValues(const std::vector<StoreItem> &items) const;
+    // `readStartedAt`: boot time at which the full read started that brought the changes; nullopt if there was none.
     void broadcastChanges(const std::vector<StoreItem> &changes,
                           const std::map<std::string, std::string> &replaced,
-                          bool fromFullRead);
+                          const std::optional<TimePoint> &readStartedAt);
     // Applies `deltas` to the stored values and appends the results to `changes`; false if a base value is missing or
     // differs.
     bool applyDeltas(const std::vector<ItemDelta> &deltas, std::vector<StoreItem> &changes) const;
--- a/godwit/gateway/prefix_copy_test.cpp
+++ b/godwit/gateway/prefix_copy_test.cpp
@@ -175,7 +175,7 @@
     CHECK_FALSE(isStale(freshness, options, later + options.responseValidity));
     SECTION("a read from the store makes it current")
     {
-        recordFullRead(freshness, later - std::chrono::milliseconds(5));
+        recordFullRead(freshness, later - std::chrono::milliseconds(5), later);
         CHECK_FALSE(isStale(freshness, options, later));
     }
     SECTION("a peer that holds newer changes overrides one that does not")
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -264,7 +264,7 @@
     refusal.message = "malformed request: " + error.message();
     const bool exceedsLimit = refusal.kind == ErrorKind::HeaderTooLarge || refusal.kind == ErrorKind::BodyTooLarge;
     // Callers take these as final, but a newer configuration may allow more.
-    if (exceedsLimit && !m_relay.hasConfirmedDocument(Relay::now())) {
+    if (exceedsLimit && !m_relay.hasConfirmedDocument()) {
         refusal.kind = ErrorKind::NotConfigured;
         refusal.message = "configuration not confirmed as current: " + error.message();
         refusal.retryAfter = m_relay.options().defaultRetryAfter;
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -150,7 +150,6 @@
     state.stage = RelayStage::Serving;
     const TimePoint now = Relay::now();
     const std::string refused = "HTTP/1.1 429";
-    const std::string unknownRoute = "HTTP/1.1 404";
     SECTION("a peer has had a newer document for two seconds")
     {
         recordPeerState(state.documentFreshness, now, std::chrono::seconds(2), now);
@@ -173,12 +172,12 @@
         router.run(std::chrono::milliseconds(20));
         CHECK(router.received().find("no endpoint of the service") != std::string::npos);
     }
-    SECTION("the peers have nothing newer")
+    SECTION("the peers have nothing newer, but no router has read the store lately")
     {
         recordPeerState(state.documentFreshness, now, Duration::zero(), now);
         router.sendGet("keep-alive");
         router.run(std::chrono::milliseconds(20));
-        CHECK(router.received().find(unknownRoute) == 0);
+        CHECK(router.received().find("HTTP/1.1 503") == 0);
     }
 }
 
@@ -189,7 +188,8 @@
     RelayState &state = router.relay.state();
     state.stage = RelayStage::Serving;
     const TimePoint now = Relay::now();
-    const TimePoint longAgo = now - std::chrono::seconds(3);
+    const TimePoint bootTime = Relay::bootTimeNow();
+    const Duration longTime = std::chrono::seconds(3);
     const bool routeIsKnown = GENERATE(false, true);
     SiteDocument document;
     if (routeIsKnown) {
@@ -206,23 +206,28 @@
     }
     SECTION("all confirmations are old")
     {
-        recordFullRead(agreement, longAgo);
-        recordPeerState(agreement, longAgo, Duration::zero(), longAgo);
-        recordMatchingPeerRead(agreement, longAgo);
+        recordFullRead(agreement, now - longTime, bootTime - longTime);
+        recordConfirmation(agreement, ConfirmationSource::PeerRead, bootTime - longTime, "peer.1");
+        recordConfirmation(agreement, ConfirmationSource::PeerCopy, bootTime - longTime, "peer.2");
     }
     SECTION("the router has read the store itself")
     {
-        recordFullRead(agreement, now - std::chrono::seconds(1));
+        recordFullRead(agreement, now - std::chrono::seconds(1), bootTime - std::chrono::seconds(1));
         expected = denied;
     }
     SECTION("a peer has nothing newer")
     {
         recordPeerState(agreement, now, Duration::zero(), now);
+    }
+    SECTION("a peer that was asked passes on the read that confirms its copy")
+    {
+        recordConfirmation(
+            agreement, ConfirmationSource::PeerCopy, bootTime - std::chrono::milliseconds(1500), "peer.1");
         expected = denied;
     }
     SECTION("another router has read the store and found nothing newer")
     {
-        recordMatchingPeerRead(agreement, now);
+        recordConfirmation(agreement, ConfirmationSource::PeerRead, bootTime, "peer.1");
         expected = denied;
     }
     router.sendGet("keep-alive");
@@ -252,7 +257,7 @@
     {
         state.stage = RelayStage::Serving;
         state.routes = makeRouteTable(documentWithRoute());
-        recordFullRead(state.documentFreshness, Relay::now());
+        recordFullRead(state.documentFreshness, Relay::now(), Relay::bootTimeNow());
         expected = denied;
     }
     const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
@@ -296,7 +301,7 @@
     SiteDocument document = documentWithRoute();
     document.limits.maxBodyBytes = 10;
     state.routes = makeRouteTable(document);
-    recordFullRead(state.documentFreshness, Relay::now());
+    recordFullRead(state.documentFreshness, Relay::now(), Relay::bootTimeNow());
     boost::asio::write(router.caller,
                        boost::asio::buffer("POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
                                            + ": 1\r\nContent-Length: 11\r\n\r\n12345678901"));
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -95,9 +95,9 @@
         || isStale(m_state.documentFreshness, m_options.agreement, now);
 }
 
-bool Relay::hasConfirmedDocument(TimePoint now) const
+bool Relay::hasConfirmedDocument() const
 {
-    return isConfirmedCurrent(m_state.documentFreshness, m_options.agreement, now);
+    return isConfirmedCurrent(m_state.documentFreshness, m_options.agreement, bootTimeNow());
 }
 
 void Relay::enforceHeldLimit()
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -316,7 +316,7 @@
     bool hasOutdatedCopy(TimePoint now) const;
 
     // Whether the document is confirmed as current, so that routes and keys missing from it can be refused for good.
-    bool hasConfirmedDocument(TimePoint now) const;
+    bool hasConfirmedDocument() const;
 
     // Called when requests wait for tokens of a customer, with the sum that they need.
     std::function<void(const CustomerId &, Tokens needed)> onTokensNeeded;
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -125,11 +125,12 @@
 // instead: another router may have a newer document.
 void RelayCall::refuseUnknown(ErrorKind kind, const std::string &message)
 {
-    const bool confirmed = m_relay.hasConfirmedDocument(m_arrived);
+    const bool confirmed = m_relay.hasConfirmedDocument();
     const CopyFreshness &freshness = m_relay.state().documentFreshness;
-    const auto ageMs = [this](TimePoint at) {
-        return at == TimePoint{} ? std::int64_t{-1} : toMilliseconds(m_arrived - at);
+    const auto ageMs = [](TimePoint at, TimePoint now) {
+        return at == TimePoint{} ? std::int64_t{-1} : toMilliseconds(now - at);
     };
+    const TimePoint bootTime = Relay::bootTimeNow();
     m_relay.log().write("unknown_refused",
                         {{"id", std::string_view(m_facts.attemptId)},
                          {"cause", errorName(kind)},
@@ -138,9 +139,9 @@
                          {"revision", static_cast<std::int64_t>(m_relay.state().documentRevision)},
                          {"confirmed_by", enumName(ConfirmationSourceNames, freshness.confirmedBy)},
                          {"peer", std::string_view(freshness.confirmedByPeer)},
-                         {"confirmed_ms", ageMs(confirmedCurrentAt(freshness))},
-                         {"own_read_ms", ageMs(freshness.ownReadAt)},
-                         {"peer_answer_ms", ageMs(freshness.lastResponseAt)}});
+                         {"confirmed_ms", ageMs(freshness.confirmedAt, bootTime)},
+                         {"own_read_ms", ageMs(freshness.ownReadAt, bootTime)},
+                         {"peer_answer_ms", ageMs(freshness.lastResponseAt, m_arrived)}});
     if (confirmed) {
         refuse(kind, message, std::nullopt);
     } else {
--- a/godwit/relay/relay_call_resumption.cpp
+++ b/godwit/relay/relay_call_resumption.cpp
@@ -140,7 +140,7 @@
                          {"version", std::string_view(m_requiredVersion.value_or(std::string()))},
                          {"known_versions", std::string_view(knownText)},
                          {"versions_age_ms", versionsAge},
-                         {"list_age_ms", toMilliseconds(now - confirmedCurrentAt(state.endpointsFreshness))},
+                         {"list_age_ms", toMilliseconds(Relay::bootTimeNow() - state.endpointsFreshness.confirmedAt)},
                          {"store", state.platformInReach},
                          {"live_routers", static_cast<std::int64_t>(state.liveRouters)},
                          {"running_ms", toMilliseconds(Relay::uptime() - options.prepaid.startedAt.uptime)},
