Date a peer's copy by the read that confirms it, not by a report of any read

After congestion a router serves again once its copies are as new as the congestion. The age that a peer states with its copy was the time since it had last heard of any read of the store, also of one whose result it didn't hold, and counted from the report's arrival. So a router whose peer had missed a change, and only heard of it, took its old copy for read anew.

The age is now that of the read that confirms the peer's copy. The test failed before: the copy counted as new as the answer, though both routers had lacked a change for half a second.

--- a/godwit/daemon/prefix_messages.h
+++ b/godwit/daemon/prefix_messages.h
@@ -65,7 +65,7 @@
 {
     std::string sender; // As in PrefixUpdate.
     PrefixState state;
-    Duration age{}; // Time since the last full read known to the sender.
+    Duration age{}; // Time since the read of the store that confirms the sender's copy.
     // For how long the sender has had changes that the requester's copy lacks.
     Duration aheadFor{};
     std::int64_t timestamp = 0; // Copied from the request.
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -460,11 +460,11 @@
     }
     PrefixSnapshot snapshot;
     snapshot.state = state();
-    // If the store is unreachable from here as well, nothing newer can be read, so the copy counts as current.
-    snapshot.age = isStoreReachable() && m_lastReadAt ? Relay::now() - *m_lastReadAt : Duration::zero();
     snapshot.aheadFor = timeAheadOf(m_changeTimes, request.newestRevision, Relay::now());
     if (m_freshness.confirmedBy != ConfirmationSource::None) {
         snapshot.confirmedAt = m_freshness.confirmedAt;
+        // If the store is unreachable from here as well, nothing newer can be read, so the copy counts as current.
+        snapshot.age = isStoreReachable() ? Relay::bootTimeNow() - m_freshness.confirmedAt : Duration::zero();
     }
     if (!request.stateOnly && request.digest != snapshot.state.digest) {
         snapshot.items = itemsOf(m_copy);
