--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -522,10 +522,11 @@
             noteBreach(promises, Promise::DocumentBack, {}, who + " no longer knows document " + version);
         }
     }
-    const bool mustKnow =
-        answer.sentAt > promises.documentAt + DocumentBound && routerInTouch(promises, answer.router, now);
-    if (mustKnow
-        && ((unknown && answer.version == promises.document) || (inForce && answer.version < promises.document))) {
+    // A router that is out of touch may serve routes of an older document, but must not deny those of a newer one.
+    const bool deniesNewest = unknown && answer.version == promises.document;
+    const bool servesOlder =
+        inForce && answer.version < promises.document && routerInTouch(promises, answer.router, now);
+    if (answer.sentAt > promises.documentAt + DocumentBound && (deniesNewest || servesOlder)) {
         noteBreach(promises,
                    Promise::DocumentLate,
                    {},
