--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -77,11 +77,7 @@
 std::string throughProxies(const Fleet &fleet, std::string entry)
 {
     for (const Router &router : fleet.routers) {
-        const std::string address = '"' + router.process->peerAddress() + '"';
-        const auto found = entry.find(address);
-        if (found != std::string::npos) {
-            entry.replace(found, address.size(), '"' + router.peers->address() + '"');
-        }
+        entry = Testing::throughProxy(std::move(entry), router.process->peerAddress(), router.peers->address());
     }
     return entry;
 }
