--- a/godwit/daemon/endpoint_list.cpp
+++ b/godwit/daemon/endpoint_list.cpp
@@ -89,14 +89,15 @@
     LastReason reason;
     auto endpoint = decodeEndpoint(std::string_view(key).substr(EndpointPrefix.size()), item.value, reason);
     if (!endpoint) {
-        logRejectedEntry(key, entry, reason->message);
+        m_relay.recordRefusedEntry("endpoint", key, entry.revision, reason->message);
         entry.endpoint.reset();
         return;
     }
     EndpointIncarnation &newest = m_newestStart[endpoint->id];
     if (endpoint->startedAt != 0 && endpoint->startedAt < newest) {
         // A delayed write of an earlier start; the state of the newer start remains valid.
-        logRejectedEntry(key, entry, "the entry belongs to an earlier start of the endpoint");
+        m_relay.recordRefusedEntry(
+            "endpoint", key, entry.revision, "the entry belongs to an earlier start of the endpoint");
         return;
     }
     newest = std::max(newest, endpoint->startedAt);
@@ -117,17 +118,13 @@
     }
     for (auto &[key, entry] : m_entries) {
         if (withStart > withoutStart && entry.endpoint && entry.endpoint->startedAt == 0) {
-            logRejectedEntry(key, entry, "the entry has no start time, unlike most others");
+            m_relay.recordRefusedEntry(
+                "endpoint", key, entry.revision, "the entry has no start time, unlike most others");
             entry.endpoint.reset();
         }
     }
 }
 
-void EndpointList::logRejectedEntry(const std::string &key, const Entry &entry, std::string_view cause)
-{
-    m_relay.recordRefusedEntry("endpoint", key, entry.revision, cause);
-}
-
 void EndpointList::apply()
 {
     const TimePoint now = Relay::now();
--- a/godwit/daemon/endpoint_list.h
+++ b/godwit/daemon/endpoint_list.h
@@ -48,7 +48,6 @@
 
     void decodeEntry(const std::string &key, const StoreItem &item);
     void dropEntriesWithoutStart();
-    void logRejectedEntry(const std::string &key, const Entry &entry, std::string_view cause);
     void apply();
     // Adds the region, the evacuation and the cold start of the endpoint's data centre.
     ListedEndpoint withDataCentreState(ListedEndpoint endpoint) const;
--- a/godwit/daemon/version_announcer.cpp
+++ b/godwit/daemon/version_announcer.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace Godwit
@@ -63,10 +64,12 @@
     }
     const TimePoint now = Relay::now();
     const VersionAnnouncements stored = announcementsOf(state.announcedVersions);
+    // The store's value is unreadable, or was removed.
+    const bool needsRewrite = m_writeRevision != state.announcedVersions.revision;
     const bool removes = isWriter && isWriter();
     const VersionAnnouncements wanted = updatedAnnouncements(
         stored, state.streamVersions, m_relay.options().streamVersions, m_writeRevision, removes, now);
-    if (wanted == stored && !m_needsRewrite) {
+    if (wanted == stored && !needsRewrite) {
         m_takeOverAt.reset();
         m_takeOverTimer.cancel();
     } else if (removes || mayTakeOver(now)) {
@@ -94,32 +97,37 @@
 void VersionAnnouncer::write(const VersionAnnouncements &announcements)
 {
     m_writeInFlight = true;
+    StoreItem item;
+    item.key = m_key;
+    item.value = encodeAnnouncements(announcements);
     StoreTransaction transaction;
     transaction.conditions.push_back({m_key, m_writeRevision});
-    transaction.puts.push_back({m_key, encodeAnnouncements(announcements), 0});
-    m_store.transact(transaction, [this, announcements, expected = m_writeRevision](const StoreWriteReply &reply) {
-        m_writeInFlight = false;
-        if (reply.status == StoreStatus::Ok) {
-            m_needsRewrite = false;
-            apply(announcements, reply.revision);
-            m_relay.log().write("versions_announced",
-                                {{"services", static_cast<std::int64_t>(announcements.size())},
-                                 {"revision", static_cast<std::int64_t>(reply.revision)}});
-            if (onWritten) {
-                onWritten({m_key, encodeAnnouncements(announcements), reply.revision});
-            }
-        } else if (reply.status == StoreStatus::ConditionFailed && reply.currentItems) {
-            if (reply.currentItems->empty()) {
-                onRemoved();
-            }
-            for (const StoreItem &item : *reply.currentItems) {
-                onItem(item);
-            }
-            if (m_writeRevision != expected) {
-                step();
-            }
-        }
-    });
+    transaction.puts.push_back({m_key, item.value, 0});
+    m_store.transact(transaction,
+                     [this, announcements, item, expected = m_writeRevision](const StoreWriteReply &reply) {
+                         m_writeInFlight = false;
+                         if (reply.status == StoreStatus::Ok) {
+                             apply(announcements, reply.revision);
+                             m_relay.log().write("versions_announced",
+                                                 {{"services", static_cast<std::int64_t>(announcements.size())},
+                                                  {"revision", static_cast<std::int64_t>(reply.revision)}});
+                             if (onWritten) {
+                                 StoreItem written = item;
+                                 written.revision = reply.revision;
+                                 onWritten(written);
+                             }
+                         } else if (reply.status == StoreStatus::ConditionFailed && reply.currentItems) {
+                             if (reply.currentItems->empty()) {
+                                 m_writeRevision = 0;
+                             }
+                             for (const StoreItem &item : *reply.currentItems) {
+                                 onItem(item);
+                             }
+                             if (m_writeRevision != expected) {
+                                 step();
+                             }
+                         }
+                     });
 }
 
 void VersionAnnouncer::onItem(const StoreItem &item)
@@ -128,24 +136,17 @@
         return;
     }
     if (auto announcements = decodeAnnouncements(item.value)) {
-        m_needsRewrite = false;
         apply(*announcements, item.revision);
     } else {
         m_writeRevision = item.revision;
-        m_needsRewrite = true;
         m_relay.recordRefusedEntry("versions", m_key, item.revision, "not the announced versions; written again");
     }
 }
 
-void VersionAnnouncer::onRemoved()
-{
-    m_writeRevision = 0;
-    m_needsRewrite = m_relay.state().announcedVersions.revision != 0;
-}
-
 void VersionAnnouncer::apply(const VersionAnnouncements &announcements, std::uint64_t revision)
 {
     RelayState &state = m_relay.state();
+    VersionAnnouncements before = announcementsOf(state.announcedVersions);
     if (!applyAnnouncements(state.announcedVersions,
                             m_relay.options().announcedVersions,
                             announcements,
@@ -156,14 +157,12 @@
     m_writeRevision = revision;
     // Versions that are not listed here may have been in use until now.
     const TimePoint now = Relay::now();
-    const auto seen = std::exchange(m_seen, {});
     for (const auto &[service, versions] : announcements) {
+        const auto &known = before[service];
         for (const AnnouncedVersion &version : versions) {
-            const SeenVersion key{service, version.name, version.number};
-            if (seen.count(key) == 0) {
+            if (std::find(known.begin(), known.end(), version) == known.end()) {
                 applyEarlierVersion(state.streamVersions, {service, version.name, Duration::zero()}, now);
             }
-            m_seen.insert(key);
         }
     }
 }
@@ -208,7 +207,7 @@
             confirmAnnouncements(known, startedAt);
         }
     } else if (reply.status == StoreStatus::NotFound) {
-        onRemoved();
+        m_writeRevision = 0;
     }
 }
 
--- a/godwit/daemon/version_announcer.h
+++ b/godwit/daemon/version_announcer.h
@@ -19,9 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <tuple>
 #include <vector>
 
 namespace Godwit
@@ -66,13 +64,10 @@
     std::function<void(const StoreItem &)> onWritten;
 
 private:
-    using SeenVersion = std::tuple<std::string, std::string, std::uint64_t>; // Service, name and number.
     using Waiters = std::vector<std::function<void()>>;
 
     bool mayTakeOver(TimePoint now);
     void write(const VersionAnnouncements &announcements);
-    // Called when the store has no such key.
-    void onRemoved();
     void onRead(const StoreItemReply &reply, TimePoint startedAt);
     void apply(const VersionAnnouncements &announcements, std::uint64_t revision);
 
@@ -85,8 +80,6 @@
     std::optional<TimePoint> m_takeOverAt; // Set while a listed version is not announced.
     boost::asio::steady_timer m_takeOverTimer;
     std::shared_ptr<Waiters> m_readers; // Of the open read; null if none is open.
-    bool m_needsRewrite = false; // The store's value is unreadable or was removed.
-    std::set<SeenVersion> m_seen; // The announced ones.
 };
 
 } // namespace Godwit
--- a/godwit/gateway/announced_versions.cpp
+++ b/godwit/gateway/announced_versions.cpp
@@ -34,7 +34,7 @@
                 return entry.announced == version;
             });
             auto &entries = services[service];
-            // No router can believe that there was another version before the first one.
+            // Before the first version there is none that a router could take for the only one.
             const TimePoint usableAt = entries.empty() ? now : now + options.useDelay;
             entries.push_back({version, found != before.end() ? found->usableAt : usableAt});
         }
@@ -60,14 +60,6 @@
     return announcements;
 }
 
-bool isUsable(const AnnouncedVersions &known, const std::string &service, const std::string &version, TimePoint now)
-{
-    const auto &versions = versionsOf(known, service);
-    return std::any_of(versions.begin(), versions.end(), [&](const KnownVersion &entry) {
-        return entry.announced.name == version && now >= entry.usableAt;
-    });
-}
-
 std::set<std::string> usableVersions(const AnnouncedVersions &known, const std::string &service, TimePoint now)
 {
     std::set<std::string> names;
--- a/godwit/gateway/announced_versions.h
+++ b/godwit/gateway/announced_versions.h
@@ -12,7 +12,7 @@
 //
 // Example:
 //   applyAnnouncements(known, options, announcements, revision, now);
-//   if (isUsable(known, "engine", "v2", now)) { ... begin streams at endpoints of v2 ... }
+//   query.versions = usableVersions(known, "engine", now);
 
 #include "godwit/base/time.h"
 #include "godwit/gateway/stream_versions.h"
@@ -75,9 +75,7 @@
 
 VersionAnnouncements announcementsOf(const AnnouncedVersions &known);
 
-// Whether new streams may begin at endpoints of this version.
-bool isUsable(const AnnouncedVersions &known, const std::string &service, const std::string &version, TimePoint now);
-
+// Returns the versions at whose endpoints new streams may begin.
 std::set<std::string> usableVersions(const AnnouncedVersions &known, const std::string &service, TimePoint now);
 
 // Returns when the next announced version of the service becomes usable; nullopt if all are.
--- a/godwit/gateway/announced_versions_test.cpp
+++ b/godwit/gateway/announced_versions_test.cpp
@@ -51,7 +51,7 @@
 TEST_CASE("a further version is usable only when no router can take the first one for the only one")
 {
     AnnouncedVersions known = knowing({{"v1", 0}}, Start);
-    CHECK(isUsable(known, Service, "v1", Start));
+    CHECK(usableVersions(known, Service, Start).count("v1") == 1);
     const TimePoint announced = Start + seconds(5);
     REQUIRE(applyAnnouncements(known, Options, announce({{"v1", 0}, {"v2", 1}}), 2, announced));
     CHECK(usableVersions(known, Service, announced + milliseconds(599)) == std::set<std::string>{"v1"});
@@ -67,8 +67,8 @@
     AnnouncedVersions known = knowing({{"v1", 0}, {"v2", 1}}, Start);
     const TimePoint later = Start + seconds(90);
     REQUIRE(applyAnnouncements(known, Options, announce({{"v1", 0}, {"v2", 7}}), 8, later));
-    CHECK(isUsable(known, Service, "v1", later));
-    CHECK_FALSE(isUsable(known, Service, "v2", later));
+    CHECK(usableVersions(known, Service, later).count("v1") == 1);
+    CHECK_FALSE(usableVersions(known, Service, later).count("v2") == 1);
     CHECK_FALSE(applyAnnouncements(known, Options, announce({{"v1", 0}}), 7, later));
     CHECK(announcementsOf(known) == announce({{"v1", 0}, {"v2", 7}}));
 }
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -272,14 +272,17 @@
     armHedge(choice.uncachedTokens);
 }
 
-// Retry-After when no endpoint is available: when the first version becomes usable, or the first cold endpoint is warm.
+// Retry-After when streams may not begin at the endpoints' versions yet.
+Duration RelayCall::versionRetryAfter() const
+{
+    const TimePoint now = Relay::bootTimeNow();
+    const auto usable = nextUsableAt(m_relay.state().announcedVersions, m_serviceName, now);
+    return usable ? *usable - now : m_relay.options().defaultRetryAfter;
+}
+
+// Retry-After when no endpoint is available. If all endpoints are cold, this is when the first one is warm again.
 Duration RelayCall::endpointRetryAfter() const
 {
-    if (awaitsVersion()) {
-        const TimePoint now = Relay::bootTimeNow();
-        const auto usable = nextUsableAt(m_relay.state().announcedVersions, m_serviceName, now);
-        return usable ? *usable - now : m_relay.options().defaultRetryAfter;
-    }
     const TimePoint now = Relay::now();
     const auto warm = nextWarmAt(m_relay.state().endpoints, m_serviceName, now);
     return warm ? *warm - now + randomizedRetryAfter() : m_relay.options().defaultRetryAfter;
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -156,6 +156,7 @@
     std::optional<std::set<std::string>> allowedVersions() const;
     // Whether endpoints are excluded only because their version is not usable yet.
     bool awaitsVersion() const;
+    Duration versionRetryAfter() const;
     Duration endpointRetryAfter() const;
     void onHead(const ResponseHead &head, const ResponseMetadata &facts);
     void onBody(std::string_view bytes);
--- a/godwit/relay/relay_call_places.cpp
+++ b/godwit/relay/relay_call_places.cpp
@@ -91,7 +91,7 @@
     } else if (lacksRoom()) {
         refuse(ErrorKind::Overloaded, "the endpoints of the service have no room", placeRetryAfter());
     } else if (awaitsVersion()) {
-        refuse(ErrorKind::NoEndpoint, "streams may not begin at the endpoints' version yet", endpointRetryAfter());
+        refuse(ErrorKind::NoEndpoint, "streams may not begin at the endpoints' version yet", versionRetryAfter());
     } else {
         refuse(ErrorKind::NoEndpoint, "no endpoint of the service accepts requests", endpointRetryAfter());
     }
