--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -307,6 +307,8 @@
     void onSnapshotReceived(const Incarnation &from, const std::string &body);
     // Asks a peer whose clock offset is unknown for the state of its copy, so that its reports of reads can be dated.
     void measureClockOffset(const Incarnation &peer, const std::string &prefix);
+    // As requestSnapshot(), with the timestamp that the request has.
+    bool sendSnapshotRequest(const Incarnation &peer, SnapshotRequest request);
     std::vector<Incarnation> shuffledPeers();
     void onCopyStates(const Incarnation &from, const nlohmann::json &heartbeat);
     nlohmann::json encodeCopyStates() const;
--- a/godwit/daemon/fleet_replication.cpp
+++ b/godwit/daemon/fleet_replication.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Godwit
 {
@@ -147,20 +148,24 @@
 
 void FleetLinks::measureClockOffset(const Incarnation &peer, const std::string &prefix)
 {
-    const auto own = copyStates ? copyStates() : std::vector<PrefixState>{};
-    const auto state = std::find_if(own.begin(), own.end(), [&prefix](const PrefixState &copy) {
-        return copy.prefix == prefix;
-    });
-    if (state == own.end()
-        || !startClockExchange(m_clockOffsets, m_options.clockOffsets, peer.value, Relay::bootTimeNow())) {
+    if (!startClockExchange(m_clockOffsets, m_options.clockOffsets, peer.value, Relay::bootTimeNow())) {
         return;
     }
-    requestSnapshot(peer, {prefix, 0, state->digest, true, state->newestRevision});
+    for (const PrefixState &own : copyStates ? copyStates() : std::vector<PrefixState>{}) {
+        if (own.prefix == prefix) {
+            requestSnapshot(peer, {prefix, 0, own.digest, true, own.newestRevision});
+        }
+    }
 }
 
 bool FleetLinks::requestSnapshot(const Incarnation &peer, SnapshotRequest request)
 {
     request.timestamp = Relay::now().time_since_epoch().count();
+    return sendSnapshotRequest(peer, std::move(request));
+}
+
+bool FleetLinks::sendSnapshotRequest(const Incarnation &peer, SnapshotRequest request)
+{
     request.askedAt = Relay::bootTimeNow();
     return m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
 }
@@ -202,10 +207,9 @@
     for (const Incarnation &peer : peers) {
         for (SnapshotRequest request : requests) {
             request.timestamp = timestamp;
-            request.askedAt = Relay::bootTimeNow();
             // While copies change, each response would otherwise carry all entries.
             request.stateOnly = true;
-            m_mesh->send(peer, {SnapshotRequestTopic, encodeSnapshotRequest(request)});
+            sendSnapshotRequest(peer, std::move(request));
         }
     }
 }
--- a/godwit/daemon/shared_prefix.cpp
+++ b/godwit/daemon/shared_prefix.cpp
@@ -306,7 +306,7 @@
                                           const std::string &peer)
 {
     if (at && m_copy.complete && m_copy.completeTo >= remote.completeTo) {
-        recordConfirmation(m_freshness, source, std::min(*at, Relay::bootTimeNow()), peer);
+        recordConfirmation(m_freshness, source, *at, peer);
     }
 }
 
