--- a/cmake/GodwitTargets.cmake
+++ b/cmake/GodwitTargets.cmake
@@ -5,6 +5,7 @@
 #   godwit_test(budget SANITIZED ...) also runs it under the sanitizers of tools/check-sanitizers.
 #   godwit_test(budget BY_CASE ...) makes every test case a test of its own, so that long cases run side by side. Only for
 #   cases that share neither ports nor files.
+#   godwit_test(budget SERIAL ...) runs it apart from all other tests of its run, and labels it `serial`.
 #   godwit_benchmark(budget_bench SOURCES budget_bench.cpp DEPS budget)
 #   godwit_program(godwitd SOURCES main.cpp DEPS daemon)
 #
@@ -28,7 +29,7 @@
 endfunction()
 
 function(godwit_test name)
-    cmake_parse_arguments(ARG "SANITIZED;BY_CASE" "" "SOURCES;DEPS" ${ARGN})
+    cmake_parse_arguments(ARG "SANITIZED;BY_CASE;SERIAL" "" "SOURCES;DEPS" ${ARGN})
     add_executable(${name}_test ${ARG_SOURCES})
     target_include_directories(${name}_test PRIVATE ${PROJECT_SOURCE_DIR})
     _godwit_link(${name}_test ${ARG_DEPS} godwit_test_main)
@@ -38,6 +39,9 @@
         set(properties LABELS sanitized)
         add_dependencies(sanitized_tests ${name}_test)
     endif()
+    if(ARG_SERIAL)
+        set(properties LABELS serial RUN_SERIAL TRUE)
+    endif()
     if(ARG_BY_CASE)
         # The program itself lists its cases once it is built. A name that matches none of them fails. The cost lets these
         # start before the short tests.
