Callers: bound what the parser leaves unparsed of a request

Callers saw a router killed for memory: 20 clients that sent trailers, or a chunk extension, without end held 456 to 465 MB of 96.

Cause: the parser leaves a head, a trailer section and the line of a chunk's size in the buffer until their end has arrived. Its limit holds for the head alone, and the composed read operation grows the buffer without returning.

Now the connection reads and parses in steps. A request is refused once more than the limit of heads and 16 KiB are unparsed: with 431, or with 503 while the configuration in force is not confirmed, since a newer one may allow more.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -33,10 +33,15 @@
 constexpr Duration StalledReaderMargin = std::chrono::seconds(1);
 // Poll interval for disconnects while pipelined bytes keep the socket readable.
 constexpr auto WatchInterval = std::chrono::milliseconds(250);
+// Largest read of a request.
+constexpr std::size_t MaxReadBytes = 64UL * 1024;
+// The parser leaves heads, trailers and the lines of chunk sizes with their extensions in the buffer until their end
+// has arrived. Each of these may be as long as a head, and this much longer.
+constexpr std::size_t UnparsedMarginBytes = 16UL * 1024;
 
 ErrorKind kindOf(const error_code &error)
 {
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return ErrorKind::HeaderTooLarge;
     }
     if (error == http::error::body_limit) {
@@ -135,14 +140,14 @@
     m_answerDone = false;
     m_requestId.clear();
     if (m_buffer.size() > 0) {
-        readHead();
+        beginReceiving();
         return;
     }
     m_timer.expires_after(currentLimits(m_relay).idleTimeout);
     armReadTimeout();
     m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
         if (!error && !self->m_closed) {
-            self->readHead();
+            self->beginReceiving();
         }
     });
 }
@@ -164,32 +169,72 @@
     return m_timer.expiry() <= std::chrono::steady_clock::now();
 }
 
-void CallerConnection::readHead()
+void CallerConnection::beginReceiving()
 {
     m_receivingRequest = true;
+    m_receivingBody = false;
     const CallerLimits limits = currentLimits(m_relay);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     m_parser->body_limit(limits.maxBodyBytes);
+    m_maxUnparsedBytes = limits.maxHeaderBytes + UnparsedMarginBytes;
     m_timer.expires_after(limits.headerTimeout);
     armReadTimeout();
-    http::async_read_header(
-        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
-            if (self->m_closed) {
-                return;
-            }
-            self->countRead(bytes);
-            if (error) {
-                self->onMalformedRequest(error);
-                return;
-            }
-            if (self->m_parser->is_done()) {
-                self->startCall();
-                return;
-            }
-            if (self->decideOnHead()) {
-                self->readBody();
-            }
-        });
+    parseReceived();
+}
+
+void CallerConnection::parseReceived()
+{
+    bool needsMore = m_buffer.size() == 0;
+    while (!needsMore) {
+        error_code error;
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        needsMore = error == http::error::need_more || m_buffer.size() == 0;
+        if (error && error != http::error::need_more) {
+            onMalformedRequest(error);
+            return;
+        }
+        if (!onParsed()) {
+            return;
+        }
+    }
+    if (m_buffer.size() >= m_maxUnparsedBytes) {
+        onMalformedRequest(http::error::buffer_overflow);
+        return;
+    }
+    readMore();
+}
+
+bool CallerConnection::onParsed()
+{
+    if (m_parser->is_done()) {
+        startCall();
+        return false;
+    }
+    if (m_parser->is_header_done() && !m_receivingBody) {
+        if (!decideOnHead()) {
+            return false;
+        }
+        beginBody();
+    }
+    return true;
+}
+
+void CallerConnection::readMore()
+{
+    const std::size_t room = m_maxUnparsedBytes - m_buffer.size();
+    m_socket.async_read_some(m_buffer.prepare(std::min(beast::read_size(m_buffer, MaxReadBytes), room)),
+                             [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                                 if (self->m_closed || !self->m_awaitingRequest) {
+                                     return;
+                                 }
+                                 self->countRead(bytes);
+                                 if (error) {
+                                     self->onMalformedRequest(error);
+                                     return;
+                                 }
+                                 self->m_buffer.commit(bytes);
+                                 self->parseReceived();
+                             });
 }
 
 bool CallerConnection::decideOnHead()
@@ -210,8 +255,9 @@
     return false;
 }
 
-void CallerConnection::readBody()
+void CallerConnection::beginBody()
 {
+    m_receivingBody = true;
     // There is no separate body timeout; the idle timeout bounds a caller that stops sending.
     m_timer.expires_after(currentLimits(m_relay).idleTimeout);
     armReadTimeout();
@@ -221,26 +267,6 @@
     // The parser allocates a declared length at once.
     m_heldBody.set(m_parser->content_length().value_or(0));
     m_parser->eager(true);
-    readMoreBody();
-}
-
-// Reads in steps, so that a large body is counted as it arrives.
-void CallerConnection::readMoreBody()
-{
-    http::async_read_some(
-        m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t bytes) {
-            if (self->m_closed) {
-                return;
-            }
-            self->countRead(bytes);
-            if (error) {
-                self->onMalformedRequest(error);
-            } else if (self->m_parser->is_done()) {
-                self->startCall();
-            } else {
-                self->readMoreBody();
-            }
-        });
 }
 
 void CallerConnection::countRead(std::size_t bytes)
@@ -487,7 +513,6 @@
     setResetOnClose(false);
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     closeAfterTimeout();
-    countRead(m_buffer.size());
     if (m_drainSlowly) {
         drainAfterInterval(); // Callers that read while they write have the response by then.
     } else {
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -75,11 +75,15 @@
     void readRequest();
     void armReadTimeout();
     bool timerHasExpired() const;
-    void readHead();
+    void beginReceiving();
+    // Parses what has been received, and reads on until the request is complete.
+    void parseReceived();
+    // Returns false if the request has been answered, or is complete.
+    bool onParsed();
+    void readMore();
     // Decides before the body of a request is read. Returns false if the request has been answered instead.
     bool decideOnHead();
-    void readBody();
-    void readMoreBody();
+    void beginBody();
     void countRead(std::size_t bytes);
     void onMalformedRequest(const boost::system::error_code &error);
     void startCall();
@@ -105,6 +109,7 @@
     boost::asio::steady_timer m_progressTimer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    std::size_t m_maxUnparsedBytes = 0; // Bound of m_buffer while a request is received.
     std::shared_ptr<RelayCall> m_call;
     std::string m_requestId; // Of the latest request.
     std::string m_writing;
@@ -120,6 +125,7 @@
     bool m_closeAfterAnswer = false; // The current response was sent with "Connection: close".
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
+    bool m_receivingBody = false; // The head of the request is complete.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
     bool m_drainSlowly = false; // The caller may still be sending a body that is not wanted.
     std::size_t m_drainAllowance = DrainBytes; // Bytes that may be read before the next wait of a slow close.
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -275,6 +275,48 @@
     CHECK((answer.find("Retry-After") != std::string::npos) == (expected == "HTTP/1.1 503"));
 }
 
+// Guards against trailers and extensions that fill the memory, and against a final refusal by limits that may be
+// outdated.
+TEST_CASE("a trailer or a chunk extension without end is refused while it arrives")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    const std::string start = GENERATE(std::string("0\r\nX-Field: "), std::string("5;"));
+    const bool isCurrent = GENERATE(false, true);
+    if (isCurrent) {
+        state.stage = RelayStage::Serving;
+        state.routes = makeRouteTable(documentWithRoute());
+        recordFullRead(state.documentFreshness, Relay::now(), Relay::bootTimeNow());
+    }
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
+        + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(1'000'000, 'x');
+    std::size_t sent = 0;
+    for (int i = 0; i < 200 && sent < request.size(); ++i) {
+        boost::system::error_code error;
+        sent += router.caller.write_some(boost::asio::buffer(request.data() + sent, request.size() - sent), error);
+        router.run(std::chrono::milliseconds(2));
+    }
+    CHECK(router.received().find(isCurrent ? "HTTP/1.1 431" : "HTTP/1.1 503") == 0);
+}
+
+// Guards against refusing proper trailers and extensions, and many small chunks.
+TEST_CASE("a body in small chunks with extensions and trailers is read to its end")
+{
+    RouterWithCaller router;
+    std::string request =
+        "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField) + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < 2'000; ++i) {
+        request += "1;name=value\r\nx\r\n";
+    }
+    request += "0\r\nX-Checksum: " + std::string(1'000, '0') + "\r\n\r\n";
+    boost::asio::write(router.caller, boost::asio::buffer(request));
+    router.run(std::chrono::milliseconds(50));
+    const std::string answer = router.received();
+    CHECK(answer.find("HTTP/1.1 503") == 0);
+    CHECK(answer.find("has not loaded a configuration") != std::string::npos);
+    CHECK_FALSE(router.isClosed());
+}
+
 // Guards against work for callers that left while their request was unread.
 TEST_CASE("a request whose caller has left by the time it is read is not begun")
 {
