Callers: count a request's bytes while they arrive, chunked bodies too

Callers saw a router exceed its memory: 100 clients that sent chunked bodies of just under 1 MiB and stopped held 114 to 187 MB of 96.

Cause: the room of a body was claimed by its declared length, and a chunked one declares none. It counted as one byte until the call began.

Now what the parser holds and the unparsed bytes are counted after each read, and a request that outgrows the room is refused with 429, not run, and a Retry-After. A sixteenth of the room is kept for requests up to 16 KiB, so that ordinary ones are served beside large ones; a large request alone may use all of it. Buffers that an earlier request has grown are released.

--- a/godwit/gateway/held_bytes.cpp
+++ b/godwit/gateway/held_bytes.cpp
@@ -38,6 +38,17 @@
     return options.limitBytes > 0 && static_cast<double>(totalHeldBytes(held)) > pressureFrom;
 }
 
+// Returns the limit for a request of this size beside the bytes held for others. A large request is refused below the
+// limit only if there are others.
+std::uint64_t limitFor(std::uint64_t requestBytes, std::uint64_t othersBytes, const HeldBytesOptions &options)
+{
+    if (requestBytes <= options.maxSmallRequestBytes || othersBytes == 0) {
+        return options.limitBytes;
+    }
+    const double limit = static_cast<double>(options.limitBytes);
+    return static_cast<std::uint64_t>(limit * (1 - options.smallRequestFraction));
+}
+
 bool isAtLimit(const HeldBytes &held, const HeldBytesOptions &options)
 {
     return options.limitBytes > 0 && totalHeldBytes(held) >= options.limitBytes;
@@ -98,7 +109,18 @@
     if (options.limitBytes == 0 || bodyBytes == 0) {
         return true;
     }
-    return totalHeldBytes(held) + bodyBytes.value_or(1) <= options.limitBytes;
+    const std::uint64_t others = totalHeldBytes(held);
+    const std::uint64_t bytes = bodyBytes.value_or(1);
+    return others + bytes <= limitFor(bytes, others, options);
+}
+
+bool mayKeepReceiving(const HeldBytes &held, const HeldBytesOptions &options, std::uint64_t requestBytes)
+{
+    if (options.limitBytes == 0 || requestBytes <= options.maxSmallRequestBytes) {
+        return true;
+    }
+    const std::uint64_t total = totalHeldBytes(held);
+    return total <= limitFor(requestBytes, total - std::min(total, requestBytes), options);
 }
 
 bool mustDisconnectCaller(const HeldBytes &held, const HeldBytesOptions &options)
--- a/godwit/gateway/held_bytes.h
+++ b/godwit/gateway/held_bytes.h
@@ -2,10 +2,11 @@
 
 // Counts the bytes that a router holds in buffers, and decides whom to slow or disconnect because of them.
 //
-// Held are the bytes queued for callers, the bodies of requests in flight, the request bytes queued for endpoints, and
-// what has been received of responses and not forwarded. A quarter of the process's memory may be held. Above half of
-// that, reading from endpoints pauses for callers with more than a small queue. At the limit, new bodies are refused,
-// and the caller that has read nothing for the longest time is disconnected. A reader that takes no byte for the stall
+// Held are the bytes queued for callers, the requests that are being received, the bodies of requests in flight, the
+// request bytes queued for endpoints, and what has been received of responses and not forwarded. A quarter of the
+// process's memory may be held. Above half of that, reading from endpoints pauses for callers with more than a small
+// queue. At the limit, new bodies are refused, requests of unknown length are refused while they arrive, and the caller
+// that has read nothing for the longest time is disconnected. A reader that takes no byte for the stall
 // timeout is disconnected regardless of the limit.
 //
 // Pure functions: time is passed in. Example:
@@ -29,7 +30,7 @@
 // For what bytes are held.
 enum class HeldSide {
     Caller, // Queued for callers.
-    Body, // Bodies of requests in flight.
+    Body, // Requests that are being received, and bodies of requests in flight.
     Endpoint, // Queued for endpoints.
     Answer, // Received from endpoints and not forwarded yet.
 };
@@ -70,6 +71,9 @@
     std::size_t maxBufferedAnswerBytes = 256UL * 1024;
     std::size_t maxBufferedAnswerUnderPressureBytes = 16UL * 1024;
     Duration stalledReaderTimeout = std::chrono::seconds(4);
+    // This fraction of the limit is kept for requests up to this size.
+    double smallRequestFraction = 1.0 / 16;
+    std::uint64_t maxSmallRequestBytes = 16UL * 1024;
 };
 
 // Returns the limit for a process with so much memory, in bytes; 0: no limit.
@@ -98,6 +102,10 @@
 // Whether the body of a new request may be held, by its declared length; nullopt: the length is unknown.
 bool mayHoldBody(const HeldBytes &held, const HeldBytesOptions &options, std::optional<std::uint64_t> bodyBytes);
 
+// Whether a request that is being received may go on to arrive, by the bytes held for it, which `held` includes. Small
+// ones always may: they are bounded by the number of connections.
+bool mayKeepReceiving(const HeldBytes &held, const HeldBytesOptions &options, std::uint64_t requestBytes);
+
 // Whether the limit is reached because of callers. While most of the bytes are held for other purposes, disconnecting
 // callers would harm those that read and free little.
 bool mustDisconnectCaller(const HeldBytes &held, const HeldBytesOptions &options);
--- a/godwit/gateway/held_bytes_claim.h
+++ b/godwit/gateway/held_bytes_claim.h
@@ -32,6 +32,11 @@
     HeldBytesClaim(const HeldBytesClaim &) = delete;
     HeldBytesClaim &operator=(const HeldBytesClaim &) = delete;
 
+    std::uint64_t bytes() const
+    {
+        return m_bytes;
+    }
+
     void set(std::uint64_t bytes)
     {
         if (m_held) {
--- a/godwit/gateway/held_bytes_test.cpp
+++ b/godwit/gateway/held_bytes_test.cpp
@@ -86,6 +86,28 @@
     CHECK(mayHoldBody(full, options, 0));
 }
 
+TEST_CASE("a sixteenth of the limit is kept for small requests")
+{
+    // Guards against a crowd of large requests leaving no room for ordinary ones.
+    const HeldBytesOptions options = limited();
+    const HeldBytes nearly = holding(0, Limit * 15 / 16, 0);
+    CHECK(mayHoldBody(nearly, options, 16 * 1024));
+    CHECK_FALSE(mayHoldBody(nearly, options, 16 * 1024 + 1));
+    CHECK(mayKeepReceiving(nearly, options, 20'000));
+    CHECK_FALSE(mayKeepReceiving(holding(0, Limit * 15 / 16 + 1, 0), options, 20'000));
+    CHECK(mayKeepReceiving(holding(0, 2 * Limit, 0), options, 16 * 1024));
+}
+
+TEST_CASE("a single large request may use the whole limit")
+{
+    // Guards against refusing a request within the configured limits while the router is idle.
+    const HeldBytesOptions options = limited();
+    CHECK(mayHoldBody({}, options, Limit));
+    CHECK(mayKeepReceiving(holding(0, Limit, 0), options, Limit));
+    CHECK_FALSE(mayKeepReceiving(holding(0, Limit + 1, 0), options, Limit + 1));
+    CHECK(mayKeepReceiving(holding(0, 2 * Limit, 0), {}, 2 * Limit));
+}
+
 TEST_CASE("callers are disconnected at the limit only if enough is queued for them")
 {
     // Guards against disconnecting callers that read because of bodies of other requests.
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -38,6 +38,7 @@
 // The parser leaves heads, trailers and the lines of chunk sizes with their extensions in the buffer until their end
 // has arrived. Each of these may be as long as a head, and this much longer.
 constexpr std::size_t UnparsedMarginBytes = 16UL * 1024;
+constexpr std::size_t MaxIdleBufferBytes = 4UL * 1024;
 
 ErrorKind kindOf(const error_code &error)
 {
@@ -50,6 +51,14 @@
     return ErrorKind::MalformedRequest;
 }
 
+// Keeps an idle connection, or one with a request in flight, from holding the memory of an earlier request.
+void releaseIfEmpty(beast::flat_buffer &buffer)
+{
+    if (buffer.size() == 0 && buffer.capacity() > MaxIdleBufferBytes) {
+        buffer.shrink_to_fit();
+    }
+}
+
 // Limits while there is no configuration, which may allow more than the defaults.
 constexpr std::size_t MaxHeaderBytesUnconfigured = 256UL * 1024;
 constexpr std::size_t MaxBodyBytesUnconfigured = 64UL * 1024 * 1024;
@@ -201,7 +210,9 @@
         onMalformedRequest(http::error::buffer_overflow);
         return;
     }
-    readMore();
+    if (holdReceived()) {
+        readMore();
+    }
 }
 
 bool CallerConnection::onParsed()
@@ -219,6 +230,20 @@
     return true;
 }
 
+bool CallerConnection::holdReceived()
+{
+    // The parser allocates a declared length at once.
+    const auto length = m_parser->content_length();
+    const std::uint64_t body = std::max<std::uint64_t>(length.value_or(0), m_parser->get().body().capacity());
+    m_heldBody.set(body + m_buffer.capacity());
+    // The room of a declared length was decided on the head.
+    if (length || mayKeepReceiving(*m_relay.state().held, m_relay.options().held, m_heldBody.bytes())) {
+        return true;
+    }
+    refuseUnfinishedRequest(refuseUnfinished(m_relay, m_parser->get().base()));
+    return false;
+}
+
 void CallerConnection::readMore()
 {
     const std::size_t room = m_maxUnparsedBytes - m_buffer.size();
@@ -245,14 +270,23 @@
     if (!refusal) {
         return true;
     }
+    refuseUnfinishedRequest(*refusal);
+    return false;
+}
+
+void CallerConnection::refuseUnfinishedRequest(const HeadRefusal &refusal)
+{
+    error_code ignored;
+    m_socket.cancel(ignored); // The read of the rest, if it waits.
     m_awaitingRequest = false;
     m_receivingRequest = false;
     m_timer.cancel();
-    m_closeAfterAnswer = true; // The body is not read, so the start of the next request can't be determined.
+    m_parser.emplace(); // Frees the body.
+    m_heldBody.set(0);
+    m_closeAfterAnswer = true; // The rest is not read, so the start of the next request can't be determined.
     m_drainSlowly = true;
-    send(formatErrorResponse(refusal->error, refusal->attemptId, true));
+    send(formatErrorResponse(refusal.error, refusal.attemptId, true));
     finish();
-    return false;
 }
 
 void CallerConnection::beginBody()
@@ -264,8 +298,6 @@
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    // The parser allocates a declared length at once.
-    m_heldBody.set(m_parser->content_length().value_or(0));
     m_parser->eager(true);
 }
 
@@ -318,6 +350,7 @@
         return;
     }
     auto request = m_parser->release();
+    releaseIfEmpty(m_buffer);
     m_keepAlive = request.keep_alive();
     std::string body = std::move(request.body());
     m_call = std::make_shared<RelayCall>(m_relay, *this, RequestHead(std::move(request.base())), std::move(body));
@@ -513,6 +546,8 @@
     setResetOnClose(false);
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     closeAfterTimeout();
+    m_buffer.clear();
+    releaseIfEmpty(m_buffer);
     if (m_drainSlowly) {
         drainAfterInterval(); // Callers that read while they write have the response by then.
     } else {
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -26,6 +26,7 @@
 {
 
 class CallerConnection;
+struct HeadRefusal;
 
 // All open caller connections of a router; used to close them at shutdown.
 struct CallerConnections
@@ -80,7 +81,11 @@
     void parseReceived();
     // Returns false if the request has been answered, or is complete.
     bool onParsed();
+    // Counts the bytes held for the request. Returns false if it has been refused for lack of room.
+    bool holdReceived();
     void readMore();
+    // Answers a request that has not been received completely.
+    void refuseUnfinishedRequest(const HeadRefusal &refusal);
     // Decides before the body of a request is read. Returns false if the request has been answered instead.
     bool decideOnHead();
     void beginBody();
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -317,6 +317,36 @@
     CHECK_FALSE(router.isClosed());
 }
 
+// Guards against bodies of unknown length that are not counted before their end.
+TEST_CASE("a chunked body that outgrows the room is refused while it arrives, and then holds nothing")
+{
+    RouterWithCaller router;
+    router.relay.setHeldBytes(300'000, std::chrono::seconds(4));
+    const std::size_t chunkBytes = 150'000;
+    boost::asio::write(router.caller,
+                       boost::asio::buffer("POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
+                                           + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n"));
+    const std::string body(chunkBytes, 'x');
+    std::size_t sent = 0;
+    for (int i = 0; i < 200 && sent < body.size(); ++i) {
+        boost::system::error_code error;
+        sent += router.caller.write_some(boost::asio::buffer(body.data() + sent, body.size() - sent), error);
+        router.run(std::chrono::milliseconds(2));
+    }
+    const HeldBytes &held = *router.relay.state().held;
+    CHECK(heldBytes(held, HeldSide::Body) >= chunkBytes);
+    const std::string more(140'000, 'x');
+    boost::system::error_code ignored;
+    boost::asio::write(router.caller, boost::asio::buffer(more), ignored);
+    router.run(std::chrono::milliseconds(50));
+    const std::string answer = router.received();
+    CHECK(answer.find("HTTP/1.1 429") == 0);
+    CHECK(answer.find("Retry-After") != std::string::npos);
+    router.caller.close();
+    router.run(std::chrono::milliseconds(100));
+    CHECK(totalHeldBytes(held) == 0);
+}
+
 // Guards against work for callers that left while their request was unread.
 TEST_CASE("a request whose caller has left by the time it is read is not begun")
 {
--- a/godwit/relay/head_refusal.cpp
+++ b/godwit/relay/head_refusal.cpp
@@ -111,13 +111,20 @@
     recordCall(relay.counters().calls, record);
 }
 
+Error lackOfRoom(const Relay &relay)
+{
+    Error error;
+    error.kind = ErrorKind::Overloaded;
+    error.message = "this router holds as many bytes for its callers and endpoints as it may";
+    error.retryAfter = relay.options().defaultRetryAfter;
+    return error;
+}
+
 HeadRefusal refuseForMemory(Relay &relay, const KnownRequest &request)
 {
     HeadRefusal refusal;
     refusal.attemptId = request.facts.attemptId;
-    refusal.error.kind = ErrorKind::Overloaded;
-    refusal.error.message = "this router holds as many bytes for its callers and endpoints as it may";
-    refusal.error.retryAfter = relay.options().defaultRetryAfter;
+    refusal.error = lackOfRoom(relay);
     logRefused(relay, request, refusal.error);
     countRefusal(relay, request, refusal.error.kind);
     return refusal;
@@ -195,4 +202,23 @@
     return refusal;
 }
 
+HeadRefusal refuseUnfinished(Relay &relay, const RequestHead &head)
+{
+    if (relay.state().routes) {
+        if (const auto request = identifyRequest(*relay.state().routes, head)) {
+            return refuseForMemory(relay, *request);
+        }
+    }
+    HeadRefusal refusal;
+    refusal.error = lackOfRoom(relay);
+    LastReason ignored;
+    if (const auto facts = parseRequestHead(head, ignored)) {
+        refusal.attemptId = facts->attemptId;
+    }
+    relay.log().write("unreadable_request", {{"cause", std::string_view(refusal.error.message)}});
+    ++relay.counters().requests;
+    ++relay.counters().refusals[refusal.error.kind];
+    return refusal;
+}
+
 } // namespace Godwit
--- a/godwit/relay/head_refusal.h
+++ b/godwit/relay/head_refusal.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Requests that are refused on their head, before their body is read: caller admission at a router with a busy link,
-// and bodies for which the router has no room.
+// and bodies for which the router has no room. Also requests that outgrow the room while they arrive.
 //
 // A refused request has been sent nowhere. Not thread-safe.
 //
@@ -31,4 +31,8 @@
 // the length is unknown. Requests that RelayCall refuses for their head, such as those without a route, are left to it.
 std::optional<HeadRefusal> refuseOnHead(Relay &relay, const RequestHead &head, std::optional<std::uint64_t> bodyBytes);
 
+// Returns the refusal of a request that can't be received completely for lack of room, which is counted and logged.
+// `head` is what is known of its head.
+HeadRefusal refuseUnfinished(Relay &relay, const RequestHead &head);
+
 } // namespace Godwit
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -52,7 +52,7 @@
     , m_hedgeTimer(relay.io())
     , m_heldAnswer(relay.state().held, HeldSide::Answer)
 {
-    m_heldBody.set(m_body.size());
+    m_heldBody.set(m_body.empty() ? 0 : m_body.capacity());
     ++m_relay.callsOpen;
     ++m_relay.counters().requests;
 }
