Callers: refuse a large request on its head if it has no route or customer

Callers saw 429 for every body while strangers held the room: 100 clients with declared bodies of 1 MB for an unknown host, 10 bytes short, held 108 MB of 96, and no ordinary POST was served in 4 tries; with chunked bodies 187 MB.

Cause: the check for room left requests without a known route or key to the call, which begins only once their body has been read.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -182,6 +182,7 @@
 {
     m_receivingRequest = true;
     m_receivingBody = false;
+    m_customer.reset();
     const CallerLimits limits = currentLimits(m_relay);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     m_parser->body_limit(limits.maxBodyBytes);
@@ -236,6 +237,10 @@
     const auto length = m_parser->content_length();
     const std::uint64_t body = std::max<std::uint64_t>(length.value_or(0), m_parser->get().body().capacity());
     m_heldBody.set(body + m_buffer.capacity());
+    const bool isLarge = m_heldBody.bytes() > m_relay.options().held.maxSmallRequestBytes;
+    if (isLarge && m_receivingBody && !m_customer && !identifyCustomer()) {
+        return false;
+    }
     // The room of a declared length was decided on the head.
     if (length || mayKeepReceiving(*m_relay.state().held, m_relay.options().held, m_heldBody.bytes())) {
         return true;
@@ -268,12 +273,30 @@
     const auto bodyBytes = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
     const auto refusal = refuseOnHead(m_relay, m_parser->get().base(), bodyBytes);
     if (!refusal) {
-        return true;
+        return bodyBytes.value_or(0) <= m_relay.options().held.maxSmallRequestBytes || identifyCustomer();
     }
     refuseUnfinishedRequest(*refusal);
     return false;
 }
 
+bool CallerConnection::identifyCustomer()
+{
+    m_customer = customerOnHead(m_relay, m_parser->get().base());
+    if (m_customer) {
+        return true;
+    }
+    m_awaitingRequest = false;
+    m_receivingRequest = false;
+    m_timer.cancel();
+    m_drainSlowly = true;
+    m_parser->get().body() = {};
+    m_call = makeCall();
+    m_keepAlive = false; // The rest is not read.
+    const auto call = m_call;
+    call->startWithoutBody();
+    return false;
+}
+
 void CallerConnection::refuseUnfinishedRequest(const HeadRefusal &refusal)
 {
     error_code ignored;
@@ -349,12 +372,7 @@
         close();
         return;
     }
-    auto request = m_parser->release();
-    releaseIfEmpty(m_buffer);
-    m_keepAlive = request.keep_alive();
-    std::string body = std::move(request.body());
-    m_call = std::make_shared<RelayCall>(m_relay, *this, RequestHead(std::move(request.base())), std::move(body));
-    m_heldBody.set(0); // Counted by the call from now on.
+    m_call = makeCall();
     const auto call = m_call;
     call->start();
     m_requestId = call->id();
@@ -363,6 +381,17 @@
     }
 }
 
+std::shared_ptr<RelayCall> CallerConnection::makeCall()
+{
+    auto request = m_parser->release();
+    releaseIfEmpty(m_buffer);
+    m_keepAlive = request.keep_alive();
+    std::string body = std::move(request.body());
+    auto call = std::make_shared<RelayCall>(m_relay, *this, RequestHead(std::move(request.base())), std::move(body));
+    m_heldBody.set(0); // Counted by the call from now on.
+    return call;
+}
+
 // A disconnect shows as end of stream or as a socket error, unless unread bytes precede it.
 bool CallerConnection::hasDisconnected()
 {
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -84,6 +84,8 @@
     // Counts the bytes held for the request. Returns false if it has been refused for lack of room.
     bool holdReceived();
     void readMore();
+    // Learns the customer of a large request. Returns false if the request has been refused, since it has none.
+    bool identifyCustomer();
     // Answers a request that has not been received completely.
     void refuseUnfinishedRequest(const HeadRefusal &refusal);
     // Decides before the body of a request is read. Returns false if the request has been answered instead.
@@ -92,6 +94,7 @@
     void countRead(std::size_t bytes);
     void onMalformedRequest(const boost::system::error_code &error);
     void startCall();
+    std::shared_ptr<RelayCall> makeCall();
     bool hasDisconnected();
     void watchForDisconnect();
     void write();
@@ -130,6 +133,7 @@
     bool m_closeAfterAnswer = false; // The current response was sent with "Connection: close".
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
+    std::optional<CustomerId> m_customer; // Of the request that is being received, if it is large.
     bool m_receivingBody = false; // The head of the request is complete.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
     bool m_drainSlowly = false; // The caller may still be sending a body that is not wanted.
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -347,6 +347,50 @@
     CHECK(totalHeldBytes(held) == 0);
 }
 
+// Guards against strangers filling the memory with bodies of requests that are refused for their head.
+TEST_CASE("a large request without a route is refused on its head, with the refusal that it would get later")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    state.stage = RelayStage::Serving;
+    state.routes = makeRouteTable(documentWithRoute());
+    const bool isCurrent = GENERATE(false, true);
+    if (isCurrent) {
+        recordFullRead(state.documentFreshness, Relay::now(), Relay::bootTimeNow());
+    }
+    const bool isChunked = GENERATE(false, true);
+    const std::string framing =
+        isChunked ? "Transfer-Encoding: chunked\r\n\r\n40000\r\n" : "Content-Length: 262144\r\n\r\n";
+    boost::asio::write(router.caller,
+                       boost::asio::buffer("POST / HTTP/1.1\r\nHost: other\r\n" + std::string(AttemptIdField)
+                                           + ": 1\r\n" + framing + std::string(40'000, 'x')));
+    router.run(std::chrono::milliseconds(50));
+    const std::string answer = router.received();
+    CHECK(answer.find(isCurrent ? "HTTP/1.1 404" : "HTTP/1.1 503") == 0);
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(totalHeldBytes(*state.held) == 0);
+    CHECK(router.relay.callsOpen == 0);
+}
+
+// Guards against closing the connection of a caller whose small request has no route.
+TEST_CASE("a small request without a route leaves its connection open")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    state.stage = RelayStage::Serving;
+    state.routes = makeRouteTable(documentWithRoute());
+    const bool isChunked = GENERATE(false, true);
+    const std::string body = isChunked
+        ? "Transfer-Encoding: chunked\r\n\r\n3e8\r\n" + std::string(1'000, 'x') + "\r\n0\r\n\r\n"
+        : "Content-Length: 1000\r\n\r\n" + std::string(1'000, 'x');
+    boost::asio::write(
+        router.caller,
+        boost::asio::buffer("POST / HTTP/1.1\r\nHost: other\r\n" + std::string(AttemptIdField) + ": 1\r\n" + body));
+    router.run(std::chrono::milliseconds(50));
+    CHECK(router.received().find("HTTP/1.1 503") == 0);
+    CHECK_FALSE(router.isClosed());
+}
+
 // Guards against work for callers that left while their request was unread.
 TEST_CASE("a request whose caller has left by the time it is read is not begun")
 {
--- a/godwit/relay/head_refusal.cpp
+++ b/godwit/relay/head_refusal.cpp
@@ -202,6 +202,15 @@
     return refusal;
 }
 
+std::optional<CustomerId> customerOnHead(Relay &relay, const RequestHead &head)
+{
+    if (!relay.state().routes) {
+        return CustomerId{};
+    }
+    auto request = identifyRequest(*relay.state().routes, head);
+    return request ? std::optional<CustomerId>(std::move(request->customer)) : std::nullopt;
+}
+
 HeadRefusal refuseUnfinished(Relay &relay, const RequestHead &head)
 {
     if (relay.state().routes) {
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -57,21 +57,33 @@
     ++m_relay.counters().requests;
 }
 
-void RelayCall::start()
+bool RelayCall::identify()
 {
     LastReason reason;
     const auto facts = parseRequestHead(m_head, reason);
     if (!facts) {
         refuse(reason->kind, reason->message, std::nullopt);
-        return;
+        return false;
     }
     m_facts = *facts;
     // Checked before the route lookup: a route missing from a stale document may have been added seconds ago.
     if (m_relay.mayBeStale(m_arrived)) {
         refuse(ErrorKind::Overloaded, "this router's configuration may be out of date", randomizedRetryAfter());
-        return;
+        return false;
     }
-    if (!findRoute() || !findCustomer()) {
+    return findRoute() && findCustomer();
+}
+
+void RelayCall::startWithoutBody()
+{
+    if (identify()) {
+        refuse(ErrorKind::Overloaded, "the body of the request was not read", randomizedRetryAfter());
+    }
+}
+
+void RelayCall::start()
+{
+    if (!identify()) {
         return;
     }
     if (admissionNow() == Admission::Refused) {
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -55,6 +55,9 @@
     // May send the response before returning.
     void start();
 
+    // As start(), for a request whose body has not been received: sends a refusal in any case.
+    void startWithoutBody();
+
     // The caller's connection has ended; the sink is not called any more.
     void onCallerDisconnected();
 
@@ -101,6 +104,8 @@
         Duration timeLeft{}; // Remaining time that the endpoint is given.
     };
 
+    // Returns false if the request has been refused for its head.
+    bool identify();
     bool findRoute();
     void refuseUnknown(ErrorKind kind, const std::string &message);
     bool findCustomer();
