Callers: refuse stopped senders when others need their room

Callers saw 429 for a body of 512 KiB for as long as 60 clients kept declared bodies of 1 MB open and sent nothing of them: up to the idle time-out, and again once they were back.

Cause: the room of an unfinished request was freed by the idle time-out alone.

Now a request that lacks room displaces unfinished ones of which less than 1 KiB has arrived within a second. The customer that holds most goes first, and of its requests the one that has been silent longest, so that a slow sender of another customer stays. A displaced request gets 429, not run, and a Retry-After. Without such a sender the new request is refused, as before.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -96,6 +96,27 @@
     }
 }
 
+void refuseStoppedSenders(const CallerConnections &connections, const std::function<bool()> &hasRoom)
+{
+    std::vector<std::shared_ptr<CallerConnection>> candidates;
+    std::vector<BodySender> senders;
+    for (CallerConnection *connection : connections.open) {
+        BodySender sender = connection->bodySender();
+        if (sender.heldBytes > 0) {
+            candidates.push_back(connection->shared_from_this());
+            senders.push_back(std::move(sender));
+        }
+    }
+    while (!hasRoom()) {
+        const auto chosen = senderToRefuse(senders, Relay::now());
+        if (!chosen) {
+            return;
+        }
+        candidates[*chosen]->refuseUnfinishedRequest();
+        senders[*chosen].heldBytes = 0;
+    }
+}
+
 CallerConnection::CallerConnection(Relay &relay, CallerConnections &connections, asio::ip::tcp::socket socket)
     : m_relay(relay)
     , m_connections(connections)
@@ -183,6 +204,7 @@
     m_receivingRequest = true;
     m_receivingBody = false;
     m_customer.reset();
+    m_senderProgress = {Relay::now(), 0};
     const CallerLimits limits = currentLimits(m_relay);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     m_parser->body_limit(limits.maxBodyBytes);
@@ -241,14 +263,32 @@
     if (isLarge && m_receivingBody && !m_customer && !identifyCustomer()) {
         return false;
     }
+    const auto hasRoom = [this] {
+        return mayKeepReceiving(*m_relay.state().held, m_relay.options().held, m_heldBody.bytes());
+    };
     // The room of a declared length was decided on the head.
-    if (length || mayKeepReceiving(*m_relay.state().held, m_relay.options().held, m_heldBody.bytes())) {
+    if (length || hasRoom()) {
         return true;
     }
-    refuseUnfinishedRequest(refuseUnfinished(m_relay, m_parser->get().base()));
+    refuseStoppedSenders(m_connections, hasRoom);
+    if (hasRoom()) {
+        return true;
+    }
+    refuseUnfinishedRequest();
     return false;
 }
 
+BodySender CallerConnection::bodySender() const
+{
+    const bool isReceiving = !m_closed && m_awaitingRequest && m_receivingRequest;
+    return {m_customer.value_or(CustomerId{}), isReceiving ? m_heldBody.bytes() : 0, m_senderProgress.lastProgressAt};
+}
+
+void CallerConnection::refuseUnfinishedRequest()
+{
+    refuseUnfinishedRequest(refuseUnfinished(m_relay, m_parser->get().base()));
+}
+
 void CallerConnection::readMore()
 {
     const std::size_t room = m_maxUnparsedBytes - m_buffer.size();
@@ -263,6 +303,7 @@
                                      return;
                                  }
                                  self->m_buffer.commit(bytes);
+                                 recordBodyBytes(self->m_senderProgress, bytes, Relay::now());
                                  self->parseReceived();
                              });
 }
@@ -271,6 +312,12 @@
 {
     const auto length = m_parser->content_length();
     const auto bodyBytes = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    const auto hasRoom = [this, bodyBytes] {
+        return mayHoldBody(*m_relay.state().held, m_relay.options().held, bodyBytes);
+    };
+    if (!hasRoom()) {
+        refuseStoppedSenders(m_connections, hasRoom);
+    }
     const auto refusal = refuseOnHead(m_relay, m_parser->get().base(), bodyBytes);
     if (!refusal) {
         return bodyBytes.value_or(0) <= m_relay.options().held.maxSmallRequestBytes || identifyCustomer();
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -6,6 +6,7 @@
 // cancelled. A caller that reads nothing while bytes are queued for it is disconnected by a reset, which shows that its
 // response is incomplete. Not thread-safe.
 
+#include "godwit/gateway/body_senders.h"
 #include "godwit/gateway/held_bytes.h"
 #include "godwit/gateway/held_bytes_claim.h"
 #include "godwit/relay/relay.h"
@@ -17,6 +18,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -38,6 +40,9 @@
 // first.
 void disconnectCallersAtLimit(Relay &relay, const CallerConnections &connections);
 
+// Refuses unfinished requests whose senders have stopped, until `hasRoom` returns true or none is left.
+void refuseStoppedSenders(const CallerConnections &connections, const std::function<bool()> &hasRoom);
+
 class CallerConnection : public AnswerSink, public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -56,6 +61,12 @@
     // Disconnects the caller because it doesn't read.
     void disconnectReader(ReaderCutCause cause);
 
+    // The request that is being received; holds no bytes if there is none.
+    BodySender bodySender() const;
+
+    // Refuses the request that is being received, for lack of room.
+    void refuseUnfinishedRequest();
+
     // Progress of the caller's reading, as last noted.
     const ReaderProgress &progress() const
     {
@@ -133,6 +144,7 @@
     bool m_closeAfterAnswer = false; // The current response was sent with "Connection: close".
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
+    SenderProgress m_senderProgress;
     std::optional<CustomerId> m_customer; // Of the request that is being received, if it is large.
     bool m_receivingBody = false; // The head of the request is complete.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
