Callers: limit connections by the descriptors, and close the one that matters least

Callers could not connect while strangers kept all descriptors: 300 clients that sent nothing, half a line, an open head or half a chunk left none of 256, and no ordinary GET was served in 4 tries. 100 clients whose bodies were refused held all of them too, since each refusal keeps its connection for a second while the rest of the body is discarded.

Cause: nothing related the connections to the descriptors of the host.

At that number a new connection takes the place of another: answered for the last time, idle, with part of a head, with part of a body, the oldest first. A connection is not chosen for its phase within its first second, since a crowd that reconnects quickly would otherwise close each proper one before its request arrives; a request in flight, or one that the loop has not read, is never closed.

--- a/godwit/config/gateway_settings.cpp
+++ b/godwit/config/gateway_settings.cpp
@@ -16,6 +16,7 @@
 
 // A larger receive buffer would hold any body, so that deferring saves the link nothing.
 constexpr double MaxAdmissionWindowBytes = 1024.0 * 1024;
+constexpr double MaxDescriptors = 1024.0 * 1024;
 
 Duration seconds(double value)
 {
@@ -74,6 +75,7 @@
         settings.cores = reader.number("cores", settings.cores, {0.001, 1024});
         settings.linkMbps = reader.number("link_mbps", settings.linkMbps, {0.001, 1e6});
         settings.memoryMb = reader.number("memory_mb", settings.memoryMb, {0, 1'048'576});
+        settings.descriptors = static_cast<std::uint64_t>(reader.integer("descriptors", 0, {0, MaxDescriptors}));
         settings.stalledReaderTimeout = seconds(reader.number("stalled_reader_s", 4, {0.5, 60}));
         settings.stopWithin = seconds(reader.number("stop_within_s", 8, {1, 3600}));
         settings.addressesFor = seconds(reader.number("addresses_for_s", 2, {0.1, 60}));
--- a/godwit/config/gateway_settings.h
+++ b/godwit/config/gateway_settings.h
@@ -13,6 +13,7 @@
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,6 +36,7 @@
     double cores = 1; // Share of a core that this host gives the router.
     double linkMbps = 1000; // Of this host's link.
     double memoryMb = 0; // That this host gives the router; 0: what is held for slow readers has no limit.
+    std::uint64_t descriptors = 0; // That this host gives the router; 0: as many as the system allows the process.
     // Callers and endpoints that read nothing for this long are disconnected.
     Duration stalledReaderTimeout = std::chrono::seconds(4);
     Duration stopWithin = std::chrono::seconds(8); // From the signal to the end of the process.
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -9,6 +9,7 @@
 #include "godwit/daemon/stream_origin_search.h"
 #include "godwit/daemon/suspect_coordinator.h"
 #include "godwit/daemon/version_announcer.h"
+#include "godwit/gateway/connection_limits.h"
 #include "godwit/gateway/connection_pause.h"
 #include "godwit/relay/caller_connection.h"
 #include "godwit/relay/connection_lender.h"
@@ -20,6 +21,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <sys/resource.h>
 #include <time.h>
 
 #include <algorithm>
@@ -70,6 +72,8 @@
 constexpr double AcceptRequestsFraction = 0.36;
 constexpr double FinishRequestsFraction = 0.88;
 constexpr double EndFraction = 0.97;
+// Used if the system doesn't tell its limit; the usual one.
+constexpr std::uint64_t DefaultDescriptors = 1024;
 
 std::string randomSuffix()
 {
@@ -184,6 +188,16 @@
     return settings.peerListen.substr(0, settings.peerListen.rfind(':')) + ":0";
 }
 
+// Descriptors that the process may use.
+std::uint64_t descriptorsOf(const GatewaySettings &settings)
+{
+    if (settings.descriptors > 0) {
+        return settings.descriptors;
+    }
+    rlimit limit{};
+    return ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : DefaultDescriptors;
+}
+
 FleetMember selfMember(const GatewaySettings &settings)
 {
     return FleetMember{settings.host,
@@ -202,6 +216,7 @@
     Impl(GatewaySettings settings, std::string settingsFile)
         : m_settings(std::move(settings))
         , m_settingsFile(std::move(settingsFile))
+        , m_limits(connectionLimits(descriptorsOf(m_settings)))
         , m_self(selfMember(m_settings))
         , m_log(m_io, logOptions(m_settings))
         , m_relay(m_io, relayOptions(m_settings, m_self.incarnation), m_log)
@@ -227,6 +242,7 @@
         , m_stopTimer(m_io)
     {
         m_relay.setHeldBytes(heldBytesLimit(m_settings.memoryMb), m_settings.stalledReaderTimeout);
+        m_connections.limit = m_limits.callers;
         m_relay.onHeldLimit = [this] {
             disconnectCallersAtLimit(m_relay, m_connections);
         };
@@ -358,7 +374,7 @@
             && m_callerListener.open(
                 m_settings.callerListen,
                 [this](Listener::Socket socket) {
-                    std::make_shared<CallerConnection>(m_relay, m_connections, std::move(socket))->start();
+                    acceptCaller(m_relay, m_connections, std::move(socket));
                 },
                 reason);
         if (!listening) {
@@ -922,6 +938,7 @@
     GatewaySettings m_settings;
     std::string m_settingsFile;
     std::string m_settingsText;
+    ConnectionLimits m_limits;
     FleetMember m_self;
     DecisionLog m_log;
     Relay m_relay;
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -100,6 +100,10 @@
     appendMetric(out, "godwit_suspect_requests", static_cast<double>(state.suspects.deathCount.size()));
     appendMetric(
         out, "godwit_answers_without_declared_end_total", static_cast<double>(counters.answersWithoutDeclaredEnd));
+    for (std::size_t phase = 0; phase < ConnectionPhaseCount; ++phase) {
+        out << "godwit_connections_closed_total{phase=\"" << connectionPhaseName(static_cast<ConnectionPhase>(phase))
+            << "\"} " << counters.connectionsClosed[phase] << '\n';
+    }
     for (const HeldSide side : HeldSides) {
         out << "godwit_held_bytes{side=\"" << heldSideName(side) << "\"} " << heldBytes(*state.held, side) << '\n';
     }
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -74,6 +74,25 @@
     return limits;
 }
 
+// Returns false if no connection can be closed.
+bool closeConnectionForAnother(Relay &relay, const CallerConnections &connections)
+{
+    const std::vector<CallerConnection *> candidates(connections.open.begin(), connections.open.end());
+    std::vector<ConnectionActivity> activities;
+    activities.reserve(candidates.size());
+    for (const CallerConnection *connection : candidates) {
+        activities.push_back(connection->activity());
+    }
+    while (const auto chosen = connectionToClose(activities, Relay::now())) {
+        if (candidates[*chosen]->closeForDescriptor()) {
+            ++relay.counters().connectionsClosed[static_cast<std::size_t>(activities[*chosen].phase)];
+            return true;
+        }
+        activities[*chosen].phase = ConnectionPhase::Busy;
+    }
+    return false;
+}
+
 } // namespace
 
 void disconnectCallersAtLimit(Relay &relay, const CallerConnections &connections)
@@ -117,6 +136,16 @@
     }
 }
 
+void acceptCaller(Relay &relay, CallerConnections &connections, asio::ip::tcp::socket socket)
+{
+    if (connections.limit > 0 && connections.open.size() >= connections.limit
+        && !closeConnectionForAnother(relay, connections)) {
+        ++relay.counters().connectionsClosed[static_cast<std::size_t>(ConnectionPhase::Busy)];
+        return;
+    }
+    std::make_shared<CallerConnection>(relay, connections, std::move(socket))->start();
+}
+
 CallerConnection::CallerConnection(Relay &relay, CallerConnections &connections, asio::ip::tcp::socket socket)
     : m_relay(relay)
     , m_connections(connections)
@@ -155,6 +184,37 @@
     }
 }
 
+ConnectionActivity CallerConnection::activity() const
+{
+    ConnectionPhase phase = ConnectionPhase::Busy;
+    if (m_closing) {
+        phase = ConnectionPhase::Closing;
+    } else if (m_awaitingRequest) {
+        phase = !m_receivingRequest ? ConnectionPhase::Idle
+            : m_receivingBody       ? ConnectionPhase::Body
+                                    : ConnectionPhase::Head;
+    }
+    return {phase, phase == ConnectionPhase::Body ? m_senderProgress.lastProgressAt : m_phaseSince};
+}
+
+bool CallerConnection::closeForDescriptor()
+{
+    const bool awaitsFirstByte = m_awaitingRequest && !m_receivingRequest;
+    if (awaitsFirstByte && !isQuiet(m_socket)) {
+        return false;
+    }
+    if (m_awaitingRequest && m_receivingRequest) {
+        const HeadRefusal refusal = refuseUnfinished(m_relay, m_parser->get().base());
+        const std::string response = formatErrorResponse(refusal.error, refusal.attemptId, true);
+        error_code ignored;
+        // There is no descriptor to wait for the caller with; whoever has stopped sending receives this.
+        m_socket.non_blocking(true, ignored);
+        m_socket.write_some(asio::buffer(response), ignored);
+    }
+    close();
+    return true;
+}
+
 bool CallerConnection::owesAnswer()
 {
     // The end of the process resets a connection with unread bytes, which discards what is not acknowledged yet.
@@ -166,6 +226,7 @@
 {
     m_parser.emplace();
     m_awaitingRequest = true;
+    m_phaseSince = Relay::now();
     m_receivingRequest = false;
     m_answerDone = false;
     m_requestId.clear();
@@ -203,6 +264,7 @@
 {
     m_receivingRequest = true;
     m_receivingBody = false;
+    m_phaseSince = Relay::now();
     m_customer.reset();
     m_senderProgress = {Relay::now(), 0};
     const CallerLimits limits = currentLimits(m_relay);
@@ -616,6 +678,7 @@
 void CallerConnection::closeGracefully()
 {
     m_closing = true;
+    m_phaseSince = Relay::now();
     error_code ignored;
     m_socket.cancel(ignored);
     m_awaitingRequest = false;
@@ -699,6 +762,7 @@
         return;
     }
     m_closed = true;
+    m_connections.open.erase(this);
     m_awaitingRequest = false;
     m_timer.cancel();
     m_drainTimer.cancel();
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -4,9 +4,11 @@
 //
 // While a request is in flight the connection watches for the caller disconnecting, so that the endpoint's work can be
 // cancelled. A caller that reads nothing while bytes are queued for it is disconnected by a reset, which shows that its
-// response is incomplete. Not thread-safe.
+// response is incomplete. At the limit of open connections, the one that matters least is closed for a new one; see
+// connection_limits.h. Not thread-safe.
 
 #include "godwit/gateway/body_senders.h"
+#include "godwit/gateway/connection_limits.h"
 #include "godwit/gateway/held_bytes.h"
 #include "godwit/gateway/held_bytes_claim.h"
 #include "godwit/relay/relay.h"
@@ -30,12 +32,16 @@
 class CallerConnection;
 struct HeadRefusal;
 
-// All open caller connections of a router; used to close them at shutdown.
+// All open caller connections of a router.
 struct CallerConnections
 {
     std::set<CallerConnection *> open;
+    std::size_t limit = 0; // 0: none.
 };
 
+// Serves a new connection. At the limit it takes the place of another, or is closed if all others are busy.
+void acceptCaller(Relay &relay, CallerConnections &connections, boost::asio::ip::tcp::socket socket);
+
 // Disconnects callers while the limit of held bytes is reached, the one that has read nothing for the longest time
 // first.
 void disconnectCallersAtLimit(Relay &relay, const CallerConnections &connections);
@@ -54,6 +60,12 @@
     // Starts a graceful close if no request is in flight or has arrived on the connection.
     void closeIfIdle();
 
+    ConnectionActivity activity() const;
+
+    // Closes a connection without a request in flight, to free its descriptor. Returns false if a request has arrived
+    // on it that the event loop has not processed yet.
+    bool closeForDescriptor();
+
     // Whether something is still due to the caller: the response to a request that it is sending or has sent, or bytes
     // of one that its host has not acknowledged.
     bool owesAnswer();
@@ -145,6 +157,7 @@
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
     SenderProgress m_senderProgress;
+    TimePoint m_phaseSince; // When the current phase of the connection began; see ConnectionPhase.
     std::optional<CustomerId> m_customer; // Of the request that is being received, if it is large.
     bool m_receivingBody = false; // The head of the request is complete.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -13,6 +13,7 @@
 #include "godwit/base/time.h"
 #include "godwit/gateway/announced_versions.h"
 #include "godwit/gateway/caller_admission.h"
+#include "godwit/gateway/connection_limits.h"
 #include "godwit/gateway/copy_freshness.h"
 #include "godwit/gateway/crash_detector.h"
 #include "godwit/gateway/endpoint_reach.h"
@@ -42,6 +43,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -210,6 +212,8 @@
     std::uint64_t requests = 0;
     std::uint64_t answered = 0;
     std::uint64_t callerDisconnects = 0;
+    // For lack of descriptors, by phase. Busy: new ones, since all others were.
+    std::array<std::uint64_t, ConnectionPhaseCount> connectionsClosed{};
     std::uint64_t connectionPauses = 0; // Pauses during which the router accepted no connections.
     std::uint64_t attempts = 0;
     std::uint64_t retries = 0;
