Readiness and metrics ports: bound what the parser leaves unparsed

Anyone who reached the port of readiness checks and address queries, or that of the metrics, could fill the memory: 20 clients with trailers or a chunk extension without end held 480 to 490 MB of 96.

Cause: as at the callers' port, the limits of head and body don't cover what the parser leaves in the buffer. The buffer now has at most 16 KiB, twice a head.

--- a/godwit/relay/simple_http_server.cpp
+++ b/godwit/relay/simple_http_server.cpp
@@ -15,6 +15,8 @@
 constexpr auto IdleTimeout = std::chrono::seconds(10);
 constexpr std::uint32_t MaxHeadBytes = 8U * 1024;
 constexpr std::uint64_t MaxBodyBytes = 4096;
+// The parser leaves trailers and the lines of chunk sizes in the buffer until their end has arrived.
+constexpr std::size_t MaxUnparsedBytes = 16UL * 1024;
 
 class SimpleHttpConnection : public std::enable_shared_from_this<SimpleHttpConnection>
 {
@@ -22,6 +24,7 @@
     SimpleHttpConnection(Listener::Socket socket, const SimpleHttpServer::Handler &handler)
         : m_stream(std::move(socket))
         , m_handler(handler)
+        , m_buffer(MaxUnparsedBytes)
     {
     }
 
