Readiness and metrics ports: limit their connections

300 silent clients at either port kept all 256 descriptors of a router, so that the callers' port could accept nobody.

Cause: each connection was kept for 10 s, and their number had no limit. Beyond that the connection that has waited for a request for the longest time is closed for the new one.

Red before: two cases of misbehaving_clients_test.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -234,8 +234,8 @@
         , m_liveEntries(m_io, m_store, LivePrefix, liveOptions(), onLive(), reachabilityHandler())
         , m_callerListener(m_io)
         , m_pauseOptions{m_self.capacity}
-        , m_entryServer(m_io, entryHandler())
-        , m_metricsServer(m_io, metricsHandler())
+        , m_entryServer(m_io, entryHandler(), m_limits.entry)
+        , m_metricsServer(m_io, metricsHandler(), m_limits.metrics)
         , m_signals(m_io, SIGTERM, SIGINT)
         , m_reloadSignals(m_io, SIGHUP)
         , m_sweepTimer(m_io)
--- a/godwit/relay/simple_http_server.cpp
+++ b/godwit/relay/simple_http_server.cpp
@@ -3,6 +3,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
 namespace Godwit
 {
 namespace
@@ -18,6 +22,8 @@
 // The parser leaves trailers and the lines of chunk sizes in the buffer until their end has arrived.
 constexpr std::size_t MaxUnparsedBytes = 16UL * 1024;
 
+} // namespace
+
 class SimpleHttpConnection : public std::enable_shared_from_this<SimpleHttpConnection>
 {
 public:
@@ -30,6 +36,7 @@
 
     void read()
     {
+        m_waitingSince = Clock::now();
         m_parser.emplace();
         m_parser->header_limit(MaxHeadBytes);
         m_parser->body_limit(MaxBodyBytes);
@@ -42,7 +49,20 @@
             });
     }
 
+    // When it began to wait for a request.
+    std::chrono::steady_clock::time_point waitingSince() const
+    {
+        return m_waitingSince;
+    }
+
+    void close()
+    {
+        m_stream.close();
+    }
+
 private:
+    using Clock = std::chrono::steady_clock;
+
     void reply()
     {
         const auto &request = m_parser->get();
@@ -67,23 +87,43 @@
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
+    Clock::time_point m_waitingSince;
 };
 
-} // namespace
-
-SimpleHttpServer::SimpleHttpServer(boost::asio::io_context &io, Handler handler)
+SimpleHttpServer::SimpleHttpServer(boost::asio::io_context &io, Handler handler, std::size_t maxConnections)
     : m_io(io)
     , m_handler(std::move(handler))
+    , m_maxConnections(maxConnections)
 {
 }
 
+void SimpleHttpServer::accept(Listener::Socket socket)
+{
+    std::vector<std::shared_ptr<SimpleHttpConnection>> open;
+    for (const auto &connection : m_connections) {
+        if (auto shared = connection.lock()) {
+            open.push_back(std::move(shared));
+        }
+    }
+    if (open.size() >= m_maxConnections) {
+        const auto longest = std::min_element(open.begin(), open.end(), [](const auto &a, const auto &b) {
+            return a->waitingSince() < b->waitingSince();
+        });
+        (*longest)->close();
+        open.erase(longest);
+    }
+    open.push_back(std::make_shared<SimpleHttpConnection>(std::move(socket), m_handler));
+    open.back()->read();
+    m_connections.assign(open.begin(), open.end());
+}
+
 bool SimpleHttpServer::listen(const std::string &address, LastReason &reason)
 {
     auto listener = std::make_unique<Listener>(m_io);
     const bool opened = listener->open(
         address,
         [this](Listener::Socket socket) {
-            std::make_shared<SimpleHttpConnection>(std::move(socket), m_handler)->read();
+            accept(std::move(socket));
         },
         reason);
     m_listeners.push_back(std::move(listener));
