Ports of the other routers: limit connections by the descriptors

300 silent clients at the port that lends connections kept all 256 descriptors of a router: it accepted 512 of them, for a second each, whatever the host allows. Now an eighth of the descriptors at most is for lent connections and a 16th for peers before their hello, up to 512 and 64 as before.

Red before: one case of misbehaving_clients_test.

--- a/godwit/daemon/fleet_links.cpp
+++ b/godwit/daemon/fleet_links.cpp
@@ -79,6 +79,7 @@
     RouterMeshOptions mesh;
     mesh.listenAddress = m_options.listenAddress;
     mesh.allowPlainText = true;
+    mesh.unprovenBound = m_options.maxUnprovenPeers;
     // Network outages are short and frequent: a silent link is replaced soon.
     mesh.silenceLimit = std::chrono::seconds(3);
     mesh.reconnectLimit = std::chrono::seconds(1);
--- a/godwit/daemon/fleet_links.h
+++ b/godwit/daemon/fleet_links.h
@@ -39,6 +39,7 @@
     Hello own;
     double ownCapacity = 0; // Requests per second that this host can take.
     std::string listenAddress;
+    std::size_t maxUnprovenPeers = 64; // Inbound connections before their hello.
     // Heartbeats become less frequent above `maxPeersAtBaseInterval` peers. Routers that are not advertised to callers
     // send them less often by `unadvertisedHeartbeatFactor`, since no traffic depends on them.
     Duration heartbeatInterval = std::chrono::milliseconds(400);
--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -145,10 +145,11 @@
     return options;
 }
 
-FleetLinksOptions linkOptions(const GatewaySettings &settings, const FleetMember &self)
+FleetLinksOptions linkOptions(const GatewaySettings &settings, const FleetMember &self, const ConnectionLimits &limits)
 {
     FleetLinksOptions options;
     options.listenAddress = settings.peerListen;
+    options.maxUnprovenPeers = limits.unprovenPeers;
     options.own.host = self.host;
     options.own.incarnation = self.incarnation;
     options.own.dataCentre = self.dataCentre;
@@ -172,10 +173,11 @@
     return options;
 }
 
-LenderOptions lenderOptions()
+LenderOptions lenderOptions(const ConnectionLimits &limits)
 {
     LenderOptions options;
     options.secret = randomSuffix();
+    options.maxConnections = limits.lent;
     return options;
 }
 
@@ -223,8 +225,8 @@
         , m_store(m_io, m_settings.store)
         , m_budgets(m_io, m_relay, m_store, budgetOptions(m_settings, m_self), hostClock())
         , m_limitShares(m_relay, m_store, {m_settings.callerListen})
-        , m_links(m_io, m_relay, linkOptions(m_settings, m_self))
-        , m_lender(m_relay, lenderOptions())
+        , m_links(m_io, m_relay, linkOptions(m_settings, m_self, m_limits))
+        , m_lender(m_relay, lenderOptions(m_limits))
         , m_endpoints(m_io, m_relay)
         , m_suspects(m_io, m_relay, m_store, suspectOptions(m_self.incarnation))
         , m_versions(m_relay, m_store, AnnouncedVersionsKey)
