Lending: a connection without a request gives way to a new one

Strangers that connected to the port and sent nothing could take all loans, and the routers of the fleet got Busy. Found by reading; at the limit the oldest connection whose request has not arrived is now closed for the new one.

Red before: the new case of relay_test (Busy).

--- a/godwit/relay/connection_lender.cpp
+++ b/godwit/relay/connection_lender.cpp
@@ -55,6 +55,17 @@
     Loan(const Loan &) = delete;
     Loan &operator=(const Loan &) = delete;
 
+    bool awaitsRequest() const
+    {
+        return m_awaitsRequest && !m_closed;
+    }
+
+    // Ends a connection that has not sent its request.
+    void drop()
+    {
+        close();
+    }
+
     void start()
     {
         prepare(m_borrower);
@@ -76,6 +87,7 @@
 
     void onRequest(const error_code &error, std::size_t count)
     {
+        m_awaitsRequest = false;
         if (error) {
             close();
             return;
@@ -294,6 +306,7 @@
     LendingRequest m_request;
     ListedEndpoint m_listed;
     TimePoint m_openedAt; // When the connection to the endpoint was opened.
+    bool m_awaitsRequest = true;
     bool m_answered = false; // The endpoint has sent bytes.
     bool m_watchedForSilence = false;
     char m_reply = 0;
@@ -322,9 +335,22 @@
         reason);
 }
 
+bool ConnectionLender::closeUnrequested()
+{
+    while (!m_unrequested.empty()) {
+        const auto oldest = m_unrequested.front().lock();
+        m_unrequested.pop_front();
+        if (oldest && oldest->awaitsRequest()) {
+            oldest->drop();
+            return true;
+        }
+    }
+    return false;
+}
+
 void ConnectionLender::accept(Listener::Socket socket)
 {
-    if (openConnections() >= m_options.maxConnections) {
+    if (openConnections() >= m_options.maxConnections && !closeUnrequested()) {
         ++m_relay.counters().lendingReplies[LendingReply::Busy];
         const char reply = static_cast<char>(LendingReply::Busy);
         error_code ignored;
@@ -332,7 +358,16 @@
         socket.write_some(asio::buffer(&reply, 1), ignored);
         return;
     }
-    std::make_shared<Loan>(*this, std::move(socket))->start();
+    const auto loan = std::make_shared<Loan>(*this, std::move(socket));
+    const auto isOver = [](const std::weak_ptr<Loan> &earlier) {
+        const auto shared = earlier.lock();
+        return !shared || !shared->awaitsRequest();
+    };
+    while (!m_unrequested.empty() && isOver(m_unrequested.front())) {
+        m_unrequested.pop_front();
+    }
+    m_unrequested.push_back(loan);
+    loan->start();
 }
 
 LendingReply ConnectionLender::check(const LendingRequest &request) const
--- a/godwit/relay/connection_lender.h
+++ b/godwit/relay/connection_lender.h
@@ -19,6 +19,7 @@
 #include "godwit/relay/relay.h"
 
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -28,7 +29,9 @@
 struct LenderOptions
 {
     std::string secret; // Requests with another secret are denied.
-    std::size_t maxConnections = 512; // Open at a time, requests that are not answered yet included.
+    // Open at a time, requests that are not answered yet included. At this number a new connection takes the place of
+    // one that has not sent its request.
+    std::size_t maxConnections = 512;
     std::size_t bufferBytes = 8UL * 1024; // Per direction of a connection.
     // A borrower sends its request at once.
     Duration requestTimeout = std::chrono::seconds(1);
@@ -73,6 +76,8 @@
     class Loan;
 
     void accept(Listener::Socket socket);
+    // Closes the oldest connection whose request has not arrived. Returns false if there is none.
+    bool closeUnrequested();
     // Returns Connected if the request may be granted.
     LendingReply check(const LendingRequest &request) const;
     bool hasRecentAnswer(const EndpointGroup &group) const;
@@ -83,6 +88,7 @@
     Listener m_listener;
     // Shared with the loans, which handlers that are still queued may keep alive for longer than this object.
     std::shared_ptr<std::size_t> m_openConnections = std::make_shared<std::size_t>(0);
+    std::deque<std::weak_ptr<Loan>> m_unrequested; // In the order of their arrival; some may have a request by now.
 };
 
 } // namespace Godwit
--- a/godwit/relay/lending_test.cpp
+++ b/godwit/relay/lending_test.cpp
@@ -178,6 +178,19 @@
     CHECK(fixture.borrow() == LendingReply::Busy);
 }
 
+// Guards against strangers that connect and send nothing taking all loans from the routers of the fleet.
+TEST_CASE("a connection without a request gives way to one with a request")
+{
+    LendingFixture fixture(1);
+    tcp::socket silent(fixture.io);
+    LastReason reason;
+    silent.connect(*parseAddress(fixture.lender.address(), reason));
+    fixture.io.restart();
+    fixture.io.run_for(std::chrono::milliseconds(20));
+    REQUIRE(fixture.lender.openConnections() == 1);
+    CHECK(fixture.borrow() == LendingReply::Connected);
+}
+
 // Guards against an answer that is cut off on the way and looks complete.
 TEST_CASE("a lender passes on the end of a connection as it is")
 {
