Callers: don't take trailers for fields of the request

A trailer decided about a request: X-Api-Key in the trailers of a request without a key was accepted, so that it ran and was billed, after all checks on the head had seen none; and a request with a key was not served when its trailers repeated X-Attempt-Id and others.

Cause: the parser adds trailers to the fields of the head, and the call began with all of them. Now the head of a chunked request is kept as it was when it was complete, and trailers are dropped, as they may be when a message is forwarded.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -266,6 +266,7 @@
     m_receivingBody = false;
     m_phaseSince = Relay::now();
     m_customer.reset();
+    m_headBeforeTrailers.reset();
     m_senderProgress = {Relay::now(), 0};
     const CallerLimits limits = currentLimits(m_relay);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
@@ -424,6 +425,9 @@
 void CallerConnection::beginBody()
 {
     m_receivingBody = true;
+    if (m_parser->chunked()) {
+        m_headBeforeTrailers = m_parser->get().base();
+    }
     // There is no separate body timeout; the idle timeout bounds a caller that stops sending.
     m_timer.expires_after(currentLimits(m_relay).idleTimeout);
     armReadTimeout();
@@ -496,7 +500,9 @@
     releaseIfEmpty(m_buffer);
     m_keepAlive = request.keep_alive();
     std::string body = std::move(request.body());
-    auto call = std::make_shared<RelayCall>(m_relay, *this, RequestHead(std::move(request.base())), std::move(body));
+    RequestHead head = m_headBeforeTrailers ? std::move(*m_headBeforeTrailers) : std::move(request.base());
+    m_headBeforeTrailers.reset();
+    auto call = std::make_shared<RelayCall>(m_relay, *this, std::move(head), std::move(body));
     m_heldBody.set(0); // Counted by the call from now on.
     return call;
 }
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -13,6 +13,7 @@
 #include "godwit/gateway/held_bytes_claim.h"
 #include "godwit/relay/relay.h"
 #include "godwit/relay/relay_call.h"
+#include "platform/http_codec.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -140,6 +141,8 @@
     boost::asio::steady_timer m_progressTimer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    // The head of a chunked request, without the trailers that the parser adds to it.
+    std::optional<RequestHead> m_headBeforeTrailers;
     std::size_t m_maxUnparsedBytes = 0; // Bound of m_buffer while a request is received.
     std::shared_ptr<RelayCall> m_call;
     std::string m_requestId; // Of the latest request.
