Callers' and operators' ports of the key-value fleet: bound unparsed bytes

The operators' port took a trailer of 32 MiB, the callers' port one for as long as the time for a request, 10 s.

Now the buffer is bounded: the limit of headers and 16 KiB, and 64 KiB for operators. Callers get the typed error of a too long header.

--- a/godwit/caller/call_session.cpp
+++ b/godwit/caller/call_session.cpp
@@ -98,6 +98,10 @@
     });
 }
 
+// The parser leaves heads, trailers and the lines of chunk sizes with their extensions in the buffer until their end
+// has arrived. Each of these may be as long as the headers, and this much longer.
+constexpr std::size_t UnparsedMarginBytes = 16UL * 1024;
+
 template<typename Stream>
 class Session
 {
@@ -105,6 +109,7 @@
     Session(Stream stream, CallerShared &shared)
         : m_stream(std::move(stream))
         , m_shared(shared)
+        , m_buffer(shared.options.maxHeaderBytes + UnparsedMarginBytes)
     {
     }
 
@@ -164,7 +169,7 @@
             sendError(Error{ErrorKind::BodyTooLarge,
                             "the body may have " + std::to_string(m_shared.options.maxBodyBytes) + " bytes"},
                       yield);
-        } else if (error == http::error::header_limit) {
+        } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
             sendError(Error{ErrorKind::BodyTooLarge,
                             "the headers may have " + std::to_string(m_shared.options.maxHeaderBytes) + " bytes"},
                       yield);
--- a/godwit/caller/caller_session_test.cpp
+++ b/godwit/caller/caller_session_test.cpp
@@ -461,6 +461,17 @@
     CHECK(caller.readMessage().find("budget_exhausted") != std::string::npos);
 }
 
+TEST_CASE("a trailer or a chunk extension without end is refused while it arrives")
+{
+    // Guards against a request filling the memory with what the limits of headers and body don't cover.
+    const std::string start = GENERATE(std::string("0\r\nX-Field: "), std::string("5;"));
+    Bench bench;
+    Wire caller = bench.caller();
+    caller.write("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + start
+                 + std::string(64UL * 1024, 'x'));
+    CHECK(caller.readMessage().find("HTTP/1.1 4") == 0);
+}
+
 TEST_CASE("a stream that ends in good form without its closing event was cut")
 {
     // A proxy or a stopping engine closes the framing properly after some tokens. Taken for whole, a part of the answer
--- a/godwit/operators/admin_server.cpp
+++ b/godwit/operators/admin_server.cpp
@@ -36,6 +36,9 @@
     return response;
 }
 
+// The parser leaves heads, trailers and the lines of chunk sizes in the buffer until their end has arrived.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
+
 } // namespace
 
 class AdminServer::Impl : public std::enable_shared_from_this<AdminServer::Impl>
@@ -135,7 +138,7 @@
     template<typename Stream>
     void serveStream(Stream &stream, const asio::yield_context &yield)
     {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(MaxUnparsedBytes);
         while (m_handler) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(m_options.maxBodyBytes);
