Callers: requests without a route or customer displace nobody

The check for room came before the look for route and key, so that a stranger's request could displace a stopped sender before its own refusal.

Red before: the new case of relay_test, for the request without a route.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -375,15 +375,19 @@
 {
     const auto length = m_parser->content_length();
     const auto bodyBytes = length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+    if (bodyBytes.value_or(0) > m_relay.options().held.maxSmallRequestBytes && !identifyCustomer()) {
+        return false;
+    }
+    const RequestHead &head = m_parser->get().base();
     const auto hasRoom = [this, bodyBytes] {
         return mayHoldBody(*m_relay.state().held, m_relay.options().held, bodyBytes);
     };
-    if (!hasRoom()) {
+    if (!hasRoom() && customerOnHead(m_relay, head)) {
         refuseStoppedSenders(m_connections, hasRoom);
     }
-    const auto refusal = refuseOnHead(m_relay, m_parser->get().base(), bodyBytes);
+    const auto refusal = refuseOnHead(m_relay, head, bodyBytes);
     if (!refusal) {
-        return bodyBytes.value_or(0) <= m_relay.options().held.maxSmallRequestBytes || identifyCustomer();
+        return true;
     }
     refuseUnfinishedRequest(*refusal);
     return false;
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -372,6 +372,40 @@
     CHECK(router.relay.callsOpen == 0);
 }
 
+// Guards against strangers displacing the slow requests of callers.
+TEST_CASE("a stopped sender gives way to a request with a route, not to one without")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    state.stage = RelayStage::Serving;
+    state.routes = makeRouteTable(documentWithRoute());
+    router.relay.setHeldBytes(300'000, std::chrono::seconds(4));
+    tcp::acceptor acceptor(router.io, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    const auto begin = [](tcp::socket &socket, const std::string &host) {
+        boost::asio::write(socket,
+                           boost::asio::buffer("POST / HTTP/1.1\r\nHost: " + host + "\r\n" + std::string(AttemptIdField)
+                                               + ": 1\r\nContent-Length: 200000\r\n\r\n"));
+    };
+    const auto connect = [&] {
+        tcp::socket socket(router.io);
+        socket.connect(acceptor.local_endpoint());
+        acceptCaller(router.relay, router.connections, acceptor.accept());
+        return socket;
+    };
+    begin(router.caller, "a");
+    router.run(std::chrono::milliseconds(1'100));
+    tcp::socket stranger = connect();
+    begin(stranger, "other");
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().empty());
+    CHECK(heldBytes(*state.held, HeldSide::Body) > 200'000);
+    tcp::socket other = connect();
+    begin(other, "a");
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().find("HTTP/1.1 429") == 0);
+    CHECK(heldBytes(*state.held, HeldSide::Body) > 200'000);
+}
+
 // Guards against closing the connection of a caller whose small request has no route.
 TEST_CASE("a small request without a route leaves its connection open")
 {
