Callers: free what an unreadable request holds at its refusal

A request refused for its size or form kept its bytes, and their count, until its connection was closed up to a second later, while the router read on at full speed what came. Now they are freed at once; what follows an endless trailer or extension is read slowly, as after other refusals on the way. An unfinished head that is closed for another connection is not counted as a request.

The check of the count is new in relay_test; it was not run without the change.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -467,7 +467,10 @@
         refusal.message = "configuration not confirmed as current: " + error.message();
         refusal.retryAfter = m_relay.options().defaultRetryAfter;
     }
+    m_parser.emplace(); // Frees the body.
+    m_heldBody.set(0);
     m_closeAfterAnswer = true; // The start of the next request can't be determined.
+    m_drainSlowly = error == http::error::buffer_overflow; // The caller is likely to send on without an end.
     m_relay.log().write("unreadable_request", {{"cause", std::string_view(refusal.message)}});
     ++m_relay.counters().refusals[refusal.kind];
     send(formatErrorResponse(refusal, "", true));
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -297,6 +297,7 @@
         router.run(std::chrono::milliseconds(2));
     }
     CHECK(router.received().find(isCurrent ? "HTTP/1.1 431" : "HTTP/1.1 503") == 0);
+    CHECK(totalHeldBytes(*state.held) == 0);
 }
 
 // Guards against refusing proper trailers and extensions, and many small chunks.
--- a/godwit/relay/head_refusal.cpp
+++ b/godwit/relay/head_refusal.cpp
@@ -225,7 +225,6 @@
         refusal.attemptId = facts->attemptId;
     }
     relay.log().write("unreadable_request", {{"cause", std::string_view(refusal.error.message)}});
-    ++relay.counters().requests;
     ++relay.counters().refusals[refusal.error.kind];
     return refusal;
 }
