--- a/godwit/config/settings_test.cpp
+++ b/godwit/config/settings_test.cpp
@@ -106,6 +106,18 @@
     CHECK(reason->message.find("gateway.admission_window_bytes") != std::string::npos);
 }
 
+TEST_CASE("the descriptors of a router are as many as the settings say, within bounds")
+{
+    // Guards against a typing error that leaves a router without connections.
+    const std::string good = "host = \"a\"\ndata_centre = \"salt-lake\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
+                             "ready = \"10.0.0.1:2\"\npeers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:4\"\n";
+    LastReason reason;
+    CHECK(parseGatewaySettings(good, "router.toml", reason)->descriptors == 0);
+    CHECK(parseGatewaySettings(good + "descriptors = 4100\n", "router.toml", reason)->descriptors == 4100);
+    CHECK_FALSE(parseGatewaySettings(good + "descriptors = -1\n", "router.toml", reason));
+    CHECK(reason->message.find("gateway.descriptors") != std::string::npos);
+}
+
 TEST_CASE("a router on the platform knows the regions, and how far cold endpoints may be loaded")
 {
     const std::string good = "host = \"a\"\ndata_centre = \"salt-lake\"\n[gateway]\ncallers = \"10.0.0.1:1\"\n"
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -349,7 +349,7 @@
 
 void CallerConnection::refuseUnfinishedRequest()
 {
-    refuseUnfinishedRequest(refuseUnfinished(m_relay, m_parser->get().base()));
+    sendRefusal(refuseUnfinished(m_relay, m_parser->get().base()));
 }
 
 void CallerConnection::readMore()
@@ -389,7 +389,7 @@
     if (!refusal) {
         return true;
     }
-    refuseUnfinishedRequest(*refusal);
+    sendRefusal(*refusal);
     return false;
 }
 
@@ -411,7 +411,7 @@
     return false;
 }
 
-void CallerConnection::refuseUnfinishedRequest(const HeadRefusal &refusal)
+void CallerConnection::sendRefusal(const HeadRefusal &refusal)
 {
     error_code ignored;
     m_socket.cancel(ignored); // The read of the rest, if it waits.
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -103,21 +103,22 @@
     void beginReceiving();
     // Parses what has been received, and reads on until the request is complete.
     void parseReceived();
-    // Returns false if the request has been answered, or is complete.
+    // Handles the end of the head and of the request. Returns false if the request is complete or has been refused.
     bool onParsed();
     // Counts the bytes held for the request. Returns false if it has been refused for lack of room.
     bool holdReceived();
     void readMore();
     // Learns the customer of a large request. Returns false if the request has been refused, since it has none.
     bool identifyCustomer();
-    // Answers a request that has not been received completely.
-    void refuseUnfinishedRequest(const HeadRefusal &refusal);
+    // Answers a request that has not been received completely, and closes the connection.
+    void sendRefusal(const HeadRefusal &refusal);
     // Decides before the body of a request is read. Returns false if the request has been answered instead.
     bool decideOnHead();
     void beginBody();
     void countRead(std::size_t bytes);
     void onMalformedRequest(const boost::system::error_code &error);
     void startCall();
+    // Moves the received request into a call.
     std::shared_ptr<RelayCall> makeCall();
     bool hasDisconnected();
     void watchForDisconnect();
@@ -141,9 +142,11 @@
     boost::asio::steady_timer m_progressTimer;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
+    std::size_t m_maxUnparsedBytes = 0; // Bound of m_buffer while a request is received.
     // The head of a chunked request, without the trailers that the parser adds to it.
     std::optional<RequestHead> m_headBeforeTrailers;
-    std::size_t m_maxUnparsedBytes = 0; // Bound of m_buffer while a request is received.
+    std::optional<CustomerId> m_customer; // Of the request that is being received, if it is large.
+    SenderProgress m_senderProgress;
     std::shared_ptr<RelayCall> m_call;
     std::string m_requestId; // Of the latest request.
     std::string m_writing;
@@ -152,6 +155,7 @@
     ReaderProgress m_progress;
     HeldBytesClaim m_heldQueue;
     HeldBytesClaim m_heldBody; // Of a request that is being received.
+    TimePoint m_phaseSince; // When the current phase of the connection began; see ConnectionPhase.
     bool m_watchingProgress = false;
     bool m_writePending = false;
     bool m_answerDone = false;
@@ -159,9 +163,6 @@
     bool m_closeAfterAnswer = false; // The current response was sent with "Connection: close".
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
-    SenderProgress m_senderProgress;
-    TimePoint m_phaseSince; // When the current phase of the connection began; see ConnectionPhase.
-    std::optional<CustomerId> m_customer; // Of the request that is being received, if it is large.
     bool m_receivingBody = false; // The head of the request is complete.
     bool m_closing = false; // The sending direction is shut down; waiting for the caller to close.
     bool m_drainSlowly = false; // The caller may still be sending a body that is not wanted.
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -55,6 +55,17 @@
                                                + ": 1\r\nConnection: " + connectionHeader + "\r\n\r\n"));
     }
 
+    // Sends as much as the router reads, for a while.
+    void sendAll(const std::string &bytes)
+    {
+        std::size_t sent = 0;
+        for (int i = 0; i < 200 && sent < bytes.size(); ++i) {
+            boost::system::error_code error;
+            sent += caller.write_some(boost::asio::buffer(bytes.data() + sent, bytes.size() - sent), error);
+            run(std::chrono::milliseconds(2));
+        }
+    }
+
     std::string received()
     {
         std::array<char, 4096> bytes{};
@@ -263,12 +274,7 @@
     const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
         + ": 1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n" + padding + "\r\n"
         + std::string(bodyBytes, 'b');
-    std::size_t sent = 0;
-    for (int i = 0; i < 200 && sent < request.size(); ++i) {
-        boost::system::error_code error;
-        sent += router.caller.write_some(boost::asio::buffer(request.data() + sent, request.size() - sent), error);
-        router.run(std::chrono::milliseconds(2));
-    }
+    router.sendAll(request);
     router.run(std::chrono::milliseconds(20));
     const std::string answer = router.received();
     CHECK(answer.find(expected) == 0);
@@ -290,12 +296,7 @@
     }
     const std::string request = "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
         + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(1'000'000, 'x');
-    std::size_t sent = 0;
-    for (int i = 0; i < 200 && sent < request.size(); ++i) {
-        boost::system::error_code error;
-        sent += router.caller.write_some(boost::asio::buffer(request.data() + sent, request.size() - sent), error);
-        router.run(std::chrono::milliseconds(2));
-    }
+    router.sendAll(request);
     CHECK(router.received().find(isCurrent ? "HTTP/1.1 431" : "HTTP/1.1 503") == 0);
     CHECK(totalHeldBytes(*state.held) == 0);
 }
@@ -328,12 +329,7 @@
                        boost::asio::buffer("POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField)
                                            + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n40000\r\n"));
     const std::string body(chunkBytes, 'x');
-    std::size_t sent = 0;
-    for (int i = 0; i < 200 && sent < body.size(); ++i) {
-        boost::system::error_code error;
-        sent += router.caller.write_some(boost::asio::buffer(body.data() + sent, body.size() - sent), error);
-        router.run(std::chrono::milliseconds(2));
-    }
+    router.sendAll(body);
     const HeldBytes &held = *router.relay.state().held;
     CHECK(heldBytes(held, HeldSide::Body) >= chunkBytes);
     const std::string more(140'000, 'x');
--- a/godwit/relay/connection_lender.cpp
+++ b/godwit/relay/connection_lender.cpp
@@ -60,10 +60,13 @@
         return m_awaitsRequest && !m_closed;
     }
 
-    // Ends a connection that has not sent its request.
-    void drop()
+    void close()
     {
-        close();
+        m_closed = true;
+        m_timer.cancel();
+        error_code ignored;
+        m_borrower.close(ignored);
+        m_endpoint.close(ignored);
     }
 
     void start()
@@ -288,15 +291,6 @@
         close();
     }
 
-    void close()
-    {
-        m_closed = true;
-        m_timer.cancel();
-        error_code ignored;
-        m_borrower.close(ignored);
-        m_endpoint.close(ignored);
-    }
-
     ConnectionLender &m_lender;
     std::shared_ptr<std::size_t> m_openConnections;
     tcp::socket m_borrower;
@@ -341,7 +335,7 @@
         const auto oldest = m_unrequested.front().lock();
         m_unrequested.pop_front();
         if (oldest && oldest->awaitsRequest()) {
-            oldest->drop();
+            oldest->close();
             return true;
         }
     }
