Callers: a request that is displaced by its own lack of room is refused once

A request that needs room displaces stopped senders; if it was itself the one that had stopped, it was refused, then received on: the body was counted and read on a connection that was being closed, by a second read into the same buffer. Found by reading the change.

Red before: the new case of relay_test with a declared body.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -334,6 +334,9 @@
         return true;
     }
     refuseStoppedSenders(m_connections, hasRoom);
+    if (!m_awaitingRequest) {
+        return false; // The sender that had stopped is this one.
+    }
     if (hasRoom()) {
         return true;
     }
@@ -384,6 +387,9 @@
     };
     if (!hasRoom() && customerOnHead(m_relay, head)) {
         refuseStoppedSenders(m_connections, hasRoom);
+        if (!m_awaitingRequest) {
+            return false; // The sender that had stopped is this one.
+        }
     }
     const auto refusal = refuseOnHead(m_relay, head, bodyBytes);
     if (!refusal) {
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -403,6 +403,43 @@
     CHECK(heldBytes(*state.held, HeldSide::Body) > 200'000);
 }
 
+// Guards against a request that is refused as a stopped sender and goes on all the same.
+TEST_CASE("a slow request that lacks room is refused once")
+{
+    RouterWithCaller router;
+    RelayState &state = router.relay.state();
+    state.stage = RelayStage::Serving;
+    state.routes = makeRouteTable(documentWithRoute());
+    router.relay.setHeldBytes(300'000, std::chrono::seconds(4));
+    HeldBytesClaim others(state.held, HeldSide::Answer);
+    const bool isDeclared = GENERATE(false, true);
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField) + ": 1\r\n";
+    if (isDeclared) {
+        others.set(250'000);
+        boost::asio::write(router.caller, boost::asio::buffer(head));
+        router.run(std::chrono::milliseconds(1'100));
+        boost::asio::write(router.caller, boost::asio::buffer(std::string("Content-Length: 200000\r\n\r\n")));
+    } else {
+        router.sendAll(head + "Transfer-Encoding: chunked\r\n\r\n40000\r\n" + std::string(20'000, 'x'));
+        others.set(299'000);
+        router.run(std::chrono::milliseconds(1'100));
+        // Too few bytes for progress, too many for the string as it is.
+        for (int i = 0; i < 200; ++i) {
+            boost::system::error_code error;
+            boost::asio::write(router.caller, boost::asio::buffer(std::string(100, 'x')), error);
+            router.run(std::chrono::milliseconds(i % 8 == 7 ? 200 : 2));
+            if (heldBytes(*state.held, HeldSide::Body) == 0) {
+                break;
+            }
+        }
+    }
+    router.run(std::chrono::milliseconds(50));
+    const std::string answer = router.received();
+    CHECK(answer.find("HTTP/1.1 429") == 0);
+    CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(heldBytes(*state.held, HeldSide::Body) == 0);
+}
+
 // Guards against closing the connection of a caller whose small request has no route.
 TEST_CASE("a small request without a route leaves its connection open")
 {
