Callers: ask the parser for a body's length only after the head

The length was asked for while the head was still arriving, which the parser forbids: in a build with assertions the process ended at the first request whose head came in two reads. Release builds define NDEBUG and were not affected.

Seen by relay_test under the address sanitizer, which aborted before; now its 66 cases pass there without a finding (leaks of test fixtures not looked at).

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -318,8 +318,8 @@
 
 bool CallerConnection::holdReceived()
 {
-    // The parser allocates a declared length at once.
-    const auto length = m_parser->content_length();
+    // The parser allocates a declared length at once. It is not to be asked for it before the end of the head.
+    const auto length = m_receivingBody ? m_parser->content_length() : boost::none;
     const std::uint64_t body = std::max<std::uint64_t>(length.value_or(0), m_parser->get().body().capacity());
     m_heldBody.set(body + m_buffer.capacity());
     const bool isLarge = m_heldBody.bytes() > m_relay.options().held.maxSmallRequestBytes;
