--- a/godwit/gateway/held_bytes_test.cpp
+++ b/godwit/gateway/held_bytes_test.cpp
@@ -91,11 +91,11 @@
     // Guards against a crowd of large requests leaving no room for ordinary ones.
     const HeldBytesOptions options = limited();
     const HeldBytes nearly = holding(0, Limit * 15 / 16, 0);
-    CHECK(mayHoldBody(nearly, options, 16 * 1024));
-    CHECK_FALSE(mayHoldBody(nearly, options, 16 * 1024 + 1));
+    CHECK(mayHoldBody(nearly, options, 16UL * 1024));
+    CHECK_FALSE(mayHoldBody(nearly, options, 16UL * 1024 + 1));
     CHECK(mayKeepReceiving(nearly, options, 20'000));
     CHECK_FALSE(mayKeepReceiving(holding(0, Limit * 15 / 16 + 1, 0), options, 20'000));
-    CHECK(mayKeepReceiving(holding(0, 2 * Limit, 0), options, 16 * 1024));
+    CHECK(mayKeepReceiving(holding(0, 2 * Limit, 0), options, 16UL * 1024));
 }
 
 TEST_CASE("a single large request may use the whole limit")
