Log what tells apart why a stream ended early as complete

The lines so far don't show whether the endpoint of a response that ended with its connection outlived it, whether the connection was borrowed or the request still being written, or which answers the end of a router cuts. No decision changes: - answer_ended: borrowed, request_written, was_reset (state of the kernel's connection) - endpoint_checked: after an end that was only inferred, whether another connection to the endpoint, kept or new, stays open (godwit_liveness_checks_total) - answer_cut: the answers that are still owed when the router's time to stop is up

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -72,6 +72,9 @@
 constexpr double AcceptRequestsFraction = 0.36;
 constexpr double FinishRequestsFraction = 0.88;
 constexpr double EndFraction = 0.97;
+
+// Log lines about answers that the end of the process cuts.
+constexpr std::size_t MaxCutAnswerLines = 32;
 // Used if the system doesn't tell its limit; the usual one.
 constexpr std::uint64_t DefaultDescriptors = 1024;
 
@@ -921,8 +924,20 @@
         });
     }
 
+    void logCutAnswers()
+    {
+        std::size_t lines = MaxCutAnswerLines;
+        for (CallerConnection *connection : m_connections.open) {
+            if (lines > 0 && connection->owesAnswer()) {
+                connection->logOwedAnswer();
+                --lines;
+            }
+        }
+    }
+
     void end()
     {
+        logCutAnswers();
         m_log.write("end",
                     {{"returned", m_relay.state().prepaid.returned},
                      {"calls_cut", m_relay.callsOpen},
--- a/godwit/daemon/gateway_metrics.cpp
+++ b/godwit/daemon/gateway_metrics.cpp
@@ -58,6 +58,10 @@
             << connectionEndName(ending.connection) << "\",position=\"" << positionName(ending) << "\"} " << count
             << '\n';
     }
+    for (const auto &[result, count] : counters.livenessChecks) {
+        out << "godwit_liveness_checks_total{liveness=\"" << endpointLivenessName(result.first) << "\",evidence=\""
+            << livenessEvidenceName(result.second) << "\"} " << count << '\n';
+    }
     for (const auto &[service, count] : counters.endpointDeaths) {
         out << "godwit_endpoint_deaths_total{service=\"" << escapeLabel(service) << "\"} " << count << '\n';
     }
--- a/godwit/daemon/suspect_deaths.cpp
+++ b/godwit/daemon/suspect_deaths.cpp
@@ -96,27 +96,14 @@
                                             std::vector<Lender> lenders,
                                             ProbeOutcome otherwise)
 {
-    if (lenders.empty()) {
-        onProbed(interruptions.id, otherwise);
-        return;
-    }
-    const Lender next = std::move(lenders.back());
-    lenders.pop_back();
-    const auto onReply = [this, interruptions, lenders = std::move(lenders), otherwise](LendingReply reply,
-                                                                                        const auto &) {
-        switch (reply) {
-        case LendingReply::Connected:
-            onProbed(interruptions.id, ProbeOutcome::Accepts);
-            return;
-        case LendingReply::Refused:
-            onProbed(interruptions.id, ProbeOutcome::Refuses);
-            return;
-        default:
-            probeThroughOthers(interruptions, lenders, otherwise);
-        }
-    };
-    const LendingRequest request{LendingPurpose::Probe, {}, interruptions.id, interruptions.address};
-    ConnectionBorrower::start(m_io, next, request, m_relay.options().exchange.borrowTimeout, onReply);
+    probeThroughLenders(m_io,
+                        std::move(lenders),
+                        interruptions.id,
+                        interruptions.address,
+                        m_relay.options().exchange.borrowTimeout,
+                        [this, endpoint = interruptions.id, otherwise](ProbeOutcome outcome) {
+                            onProbed(endpoint, outcome == ProbeOutcome::Unreachable ? otherwise : outcome);
+                        });
 }
 
 void SuspectCoordinator::onProbed(const EndpointId &endpoint, ProbeOutcome outcome)
--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -222,6 +222,16 @@
         && (m_call || m_receivingRequest || m_progress.queuedBytes > 0 || unacknowledgedBytes(m_socket) > 0);
 }
 
+void CallerConnection::logOwedAnswer()
+{
+    m_relay.log().write("answer_cut",
+                        {{"id", std::string_view(m_requestId)},
+                         {"call_open", m_call != nullptr},
+                         {"ends_with_connection", m_answerEndsWithConnection},
+                         {"queued_bytes", static_cast<std::int64_t>(m_progress.queuedBytes)},
+                         {"unacknowledged_bytes", static_cast<std::int64_t>(unacknowledgedBytes(m_socket))}});
+}
+
 void CallerConnection::readRequest()
 {
     m_parser.emplace();
@@ -229,6 +239,7 @@
     m_phaseSince = Relay::now();
     m_receivingRequest = false;
     m_answerDone = false;
+    m_answerEndsWithConnection = false;
     m_requestId.clear();
     if (m_buffer.size() > 0) {
         beginReceiving();
@@ -583,9 +594,9 @@
 {
     const RelayState &state = m_relay.state();
     const bool stops = state.stage == RelayStage::Leaving || state.stage == RelayStage::Stopping;
-    const bool endsWithConnection = framing == ResponseFraming::Connection;
-    m_closeAfterAnswer = !m_keepAlive || stops || state.closeAfterAnswer || endsWithConnection;
-    if (endsWithConnection) {
+    m_answerEndsWithConnection = framing == ResponseFraming::Connection;
+    m_closeAfterAnswer = !m_keepAlive || stops || state.closeAfterAnswer || m_answerEndsWithConnection;
+    if (m_answerEndsWithConnection) {
         setResetOnClose(true);
     }
     return m_closeAfterAnswer;
--- a/godwit/relay/caller_connection.h
+++ b/godwit/relay/caller_connection.h
@@ -71,6 +71,9 @@
     // of one that its host has not acknowledged.
     bool owesAnswer();
 
+    // Logs the response that a close at this moment would truncate.
+    void logOwedAnswer();
+
     // Disconnects the caller because it doesn't read.
     void disconnectReader(ReaderCutCause cause);
 
@@ -160,6 +163,7 @@
     bool m_writePending = false;
     bool m_answerDone = false;
     bool m_keepAlive = true;
+    bool m_answerEndsWithConnection = false; // An orderly close tells the caller that its response is complete.
     bool m_closeAfterAnswer = false; // The current response was sent with "Connection: close".
     bool m_awaitingRequest = false; // Waiting for a request or reading one.
     bool m_receivingRequest = false; // The socket became readable; reading of the head has begun.
--- a/godwit/relay/connection_pool.cpp
+++ b/godwit/relay/connection_pool.cpp
@@ -26,18 +26,18 @@
     }
     while (!found->second.empty()) {
         // The most recently used connection is the least likely to have been closed by the endpoint.
-        Idle idle = std::move(found->second.back());
+        Connection idle = std::move(found->second.back());
         found->second.pop_back();
-        if (idle.expiresAt > now && isQuiet(idle.connection.socket)) {
-            return std::move(idle.connection);
+        if (idle.expiresAt > now && isQuiet(idle.socket)) {
+            return idle;
         }
     }
     return std::nullopt;
 }
 
-void ConnectionPool::release(const EndpointId &endpoint, Connection connection, TimePoint expiresAt)
+void ConnectionPool::release(const EndpointId &endpoint, Connection connection)
 {
-    m_idle[endpoint].push_back(Idle{std::move(connection), expiresAt});
+    m_idle[endpoint].push_back(std::move(connection));
 }
 
 void ConnectionPool::closeIdle(const EndpointId &endpoint)
@@ -51,8 +51,8 @@
         auto &idle = it->second;
         idle.erase(std::remove_if(idle.begin(),
                                   idle.end(),
-                                  [now](Idle &entry) {
-                                      return entry.expiresAt <= now || !isQuiet(entry.connection.socket);
+                                  [now](Connection &entry) {
+                                      return entry.expiresAt <= now || !isQuiet(entry.socket);
                                   }),
                    idle.end());
         it = idle.empty() ? m_idle.erase(it) : std::next(it);
--- a/godwit/relay/connection_pool.h
+++ b/godwit/relay/connection_pool.h
@@ -6,8 +6,7 @@
 // would be taken for the response to the next request. Not thread-safe.
 //
 // Example:
-//   if (auto socket = pool.acquire(endpoint, now)) { ... pool.release(endpoint, std::move(*socket), now + idleTimeout);
-//   }
+//   if (auto connection = pool.acquire(endpoint, now)) { ... pool.release(endpoint, std::move(*connection)); }
 
 #include "godwit/base/ids.h"
 #include "godwit/base/time.h"
@@ -29,12 +28,13 @@
     {
         Socket socket;
         TimePoint openedAt;
+        TimePoint expiresAt; // It is not handed out from then on.
     };
 
     // Returns a usable idle connection, the most recently used first, or nullopt.
     std::optional<Connection> acquire(const EndpointId &endpoint, TimePoint now);
-    // Returns a connection to the pool; it is not handed out again from `expiresAt` on.
-    void release(const EndpointId &endpoint, Connection connection, TimePoint expiresAt);
+    // Returns a connection to the pool.
+    void release(const EndpointId &endpoint, Connection connection);
 
     // Closes all idle connections to an endpoint that has restarted: during a network partition they look usable but
     // are dead.
@@ -44,12 +44,7 @@
     void closeExpired(TimePoint now);
 
 private:
-    struct Idle
-    {
-        Connection connection;
-        TimePoint expiresAt;
-    };
-    std::map<EndpointId, std::vector<Idle>> m_idle;
+    std::map<EndpointId, std::vector<Connection>> m_idle;
 };
 
 // Sets TCP_USER_TIMEOUT, the time after which the kernel drops a connection with unacknowledged data. On a network that
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -461,6 +461,7 @@
     }
     if (error) {
         m_connectionEnd = error == asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Broken;
+        m_wasReset = wasReset(*m_socket);
     }
     const bool ownAnswerOpen = m_headProcessed && !m_skipping && !m_parser->is_done();
     if (error == asio::error::eof && ownAnswerOpen && m_parser->need_eof()) {
@@ -579,7 +580,7 @@
             keep = std::min(keep, *facts.keepAlive - m_options.idleTimeoutMargin);
         }
         if (keep > Duration::zero()) {
-            m_pool.release(m_endpoint, {std::move(*m_socket), m_openedAt}, steadyNow() + keep);
+            m_pool.release(m_endpoint, {std::move(*m_socket), m_openedAt, steadyNow() + keep});
         }
     }
     finish();
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -173,6 +173,18 @@
         return m_progress;
     }
 
+    // Whether the whole request has been passed to the kernel.
+    bool requestIsWritten() const
+    {
+        return m_written;
+    }
+
+    // Whether the kernel held the connection for reset when its end was read.
+    bool connectionWasReset() const
+    {
+        return m_wasReset;
+    }
+
     // State of the connection at the time of onEnd or onFailed.
     ConnectionEnd connectionEnd() const
     {
@@ -252,6 +264,7 @@
     bool m_watchingProgress = false;
     bool m_timeoutExtended = false; // The connection's TCP user timeout was extended.
     bool m_writeFailed = false;
+    bool m_wasReset = false;
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
     std::uint64_t m_skippedBytes = 0; // Of responses to other attempts and of interim responses.
--- a/godwit/relay/endpoint_probe.cpp
+++ b/godwit/relay/endpoint_probe.cpp
@@ -1,6 +1,7 @@
 #include "godwit/relay/endpoint_probe.h"
 
 #include "godwit/http/address.h"
+#include "godwit/relay/connection_borrower.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -108,4 +109,35 @@
           std::move(done));
 }
 
+void probeThroughLenders(asio::io_context &io,
+                         std::vector<Lender> lenders,
+                         const EndpointId &endpoint,
+                         const std::string &address,
+                         Duration limit,
+                         std::function<void(ProbeOutcome)> done)
+{
+    if (lenders.empty()) {
+        asio::post(io, [done = std::move(done)] {
+            done(ProbeOutcome::Unreachable);
+        });
+        return;
+    }
+    const Lender next = std::move(lenders.front());
+    lenders.erase(lenders.begin());
+    const LendingRequest request{LendingPurpose::Probe, {}, endpoint, address};
+    ConnectionBorrower::start(
+        io,
+        next,
+        request,
+        limit,
+        [&io, lenders = std::move(lenders), endpoint, address, limit, done = std::move(done)](LendingReply reply,
+                                                                                              const auto &) {
+            if (reply == LendingReply::Connected || reply == LendingReply::Refused) {
+                done(reply == LendingReply::Connected ? ProbeOutcome::Accepts : ProbeOutcome::Refuses);
+            } else {
+                probeThroughLenders(io, lenders, endpoint, address, limit, done);
+            }
+        });
+}
+
 } // namespace Godwit
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -34,6 +34,7 @@
 #include "godwit/relay/decision_log.h"
 #include "godwit/relay/endpoint_exchange.h"
 #include "godwit/relay/lending_protocol.h"
+#include "godwit/relay/liveness_check.h"
 #include "godwit/relay/reach_monitor.h"
 #include "godwit/relay/send_record.h"
 #include "godwit/suspects/recent_answers.h"
@@ -82,6 +83,7 @@
     ChoiceOptions choice;
     bool shareSpeeds = false; // Copied to EndpointTable::shareSpeeds.
     ExchangeOptions exchange;
+    LivenessOptions liveness;
     RetryBudgetOptions retryRules;
     LimitShareOptions limitShares;
     TokenWaitOptions tokenWait;
@@ -227,6 +229,8 @@
     std::map<RetryKey, std::uint64_t> retryDecisions;
     SendCounters sends;
     std::map<ResponseEnding, std::uint64_t> answersEnded; // Responses of endpoints, complete or not.
+    // Of endpoints after a response that ended with its connection, by what showed it.
+    std::map<std::pair<EndpointLiveness, LivenessEvidence>, std::uint64_t> livenessChecks;
     std::uint64_t partitions = 0; // Times that a group of endpoints became partitioned from this router.
     std::uint64_t reachProbes = 0;
     std::uint64_t borrowedConnections = 0; // Requests sent over connections of other routers.
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -191,6 +191,8 @@
     std::uint64_t decidingFingerprint();
     std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
+    void checkEndpointAfterEnd();
+    void recordLiveness(const EndpointId &endpoint, const LivenessReport &report);
     void endAttempt(AttemptFeedback verdict);
     AttemptFeedback silenceVerdict() const;
     void abandonAttempt();
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -179,15 +179,47 @@
                          {"connection", connectionEndName(m_answerEnding->connection)},
                          {"position", positionName(*m_answerEnding)},
                          {"extent", responseCompletenessName(completenessOf(*m_answerEnding))},
+                         {"borrowed", m_exchange->isBorrowed()},
+                         {"request_written", m_exchange->requestIsWritten()},
+                         {"was_reset", m_exchange->connectionWasReset()},
                          {"pending_bytes", static_cast<std::int64_t>(pendingBytes(m_events))},
                          {"events_passed", static_cast<std::int64_t>(m_eventsForwarded)},
                          {"attempt_ms", toMilliseconds(Relay::now() - m_sentAt)}});
 }
 
+// Logs whether the endpoint outlived a response that ended with its connection.
+void RelayCall::checkEndpointAfterEnd()
+{
+    const EndpointState *endpoint = currentEndpoint();
+    if (endpoint == nullptr || completenessOf(*m_answerEnding) != ResponseCompleteness::Inferred) {
+        return;
+    }
+    const LivenessPath path = m_exchange->isBorrowed() ? LivenessPath::OtherRouters : LivenessPath::Direct;
+    checkLiveness(m_relay,
+                  endpoint->listed,
+                  path,
+                  m_relay.options().liveness,
+                  [self = shared_from_this(), id = m_endpoint](const LivenessReport &report) {
+                      self->recordLiveness(id, report);
+                  });
+}
+
+void RelayCall::recordLiveness(const EndpointId &endpoint, const LivenessReport &report)
+{
+    ++m_relay.counters().livenessChecks[{report.liveness, report.evidence}];
+    m_relay.log().write("endpoint_checked",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"endpoint", std::string_view(endpoint.value)},
+                         {"liveness", endpointLivenessName(report.liveness)},
+                         {"evidence", livenessEvidenceName(report.evidence)},
+                         {"since_sent_ms", toMilliseconds(Relay::now() - m_sentAt)}});
+}
+
 void RelayCall::onEnd()
 {
     recordAnswerEnding();
     logUndeclaredEnd();
+    checkEndpointAfterEnd();
     const bool success = m_answer.status / 100 == 2;
     if (m_answer.notExecuted) {
         // Applies to resume attempts as well: a rejection does not affect the part that was already forwarded.
--- a/godwit/relay/socket_progress.cpp
+++ b/godwit/relay/socket_progress.cpp
@@ -6,6 +6,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <optional>
+
 namespace Godwit
 {
 namespace
@@ -14,6 +16,14 @@
 // Requests and most answers are smaller, so that the limit costs no additional wake-up for them.
 constexpr int MaxUnsentBytes = 16 * 1024;
 
+std::optional<tcp_info> tcpInfo(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    const bool known = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return known ? std::optional(info) : std::nullopt;
+}
+
 } // namespace
 
 void limitUnsentBytes(boost::asio::ip::tcp::socket &socket)
@@ -30,10 +40,15 @@
 
 bool isReceiverFull(boost::asio::ip::tcp::socket &socket)
 {
-    tcp_info info{};
-    socklen_t size = sizeof(info);
-    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 && info.tcpi_unacked == 0
-        && unacknowledgedBytes(socket) > 0;
+    const auto info = tcpInfo(socket);
+    return info && info->tcpi_unacked == 0 && unacknowledgedBytes(socket) > 0;
+}
+
+bool wasReset(boost::asio::ip::tcp::socket &socket)
+{
+    // After an orderly close by the other host alone, the state is CLOSE_WAIT.
+    const auto info = tcpInfo(socket);
+    return info && info->tcpi_state == TCP_CLOSE;
 }
 
 } // namespace Godwit
--- a/godwit/relay/socket_progress.h
+++ b/godwit/relay/socket_progress.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// What the kernel reports about the sending direction of a connection.
+// What the kernel reports about a connection.
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -19,4 +19,9 @@
 // Whether bytes wait although none is in transit: the other host is alive, but its receive buffer is full.
 bool isReceiverFull(boost::asio::ip::tcp::socket &socket);
 
+// Whether a connection whose end was read has ended by a reset or a timeout. The kernel reports such an error to one
+// call only; after a write that failed, reading looks like an orderly close. Valid only while the sending direction has
+// not been shut down. False if the kernel doesn't tell.
+bool wasReset(boost::asio::ip::tcp::socket &socket);
+
 } // namespace Godwit
--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -57,6 +57,7 @@
     void read();
     void send(const std::string &bytes, bool last);
     void reset();
+    void endWithProcess(ProcessEnd end);
     void watchPeer();
     bool keepAlive() const
     {
@@ -351,6 +352,17 @@
     m_socket.close(ignored);
 }
 
+void Connection::endWithProcess(ProcessEnd end)
+{
+    if (end == ProcessEnd::ResetConnections) {
+        reset();
+        return;
+    }
+    ErrorCode ignored;
+    m_answering = false;
+    m_socket.close(ignored);
+}
+
 void Connection::peerLeft()
 {
     const auto self = shared_from_this();
@@ -378,14 +390,14 @@
     return m_acceptor.local_endpoint();
 }
 
-void HttpServer::die()
+void HttpServer::die(ProcessEnd end)
 {
     // Keeps the port, which a closed socket would leave to whoever asks for any.
     m_dead = true;
     m_acceptor.cancel();
     ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
-    for (const auto &reset : std::exchange(m_resets, {})) {
-        reset();
+    for (const auto &endConnection : std::exchange(m_ends, {})) {
+        endConnection(end);
     }
 }
 
@@ -406,9 +418,9 @@
             ErrorCode ignored;
             socket.set_option(Tcp::no_delay(true), ignored);
             const auto connection = std::make_shared<Connection>(std::move(socket), m_options, m_handler);
-            m_resets.emplace_back([weak = std::weak_ptr(connection)] {
+            m_ends.emplace_back([weak = std::weak_ptr(connection)](ProcessEnd end) {
                 if (const auto open = weak.lock()) {
-                    open->reset();
+                    open->endWithProcess(end);
                 }
             });
             connection->read();
--- a/standins/common/http_server.h
+++ b/standins/common/http_server.h
@@ -70,6 +70,12 @@
 using ResponderPtr = std::shared_ptr<Responder>;
 using HttpHandler = std::function<void(HttpRequest &&, ResponderPtr)>;
 
+// What the end of a process does to its connections.
+enum class ProcessEnd {
+    ResetConnections,
+    CloseConnections, // In order, as the kernel does for sockets without unread bytes.
+};
+
 struct HttpServerOptions
 {
     std::size_t maxBodyBytes = 4UL * 1024 * 1024;
@@ -87,9 +93,9 @@
     // The address that it listens on, with the port that the system chose when port 0 was asked for.
     boost::asio::ip::tcp::endpoint address() const;
 
-    // As when the process dies: resets all connections, and the port refuses until listenAgain(). The server is at the
+    // As when the process dies: ends all connections, and the port refuses until listenAgain(). The server is at the
     // same port then if it was given one.
-    void die();
+    void die(ProcessEnd end = ProcessEnd::ResetConnections);
     void listenAgain();
 
 private:
@@ -97,7 +103,8 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     bool m_dead = false;
-    std::vector<std::function<void()>> m_resets; // Of the connections that were accepted since the last death.
+    // Ends of the connections that were accepted since the last death.
+    std::vector<std::function<void(ProcessEnd)>> m_ends;
     HttpServerOptions m_options;
     HttpHandler m_handler;
 };
