Callers: reset what the end of a router cuts

Callers of a stream that outlived the stop of its router received an orderly close, and so took the part that they had for the whole stream.

A response that is delimited by the close of its connection is set to be reset by any close but the one after its end. But Asio's destructor of a socket turns a linger option off before it closes, and the connections that are open when the event loop stops are destroyed, not closed. CallerConnection's destructor now closes the socket itself, as the lender's does.

process_ends_test, "a stream that outlives the stop of its router does not look complete": failed before, passes.

--- a/godwit/relay/caller_connection.cpp
+++ b/godwit/relay/caller_connection.cpp
@@ -162,6 +162,9 @@
 CallerConnection::~CallerConnection()
 {
     m_connections.open.erase(this);
+    // The destructor of the socket would close it in order, whatever setResetOnClose() has set.
+    error_code ignored;
+    m_socket.close(ignored);
 }
 
 void CallerConnection::start()
