Relay: a response that ended with its connection is complete only if its endpoint lives

Callers received a part of a stream, or half of a body, as the whole: endpoints that delimit their responses by the close of the connection ended in the middle, and the kernel of a process that ends closes its connections in order. An endpoint writes an event at a time, so the last write ends between two events, where a stream may end.

No error was taken for a statement that the response is complete. The router now asks for one before it closes its caller's connection: another connection to the same process has to stay open for 100 ms, one that is kept in the pool or else a new one; for a borrowed connection another router is asked. If the endpoint is gone, a stream goes on after its last event elsewhere, a repeatable request is repeated, and all others are truncated. The same holds if nobody can tell. A whole response costs its caller those 100 ms at its end, and its endpoint a connection at most.

--- a/godwit/gateway/endpoint_table.cpp
+++ b/godwit/gateway/endpoint_table.cpp
@@ -391,6 +391,11 @@
 void endAttempt(EndpointState &endpoint, AttemptFeedback feedback, const ChoiceOptions &options, TimePoint now)
 {
     --endpoint.inFlight;
+    recordFeedback(endpoint, feedback, options, now);
+}
+
+void recordFeedback(EndpointState &endpoint, AttemptFeedback feedback, const ChoiceOptions &options, TimePoint now)
+{
     switch (feedback) {
     case AttemptFeedback::Neutral:
         return;
--- a/godwit/gateway/endpoint_table.h
+++ b/godwit/gateway/endpoint_table.h
@@ -205,4 +205,7 @@
 
 void endAttempt(EndpointState &endpoint, AttemptFeedback feedback, const ChoiceOptions &options, TimePoint now);
 
+// Records what is learned of the endpoint after its attempt has ended. endAttempt() calls it.
+void recordFeedback(EndpointState &endpoint, AttemptFeedback feedback, const ChoiceOptions &options, TimePoint now);
+
 } // namespace Godwit
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -191,8 +191,8 @@
     std::uint64_t decidingFingerprint();
     std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
-    void checkEndpointAfterEnd();
-    void recordLiveness(const EndpointId &endpoint, const LivenessReport &report);
+    void confirmEnd();
+    void onEndChecked(const LivenessReport &report);
     void endAttempt(AttemptFeedback verdict);
     AttemptFeedback silenceVerdict() const;
     void abandonAttempt();
@@ -205,6 +205,7 @@
     void onDeadline();
     void refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter);
     void abortAnswer(std::string_view cause);
+    void forwardRest();
     void complete();
     void close(CallEnd end);
     void settleTokens();
@@ -277,6 +278,7 @@
     std::optional<ResponseHead> m_answerHead;
     ResponseMetadata m_answer;
     std::optional<ResponseEnding> m_answerEnding; // How the latest attempt's response ended; unset before.
+    LivenessPath m_answerPath = LivenessPath::Direct; // Of the connection on which it ended; valid with m_answerEnding.
     bool m_forwardsEvents = false; // The response is forwarded event by event.
     bool m_headForwarded = false;
     ResponseFraming m_forwardedFraming =
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -4,6 +4,7 @@
 
 #include "godwit/base/milliseconds.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -160,6 +161,7 @@
         ending.position = positionIn(m_events);
     }
     m_answerEnding = ending;
+    m_answerPath = m_exchange->isBorrowed() ? LivenessPath::OtherRouters : LivenessPath::Direct;
     ++m_relay.counters().answersEnded[ending];
 }
 
@@ -187,39 +189,10 @@
                          {"attempt_ms", toMilliseconds(Relay::now() - m_sentAt)}});
 }
 
-// Logs whether the endpoint outlived a response that ended with its connection.
-void RelayCall::checkEndpointAfterEnd()
-{
-    const EndpointState *endpoint = currentEndpoint();
-    if (endpoint == nullptr || completenessOf(*m_answerEnding) != ResponseCompleteness::Inferred) {
-        return;
-    }
-    const LivenessPath path = m_exchange->isBorrowed() ? LivenessPath::OtherRouters : LivenessPath::Direct;
-    checkLiveness(m_relay,
-                  endpoint->listed,
-                  path,
-                  m_relay.options().liveness,
-                  [self = shared_from_this(), id = m_endpoint](const LivenessReport &report) {
-                      self->recordLiveness(id, report);
-                  });
-}
-
-void RelayCall::recordLiveness(const EndpointId &endpoint, const LivenessReport &report)
-{
-    ++m_relay.counters().livenessChecks[{report.liveness, report.evidence}];
-    m_relay.log().write("endpoint_checked",
-                        {{"id", std::string_view(m_facts.attemptId)},
-                         {"endpoint", std::string_view(endpoint.value)},
-                         {"liveness", endpointLivenessName(report.liveness)},
-                         {"evidence", livenessEvidenceName(report.evidence)},
-                         {"since_sent_ms", toMilliseconds(Relay::now() - m_sentAt)}});
-}
-
 void RelayCall::onEnd()
 {
     recordAnswerEnding();
     logUndeclaredEnd();
-    checkEndpointAfterEnd();
     const bool success = m_answer.status / 100 == 2;
     if (m_answer.notExecuted) {
         // Applies to resume attempts as well: a rejection does not affect the part that was already forwarded.
@@ -271,6 +244,61 @@
         attempt();
         return;
     }
+    if (extent == ResponseCompleteness::Inferred) {
+        confirmEnd();
+        return;
+    }
+    forwardRest();
+}
+
+// The connection of an endpoint whose process ends is closed in order as well, so the response counts as complete only
+// if the endpoint has outlived it.
+void RelayCall::confirmEnd()
+{
+    dropHedge("first_answered");
+    const EndpointState *endpoint = currentEndpoint();
+    if (endpoint == nullptr) {
+        onEndChecked({});
+        return;
+    }
+    LivenessOptions options = m_relay.options().liveness;
+    options.settleTime = std::min(options.settleTime, timeLeft() / 2);
+    checkLiveness(
+        m_relay, endpoint->listed, m_answerPath, options, [self = shared_from_this()](const LivenessReport &report) {
+            if (!self->m_closed) {
+                self->onEndChecked(report);
+            }
+        });
+}
+
+void RelayCall::onEndChecked(const LivenessReport &report)
+{
+    ++m_relay.counters().livenessChecks[{report.liveness, report.evidence}];
+    m_relay.log().write("endpoint_checked",
+                        {{"id", std::string_view(m_facts.attemptId)},
+                         {"endpoint", std::string_view(m_endpoint.value)},
+                         {"liveness", endpointLivenessName(report.liveness)},
+                         {"evidence", livenessEvidenceName(report.evidence)},
+                         {"since_sent_ms", toMilliseconds(Relay::now() - m_sentAt)}});
+    switch (report.liveness) {
+    case EndpointLiveness::Alive:
+        forwardRest();
+        return;
+    case EndpointLiveness::Dead:
+        if (EndpointState *endpoint = currentEndpoint()) {
+            recordFeedback(*endpoint, AttemptFeedback::Unreachable, m_relay.options().choice, Relay::now());
+        }
+        retryAfterCrashCheck("endpoint_ended");
+        return;
+    case EndpointLiveness::Unknown:
+        retryOrFail("end_not_confirmed", true);
+        return;
+    }
+}
+
+// Forwards what is left of a complete response.
+void RelayCall::forwardRest()
+{
     if (m_forwardsEvents && !m_headForwarded) {
         forwardHead(ResponseFraming::Chunked);
     }
