Exchanges and lenders: ask the kernel whether a connection that ended was reset

A response without a length that was reset could reach its caller as complete. The kernel reports a reset to one call only; whoever reads after that call finds an orderly end. A write that failed was made up for, but only once its handler had run, which may be after that of the read. The lender made up for nothing: it would shut its borrower's side down in order.

The state of the connection can be asked at any time: CLOSE_WAIT after an orderly close by the other host, CLOSE after a reset or a timeout.

Tests with an error that another call has consumed failed before, for the exchange and for the lender.

--- a/godwit/relay/connection_lender.cpp
+++ b/godwit/relay/connection_lender.cpp
@@ -3,6 +3,7 @@
 #include "godwit/http/address.h"
 #include "godwit/relay/connection_pool.h"
 #include "godwit/relay/endpoint_probe.h"
+#include "godwit/relay/socket_progress.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -203,6 +204,11 @@
             return;
         }
         noteEndpoint(from, error, count);
+        const Direction &opposite = &direction == &m_toBorrower ? m_toEndpoint : m_toBorrower;
+        if (error == asio::error::eof && !opposite.ended && wasReset(from)) {
+            close();
+            return;
+        }
         if (error == asio::error::eof) {
             error_code ignored;
             to.shutdown(tcp::socket::shutdown_send, ignored);
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -449,8 +449,9 @@
 
 void EndpointExchange::onRead(beast::error_code error, std::size_t count)
 {
-    if (error == asio::error::eof && m_writeFailed) {
-        // The kernel reports a reset only once: after the failed write, reading looks like an orderly close.
+    // After withdraw() the state of the connection is that of both directions.
+    m_wasReset = error && !m_onWithdrawn && wasReset(*m_socket);
+    if (error == asio::error::eof && (m_writeFailed || m_wasReset)) {
         error = asio::error::connection_reset;
     }
     m_buffer.commit(count);
@@ -461,7 +462,6 @@
     }
     if (error) {
         m_connectionEnd = error == asio::error::eof ? ConnectionEnd::Closed : ConnectionEnd::Broken;
-        m_wasReset = wasReset(*m_socket);
     }
     const bool ownAnswerOpen = m_headProcessed && !m_skipping && !m_parser->is_done();
     if (error == asio::error::eof && ownAnswerOpen && m_parser->need_eof()) {
--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/http/address.h"
 #include "platform/header_names.h"
+#include "platform/testing/consumed_reset.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +12,7 @@
 #include <thread>
 
 using namespace Godwit;
+using namespace Godwit::Testing;
 using boost::asio::ip::tcp;
 
 namespace
@@ -24,6 +26,10 @@
     {
         options.connectTimeout = connectTimeout;
         ExchangeHandlers handlers;
+        handlers.onHead = [](const ResponseHead &, const ResponseMetadata &) {};
+        handlers.onBody = [this](std::string_view bytes) {
+            bodyBytes += bytes.size();
+        };
         handlers.onEnd = [this] {
             ended = true;
         };
@@ -87,6 +93,7 @@
     std::shared_ptr<EndpointExchange> exchange;
     std::optional<ExchangeFailure> failure;
     std::optional<WithdrawalOutcome> outcome;
+    std::size_t bodyBytes = 0;
     bool ended = false; // It reported a complete response.
 };
 
@@ -239,6 +246,36 @@
     CHECK_FALSE(fixture.ended);
 }
 
+TEST_CASE("a response without a declared length is not complete if another call has consumed the reset's error")
+{
+    // Guards against a reset that looks like an orderly close: the kernel reports it to one call only, such as a write
+    // whose handler has not run yet.
+    ExchangeFixture fixture(std::chrono::milliseconds(200));
+    tcp::socket kept(fixture.io);
+    kept.connect(fixture.acceptor.local_endpoint());
+    tcp::socket endpoint = fixture.acceptor.accept();
+    const TimePoint expiry =
+        std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now() + std::chrono::seconds(1));
+    fixture.pool.release(EndpointId{"e"}, {std::move(kept), {}, expiry});
+    fixture.start();
+    fixture.runUntil([&] {
+        return endpoint.available() > 0;
+    });
+    boost::asio::write(endpoint, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+    fixture.runUntil([&] {
+        return fixture.bodyBytes > 0;
+    });
+    const auto descriptor = descriptorConnectedTo(fixture.acceptor.local_endpoint());
+    REQUIRE(descriptor);
+    reset(endpoint);
+    REQUIRE(consumeReset(*descriptor));
+    fixture.runUntil([&] {
+        return fixture.failure || fixture.ended;
+    });
+    CHECK_FALSE(fixture.ended);
+    CHECK(fixture.failure == ExchangeFailure::Broken);
+}
+
 TEST_CASE("a request withdrawn during connect is reported as not run")
 {
     ExchangeFixture fixture(std::chrono::milliseconds(200));
--- a/godwit/relay/lending_test.cpp
+++ b/godwit/relay/lending_test.cpp
@@ -2,6 +2,7 @@
 #include "godwit/relay/connection_borrower.h"
 #include "godwit/relay/connection_lender.h"
 #include "godwit/relay/lending_protocol.h"
+#include "platform/testing/consumed_reset.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -12,6 +13,7 @@
 #include <string>
 
 using namespace Godwit;
+using namespace Godwit::Testing;
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
@@ -194,10 +196,6 @@
 // Guards against an answer that is cut off on the way and looks complete.
 TEST_CASE("a lender passes on the end of a connection as it is")
 {
-    const auto reset = [](tcp::socket &socket) {
-        socket.set_option(boost::asio::socket_base::linger(true, 0));
-        socket.close();
-    };
     LendingFixture fixture;
     std::string text;
     SECTION("an orderly end of the endpoint")
@@ -214,6 +212,16 @@
         reset(endpoint);
         CHECK(fixture.readFrom(*fixture.borrowed, text) == boost::asio::error::connection_reset);
     }
+    SECTION("a reset by the endpoint whose error another call has consumed")
+    {
+        REQUIRE(fixture.borrow() == LendingReply::Connected);
+        tcp::socket endpoint = fixture.endpoint.accept();
+        const auto descriptor = descriptorConnectedTo(fixture.endpoint.local_endpoint());
+        REQUIRE(descriptor);
+        reset(endpoint);
+        REQUIRE(consumeReset(*descriptor));
+        CHECK(fixture.readFrom(*fixture.borrowed, text) == boost::asio::error::connection_reset);
+    }
     SECTION("half of a connection that the borrower closes")
     {
         REQUIRE(fixture.borrow() == LendingReply::Connected);
