Exchanges: a status outside 100 to 599 is no response

A replica in trouble answered with the status 000; the head reached the caller as that of a response. So did 600 and 999. Such a response is malformed now.

endpoint_exchange_test: 000, 099, 600 and 999 failed before (000 was passed on).

--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -53,6 +53,12 @@
     return parser.need_eof() ? ResponseFraming::Connection : ResponseFraming::Length;
 }
 
+// RFC 9110, section 15.
+bool isStatus(unsigned code)
+{
+    return code >= 100 && code <= 599;
+}
+
 // The kernel's timeout for a full receive buffer exceeds the stall timeout by this much, so that the latter applies.
 constexpr Duration StalledReaderMargin = std::chrono::seconds(2);
 
@@ -539,6 +545,10 @@
 {
     m_headProcessed = true;
     const auto &head = m_parser->get().base();
+    if (!isStatus(head.result_int())) {
+        fail(ExchangeFailure::Malformed);
+        return false;
+    }
     if (head.result_int() / 100 == 1) {
         return true;
     }
--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -26,7 +26,9 @@
     {
         options.connectTimeout = connectTimeout;
         ExchangeHandlers handlers;
-        handlers.onHead = [](const ResponseHead &, const ResponseMetadata &) {};
+        handlers.onHead = [this](const ResponseHead &, const ResponseMetadata &) {
+            ++heads;
+        };
         handlers.onBody = [this](std::string_view bytes) {
             bodyBytes += bytes.size();
         };
@@ -93,6 +95,7 @@
     std::shared_ptr<EndpointExchange> exchange;
     std::optional<ExchangeFailure> failure;
     std::optional<WithdrawalOutcome> outcome;
+    int heads = 0;
     std::size_t bodyBytes = 0;
     bool ended = false; // It reported a complete response.
 };
@@ -276,6 +279,23 @@
     CHECK(fixture.failure == ExchangeFailure::Broken);
 }
 
+TEST_CASE("a response whose status is no status is malformed")
+{
+    // Guards against callers receiving a status that HTTP doesn't know, and with it a response that says nothing.
+    for (const char *status : {"000", "099", "600", "999"}) {
+        ExchangeFixture fixture(std::chrono::milliseconds(200));
+        tcp::socket endpoint = fixture.sendRequest();
+        answer(endpoint, std::string(status) + " Odd\r\n" + std::string(AttemptIdField) + ": a");
+        fixture.runUntil([&] {
+            return fixture.failure || fixture.ended;
+        });
+        INFO(status);
+        CHECK_FALSE(fixture.heads > 0);
+        REQUIRE(fixture.failure);
+        CHECK(exchangeFailureName(*fixture.failure) == exchangeFailureName(ExchangeFailure::Malformed));
+    }
+}
+
 TEST_CASE("a request withdrawn during connect is reported as not run")
 {
     ExchangeFixture fixture(std::chrono::milliseconds(200));
