Relay: an endpoint that stops at its deadline does not complete its response

Callers received a stream that had reached its time-out as complete. An endpoint stops work when the time that it was given is over, and one that delimits its responses by the close of the connection may then close it in order. It is given the router's own deadline, rounded down to whole milliseconds: without a delay on the link its close comes before the router's timer, and was taken for the end of the stream.

The check of the endpoint is no longer shortened near the deadline, so that the deadline ends it, and with it the response, as truncated. answer_ended tells the time left.

--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -4,7 +4,6 @@
 
 #include "godwit/base/milliseconds.h"
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -186,7 +185,8 @@
                          {"was_reset", m_exchange->connectionWasReset()},
                          {"pending_bytes", static_cast<std::int64_t>(pendingBytes(m_events))},
                          {"events_passed", static_cast<std::int64_t>(m_eventsForwarded)},
-                         {"attempt_ms", toMilliseconds(Relay::now() - m_sentAt)}});
+                         {"attempt_ms", toMilliseconds(Relay::now() - m_sentAt)},
+                         {"time_left_ms", toMilliseconds(m_deadline - Relay::now())}});
 }
 
 void RelayCall::onEnd()
@@ -252,7 +252,8 @@
 }
 
 // The connection of an endpoint whose process ends is closed in order as well, so the response counts as complete only
-// if the endpoint has outlived it.
+// if the endpoint has outlived it. So is that of an endpoint whose time is up, which may be a millisecond before this
+// router's: a response that is still being checked at the deadline is truncated.
 void RelayCall::confirmEnd()
 {
     dropHedge("first_answered");
@@ -261,14 +262,15 @@
         onEndChecked({});
         return;
     }
-    LivenessOptions options = m_relay.options().liveness;
-    options.settleTime = std::min(options.settleTime, timeLeft() / 2);
-    checkLiveness(
-        m_relay, endpoint->listed, m_answerPath, options, [self = shared_from_this()](const LivenessReport &report) {
-            if (!self->m_closed) {
-                self->onEndChecked(report);
-            }
-        });
+    checkLiveness(m_relay,
+                  endpoint->listed,
+                  m_answerPath,
+                  m_relay.options().liveness,
+                  [self = shared_from_this()](const LivenessReport &report) {
+                      if (!self->m_closed) {
+                          self->onEndChecked(report);
+                      }
+                  });
 }
 
 void RelayCall::onEndChecked(const LivenessReport &report)
