Liveness check: tie the second connection to the moment at which the response ended

Callers still received parts as complete when the router looked late: a router that was paused, or a few milliseconds behind, found the port of an endpoint that had ended open again, and took the restarted process for the one that sent the response. The other way round, an endpoint at its limit of connections, or one that closed an idle connection within the time of the check, was taken for dead: whole responses were truncated, and their requests became suspects.

A second connection shows something only if it was open when the response ended. Only a refused connection or two that end together count as death, and nothing else as a sign of a crash. The endpoint's feedback waits for the verdict. Lenders also probe endpoints that drain.

--- a/godwit/relay/connection_lender.cpp
+++ b/godwit/relay/connection_lender.cpp
@@ -380,7 +380,8 @@
         return LendingReply::Leaving;
     }
     const auto found = state.endpoints.endpoints.find(request.endpoint);
-    const bool listed = found != state.endpoints.endpoints.end() && acceptsNewRequests(found->second)
+    const bool listed = found != state.endpoints.endpoints.end()
+        && (acceptsNewRequests(found->second) || request.purpose == LendingPurpose::Probe)
         && found->second.listed.address == request.address;
     if (!listed || m_relay.mayBeStale(Relay::now())) {
         return LendingReply::NotListed;
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -457,6 +457,7 @@
 {
     // After withdraw() the state of the connection is that of both directions.
     m_wasReset = error && !m_onWithdrawn && wasReset(*m_socket);
+    m_endedAt = error ? steadyNow() - sinceLastSegment(*m_socket) : m_endedAt;
     if (error == asio::error::eof && (m_writeFailed || m_wasReset)) {
         error = asio::error::connection_reset;
     }
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -185,6 +185,12 @@
         return m_wasReset;
     }
 
+    // When the other host closed the connection; valid if connectionEnd() is Closed.
+    TimePoint endedAt() const
+    {
+        return m_endedAt;
+    }
+
     // State of the connection at the time of onEnd or onFailed.
     ConnectionEnd connectionEnd() const
     {
@@ -265,6 +271,7 @@
     bool m_timeoutExtended = false; // The connection's TCP user timeout was extended.
     bool m_writeFailed = false;
     bool m_wasReset = false;
+    TimePoint m_endedAt;
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
     std::uint64_t m_skippedBytes = 0; // Of responses to other attempts and of interim responses.
--- a/godwit/relay/endpoint_probe.cpp
+++ b/godwit/relay/endpoint_probe.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/http/address.h"
 #include "godwit/relay/connection_borrower.h"
+#include "platform/http_codec.h"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -102,11 +103,7 @@
                    Duration limit,
                    std::function<void(ProbeOutcome)> done)
 {
-    start(io,
-          address,
-          "GET " + path + " HTTP/1.1\r\nHost: " + address + "\r\nConnection: close\r\n\r\n",
-          limit,
-          std::move(done));
+    start(io, address, formatHealthRequest(path, address), limit, std::move(done));
 }
 
 void probeThroughLenders(asio::io_context &io,
--- a/godwit/relay/lending_test.cpp
+++ b/godwit/relay/lending_test.cpp
@@ -58,13 +58,14 @@
         replaceEndpoints(relay.state().endpoints, {listed});
     }
 
-    LendingReply borrow(const std::string &secret = "secret", const std::string &id = "e")
+    LendingReply borrow(const std::string &secret = "secret",
+                        const std::string &id = "e",
+                        LendingPurpose purpose = LendingPurpose::Lend)
     {
         std::optional<LendingReply> got;
         relay.state().reach.groups[{"engine", {}}].lastAnswerAt = lastAnswerAt.value_or(Relay::now());
         const Lender target{{}, lender.address(), secret};
-        const LendingRequest request{
-            LendingPurpose::Lend, {}, EndpointId{id}, formatAddress(endpoint.local_endpoint())};
+        const LendingRequest request{purpose, {}, EndpointId{id}, formatAddress(endpoint.local_endpoint())};
         ConnectionBorrower::start(
             io, target, request, std::chrono::seconds(2), [&](LendingReply reply, tcp::socket socket) {
                 got = reply;
@@ -151,6 +152,7 @@
     CHECK(fixture.borrow("secret", "other") == LendingReply::NotListed);
     fixture.list(true);
     CHECK(fixture.borrow() == LendingReply::NotListed);
+    CHECK(fixture.borrow("secret", "e", LendingPurpose::Probe) == LendingReply::Connected);
     fixture.list(false);
     fixture.relay.state().stage = RelayStage::Leaving;
     CHECK(fixture.borrow() == LendingReply::Leaving);
--- a/godwit/relay/liveness_check.cpp
+++ b/godwit/relay/liveness_check.cpp
@@ -4,17 +4,17 @@
 #include "godwit/http/address.h"
 #include "godwit/relay/endpoint_probe.h"
 #include "godwit/relay/relay.h"
+#include "godwit/relay/socket_progress.h"
+#include "platform/http_codec.h"
 
 #include <boost/asio/error.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
 
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <memory>
-#include <optional>
 #include <utility>
 
 namespace Godwit
@@ -23,7 +23,7 @@
 {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 
 constexpr EnumName<EndpointLiveness> EndpointLivenessNames[] = {
@@ -36,160 +36,295 @@
     {LivenessEvidence::KeptConnection, "kept_connection"},
     {LivenessEvidence::NewConnection, "new_connection"},
     {LivenessEvidence::RefusedConnection, "refused_connection"},
+    {LivenessEvidence::HealthCheck, "health_check"},
     {LivenessEvidence::OtherRouter, "other_router"},
     {LivenessEvidence::None, "none"},
 };
 
-struct Check
+constexpr std::uint32_t MaxHealthHeadBytes = 8U * 1024;
+
+// Whether the other host has closed the connection. Unread bytes don't show that: an endpoint may answer a request
+// twice.
+bool isClosed(ConnectionPool::Socket &socket)
 {
-    Relay &relay;
-    ListedEndpoint endpoint;
-    LivenessOptions options;
-    std::function<void(const LivenessReport &)> done; // Empty once it has been called.
-    asio::steady_timer timer;
-    std::optional<ConnectionPool::Connection> kept; // From the pool.
-    std::optional<tcp::socket> opened;
-};
+    char byte = 0;
+    const ssize_t count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
 
-using CheckPtr = std::shared_ptr<Check>;
+} // namespace
 
-void finish(Check &check, EndpointLiveness liveness, LivenessEvidence evidence)
+std::string_view endpointLivenessName(EndpointLiveness liveness)
 {
-    if (const auto done = std::exchange(check.done, {})) {
-        check.timer.cancel();
-        error_code ignored;
-        if (check.opened) {
-            check.opened->close(ignored);
-        }
-        if (check.kept) {
-            check.kept->socket.cancel(ignored);
+    return enumName(EndpointLivenessNames, liveness);
+}
+
+std::string_view livenessEvidenceName(LivenessEvidence evidence)
+{
+    return enumName(LivenessEvidenceNames, evidence);
+}
+
+LivenessCheck::LivenessCheck(Relay &relay, ListedEndpoint endpoint, LivenessPath path)
+    : m_relay(relay)
+    , m_endpoint(std::move(endpoint))
+    , m_path(path)
+    , m_timer(relay.io())
+{
+    m_parser.header_limit(MaxHealthHeadBytes);
+}
+
+void LivenessCheck::prepare()
+{
+    if (m_path == LivenessPath::Direct && !takeKept()) {
+        connect();
+    }
+}
+
+void LivenessCheck::conclude(TimePoint endedAt, Done done)
+{
+    m_endedAt = endedAt;
+    m_done = std::move(done);
+    if (m_path == LivenessPath::OtherRouters) {
+        askOtherRouters();
+    } else if (m_connecting) {
+        limitTime();
+    } else {
+        judgeWitness();
+    }
+}
+
+void LivenessCheck::cancel()
+{
+    m_done = {};
+    m_timer.cancel();
+    m_connecting.reset();
+    returnKept();
+    m_witness.reset();
+}
+
+bool LivenessCheck::takeKept()
+{
+    auto kept = m_relay.pool().acquire(m_endpoint.id, Relay::now());
+    if (kept) {
+        const TimePoint establishedAt = kept->openedAt;
+        m_witness.emplace(Witness{std::move(*kept), establishedAt, LivenessEvidence::KeptConnection});
+    }
+    return m_witness.has_value();
+}
+
+void LivenessCheck::connect()
+{
+    LastReason reason;
+    const auto address = parseAddress(m_endpoint.address, reason);
+    if (!address) {
+        finishLater(EndpointLiveness::Unknown, LivenessEvidence::None);
+        return;
+    }
+    m_connecting.emplace(m_relay.io());
+    m_connecting->async_connect(*address, [self = shared_from_this()](const error_code &error) {
+        if (self->m_connecting) {
+            self->onConnected(error);
         }
-        done({liveness, evidence});
+    });
+    if (m_done) {
+        limitTime();
     }
 }
 
-// Whether the other host has closed the connection. Unread bytes don't show that: an endpoint may answer a request
-// twice.
-bool isClosed(tcp::socket &socket)
+void LivenessCheck::onConnected(const error_code &error)
 {
-    char byte = 0;
-    const ssize_t count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    auto socket = std::move(*m_connecting);
+    m_connecting.reset();
+    if (!error) {
+        const TimePoint now = Relay::now();
+        m_witness.emplace(Witness{{std::move(socket), now, now}, now, LivenessEvidence::NewConnection});
+        if (m_done) {
+            watch();
+        }
+        return;
+    }
+    if (error == asio::error::connection_refused) {
+        finish(EndpointLiveness::Dead, LivenessEvidence::RefusedConnection);
+    } else if (error == asio::error::connection_reset && m_done) {
+        connectAfterSettling();
+    } else {
+        finish(EndpointLiveness::Unknown, LivenessEvidence::None);
+    }
 }
 
-// The endpoint is alive if this connection stays open for the settle time.
-void watch(const CheckPtr &check, tcp::socket &socket, LivenessEvidence evidence)
+void LivenessCheck::judgeWitness()
 {
-    check->timer.expires_after(check->options.settleTime);
-    check->timer.async_wait([check, evidence](const error_code &error) {
-        if (error || !check->done) {
+    if (m_witness && isClosed(m_witness->connection.socket)) {
+        auto &socket = m_witness->connection.socket;
+        // The kernel doesn't tell when a reset arrived.
+        if (!wasReset(socket) && endedTogether(Relay::now() - sinceLastSegment(socket))) {
+            finishLater(EndpointLiveness::Dead, m_witness->evidence);
             return;
         }
-        if (check->kept) {
-            error_code ignored;
-            check->kept->socket.cancel(ignored);
-            check->relay.pool().release(check->endpoint.id, std::move(*check->kept));
-            check->kept.reset();
+        m_witness.reset();
+    }
+    if (m_witness || takeKept()) {
+        watch();
+    } else {
+        connect();
+    }
+}
+
+// Whether the second connection predates the end of the response and was closed at the same moment.
+bool LivenessCheck::endedTogether(TimePoint closedAt) const
+{
+    const Duration limit = m_relay.options().liveness.simultaneousTime;
+    return m_witness->establishedAt <= m_endedAt && closedAt <= m_endedAt + limit && m_endedAt <= closedAt + limit;
+}
+
+void LivenessCheck::onWitnessEnded(TimePoint closedAt)
+{
+    if (endedTogether(closedAt)) {
+        finish(EndpointLiveness::Dead, m_witness->evidence);
+    } else {
+        m_witness.reset();
+        connectAfterSettling();
+    }
+}
+
+void LivenessCheck::connectAfterSettling()
+{
+    if (std::exchange(m_reconnected, true)) {
+        finishLater(EndpointLiveness::Unknown, LivenessEvidence::None);
+        return;
+    }
+    m_timer.expires_after(m_relay.options().liveness.settleTime);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && self->m_done) {
+            self->connect();
         }
-        finish(*check, EndpointLiveness::Alive, evidence);
     });
-    socket.async_wait(tcp::socket::wait_read, [check, &socket, evidence](const error_code &error) {
-        if (!error && check->done) {
-            finish(*check, isClosed(socket) ? EndpointLiveness::Dead : EndpointLiveness::Alive, evidence);
+}
+
+// The endpoint is alive if the second connection stays open for the settle time.
+void LivenessCheck::watch()
+{
+    m_timer.expires_after(m_relay.options().liveness.settleTime);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && self->m_done && self->m_witness) {
+            self->onSettled();
         }
     });
+    m_witness->connection.socket.async_wait(
+        ConnectionPool::Socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            // Bytes that arrive unasked are judged when the time is over.
+            if (!error && self->m_done && self->m_witness && isClosed(self->m_witness->connection.socket)) {
+                self->m_timer.cancel();
+                auto &socket = self->m_witness->connection.socket;
+                self->onWitnessEnded(Relay::now() - (wasReset(socket) ? Duration::zero() : sinceLastSegment(socket)));
+            }
+        });
 }
 
-void onConnected(const CheckPtr &check, const error_code &error)
+void LivenessCheck::onSettled()
 {
-    if (!check->done) {
-        return;
-    }
-    if (!error) {
-        watch(check, *check->opened, LivenessEvidence::NewConnection);
-        return;
+    if (isClosed(m_witness->connection.socket)) {
+        onWitnessEnded(Relay::now());
+    } else if (m_witness->establishedAt <= m_endedAt + m_relay.options().liveness.minRestartTime) {
+        finish(EndpointLiveness::Alive, m_witness->evidence);
+    } else {
+        askForId();
     }
-    const bool refused = error == asio::error::connection_refused || error == asio::error::connection_reset;
-    finish(*check,
-           refused ? EndpointLiveness::Dead : EndpointLiveness::Unknown,
-           refused ? LivenessEvidence::RefusedConnection : LivenessEvidence::None);
 }
 
-void connect(const CheckPtr &check)
+void LivenessCheck::askForId()
 {
-    LastReason reason;
-    const auto address = parseAddress(check->endpoint.address, reason);
-    if (!address) {
-        asio::post(check->relay.io(), [check] {
-            finish(*check, EndpointLiveness::Unknown, LivenessEvidence::None);
+    auto &socket = m_witness->connection.socket;
+    error_code ignored;
+    socket.cancel(ignored);
+    m_request = formatHealthRequest(m_relay.reachMonitor().probePath(m_endpoint.service), m_endpoint.address);
+    limitTime();
+    asio::async_write(socket, asio::buffer(m_request), [self = shared_from_this()](const error_code &, std::size_t) {});
+    http::async_read_header(
+        socket, m_buffer, m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (self->m_done) {
+                self->onHealthChecked(error);
+            }
         });
+}
+
+void LivenessCheck::onHealthChecked(const error_code &error)
+{
+    if (error) {
+        finish(EndpointLiveness::Unknown, LivenessEvidence::None);
         return;
     }
-    check->timer.expires_after(check->options.connectTimeout);
-    check->timer.async_wait([check](const error_code &error) {
-        if (!error && check->timer.expiry() <= std::chrono::steady_clock::now()) {
-            finish(*check, EndpointLiveness::Unknown, LivenessEvidence::None);
-        }
-    });
-    check->opened.emplace(check->relay.io());
-    check->opened->async_connect(*address, [check](const error_code &error) {
-        onConnected(check, error);
-    });
+    const std::string id = parseEndpointId(m_parser.get().base());
+    const EndpointLiveness liveness = id.empty() ? EndpointLiveness::Unknown
+        : id == m_endpoint.id.value              ? EndpointLiveness::Alive
+                                                 : EndpointLiveness::Dead;
+    finish(liveness, LivenessEvidence::HealthCheck);
 }
 
-void askOtherRouters(const CheckPtr &check)
+// Other routers only tell whether the endpoint's address accepts connections, so they have to be asked promptly.
+void LivenessCheck::askOtherRouters()
 {
-    check->timer.expires_after(check->options.settleTime);
-    check->timer.async_wait([check](const error_code &error) {
-        if (error) {
+    const LivenessOptions &options = m_relay.options().liveness;
+    if (Relay::now() > m_endedAt + options.minRestartTime) {
+        finishLater(EndpointLiveness::Unknown, LivenessEvidence::OtherRouter);
+        return;
+    }
+    m_timer.expires_after(options.settleTime);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (error || !self->m_done) {
             return;
         }
-        const EndpointGroup group = groupOf(check->endpoint);
-        probeThroughLenders(check->relay.io(),
-                            check->relay.lendersToAsk(group),
-                            check->endpoint.id,
-                            check->endpoint.address,
-                            check->relay.options().exchange.borrowTimeout,
-                            [check](ProbeOutcome outcome) {
+        probeThroughLenders(self->m_relay.io(),
+                            self->m_relay.lendersToAsk(groupOf(self->m_endpoint)),
+                            self->m_endpoint.id,
+                            self->m_endpoint.address,
+                            self->m_relay.options().exchange.borrowTimeout,
+                            [self](ProbeOutcome outcome) {
                                 const bool refused = outcome == ProbeOutcome::Refuses;
                                 const auto liveness = outcome == ProbeOutcome::Accepts ? EndpointLiveness::Alive
                                     : refused                                          ? EndpointLiveness::Dead
                                                                                        : EndpointLiveness::Unknown;
-                                finish(*check, liveness, LivenessEvidence::OtherRouter);
+                                self->finish(liveness, LivenessEvidence::OtherRouter);
                             });
     });
 }
 
-} // namespace
+void LivenessCheck::limitTime()
+{
+    m_timer.expires_after(m_relay.options().liveness.responseTimeout);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && self->m_timer.expiry() <= std::chrono::steady_clock::now()) {
+            self->finish(EndpointLiveness::Unknown, LivenessEvidence::None);
+        }
+    });
+}
 
-std::string_view endpointLivenessName(EndpointLiveness liveness)
+void LivenessCheck::finish(EndpointLiveness liveness, LivenessEvidence evidence)
 {
-    return enumName(EndpointLivenessNames, liveness);
+    if (const auto done = std::exchange(m_done, {})) {
+        if (liveness != EndpointLiveness::Alive) {
+            m_witness.reset();
+        }
+        cancel();
+        done({liveness, evidence});
+    }
 }
 
-std::string_view livenessEvidenceName(LivenessEvidence evidence)
+void LivenessCheck::finishLater(EndpointLiveness liveness, LivenessEvidence evidence)
 {
-    return enumName(LivenessEvidenceNames, evidence);
+    asio::post(m_relay.io(), [self = shared_from_this(), liveness, evidence] {
+        self->finish(liveness, evidence);
+    });
 }
 
-void checkLiveness(Relay &relay,
-                   const ListedEndpoint &endpoint,
-                   LivenessPath path,
-                   const LivenessOptions &options,
-                   std::function<void(const LivenessReport &)> done)
+void LivenessCheck::returnKept()
 {
-    auto check = std::make_shared<Check>(
-        Check{relay, endpoint, options, std::move(done), asio::steady_timer(relay.io()), std::nullopt, std::nullopt});
-    if (path == LivenessPath::OtherRouters) {
-        askOtherRouters(check);
+    if (!m_witness || m_witness->evidence != LivenessEvidence::KeptConnection) {
         return;
     }
-    check->kept = relay.pool().acquire(endpoint.id, Relay::now());
-    if (check->kept) {
-        watch(check, check->kept->socket, LivenessEvidence::KeptConnection);
-    } else {
-        connect(check);
-    }
+    error_code ignored;
+    m_witness->connection.socket.cancel(ignored);
+    m_relay.pool().release(m_endpoint.id, std::move(m_witness->connection));
 }
 
 } // namespace Godwit
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -410,6 +410,7 @@
 // Drops what was received from the previous endpoint and not forwarded.
 void RelayCall::resetAnswer()
 {
+    endLivenessCheck();
     m_answerHead.reset();
     m_answerEnding.reset();
     m_discardsBody = false;
@@ -586,6 +587,14 @@
     m_relay.onPlaceFreed();
 }
 
+// For an attempt that ended as Neutral because it could not be judged yet.
+void RelayCall::recordLateFeedback(AttemptFeedback verdict)
+{
+    if (EndpointState *endpoint = currentEndpoint()) {
+        recordFeedback(*endpoint, verdict, m_relay.options().choice, Relay::now());
+    }
+}
+
 void RelayCall::refuse(ErrorKind kind, std::string message, std::optional<Duration> retryAfter)
 {
     ++m_relay.counters().refusals[kind];
@@ -639,6 +648,7 @@
     m_closed = true;
     m_end = end;
     endTrial();
+    endLivenessCheck();
     dropHedge(callEndName(end));
     m_deadlineTimer.cancel();
     m_budgetTimer.cancel();
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -191,9 +191,12 @@
     std::uint64_t decidingFingerprint();
     std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
+    void beginLivenessCheck();
+    void endLivenessCheck();
     void confirmEnd();
     void onEndChecked(const LivenessReport &report);
     void endAttempt(AttemptFeedback verdict);
+    void recordLateFeedback(AttemptFeedback verdict);
     AttemptFeedback silenceVerdict() const;
     void abandonAttempt();
     void onWithdrawn(WithdrawalOutcome outcome);
@@ -278,7 +281,9 @@
     std::optional<ResponseHead> m_answerHead;
     ResponseMetadata m_answer;
     std::optional<ResponseEnding> m_answerEnding; // How the latest attempt's response ended; unset before.
-    LivenessPath m_answerPath = LivenessPath::Direct; // Of the connection on which it ended; valid with m_answerEnding.
+    // Of the endpoint whose latest response is delimited by the close of its connection.
+    std::shared_ptr<LivenessCheck> m_livenessCheck;
+    TimePoint m_answerEndedAt; // When its connection was closed; valid with m_answerEnding.
     bool m_forwardsEvents = false; // The response is forwarded event by event.
     bool m_headForwarded = false;
     ResponseFraming m_forwardedFraming =
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -40,6 +40,9 @@
     m_forwardsEvents = success && facts.sealed && facts.isEventStream && streams;
     const bool cannotContinue = m_headForwarded && streams && !m_forwardsEvents;
     m_discardsBody = facts.notExecuted || (success && !facts.sealed) || cannotContinue;
+    if (facts.framing == ResponseFraming::Connection && !m_discardsBody) {
+        beginLivenessCheck();
+    }
     if (m_forwardsEvents && !m_headForwarded && !m_holdsHead) {
         forwardHead(ResponseFraming::Chunked);
     }
@@ -160,7 +163,7 @@
         ending.position = positionIn(m_events);
     }
     m_answerEnding = ending;
-    m_answerPath = m_exchange->isBorrowed() ? LivenessPath::OtherRouters : LivenessPath::Direct;
+    m_answerEndedAt = m_exchange->endedAt();
     ++m_relay.counters().answersEnded[ending];
 }
 
@@ -229,7 +232,8 @@
         return;
     }
     const bool failed = m_answer.status >= 500;
-    endAttempt(failed ? AttemptFeedback::Failed : AttemptFeedback::Good);
+    const bool isConfirmed = failed || extent == ResponseCompleteness::Declared;
+    endAttempt(failed ? AttemptFeedback::Failed : isConfirmed ? AttemptFeedback::Good : AttemptFeedback::Neutral);
     if (m_headForwarded && !mayEndAsComplete(m_forwardedFraming, extent)) {
         retryOrFail("end_not_declared", true);
         return;
@@ -251,26 +255,41 @@
     forwardRest();
 }
 
+// A stream lasts long enough for the second connection to be established before it ends.
+void RelayCall::beginLivenessCheck()
+{
+    endLivenessCheck();
+    const EndpointState *endpoint = currentEndpoint();
+    if (endpoint == nullptr) {
+        return;
+    }
+    const LivenessPath path = m_exchange->isBorrowed() ? LivenessPath::OtherRouters : LivenessPath::Direct;
+    m_livenessCheck = std::make_shared<LivenessCheck>(m_relay, endpoint->listed, path);
+    if (m_forwardsEvents) {
+        m_livenessCheck->prepare();
+    }
+}
+
+void RelayCall::endLivenessCheck()
+{
+    if (const auto check = std::exchange(m_livenessCheck, nullptr)) {
+        check->cancel();
+    }
+}
+
 // The connection of an endpoint whose process ends is closed in order as well, so the response counts as complete only
 // if the endpoint has outlived it. So is that of an endpoint whose time is up, which may be a millisecond before this
 // router's: a response that is still being checked at the deadline is truncated.
 void RelayCall::confirmEnd()
 {
     dropHedge("first_answered");
-    const EndpointState *endpoint = currentEndpoint();
-    if (endpoint == nullptr) {
+    if (!m_livenessCheck) {
         onEndChecked({});
         return;
     }
-    checkLiveness(m_relay,
-                  endpoint->listed,
-                  m_answerPath,
-                  m_relay.options().liveness,
-                  [self = shared_from_this()](const LivenessReport &report) {
-                      if (!self->m_closed) {
-                          self->onEndChecked(report);
-                      }
-                  });
+    m_livenessCheck->conclude(m_answerEndedAt, [self = shared_from_this()](const LivenessReport &report) {
+        self->onEndChecked(report);
+    });
 }
 
 void RelayCall::onEndChecked(const LivenessReport &report)
@@ -284,12 +303,13 @@
                          {"since_sent_ms", toMilliseconds(Relay::now() - m_sentAt)}});
     switch (report.liveness) {
     case EndpointLiveness::Alive:
+        if (m_answer.status < 500) {
+            recordLateFeedback(AttemptFeedback::Good);
+        }
         forwardRest();
         return;
     case EndpointLiveness::Dead:
-        if (EndpointState *endpoint = currentEndpoint()) {
-            recordFeedback(*endpoint, AttemptFeedback::Unreachable, m_relay.options().choice, Relay::now());
-        }
+        recordLateFeedback(AttemptFeedback::Unreachable);
         retryAfterCrashCheck("endpoint_ended");
         return;
     case EndpointLiveness::Unknown:
--- a/godwit/relay/socket_progress.cpp
+++ b/godwit/relay/socket_progress.cpp
@@ -51,4 +51,10 @@
     return info && info->tcpi_state == TCP_CLOSE;
 }
 
+Duration sinceLastSegment(boost::asio::ip::tcp::socket &socket)
+{
+    const auto info = tcpInfo(socket);
+    return std::chrono::milliseconds(info ? info->tcpi_last_ack_recv : 0);
+}
+
 } // namespace Godwit
--- a/godwit/relay/socket_progress.h
+++ b/godwit/relay/socket_progress.h
@@ -2,6 +2,8 @@
 
 // What the kernel reports about a connection.
 
+#include "godwit/base/time.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
@@ -24,4 +26,8 @@
 // not been shut down. False if the kernel doesn't tell.
 bool wasReset(boost::asio::ip::tcp::socket &socket);
 
+// Returns for how long no segment has arrived that acknowledges data or the end of it, as all do but resets. After the
+// other host has closed the connection in order, this is the time since then. Zero if the kernel doesn't tell.
+Duration sinceLastSegment(boost::asio::ip::tcp::socket &socket);
+
 } // namespace Godwit
