Soak: real endpoint processes that end in the middle of close-delimited responses

The soak's endpoints lived in its own process, so that their connections were reset or their answers ended as scripted; the orderly close by the kernel of a process that ended was never seen. With `end endpoints`, three plain endpoints and three engines are processes (EndpointProcess, fake_endpoint), which are killed or exit while they answer, and report what they receive over a pipe before they respond. A part of the requests has less time than its answer takes.

checkPlannedCut leaves out requests that end at a deadline of their own, shorter than the route's; there were none before.

--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -70,7 +70,6 @@
     request.set(http::field::host, SoakHost);
     request.set(AttemptIdField, attempt);
     request.set(ApiKeyField, key);
-    request.set(TimeRemainingField, std::to_string(TimeLeft.count()));
     return request;
 }
 
@@ -79,6 +78,8 @@
     const bool stream = sent.kind == RequestKind::Chat || sent.kind == RequestKind::Write;
     const auto verb = sent.kind == RequestKind::Read ? http::verb::get : http::verb::post;
     CallerRequest request = makeRequest(verb, target, attempt, sent.prepaid ? PrepaidKey : OtherKey);
+    const auto timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(sent.timeLeft);
+    request.set(TimeRemainingField, std::to_string(timeLeft.count()));
     if (stream) {
         constexpr int mostTokens = EventsOfStream * TokensPerEvent;
         request.set(TokenCountsField, std::to_string(sent.promptTokens) + ',' + std::to_string(mostTokens));
@@ -90,6 +91,14 @@
     return request;
 }
 
+// Beside endpoints that are processes, a part of the requests has less time than their answers take.
+std::chrono::milliseconds drawTimeLeft(const Fleet &fleet, std::mt19937_64 &random)
+{
+    constexpr int shortPermille = 250;
+    const bool isShort = !fleet.processEndpoints.empty() && draw(random, Permille) < shortPermille;
+    return isShort ? std::chrono::milliseconds(100 + draw(random, 800)) : TimeLeft;
+}
+
 OutcomeKind kindOf(const error_code &error)
 {
     if (error == boost::beast::error::timeout) {
@@ -119,6 +128,7 @@
         sent.events = 0;
         sent.status = 0;
         sent.endsUndeclared = false;
+        sent.wholeUndeclared = false;
         sent.version.clear();
         sent.resumes = firstTry;
         sent.resumedAfter = lastEvent;
@@ -228,7 +238,7 @@
         const auto other = static_cast<std::size_t>(draw(random, static_cast<int>(fleet.routers.size())));
         router = caller.isConnected() ? router : other;
         sent.router = router;
-        sent.timeLeft = TimeLeft;
+        sent.timeLeft = drawTimeLeft(fleet, random);
         sent.sentAt = steadyNow();
         const std::string attempt = "c" + std::to_string(number) + '-' + std::to_string(i);
         // Some come once, others are the same one from many callers.
@@ -325,7 +335,8 @@
         Caller caller(fleet.io);
         const std::string attempt = "d-" + std::to_string(i);
         noteRequest(fleet.promises, "plain", answer.sentAt);
-        const auto request = makeRequest(http::verb::get, documentPath(answer.version) + "1", attempt, OtherKey);
+        auto request = makeRequest(http::verb::get, documentPath(answer.version) + "1", attempt, OtherKey);
+        request.set(TimeRemainingField, std::to_string(TimeLeft.count()));
         const Outcome outcome = caller.call(
             router.process->callerAddress(), request, [](const std::string &) {}, yield);
         answer.status = outcome.status;
--- a/soak/fault_player.cpp
+++ b/soak/fault_player.cpp
@@ -53,6 +53,7 @@
     {Fault::CrashPromptParts, "crash prompt parts"},
     {Fault::BrittleEndpoints, "brittle endpoints"},
     {Fault::EngineVersions, "engine versions"},
+    {Fault::EndEndpoints, "end endpoints"},
     {Fault::ShapeAnswers, "shape answers"},
 };
 
@@ -175,6 +176,34 @@
     }
 }
 
+void FaultPlayer::endProcesses(const yield_context &yield)
+{
+    const int all = static_cast<int>(m_fleet.processEndpoints.size());
+    while (!m_fleet.ending) {
+        waitFor(m_fleet.io, milliseconds(drawFrom(m_deathRandom, 1200, 4000)), yield);
+        const int number = drawFrom(m_deathRandom, 0, 2) == 0 ? SIGTERM : SIGKILL;
+        const bool atOnce = drawFrom(m_deathRandom, 0, 1) == 0;
+        const Time absence(drawFrom(m_deathRandom, 50, 2000));
+        const Time down = atOnce ? Time(0) : absence;
+        const int first = drawFrom(m_deathRandom, 0, all - 1);
+        const int count = drawFrom(m_deathRandom, 1, all / 2);
+        if (drawFrom(m_deathRandom, 0, 2) == 0) {
+            // It sees the end of the process when another one may be at its address already.
+            const int router = drawFrom(m_deathRandom, 0, static_cast<int>(m_fleet.routers.size()) - 1);
+            const Time time(drawFrom(m_deathRandom, 50, 600));
+            ++m_played[Fault::PauseRouter];
+            say(Fault::PauseRouter, "router-" + std::to_string(router), time);
+            pauseRouter(static_cast<std::size_t>(router), Time(0), time);
+        }
+        for (int i = first; i < first + count; ++i) {
+            const auto index = static_cast<std::size_t>(i % all);
+            ++m_played[Fault::EndEndpoints];
+            say(Fault::EndEndpoints, m_fleet.processEndpoints[index].id, down);
+            endProcess(m_fleet, index, number, down);
+        }
+    }
+}
+
 void FaultPlayer::makeBrittle(const yield_context &yield)
 {
     while (!m_fleet.ending) {
@@ -261,6 +290,14 @@
 
 void FaultPlayer::begin(Fault fault)
 {
+    if (fault == Fault::EndEndpoints) {
+        // The processes end beside run().
+        constexpr std::array onRouters = {Fault::StopRouter, Fault::KillRouter, Fault::PauseRouter};
+        if (draw(0, 2) == 0) {
+            begin(onRouters.at(static_cast<std::size_t>(draw(0, onRouters.size() - 1))));
+        }
+        return;
+    }
     const bool ofFleet = fault == Fault::KillFleet || fault == Fault::FreezeFleet || fault == Fault::CutPeers;
     if (ofFleet && fleetRests()) {
         return;
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -61,6 +61,7 @@
     CrashPromptParts, // Requests with one part of a prompt in common crash engines, as CrashRequests.
     BrittleEndpoints, // Plain endpoints have little room, are brittle at times and crash when they reject too many.
     EngineVersions, // Engines of several versions die while callers take up their streams again.
+    EndEndpoints, // Endpoints that are processes are killed while they answer, some with a router paused meanwhile.
     ShapeAnswers, // An endpoint frames its answers, stops in them and closes their connections in any way.
 };
 
@@ -88,6 +89,9 @@
     // Endpoints that die of no request. Runs beside run().
     void killEndpoints(const boost::asio::yield_context &yield);
 
+    // Ends the processes of endpoints. Runs beside run().
+    void endProcesses(const boost::asio::yield_context &yield);
+
     // Makes the plain endpoints brittle at times. Runs beside run().
     void makeBrittle(const boost::asio::yield_context &yield);
 
--- a/soak/fleet.cpp
+++ b/soak/fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <sstream>
 #include <utility>
 
 namespace Godwit::Soak
@@ -23,6 +24,8 @@
 // An answer takes long enough that signals and faults meet requests on their way.
 constexpr auto AnswerAfter = std::chrono::milliseconds(15);
 constexpr auto EventPause = std::chrono::milliseconds(25);
+// Of endpoints that are processes: most that are ended have streams and bodies half sent.
+constexpr auto ProcessEventPause = std::chrono::milliseconds(60);
 // With limited room, what callers send at most times exceeds what the endpoints can run.
 constexpr Testing::EndpointRoomOptions LimitedRoom{4, 6, 1, std::chrono::milliseconds(3000)};
 constexpr auto AnswerAfterInLimitedRoom = std::chrono::milliseconds(80);
@@ -34,7 +37,7 @@
                 {"Host", SoakHost},
                 {"PathPrefix", prefix},
                 {"Kind", kind},
-                {"TimeoutMs", 2500},
+                {"TimeoutMs", RouteTimeout.count()},
                 {"TargetLatencyMs", 400},
                 {"Priority", 0},
                 {"Service", service},
@@ -184,6 +187,57 @@
     listEndpoint(fleet, index, "ready");
 }
 
+void onProcessLine(Fleet &fleet, std::size_t index, const std::string &line)
+{
+    const ProcessEndpoint &endpoint = fleet.processEndpoints[index];
+    std::istringstream words(line);
+    std::string word;
+    words >> word;
+    if (word == "ready") {
+        fleet.store.put("servers/" + endpoint.id, line.substr(word.size() + 1));
+        return;
+    }
+    std::int64_t number = 0;
+    std::string attempt;
+    words >> number >> attempt;
+    if (word == "arrival") {
+        const auto timeLeft = number < 0 ? std::nullopt : std::optional<Duration>(std::chrono::milliseconds(number));
+        noteArrival(fleet.promises, endpoint.service, attempt, steadyNow());
+        noteTimeHanded(fleet.promises, attempt, timeLeft, steadyNow());
+    } else if (word == "run") {
+        noteRun(fleet.promises, endpoint.index, attempt, steadyNow());
+        noteUndeclaredWhole(fleet.promises, attempt);
+        if (fleet.engineVersions && endpoint.service == "engine") {
+            noteVersion(fleet.promises, attempt, "v1", number != 0);
+        }
+    }
+}
+
+void startProcess(Fleet &fleet, std::size_t index)
+{
+    ProcessEndpoint &endpoint = fleet.processEndpoints[index];
+    fleet.store.remove("servers/" + endpoint.id);
+    endpoint.id = "i-process-" + std::to_string(index) + ".start-" + std::to_string(++endpoint.starts);
+    endpoint.running = true;
+    endpoint.process->start(endpoint.id);
+}
+
+// Every second process of a service stops by itself at the deadline of a request.
+void addProcess(Fleet &fleet, const std::string &service)
+{
+    const std::size_t index = fleet.processEndpoints.size();
+    const Testing::EndpointProcessOptions options{
+        service, Standins::BodyFraming::Kind::Connection, EventsOfStream, ProcessEventPause, index / 2 % 2 == 0};
+    ProcessEndpoint endpoint;
+    endpoint.service = service;
+    endpoint.index = fleet.endpoints.size() + index;
+    endpoint.process = std::make_unique<Testing::EndpointProcess>(fleet.io, options, [&fleet, index](const auto &line) {
+        onProcessLine(fleet, index, line);
+    });
+    fleet.processEndpoints.push_back(std::move(endpoint));
+    startProcess(fleet, index);
+}
+
 } // namespace
 
 Fleet::Fleet(boost::asio::io_context &loop, const std::string &program, const FleetSize &size)
@@ -206,7 +260,7 @@
         return throughProxies(*this, std::move(bytes));
     };
     promises.crashes[CrashPart].deathsThatTell = DeathsThatTellOfPart;
-    promises.leavingSince.resize(size.plainEndpoints + size.engines);
+    promises.leavingSince.resize(size.plainEndpoints + size.engines + 2 * size.processes);
     promises.views.resize(size.routers);
     promises.disturbed.endpoints.resize(size.plainEndpoints + size.engines);
     // Routers start disturbed: their first seconds are those after a start.
@@ -222,6 +276,10 @@
     for (std::size_t i = 0; i < size.engines; ++i) {
         addEndpoint(*this, "engine", i);
     }
+    for (std::size_t i = 0; i < size.processes; ++i) {
+        addProcess(*this, "plain");
+        addProcess(*this, "engine");
+    }
     putNextDocument(*this, 0);
     for (std::size_t i = 0; i < size.routers; ++i) {
         Router router;
@@ -270,6 +328,20 @@
     });
 }
 
+void endProcess(Fleet &fleet, std::size_t index, int number, std::chrono::milliseconds down)
+{
+    ProcessEndpoint &endpoint = fleet.processEndpoints[index];
+    if (!std::exchange(endpoint.running, false)) {
+        return;
+    }
+    TimePoint &unplanned = fleet.promises.disturbed.unplanned;
+    unplanned = std::max(unplanned, steadyNow() + down);
+    endpoint.process->signal(number);
+    after(fleet.io, down, [&fleet, index] {
+        startProcess(fleet, index);
+    });
+}
+
 void putNextDocument(Fleet &fleet, std::int64_t more)
 {
     Promises &promises = fleet.promises;
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -7,6 +7,7 @@
 //   boost::asio::io_context io;
 //   Fleet fleet(io, program, FleetSize{});
 
+#include "platform/testing/endpoint_process.h"
 #include "platform/testing/fake_endpoint.h"
 #include "platform/testing/fake_store_server.h"
 #include "platform/testing/fault_proxy.h"
@@ -41,6 +42,7 @@
     bool varyAttempts = false; // Documents differ in how many endpoints may run a request.
     bool brittleEndpoints = false; // Plain endpoints have limited room, and can be made brittle.
     bool engineVersions = false; // Engines run several versions of their software.
+    std::size_t processes = 0; // Of each service, endpoints that are processes.
 };
 
 struct Router
@@ -66,6 +68,17 @@
     std::unique_ptr<Testing::FaultProxy> proxy;
 };
 
+// An endpoint that is a process, which routers reach without a proxy.
+struct ProcessEndpoint
+{
+    std::string id; // Of its latest start.
+    std::string service;
+    std::size_t index = 0; // In what is kept by endpoint, after those on the soak's loop.
+    int starts = 0;
+    bool running = false;
+    std::unique_ptr<Testing::EndpointProcess> process;
+};
+
 struct Fleet
 {
     Fleet(boost::asio::io_context &loop, const std::string &program, const FleetSize &size);
@@ -74,6 +87,7 @@
     Promises promises;
     Testing::FakeStoreServer store;
     std::vector<Endpoint> endpoints;
+    std::vector<ProcessEndpoint> processEndpoints;
     std::vector<Router> routers;
     std::vector<Testing::EndpointFaults> lastingFaults; // By endpoint, beside those that come and go.
     bool varyAttempts = false;
@@ -89,6 +103,10 @@
 // The endpoint's process dies; after `down` it is back at its address under another id.
 void killEndpoint(Fleet &fleet, std::size_t endpoint, std::chrono::milliseconds down);
 
+// Sends `number` to the endpoint's process, which ends of it; after `down` another one is at its address, with another
+// id.
+void endProcess(Fleet &fleet, std::size_t index, int number, std::chrono::milliseconds down);
+
 // Requests whose target goes on so after their route's prefix crash the endpoint that runs them.
 constexpr const char *CrashTarget = "crash-";
 
--- a/soak/play.cpp
+++ b/soak/play.cpp
@@ -153,6 +153,11 @@
 {
     std::mt19937_64 random(options.seed);
     FleetSize size = sizeFor(options, random);
+    if (plays(options.only, Fault::EndEndpoints)) {
+        size.processes = 3;
+        size.plainEndpoints = options.fleet ? size.plainEndpoints : 1;
+        size.engines = options.fleet ? size.engines : 1;
+    }
     size.brittleEndpoints = plays(options.only, Fault::BrittleEndpoints);
     size.engineVersions = plays(options.only, Fault::EngineVersions);
     if (size.engineVersions) {
@@ -199,6 +204,11 @@
             player.killEndpoints(yield);
         });
     }
+    if (size.processes > 0) {
+        spawn(io, [&](const yield_context &yield) {
+            player.endProcesses(yield);
+        });
+    }
     if (size.brittleEndpoints) {
         spawn(io, [&](const yield_context &yield) {
             player.makeBrittle(yield);
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -135,7 +135,7 @@
         noteBreach(promises, Promise::ForeignAnswer, attempt, "a success with seal '" + outcome.seal + "'");
         return;
     }
-    if (!outcome.endDeclared && !request.endsUndeclared) {
+    if (!outcome.endDeclared && !request.endsUndeclared && !request.wholeUndeclared) {
         noteBreach(promises, Promise::CutLooksWhole, attempt, "nobody declares an end that its endpoint declared");
     }
     const bool mayBeCut = !outcome.endDeclared && request.endsUndeclared;
@@ -164,6 +164,9 @@
     if (request.runs.empty() || promises.disturbed.unplanned + ContactTime >= request.sentAt) {
         return;
     }
+    if (request.timeLeft < RouteTimeout && now + AnswerMargin >= request.sentAt + request.timeLeft) {
+        return; // At its deadline.
+    }
     const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.sentAt).count();
     noteBreach(promises,
                Promise::PlannedCut,
@@ -434,6 +437,14 @@
     }
 }
 
+void noteUndeclaredWhole(Promises &promises, const std::string &attempt)
+{
+    const auto found = promises.requests.find(attempt);
+    if (found != promises.requests.end()) {
+        found->second.wholeUndeclared = true;
+    }
+}
+
 void noteEvents(Promises &promises, const std::string &attempt, int events)
 {
     SentRequest &request = promises.requests[attempt];
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -34,6 +34,11 @@
 constexpr int SendsAfterwards = 3;
 // The same for requests that share a part of their prompts.
 constexpr std::size_t DeathsThatTellOfPart = 5;
+// Of the requests of every route.
+constexpr std::chrono::milliseconds RouteTimeout(2500);
+// A router ends a request so long before its caller's deadline, and an endpoint may do so 1 ms earlier, since the time
+// that it is given is rounded down.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(15 + 1);
 constexpr Duration RepeatWindow = std::chrono::seconds(10);
 // An endpoint may be handed so much more time than is left; so many times, and in such a part of the sends that are
 // looked at, more than that.
@@ -87,6 +92,7 @@
     unsigned status = 0; // Of its answer; 0: none yet.
     bool crashes = false; // Its endpoint dies of it.
     bool endsUndeclared = false; // An endpoint's answer to it ended with its connection.
+    bool wholeUndeclared = false; // The same of one that either is whole or was broken off by the end of its process.
     std::string resumes; // The first try of the stream that it takes up; empty: a new request.
     int resumedAfter = 0; // The last event of that stream that its caller has.
     std::string version; // Of the endpoint of its latest run.
@@ -259,6 +265,8 @@
 void noteVersion(Promises &promises, const std::string &attempt, const std::string &version, bool continues);
 // An endpoint answers it without a length or chunks.
 void noteUndeclaredEnd(Promises &promises, const std::string &attempt);
+// The same of an endpoint whose process ends in the middle of answers: no part of one may pass for the whole.
+void noteUndeclaredWhole(Promises &promises, const std::string &attempt);
 // Compares how often partitioned routers and the others served, for each partition that has ended.
 void checkPartitions(Promises &promises);
 // `events`: whole events that its caller has by now.
