Exchanges: a response without a length ends only when its request is taken

A replica answered a long upload at once with a 200 that had no length, and ended the connection while the upload was still being written. The caller got the part of the body that had arrived, as a complete response.

A reset and a close with unread bytes were already noticed. A replica that closes its sending side in order first was not: the exchange reads an orderly end while most of the request waits, the endpoint is found to be alive, and the reset that follows is not looked at any more, since the connection is closed by then.

Such an end now waits until the request is written, and the connection is kept open while the liveness of the endpoint is checked. The response counts only if the endpoint has acknowledged the request by then and has not reset the connection. An endpoint that closes its sending side and reads on does both, and is still served complete.

--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -354,6 +354,11 @@
         // Also surfaces as a read error, after any response bytes that were already received.
         m_writeFailed = true;
         m_progressTimer.cancel();
+        if (m_endRead) {
+            m_connectionEnd = ConnectionEnd::Broken;
+            reportConnectionLoss(error);
+            fail(ExchangeFailure::Broken);
+        }
         return;
     }
     reportBytes(0, count);
@@ -366,6 +371,9 @@
             setTcpUserTimeout(*m_socket, m_options.tcpUserTimeout); // Also for later requests on this connection.
         }
         std::string().swap(m_bytes);
+        if (m_endRead) {
+            endWithConnection();
+        }
         return;
     }
     write();
@@ -389,7 +397,7 @@
 {
     const TimePoint now = steadyNow();
     recordAcknowledged(m_progress, unacknowledgedBytes(*m_socket), now);
-    if (isStalled(m_progress, m_options.stalledReaderTimeout, now) && !answerHasStarted()) {
+    if (isStalled(m_progress, m_options.stalledReaderTimeout, now) && (!answerHasStarted() || m_endRead)) {
         // Frees what the kernel still holds for the endpoint.
         beast::error_code ignored;
         m_socket->set_option(asio::socket_base::linger(true, 0), ignored);
@@ -471,10 +479,11 @@
     }
     const bool ownAnswerOpen = m_headProcessed && !m_skipping && !m_parser->is_done();
     if (error == asio::error::eof && ownAnswerOpen && m_parser->need_eof()) {
-        // A response without a declared length is terminated by an orderly close.
-        beast::error_code ignored;
-        m_parser->put_eof(ignored);
-        completeAnswer();
+        // An endpoint that doesn't read the rest of the request resets the connection after such an end.
+        m_endRead = !m_written;
+        if (m_written) {
+            endWithConnection();
+        }
         return;
     }
     if (error) {
@@ -496,6 +505,19 @@
     }
 }
 
+// Completes a response without a declared length, which is terminated by an orderly close.
+void EndpointExchange::endWithConnection()
+{
+    beast::error_code ignored;
+    m_parser->put_eof(ignored);
+    completeAnswer();
+}
+
+bool EndpointExchange::requestWasTaken()
+{
+    return m_written && m_socket && !wasReset(*m_socket) && unacknowledgedBytes(*m_socket) == 0;
+}
+
 // Whether the endpoint has sent no byte of a response. Only an orderly close proves that: it is received after all
 // data, while a reset may discard data in transit.
 bool EndpointExchange::closedWithoutAnswer(const beast::error_code &error) const
@@ -601,7 +623,9 @@
     m_phase = Phase::Done;
     m_timer.cancel();
     m_progressTimer.cancel();
-    m_socket.reset();
+    if (m_connectionEnd != ConnectionEnd::Closed) {
+        m_socket.reset();
+    }
     const auto handlers = std::exchange(m_handlers, {});
     handlers.onEnd();
 }
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -185,6 +185,10 @@
         return m_wasReset;
     }
 
+    // Whether the endpoint has taken the whole request and has not reset the connection since. Valid after onEnd of a
+    // response that ended with its connection, which is kept open for this until the exchange is destroyed.
+    bool requestWasTaken();
+
     // State of the connection at the time of onEnd or onFailed.
     ConnectionEnd connectionEnd() const
     {
@@ -216,6 +220,7 @@
     void checkProgress();
     void read();
     void onRead(boost::system::error_code error, std::size_t count);
+    void endWithConnection();
     bool parse();
     bool processHead();
     void deliverBody();
@@ -265,6 +270,7 @@
     bool m_timeoutExtended = false; // The connection's TCP user timeout was extended.
     bool m_writeFailed = false;
     bool m_wasReset = false;
+    bool m_endRead = false; // The response ended with its connection before the request was written.
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
     std::uint64_t m_skippedBytes = 0; // Of responses to other attempts and of interim responses.
--- a/godwit/relay/endpoint_exchange_test.cpp
+++ b/godwit/relay/endpoint_exchange_test.cpp
@@ -279,6 +279,77 @@
     CHECK(fixture.failure == ExchangeFailure::Broken);
 }
 
+TEST_CASE("a response without a declared length does not end before its request is written")
+{
+    // Guards against an endpoint that closes its sending side and then breaks off, without having read the request.
+    ExchangeOptions options;
+    options.stalledReaderTimeout = std::chrono::milliseconds(400);
+    ExchangeFixture fixture(std::chrono::milliseconds(200), options);
+    fixture.acceptor.set_option(tcp::acceptor::receive_buffer_size(4096));
+    constexpr std::size_t requestBytes = 2'000'000;
+    fixture.exchange->start(
+        EndpointId{"e"}, formatAddress(fixture.acceptor.local_endpoint()), std::string(requestBytes, 'b'), "a");
+    tcp::socket endpoint = fixture.acceptor.accept();
+    endpoint.non_blocking(true);
+    boost::asio::write(endpoint, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+    endpoint.shutdown(tcp::socket::shutdown_send);
+    fixture.runUntil([&] {
+        return fixture.bodyBytes > 0;
+    });
+    fixture.io.restart();
+    fixture.io.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(fixture.ended);
+    CHECK_FALSE(fixture.failure);
+    SECTION("it resets the connection")
+    {
+        reset(endpoint);
+        fixture.runUntil([&] {
+            return fixture.failure || fixture.ended;
+        });
+        CHECK(fixture.failure == ExchangeFailure::Broken);
+        CHECK(fixture.exchange->connectionEnd() == ConnectionEnd::Broken);
+    }
+    SECTION("it reads nothing more")
+    {
+        fixture.runUntil([&] {
+            return fixture.failure || fixture.ended;
+        });
+        CHECK(fixture.failure == ExchangeFailure::Stalled);
+    }
+    SECTION("it reads the request")
+    {
+        std::string bytes(64UL * 1024, '\0');
+        fixture.runUntil([&] {
+            boost::system::error_code ignored;
+            endpoint.read_some(boost::asio::buffer(bytes), ignored);
+            return fixture.failure || fixture.ended;
+        });
+        CHECK(fixture.ended);
+        CHECK_FALSE(fixture.failure);
+        CHECK(fixture.exchange->connectionEnd() == ConnectionEnd::Closed);
+    }
+}
+
+TEST_CASE("a reset that follows the end of a response is noticed")
+{
+    // Guards against a response being taken for complete though its endpoint broke off, after the orderly end of its
+    // sending side.
+    ExchangeFixture fixture(std::chrono::milliseconds(200));
+    tcp::socket endpoint = fixture.sendRequest();
+    boost::asio::write(endpoint, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+    endpoint.shutdown(tcp::socket::shutdown_send);
+    fixture.runUntil([&] {
+        return fixture.ended;
+    });
+    REQUIRE(fixture.ended);
+    CHECK(fixture.exchange->requestWasTaken());
+    reset(endpoint);
+    fixture.runUntil([&] {
+        return !fixture.exchange->requestWasTaken();
+    });
+    CHECK_FALSE(fixture.exchange->requestWasTaken());
+}
+
 TEST_CASE("a response whose status is no status is malformed")
 {
     // Guards against callers receiving a status that HTTP doesn't know, and with it a response that says nothing.
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -191,8 +191,8 @@
     std::uint64_t decidingFingerprint();
     std::uint64_t fingerprint();
     void logUndeclaredEnd() const;
-    void confirmEnd();
-    void onEndChecked(const LivenessReport &report);
+    void confirmEnd(const std::shared_ptr<EndpointExchange> &ended);
+    void onEndChecked(const LivenessReport &report, bool requestTaken);
     void endAttempt(AttemptFeedback verdict);
     AttemptFeedback silenceVerdict() const;
     void abandonAttempt();
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -229,6 +229,7 @@
         return;
     }
     const bool failed = m_answer.status >= 500;
+    const auto exchange = m_exchange;
     endAttempt(failed ? AttemptFeedback::Failed : AttemptFeedback::Good);
     if (m_headForwarded && !mayEndAsComplete(m_forwardedFraming, extent)) {
         retryOrFail("end_not_declared", true);
@@ -245,7 +246,7 @@
         return;
     }
     if (extent == ResponseCompleteness::Inferred) {
-        confirmEnd();
+        confirmEnd(exchange);
         return;
     }
     forwardRest();
@@ -253,27 +254,28 @@
 
 // The connection of an endpoint whose process ends is closed in order as well, so the response counts as complete only
 // if the endpoint has outlived it. So is that of an endpoint whose time is up, which may be a millisecond before this
-// router's: a response that is still being checked at the deadline is truncated.
-void RelayCall::confirmEnd()
+// router's: a response that is still being checked at the deadline is truncated. An endpoint that closes its connection
+// without having read the request may close it in order first and reset it then.
+void RelayCall::confirmEnd(const std::shared_ptr<EndpointExchange> &ended)
 {
     dropHedge("first_answered");
     const EndpointState *endpoint = currentEndpoint();
     if (endpoint == nullptr) {
-        onEndChecked({});
+        onEndChecked({}, ended->requestWasTaken());
         return;
     }
     checkLiveness(m_relay,
                   endpoint->listed,
                   m_answerPath,
                   m_relay.options().liveness,
-                  [self = shared_from_this()](const LivenessReport &report) {
+                  [self = shared_from_this(), ended](const LivenessReport &report) {
                       if (!self->m_closed) {
-                          self->onEndChecked(report);
+                          self->onEndChecked(report, ended->requestWasTaken());
                       }
                   });
 }
 
-void RelayCall::onEndChecked(const LivenessReport &report)
+void RelayCall::onEndChecked(const LivenessReport &report, bool requestTaken)
 {
     ++m_relay.counters().livenessChecks[{report.liveness, report.evidence}];
     m_relay.log().write("endpoint_checked",
@@ -281,10 +283,18 @@
                          {"endpoint", std::string_view(m_endpoint.value)},
                          {"liveness", endpointLivenessName(report.liveness)},
                          {"evidence", livenessEvidenceName(report.evidence)},
+                         {"request_taken", requestTaken},
                          {"since_sent_ms", toMilliseconds(Relay::now() - m_sentAt)}});
     switch (report.liveness) {
     case EndpointLiveness::Alive:
-        forwardRest();
+        if (requestTaken) {
+            forwardRest();
+            return;
+        }
+        if (EndpointState *endpoint = currentEndpoint()) {
+            recordFeedback(*endpoint, AttemptFeedback::Unreachable, m_relay.options().choice, Relay::now());
+        }
+        retryOrFail("request_not_taken", true);
         return;
     case EndpointLiveness::Dead:
         if (EndpointState *endpoint = currentEndpoint()) {
