Lenders: pass on an endpoint's end only when it has taken the request

Over another router's connection, a caller still got the part of a response as a whole one when its endpoint closed its sending side before it had read the request, and then broke off.

The lender passed on the orderly end at once. Its kernel holds megabytes of the request, so the borrower finds the request written and acknowledged; and after that end the lender read no more from the endpoint, so the reset that followed reached the borrower never or late.

The lender passes on the end when nothing waits for the endpoint any more, and the endpoint has acknowledged what was sent; usually that's at once. It watches for the reset until both directions have ended.

--- a/godwit/relay/connection_lender.cpp
+++ b/godwit/relay/connection_lender.cpp
@@ -23,6 +23,9 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+// How often it is checked whether an endpoint that has closed its side has taken the rest of a request.
+constexpr Duration EndCheckInterval = std::chrono::milliseconds(10);
+
 // Makes the kernel reset the connection when the socket is closed, also at the end of the process: an orderly close
 // would declare the response complete.
 void resetOnClose(tcp::socket &socket, bool reset)
@@ -43,6 +46,7 @@
         , m_borrower(std::move(socket))
         , m_endpoint(m_borrower.get_executor())
         , m_timer(m_borrower.get_executor())
+        , m_endTimer(m_borrower.get_executor())
     {
         ++*m_openConnections;
     }
@@ -65,6 +69,7 @@
     {
         m_closed = true;
         m_timer.cancel();
+        m_endTimer.cancel();
         error_code ignored;
         m_borrower.close(ignored);
         m_endpoint.close(ignored);
@@ -86,7 +91,8 @@
     struct Direction
     {
         std::vector<char> buffer;
-        bool ended = false; // The sender has closed its side in order.
+        bool writing = false;
+        bool ended = false; // The sender has closed its side in order, and so has this router that to the receiver.
     };
 
     void onRequest(const error_code &error, std::size_t count)
@@ -210,11 +216,10 @@
             return;
         }
         if (error == asio::error::eof) {
-            error_code ignored;
-            to.shutdown(tcp::socket::shutdown_send, ignored);
-            direction.ended = true;
-            if (m_toEndpoint.ended && m_toBorrower.ended) {
-                closeInOrder();
+            if (&from == &m_endpoint) {
+                passOnEndOfEndpoint();
+            } else {
+                end(from, to, direction, opposite);
             }
             return;
         }
@@ -224,9 +229,11 @@
         }
         m_watchedForSilence = m_watchedForSilence || m_answered;
         startTimer(m_watchedForSilence ? m_lender.m_options.idleTimeout : m_lender.m_options.silenceLimit);
+        direction.writing = true;
         asio::async_write(to,
                           asio::buffer(direction.buffer.data(), count),
                           [self = shared_from_this(), &from, &to, &direction](const error_code &failed, std::size_t) {
+                              direction.writing = false;
                               if (self->m_closed) {
                                   return;
                               }
@@ -238,6 +245,53 @@
                           });
     }
 
+    // The borrower takes this for the end of a response, so it waits until the endpoint has taken what the borrower
+    // sent: an endpoint that never does so resets the connection.
+    void passOnEndOfEndpoint()
+    {
+        error_code ignored;
+        const bool taken =
+            !m_toEndpoint.writing && m_borrower.available(ignored) == 0 && unacknowledgedBytes(m_endpoint) == 0;
+        if (taken || m_toEndpoint.ended) {
+            end(m_endpoint, m_borrower, m_toBorrower, m_toEndpoint);
+            return;
+        }
+        m_endTimer.expires_after(EndCheckInterval);
+        m_endTimer.async_wait([self = shared_from_this()](const error_code &error) {
+            if (error || self->m_closed) {
+                return;
+            }
+            if (!self->m_toEndpoint.ended && wasReset(self->m_endpoint)) {
+                self->close();
+            } else {
+                self->passOnEndOfEndpoint();
+            }
+        });
+    }
+
+    void end(tcp::socket &from, tcp::socket &to, Direction &direction, const Direction &opposite)
+    {
+        error_code ignored;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+        direction.ended = true;
+        if (opposite.ended) {
+            closeInOrder();
+        } else {
+            watchForReset(from, opposite);
+        }
+    }
+
+    // A host that has closed its side in order may still reset the connection. No read reports that any more.
+    void watchForReset(tcp::socket &from, const Direction &opposite)
+    {
+        from.async_wait(tcp::socket::wait_error,
+                        [self = shared_from_this(), &from, &opposite](const error_code &error) {
+                            if (!error && !self->m_closed && !opposite.ended && wasReset(from)) {
+                                self->close();
+                            }
+                        });
+    }
+
     // Loans show this router as well as its own requests whether it reaches the endpoint.
     void noteEndpoint(const tcp::socket &from, const error_code &error, std::size_t count)
     {
@@ -302,6 +356,7 @@
     tcp::socket m_borrower;
     tcp::socket m_endpoint;
     asio::steady_timer m_timer;
+    asio::steady_timer m_endTimer; // See passOnEndOfEndpoint().
     std::string m_line;
     LendingRequest m_request;
     ListedEndpoint m_listed;
--- a/godwit/relay/lending_test.cpp
+++ b/godwit/relay/lending_test.cpp
@@ -2,6 +2,7 @@
 #include "godwit/relay/connection_borrower.h"
 #include "godwit/relay/connection_lender.h"
 #include "godwit/relay/lending_protocol.h"
+#include "godwit/relay/socket_progress.h"
 #include "platform/testing/consumed_reset.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -222,6 +223,59 @@
         REQUIRE(consumeReset(*descriptor));
         CHECK(fixture.readFrom(*fixture.borrowed, text) == boost::asio::error::connection_reset);
     }
+    SECTION("a reset by an endpoint that has closed its side in order before")
+    {
+        REQUIRE(fixture.borrow() == LendingReply::Connected);
+        tcp::socket endpoint = fixture.endpoint.accept();
+        endpoint.shutdown(tcp::socket::shutdown_send);
+        REQUIRE(fixture.readFrom(*fixture.borrowed, text) == boost::asio::error::eof);
+        reset(endpoint);
+        fixture.runUntil([&] {
+            return wasReset(*fixture.borrowed);
+        });
+        CHECK(wasReset(*fixture.borrowed));
+    }
+    SECTION("a reset by an endpoint that has closed its side in order before it read the request")
+    {
+        fixture.endpoint.set_option(tcp::acceptor::receive_buffer_size(4096));
+        REQUIRE(fixture.borrow() == LendingReply::Connected);
+        tcp::socket endpoint = fixture.endpoint.accept();
+        const std::string request(500'000, 'b');
+        bool written = false;
+        boost::asio::async_write(
+            *fixture.borrowed, boost::asio::buffer(request), [&](const error_code &error, std::size_t) {
+                written = !error;
+            });
+        fixture.runUntil([&] {
+            return written;
+        });
+        REQUIRE(written); // The lender's kernel has taken it.
+        endpoint.shutdown(tcp::socket::shutdown_send);
+        fixture.io.restart();
+        fixture.io.run_for(std::chrono::milliseconds(100));
+        reset(endpoint);
+        CHECK(fixture.readFrom(*fixture.borrowed, text) == boost::asio::error::connection_reset);
+    }
+    SECTION("half of a connection that the endpoint closes before it reads the request")
+    {
+        fixture.endpoint.set_option(tcp::acceptor::receive_buffer_size(4096));
+        REQUIRE(fixture.borrow() == LendingReply::Connected);
+        tcp::socket endpoint = fixture.endpoint.accept();
+        endpoint.non_blocking(true);
+        const std::string request(500'000, 'b');
+        boost::asio::async_write(
+            *fixture.borrowed, boost::asio::buffer(request), [](const error_code &, std::size_t) {});
+        endpoint.shutdown(tcp::socket::shutdown_send);
+        std::size_t arrived = 0;
+        std::string bytes(64UL * 1024, '\0');
+        fixture.runUntil([&] {
+            error_code ignored;
+            arrived += endpoint.read_some(boost::asio::buffer(bytes), ignored);
+            return arrived == request.size();
+        });
+        CHECK(arrived == request.size());
+        CHECK(fixture.readFrom(*fixture.borrowed, text) == boost::asio::error::eof);
+    }
     SECTION("half of a connection that the borrower closes")
     {
         REQUIRE(fixture.borrow() == LendingReply::Connected);
