Endpoint attempts: a status outside 100 to 599 is a broken connection

On the older interface, callers got the answer of an endpoint in trouble: a service call the status 000, 099, 600 or 999 itself, a streamed chat its events under a 200, a chat in one piece the answer, for which it was billed. The answer of a call that isn't repeatable was kept for repeats, too.

The parser takes any three digits for a status, and the attempt passed on what it reported.

The attempt now gives up such an answer at its head, and doesn't send the request again as it does after an idle connection that was closed. The check is shared with the exchange.

--- a/godwit/caller/caller_session_test.cpp
+++ b/godwit/caller/caller_session_test.cpp
@@ -320,6 +320,39 @@
     }
 }
 
+TEST_CASE("an answer whose status HTTP does not define is a broken connection")
+{
+    // Guards against a caller receiving, and paying for, the answer of an endpoint in trouble, whose status says
+    // nothing.
+    const std::string streamed = StreamHead + chunk(FirstEvent) + chunk(UsageEvent) + chunk(DoneEvent) + "0\r\n\r\n";
+    const std::string service = post("/v1/services/booking/call/x", "{}");
+    Bench bench;
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        for (const auto &[request, answer] : {std::pair{chat(false), plainAnswer(UsageBody)},
+                                              std::pair{chat(true), streamed},
+                                              std::pair{service, plainAnswer("{}")}}) {
+            INFO(status << " for " << request.substr(0, request.find('\r')));
+            Wire caller = bench.caller();
+            caller.write(request);
+            const CallId call = bench.next<CallArrived>().call;
+            bench.dispatch(call, false);
+            Wire endpoint = bench.accept();
+            endpoint.readMessage();
+            endpoint.write(std::string(answer).replace(answer.find("200"), status.size(), status));
+            CallEvent event = bench.nextEvent();
+            CHECK_FALSE(std::holds_alternative<FirstToken>(event));
+            if (std::holds_alternative<FirstToken>(event)) {
+                event = bench.nextEvent();
+            }
+            REQUIRE(std::holds_alternative<AttemptEnded>(event));
+            CHECK(std::get<AttemptEnded>(event).result == AttemptResult::ConnectionBroken);
+            CHECK(std::get<AttemptEnded>(event).answer.empty());
+            bench.server().deliver(AbortCall{call, Error{ErrorKind::AnswerIncomplete, "cut"}});
+            caller.readUntil("answer_incomplete");
+        }
+    }
+}
+
 TEST_CASE("not run is only reported when no byte went out or the endpoint says so")
 {
     Bench bench;
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/base/json_text.h"
 #include "godwit/http/address.h"
+#include "godwit/http/http_status.h"
 
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
@@ -183,6 +184,10 @@
             return;
         }
         m_answerStarted = true;
+        if (!isStatus(parser.get().result_int())) {
+            m_connection.reset();
+            return;
+        }
         outcome.status = parser.get().result_int();
         outcome.contentType = std::string(parser.get()[http::field::content_type]);
         outcome.retryAfter = retryAfterOf(parser);
--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/base/enum_names.h"
 #include "godwit/http/address.h"
+#include "godwit/http/http_status.h"
 #include "godwit/relay/socket_progress.h"
 
 #include <boost/beast/http.hpp>
@@ -53,12 +54,6 @@
     return parser.need_eof() ? ResponseFraming::Connection : ResponseFraming::Length;
 }
 
-// RFC 9110, section 15.
-bool isStatus(unsigned code)
-{
-    return code >= 100 && code <= 599;
-}
-
 // The kernel's timeout for a full receive buffer exceeds the stall timeout by this much, so that the latter applies.
 constexpr Duration StalledReaderMargin = std::chrono::seconds(2);
 
