--- a/godwit/relay/endpoint_exchange.cpp
+++ b/godwit/relay/endpoint_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "godwit/base/enum_names.h"
 #include "godwit/http/address.h"
+#include "godwit/http/http_status.h"
 #include "godwit/relay/socket_progress.h"
 
 #include <boost/beast/http.hpp>
@@ -53,12 +54,6 @@
     return parser.need_eof() ? ResponseFraming::Connection : ResponseFraming::Length;
 }
 
-// RFC 9110, section 15.
-bool isStatus(unsigned code)
-{
-    return code >= 100 && code <= 599;
-}
-
 // The kernel's timeout for a full receive buffer exceeds the stall timeout by this much, so that the latter applies.
 constexpr Duration StalledReaderMargin = std::chrono::seconds(2);
 
@@ -354,6 +349,11 @@
         // Also surfaces as a read error, after any response bytes that were already received.
         m_writeFailed = true;
         m_progressTimer.cancel();
+        if (m_endRead) {
+            m_connectionEnd = ConnectionEnd::Broken;
+            reportConnectionLoss(error);
+            fail(ExchangeFailure::Broken);
+        }
         return;
     }
     reportBytes(0, count);
@@ -366,6 +366,9 @@
             setTcpUserTimeout(*m_socket, m_options.tcpUserTimeout); // Also for later requests on this connection.
         }
         std::string().swap(m_bytes);
+        if (m_endRead) {
+            endWithConnection();
+        }
         return;
     }
     write();
@@ -389,7 +392,7 @@
 {
     const TimePoint now = steadyNow();
     recordAcknowledged(m_progress, unacknowledgedBytes(*m_socket), now);
-    if (isStalled(m_progress, m_options.stalledReaderTimeout, now) && !answerHasStarted()) {
+    if (isStalled(m_progress, m_options.stalledReaderTimeout, now) && (!answerHasStarted() || m_endRead)) {
         // Frees what the kernel still holds for the endpoint.
         beast::error_code ignored;
         m_socket->set_option(asio::socket_base::linger(true, 0), ignored);
@@ -472,10 +475,11 @@
     }
     const bool ownAnswerOpen = m_headProcessed && !m_skipping && !m_parser->is_done();
     if (error == asio::error::eof && ownAnswerOpen && m_parser->need_eof()) {
-        // A response without a declared length is terminated by an orderly close.
-        beast::error_code ignored;
-        m_parser->put_eof(ignored);
-        completeAnswer();
+        // An endpoint that doesn't read the rest of the request resets the connection after such an end.
+        m_endRead = !m_written;
+        if (m_written) {
+            endWithConnection();
+        }
         return;
     }
     if (error) {
@@ -497,6 +501,19 @@
     }
 }
 
+// Completes a response without a declared length, which is terminated by an orderly close.
+void EndpointExchange::endWithConnection()
+{
+    beast::error_code ignored;
+    m_parser->put_eof(ignored);
+    completeAnswer();
+}
+
+bool EndpointExchange::requestWasTaken()
+{
+    return m_written && m_socket && !wasReset(*m_socket) && unacknowledgedBytes(*m_socket) == 0;
+}
+
 // Whether the endpoint has sent no byte of a response. Only an orderly close proves that: it is received after all
 // data, while a reset may discard data in transit.
 bool EndpointExchange::closedWithoutAnswer(const beast::error_code &error) const
@@ -602,7 +619,9 @@
     m_phase = Phase::Done;
     m_timer.cancel();
     m_progressTimer.cancel();
-    m_socket.reset();
+    if (m_connectionEnd != ConnectionEnd::Closed) {
+        m_socket.reset();
+    }
     const auto handlers = std::exchange(m_handlers, {});
     handlers.onEnd();
 }
--- a/godwit/relay/endpoint_exchange.h
+++ b/godwit/relay/endpoint_exchange.h
@@ -191,6 +191,10 @@
         return m_endedAt;
     }
 
+    // Whether the endpoint has taken the whole request and has not reset the connection since. Valid after onEnd of a
+    // response that ended with its connection, which is kept open for this until the exchange is destroyed.
+    bool requestWasTaken();
+
     // State of the connection at the time of onEnd or onFailed.
     ConnectionEnd connectionEnd() const
     {
@@ -222,6 +226,7 @@
     void checkProgress();
     void read();
     void onRead(boost::system::error_code error, std::size_t count);
+    void endWithConnection();
     bool parse();
     bool processHead();
     void deliverBody();
@@ -272,6 +277,7 @@
     bool m_writeFailed = false;
     bool m_wasReset = false;
     TimePoint m_endedAt;
+    bool m_endRead = false; // The response ended with its connection before the request was written.
     bool m_headProcessed = false;
     bool m_skipping = false; // The response being read belongs to another attempt.
     std::uint64_t m_skippedBytes = 0; // Of responses to other attempts and of interim responses.
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -193,8 +193,8 @@
     void logUndeclaredEnd() const;
     void beginLivenessCheck();
     void endLivenessCheck();
-    void confirmEnd();
-    void onEndChecked(const LivenessReport &report);
+    void confirmEnd(const std::shared_ptr<EndpointExchange> &ended);
+    void onEndChecked(const LivenessReport &report, bool requestTaken);
     void endAttempt(AttemptFeedback verdict);
     void recordLateFeedback(AttemptFeedback verdict);
     AttemptFeedback silenceVerdict() const;
--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -233,6 +233,7 @@
     }
     const bool failed = m_answer.status >= 500;
     const bool isConfirmed = failed || extent == ResponseCompleteness::Declared;
+    const auto exchange = m_exchange;
     endAttempt(failed ? AttemptFeedback::Failed : isConfirmed ? AttemptFeedback::Good : AttemptFeedback::Neutral);
     if (m_headForwarded && !mayEndAsComplete(m_forwardedFraming, extent)) {
         retryOrFail("end_not_declared", true);
@@ -249,7 +250,7 @@
         return;
     }
     if (extent == ResponseCompleteness::Inferred) {
-        confirmEnd();
+        confirmEnd(exchange);
         return;
     }
     forwardRest();
@@ -279,20 +280,21 @@
 
 // The connection of an endpoint whose process ends is closed in order as well, so the response counts as complete only
 // if the endpoint has outlived it. So is that of an endpoint whose time is up, which may be a millisecond before this
-// router's: a response that is still being checked at the deadline is truncated.
-void RelayCall::confirmEnd()
+// router's: a response that is still being checked at the deadline is truncated. An endpoint that closes its connection
+// without having read the request may close it in order first and reset it then.
+void RelayCall::confirmEnd(const std::shared_ptr<EndpointExchange> &ended)
 {
     dropHedge("first_answered");
     if (!m_livenessCheck) {
-        onEndChecked({});
+        onEndChecked({}, ended->requestWasTaken());
         return;
     }
-    m_livenessCheck->conclude(m_answerEndedAt, [self = shared_from_this()](const LivenessReport &report) {
-        self->onEndChecked(report);
+    m_livenessCheck->conclude(m_answerEndedAt, [self = shared_from_this(), ended](const LivenessReport &report) {
+        self->onEndChecked(report, ended->requestWasTaken());
     });
 }
 
-void RelayCall::onEndChecked(const LivenessReport &report)
+void RelayCall::onEndChecked(const LivenessReport &report, bool requestTaken)
 {
     ++m_relay.counters().livenessChecks[{report.liveness, report.evidence}];
     m_relay.log().write("endpoint_checked",
@@ -300,9 +302,15 @@
                          {"endpoint", std::string_view(m_endpoint.value)},
                          {"liveness", endpointLivenessName(report.liveness)},
                          {"evidence", livenessEvidenceName(report.evidence)},
+                         {"request_taken", requestTaken},
                          {"since_sent_ms", toMilliseconds(Relay::now() - m_sentAt)}});
     switch (report.liveness) {
     case EndpointLiveness::Alive:
+        if (!requestTaken) {
+            recordLateFeedback(AttemptFeedback::Unreachable);
+            retryOrFail("request_not_taken", true);
+            return;
+        }
         if (m_answer.status < 500) {
             recordLateFeedback(AttemptFeedback::Good);
         }
