Load poller: bound a report

An endpoint that sends a report's chunk extension or trailers without end filled the memory of the process that polls it for 400 ms at a time: the buffer had no maximum, and Beast bounds a head and a body only. A second report on a connection made the next poll wait until its timeout.

The bytes that wait for the parser and the body are at most 64 KiB each. A connection with bytes after a report is closed.

--- a/godwit/daemon/load_poller.cpp
+++ b/godwit/daemon/load_poller.cpp
@@ -21,6 +21,9 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+// A report is a few hundred bytes. Also bounds heads, chunk extensions and trailers.
+constexpr std::size_t MaxReportBytes = 64UL * 1024;
+
 std::optional<LoadReport> reportFromJson(const std::string &text)
 {
     const auto body = tryParseJson(text);
@@ -110,12 +113,15 @@
         request.keep_alive(true);
         stream.expires_after(m_options.timeout);
         http::async_write(stream, request, yield[error]);
-        beast::flat_buffer buffer;
-        http::response<http::string_body> response;
+        beast::flat_buffer buffer(MaxReportBytes);
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(MaxReportBytes);
         if (!error) {
-            http::async_read(stream, buffer, response, yield[error]);
+            http::async_read(stream, buffer, parser, yield[error]);
         }
-        if (error || !response.keep_alive()) {
+        const auto &response = parser.get();
+        // Bytes after a report would count as the answer to the next poll.
+        if (error || !response.keep_alive() || buffer.size() > 0) {
             streams.erase(found);
         }
         if (error || response.result_int() != 200 || m_stopped) {
