Endpoint attempts: bound what an answer keeps and how long it is read

A faulty endpoint could fill the memory of a router of the older interface: the buffer of a connection had no maximum, so that chunk extensions and trailers without end were kept; so were events with usage, which are held back until the bill stands; and each answer might keep 8 MB (16 MB of memory, since a string grows by doubling), however many there were. After the closing event of a stream the attempt read on until its deadline of 5 minutes, and events after it in the same read were relayed ahead of the stream's end. An interim response counted as the answer, and the answer that followed as that of the next request.

The bytes that wait for the parser are at most 64 KiB, and the held-back end of a stream counts towards the bound of an answer. All answers being read on a traffic thread take at most 64 MB, beyond which each may take 256 KiB. What follows the closing event is read for 200 ms and 64 KiB at most, and the connection is used again only if the answer ended there. Up to 32 interim responses are skipped.

--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -1,12 +1,14 @@
 #include "godwit/endpoint/endpoint_attempt.h"
 
 #include "godwit/base/json_text.h"
+#include "godwit/endpoint/kept_bytes.h"
 #include "godwit/http/address.h"
 
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <optional>
 
 namespace Godwit
 {
@@ -18,6 +20,17 @@
 namespace http = beast::http;
 
 constexpr std::size_t ReadChunkBytes = 16UL * 1024;
+
+// Bound of the memory of all answers being read, and what each of them may take beyond it.
+constexpr std::size_t MaxKeptBytes = 64UL * 1024 * 1024;
+constexpr std::size_t MinAnswerBytes = 256UL * 1024;
+
+constexpr int MaxInterimResponses = 32;
+
+// What may follow the closing event of a stream. The answer is whole by then; only its connection's reuse depends on
+// it.
+constexpr std::size_t MaxDrainedBytes = 64UL * 1024;
+constexpr Duration DrainTimeout = std::chrono::milliseconds(200);
 constexpr std::string_view EventStreamType = "text/event-stream";
 constexpr std::string_view NotRunHeader = "Godwit-Not-Run";
 
@@ -175,13 +188,13 @@
             finish(error, outcome);
             return;
         }
-        Parser parser;
-        parser.body_limit(boost::none);
-        http::async_read_header(m_connection->stream, m_connection->buffer, parser, yield[error]);
+        std::optional<Parser> finalParser;
+        readHead(finalParser, error, yield);
         if (error) {
             finish(error, outcome);
             return;
         }
+        Parser &parser = *finalParser;
         m_answerStarted = true;
         outcome.status = parser.get().result_int();
         outcome.contentType = std::string(parser.get()[http::field::content_type]);
@@ -192,13 +205,34 @@
         } else {
             readBody(from, parser, outcome, yield);
         }
-        if (outcome.result == AttemptResult::Completed && parser.keep_alive()) {
+        if (outcome.result == AttemptResult::Completed && parser.is_done() && parser.keep_alive()) {
             m_pool.give(from.address, std::move(m_connection));
         }
         m_connection.reset();
         judgeStatus(from, parser, outcome);
     }
 
+    // Reads heads up to the first that isn't interim.
+    void readHead(std::optional<Parser> &parser, beast::error_code &error, const asio::yield_context &yield)
+    {
+        for (int heads = 0; heads <= MaxInterimResponses; ++heads) {
+            parser.emplace();
+            parser->body_limit(boost::none);
+            http::async_read_header(m_connection->stream, m_connection->buffer, *parser, yield[error]);
+            if (error || parser->get().result_int() / 100 != 1) {
+                return;
+            }
+        }
+        error = http::error::bad_status;
+    }
+
+    // Whether this answer may take `bytes` of memory; counts them if so.
+    bool mayKeep(KeptBytes &kept, std::size_t bytes)
+    {
+        kept.set(bytes);
+        return bytes <= MinAnswerBytes || m_pool.keptBytes() <= MaxKeptBytes;
+    }
+
     // Turns an answer that was read whole into what it says about the request.
     static void judgeStatus(const EndpointRequest &from, const Parser &parser, AttemptOutcome &outcome)
     {
@@ -252,9 +286,11 @@
     {
         std::string_view bytes;
         beast::error_code error;
+        KeptBytes kept(m_pool.keptBytes());
         while (readSome(parser, bytes, error, yield)) {
             outcome.body.append(bytes);
-            if (outcome.body.size() > from.maxAnswerBytes) {
+            if (outcome.body.size() > from.maxAnswerBytes || !mayKeep(kept, outcome.body.capacity())) {
+                std::string().swap(outcome.body);
                 return;
             }
         }
@@ -282,29 +318,43 @@
         std::string_view bytes;
         beast::error_code error;
         bool done = false;
+        KeptBytes kept(m_pool.keptBytes());
         while (!done && readSome(parser, bytes, error, yield)) {
             appendBytes(splitter, bytes);
-            while (auto event = takeEvent(splitter)) {
-                done = done || isDoneEvent(*event);
+            for (auto event = takeEvent(splitter); event && !done; event = takeEvent(splitter)) {
+                done = isDoneEvent(*event);
                 if (!takeOne(from, *event, relay, outcome)) {
                     outcome.callerGone = true;
                     return;
                 }
             }
-            if (pendingBytes(splitter) > from.maxAnswerBytes) {
+            const std::size_t memory = splitter.buffer.capacity() + outcome.tail.capacity();
+            if (pendingBytes(splitter) + outcome.tail.size() > from.maxAnswerBytes || !mayKeep(kept, memory)) {
                 return;
             }
         }
         // The answer is whole only with its closing event: a connection that ends without it was cut, whatever its
         // framing says.
-        while (done && !error && readSome(parser, bytes, error, yield)) { }
         if (done) {
+            drain(parser, yield);
             outcome.result = AttemptResult::Completed;
         } else if (error == beast::error::timeout) {
             outcome.result = AttemptResult::TimedOut;
         }
     }
 
+    // Reads what follows the closing event, so that the connection can be used again.
+    void drain(Parser &parser, const asio::yield_context &yield)
+    {
+        std::string_view bytes;
+        beast::error_code error;
+        std::size_t drained = 0;
+        m_connection->stream.expires_after(DrainTimeout);
+        while (drained <= MaxDrainedBytes && readSome(parser, bytes, error, yield)) {
+            drained += bytes.size();
+        }
+    }
+
     // Relays an event, or holds it back when it ends the answer. Returns false when the caller is gone.
     static bool takeOne(const EndpointRequest &from,
                         const std::string &event,
--- a/godwit/endpoint/endpoint_pool.h
+++ b/godwit/endpoint/endpoint_pool.h
@@ -22,10 +22,14 @@
 namespace Godwit
 {
 
+// Bound of the bytes of one answer that wait for the parser: a head, a chunk's size with its extensions, or trailers.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
+
 struct EndpointConnection
 {
     explicit EndpointConnection(boost::asio::io_context &io)
         : stream(io)
+        , buffer(MaxUnparsedBytes)
     {
     }
 
@@ -47,7 +51,14 @@
 
     std::size_t idleCount() const;
 
+    // Bytes that the answers now being read keep in memory.
+    std::size_t &keptBytes()
+    {
+        return m_keptBytes;
+    }
+
 private:
+    std::size_t m_keptBytes = 0;
     std::size_t m_maxIdle;
     std::unordered_map<std::string, std::vector<std::unique_ptr<EndpointConnection>>> m_idle;
 };
