Call client: bound what waits for the parser by 64 KiB

Chunk extensions and trailers without end of the store, or of the platform's service, were kept up to the 16 MB that a body may have, for each connection, and the buffer kept that size. An interim response counted as the answer; the answer that followed could then count as that of the next call.

The buffer holds at most 64 KiB. A call that gets an interim response is lost, and its connection is closed.

Heads, bytes that are no HTTP, and bodies (16 MB) were bounded before.

--- a/godwit/http/call_client.cpp
+++ b/godwit/http/call_client.cpp
@@ -22,13 +22,16 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+// Bound of the bytes that wait for the parser: a head, a chunk's size with its extensions, or trailers.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
+
 // One keep-alive connection to the service, used by one coroutine.
 class Connection
 {
 public:
     Connection(asio::io_context &io, const CallClientOptions &options, std::size_t &preferred)
         : m_stream(io)
-        , m_buffer(options.maxAnswerBytes) // Also limits chunk extensions and trailers.
+        , m_buffer(MaxUnparsedBytes)
         , m_options(options)
         , m_preferred(preferred)
     {
@@ -97,6 +100,9 @@
             parser.body_limit(m_options.maxAnswerBytes);
             error = readAnswer(parser, timeout, yield);
         }
+        if (!error && parser.get().result_int() / 100 == 1) {
+            error = http::error::bad_status; // The response that follows would count as the answer to the next call.
+        }
         if (!error && parser.need_eof() && m_options.needsDeclaredEnd) {
             error = http::error::partial_message;
         }
