Operators' client: one deadline for a call, and a bound of its answer

godwitctl waited without end for a router that accepted its connection and sent nothing, or half a head: the timeout was set as SO_RCVTIMEO, after which Asio polls the socket without a timeout of its own. Chunk extensions and trailers were kept without a bound.

Calls run as asynchronous operations below a tcp_stream, whose deadline of 15 s holds for the whole call, its connect and handshake included. What waits for the parser is at most 64 KiB, a body 8 MiB as before.

ctl_test: with half a head the call had not ended 25 s after its timeout of 1 s before, with a chunk extension neither; all six forms end within 3 s now. Not run: the client over TLS against a router.

--- a/godwit/ctl/admin_client.cpp
+++ b/godwit/ctl/admin_client.cpp
@@ -18,6 +18,11 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 
+constexpr std::uint64_t MaxAnswerBytes = 8ULL * 1024 * 1024;
+
+// Bound of the bytes that wait for the parser: a head, a chunk's size with its extensions, or trailers.
+constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
+
 http::request<http::string_body> makeRequest(const AdminClient &client,
                                              const std::string &method,
                                              const std::string &target,
@@ -34,16 +39,37 @@
     return request;
 }
 
+// Runs one asynchronous operation to its end, which the deadline of the stream below it bounds.
+template<typename Start>
+beast::error_code runOne(asio::io_context &io, Start start)
+{
+    beast::error_code result;
+    start([&result](const beast::error_code &error, const auto &...) {
+        result = error;
+    });
+    io.restart();
+    io.run();
+    return result;
+}
+
 template<typename Stream>
-AdminAnswer exchange(Stream &stream, http::request<http::string_body> &request, beast::error_code &error)
+AdminAnswer exchange(asio::io_context &io,
+                     Stream &stream,
+                     http::request<http::string_body> &request,
+                     beast::error_code &error)
 {
-    http::write(stream, request, error);
+    error = runOne(io, [&](auto done) {
+        http::async_write(stream, request, done);
+    });
     if (error) {
         return {};
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MaxUnparsedBytes);
     http::response_parser<http::string_body> parser;
-    http::read(stream, buffer, parser, error);
+    parser.body_limit(MaxAnswerBytes);
+    error = runOne(io, [&](auto done) {
+        http::async_read(stream, buffer, parser, done);
+    });
     if (!error && parser.need_eof()) {
         // A document of which a part came could be edited and applied.
         error = http::error::partial_message;
@@ -58,17 +84,9 @@
     return answer;
 }
 
-// Blocking calls of Beast keep no deadline; the kernel's own does.
-void setTimeouts(tcp::socket &socket, Duration timeout)
-{
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout).count();
-    const timeval limit{seconds, 0};
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
-}
-
 AdminAnswer callTls(const AdminClient &client,
-                    tcp::socket socket,
+                    asio::io_context &io,
+                    beast::tcp_stream &transport,
                     http::request<http::string_body> &request,
                     beast::error_code &error)
 {
@@ -78,9 +96,11 @@
         return {};
     }
     context.set_verify_mode(asio::ssl::verify_peer);
-    asio::ssl::stream<tcp::socket> stream(std::move(socket), context);
-    stream.handshake(asio::ssl::stream_base::client, error);
-    return error ? AdminAnswer{} : exchange(stream, request, error);
+    asio::ssl::stream<beast::tcp_stream &> stream(transport, context);
+    error = runOne(io, [&](auto done) {
+        stream.async_handshake(asio::ssl::stream_base::client, done);
+    });
+    return error ? AdminAnswer{} : exchange(io, stream, request, error);
 }
 
 AdminAnswer callOnce(const AdminClient &client,
@@ -89,14 +109,15 @@
                      beast::error_code &error)
 {
     asio::io_context io;
-    tcp::socket socket(io);
-    socket.connect(address, error);
+    beast::tcp_stream stream(io);
+    stream.expires_after(client.timeout);
+    error = runOne(io, [&](auto done) {
+        stream.async_connect(address, done);
+    });
     if (error) {
         return {};
     }
-    setTimeouts(socket, client.timeout);
-    return client.caFile.empty() ? exchange(socket, request, error)
-                                 : callTls(client, std::move(socket), request, error);
+    return client.caFile.empty() ? exchange(io, stream, request, error) : callTls(client, io, stream, request, error);
 }
 
 } // namespace
--- a/godwit/ctl/admin_client.h
+++ b/godwit/ctl/admin_client.h
@@ -20,7 +20,7 @@
     std::string address; // "ip:port"
     std::string token;
     std::string caFile; // Speak TLS and trust this authority; empty for plain text.
-    Duration timeout = std::chrono::seconds(15);
+    Duration timeout = std::chrono::seconds(15); // For a whole call.
     int tries = 3; // Every write carries its id, so repeating one after a lost answer counts once.
 };
 
--- a/godwit/ctl/ctl_test.cpp
+++ b/godwit/ctl/ctl_test.cpp
@@ -2,6 +2,7 @@
 #include "godwit/ctl/line_diff.h"
 #include "godwit/ctl/render.h"
 #include "godwit/http/address.h"
+#include "platform/testing/endless_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -92,6 +93,40 @@
     router.join();
 }
 
+TEST_CASE("a router that does not end its answer is given up at the timeout or before")
+{
+    // Guards against the program waiting, or keeping what it reads, without end.
+    constexpr std::size_t socketBufferBytes = 12UL * 1024 * 1024;
+    const std::string bytes(16UL * 1024, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Form
+    {
+        const char *name;
+        std::string start;
+        std::string piece;
+        std::size_t largest;
+    };
+    constexpr std::size_t largest = 64UL * 1024 * 1024;
+    for (const Form &form : {Form{"half a head", "HTTP/1.1 200 OK\r\nX-Field: ", "", 1},
+                             {"head", "HTTP/1.1 200 OK\r\nX-Field: ", bytes, largest},
+                             {"body", "HTTP/1.1 200 OK\r\n\r\n", bytes, largest},
+                             {"chunk extension", chunked + "5;", bytes, largest},
+                             {"trailer", chunked + "0\r\nX-Field: ", bytes, largest},
+                             {"no HTTP", "", bytes, largest}}) {
+        INFO(form.name);
+        const Testing::EndlessServer router(form.start, form.piece, form.largest);
+        AdminClient client;
+        client.address = router.address();
+        client.timeout = std::chrono::seconds(1);
+        client.tries = 1;
+        LastReason reason;
+        const auto start = std::chrono::steady_clock::now();
+        CHECK_FALSE(call(client, "GET", "/v1/config", "", reason));
+        CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(3));
+        CHECK(router.mostSent() < 2 * socketBufferBytes);
+    }
+}
+
 TEST_CASE("digests need no router")
 {
     const auto digest = runAlone({"digest", "secret"});
