--- a/godwit/endpoint/endpoint_attempt_test.cpp
+++ b/godwit/endpoint/endpoint_attempt_test.cpp
@@ -83,6 +83,7 @@
                              {"chunk extension", std::string("HTTP/1.1 200 OK\r\n") + Chunked + "5;", bytes},
                              {"trailer", std::string("HTTP/1.1 200 OK\r\n") + Chunked + "0\r\nX-Field: ", bytes},
                              {"no HTTP", "", bytes},
+                             {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
                              {"event", std::string(Stream) + "\r\ndata: ", bytes},
                              {"usage", std::string(Stream) + "\r\n", usage},
                              {"after the closing event", std::string(Stream) + "\r\ndata: [DONE]\n\n", bytes},
@@ -121,3 +122,15 @@
     CHECK(attempts.relayed == body.size());
     CHECK(attempts.outcomes.front().tail == "data: [DONE]\n\n");
 }
+
+TEST_CASE("an interim response is not the answer")
+{
+    // Guards against the answer that follows an interim response being taken for that to the next request.
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    const EndlessServer server("HTTP/1.1 103 Early Hints\r\n\r\n" + answer, "", 1);
+    const Attempts attempts = attemptsAt(server, 1);
+    REQUIRE(attempts.outcomes.size() == 1);
+    CHECK(attempts.outcomes.front().result == AttemptResult::Completed);
+    CHECK(attempts.outcomes.front().status == 200);
+    CHECK(attempts.outcomes.front().body == "{}");
+}
