Tests: endless responses to hedges, over lenders and to probes

Tests only; no fault was found. A lender whose borrower reads nothing takes less than the sockets' buffers hold, of 64 MB that are offered.

--- a/godwit/relay/hedged_attempt_test.cpp
+++ b/godwit/relay/hedged_attempt_test.cpp
@@ -4,6 +4,7 @@
 #include "godwit/relay/relay.h"
 #include "godwit/relay/relay_call.h"
 #include "platform/header_names.h"
+#include "platform/testing/endless_server.h"
 #include "platform/testing/fake_endpoint.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -346,6 +347,43 @@
     CHECK(router.hedges(HedgeOutcome::Lost) == 1);
 }
 
+TEST_CASE("a hedge whose response does not end is given up early, and the first attempt goes on")
+{
+    // Guards against a response without an end being kept while it isn't known which attempt wins.
+    constexpr std::size_t socketBufferBytes = 12UL * 1024 * 1024;
+    const std::string events = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &[target, start] : {std::pair<const char *, std::string>{"/read/1", "HTTP/1.1 200 OK\r\n\r\n"},
+                                        {"/read/1", "HTTP/1.1 500 Failed\r\n\r\n"},
+                                        {"/read/1", "HTTP/1.1 200 OK\r\nX-Field: "},
+                                        {"/read/1", chunked + "5;"},
+                                        {"/read/1", chunked + "0\r\nX-Field: "},
+                                        {"/read/1", ""},
+                                        {"/write/1", events + "id: 1\ndata: "}}) {
+        INFO(target << '\n' << start);
+        const Testing::EndlessServer endless(start, std::string(16UL * 1024, 'x'));
+        HedgingRouter router;
+        router.queueFirst();
+        router.relay.state().endpoints.endpoints.at(EndpointId{router.second.id()}).listed.address = endless.address();
+        router.start(target, std::string(target) == "/write/1");
+        router.runUntil([&router] {
+            return router.hedges(HedgeOutcome::Lost) == 1;
+        });
+        tcp::socket engine = router.queue.accept();
+        const std::string head =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + std::string(AttemptIdField) + ": r1\r\n";
+        const std::string end = ": s\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n";
+        boost::asio::write(engine, boost::asio::buffer(head + std::string(ResponseSealField) + end));
+        router.finish();
+        CHECK(router.receivedOnce("HTTP/1.1 200 OK"));
+        CHECK(router.receivedOnce("id: 1\n"));
+        CHECK_FALSE(router.receivedText("xxxx"));
+        CHECK(endless.mostSent() > 0);
+        CHECK(endless.mostSent() < socketBufferBytes);
+        CHECK(router.inFlight() == 0);
+    }
+}
+
 TEST_CASE("if both endpoints die, the caller learns that the request may have run")
 {
     HedgingRouter router;
--- a/godwit/relay/lending_test.cpp
+++ b/godwit/relay/lending_test.cpp
@@ -1,8 +1,10 @@
 #include "godwit/http/address.h"
 #include "godwit/relay/connection_borrower.h"
 #include "godwit/relay/connection_lender.h"
+#include "godwit/relay/endpoint_probe.h"
 #include "godwit/relay/lending_protocol.h"
 #include "platform/testing/consumed_reset.h"
+#include "platform/testing/endless_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -270,3 +272,41 @@
     CHECK(fixture.readFrom(socket, text));
     CHECK(fixture.lender.openConnections() == 0);
 }
+
+TEST_CASE("a lender keeps no more of what its borrower does not read than its buffers hold")
+{
+    // Guards against an endpoint that sends without end filling the memory of a router that lends a connection to it.
+    constexpr std::size_t most = 64UL * 1024 * 1024;
+    constexpr std::size_t socketBuffersBytes = 24UL * 1024 * 1024; // Of the three sockets on the way.
+    constexpr int mostStalls = 200;
+    LendingFixture fixture;
+    REQUIRE(fixture.borrow() == LendingReply::Connected);
+    tcp::socket endpoint = fixture.endpoint.accept();
+    endpoint.non_blocking(true);
+    const std::string piece(16UL * 1024, 'x');
+    std::size_t sent = 0;
+    for (int stalls = 0; sent < most && stalls < mostStalls;) {
+        error_code error;
+        sent += endpoint.write_some(boost::asio::buffer(piece), error);
+        stalls = error == boost::asio::error::would_block ? stalls + 1 : 0;
+        fixture.io.restart();
+        fixture.io.run_for(std::chrono::milliseconds(error ? 1 : 0));
+    }
+    CHECK(sent > piece.size());
+    CHECK(sent < socketBuffersBytes);
+}
+
+TEST_CASE("a probe reads no more than it needs")
+{
+    // Guards against a probed endpoint that sends without end.
+    constexpr std::size_t socketBufferBytes = 12UL * 1024 * 1024;
+    const EndlessServer endpoint("HTTP/1.1 200 OK\r\nX-Field: ", std::string(16UL * 1024, 'x'));
+    boost::asio::io_context io;
+    std::optional<ProbeOutcome> outcome;
+    probeResponse(io, endpoint.address(), "/health", std::chrono::seconds(2), [&outcome](ProbeOutcome reported) {
+        outcome = reported;
+    });
+    io.run_for(std::chrono::seconds(3));
+    CHECK(outcome == ProbeOutcome::Accepts);
+    CHECK(endpoint.mostSent() < socketBufferBytes);
+}
