Tests: links between routers and bytes without end

Tests only; no fault was found. What answers a dial with bytes without end (a field, fields, a body, no HTTP) is left after the 16 KB that the WebSocket library allows a handshake, and a message in fragments ends its connection once they exceed the bound of a frame.

--- a/godwit/router/router_mesh_test.cpp
+++ b/godwit/router/router_mesh_test.cpp
@@ -1,6 +1,7 @@
 #include "godwit/router/router_mesh.h"
 
 #include "godwit/router/test_certificates.h"
+#include "platform/testing/endless_server.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -325,6 +326,50 @@
     CHECK(alpha.ups.size() == 1);
 }
 
+TEST_CASE("an address that sends bytes without end instead of a handshake is left early")
+{
+    // Guards against what answers at a router's former address filling the memory of those that dial it.
+    const std::string start = GENERATE(as<std::string>(),
+                                       "HTTP/1.1 101 Switching Protocols\r\nX-Field: ",
+                                       "HTTP/1.1 101 Switching Protocols\r\n",
+                                       "HTTP/1.1 200 OK\r\n\r\n",
+                                       "");
+    constexpr std::size_t socketBufferBytes = 12UL * 1024 * 1024;
+    boost::asio::io_context io;
+    Node alpha(io, "alpha", quickOptions());
+    const Testing::EndlessServer other(
+        start, !start.empty() && start.back() == '\n' ? "a: b\r\n" : std::string(16UL * 1024, 'x'));
+    alpha.mesh->connectTo(HostId{"other"}, other.address());
+    io.run_for(std::chrono::milliseconds(500));
+    CHECK(other.mostSent() > 0);
+    CHECK(other.mostSent() < socketBufferBytes);
+    CHECK(alpha.ups.empty());
+}
+
+TEST_CASE("a message in fragments without end closes its connection")
+{
+    // Guards against fragments that are each within the bound adding up in memory.
+    boost::asio::io_context io;
+    RouterMeshOptions options = quickOptions();
+    options.frameBound = 64UL * 1024;
+    Node alpha(io, "alpha", options);
+    RawPeer raw(io, alpha.mesh->listenPort());
+    raw.frame(Binary, encodeHello(rawHello()));
+    REQUIRE(runUntil(io, [&] {
+        return alpha.ups.size() == 1;
+    }));
+    const std::string fragment(32UL * 1024, 'x');
+    const std::string head = std::string("\xfe\x80\x00", 3) + std::string(4, '\0');
+    raw.write("\x02" + head + fragment);
+    raw.write(std::string(1, '\0') + head + fragment);
+    io.run_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(raw.closed());
+    raw.write(std::string(1, '\0') + head + fragment);
+    io.run_for(std::chrono::milliseconds(100));
+    CHECK(raw.closed());
+    CHECK(alpha.messages.empty());
+}
+
 TEST_CASE("connections that never say hello are bounded and leave")
 {
     boost::asio::io_context io;
