Call client: bound the answers of all connections together

A store that sends bodies without end to every call could fill a router's memory: each connection, three for calls and one for each watched prefix, kept up to 16 MB, and more while the string grew.

The clients of one store share a count of the bytes of the answers being read. An answer of more than 1 MiB is lost while the count exceeds 32 MiB. KeptBytes moves to godwit/base.

--- a/godwit/endpoint/kept_bytes.h
+++ b/godwit/base/kept_bytes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// What one answer keeps in memory, as part of the sum over all answers of a traffic thread.
+// What one answer keeps in memory, as part of a sum over several answers.
 //
 // Not thread-safe.
 //
--- a/godwit/endpoint/endpoint_attempt.cpp
+++ b/godwit/endpoint/endpoint_attempt.cpp
@@ -1,7 +1,7 @@
 #include "godwit/endpoint/endpoint_attempt.h"
 
 #include "godwit/base/json_text.h"
-#include "godwit/endpoint/kept_bytes.h"
+#include "godwit/base/kept_bytes.h"
 #include "godwit/http/address.h"
 
 #include <boost/beast/http.hpp>
--- a/godwit/http/call_client.cpp
+++ b/godwit/http/call_client.cpp
@@ -1,5 +1,6 @@
 #include "godwit/http/call_client.h"
 
+#include "godwit/base/kept_bytes.h"
 #include "godwit/http/address.h"
 #include "godwit/http/quiet_socket.h"
 
@@ -25,6 +26,10 @@
 // Bound of the bytes that wait for the parser: a head, a chunk's size with its extensions, or trailers.
 constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 
+// See CallClientOptions::keptBytes.
+constexpr std::size_t MaxKeptBytes = 32UL * 1024 * 1024;
+constexpr std::size_t MinAnswerBytes = 1024UL * 1024;
+
 // One keep-alive connection to the service, used by one coroutine.
 class Connection
 {
@@ -125,6 +130,7 @@
     {
         using Clock = std::chrono::steady_clock;
         std::optional<Clock::time_point> last;
+        KeptBytes kept(*m_options.keptBytes);
         // Else a read would end with a whole chunk only, however slowly it comes.
         parser.eager(false);
         while (!parser.is_done()) {
@@ -133,6 +139,11 @@
             if (error) {
                 return error;
             }
+            const std::size_t bodyBytes = parser.get().body().size();
+            kept.set(bodyBytes);
+            if (bodyBytes > MinAnswerBytes && *m_options.keptBytes > MaxKeptBytes) {
+                return http::error::body_limit;
+            }
             // A call without a byte of its answer keeps the time that it was sent with.
             if (bytes > 0) {
                 last = last.value_or(Clock::now() + m_options.longestAnswer);
@@ -167,6 +178,9 @@
         : m_io(io)
         , m_options(std::move(options))
     {
+        if (!m_options.keptBytes) {
+            m_options.keptBytes = std::make_shared<std::size_t>(0);
+        }
     }
 
     void call(HttpRequest request, CallRules rules, Done done)
--- a/godwit/http/call_client.h
+++ b/godwit/http/call_client.h
@@ -43,6 +43,9 @@
     // A service in the same region accepts within milliseconds; one lost opening packet is sent again after a second.
     Duration connectTimeout = std::chrono::milliseconds(500);
     std::uint64_t maxAnswerBytes = 16ULL * 1024 * 1024;
+    // Bytes of the answers now being read, of all clients that share this count; null: of this client. An answer that
+    // exceeds 1 MiB while the sum exceeds its bound of 32 MiB is lost.
+    std::shared_ptr<std::size_t> keptBytes;
     // From the first byte of an answer to its last one, however steadily it comes.
     Duration longestAnswer = std::chrono::seconds(10);
     // Whether an answer without a length or chunks counts as lost, since its connection may have ended before it. False
--- a/godwit/platform/http_platform.cpp
+++ b/godwit/platform/http_platform.cpp
@@ -199,6 +199,7 @@
         CallClientOptions options;
         options.addresses = m_options.addresses;
         options.connections = connections;
+        options.keptBytes = m_keptBytes;
         options.connectTimeout = m_options.connectTimeout;
         return options;
     }
@@ -272,6 +273,7 @@
 
     asio::io_context &m_io;
     HttpPlatformOptions m_options;
+    std::shared_ptr<std::size_t> m_keptBytes = std::make_shared<std::size_t>(0);
     CallClient m_callClient;
     std::vector<std::unique_ptr<Watch>> m_watches;
 };
