--- a/godwit/relay/hedged_attempt_test.cpp
+++ b/godwit/relay/hedged_attempt_test.cpp
@@ -370,10 +370,10 @@
             return router.hedges(HedgeOutcome::Lost) == 1;
         });
         tcp::socket engine = router.queue.accept();
-        const std::string head =
-            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + std::string(AttemptIdField) + ": r1\r\n";
-        const std::string end = ": s\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n";
-        boost::asio::write(engine, boost::asio::buffer(head + std::string(ResponseSealField) + end));
+        std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+        answer.append(AttemptIdField).append(": r1\r\n").append(ResponseSealField);
+        answer.append(": s\r\n\r\n7\r\nid: 1\n\n\r\n0\r\n\r\n");
+        boost::asio::write(engine, boost::asio::buffer(answer));
         router.finish();
         CHECK(router.receivedOnce("HTTP/1.1 200 OK"));
         CHECK(router.receivedOnce("id: 1\n"));
