--- a/godwit/relay/relay_call_answer.cpp
+++ b/godwit/relay/relay_call_answer.cpp
@@ -256,7 +256,7 @@
     forwardRest();
 }
 
-// A stream lasts long enough for the second connection to be established before it ends.
+// The second connection is obtained at once if the response's own lasts: for a stream, or until a request is written.
 void RelayCall::beginLivenessCheck()
 {
     endLivenessCheck();
@@ -266,7 +266,7 @@
     }
     const LivenessPath path = m_exchange->isBorrowed() ? LivenessPath::OtherRouters : LivenessPath::Direct;
     m_livenessCheck = std::make_shared<LivenessCheck>(m_relay, endpoint->listed, path);
-    if (m_forwardsEvents) {
+    if (m_forwardsEvents || !m_exchange->requestIsWritten()) {
         m_livenessCheck->prepare();
     }
 }
