Gateway: a stopping router passes on no request that its end would cut

In a planned stop of one router, in calm, callers lost requests that came late: they were passed on, ran, and were cut without a response when the process ended, among them requests that may run at most once.

Until 0.36 of its time a stopping router served every new request, and it ends at 0.97 whatever is open. A request that lasts longer than what is left between the two was certain to be cut, however early it came.

RelayState::endsAt says when the process will end. A request whose deadline is later is refused before anything is passed on, as not run and with the least Retry-After, unless recent requests of its route show that it may be expected to end in time: the longest of the last 30 to 60 s, with a margin, if at least 20 have ended. A request whose deadline is earlier is served as before.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -867,9 +867,12 @@
         continueStop();
     }
 
-    // Callers cache address answers for a while, so new requests still arrive and are served in the first phase.
+    // Callers cache address answers for a while, so new requests still arrive and are served in the first phase, unless
+    // the end of the process is expected to cut them.
     void continueStop()
     {
+        m_relay.state().endsAt =
+            m_stopStartedAt + std::chrono::duration_cast<Duration>(m_settings.stopWithin * EndFraction);
         const double passed = toSeconds(Relay::now() - m_stopStartedAt) / toSeconds(m_settings.stopWithin);
         if (passed >= AcceptRequestsFraction && m_relay.state().stage == RelayStage::Leaving) {
             setStage(RelayStage::Stopping, "stopping");
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -22,6 +22,7 @@
 #include "godwit/gateway/held_bytes.h"
 #include "godwit/gateway/limit_shares.h"
 #include "godwit/gateway/place_queue.h"
+#include "godwit/gateway/request_durations.h"
 #include "godwit/gateway/response_ending.h"
 #include "godwit/gateway/retry_budget.h"
 #include "godwit/gateway/route_table.h"
@@ -112,6 +113,7 @@
     // services take up to about 0.5 s, and callers abandon a stream after a gap of 2 s.
     Duration slowEndpointThreshold = std::chrono::seconds(1);
     HeldBytesOptions held; // See setHeldBytes().
+    RequestDurationOptions requestDurations;
 };
 
 struct RelayState
@@ -125,6 +127,8 @@
     LimitShares limitShares;
     AdvertisedRouters senders;
     RelayStage stage = RelayStage::Starting;
+    std::optional<TimePoint> endsAt; // When the process ends whatever is still open; unset while it isn't stopping.
+    RequestDurations requestDurations;
     int liveRouters = 1;
     bool platformInReach = false;
     // When congestion was last seen on this host's link: its state was stale then, and its messages arrive late.
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -98,6 +98,10 @@
             self->onDeadline();
         }
     });
+    if (endsLate()) {
+        refuseEndingLate();
+        return;
+    }
     if (continuesStream()) {
         findStreamOrigin();
     } else {
@@ -189,6 +193,22 @@
     return std::chrono::duration_cast<Duration>(m_relay.options().defaultRetryAfter * (0.3 + 2 * fraction));
 }
 
+bool RelayCall::endsLate() const
+{
+    const RelayState &state = m_relay.state();
+    if (!state.endsAt) {
+        return false;
+    }
+    const RequestTimes times{m_deadline, *state.endsAt};
+    return !isExpectedToEnd(
+        state.requestDurations, m_relay.options().requestDurations, m_route->name, times, Relay::now());
+}
+
+void RelayCall::refuseEndingLate()
+{
+    refuse(ErrorKind::Draining, "this router stops before the request can be expected to end", Duration(0));
+}
+
 void RelayCall::attempt()
 {
     endTrial();
@@ -336,7 +356,7 @@
     m_prefill = 0;
 }
 
-// Called once a new connection is established: the endpoint may have started to leave or reached its limit meanwhile.
+// Called once a new connection is established: the endpoint may have started to leave or reached its limit meanwhile,
 bool RelayCall::maySend(const Sending &sending)
 {
     const EndpointState *chosen = findIncarnation(m_relay.state().endpoints, sending.endpoint, sending.start);
@@ -667,6 +687,13 @@
         record.firstAnswer = *m_firstAnswerAt - m_arrived;
     }
     recordCall(m_relay.counters().calls, record);
+    if (m_possibleExecutions > 0) {
+        recordDuration(m_relay.state().requestDurations,
+                       m_relay.options().requestDurations,
+                       m_route->name,
+                       record.total,
+                       Relay::now());
+    }
 }
 
 Duration RelayCall::timeLeft() const
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -125,6 +125,9 @@
     Duration tokenRetryAfter() const;
     Duration tokenWaitLimit() const;
     Duration randomizedRetryAfter() const;
+    // Whether the process is expected to end before the request.
+    bool endsLate() const;
+    void refuseEndingLate();
     void attempt();
     void startAttempt(const Choice &choice);
     ChoiceQuery choiceQuery() const;
