Relay: no retry, hedge or waiting request is passed on that the end of a stop would cut

A request that was there before the signal could still be passed on late in a stop: after a failed attempt, or once it got its tokens or its place. It ran, and the end of the process cut it; its caller had neither a response nor the failure of the first attempt.

A retry that can't be expected to end in time isn't granted, so that its caller gets the failure at once. Waiting requests are refused as soon as the stop begins, or as soon as they can't end in time any more; a request that gets its tokens, its place, its trial or its connection is looked at once more. The same holds for hedges. A response of which the head was forwarded goes on as before, since it can't be refused any more.

--- a/godwit/daemon/gateway.cpp
+++ b/godwit/daemon/gateway.cpp
@@ -873,6 +873,7 @@
     {
         m_relay.state().endsAt =
             m_stopStartedAt + std::chrono::duration_cast<Duration>(m_settings.stopWithin * EndFraction);
+        m_relay.refuseRequestsEndingLate();
         const double passed = toSeconds(Relay::now() - m_stopStartedAt) / toSeconds(m_settings.stopWithin);
         if (passed >= AcceptRequestsFraction && m_relay.state().stage == RelayStage::Leaving) {
             setStage(RelayStage::Stopping, "stopping");
--- a/godwit/gateway/hedge_policy.h
+++ b/godwit/gateway/hedge_policy.h
@@ -57,6 +57,7 @@
     NotDue,
     SuspectRequest, // The request may have crashed an endpoint.
     TrialOpen, // The first attempt is the trial of a suspect request.
+    EndsLate, // The request is not expected to end before this process does.
     ShareUsed, // `ratio` is reached.
     AllowanceLow, // Too little of the service's retry allowance would be left.
     RoomShort, // An endpoint of the service has recently rejected a request for lack of room.
@@ -149,6 +150,7 @@
     Duration sinceSent{}; // Since the first attempt was sent.
     bool suspect = false;
     bool trialOpen = false;
+    bool endsLate = false; // The request is not expected to end before this process does.
     bool shareUsed = false;
     RetryDecision allowance; // As a retry would find it now.
     bool roomShort = false;
--- a/godwit/gateway/hedge_policy_test.cpp
+++ b/godwit/gateway/hedge_policy_test.cpp
@@ -54,6 +54,7 @@
         {HedgeDenial::AnswerBegan, &HedgeFacts::answerBegan},
         {HedgeDenial::SuspectRequest, &HedgeFacts::suspect},
         {HedgeDenial::TrialOpen, &HedgeFacts::trialOpen},
+        {HedgeDenial::EndsLate, &HedgeFacts::endsLate},
         {HedgeDenial::ShareUsed, &HedgeFacts::shareUsed},
         {HedgeDenial::RoomShort, &HedgeFacts::roomShort},
         {HedgeDenial::NoIdleEndpoint, &HedgeFacts::idleEndpointKnown},
--- a/godwit/relay/caller_connection_test.cpp
+++ b/godwit/relay/caller_connection_test.cpp
@@ -838,6 +838,94 @@
     CHECK(draws(RetryOutcome::Denied) == (canResume && !allowed ? 1 : 0));
 }
 
+namespace
+{
+
+// A router with one endpoint that has a single place, and a request that waits for tokens or for this place.
+struct RouterWithWaitingRequest : RouterWithCaller
+{
+    explicit RouterWithWaitingRequest(bool forTokens)
+    {
+        RelayState &state = relay.state();
+        SiteDocument document = documentWithRoute();
+        document.keysRequired = true;
+        document.customers.push_back({Desk, {"key"}, {}, Total, {}});
+        document.routes.front().open = false;
+        document.routes.front().timeout = std::chrono::seconds(30);
+        document.routes.front().latencyTarget = std::chrono::seconds(10);
+        state.routes = makeRouteTable(document);
+        state.stage = RelayStage::Serving;
+        ListedEndpoint listed{EndpointId{"e"}, "service", "127.0.0.1:1"};
+        listed.slots = 1;
+        replaceEndpoints(state.endpoints, {listed});
+        applyTotals(state.prepaid, 1, {{Desk, Total}});
+        if (!forTokens) {
+            addTokens();
+            state.endpoints.brittleOptions.limitUnknown = true;
+            beginAttempt(state.endpoints.endpoints.at(listed.id));
+        }
+        boost::asio::write(caller,
+                           boost::asio::buffer("GET / HTTP/1.1\r\nHost: a\r\n" + std::string(AttemptIdField) + ": 1\r\n"
+                                               + std::string(ApiKeyField) + ": key\r\n" + std::string(TokenCountsField)
+                                               + ": 700,20\r\n\r\n"));
+        run(std::chrono::milliseconds(20));
+        REQUIRE(relay.callsOpen == 1);
+        REQUIRE(received().empty());
+    }
+
+    void addTokens()
+    {
+        ShareAccount &account = relay.state().prepaid.accounts[Desk];
+        account.granted = Total;
+        account.mark = Mark{Total, 0, 0, std::chrono::hours(1)};
+    }
+
+    const CustomerId Desk{"desk"};
+    static constexpr Tokens Total = 10'000;
+};
+
+} // namespace
+
+TEST_CASE("a waiting request is refused once the process is expected to end before it")
+{
+    // Guards against requests that get their tokens or their place in the last seconds of a router, and are cut.
+    const bool forTokens = GENERATE(false, true);
+    CAPTURE(forTokens);
+    RouterWithWaitingRequest router(forTokens);
+    RelayState &state = router.relay.state();
+    SECTION("it is refused at once")
+    {
+        state.endsAt = Relay::now() + std::chrono::seconds(3);
+        router.relay.refuseRequestsEndingLate();
+    }
+    SECTION("it is not passed on instead")
+    {
+        state.endsAt = Relay::now() + std::chrono::seconds(3);
+        if (forTokens) {
+            router.addTokens();
+            router.relay.retryReservations();
+        } else {
+            state.endpoints.endpoints.at(EndpointId{"e"}).inFlight = 0;
+            router.relay.onPlaceFreed();
+        }
+    }
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().find("HTTP/1.1 503") == 0);
+    CHECK(router.relay.counters().attempts == 0);
+    CHECK(router.relay.callsOpen == 0);
+}
+
+TEST_CASE("a waiting request goes on waiting while it is expected to end before the process")
+{
+    // Guards against callers that are sent to another router although this one has time for their requests.
+    RouterWithWaitingRequest router(true);
+    router.relay.state().endsAt = Relay::now() + std::chrono::seconds(40);
+    router.relay.refuseRequestsEndingLate();
+    router.run(std::chrono::milliseconds(20));
+    CHECK(router.received().empty());
+    CHECK(router.relay.callsOpen == 1);
+}
+
 TEST_CASE("bytes of callers and of endpoints count towards the load of the link")
 {
     // Guards against a router that does not notice its busy link when no lag is measured.
--- a/godwit/relay/relay.cpp
+++ b/godwit/relay/relay.cpp
@@ -326,6 +326,17 @@
     m_waiting.erase(std::remove(m_waiting.begin(), m_waiting.end(), call), m_waiting.end());
 }
 
+void Relay::refuseRequestsEndingLate()
+{
+    std::vector<std::shared_ptr<RelayCall>> waiting = m_waiting;
+    for (const auto &[id, call] : m_waitingForPlace) {
+        waiting.push_back(call);
+    }
+    for (const auto &call : waiting) {
+        call->refuseIfEndingLate();
+    }
+}
+
 void Relay::retryReservations()
 {
     const auto waiting = std::exchange(m_waiting, {});
--- a/godwit/relay/relay.h
+++ b/godwit/relay/relay.h
@@ -431,6 +431,9 @@
     // Removes a call added by waitForTokens().
     void stopWaiting(const std::shared_ptr<RelayCall> &call);
 
+    // Refuses the waiting requests that are not expected to end before the process does.
+    void refuseRequestsEndingLate();
+
     // Retries the reservations of waiting requests, oldest first. To be called whenever tokens may have become
     // available.
     void retryReservations();
--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -196,7 +196,7 @@
 bool RelayCall::endsLate() const
 {
     const RelayState &state = m_relay.state();
-    if (!state.endsAt) {
+    if (!state.endsAt || m_headForwarded) {
         return false;
     }
     const RequestTimes times{m_deadline, *state.endsAt};
@@ -206,12 +206,27 @@
 
 void RelayCall::refuseEndingLate()
 {
-    refuse(ErrorKind::Draining, "this router stops before the request can be expected to end", Duration(0));
+    if (m_progress == Progress::Sent) {
+        refuse(ErrorKind::EndpointFailed, "the endpoint failed and this router is stopping", std::nullopt);
+    } else {
+        refuse(ErrorKind::Draining, "this router stops before the request can be expected to end", Duration(0));
+    }
+}
+
+void RelayCall::refuseIfEndingLate()
+{
+    if (!m_closed && endsLate()) {
+        refuseEndingLate();
+    }
 }
 
 void RelayCall::attempt()
 {
     endTrial();
+    if (endsLate()) {
+        refuseEndingLate();
+        return;
+    }
     const Admission admission = admissionNow();
     if (admission == Admission::Refused) {
         refuseSuspect();
@@ -357,10 +372,11 @@
 }
 
 // Called once a new connection is established: the endpoint may have started to leave or reached its limit meanwhile,
+// and this router may have started to stop.
 bool RelayCall::maySend(const Sending &sending)
 {
     const EndpointState *chosen = findIncarnation(m_relay.state().endpoints, sending.endpoint, sending.start);
-    if (chosen == nullptr || !acceptsNewRequests(*chosen)) {
+    if (chosen == nullptr || !acceptsNewRequests(*chosen) || endsLate()) {
         return false;
     }
     const TimePoint now = Relay::now();
--- a/godwit/relay/relay_call.h
+++ b/godwit/relay/relay_call.h
@@ -70,6 +70,9 @@
     // Chooses an endpoint for a request that waits for a place. Returns false while it still has to wait.
     bool tryPlace();
 
+    // Refuses a request that waits if it is not expected to end before the process does.
+    void refuseIfEndingLate();
+
     // The request has been removed from the queue for places.
     void onNoPlace(PlaceWaitOutcome outcome);
 
@@ -125,7 +128,8 @@
     Duration tokenRetryAfter() const;
     Duration tokenWaitLimit() const;
     Duration randomizedRetryAfter() const;
-    // Whether the process is expected to end before the request.
+    // Whether the process is expected to end before the request. False once the head of a response has been forwarded:
+    // such a response can't be refused any more.
     bool endsLate() const;
     void refuseEndingLate();
     void attempt();
--- a/godwit/relay/relay_call_hedge.cpp
+++ b/godwit/relay/relay_call_hedge.cpp
@@ -57,6 +57,7 @@
     facts.sinceSent = now - m_hedgeBase;
     facts.suspect = admissionNow() != Admission::Unrestricted;
     facts.trialOpen = m_trial.has_value();
+    facts.endsLate = endsLate();
     facts.shareUsed = isShareUsed(state.hedges, options, m_serviceName, now);
     facts.allowance = checkRetry(state.retryBudgets[m_serviceName],
                                  m_relay.options().retryRules,
--- a/godwit/relay/relay_call_retries.cpp
+++ b/godwit/relay/relay_call_retries.cpp
@@ -62,13 +62,13 @@
         || (m_route->kind == GatewayRouteKind::Streaming && !m_route->resumable);
 }
 
-// Whether the route and the deadline permit another attempt.
+// Whether the route, the deadline and the end of this process permit another attempt.
 bool RelayCall::mayRetry() const
 {
     if (m_possibleExecutions > 0 && (runsAtMostOnce() || m_possibleExecutions >= m_route->maxEndpoints)) {
         return false;
     }
-    return timeLeft() > Duration::zero();
+    return timeLeft() > Duration::zero() && !endsLate();
 }
 
 bool RelayCall::takeRetry(std::string_view cause)
@@ -146,6 +146,10 @@
         refuse(ErrorKind::EndpointFailed, "the endpoint's response was lost; the request may have run", std::nullopt);
         return;
     }
+    if (endsLate()) {
+        refuseEndingLate();
+        return;
+    }
     refuse(ErrorKind::Overloaded,
            "none of the endpoints that were tried accepted the request",
            m_answer.retryAfter.value_or(m_relay.options().defaultRetryAfter));
--- a/godwit/relay/relay_call_suspects.cpp
+++ b/godwit/relay/relay_call_suspects.cpp
@@ -148,12 +148,17 @@
             Choice chosen = requestedChoice;
             chosen.endpoint = findIncarnation(self->m_relay.state().endpoints, endpoint, start);
             const bool gone = chosen.endpoint == nullptr || !acceptsNewRequests(*chosen.endpoint);
-            if (granted && (gone || self->m_closed)) {
+            const bool late = !self->m_closed && self->endsLate();
+            if (granted && (gone || late || self->m_closed)) {
                 self->m_relay.onTrialEnded(suspect);
             }
             if (self->m_closed) {
                 return;
             }
+            if (late) {
+                self->refuseEndingLate();
+                return;
+            }
             if (!granted || gone) {
                 self->refuseSuspectForNow();
                 return;
