--- a/godwit/relay/relay_call.cpp
+++ b/godwit/relay/relay_call.cpp
@@ -98,6 +98,10 @@
             self->onDeadline();
         }
     });
+    if (endsLate()) {
+        refuseEndingLate();
+        return;
+    }
     if (continuesStream()) {
         findStreamOrigin();
     } else {
@@ -189,9 +193,40 @@
     return std::chrono::duration_cast<Duration>(m_relay.options().defaultRetryAfter * (0.3 + 2 * fraction));
 }
 
+bool RelayCall::endsLate() const
+{
+    const RelayState &state = m_relay.state();
+    if (!state.endsAt || m_headForwarded) {
+        return false;
+    }
+    const RequestTimes times{m_deadline, *state.endsAt};
+    return !isExpectedToEnd(
+        state.requestDurations, m_relay.options().requestDurations, m_route->name, times, Relay::now());
+}
+
+void RelayCall::refuseEndingLate()
+{
+    if (m_progress == Progress::Sent) {
+        refuse(ErrorKind::EndpointFailed, "the endpoint failed and this router is stopping", std::nullopt);
+    } else {
+        refuse(ErrorKind::Draining, "this router stops before the request can be expected to end", Duration(0));
+    }
+}
+
+void RelayCall::refuseIfEndingLate()
+{
+    if (!m_closed && endsLate()) {
+        refuseEndingLate();
+    }
+}
+
 void RelayCall::attempt()
 {
     endTrial();
+    if (endsLate()) {
+        refuseEndingLate();
+        return;
+    }
     const Admission admission = admissionNow();
     if (admission == Admission::Refused) {
         refuseSuspect();
@@ -336,11 +371,12 @@
     m_prefill = 0;
 }
 
-// Called once a new connection is established: the endpoint may have started to leave or reached its limit meanwhile.
+// Called once a new connection is established: the endpoint may have started to leave or reached its limit meanwhile,
+// and this router may have started to stop.
 bool RelayCall::maySend(const Sending &sending)
 {
     const EndpointState *chosen = findIncarnation(m_relay.state().endpoints, sending.endpoint, sending.start);
-    if (chosen == nullptr || !acceptsNewRequests(*chosen)) {
+    if (chosen == nullptr || !acceptsNewRequests(*chosen) || endsLate()) {
         return false;
     }
     const TimePoint now = Relay::now();
@@ -677,6 +713,13 @@
         record.firstAnswer = *m_firstAnswerAt - m_arrived;
     }
     recordCall(m_relay.counters().calls, record);
+    if (m_possibleExecutions > 0) {
+        recordDuration(m_relay.state().requestDurations,
+                       m_relay.options().requestDurations,
+                       m_route->name,
+                       record.total,
+                       Relay::now());
+    }
 }
 
 Duration RelayCall::timeLeft() const
