--- a/godwit/relay/liveness_check.cpp
+++ b/godwit/relay/liveness_check.cpp
@@ -70,7 +70,6 @@
     , m_path(path)
     , m_timer(relay.io())
 {
-    m_parser.header_limit(MaxHealthHeadBytes);
 }
 
 void LivenessCheck::prepare()
@@ -83,6 +82,7 @@
 void LivenessCheck::conclude(TimePoint endedAt, Done done)
 {
     m_endedAt = endedAt;
+    m_settledAt = Relay::now() + m_relay.options().liveness.settleTime;
     m_done = std::move(done);
     if (m_path == LivenessPath::OtherRouters) {
         askOtherRouters();
@@ -139,7 +139,7 @@
         const TimePoint now = Relay::now();
         m_witness.emplace(Witness{{std::move(socket), now, now}, now, LivenessEvidence::NewConnection});
         if (m_done) {
-            watch();
+            judgeWitness();
         }
         return;
     }
@@ -163,10 +163,12 @@
         }
         m_witness.reset();
     }
-    if (m_witness || takeKept()) {
+    if (!m_witness && !takeKept()) {
+        connect();
+    } else if (m_witness->establishedAt <= m_endedAt) {
         watch();
     } else {
-        connect();
+        askForId();
     }
 }
 
@@ -225,24 +227,34 @@
 {
     if (isClosed(m_witness->connection.socket)) {
         onWitnessEnded(Relay::now());
-    } else if (m_witness->establishedAt <= m_endedAt + m_relay.options().liveness.minRestartTime) {
-        finish(EndpointLiveness::Alive, m_witness->evidence);
     } else {
-        askForId();
+        finish(EndpointLiveness::Alive, m_witness->evidence);
     }
 }
 
+bool LivenessCheck::isPrompt() const
+{
+    return m_witness->establishedAt <= m_endedAt + m_relay.options().liveness.minRestartTime;
+}
+
 void LivenessCheck::askForId()
 {
     auto &socket = m_witness->connection.socket;
-    error_code ignored;
-    socket.cancel(ignored);
+    m_buffer.clear();
+    m_parser.emplace();
+    m_parser->header_limit(MaxHealthHeadBytes);
     m_request = formatHealthRequest(m_relay.reachMonitor().probePath(m_endpoint.service), m_endpoint.address);
-    limitTime();
+    m_timer.expires_after(isPrompt() ? m_relay.options().liveness.settleTime
+                                     : m_relay.options().liveness.responseTimeout);
+    m_timer.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && self->m_done && self->m_witness) {
+            self->onUnidentified();
+        }
+    });
     asio::async_write(socket, asio::buffer(m_request), [self = shared_from_this()](const error_code &, std::size_t) {});
     http::async_read_header(
-        socket, m_buffer, m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (self->m_done) {
+        socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (self->m_done && self->m_witness) {
                 self->onHealthChecked(error);
             }
         });
@@ -251,14 +263,33 @@
 void LivenessCheck::onHealthChecked(const error_code &error)
 {
     if (error) {
-        finish(EndpointLiveness::Unknown, LivenessEvidence::None);
+        m_witness.reset();
+        connectAfterSettling();
+        return;
+    }
+    const std::string id = parseEndpointId(m_parser->get().base());
+    if (id.empty()) {
         return;
     }
-    const std::string id = parseEndpointId(m_parser.get().base());
-    const EndpointLiveness liveness = id.empty() ? EndpointLiveness::Unknown
-        : id == m_endpoint.id.value              ? EndpointLiveness::Alive
-                                                 : EndpointLiveness::Dead;
-    finish(liveness, LivenessEvidence::HealthCheck);
+    if (id != m_endpoint.id.value) {
+        finish(EndpointLiveness::Dead, LivenessEvidence::HealthCheck);
+        return;
+    }
+    m_timer.expires_at(m_settledAt);
+    m_timer.async_wait([self = shared_from_this()](const error_code &cancelled) {
+        if (!cancelled) {
+            self->finish(EndpointLiveness::Alive, LivenessEvidence::HealthCheck);
+        }
+    });
+}
+
+void LivenessCheck::onUnidentified()
+{
+    if (isPrompt() && !isClosed(m_witness->connection.socket)) {
+        finish(EndpointLiveness::Alive, LivenessEvidence::NewConnection);
+    } else {
+        finish(EndpointLiveness::Unknown, LivenessEvidence::None);
+    }
 }
 
 // Other routers only tell whether the endpoint's address accepts connections, so they have to be asked promptly.
--- a/godwit/relay/liveness_check.h
+++ b/godwit/relay/liveness_check.h
@@ -6,7 +6,8 @@
 // of one connection doesn't show whether a response was complete. A second connection to the same process does: it
 // ends at the same moment. It is an idle one of the pool or a new one. One that ends at another moment, or that was
 // established only after the response, shows less: an endpoint closes idle connections and resets those beyond its
-// limit, and a restarted process accepts new ones. Then the process is asked for its id. Not thread-safe.
+// limit, and a restarted process accepts new ones. Then the process is asked for its id. An endpoint that has no place
+// for the question is believed if the connection was established promptly. Not thread-safe.
 //
 // Example:
 //   auto check = std::make_shared<LivenessCheck>(relay, endpoint, LivenessPath::Direct);
@@ -75,8 +76,8 @@
     Duration settleTime = std::chrono::milliseconds(50);
     // Connections that ended within this time of each other ended together.
     Duration simultaneousTime = std::chrono::milliseconds(20);
-    // Shorter than a process takes to be restarted. A connection that is established later after the response than this
-    // may belong to another process.
+    // Shorter than a process takes to be restarted and to become too busy for a health check. A connection that was
+    // established later after the response than this may belong to another process.
     Duration minRestartTime = std::chrono::milliseconds(10);
     // For a new connection, and for a health check on it. Longer than one second, after which TCP retransmits a lost
     // SYN.
@@ -119,6 +120,8 @@
     void onSettled();
     void askForId();
     void onHealthChecked(const boost::system::error_code &error);
+    void onUnidentified();
+    bool isPrompt() const;
     void askOtherRouters();
     void limitTime();
     void finish(EndpointLiveness liveness, LivenessEvidence evidence);
@@ -130,13 +133,14 @@
     LivenessPath m_path;
     Done m_done; // Set by conclude() until it is called.
     TimePoint m_endedAt;
+    TimePoint m_settledAt; // Not to be concluded as alive before this.
     std::optional<Witness> m_witness;
     std::optional<ConnectionPool::Socket> m_connecting;
     bool m_reconnected = false; // After a second connection that showed nothing.
     boost::asio::steady_timer m_timer;
     std::string m_request;
     boost::beast::flat_buffer m_buffer;
-    boost::beast::http::response_parser<boost::beast::http::empty_body> m_parser;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::empty_body>> m_parser;
 };
 
 } // namespace Godwit
