--- a/review/standins-2/endpoint.cpp
+++ b/review/standins-2/endpoint.cpp
@@ -86,6 +86,9 @@
     if (targetOf(request) == "/health") {
         return sendAll(socket, formatResponse("200 OK", "X-Replica-Id: " + m_id + "\r\n", ""));
     }
+    if (targetOf(request) == "/report" && !m_report.empty()) {
+        return sendAll(socket, formatResponse("200 OK", "Content-Type: application/json\r\n", m_report));
+    }
     const std::string attempt = fieldOf(request, "X-Attempt-Id");
     if (attempt.empty()) {
         return sendAll(socket, formatResponse("400 Bad Request", "X-Not-Executed: 1\r\n", ""));
--- a/review/standins-2/endpoint.h
+++ b/review/standins-2/endpoint.h
@@ -34,6 +34,11 @@
     Endpoint(std::string id, std::string service, Respond respond);
 
     void start();
+    // Answer of an engine to `GET /report`; without it, the endpoint is a plain service, which has none.
+    void setReport(std::string report)
+    {
+        m_report = std::move(report);
+    }
     // The value of the entry by which the endpoint registers itself in the store.
     std::string entry() const;
     std::string key() const
@@ -51,6 +56,7 @@
     std::string m_id;
     std::string m_service;
     Respond m_respond;
+    std::string m_report;
     int m_port;
     std::mutex m_mutex;
     std::map<std::string, int> m_runs;
